--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Each target prepares its own environment in .venv; nothing is installed by hand.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: test demo bench format lint proto
+
+.venv/.ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+lint: .venv/.ready
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+
+format: .venv/.ready
+	$(BIN)/ruff check --fix --quiet .
+	$(BIN)/black --quiet .
+
+test: lint
+	$(BIN)/python -m tests.run
+
+demo: .venv/.ready
+	$(BIN)/python -m demo.run
+
+bench: .venv/.ready
+	$(BIN)/python -m bench.run
+
+proto: .venv/.ready
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. bergamotridge/nodes/*.proto
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: timings and policy tables, run by `make bench`."""
--- /dev/null
+++ b/bergamotridge/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: the HTTP port for callers, admission of their calls, and their keys."""
--- /dev/null
+++ b/bergamotridge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module per command, each parses flags and hands over."""
--- /dev/null
+++ b/bergamotridge/errors.py
@@ -0,0 +1,93 @@
+"""The exception tree: one base, a category on every class."""
+
+import enum
+
+from bergamotridge import verdict
+
+
+class Category(enum.Enum):
+    """What kind of mistake or failure an error reports."""
+
+    USAGE = "usage"
+    SETTINGS = "settings"
+    PLATFORM = "platform"
+    CALL = "call"
+    NODE = "node"
+
+
+class BergamotridgeError(Exception):
+    """Base of all errors of this package; subclasses set `category` and say what to do."""
+
+    category = Category.NODE
+
+
+class UsageError(BergamotridgeError):
+    """The command line cannot be carried out as given."""
+
+    category = Category.USAGE
+
+
+class SettingsError(BergamotridgeError):
+    """A settings file or the operator's text is wrong; names the file, key and accepted values."""
+
+    category = Category.SETTINGS
+
+
+class AddressInUseError(BergamotridgeError):
+    """A listening address is held by another process."""
+
+    category = Category.SETTINGS
+
+
+class PlatformError(BergamotridgeError):
+    """The platform refused a request or could not be reached."""
+
+    category = Category.PLATFORM
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform did not answer; a write may or may not have taken effect."""
+
+
+class ConflictError(PlatformError):
+    """A conditional update named a version that is no longer the current one.
+
+    Attributes:
+        version: The current version, 0 if the object does not exist.
+    """
+
+    def __init__(self, message: str, version: int) -> None:
+        super().__init__(message)
+        self.version = version
+
+
+class NotFoundError(PlatformError):
+    """The platform holds no such object."""
+
+
+class CallError(BergamotridgeError):
+    """A call was refused or failed.
+
+    Attributes:
+        status: HTTP status for the caller.
+        verdict: Whether the call may have run.
+        reason: A short fixed word for metrics and events, such as ``"rate"`` or ``"shed"``.
+        retry_after_s: Seconds after which the caller may try again, or None.
+    """
+
+    category = Category.CALL
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        reason: str,
+        verdict: verdict.Verdict = verdict.Verdict.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.reason = reason
+        self.verdict = verdict
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/bergamotridge/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Other nodes: relayed calls, membership, choice of upstream, and shared allowances."""
--- /dev/null
+++ b/bergamotridge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: their text, their commands, and the port they look in through."""
--- /dev/null
+++ b/bergamotridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: its object API, watches, and what the system keeps there."""
--- /dev/null
+++ b/bergamotridge/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers with no knowledge of calls or hosts."""
--- /dev/null
+++ b/bergamotridge/util/hlc.py
@@ -0,0 +1,54 @@
+"""Hybrid logical clock (Kulkarni et al., 2014): stamps that respect causality across hosts."""
+
+import functools
+import threading
+
+import attrs
+
+
+@functools.total_ordering
+@attrs.frozen(eq=True, order=False)
+class Stamp:
+    """A point in causal order: wall-clock milliseconds, a counter, and the host as tie-break."""
+
+    millis: int
+    counter: int
+    host: str
+
+    def __lt__(self, other: "Stamp") -> bool:
+        return (self.millis, self.counter, self.host) < (other.millis, other.counter, other.host)
+
+    def __str__(self) -> str:
+        return f"{self.millis}.{self.counter}@{self.host}"
+
+
+def parse(text: str) -> Stamp:
+    """Returns the stamp that `str(stamp)` wrote; raises ValueError on anything else."""
+    clock, _, host = text.partition("@")
+    millis, _, counter = clock.partition(".")
+    return Stamp(int(millis), int(counter), host)
+
+
+class HybridClock:
+    """Issues stamps for one host; `observe` takes in the stamp of a received message."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._lock = threading.Lock()
+        self._millis = 0
+        self._counter = 0
+
+    def stamp(self, now_ms: int) -> Stamp:
+        """Returns a stamp later than all issued or observed so far; `now_ms` is wall time."""
+        with self._lock:
+            if now_ms > self._millis:
+                self._millis, self._counter = now_ms, 0
+            else:
+                self._counter += 1
+            return Stamp(self._millis, self._counter, self._host)
+
+    def observe(self, other: Stamp) -> None:
+        """Moves the clock past `other`, so that later stamps sort after it."""
+        with self._lock:
+            if (other.millis, other.counter) > (self._millis, self._counter):
+                self._millis, self._counter = other.millis, other.counter
--- /dev/null
+++ b/tests/test_operators/test_text.py
@@ -0,0 +1,46 @@
+"""The operator's text: mistakes are refused with the key and the accepted values."""
+
+import pytest
+
+from bergamotridge import errors
+from bergamotridge.operators import text
+
+GOOD = """
+[services.counter]
+depends_on = ["booking"]
+[services.booking]
+[routes.book]
+method = "POST"
+path = "/bookings"
+service = "counter"
+importance = "critical"
+[teams.utrecht]
+rate = 10
+burst = 5
+"""
+
+
+def test_good_text_is_accepted():
+    parsed = text.parse(GOOD, "fleet.toml")
+    assert parsed.services["counter"].depends_on == ("booking",)
+    assert not parsed.routes["book"].repeatable
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "message"),
+    [
+        ("rate = 10", "rate = -1", "teams.utrecht.rate"),
+        ("burst = 5", "burst = 0", "teams.utrecht.burst"),
+        ("burst = 5", "brust = 5", "unknown key 'teams.utrecht.brust'"),
+        ("[services.booking]", '[services.booking]\ndepends_on = ["counter"]', "cycle"),
+        ('depends_on = ["booking"]', 'depends_on = ["bookings"]', "unknown service 'bookings'"),
+        ('service = "counter"', 'service = "count"', "unknown service 'count'"),
+        ('importance = "critical"', 'importance = "high"', "critical, standard, sheddable"),
+        ("rate = 10", "rate = nan", "teams.utrecht.rate"),
+    ],
+)
+def test_mistakes_are_refused(old, new, message):
+    with pytest.raises(errors.SettingsError) as caught:
+        text.parse(GOOD.replace(old, new), "fleet.toml")
+    assert message in str(caught.value)
+    assert str(caught.value).startswith("fleet.toml")
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,42 @@
+"""Settings are checked at load and errors name file, key and accepted values."""
+
+import pytest
+
+from bergamotridge import errors, settings
+
+GOOD = """
+host = "h1"
+failure_domain = "amsterdam"
+fleet_secret = "s"
+[addresses]
+callers = "127.0.0.1:8000"
+upstream = "127.0.0.1:8001"
+relay = "127.0.0.1:8002"
+control = "127.0.0.1:8003"
+operators = "127.0.0.1:8004"
+[platform]
+address = "127.0.0.1:9000"
+"""
+
+
+def test_good_text_gives_settings_with_defaults():
+    loaded = settings.read(GOOD, "node.toml")
+    assert loaded.host == "h1"
+    assert loaded.limits.retries == 2
+    assert loaded.peers.first == ()
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "message"),
+    [
+        ('host = "h1"', 'hots = "h1"', "unknown key 'hots'"),
+        ('host = "h1"', "host = 3", "key 'host' is 3"),
+        ("127.0.0.1:8000", "localhost:8000", "key 'addresses.callers'"),
+        ("[platform]", "[platform]\ntimeout_s = -1", "key 'platform.timeout_s' is -1"),
+        ('host = "h1"', 'host = "h1"\npeers = 3', "key 'peers' must be a table"),
+    ],
+)
+def test_bad_text_is_refused_by_name(old, new, message):
+    with pytest.raises(errors.SettingsError, match=r"node\.toml") as caught:
+        settings.read(GOOD.replace(old, new), "node.toml")
+    assert message in str(caught.value)
