Add rates of teams and claims of calls that run at most once, in memory

Cause: the caller port needs both before it can admit a call. Ruled out: give_back without the time of the take. A token that was taken while the bucket was low may come back after the bucket has filled; then a window admits twice the burst (test_give_back_after_the_bucket_was_full_creates_nothing). TeamRates.give_back therefore takes `taken_at`, and the bucket gives back what it would hold without the take. Change: callers/bucket (rate, burst, loans, undone takes), callers/rates (TeamRates, LocalRates), callers/idempotency (keys that a node hands out), callers/claims (begin, wait, finish), and the checker of windows in tests/history_rates. Caller-chosen keys are claimed on one node only so far.

--- /dev/null
+++ b/tests/test_callers/test_bucket.py
@@ -0,0 +1,58 @@
+"""Token bucket: no window admits more than burst + rate * t, with tokens lent and given back."""
+
+import random
+
+import pytest
+
+from bergamotridge.callers import bucket
+from tests import history_rates
+
+RATE, BURST = 10.0, 5.0
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_every_window_holds_with_loans_and_undone_takes(seed):
+    rng = random.Random(seed)
+    tokens = bucket.TokenBucket(RATE, BURST, 0.0, level=BURST, undo_window_s=3.0)
+    now, admitted, lent = 0.0, [], 0
+    for _ in range(400):
+        now += rng.choice((0.0, 0.01, 0.1, 1.0))
+        step = rng.random()
+        if step < 0.5 and tokens.take(now):
+            admitted.append(now)
+        elif step < 0.65 and admitted:
+            taken_at = admitted.pop(rng.randrange(len(admitted)))
+            tokens.give_back(now, taken_at)
+        elif step < 0.8:
+            lent += tokens.lend(rng.randint(1, 4), now)
+        elif lent:
+            spent = rng.randint(0, lent)
+            unused = lent - spent
+            admitted.extend([now] * spent)
+            tokens.settle(spent, unused, now)
+            lent = 0
+    assert history_rates.worst_excess(admitted, RATE, BURST) <= history_rates.ROUNDING
+
+
+def test_give_back_after_the_bucket_was_full_creates_nothing():
+    tokens = bucket.TokenBucket(RATE, BURST, 0.0, level=BURST)
+    assert all(tokens.take(0.0) for _ in range(5))
+    assert all(tokens.take(1.0) for _ in range(5))
+    for _ in range(5):
+        tokens.give_back(1.0, 0.0)
+    assert not tokens.take(1.0)
+
+
+def test_give_back_of_a_recent_take_admits_another():
+    tokens = bucket.TokenBucket(RATE, BURST, 0.0, level=1.0)
+    assert tokens.take(0.0)
+    tokens.give_back(0.01, 0.0)
+    assert tokens.take(0.01)
+
+
+def test_clock_that_steps_back_creates_nothing():
+    tokens = bucket.TokenBucket(RATE, BURST, 10.0)
+    tokens.refill(10.1)
+    tokens.refill(0.0)
+    tokens.refill(10.1)
+    assert tokens.level == pytest.approx(1.0)
