Add the HTTP server and client of the data path

Cause: werkzeug's own server closes each connection, and libcurl sends a request again by itself when a reused connection dies unanswered, which would run a payment twice. Ruled out: a fresh connection per call (costs a handshake); leaving it to libcurl.

--- /dev/null
+++ b/bergamotridge/util/http_client.py
@@ -0,0 +1,238 @@
+"""HTTP client over pycurl: pools of kept-alive connections, whole answers, honest verdicts."""
+
+import collections
+import contextlib
+import os
+import select
+import socket
+import threading
+
+import attrs
+import pycurl
+
+from bergamotridge import verdict
+from bergamotridge.util import cancellation, message
+
+CONNECT_TIMEOUT_MS = 1_000
+NO_BODY_STATUSES = frozenset((204, 304))
+_QUIET_HEADERS = ["User-Agent:", "Accept:", "Expect:", "Content-Type:"]
+_NOT_SENT = frozenset(
+    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT)
+)
+
+
+class TransferError(Exception):
+    """No whole answer came.
+
+    Attributes:
+        verdict: NOT_RUN if no byte of the request was sent, else MAY_HAVE_RUN.
+        timed_out: True if the time limit ended the transfer.
+    """
+
+    def __init__(self, text: str, outcome: verdict.Verdict, *, timed_out: bool = False) -> None:
+        super().__init__(text)
+        self.verdict = outcome
+        self.timed_out = timed_out
+
+
+class _Exchange:
+    """One curl handle with its one kept-alive connection."""
+
+    def __init__(self, address: str, body_limit: int) -> None:
+        self._base = f"http://{address}".encode()
+        self._body_limit = body_limit
+        self._lines: list[bytes] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._sock: socket.socket | None = None
+        self._token: cancellation.Token | None = None
+        self._fresh = True
+        self._may_open = True
+        self._curl = self._prepare()
+
+    def _prepare(self) -> pycurl.Curl:
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.HEADERFUNCTION, self._lines.append)
+        curl.setopt(pycurl.WRITEFUNCTION, self._take)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
+        curl.setopt(pycurl.CLOSESOCKETFUNCTION, self._close_socket)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.MAXCONNECTS, 1)
+        return curl
+
+    def _take(self, data: bytes) -> int:
+        self._size += len(data)
+        if self._size > self._body_limit:
+            return 0
+        self._body.append(data)
+        return len(data)
+
+    def _open_socket(self, _purpose: int, address: tuple) -> socket.socket | int:
+        # libcurl sends a request again by itself when a reused connection dies unanswered, which
+        # would run a call twice; so a new socket is refused once the request may be on its way.
+        cancelled = self._token is not None and self._token.cancelled
+        if not self._may_open or cancelled:
+            return pycurl.SOCKET_BAD
+        self._may_open = False
+        family, kind, protocol, _ = address
+        self._sock = socket.socket(family, kind, protocol)
+        return self._sock
+
+    def _close_socket(self, descriptor: int) -> int:
+        os.close(descriptor)
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+        return 0
+
+    def _is_stale(self) -> bool:
+        if self._sock is None:
+            return True
+        poll = select.poll()
+        poll.register(self._sock, select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def abort(self) -> None:
+        """Ends the transfer that another thread waits for."""
+        sock = self._sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Closes the handle and its connection."""
+        self._curl.close()
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+    def perform(
+        self, request: message.Request, timeout_s: float, token: cancellation.Token | None
+    ) -> message.Response:
+        """Sends one request and returns its whole answer; raises TransferError."""
+        curl = self._curl
+        self._fresh = self._may_open = self._is_stale()
+        curl.setopt(pycurl.FRESH_CONNECT, int(self._fresh))
+        self._token = token
+        self._lines.clear()
+        self._body.clear()
+        self._size = 0
+        self._set_request(request, timeout_s)
+        registration = token.on_cancel(self.abort) if token is not None else -1
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            raise self._failure(error) from error
+        finally:
+            if token is not None:
+                token.remove(registration)
+        return self._response(request)
+
+    def _set_request(self, request: message.Request, timeout_s: float) -> None:
+        curl = self._curl
+        headers = [b"%s: %s" % field if field[1] else field[0] + b";" for field in request.headers]
+        curl.setopt(pycurl.URL, self._base + request.target)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+        else:
+            curl.setopt(pycurl.HTTPGET, 1)
+        curl.setopt(pycurl.NOBODY, int(request.method == b"HEAD"))
+        curl.setopt(pycurl.CUSTOMREQUEST, request.method.decode("ascii"))
+        present = {name for name, _ in request.headers}
+        quiet = [line for line in _QUIET_HEADERS if line[:-1].lower().encode() not in present]
+        curl.setopt(pycurl.HTTPHEADER, headers + quiet)
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+
+    def _failure(self, error: pycurl.error) -> TransferError:
+        code, text = error.args[0], error.args[1]
+        # On a reused connection "could not connect" is the resend refused in `_open_socket`, so
+        # the first copy may have run.
+        unsent = self._fresh and (
+            code in _NOT_SENT or self._curl.getinfo(pycurl.PRETRANSFER_TIME) == 0.0
+        )
+        outcome = verdict.Verdict.NOT_RUN if unsent else verdict.Verdict.MAY_HAVE_RUN
+        return TransferError(text, outcome, timed_out=code == pycurl.E_OPERATION_TIMEDOUT)
+
+    def _response(self, request: message.Request) -> message.Response:
+        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
+        headers: list[message.Header] = []
+        framed = request.method == b"HEAD" or status in NO_BODY_STATUSES
+        for line in self._lines:
+            if line.startswith(b"HTTP/"):
+                headers.clear()
+                continue
+            name, separator, value = line.partition(b":")
+            if separator:
+                headers.append((name.lower(), value.strip()))
+                framed = framed or name.lower() in (b"content-length", b"transfer-encoding")
+        if not framed:
+            raise TransferError(
+                "the answer gives no length, so it cannot be known to be whole",
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+        return message.Response(status, headers, b"".join(self._body))
+
+
+@attrs.define
+class Pool:
+    """Kept-alive connections to one address; each transfer has a connection of its own.
+
+    A connection whose transfer failed is closed and never used again.
+    """
+
+    address: str
+    body_limit: int
+    _idle: collections.deque = attrs.field(factory=collections.deque, init=False)
+    _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
+
+    def send(
+        self, request: message.Request, timeout_s: float, token: cancellation.Token | None = None
+    ) -> message.Response:
+        """Sends a request within `timeout_s` seconds; raises TransferError with the verdict."""
+        if timeout_s <= 0 or (token is not None and token.cancelled):
+            raise TransferError("nothing was sent", verdict.Verdict.NOT_RUN, timed_out=True)
+        with self._lock:
+            exchange = self._idle.pop() if self._idle else None
+        if exchange is None:
+            exchange = _Exchange(self.address, self.body_limit)
+        try:
+            response = exchange.perform(request, timeout_s, token)
+        except BaseException:
+            exchange.close()
+            raise
+        with self._lock:
+            self._idle.append(exchange)
+        return response
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        with self._lock:
+            while self._idle:
+                self._idle.pop().close()
+
+
+class Pools:
+    """The pools of all addresses that this process calls."""
+
+    def __init__(self, body_limit: int) -> None:
+        self._body_limit = body_limit
+        self._pools: dict[str, Pool] = {}
+        self._lock = threading.Lock()
+
+    def to(self, address: str) -> Pool:
+        """Returns the pool for an address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            with self._lock:
+                pool = self._pools.setdefault(address, Pool(address, self._body_limit))
+        return pool
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self._lock:
+            for pool in self._pools.values():
+                pool.close()
--- /dev/null
+++ b/tests/test_util/test_http_client.py
@@ -0,0 +1,103 @@
+"""The client takes answers whole, never sends twice, and gives true verdicts."""
+
+import concurrent.futures
+import socket
+import threading
+
+import pytest
+
+from bergamotridge import verdict
+from bergamotridge.util import cancellation, http_client, message
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+BODY_LIMIT = 1024
+
+
+class Script:
+    """A server that answers the n-th request with the n-th entry; None closes unanswered."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.requests: list[bytes] = []
+        self._answers = list(answers)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while self._answers:
+            sock, _ = self._listener.accept()
+            with sock:
+                self._serve(sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        while self._answers:
+            data = sock.recv(65536)
+            if not data:
+                return
+            self.requests.append(data)
+            given = self._answers.pop(0)
+            if given is None:
+                return
+            sock.sendall(given)
+
+
+def send(pool: http_client.Pool, **more):
+    return pool.send(message.Request(b"POST", b"/pay", [], b"x"), more.pop("timeout_s", 5), **more)
+
+
+def test_a_dead_reused_connection_does_not_make_the_request_run_twice():
+    server = Script(WHOLE, None, WHOLE)
+    pool = http_client.Pool(server.address, BODY_LIMIT)
+    assert send(pool).body == b"ok"
+    with pytest.raises(http_client.TransferError) as caught:
+        send(pool)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+    assert len(server.requests) == 2
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000,
+    ],
+    ids=["cut", "chunk missing", "no length", "too large"],
+)
+def test_an_answer_that_is_not_whole_is_an_error(bad):
+    pool = http_client.Pool(Script(bad).address, BODY_LIMIT)
+    with pytest.raises(http_client.TransferError) as caught:
+        send(pool)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+def test_connect_failure_is_not_run():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+    with pytest.raises(http_client.TransferError) as caught:
+        send(http_client.Pool(address, BODY_LIMIT))
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
+def test_late_answer_is_never_given_to_the_next_request():
+    server = Script(WHOLE + WHOLE.replace(b"ok", b"no"), WHOLE)
+    pool = http_client.Pool(server.address, BODY_LIMIT)
+    assert send(pool).body == b"ok"
+    assert send(pool).body == b"ok"
+
+
+def test_cancelled_transfer_ends_at_once():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        pool = http_client.Pool(f"127.0.0.1:{listener.getsockname()[1]}", BODY_LIMIT)
+        token = cancellation.Token()
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(send, pool, timeout_s=60, token=token)
+            sock, _ = listener.accept()
+            sock.recv(65536)
+            token.cancel()
+            failure = waiting.exception(30)
+        sock.close()
+    assert isinstance(failure, http_client.TransferError)
+    assert failure.verdict is verdict.Verdict.MAY_HAVE_RUN
+    assert not failure.timed_out
--- /dev/null
+++ b/tests/test_util/test_httpd.py
@@ -0,0 +1,105 @@
+"""The server keeps connections, refuses what it cannot take, and cuts nothing at a stop."""
+
+import concurrent.futures
+import socket
+import threading
+
+import pytest
+
+from bergamotridge import errors
+from bergamotridge.util import http_client, httpd, message
+
+
+def free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def make(handler, connections=8) -> tuple[httpd.Server, str]:
+    address = free_address()
+    server = httpd.Server(
+        address,
+        handler,
+        connections=connections,
+        body_limit=100,
+        name="test",
+        refusal=message.Response(503),
+    )
+    server.start()
+    return server, address
+
+
+def echo(request, _token):
+    return message.Response(200, [], request.body)
+
+
+def request(body: bytes) -> message.Request:
+    return message.Request(b"POST", b"/", [], body)
+
+
+def test_concurrent_callers_each_get_their_own_answer():
+    server, address = make(echo)
+    pool = http_client.Pool(address, 1000)
+    with concurrent.futures.ThreadPoolExecutor(8) as executor:
+        bodies = [b"%d" % number for number in range(400)]
+        answers = executor.map(lambda body: pool.send(request(body), 10).body, bodies)
+        assert list(answers) == bodies
+    pool.close()
+    server.stop(1)
+
+
+def test_taken_port_is_a_clear_error():
+    server, address = make(echo)
+    with pytest.raises(errors.AddressInUseError, match=address):
+        httpd.Server(
+            address, echo, connections=1, body_limit=1, name="b", refusal=message.Response(503)
+        ).start()
+    server.stop(0)
+
+
+def test_large_body_is_refused():
+    server, address = make(echo)
+    assert http_client.Pool(address, 1000).send(request(b"x" * 101), 5).status == 413
+    server.stop(0)
+
+
+def test_connection_above_the_bound_is_refused():
+    server, address = make(echo, connections=1)
+    first = http_client.Pool(address, 1000)
+    first.send(request(b"1"), 5)
+    assert http_client.Pool(address, 1000).send(request(b"2"), 5).status == 503
+    first.close()
+    server.stop(0)
+
+
+def test_stop_lets_a_running_call_finish():
+    entered, go_on = threading.Event(), threading.Event()
+
+    def slow(given, _token):
+        entered.set()
+        go_on.wait(30)
+        return message.Response(200, [], given.body)
+
+    server, address = make(slow)
+    with concurrent.futures.ThreadPoolExecutor(2) as executor:
+        running = executor.submit(http_client.Pool(address, 1000).send, request(b"1"), 30)
+        entered.wait(30)
+        stopping = executor.submit(server.stop, 30)
+        go_on.set()
+        assert running.result(30).body == b"1"
+        stopping.result(30)
+
+
+def test_departed_caller_cancels_its_call():
+    cancelled = threading.Event()
+
+    def slow(_given, token):
+        token.event.wait(30)
+        cancelled.set()
+        return message.Response(200)
+
+    server, address = make(slow)
+    with socket.create_connection(httpd.split_address(address)) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    assert cancelled.wait(30)
+    server.stop(1)
