--- /dev/null
+++ b/tests/test_platform/test_client.py
@@ -0,0 +1,88 @@
+"""The client against a scripted HTTP server: answers, conflicts, lost and cut answers."""
+
+import contextlib
+import http.server
+import threading
+
+import pytest
+
+from bergamotridge import errors
+from bergamotridge.platform import client
+
+LOST = None
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def _answer(self):
+        length = int(self.headers.get("Content-Length", 0))
+        self.server.seen.append((self.command, self.path, self.rfile.read(length)))
+        answer = self.server.answers.pop(0)
+        if answer is LOST:
+            self.close_connection = True
+            return
+        status, body, cut = answer
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body) + cut))
+        self.end_headers()
+        self.wfile.write(body)
+        self.close_connection = cut > 0
+
+    do_GET = do_PUT = do_DELETE = _answer  # noqa: N815
+
+    def log_message(self, *_):
+        pass
+
+
+@contextlib.contextmanager
+def _scripted(*answers):
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
+    server.answers, server.seen = list(answers), []
+    thread = threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.01})
+    thread.start()
+    try:
+        yield server, client.ObjectClient(f"127.0.0.1:{server.server_port}", 5.0)
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
+
+
+def test_requests_and_answers():
+    item = b'{"kind": "k", "name": "a/b", "version": 4, "value": {"x": 1}}'
+    listing = b'{"items": [' + item + b'], "version": 9}'
+    with _scripted(
+        (200, item, 0), (200, listing, 0), (200, listing, 0), (200, b'{"version": 5}', 0)
+    ) as (server, platform):
+        stored = platform.get("k", "a/b")
+        assert (stored.version, stored.value) == (4, {"x": 1})
+        assert platform.list("k") == client.Listing((stored,), 9)
+        assert platform.watch("k", 3, 0.5).items == (stored,)
+        assert platform.put("k", "a/b", [1], 4) == 5
+    assert server.seen == [
+        ("GET", "/objects/k/a%2Fb", b""),
+        ("GET", "/objects/k", b""),
+        ("GET", "/watch/k?since=3&wait_s=0.5", b""),
+        ("PUT", "/objects/k/a%2Fb?version=4", b"[1]"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((409, b'{"version": 7}', 0), errors.ConflictError),
+        ((404, b"{}", 0), errors.NotFoundError),
+        ((503, b"", 0), errors.PlatformUnavailableError),
+        ((400, b"", 0), errors.PlatformError),
+        ((200, b'{"version": 5', 0), errors.PlatformUnavailableError),
+        ((200, b'{"version": 5}', 1), errors.PlatformUnavailableError),
+        (LOST, errors.PlatformUnavailableError),
+    ],
+)
+def test_failed_answers(answer, error):
+    with _scripted(answer) as (server, platform), pytest.raises(error) as caught:
+        platform.put("k", "n", 1, 3)
+    assert type(caught.value) is error
+    assert len(server.seen) == 1
+    assert getattr(caught.value, "version", 7) == 7
