--- /dev/null
+++ b/bergamotridge/commands/check.py
@@ -0,0 +1,30 @@
+"""`bergamotridge check`: checks files before they are used."""
+
+from absl import flags
+
+from bergamotridge import errors, settings
+from bergamotridge.commands import files
+from bergamotridge.operators import text
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of the command."""
+    flags.DEFINE_string("file", "", "operator's text to check", flag_values=values)
+    flags.DEFINE_string("settings", "", "settings file of a node to check", flag_values=values)
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Checks the named files; raises SettingsError at the first mistake."""
+    del arguments
+    if not values.file and not values.settings:
+        raise errors.UsageError("check: give --file, --settings or both")
+    if values.file:
+        parsed = text.parse(files.read(values.file), values.file)
+        print(
+            f"{values.file}: good: {len(parsed.services)} services, "
+            f"{len(parsed.routes)} routes, {len(parsed.teams)} teams"
+        )
+    if values.settings:
+        loaded = settings.load(values.settings)
+        print(f"{values.settings}: good: host '{loaded.host}' in '{loaded.failure_domain}'")
+    return 0
--- /dev/null
+++ b/bergamotridge/commands/node.py
@@ -0,0 +1,21 @@
+"""`bergamotridge node`: runs the node of this host."""
+
+from absl import flags
+
+from bergamotridge import settings
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of the command."""
+    flags.DEFINE_string(
+        "settings", None, "settings file of this node (TOML)", flag_values=values, required=True
+    )
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Runs the node until it is told to stop and returns its exit code."""
+    del arguments
+    # Imported here so that --help does not load the servers.
+    from bergamotridge import application
+
+    return application.run(settings.load(values.settings))
--- /dev/null
+++ b/bergamotridge/commands/registry.py
@@ -0,0 +1,137 @@
+"""The commands: their names and help, and the parsing of each one's own flags."""
+
+import difflib
+import importlib
+from collections.abc import Sequence
+from typing import Protocol
+
+import attrs
+from absl import flags
+
+from bergamotridge import errors
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+HELP_WORDS = ("--help", "-help", "-h")
+
+
+class Runner(Protocol):
+    """What the module of a command defines."""
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Defines the flags of the command."""
+
+    def run(self, values: flags.FlagValues, arguments: list[str]) -> int:
+        """Carries the command out and returns the exit code."""
+
+
+@attrs.frozen
+class Command:
+    """One command of the command line.
+
+    Its module defines `define_flags(values)` and `run(values, arguments) -> int`, and is imported
+    only when the command is used.
+
+    Attributes:
+        name: One or two words.
+        module: Module of this package that holds it.
+        summary: What it does, in one line.
+        arguments: Names of the words that it takes besides flags.
+        scope: Name of its own part of the module, if the module holds several commands.
+    """
+
+    name: str
+    module: str
+    summary: str
+    arguments: tuple[str, ...] = ()
+    scope: str = ""
+
+    @property
+    def usage(self) -> str:
+        """The form of its command line."""
+        return " ".join(("bergamotridge", self.name, "[flags]", *self.arguments))
+
+    def load(self) -> Runner:
+        """Imports the module and returns what holds `define_flags` and `run`."""
+        module = importlib.import_module(f"bergamotridge.commands.{self.module}")
+        return getattr(module, self.scope) if self.scope else module
+
+
+COMMANDS = (
+    Command("node", "node", "Run the node of this host until SIGTERM."),
+    Command("check", "check", "Check an operator's text or the settings of a node."),
+)
+
+
+def _find(words: Sequence[str]) -> tuple[Command, list[str]]:
+    for command in COMMANDS:
+        size = len(command.name.split())
+        if " ".join(words[:size]) == command.name:
+            return command, list(words[size:])
+    names = [command.name for command in COMMANDS]
+    accepted = ", ".join(names)
+    close = difflib.get_close_matches(" ".join(words[:2]), names, 1)
+    close = close or difflib.get_close_matches(words[0], names, 1)
+    hint = f"; did you mean '{close[0]}'?" if close else ";"
+    raise errors.UsageError(f"unknown command '{words[0]}'{hint} accepted: {accepted}")
+
+
+def overview() -> str:
+    """Returns the list of commands with their one-line help."""
+    width = max(len(command.name) for command in COMMANDS)
+    lines = ["usage: bergamotridge COMMAND [flags]", "", "commands:"]
+    lines += [f"  {command.name:<{width}}  {command.summary}" for command in COMMANDS]
+    lines += ["", "Each command explains its flags: bergamotridge COMMAND --help"]
+    return "\n".join(lines)
+
+
+def help_text(command: Command) -> str:
+    """Returns usage, summary and flags of one command."""
+    values = flags.FlagValues()
+    command.load().define_flags(values)
+    lines = [f"usage: {command.usage}", "", command.summary, "", "flags:"]
+    for name in sorted(values):
+        flag = values[name]
+        default = "" if flag.default in (None, "", []) else f" (default: {flag.default_as_str})"
+        lines.append(f"  --{name}: {flag.help}{default}")
+    return "\n".join(lines)
+
+
+def _parse(command: Command, words: list[str]) -> tuple[flags.FlagValues, list[str]]:
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)
+    command.load().define_flags(values)
+    see_help = f"see: bergamotridge {command.name} --help"
+    try:
+        arguments = values([command.name, *words])[1:]
+    except flags.Error as error:
+        message = " ".join(str(error).split())
+        raise errors.UsageError(f"{command.name}: {message}; {see_help}") from error
+    if len(arguments) != len(command.arguments):
+        expected = " ".join(command.arguments) or "no words besides flags"
+        raise errors.UsageError(
+            f"{command.name}: got {len(arguments)} words besides flags, expected: {expected}; "
+            f"{see_help}"
+        )
+    return values, arguments
+
+
+def run(words: Sequence[str]) -> int:
+    """Runs the command that `words` name and returns its exit code.
+
+    Raises:
+        UsageError: The words name no command, or its flags are wrong.
+        BergamotridgeError: The command was refused or failed.
+    """
+    if not words:
+        raise errors.UsageError(f"a command is missing\n{overview()}")
+    if words[0] in (*HELP_WORDS, "help"):
+        print(overview())
+        return EXIT_OK
+    command, rest = _find(words)
+    if any(word in HELP_WORDS for word in rest):
+        print(help_text(command))
+        return EXIT_OK
+    values, arguments = _parse(command, rest)
+    return command.load().run(values, arguments)
