--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,8 +20,6 @@
 
 LARGEST_VALUE_BYTES = 1_048_576
 
-_ADDRESS = flags.DEFINE_string("address", "127.0.0.1:9000", "IP:PORT to listen on")
-
 
 @attrs.define
 class Faults:
@@ -203,12 +201,18 @@
     return server
 
 
+def define_flags() -> None:
+    """Defines the flags of the command line."""
+    flags.DEFINE_string("address", "127.0.0.1:9000", "IP:PORT to listen on")
+
+
 def main(_: list[str]) -> None:
     """Serves until SIGTERM."""
-    server = start(_ADDRESS.value)
+    server = start(flags.FLAGS.address)
     serving.wait_for_stop()
     server.server_close()
 
 
 if __name__ == "__main__":
+    define_flags()
     app.run(main)
