Add the operators' port and its client

Cause: operators need metrics, status, events and the withdrawal of a key from any node.

Change: a registry of pages on werkzeug's server with its requests on a bounded executor; one request per connection, with a time limit on silent ones. Withdrawals are signed with the fleet secret over path and body, so that the secret itself never travels.

Ruled out: make_server binding the port itself, since it ends the process on a taken port; its threaded form, since its threads have no bound.

--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -65,6 +65,12 @@
     """The platform holds no such object."""
 
 
+class OperatorPortError(BergamotridgeError):
+    """The operators' port of a node refused a request or could not be reached."""
+
+    category = Category.NODE
+
+
 class CallError(BergamotridgeError):
     """A call was refused or failed.
 
--- /dev/null
+++ b/bergamotridge/operators/client.py
@@ -0,0 +1,64 @@
+"""Client of the operators' port of a node."""
+
+import urllib.parse
+
+import orjson
+
+from bergamotridge import errors, events
+from bergamotridge.operators import event_lines, pages, signature, status
+from bergamotridge.util import http_client, message
+
+ANSWER_BYTES = 64 * 1024 * 1024
+_OK = 200
+
+
+class OperatorClient:
+    """Talks to the operators' port of one node; every method raises OperatorPortError."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        """Prepares a client.
+
+        Args:
+            address: IP:PORT of the operators' port.
+            timeout_s: Time limit of one request in seconds.
+        """
+        self._address = address
+        self._timeout_s = timeout_s
+        self._pool = http_client.Pool(address, ANSWER_BYTES)
+
+    def status(self) -> status.Status:
+        """Returns what the node says of itself."""
+        return status.decode(self._request(b"GET", pages.STATUS_PATH))
+
+    def events(self, request_id: str = "", since: str = "") -> list[events.Event]:
+        """Returns the events that the node keeps, only later ones if `since` is given."""
+        query = urllib.parse.urlencode({"request_id": request_id, "since": since})
+        return event_lines.decode(self._request(b"GET", f"{pages.EVENTS_PATH}?{query}"))
+
+    def withdraw(self, key_id: str, fleet_secret: str) -> None:
+        """Withdraws a key through this node."""
+        body = orjson.dumps({"key_id": key_id})
+        signed = signature.sign(fleet_secret, pages.WITHDRAW_PATH, body)
+        header = (signature.HEADER.lower().encode(), signed.encode())
+        self._request(b"POST", pages.WITHDRAW_PATH, [header], body)
+
+    def _request(
+        self,
+        method: bytes,
+        target: str,
+        headers: list[message.Header] | None = None,
+        body: bytes = b"",
+    ) -> bytes:
+        request = message.Request(method, target.encode(), headers or [], body)
+        try:
+            response = self._pool.send(request, self._timeout_s)
+        except http_client.TransferError as error:
+            raise errors.OperatorPortError(f"node at '{self._address}': {error}") from error
+        finally:
+            self._pool.close()
+        if response.status != _OK:
+            reason = response.body.decode("utf-8", "replace").strip()
+            raise errors.OperatorPortError(
+                f"node at '{self._address}' answered {response.status}: {reason}"
+            )
+        return response.body
--- /dev/null
+++ b/bergamotridge/operators/event_lines.py
@@ -0,0 +1,45 @@
+"""Events as JSON lines, one event on each."""
+
+from collections.abc import Iterable
+
+import attrs
+import cattrs
+import orjson
+
+from bergamotridge import errors, events
+from bergamotridge.util import hlc
+
+_converter = cattrs.Converter()
+_converter.register_structure_hook(hlc.Stamp, lambda text, _: hlc.parse(text))
+_converter.register_structure_hook_func(lambda cls: cls is object, lambda value, _: value)
+
+
+def encode(log: Iterable[events.Event]) -> bytes:
+    """Returns one JSON line for each event."""
+    return b"".join(orjson.dumps(_fields(event), default=str) + b"\n" for event in log)
+
+
+def _fields(event: events.Event) -> dict[str, object]:
+    fields = {field.name: getattr(event, field.name) for field in attrs.fields(events.Event)}
+    return {**fields, "stamp": str(event.stamp)}
+
+
+def decode(body: bytes) -> list[events.Event]:
+    """Returns the events that `encode` wrote; raises OperatorPortError on anything else."""
+    try:
+        return [
+            _converter.structure(orjson.loads(line), events.Event) for line in body.splitlines()
+        ]
+    except (ValueError, cattrs.BaseValidationError) as error:
+        raise errors.OperatorPortError("the events page is not in the expected form") from error
+
+
+def parse_since(text: str) -> hlc.Stamp:
+    """Returns the stamp after which events are wanted, from a stamp or milliseconds.
+
+    Raises:
+        ValueError: The text is neither.
+    """
+    if "@" in text:
+        return hlc.parse(text)
+    return hlc.Stamp(int(text), 0, "")
--- /dev/null
+++ b/bergamotridge/operators/port.py
@@ -0,0 +1,127 @@
+"""The HTTP port for operators: a small registry of pages on werkzeug's server.
+
+Every connection carries one request and is closed after its answer, so that a few workers serve
+any number of operators.
+"""
+
+import concurrent.futures
+import socket
+from collections.abc import Callable, Sequence
+
+import attrs
+import logbook
+import werkzeug
+from werkzeug import exceptions, serving
+
+from bergamotridge import errors
+
+WORKERS = 4
+REQUEST_TIMEOUT_S = 5
+POLL_S = 0.1
+BACKLOG = 64
+BODY_BYTES = 65_536
+
+logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class Page:
+    """One page of the port.
+
+    Attributes:
+        method: HTTP method.
+        path: Whole path.
+        answer: Makes the response; may raise werkzeug's HTTP exceptions.
+    """
+
+    method: str
+    path: str
+    answer: Callable[[werkzeug.Request], werkzeug.Response]
+
+
+class _RequestHandler(serving.WSGIRequestHandler):
+    timeout = REQUEST_TIMEOUT_S
+
+    def log(self, type: str, message: str, *args: object) -> None:
+        """Logs through logbook."""
+        logger.log("ERROR" if type == "error" else "DEBUG", message % args if args else message)
+
+
+class _Server(serving.BaseWSGIServer):
+    """Werkzeug's server with its requests on a bounded executor."""
+
+    def __init__(self, listener: socket.socket, app: Callable) -> None:
+        host, port = listener.getsockname()[:2]
+        super().__init__(host, port, app, _RequestHandler, fd=listener.fileno())
+        self._executor = concurrent.futures.ThreadPoolExecutor(WORKERS + 1, "operators")
+
+    def start(self) -> None:
+        self._executor.submit(self.serve_forever, POLL_S)
+
+    def process_request(self, request: socket.socket, client_address: tuple) -> None:
+        self._executor.submit(self._process, request, client_address)
+
+    def _process(self, request: socket.socket, client_address: tuple) -> None:
+        try:
+            self.finish_request(request, client_address)
+        except OSError as error:
+            logger.debug("connection of {} ended: {}", client_address, error)
+        finally:
+            self.shutdown_request(request)
+
+    def stop(self) -> None:
+        self.shutdown()
+        self._executor.shutdown(wait=True)
+
+
+class OperatorPort:
+    """Serves pages to operators."""
+
+    def __init__(self, address: str, pages: Sequence[Page]) -> None:
+        """Prepares the port.
+
+        Args:
+            address: IP:PORT to listen on.
+            pages: The pages; method and path of each are unique.
+        """
+        self._address = address
+        self._pages = {(page.path, page.method): page for page in pages}
+        self._server: _Server | None = None
+
+    def start(self) -> None:
+        """Binds the address and serves; raises AddressInUseError if it is taken."""
+        listener = self._bind()
+        # The server works on a duplicate of the descriptor.
+        with listener:
+            self._server = _Server(listener, self._application)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Answers what is being read and closes the port."""
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
+
+    def _bind(self) -> socket.socket:
+        host, _, port = self._address.rpartition(":")
+        host = host.strip("[]")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        try:
+            return socket.create_server((host, int(port)), family=family, backlog=BACKLOG)
+        except OSError as error:
+            raise errors.AddressInUseError(
+                f"cannot listen for operators on '{self._address}': {error.strerror}; "
+                f"free the port or change 'addresses.operators' in the settings"
+            ) from error
+
+    @werkzeug.Request.application
+    def _application(self, request: werkzeug.Request) -> werkzeug.Response:
+        request.max_content_length = BODY_BYTES
+        page = self._pages.get((request.path, request.method))
+        if page is not None:
+            return page.answer(request)
+        methods = [method for path, method in self._pages if path == request.path]
+        if methods:
+            raise exceptions.MethodNotAllowed(methods)
+        accepted = ", ".join(sorted({path for path, _ in self._pages}))
+        return werkzeug.Response(f"no page '{request.path}'; accepted: {accepted}\n", 404)
