Add status, timeline and explain over all nodes

Cause: an operator needs one view of the whole fleet, and the story of one request.

Change: the fleet is found through the members that each reached node names; rings are read side by side and merged by their hybrid logical stamps. Nodes that could not be read are named in every output. Each reason for a refusal stands in one table with its meaning and what to do.

Ruled out: a list of nodes from the platform as the only way in, since it has outages.

--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -61,6 +61,14 @@
 COMMANDS = (
     Command("node", "node", "Run the node of this host until SIGTERM."),
     Command("check", "check", "Check an operator's text or the settings of a node."),
+    Command("status", "status", "Show all nodes of the fleet, one line for each."),
+    Command("timeline", "timeline", "Show the events of all nodes in causal order."),
+    Command(
+        "explain",
+        "explain",
+        "Tell why one request was refused, retried or shed.",
+        ("REQUEST_ID",),
+    ),
 )
 
 
--- /dev/null
+++ b/bergamotridge/operators/explain.py
@@ -0,0 +1,93 @@
+"""Tells in plain sentences what became of one request, hop by hop."""
+
+from collections.abc import Callable, Iterator
+
+from bergamotridge import events
+from bergamotridge.operators import fleet, reasons, timeline
+
+_VERDICTS = {
+    "not-run": "it did not run",
+    "may-have-run": "it may have run",
+    "run": "it ran",
+}
+
+
+def _detail(event: events.Event, name: str, default: str = "unknown") -> str:
+    return str(event.detail.get(name, default))
+
+
+def _because(event: events.Event) -> str:
+    known = reasons.REASONS.get(event.cause)
+    return f"'{event.cause}' ({known.meaning})" if known else f"'{event.cause}'"
+
+
+def _verdict(event: events.Event) -> str:
+    given = _detail(event, "verdict", "")
+    return _VERDICTS.get(given, "whether it ran is unknown")
+
+
+def _call(event: events.Event) -> str:
+    path = _detail(event, "path", "")
+    return f"the call to '{path}'" if path else "the call"
+
+
+def _refused(event: events.Event) -> str:
+    return f"{_call(event)} was refused for {_because(event)}; {_verdict(event)}"
+
+
+def _failed(event: events.Event) -> str:
+    return f"{_call(event)} failed with {_because(event)}; {_verdict(event)}"
+
+
+def _retried(event: events.Event) -> str:
+    return (
+        f"the call to service '{_detail(event, 'service')}' ended at host "
+        f"'{_detail(event, 'failed_host')}' with {_because(event)}; {_verdict(event)}, "
+        f"so it was sent again"
+    )
+
+
+SENTENCES: dict[str, Callable[[events.Event], str]] = {
+    "call.refused": _refused,
+    "call.failed": _failed,
+    "call.retried": _retried,
+}
+
+
+def sentence(event: events.Event) -> str:
+    """Returns what one event means for the request."""
+    tell = SENTENCES.get(event.kind)
+    if tell is not None:
+        return tell(event)
+    fields = ", ".join(f"{name} {value}" for name, value in event.detail.items())
+    told = f"{event.kind} for {_because(event)}" if event.cause else event.kind
+    return f"{told} ({fields})" if fields else told
+
+
+def lines(request_id: str, history: fleet.History) -> Iterator[str]:
+    """Yields the story of one request, then what to do, then the nodes that could not be asked.
+
+    Args:
+        request_id: The request.
+        history: Its events.
+    """
+    if history.events:
+        hosts = {event.host for event in history.events}
+        yield f"request '{request_id}': {len(history.events)} events on {len(hosts)} hosts"
+    else:
+        yield (
+            f"request '{request_id}': no node that was reached keeps an event of it; it was "
+            f"neither refused nor retried, or its events have left the rings"
+            f"{', or they are on a missing node' if history.missing else ''}"
+        )
+    for number, event in enumerate(history.events, 1):
+        yield f"{number}. {timeline.clock_text(event.stamp)} {event.host}: {sentence(event)}"
+    yield from _advice(history)
+    yield from timeline.missing_lines(history.missing)
+
+
+def _advice(history: fleet.History) -> Iterator[str]:
+    causes = dict.fromkeys(event.cause for event in history.events)
+    for cause in causes:
+        if cause in reasons.REASONS:
+            yield f"what to do for '{cause}': {reasons.REASONS[cause].action}"
--- /dev/null
+++ b/tests/test_operators/test_fleet.py
@@ -0,0 +1,111 @@
+"""Time line and explain: all rings in causal order, and the nodes that are missing."""
+
+import attrs
+import pytest
+
+from bergamotridge import errors, events
+from bergamotridge.operators import explain, fleet, overview, status, timeline
+from bergamotridge.util import hlc
+
+START_MS = 1_796_364_000_000
+
+
+def member(host, address):
+    return status.Member(host, 1, "utrecht", "booking", "ready", 0.5, address)
+
+
+def event(millis, host, kind, request_id="", cause="", **detail):
+    stamp = hlc.Stamp(START_MS + millis, 0, host)
+    return events.Event(stamp, host, 1, "utrecht", kind, request_id, cause, detail)
+
+
+@attrs.define
+class Node:
+    host: str
+    members: tuple = ()
+    ring: tuple = ()
+    version: int = 3
+    ring_fails: bool = False
+
+    def status(self):
+        load = status.Load(2, 1, 8.4)
+        return status.Status(
+            self.host, 1, "utrecht", 61.2, self.version, 0, "booking", "ready", load, self.members
+        )
+
+    def events(self, request_id="", since=""):
+        if self.ring_fails:
+            raise errors.OperatorPortError("cut off")
+        return [item for item in self.ring if request_id in ("", item.request_id)]
+
+
+@attrs.frozen
+class Lost:
+    address: str
+
+    def status(self):
+        raise errors.OperatorPortError(f"node at '{self.address}': refused")
+
+
+@pytest.fixture
+def connect():
+    nodes = {
+        "a": Node("h1", (member("h2", "b"), member("h4", "d"), member("h5", "")), ring=RING_1),
+        "b": Node("h2", (member("h3", "c"),), RING_2, version=4),
+        "c": Node("h3", ring_fails=True),
+    }
+    return lambda address: nodes.get(address) or Lost(address)
+
+
+RING_1 = (
+    event(0, "h1", "upstream.ready", service="booking"),
+    event(5, "h1", "call.retried", "r1", "node-failed", service="booking", failed_host="h3"),
+    event(9, "h1", "call.refused", "r1", "shed", verdict="not-run", path="/bookings"),
+)
+RING_2 = (
+    event(2, "h2", "upstream.lost", cause="silent"),
+    event(7, "h2", "call.shed", "r1", "queue", service="booking"),
+)
+
+
+def test_the_fleet_is_found_through_one_node(connect):
+    found = fleet.find(["a"], connect)
+    assert [node.host for node in found.statuses] == ["h1", "h2", "h3"]
+    assert sorted(missing.host for missing in found.missing) == ["h4", "h5"]
+
+
+def test_overview(connect, snapshot):
+    assert list(overview.lines(fleet.find(["a", "x"], connect))) == snapshot
+
+
+def test_timeline(connect, snapshot):
+    history = fleet.history(fleet.find(["a"], connect), connect)
+    assert list(timeline.lines(history)) == snapshot
+
+
+def test_timeline_of_some_kinds_still_names_missing_nodes(connect):
+    history = fleet.history(fleet.find(["a"], connect), connect)
+    shown = list(timeline.lines(history, "upstream."))
+    assert len([line for line in shown if line.startswith("missing: ")]) == 3
+    assert len(shown) == 5
+
+
+def test_explain(connect, snapshot):
+    history = fleet.history(fleet.find(["a"], connect), connect, "r1")
+    assert list(explain.lines("r1", history)) == snapshot
+
+
+def test_explain_of_an_unknown_request_claims_nothing(connect, snapshot):
+    history = fleet.history(fleet.find(["a"], connect), connect, "r9")
+    assert list(explain.lines("r9", history)) == snapshot
+
+
+def test_an_effect_stands_after_its_cause_when_clocks_differ():
+    ahead, behind = events.EventLog("h1", 1, "a"), events.EventLog("h2", 1, "b")
+    ahead.clock.observe(hlc.Stamp(START_MS * 2, 0, "h1"))
+    cause = ahead.emit("call.relayed")
+    before = behind.emit("node.started")
+    behind.clock.observe(cause.stamp)
+    effect = behind.emit("call.refused")
+    merged = sorted([effect, before, cause], key=lambda item: item.stamp)
+    assert merged == [before, cause, effect]
