Add configuration, keys, watches and the control port

Cause: nodes need the configuration and keys from the platform or from peers, and one port for control messages. A test of a lost answer found that libcurl sends a write again by itself when a reused connection dies unanswered; the operator then met a conflict with the own change (test_a_write_is_sent_once_on_a_connection_that_dies failed before, passes now). Ruled out: a stand-in at fault (its record shows the write twice); FRESH_CONNECT on reads, which may be repeated. Change: writes take a new connection. Configuration and keys are replicas of a kind that take in only higher versions; withdrawals only grow; apply keeps the ids of earlier changes in the object, so a lost answer is resolved also under later changes. Conclusion: unit tests with the stand-in platform pass, races and lost answers included.

--- a/bergamotridge/platform/client.py
+++ b/bergamotridge/platform/client.py
@@ -129,6 +129,11 @@
         handle.setopt(pycurl.URL, self._base + path)
         handle.setopt(pycurl.CUSTOMREQUEST, method)
         handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.MAXCONNECTS, 1)
+        # libcurl sends a request again by itself when a reused connection dies unanswered. A
+        # repeated write would report a conflict with itself, so writes take a new connection.
+        handle.setopt(pycurl.FRESH_CONNECT, int(method != "GET"))
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(self._timeout_s * 1000))
         handle.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         handle.setopt(pycurl.WRITEFUNCTION, received.write)
--- /dev/null
+++ b/bergamotridge/platform/watch.py
@@ -0,0 +1,112 @@
+"""The task that keeps a replica up to date from the platform."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from concurrent import futures
+
+import attrs
+import logbook
+
+from bergamotridge import errors
+from bergamotridge.platform import client, replica
+from bergamotridge.util import backoff
+
+_log = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class WatchTimings:
+    """When a watch task asks the platform.
+
+    Attributes:
+        wait_s: Longest wait of one watch in seconds.
+        poll_s: Mean time between two reads of a node that leaves the watching to its peers.
+        backoff_base_s: Bound of the first delay after a failure in seconds.
+        backoff_cap_s: Highest bound of the delay in seconds.
+        gap_s: Least time between two requests in seconds, also when changes come fast.
+    """
+
+    wait_s: float = 20.0
+    poll_s: float = 120.0
+    backoff_base_s: float = 0.5
+    backoff_cap_s: float = 4.0
+    gap_s: float = 0.2
+
+
+class Watcher:
+    """Watches one kind and feeds a replica, from `start` to `stop`.
+
+    It resumes from the replica's version, so that after an outage one request brings what was
+    missed. Whether this node watches or leaves that to its peers is asked before each request.
+    """
+
+    def __init__(
+        self,
+        platform: client.ObjectClient,
+        copy: replica.Replica,
+        timings: WatchTimings,
+        rng: random.Random,
+        watches: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Prepares the task.
+
+        Args:
+            platform: Client of the platform; closing it ends a waiting watch.
+            copy: Replica to feed.
+            timings: When to ask.
+            rng: Source of jitter.
+            watches: Tells whether this node is one that watches for its failure domain.
+        """
+        self._platform = platform
+        self._replica = copy
+        self._timings = timings
+        self._rng = rng
+        self._watches = watches
+        self._backoff = backoff.Backoff(timings.backoff_base_s, timings.backoff_cap_s, rng)
+        self._stopping = threading.Event()
+        self._executor = futures.ThreadPoolExecutor(1, f"watch-{copy.kind}")
+        self._reachable: bool | None = None
+
+    @property
+    def reachable(self) -> bool | None:
+        """Whether the last request was answered, None before the first."""
+        return self._reachable
+
+    def start(self) -> None:
+        """Starts the task."""
+        self._executor.submit(self._run)
+
+    def stop(self) -> None:
+        """Tells the task to end; a waiting watch ends when the client is closed."""
+        self._stopping.set()
+        self._executor.shutdown(wait=False)
+
+    def _run(self) -> None:
+        delay_s = self._rng.uniform(0.0, self._timings.backoff_base_s)
+        while not self._stopping.wait(delay_s):
+            try:
+                delay_s = self._ask()
+            except Exception:
+                _log.exception("watch of {} failed", self._replica.kind)
+                delay_s = self._backoff.next_delay_s()
+
+    def _ask(self) -> float:
+        """Makes one request and returns the seconds until the next."""
+        watching = self._watches()
+        wait_s = self._timings.wait_s if watching else 0.0
+        began = time.monotonic()
+        try:
+            listing = self._platform.watch(self._replica.kind, self._replica.version, wait_s)
+        except errors.PlatformError as error:
+            if self._reachable is not False and not self._stopping.is_set():
+                _log.warning("the platform does not answer: {}", error)
+            self._reachable = False
+            return self._backoff.next_delay_s()
+        self._reachable = True
+        self._backoff.reset()
+        self._replica.take(listing)
+        if not watching:
+            return self._rng.uniform(0.5, 1.5) * self._timings.poll_s
+        return max(0.0, began + self._timings.gap_s - time.monotonic())
--- /dev/null
+++ b/tests/test_callers/test_keys.py
@@ -0,0 +1,82 @@
+"""Keys are checked by keyed hash; a withdrawn key stays withdrawn in any order of news."""
+
+import pytest
+
+from bergamotridge import errors
+from bergamotridge.callers import keys
+from bergamotridge.platform import client
+from standins import platform
+
+SECRET = "fleet-secret"
+
+
+@pytest.fixture
+def server():
+    server = platform.start("127.0.0.1:0")
+    yield server
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.fixture
+def store(server):
+    return client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
+
+
+def _refused(ring, header):
+    with pytest.raises(errors.CallError) as caught:
+        ring.check(header, 0.0)
+    return (caught.value.status, caught.value.reason) == (401, "key")
+
+
+def test_a_granted_key_names_its_team(store):
+    granted = keys.grant(store, SECRET, "ward")
+    ring = keys.KeyRing(SECRET)
+    ring.take(store.list("keys"))
+    assert ring.check(f"Bearer {granted.secret_text}", 0.0) == keys.Key(granted.key_id, "ward")
+    assert granted.secret_text not in str(store.list("keys"))
+    for wrong in (None, "", "Bearer", "Basic x", f"Bearer {granted.key_id}.x", "Bearer é.x"):
+        assert _refused(ring, wrong)
+    other_fleet = keys.KeyRing("other")
+    other_fleet.take(store.list("keys"))
+    assert _refused(other_fleet, f"Bearer {granted.secret_text}")
+
+
+def test_a_withdrawal_is_not_undone_by_old_news(store):
+    granted = keys.grant(store, SECRET, "ward")
+    header, before = f"Bearer {granted.secret_text}", store.list("keys")
+    ring = keys.KeyRing(SECRET)
+    ring.withdraw(granted.key_id)
+    ring.take(before)
+    assert _refused(ring, header)
+    assert ring.pending == {granted.key_id}
+    keys.withdraw(store, granted.key_id)
+    ring.take(store.list("keys"))
+    ring.take(before)
+    assert _refused(ring, header)
+    assert ring.pending == frozenset()
+
+
+def test_a_ring_feeds_another_in_pages(store, monkeypatch):
+    monkeypatch.setattr(keys, "PAGE_ITEMS", 2)
+    granted = [keys.grant(store, SECRET, "ward") for _ in range(5)]
+    keys.withdraw(store, granted[0].key_id)
+    first, second = keys.KeyRing(SECRET), keys.KeyRing(SECRET)
+    first.take(store.list("keys"))
+    while second.take(first.newer(second.version)):
+        pass
+    assert second.version == first.version
+    assert _refused(second, f"Bearer {granted[0].secret_text}")
+    assert second.check(f"Bearer {granted[4].secret_text}", 0.0).team == "ward"
+
+
+def test_lost_answers_of_operators(server, store):
+    faults = server.RequestHandlerClass.platform.change_faults
+    faults({"lose_answers": 1})
+    granted = keys.grant(store, SECRET, "ward")
+    faults({"lose_answers": 1})
+    keys.withdraw(store, granted.key_id)
+    assert store.get("keys", granted.key_id).value["withdrawn"] is True
+    faults({"outage": True})
+    with pytest.raises(errors.PlatformUnavailableError):
+        keys.withdraw(store, granted.key_id)
--- a/tests/test_platform/test_client.py
+++ b/tests/test_platform/test_client.py
@@ -86,3 +86,12 @@
     assert type(caught.value) is error
     assert len(server.seen) == 1
     assert getattr(caught.value, "version", 7) == 7
+
+
+def test_a_write_is_sent_once_on_a_connection_that_dies():
+    read = b'{"kind": "k", "name": "n", "version": 4, "value": 1}'
+    with _scripted((200, read, 0), LOST, (409, b'{"version": 5}', 0)) as (server, platform):
+        platform.get("k", "n")
+        with pytest.raises(errors.PlatformUnavailableError):
+            platform.put("k", "n", 2, 4)
+    assert [command for command, _, _ in server.seen] == ["GET", "PUT"]
--- /dev/null
+++ b/tests/test_platform/test_configuration.py
@@ -0,0 +1,34 @@
+"""The store takes in only higher versions and keeps out what it cannot read."""
+
+from bergamotridge.platform import client, configuration
+
+TEXT = "[services.booking]\n[teams.{}]\nrate = 1\nburst = 1\n"
+
+
+def test_only_higher_versions_come_into_force():
+    store, seen = configuration.ConfigurationStore(), []
+    store.listen(lambda current: seen.append(current.version))
+    for version in (3, 2, 3, 7, 5):
+        store.offer(version, TEXT.format(f"t{version}"))
+    assert seen == [3, 7]
+    assert list(store.current.text.teams) == ["t7"]
+    assert store.newer(7).items == ()
+
+
+def test_an_unreadable_text_stays_out_and_is_reported():
+    store = configuration.ConfigurationStore()
+    store.offer(1, TEXT.format("a"))
+    assert not store.offer(2, "[services.booking]\nslots = -1\n")
+    assert (store.current.version, store.version) == (1, 2)
+    assert "services.booking.slots" in store.rejected
+    assert store.offer(3, TEXT.format("b"))
+    assert store.rejected is None
+
+
+def test_a_store_feeds_another():
+    first, second = configuration.ConfigurationStore(), configuration.ConfigurationStore()
+    first.offer(4, TEXT.format("a"), "change")
+    assert second.take(first.newer(second.version))
+    assert second.current == first.current
+    stale = client.StoredObject("configuration", "current", 3, {"text": TEXT.format("old")})
+    assert not second.take(client.Listing((stale,), 9))
