--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,302 @@
+"""A fleet on one machine: platform, nodes, upstreams and, if asked for, links that can be cut."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from standins import processes
+
+SECRET = "secret-of-a-fleet-on-one-machine"
+READY_S = 60.0
+ASK_S = 5.0
+
+
+@attrs.frozen
+class Host:
+    """One host: a node and the upstream beside it.
+
+    Attributes:
+        name: Name of the host.
+        failure_domain: Its failure domain.
+        service: Service of its upstream.
+        slots: Calls that the upstream runs at once.
+        service_ms: Own work of a call, in milliseconds.
+        calls: Calls to dependencies, in the form of the flag of standins.upstream.
+        settings: Further TOML lines of the node's settings, table by table.
+    """
+
+    name: str
+    failure_domain: str
+    service: str
+    slots: int = 50
+    service_ms: float = 2.0
+    calls: tuple[str, ...] = ()
+    settings: str = ""
+
+
+@attrs.frozen
+class Key:
+    """A granted key: its public id and what the caller sends."""
+
+    key_id: str
+    secret: str
+
+
+@attrs.frozen
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """The verdict header, or ""."""
+        return self.headers.get("bergamotridge-verdict", "")
+
+
+@attrs.frozen
+class Addresses:
+    """All addresses of one host."""
+
+    callers: str
+    upstream: str
+    relay: str
+    control: str
+    operators: str
+    server: str
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    body: str | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = ASK_S,
+) -> Reply:
+    """Sends one request on a connection of its own; raises OSError or HTTPException."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    with contextlib.closing(connection):
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        names = {name.lower(): value for name, value in answer.getheaders()}
+        return Reply(answer.status, names, answer.read())
+
+
+class Member:
+    """A running host: its node and its upstream."""
+
+    def __init__(
+        self, host: Host, addresses: Addresses, settings: pathlib.Path, directory: pathlib.Path
+    ) -> None:
+        self.host = host
+        self.addresses = addresses
+        self.record_path = directory / f"{host.name}.record"
+        self._directory = directory
+        node = ["bergamotridge", "node", "--settings", str(settings)]
+        self.node = processes.Process(f"{host.name}-node", node, directory)
+        upstream = self._upstream_words()
+        self.upstream = processes.Process(f"{host.name}-upstream", upstream, directory)
+
+    def status(self) -> dict:
+        """Returns the node's status page, or {} if it gives none."""
+        try:
+            reply = ask(self.addresses.operators, "GET", "/status")
+        except (OSError, http.client.HTTPException):
+            return {}
+        return json.loads(reply.body) if reply.status == 200 else {}
+
+    def control(self, **changes: object) -> None:
+        """Injects faults into the upstream; see standins.upstream.Control."""
+        reply = ask(self.addresses.server, "POST", "/control", json.dumps(changes))
+        if reply.status != 200:
+            raise ValueError(reply.body.decode())
+
+    def record(self) -> list[dict]:
+        """Returns the run record of the upstream, also of one that was killed."""
+        if not self.record_path.exists():
+            return []
+        whole, _, _ = self.record_path.read_text(encoding="utf-8").rpartition("\n")
+        return [json.loads(line) for line in whole.splitlines()]
+
+    def _upstream_words(self) -> list[str]:
+        host = self.host
+        return [
+            "standins.upstream",
+            f"--service={host.service}",
+            f"--address={self.addresses.server}",
+            f"--node={self.addresses.upstream}",
+            f"--slots={host.slots}",
+            f"--service_ms={host.service_ms}",
+            f"--record={self.record_path}",
+            *(f"--calls={text}" for text in host.calls),
+        ]
+
+
+class Fleet:
+    """Starts and ends all processes; use as a context manager."""
+
+    def __init__(self, directory: pathlib.Path, hosts: Iterable[Host], text: str) -> None:
+        """Prepares a fleet.
+
+        Args:
+            directory: Directory of its own for settings, logs and records.
+            hosts: The hosts.
+            text: The operator's text.
+        """
+        self._directory = directory
+        self._ports = processes.Ports()
+        self._hosts = list(hosts)
+        self._text = text
+        self._processes: list[processes.Process] = []
+        self.platform_address = self._ports.take()
+        self.members: dict[str, Member] = {}
+
+    def __enter__(self) -> "Fleet":
+        """Starts the platform, applies the text and starts all hosts."""
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Ends all processes."""
+        self.stop()
+
+    def stop(self) -> None:
+        """Ends all processes by their ids."""
+        for process in reversed(self._processes):
+            process.kill()
+
+    def wait_ready(self) -> None:
+        """Waits until every node has the configuration, its upstream and all other hosts."""
+        for member in self.members.values():
+            processes.wait_until(
+                lambda member=member: self._is_ready(member),
+                f"{member.host.name} is ready, see {member.node.output}",
+                READY_S,
+            )
+
+    def command(self, *words: str) -> str:
+        """Runs one operator's command and returns its output; raises CalledProcessError."""
+        done = subprocess.run(
+            [sys.executable, "-m", "bergamotridge", *words],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        if done.returncode != 0:
+            raise subprocess.CalledProcessError(
+                done.returncode, done.args, done.stdout, done.stderr
+            )
+        return done.stdout
+
+    def apply(self, text: str) -> None:
+        """Puts an operator's text into force."""
+        source = self._directory / "fleet.toml"
+        source.write_text(text, encoding="utf-8")
+        self.command("apply", f"--platform={self.platform_address}", f"--file={source}")
+
+    def platform_faults(self, **faults: object) -> None:
+        """Switches faults of the platform; see standins.platform.Faults."""
+        ask(self.platform_address, "POST", "/faults", json.dumps(faults))
+
+    def platform_statistics(self) -> dict:
+        """Returns the platform's counts of requests."""
+        return json.loads(ask(self.platform_address, "GET", "/statistics").body)
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        *,
+        key: str = "",
+        tag: str = "",
+        idempotency_key: str = "",
+        timeout_s: float = 20.0,
+    ) -> Reply:
+        """Makes one caller's call at the host `name`."""
+        headers = {"Request-Tag": tag}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        if idempotency_key:
+            headers["Idempotency-Key"] = idempotency_key
+        body = None if method in ("GET", "DELETE") else tag
+        address = self.members[name].addresses.callers
+        return ask(address, method, path, body, headers, timeout_s)
+
+    def records(self) -> list[dict]:
+        """Returns the run records of all upstreams, in order of time."""
+        lines = [line for member in self.members.values() for line in member.record()]
+        return sorted(lines, key=lambda line: line["time"])
+
+    def launch(self, name: str, *words: str) -> processes.Process:
+        """Starts one more process that ends with the fleet."""
+        process = processes.Process(name, words, self._directory)
+        self._processes.append(process)
+        return process
+
+    def addresses(self, name: str) -> Addresses:
+        """Returns the addresses of one host."""
+        return self.members[name].addresses
+
+    def _start(self) -> None:
+        self.launch("platform", "standins.platform", f"--address={self.platform_address}")
+        processes.wait_until(lambda: _answers(self.platform_address), "the platform answers")
+        self.apply(self._text)
+        addresses = {host.name: self._take_addresses() for host in self._hosts}
+        first = [addresses[host.name].control for host in self._hosts[:2]]
+        for host in self._hosts:
+            settings = self._write_settings(host, addresses[host.name], first)
+            member = Member(host, addresses[host.name], settings, self._directory)
+            self.members[host.name] = member
+            self._processes += [member.node, member.upstream]
+
+    def _take_addresses(self) -> Addresses:
+        return Addresses(*(self._ports.take() for _ in attrs.fields(Addresses)))
+
+    def _write_settings(self, host: Host, addresses: Addresses, first: list[str]) -> pathlib.Path:
+        path = self._directory / f"{host.name}.toml"
+        path.write_text("\n".join(self._settings(host, addresses, first)), encoding="utf-8")
+        return path
+
+    def _settings(self, host: Host, addresses: Addresses, first: list[str]) -> Iterator[str]:
+        yield f'host = "{host.name}"'
+        yield f'failure_domain = "{host.failure_domain}"'
+        yield f'fleet_secret = "{SECRET}"'
+        yield "[addresses]"
+        for port in ("callers", "upstream", "relay", "control", "operators"):
+            yield f'{port} = "{getattr(addresses, port)}"'
+        yield "[platform]"
+        yield f'address = "{self.platform_address}"'
+        yield "[peers]"
+        others = [address for address in first if address != addresses.control]
+        yield f"first = {json.dumps(others)}"
+        yield host.settings
+
+    def _is_ready(self, member: Member) -> bool:
+        if not member.node.running:
+            output = member.node.output.read_text(encoding="utf-8", errors="replace")
+            raise processes.NotReadyError(f"{member.node.name} has ended:\n{output[-2000:]}")
+        status = member.status()
+        known = {item["host"] for item in status.get("members", ()) if item["state"] == "ready"}
+        return status.get("configuration_version", 0) > 0 and known >= set(self.members)
+
+
+def _answers(address: str) -> bool:
+    try:
+        return ask(address, "GET", "/statistics").status == 200
+    except (OSError, http.client.HTTPException):
+        return False
