Suggest the closest name in messages about mistyped ones

Cause: a mistyped key was answered with the list of all keys, which is long for some tables.

Change: settings, the operator's text and the command line name the closest accepted name.

--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -1,6 +1,5 @@
 """The commands: their names and help, and the parsing of each one's own flags."""
 
-import difflib
 import importlib
 from collections.abc import Sequence
 from typing import Protocol
@@ -9,6 +8,7 @@
 from absl import flags
 
 from bergamotridge import errors
+from bergamotridge.util import suggestion
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -38,14 +38,12 @@
         module: Module of this package that holds it.
         summary: What it does, in one line.
         arguments: Names of the words that it takes besides flags.
-        scope: Name of its own part of the module, if the module holds several commands.
     """
 
     name: str
     module: str
     summary: str
     arguments: tuple[str, ...] = ()
-    scope: str = ""
 
     @property
     def usage(self) -> str:
@@ -53,9 +51,8 @@
         return " ".join(("bergamotridge", self.name, "[flags]", *self.arguments))
 
     def load(self) -> Runner:
-        """Imports the module and returns what holds `define_flags` and `run`."""
-        module = importlib.import_module(f"bergamotridge.commands.{self.module}")
-        return getattr(module, self.scope) if self.scope else module
+        """Imports the module."""
+        return importlib.import_module(f"bergamotridge.commands.{self.module}")
 
 
 COMMANDS = (
@@ -79,10 +76,8 @@
             return command, list(words[size:])
     names = [command.name for command in COMMANDS]
     accepted = ", ".join(names)
-    close = difflib.get_close_matches(" ".join(words[:2]), names, 1)
-    close = close or difflib.get_close_matches(words[0], names, 1)
-    hint = f"; did you mean '{close[0]}'?" if close else ";"
-    raise errors.UsageError(f"unknown command '{words[0]}'{hint} accepted: {accepted}")
+    hint = suggestion.hint(" ".join(words[:2]), names) or suggestion.hint(words[0], names)
+    raise errors.UsageError(f"unknown command '{words[0]}'; accepted: {accepted}{hint}")
 
 
 def overview() -> str:
--- a/bergamotridge/operators/text.py
+++ b/bergamotridge/operators/text.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bergamotridge import call, errors
+from bergamotridge.util import suggestion
 
 IMPORTANCE_NAMES = {
     "critical": call.Importance.CRITICAL,
@@ -14,6 +15,7 @@
     "sheddable": call.Importance.SHEDDABLE,
 }
 DEFAULT_TIMEOUT_S = 2.0
+PARTS = ("routes", "services", "teams")
 
 
 @attrs.frozen
@@ -82,6 +84,7 @@
         if key not in accepted:
             raise errors.SettingsError(
                 f"{source}: unknown key '{prefix}.{key}'; accepted: {', '.join(accepted)}"
+                f"{suggestion.hint(key, accepted)}"
             )
     return table
 
@@ -166,7 +169,8 @@
                 raise _fail(
                     source,
                     f"services.{service.name}.depends_on",
-                    f"unknown service '{dependency}'; accepted: {', '.join(text.services)}",
+                    f"unknown service '{dependency}'; accepted: {', '.join(text.services)}"
+                    f"{suggestion.hint(dependency, text.services)}",
                 )
     graph = {name: service.depends_on for name, service in text.services.items()}
     try:
@@ -183,7 +187,8 @@
             raise _fail(
                 source,
                 f"routes.{route.name}.service",
-                f"unknown service '{route.service}'; accepted: {', '.join(text.services)}",
+                f"unknown service '{route.service}'; accepted: {', '.join(text.services)}"
+                f"{suggestion.hint(route.service, text.services)}",
             )
         earlier = seen.setdefault((route.method, route.path), route.name)
         if earlier != route.name:
@@ -205,11 +210,12 @@
     except tomllib.TOMLDecodeError as error:
         raise errors.SettingsError(f"{source}: not valid TOML: {error}") from error
     for key in table:
-        if key not in ("services", "routes", "teams"):
+        if key not in PARTS:
             raise errors.SettingsError(
-                f"{source}: unknown key '{key}'; accepted: routes, services, teams"
+                f"{source}: unknown key '{key}'; accepted: {', '.join(PARTS)}"
+                f"{suggestion.hint(key, PARTS)}"
             )
-    parts = {key: table.get(key, {}) for key in ("services", "routes", "teams")}
+    parts = {key: table.get(key, {}) for key in PARTS}
     for key, part in parts.items():
         if not isinstance(part, dict):
             raise _fail(source, key, "must be a table")
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bergamotridge import errors
+from bergamotridge.util import suggestion
 
 
 def _setting(default: object, help_text: str, accepted: str, check=None) -> typing.Any:
@@ -134,6 +135,7 @@
         known = ", ".join(sorted(fields))
         raise errors.SettingsError(
             f"{source}: unknown key '{prefix}{unknown[0]}'; accepted: {known}"
+            f"{suggestion.hint(unknown[0], fields)}"
         )
     values = {}
     for name, field in fields.items():
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -30,6 +30,7 @@
     ("old", "new", "message"),
     [
         ('host = "h1"', 'hots = "h1"', "unknown key 'hots'"),
+        ('host = "h1"', 'hots = "h1"', "did you mean 'host'?"),
         ('host = "h1"', "host = 3", "key 'host' is 3"),
         ("127.0.0.1:8000", "localhost:8000", "key 'addresses.callers'"),
         ("[platform]", "[platform]\ntimeout_s = -1", "key 'platform.timeout_s' is -1"),
