Add the commands apply, show, keys grant and keys withdraw

Cause: operators had no way to change the text and the keys.

A key is granted only to a team of the text in force. A withdrawal tells the platform and all given nodes, and one of them is enough.

Ruled out: stopping at the first failure of a withdrawal, since each further node shortens the time until it is in force.

--- /dev/null
+++ b/bergamotridge/commands/apply.py
@@ -0,0 +1,69 @@
+"""`bergamotridge apply`: puts an operator's text into force."""
+
+import difflib
+import sys
+
+from absl import flags
+
+from bergamotridge import errors
+from bergamotridge.commands import files, objects
+from bergamotridge.operators import text
+from bergamotridge.platform import apply, client, configuration
+
+LATEST = -1
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of the command."""
+    objects.define_flags(values)
+    flags.DEFINE_string("file", None, "operator's text", flag_values=values, required=True)
+    flags.DEFINE_integer(
+        "read_version",
+        LATEST,
+        "version that the text was made from, as 'show' printed it, 0 if there was none; if "
+        "another change came since, this one is refused. -1 replaces whatever is in force",
+        lower_bound=LATEST,
+        flag_values=values,
+    )
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Checks and applies the text, and prints the new version."""
+    del arguments
+    source = files.read(values.file)
+    text.parse(source, values.file)
+    platform = objects.connect(values)
+    read_version = values.read_version
+    if read_version == LATEST:
+        read_version = _latest(platform)
+    try:
+        applied = apply.apply(platform, source, read_version)
+    except errors.ConflictError:
+        _print_difference(platform, values.file, source)
+        raise
+    replaced = "; a later change has replaced it already" if applied.replaced else ""
+    print(f"version {applied.version}, change {applied.change_id}{replaced}")
+    return 0
+
+
+def _latest(platform: client.ObjectClient) -> int:
+    try:
+        return platform.get(configuration.KIND, configuration.NAME).version
+    except errors.NotFoundError:
+        return 0
+
+
+def _print_difference(platform: client.ObjectClient, path: str, source: str) -> None:
+    """Prints to stderr how the file differs from the text that came first."""
+    current = objects.current(platform)
+    if current is None:
+        return
+    difference = difflib.unified_diff(
+        current.source.splitlines(),
+        source.splitlines(),
+        f"version {current.version}",
+        path,
+        lineterm="",
+    )
+    for line in difference:
+        print(line, file=sys.stderr)
--- /dev/null
+++ b/bergamotridge/commands/keys_grant.py
@@ -0,0 +1,38 @@
+"""`bergamotridge keys grant`: makes a new key for a team."""
+
+from absl import flags
+
+from bergamotridge import errors
+from bergamotridge.callers import keys
+from bergamotridge.commands import files, objects
+from bergamotridge.platform import client
+from bergamotridge.util import suggestion
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of the command."""
+    objects.define_flags(values)
+    files.define_secret_flag(values)
+    flags.DEFINE_string("team", None, "team of the key", flag_values=values, required=True)
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Grants the key and prints its id and the key itself, which is shown only once."""
+    del arguments
+    secret = files.read_secret(values)
+    platform = objects.connect(values)
+    _check_team(platform, values.team)
+    granted = keys.grant(platform, secret, values.team)
+    print(f"key_id: {granted.key_id}")
+    print(f"key: {granted.secret_text}")
+    return 0
+
+
+def _check_team(platform: client.ObjectClient, team: str) -> None:
+    current = objects.current(platform)
+    teams = sorted(current.text.teams) if current is not None else []
+    if team not in teams:
+        accepted = ", ".join(teams) or "none, since no operator's text is in force"
+        raise errors.SettingsError(
+            f"unknown team '{team}'; accepted: {accepted}{suggestion.hint(team, teams)}"
+        )
--- /dev/null
+++ b/bergamotridge/commands/keys_withdraw.py
@@ -0,0 +1,63 @@
+"""`bergamotridge keys withdraw`: withdraws a key for good, also while the platform is down."""
+
+import sys
+
+from absl import flags
+
+from bergamotridge import errors
+from bergamotridge.callers import keys
+from bergamotridge.commands import files, nodes, objects
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of the command."""
+    objects.define_flags(values, required=False)
+    nodes.define_flags(values, required=False)
+    files.define_secret_flag(values, required=False)
+    flags.DEFINE_string("key_id", None, "id of the key", flag_values=values, required=True)
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Tells the platform and all given nodes; one of them is enough, and all are tried.
+
+    Raises:
+        NotFoundError: The platform never granted such a key.
+        BergamotridgeError: Nobody confirmed the withdrawal.
+    """
+    del arguments
+    if not values.platform and not values.nodes:
+        raise errors.UsageError("keys withdraw: give --platform, --nodes or both")
+    failures = [*_tell_nodes(values), *_tell_platform(values)]
+    told = len(values.nodes or ()) + bool(values.platform)
+    for failure in failures:
+        print(f"bergamotridge: {failure}", file=sys.stderr)
+    if len(failures) == told:
+        raise errors.PlatformUnavailableError(
+            f"nobody confirmed that key '{values.key_id}' is withdrawn; try other --nodes"
+        )
+    print(f"key '{values.key_id}' is withdrawn; told {told - len(failures)} of {told}")
+    return 0
+
+
+def _tell_platform(values: flags.FlagValues) -> list[errors.BergamotridgeError]:
+    if not values.platform:
+        return []
+    try:
+        keys.withdraw(objects.connect(values), values.key_id)
+    except errors.PlatformUnavailableError as error:
+        return [error]
+    return []
+
+
+def _tell_nodes(values: flags.FlagValues) -> list[errors.BergamotridgeError]:
+    if not values.nodes:
+        return []
+    secret = files.read_secret(values)
+    connect = nodes.connector(values)
+    failures = []
+    for address in values.nodes:
+        try:
+            connect(address).withdraw(values.key_id, secret)
+        except errors.OperatorPortError as error:
+            failures.append(error)
+    return failures
--- a/bergamotridge/commands/nodes.py
+++ b/bergamotridge/commands/nodes.py
@@ -10,15 +10,15 @@
 DEFAULT_TIMEOUT_S = 3.0
 
 
-def define_flags(values: flags.FlagValues) -> None:
+def define_flags(values: flags.FlagValues, *, required: bool = True) -> None:
     """Defines the flags that say which nodes to ask."""
     flags.DEFINE_list(
         "nodes",
-        None,
+        None if required else [],
         "operators' addresses (IP:PORT, with commas between) of one or more nodes; the rest of "
         "the fleet is found through them",
         flag_values=values,
-        required=True,
+        required=required,
     )
     flags.DEFINE_float(
         "timeout_s",
--- /dev/null
+++ b/bergamotridge/commands/objects.py
@@ -0,0 +1,46 @@
+"""What commands share that talk to the platform: their flags and the client."""
+
+from absl import flags
+
+from bergamotridge import errors
+from bergamotridge.platform import client, configuration
+
+DEFAULT_TIMEOUT_S = 3.0
+_HELP = "address of the platform's object API (IP:PORT)"
+
+
+def define_flags(values: flags.FlagValues, *, required: bool = True) -> None:
+    """Defines the flags that say where the platform is."""
+    flags.DEFINE_string(
+        "platform", None if required else "", _HELP, flag_values=values, required=required
+    )
+    flags.DEFINE_float(
+        "platform_timeout_s",
+        DEFAULT_TIMEOUT_S,
+        "time limit of each request to the platform in seconds",
+        lower_bound=0.01,
+        flag_values=values,
+    )
+
+
+def connect(values: flags.FlagValues) -> client.ObjectClient:
+    """Returns the client of the platform."""
+    return client.ObjectClient(values.platform, values.platform_timeout_s)
+
+
+def current(platform: client.ObjectClient) -> configuration.Configuration | None:
+    """Returns the configuration that the platform holds, None if there is none.
+
+    Raises:
+        PlatformError: The platform gave no answer that can be used.
+        SettingsError: The text it holds is wrong.
+    """
+    store = configuration.ConfigurationStore()
+    try:
+        stored = platform.get(configuration.KIND, configuration.NAME)
+    except errors.NotFoundError:
+        return None
+    store.take(client.Listing((stored,), stored.version))
+    if store.rejected:
+        raise errors.SettingsError(store.rejected)
+    return store.current
--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -58,6 +58,10 @@
 COMMANDS = (
     Command("node", "node", "Run the node of this host until SIGTERM."),
     Command("check", "check", "Check an operator's text or the settings of a node."),
+    Command("apply", "apply", "Put an operator's text into force."),
+    Command("show", "show", "Print the operator's text in force."),
+    Command("keys grant", "keys_grant", "Make a new key for a team."),
+    Command("keys withdraw", "keys_withdraw", "Withdraw a key for good."),
     Command("status", "status", "Show all nodes of the fleet, one line for each."),
     Command("timeline", "timeline", "Show the events of all nodes in causal order."),
     Command(
--- a/bergamotridge/operators/port.py
+++ b/bergamotridge/operators/port.py
@@ -88,6 +88,13 @@
         self._pages = {(page.path, page.method): page for page in pages}
         self._server: _Server | None = None
 
+    @property
+    def address(self) -> str:
+        """IP:PORT; the port that was bound if 0 was asked for."""
+        if self._server is None:
+            return self._address
+        return f"{self._address.rpartition(':')[0]}:{self._server.port}"
+
     def start(self) -> None:
         """Binds the address and serves; raises AddressInUseError if it is taken."""
         listener = self._bind()
--- a/tests/test_operators/test_port.py
+++ b/tests/test_operators/test_port.py
@@ -36,9 +36,7 @@
 
 @pytest.fixture
 def node():
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        address = f"127.0.0.1:{probe.getsockname()[1]}"
-    made = Node(address, events.EventLog("h1", 17, "amsterdam"))
+    made = Node("127.0.0.1:0", events.EventLog("h1", 17, "amsterdam"))
     counted = metrics.Metrics()
     counted.counter("calls_total", "Calls.").add()
     served = (
@@ -47,8 +45,9 @@
         pages.events_page(made.log),
         pages.withdraw_page(SECRET, made.withdraw),
     )
-    listening = port.OperatorPort(address, served)
+    listening = port.OperatorPort(made.address, served)
     listening.start()
+    made.address = listening.address
     yield made
     listening.stop()
 
