--- /dev/null
+++ b/demo/table.py
@@ -0,0 +1,45 @@
+"""The demo's report."""
+
+from collections.abc import Iterable, Sequence
+
+from demo import checks, measures
+
+TIMELINE_LINES = 12
+
+
+def _goodput(title: str, rows: Iterable[measures.Goodput], wrongful: dict[str, int]) -> list[str]:
+    lines = [f"{title:<18}{'calls':>8}{'good':>8}{'above rate':>12}{'goodput':>10}"]
+    if wrongful:
+        lines[0] += f"{'wrongly refused':>17}"
+    for row in rows:
+        line = f"{row.name:<18}{row.calls:>8}{row.good:>8}{row.refused:>12}{row.share:>10.1%}"
+        lines.append(line + (f"{wrongful[row.name]:>17}" if wrongful else ""))
+    return lines
+
+
+def lines(
+    by_class: Sequence[measures.Goodput],
+    by_team: Sequence[measures.Goodput],
+    wrongful: dict[str, int],
+    recovery_s: float | None,
+    made: Sequence[checks.Check],
+    timeline: Sequence[str],
+) -> list[str]:
+    """Returns the report line by line.
+
+    Args:
+        by_class: Goodput of each class of importance.
+        by_team: Goodput of each team.
+        wrongful: Wrongful refusals of each team.
+        recovery_s: Seconds until goodput was back, None if it never was.
+        made: The checks.
+        timeline: The merged time line.
+    """
+    recovered = "not within the run" if recovery_s is None else f"{recovery_s:g} s"
+    report = ["", *_goodput("class", by_class, {}), "", *_goodput("team", by_team, wrongful)]
+    report += ["", f"goodput back after the slow service: {recovered}", ""]
+    for check in made:
+        outcome = f"broken: {check.broken}" if check.broken else "held"
+        report.append(f"{outcome:<14}{check.rule}")
+    report += ["", f"end of the time line of all nodes ({len(timeline)} events):"]
+    return report + [f"  {line}" for line in timeline[-TIMELINE_LINES:]]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -206,7 +206,28 @@
         """Puts an operator's text into force."""
         source = self._directory / "fleet.toml"
         source.write_text(text, encoding="utf-8")
-        self.command("apply", f"--platform={self.platform_address}", f"--file={source}")
+        self.command("apply", self._platform_flag, f"--file={source}")
+
+    def grant(self, team: str) -> Key:
+        """Grants a new key to a team."""
+        words = ("keys", "grant", self._platform_flag, self._secret_flag, f"--team={team}")
+        printed = self.command(*words)
+        fields = dict(line.split(": ", 1) for line in printed.splitlines())
+        return Key(fields["key_id"], fields["key"])
+
+    def withdraw(self, key: Key, *names: str) -> None:
+        """Withdraws a key at the platform, or straight at the nodes of the named hosts."""
+        if names:
+            addresses = ",".join(self.members[name].addresses.operators for name in names)
+            where = f"--nodes={addresses}"
+        else:
+            where = self._platform_flag
+        self.command("keys", "withdraw", where, self._secret_flag, f"--key_id={key.key_id}")
+
+    def timeline(self) -> list[str]:
+        """Returns the merged time line of all nodes."""
+        address = next(iter(self.members.values())).addresses.operators
+        return self.command("timeline", f"--nodes={address}").splitlines()
 
     def platform_faults(self, **faults: object) -> None:
         """Switches faults of the platform; see standins.platform.Faults."""
@@ -252,6 +273,16 @@
         """Returns the addresses of one host."""
         return self.members[name].addresses
 
+    @property
+    def _platform_flag(self) -> str:
+        return f"--platform={self.platform_address}"
+
+    @property
+    def _secret_flag(self) -> str:
+        path = self._directory / "fleet_secret"
+        path.write_text(SECRET, encoding="utf-8")
+        return f"--secret_file={path}"
+
     def _start(self) -> None:
         self.launch("platform", "standins.platform", f"--address={self.platform_address}")
         processes.wait_until(lambda: _answers(self.platform_address), "the platform answers")
--- a/standins/load.py
+++ b/standins/load.py
@@ -26,6 +26,7 @@
 POLL_S = 0.005
 CONNECT_TIMEOUT_MS = 2000
 KEPT_CONNECTIONS = 1024
+KEY_TAIL = 8
 
 
 @attrs.frozen
@@ -222,7 +223,7 @@
             tag=arrival.tag,
             number=arrival.number,
             team=stream.team,
-            key=stream.key[-8:],
+            key=stream.key[-KEY_TAIL:],
             route=stream.route,
             importance=stream.importance,
             target=transfer.target,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -29,13 +29,15 @@
         outage: Everything is answered with 503.
         delay_ms: Milliseconds by which each answer is late.
         lose_answers: The next writes take effect but get no answer.
-        stale_reads: Reads and watches answer from a snapshot taken when this was switched on.
+        stale_reads: Reads and watches answer as of the moment when this was switched on.
+        stale_version: Reads and watches answer as of this version, None for as things are.
     """
 
     outage: bool = False
     delay_ms: float = 0
     lose_answers: int = 0
     stale_reads: bool = False
+    stale_version: int | None = None
 
 
 @attrs.define
@@ -59,8 +61,10 @@
     def change_faults(self, changes: dict) -> Faults:
         """Puts changed faults in force; raises TypeError on an unknown one."""
         with self._lock:
+            if "stale_reads" in changes:
+                changes["stale_version"] = self.store.version if changes["stale_reads"] else None
             self.faults = attrs.evolve(self.faults, **changes)
-            self.store.freeze_reads(self.faults.stale_reads)
+            self.store.read_as_of(self.faults.stale_version)
             self.store.wake()
             return self.faults
 
--- a/standins/run_record.py
+++ b/standins/run_record.py
@@ -45,6 +45,10 @@
         """Records the end of a run: ``ok``, ``failed``, ``cancelled`` or ``deadline``."""
         self._write("end", run=run, outcome=outcome)
 
+    def shed(self, tag: str, method: str, path: str) -> None:
+        """Records a call that was shed; it is no run."""
+        self._write("shed", tag=tag, method=method, path=path)
+
     def note(self, event: str) -> None:
         """Records a change of the upstream itself, such as ``draining``."""
         self._write(event)
--- a/standins/store.py
+++ b/standins/store.py
@@ -39,6 +39,12 @@
         self.version = version
 
 
+@attrs.frozen
+class _View:
+    items: dict[tuple[str, str], Item]
+    version: int
+
+
 class Store:
     """All objects, guarded by one lock; changes wake waiting watches."""
 
@@ -46,16 +52,21 @@
         self._changed = threading.Condition()
         self._items: dict[tuple[str, str], Item] = {}
         self._version = 0
-        self._snapshot: dict[tuple[str, str], Item] | None = None
-        self._snapshot_version = 0
+        self._log: list[Item] = []
+        self._old: _View | None = None
+
+    @property
+    def version(self) -> int:
+        """Version of the latest change."""
+        return self._version
 
-    def freeze_reads(self, frozen: bool) -> None:
-        """Makes reads answer from a snapshot of now, or from the live objects again."""
+    def read_as_of(self, version: int | None) -> None:
+        """Makes reads answer as the objects were at `version`, or as they are if it is None."""
         with self._changed:
-            if not frozen:
-                self._snapshot = None
-            elif self._snapshot is None:
-                self._snapshot, self._snapshot_version = dict(self._items), self._version
+            self._old = None
+            if version is not None:
+                past = (item for item in self._log if item.version <= version)
+                self._old = _View({(item.kind, item.name): item for item in past}, version)
             self._changed.notify_all()
 
     def wake(self) -> None:
@@ -66,7 +77,7 @@
     def get(self, kind: str, name: str) -> Item | None:
         """Returns one object, or None if it does not exist."""
         with self._changed:
-            item = self._view()[0].get((kind, name))
+            item = self._view().items.get((kind, name))
         return item if item is not None and item.value is not None else None
 
     def list(self, kind: str, since: int = -1) -> Listing:
@@ -97,19 +108,17 @@
                     return listing
                 self._changed.wait(left)
 
-    def _view(self) -> tuple[dict[tuple[str, str], Item], int]:
-        if self._snapshot is not None:
-            return self._snapshot, self._snapshot_version
-        return self._items, self._version
+    def _view(self) -> _View:
+        return self._old or _View(self._items, self._version)
 
     def _list(self, kind: str, since: int) -> Listing:
-        items, version = self._view()
+        view = self._view()
         wanted = [
             item
-            for item in items.values()
+            for item in view.items.values()
             if item.kind == kind and item.version > since and (since >= 0 or item.value is not None)
         ]
-        return Listing(sorted(wanted, key=lambda item: item.version), version)
+        return Listing(sorted(wanted, key=lambda item: item.version), view.version)
 
     def _current_version(self, kind: str, name: str) -> int:
         item = self._items.get((kind, name))
@@ -120,6 +129,8 @@
         if current != version:
             raise VersionConflict(current)
         self._version += 1
-        self._items[kind, name] = Item(kind, name, self._version, value)
+        item = Item(kind, name, self._version, value)
+        self._items[kind, name] = item
+        self._log.append(item)
         self._changed.notify_all()
         return self._version
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -210,6 +210,8 @@
                 self.upstream.leave()
 
     def _shed(self, cause: str) -> None:
+        tag = self.headers.get(dependencies.TAG_HEADER, "")
+        self.upstream.record.shed(tag, self.command, self.path)
         self.answer(503, cause.encode(), {VERDICT_HEADER: "not-run", "Retry-After": "1"})
 
     def _run(self) -> None:
--- a/tests/test_standins/test_platform.py
+++ b/tests/test_standins/test_platform.py
@@ -60,6 +60,8 @@
     assert ask("GET", "/objects/k/a")[1]["value"] == 1
     ask("POST", "/faults", {"stale_reads": False, "outage": True})
     assert ask("GET", "/objects/k/a")[0] == 503
-    ask("POST", "/faults", {"outage": False})
+    ask("POST", "/faults", {"outage": False, "stale_version": 1})
+    assert ask("GET", "/objects/k")[1]["items"][0]["value"] == 1
+    ask("POST", "/faults", {"stale_version": None})
     assert ask("GET", "/objects/k/a")[1]["value"] == 2
-    assert ask("GET", "/statistics")[1] == {"writes": 2, "reads": 3, "watches": 0}
+    assert ask("GET", "/statistics")[1] == {"writes": 2, "reads": 4, "watches": 0}
