Add the metrics of a node in one place

Cause: the application needs counters of answers and events, and gauges of what the status shows.

Change: NodeMetrics registers them all; events are counted by a listener of the event log, so that no part of a node counts by itself.

--- a/bergamotridge/metrics.py
+++ b/bergamotridge/metrics.py
@@ -164,6 +164,15 @@
             self._collector.set(_escaped(sample.labels), sample.value)
 
 
+@attrs.frozen
+class Description:
+    """Name, kind and help of one metric."""
+
+    name: str
+    kind: str
+    help_text: str
+
+
 class Metrics:
     """All metrics of one process."""
 
@@ -191,6 +200,11 @@
         collector = aioprometheus.Histogram(name, help_text, registry=self._registry)
         return self._keep(Histogram(collector, bounds))
 
+    def describe(self) -> list[Description]:
+        """Returns what is registered, by name."""
+        collectors = sorted(self._registry.get_all(), key=lambda collector: collector.name)
+        return [Description(item.name, item.kind.name, item.doc) for item in collectors]
+
     def render(self, accepts: Sequence[str] = ()) -> Rendered:
         """Returns all metrics in the form that the `Accept` headers ask for, text by default."""
         with self._lock:
--- /dev/null
+++ b/tests/test_operators/test_node_metrics.py
@@ -0,0 +1,33 @@
+"""Metrics of a node: gauges follow its status, and events and answers are counted."""
+
+from bergamotridge import events, metrics
+from bergamotridge.operators import node_metrics, status
+
+STATUS = status.Status(
+    "h1",
+    1,
+    "utrecht",
+    61.2,
+    configuration_version=3,
+    load=status.Load(2, 1, 8.5),
+    members=(
+        status.Member("h1", 1, "utrecht", "booking", "ready"),
+        status.Member("h2", 1, "utrecht", "booking", "ready"),
+        status.Member("h3", 1, "utrecht", "booking", "lost"),
+    ),
+    teams=(status.TeamRate("delft", 10, 5, 2.5, 1),),
+)
+
+
+def test_the_metrics_of_a_node(snapshot):
+    registry = metrics.Metrics()
+    node = node_metrics.NodeMetrics(registry, lambda: STATUS)
+    log = events.EventLog("h1", 1, "utrecht")
+    log.listen(node.count_event)
+    log.emit("call.refused", "r1", "rate")
+    log.emit("call.refused", "r2", "rate")
+    node.count_answer("delft", "critical", "", "run", 0.004)
+    node.count_answer("delft", "critical", "rate", "not-run", 0.001)
+    lines = registry.render().body.decode().splitlines()
+    changing = ("cpu_seconds", "resident_memory_bytes")
+    assert [line for line in lines if not any(name in line for name in changing)] == snapshot
