Count events by cause only where causes are fixed words

Cause: the cause of an event outside calls is free text, so that each text would make a time series.

Change: the label is empty for all kinds but those of calls.

--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -9,6 +9,7 @@
 from bergamotridge.operators import status
 
 PREFIX = "bergamotridge_"
+CALL_KINDS = "call."
 _MEMORY_PATH = "/proc/self/statm"
 _NO_REASON = "none"
 
@@ -48,7 +49,9 @@
         self._latency = registry.histogram(
             f"{PREFIX}answer_seconds", "Time from a caller's call to its answer, by importance."
         )
-        self._events = registry.counter(f"{PREFIX}events_total", "Events, by kind and cause.")
+        self._events = registry.counter(
+            f"{PREFIX}events_total", "Events, by kind, and by cause for those of calls."
+        )
         self._register_gauges(registry)
 
     def count_answer(
@@ -69,8 +72,9 @@
         self._latency.add(seconds, importance=importance)
 
     def count_event(self, event: events.Event) -> None:
-        """Counts one event."""
-        self._events.add(kind=event.kind, cause=event.cause)
+        """Counts one event, by its cause only where causes are fixed words."""
+        cause = event.cause if event.kind.startswith(CALL_KINDS) else ""
+        self._events.add(kind=event.kind, cause=cause)
 
     def _register_gauges(self, registry: metrics.Metrics) -> None:
         read = self._read
@@ -92,7 +96,9 @@
             registry.gauge(PREFIX + name, help_text, value)
         registry.gauges(f"{PREFIX}members", "Known hosts, by state.", self._members)
         registry.gauges(
-            f"{PREFIX}team_tokens", "Calls of a team that may be admitted here at once.", self._tokens
+            f"{PREFIX}team_tokens",
+            "Calls of a team that may be admitted here at once.",
+            self._tokens,
         )
         registry.gauges(
             f"{PREFIX}team_held_rate",
