Add membership and gossip between nodes

Cause: nodes need to know each other's upstreams, and a failure domain that is cut off from the platform needs configuration and keys from peers. Ruled out: sending each record a fixed number of times (misses nodes or repeats itself); a full exchange for each new peer (75 KB for 630 records). A heartbeat of each host through the whole fleet is not needed either, since a failed message starts the suspicion. Change: versioned records with suspicion and refutation, a log of news with a cursor for each link, checksums so that a link between nodes that agree sends nothing, links that prefer the own failure domain but never only that, first addresses in a few platform objects, withdrawals written to the platform by a few nodes. Conclusion: 5 nodes over real gRPC spread every kind of news, and a killed node is lost and its successor found (tests/test_nodes/test_gossip.py).

--- /dev/null
+++ b/bergamotridge/nodes/gossip.py
@@ -0,0 +1,259 @@
+"""Gossip between nodes: the gRPC service and the tasks that talk to a few peers."""
+
+import queue
+import random
+import threading
+import time
+from collections.abc import Sequence
+from concurrent import futures
+
+import attrs
+import grpc
+import logbook
+import orjson
+
+from bergamotridge.nodes import (
+    control,
+    exchange,
+    gossip_pb2,
+    gossip_pb2_grpc,
+    membership,
+    peers,
+    record,
+)
+from bergamotridge.platform import client, replica
+
+_log = logbook.Logger(__name__)
+
+TICK_S = 0.1
+URGENT_STATES = (record.State.DRAINING, record.State.LOST)
+
+
+@attrs.frozen
+class GossipTimings:
+    """Pace of gossip.
+
+    Attributes:
+        interval_s: Mean seconds between two messages on a link.
+        gap_s: Least seconds between two messages on a link when there is urgent news.
+        hold_s: Mean seconds that a link keeps its peer.
+        timeout_s: Time limit of one message in seconds.
+        links: Peers that this node talks to at once.
+    """
+
+    interval_s: float = 1.0
+    gap_s: float = 0.2
+    hold_s: float = 60.0
+    timeout_s: float = 1.0
+    links: int = 3
+
+
+@attrs.frozen
+class _Fetch:
+    address: str
+    kind: str
+
+
+class Gossip:
+    """Spreads news between `start` and `stop`, and is a service of the control port."""
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        chooser: peers.PeerChooser,
+        news: exchange.Exchange,
+        replicas: Sequence[replica.Replica],
+        channels: control.ChannelPool,
+        timings: GossipTimings,
+        rng: random.Random,
+    ) -> None:
+        """Prepares the tasks.
+
+        Args:
+            members: Membership whose time-driven decisions are made here.
+            chooser: Choice of peers.
+            news: Builds and takes in messages.
+            replicas: Replicas that are fetched from peers which are ahead.
+            channels: Channels to peers.
+            timings: Pace of gossip.
+            rng: Source of jitter.
+        """
+        self._members = members
+        self._chooser = chooser
+        self._exchange = news
+        self._replicas = {copy.kind: copy for copy in replicas}
+        self._channels = channels
+        self._timings = timings
+        self._rng = rng
+        self._urgent = threading.Condition()
+        self._round = 0
+        self._stopping = False
+        self._fetches: queue.SimpleQueue[_Fetch] = queue.SimpleQueue()
+        self._executor = futures.ThreadPoolExecutor(timings.links + 1, "gossip")
+        members.listen(self._on_change)
+
+    def register(self, server: grpc.Server) -> None:
+        """Adds the service to a server."""
+        gossip_pb2_grpc.add_GossipServicer_to_server(_Servicer(self), server)
+
+    def start(self) -> None:
+        """Starts a task for each link and one for time and fetches."""
+        for link in range(self._timings.links):
+            self._executor.submit(self._guard, self._run_link, link)
+        self._executor.submit(self._guard, self._run_clock)
+
+    def stop(self) -> None:
+        """Ends the tasks; returns when the last has ended."""
+        with self._urgent:
+            self._stopping = True
+            self._urgent.notify_all()
+        self._executor.shutdown(wait=True)
+
+    def nudge(self) -> None:
+        """Starts a round on all links at once, because there is urgent news."""
+        with self._urgent:
+            self._round += 1
+            self._urgent.notify_all()
+
+    def answer(self, message: gossip_pb2.GossipMessage) -> gossip_pb2.GossipMessage:
+        """Takes in the message of a peer and returns the one for it."""
+        now = time.monotonic()
+        received = self._exchange.receive(message, now)
+        self._chooser.answered(peers.Peer(message.control_address, message.host), now)
+        self._ask_for(message.control_address, received.behind)
+        return self._exchange.build(received.session, _wall_ms())
+
+    def newer(self, kind: str, since: int) -> client.Listing | None:
+        """Returns a replica's objects above a version, None for an unknown kind."""
+        copy = self._replicas.get(kind)
+        return None if copy is None else copy.newer(since)
+
+    def _on_change(self, found: record.UpstreamRecord, change: membership.Change) -> None:
+        if change is membership.Change.CHANGED and found.state in URGENT_STATES:
+            self.nudge()
+
+    def _guard(self, task, *arguments: object) -> None:
+        while not self._stopping:
+            try:
+                task(*arguments)
+            except Exception:
+                _log.exception("a task of gossip failed and starts again")
+                time.sleep(self._timings.interval_s)
+
+    def _run_link(self, link: int) -> None:
+        """Talks to one peer after another."""
+        while not self._stopping:
+            peer = self._chooser.choose(link)
+            if peer is None:
+                self._pause(self._round, self._timings.interval_s)
+            else:
+                self._talk(peer)
+
+    def _talk(self, peer: peers.Peer) -> None:
+        """Talks to a peer until its time is over or it fails."""
+        stub = gossip_pb2_grpc.GossipStub(self._channels.channel(peer.address))
+        until = time.monotonic() + self._rng.uniform(0.5, 1.5) * self._timings.hold_s
+        session, failures = self._exchange.session_of(peer.host), 0
+        while not self._stopping and time.monotonic() < until:
+            seen = self._round
+            try:
+                message = self._exchange.build(session, _wall_ms())
+                reply = stub.Exchange(message, timeout=self._timings.timeout_s)
+            except grpc.RpcError:
+                failures += 1
+                if self._chooser.unanswered(peer, failures, time.monotonic()):
+                    return
+                self._pause(seen, self._timings.interval_s)
+                continue
+            failures = 0
+            received = self._exchange.receive(reply, time.monotonic())
+            first_contact, session = session != received.session, received.session
+            self._chooser.answered(peer, time.monotonic())
+            self._ask_for(peer.address, received.behind)
+            if not (received.more or first_contact):
+                self._pause(seen, self._rng.uniform(0.5, 1.5) * self._timings.interval_s)
+
+    def _pause(self, seen: int, wait_s: float) -> None:
+        """Waits until the next message is due, at once for news since round `seen`."""
+        time.sleep(self._timings.gap_s)
+        with self._urgent:
+            self._urgent.wait_for(
+                lambda: self._stopping or self._round != seen, wait_s - self._timings.gap_s
+            )
+
+    def _ask_for(self, address: str, kinds: Sequence[str]) -> None:
+        for kind in kinds:
+            self._fetches.put(_Fetch(address, kind))
+
+    def _run_clock(self) -> None:
+        """Lets time pass for the membership, fetches replicas, and notices news from elsewhere."""
+        versions = self._versions()
+        while not self._stopping:
+            self._members.tick(time.monotonic())
+            try:
+                self._fetch(self._fetches.get(timeout=TICK_S))
+            except queue.Empty:
+                pass
+            except grpc.RpcError as error:
+                _log.debug("fetch from a peer failed: {}", error)
+            current = self._versions()
+            if current != versions:
+                versions = current
+                self.nudge()
+
+    def _versions(self) -> tuple[object, ...]:
+        own = tuple(copy.version for copy in self._replicas.values())
+        return (*own, self._exchange.withdrawn)
+
+    def _fetch(self, wanted: _Fetch) -> None:
+        """Brings a replica up to a peer's version, page by page."""
+        copy = self._replicas[wanted.kind]
+        stub = gossip_pb2_grpc.GossipStub(self._channels.channel(wanted.address))
+        while not self._stopping:
+            request = gossip_pb2.FetchRequest(kind=wanted.kind, since=copy.version)
+            response = stub.Fetch(request, timeout=self._timings.timeout_s)
+            if not response.objects:
+                return
+            copy.take(_decode(wanted.kind, response))
+
+
+class _Servicer(gossip_pb2_grpc.GossipServicer):
+    """The service as grpc wants it."""
+
+    def __init__(self, gossip: Gossip) -> None:
+        self._gossip = gossip
+
+    def Exchange(  # noqa: N802
+        self, request: gossip_pb2.GossipMessage, context: grpc.ServicerContext
+    ) -> gossip_pb2.GossipMessage:
+        return self._gossip.answer(request)
+
+    def Fetch(  # noqa: N802
+        self, request: gossip_pb2.FetchRequest, context: grpc.ServicerContext
+    ) -> gossip_pb2.FetchResponse:
+        listing = self._gossip.newer(request.kind, request.since)
+        if listing is None:
+            context.abort(grpc.StatusCode.NOT_FOUND, f"no replica of {request.kind}")
+        return _encode(listing)
+
+
+def _encode(listing: client.Listing) -> gossip_pb2.FetchResponse:
+    response = gossip_pb2.FetchResponse(version=listing.version)
+    for item in listing.items:
+        value = b"" if item.value is None else orjson.dumps(item.value)
+        response.objects.add(name=item.name, version=item.version, value=value)
+    return response
+
+
+def _decode(kind: str, response: gossip_pb2.FetchResponse) -> client.Listing:
+    items = tuple(
+        client.StoredObject(
+            kind, item.name, item.version, orjson.loads(item.value) if item.value else None
+        )
+        for item in response.objects
+    )
+    return client.Listing(items, response.version)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/bergamotridge/nodes/peers.py
@@ -0,0 +1,136 @@
+"""Which peers a node gossips with: near ones first, but never only those."""
+
+import random
+import threading
+from collections.abc import Sequence
+
+import attrs
+import xxhash
+
+from bergamotridge.nodes import membership, record
+
+RETURN_SHARE = 0.1  # Share of choices that go to lost hosts and first addresses.
+FAILURES_TO_SUSPECT = 3
+HEALTHY_S = 5.0
+
+
+@attrs.frozen
+class Peer:
+    """A node to talk to; its host is "" if only the address is known."""
+
+    address: str
+    host: str = ""
+
+
+class PeerChooser:
+    """Chooses the peer of each link, and judges peers that do not answer.
+
+    Link 0 stays in the own failure domain, link 1 in the own region but outside the failure
+    domain, further links go anywhere. A scope without a free peer gives way to a wider one. Now
+    and then a further link tries a lost host or a first address, so that two parts of the fleet
+    that were cut off find each other again.
+    """
+
+    def __init__(
+        self, members: membership.Membership, first: Sequence[str], rng: random.Random
+    ) -> None:
+        """Prepares the choice.
+
+        Args:
+            members: Membership of this node.
+            first: Control addresses from the settings.
+            rng: Source of the choices.
+        """
+        self._members = members
+        self._first = list(first)
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._taken: dict[int, Peer] = {}
+        self._answered_at: dict[str, float] = {}
+
+    def add_first(self, addresses: Sequence[str]) -> None:
+        """Adds addresses that were found in the platform."""
+        with self._lock:
+            self._first += [address for address in addresses if address not in self._first]
+
+    def choose(self, link: int) -> Peer | None:
+        """Returns a new peer for a link, None if there is nobody."""
+        with self._lock:
+            self._taken.pop(link, None)
+            peer = self._choose(link)
+            if peer is not None:
+                self._taken[link] = peer
+            return peer
+
+    def answered(self, peer: Peer, now: float) -> None:
+        """Notes that a peer is heard."""
+        with self._lock:
+            self._answered_at[peer.address] = now
+
+    def unanswered(self, peer: Peer, failures: int, now: float) -> bool:
+        """Notes a failed message, the `failures`-th in a row; returns True to give the peer up.
+
+        A node that talks to others too and hears from none may itself be cut off, and suspects
+        nobody.
+        """
+        if failures < FAILURES_TO_SUSPECT:
+            return False
+        with self._lock:
+            alone = all(item == peer for item in self._taken.values())
+            heard = [at for address, at in self._answered_at.items() if address != peer.address]
+        if peer.host and (alone or (heard and now - max(heard) <= HEALTHY_S)):
+            self._members.suspect(peer.host, now)
+        return True
+
+    def _choose(self, link: int) -> Peer | None:
+        own = self._members.own
+        taken = {peer.address for peer in self._taken.values()} | {own.control_address}
+        live = [item for item in self._members.members() if item.control_address not in taken]
+        self._answered_at = {
+            address: at for address, at in self._answered_at.items() if address in taken
+        }
+        if link >= 2 and self._rng.random() < RETURN_SHARE:
+            peer = self._returning(taken)
+            if peer is not None:
+                return peer
+        for scope in _scopes(link, own, live):
+            if scope:
+                chosen = self._rng.choice(scope)
+                return Peer(chosen.control_address, chosen.host)
+        return self._returning(taken)
+
+    def _returning(self, taken: set[str]) -> Peer | None:
+        found = [Peer(item.control_address, item.host) for item in self._members.lost()]
+        found += [Peer(address) for address in self._first]
+        found = [peer for peer in found if peer.address not in taken]
+        return self._rng.choice(found) if found else None
+
+
+def _scopes(
+    link: int, own: record.UpstreamRecord, live: Sequence[record.UpstreamRecord]
+) -> list[list[record.UpstreamRecord]]:
+    """Returns the choices of a link, the preferred ones first."""
+    anywhere = list(live)
+    region = [item for item in live if item.region == own.region]
+    near = [item for item in region if item.failure_domain == own.failure_domain]
+    outside = [item for item in region if item.failure_domain != own.failure_domain]
+    if link == 0:
+        return [near, region, anywhere]
+    if link == 1:
+        return [outside, region, anywhere]
+    return [anywhere]
+
+
+def rank(own: record.UpstreamRecord, members: Sequence[record.UpstreamRecord]) -> int:
+    """Returns this host's place in its failure domain in an order that all nodes agree on.
+
+    Nodes with a low rank do for their failure domain what only a few should do. While views
+    differ, two nodes may take the same rank.
+    """
+    hosts = {item.host for item in members if item.failure_domain == own.failure_domain}
+    mine = _weight(own.host)
+    return sum(_weight(host) < mine for host in hosts - {own.host})
+
+
+def _weight(host: str) -> int:
+    return xxhash.xxh64_intdigest(host.encode())
--- a/bergamotridge/platform/configuration.py
+++ b/bergamotridge/platform/configuration.py
@@ -45,8 +45,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._current: Configuration | None = None
+        self._latest = client.Listing((), 0)
         self._rejected: str | None = None
-        self._seen = 0
         self._listeners: list[Callable[[Configuration], None]] = []
 
     @property
@@ -67,7 +67,7 @@
     @property
     def version(self) -> int:
         """Highest version seen, in force or rejected."""
-        return self._seen
+        return self._latest.version
 
     def listen(self, callback: Callable[[Configuration], None]) -> None:
         """Registers a callback for each configuration that comes into force, in order."""
@@ -79,9 +79,11 @@
     def offer(self, version: int, source: str, change_id: str = "") -> bool:
         """Puts a text into force if its version is above all seen; returns True if it did."""
         with self._lock:
-            if version <= self._seen:
+            if version <= self._latest.version:
                 return False
-            self._seen = version
+            value = {TEXT_KEY: source, CHANGE_KEY: change_id}
+            item = client.StoredObject(KIND, NAME, version, value)
+            self._latest = client.Listing((item,), version)
             try:
                 parsed = text.parse(source, f"{KIND} version {version}")
             except errors.SettingsError as error:
@@ -95,13 +97,9 @@
             return True
 
     def newer(self, since: int) -> client.Listing:
-        """Returns the object in force if its version is above `since`."""
-        current = self._current
-        if current is None or current.version <= since:
-            return client.Listing((), self._seen)
-        value = {TEXT_KEY: current.source, CHANGE_KEY: current.change_id}
-        item = client.StoredObject(KIND, NAME, current.version, value)
-        return client.Listing((item,), current.version)
+        """Returns the latest object if its version is above `since`, also if it was kept out."""
+        latest = self._latest
+        return latest if latest.version > since else client.Listing((), latest.version)
 
     def take(self, listing: client.Listing) -> bool:
         """Offers the texts of a listing; returns True if one came into force."""
--- /dev/null
+++ b/tests/test_nodes/fleet.py
@@ -0,0 +1,98 @@
+"""Control parts of several nodes in one process, joined by real gRPC on loopback."""
+
+import contextlib
+import random
+import time
+
+import attrs
+
+from bergamotridge.callers import keys
+from bergamotridge.nodes import control, exchange, gossip, membership, peers, record
+from bergamotridge.platform import configuration
+
+SECRET = "fleet-secret"
+TIMINGS = gossip.GossipTimings(interval_s=0.1, gap_s=0.02, hold_s=1.0, timeout_s=1.0)
+PATIENCE_S = 30.0
+
+
+def own_record(host: str, port: int, incarnation: int = 1, domain: str = "a", region: str = "r"):
+    return record.UpstreamRecord(
+        host=host,
+        incarnation=incarnation,
+        version=1,
+        failure_domain=domain,
+        region=region,
+        service="",
+        state=record.State.STARTING,
+        slots=0,
+        load=0.0,
+        relay_address=f"127.0.0.1:{port}",
+        control_address=f"127.0.0.1:{port}",
+    )
+
+
+@attrs.define
+class Node:
+    members: membership.Membership
+    configuration: configuration.ConfigurationStore
+    ring: keys.KeyRing
+    gossip: gossip.Gossip
+    server: control.ControlServer
+    channels: control.ChannelPool
+
+    def kill(self):
+        self.server.stop(0)
+        self.gossip.stop()
+        self.channels.close()
+
+
+class _LateService:
+    """Lets a port be bound before the service that needs its number exists."""
+
+    def __init__(self):
+        self.gossip = None
+
+    def register(self, server):
+        gossip.gossip_pb2_grpc.add_GossipServicer_to_server(gossip._Servicer(self), server)
+
+    def answer(self, message):
+        return self.gossip.answer(message)
+
+    def newer(self, kind, since):
+        return self.gossip.newer(kind, since)
+
+
+def start(number: int, first=(), suspect_s: float = 0.5, address: str = "127.0.0.1:0", **record_):
+    service = _LateService()
+    server = control.ControlServer(address, SECRET, (service,))
+    own = own_record(f"h{number}", server.port, **record_)
+    members = membership.Membership(own, membership.Timings(suspect_s=suspect_s))
+    store, ring = configuration.ConfigurationStore(), keys.KeyRing(SECRET)
+    rng = random.Random(number)
+    news = exchange.Exchange(members, (store, ring), ring, rng.getrandbits(63) + 1)
+    channels = control.ChannelPool(SECRET)
+    chooser = peers.PeerChooser(members, first, rng)
+    service.gossip = gossip.Gossip(members, chooser, news, (store, ring), channels, TIMINGS, rng)
+    server.start()
+    service.gossip.start()
+    return Node(members, store, ring, service.gossip, server, channels)
+
+
+@contextlib.contextmanager
+def fleet(size: int):
+    nodes: list[Node] = []
+    try:
+        for number in range(size):
+            first = (nodes[0].members.own.control_address,) if nodes else ()
+            nodes.append(start(number, first))
+        yield nodes
+    finally:
+        for node in nodes:
+            node.kill()
+
+
+def wait_for(condition):
+    until = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < until, "the fleet did not get there"
+        time.sleep(0.01)
