Refuse a route whose path or method cannot be matched

Cause: a path such as /bookings/<id passed the check and would have failed at every node as it built its table of routes. The four new cases in tests/test_operators/test_text.py failed before.

Change: the check builds the rule with the library that matches it, and names the methods accepted.

Conclusion: such texts are refused before they are applied.

--- a/bergamotridge/operators/text.py
+++ b/bergamotridge/operators/text.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 import attrs
+from werkzeug import routing
 
 from bergamotridge import call, errors
 from bergamotridge.util import suggestion
@@ -15,6 +16,7 @@
     "sheddable": call.Importance.SHEDDABLE,
 }
 DEFAULT_TIMEOUT_S = 2.0
+METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 PARTS = ("routes", "services", "teams")
 
 
@@ -122,6 +124,24 @@
     return Service(name, tuple(depends_on), int(slots), int(connections))
 
 
+def _path(source: str, key: str, value: object) -> str:
+    path = _string(source, key, value)
+    if not path.startswith("/"):
+        raise _fail(source, key, f"is {path!r}; accepted: a path that begins with '/'")
+    try:
+        routing.Map([routing.Rule(path)])
+    except (ValueError, LookupError, SyntaxError) as error:
+        raise _fail(source, key, f"is {path!r}: {error}; accepted: such as /a/<id>") from error
+    return path
+
+
+def _method(source: str, key: str, value: object) -> str:
+    method = _string(source, key, value).upper()
+    if method not in METHODS:
+        raise _fail(source, key, f"is {value!r}; accepted: {', '.join(METHODS)}")
+    return method
+
+
 def _route(source: str, name: str, table: object) -> Route:
     key = f"routes.{name}"
     known = [field.name for field in attrs.fields(Route) if field.name != "name"]
@@ -129,16 +149,14 @@
     for needed in ("path", "service"):
         if needed not in table:
             raise _fail(source, f"{key}.{needed}", "is missing")
-    path = _string(source, f"{key}.path", table["path"])
-    if not path.startswith("/"):
-        raise _fail(source, f"{key}.path", f"is {path!r}; accepted: a path that begins with '/'")
+    path = _path(source, f"{key}.path", table["path"])
     importance = table.get("importance", "standard")
     if importance not in IMPORTANCE_NAMES:
         accepted = ", ".join(IMPORTANCE_NAMES)
         raise _fail(source, f"{key}.importance", f"is {importance!r}; accepted: {accepted}")
     return Route(
         name=name,
-        method=_string(source, f"{key}.method", table.get("method", "GET")).upper(),
+        method=_method(source, f"{key}.method", table.get("method", "GET")),
         path=path,
         service=_string(source, f"{key}.service", table["service"]),
         importance=IMPORTANCE_NAMES[importance],
--- a/tests/test_operators/test_text.py
+++ b/tests/test_operators/test_text.py
@@ -38,6 +38,10 @@
         ('service = "counter"', 'service = "count"', "unknown service 'count'"),
         ("[teams.utrecht]", "[team.utrecht]", "did you mean 'teams'?"),
         ('importance = "critical"', 'importance = "high"', "critical, standard, sheddable"),
+        ('"/bookings"', '"/bookings/<id"', "routes.book.path"),
+        ('"/bookings"', '"/bookings/<uid:id>"', "routes.book.path"),
+        ('"/bookings"', '"/a/<id>/<id>"', "routes.book.path"),
+        ('"POST"', '"BOOK"', "accepted: DELETE, GET"),
         ("rate = 10", "rate = nan", "teams.utrecht.rate"),
     ],
 )
