Let a node advertise other addresses, and put a network that can be cut in fleets

A cut between failure domains has to be made in a stand-in, but nodes hear each other's listening addresses by gossip and connect straight. Ruled out: a relay for all connections into a failure domain, since it also cuts the hosts of one failure domain from each other; and another network namespace, which the machine's rules forbid.

addresses.advertised_relay and advertised_control name what other nodes are told, as is needed behind any address translation too. The relay stand-in finds the failure domain of a connecting process from the kernel's table of sockets. Its cut is silent: connections stay open and carry nothing until it is mended, so late messages arrive late instead of never.

--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -51,15 +51,37 @@
     )
 
 
+def _optional_address(help_text: str) -> typing.Any:
+    return _setting(
+        "", help_text, "IP:PORT, or nothing", lambda value: not value or _is_address(value)
+    )
+
+
 @attrs.frozen
 class Addresses:
-    """Listening addresses of one node."""
+    """Listening addresses of one node, and what it tells other nodes if that differs."""
 
     callers: str = _address("HTTP for callers")
     upstream: str = _address("HTTP for the local upstream; loopback")
     relay: str = _address("HTTP for calls from other nodes")
     control: str = _address("gRPC for control messages between nodes")
     operators: str = _address("HTTP for operators: metrics, status, events")
+    advertised_relay: str = _optional_address(
+        "where other nodes reach 'relay', if not at the same address"
+    )
+    advertised_control: str = _optional_address(
+        "where other nodes reach 'control', if not at the same address"
+    )
+
+    @property
+    def relay_for_nodes(self) -> str:
+        """Where other nodes reach the relay port."""
+        return self.advertised_relay or self.relay
+
+    @property
+    def control_for_nodes(self) -> str:
+        """Where other nodes reach the control port."""
+        return self.advertised_control or self.control
 
 
 @attrs.frozen
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 from collections.abc import Iterable, Iterator
@@ -72,6 +73,8 @@
     control: str
     operators: str
     server: str
+    advertised_relay: str
+    advertised_control: str
 
 
 def ask(
@@ -144,20 +147,26 @@
 class Fleet:
     """Starts and ends all processes; use as a context manager."""
 
-    def __init__(self, directory: pathlib.Path, hosts: Iterable[Host], text: str) -> None:
+    def __init__(
+        self, directory: pathlib.Path, hosts: Iterable[Host], text: str, *, network: bool = False
+    ) -> None:
         """Prepares a fleet.
 
         Args:
             directory: Directory of its own for settings, logs and records.
             hosts: The hosts.
             text: The operator's text.
+            network: True to put a network that can be cut between the nodes.
         """
         self._directory = directory
+        self._network = network
         self._ports = processes.Ports()
         self._hosts = list(hosts)
         self._text = text
         self._processes: list[processes.Process] = []
         self.platform_address = self._ports.take()
+        self._platform_link = self._ports.take()
+        self._network_control = self._ports.take()
         self.members: dict[str, Member] = {}
 
     def __enter__(self) -> "Fleet":
@@ -233,6 +242,16 @@
         """Switches faults of the platform; see standins.platform.Faults."""
         ask(self.platform_address, "POST", "/faults", json.dumps(faults))
 
+    def cut(self, *failure_domains: str) -> None:
+        """Cuts failure domains off from all others and the platform; without any, mends all."""
+        order = {"failure_domains": failure_domains}
+        ask(self._network_control, "POST", "/cut", json.dumps(order))
+
+    def register_processes(self) -> None:
+        """Tells the network where each node runs; again after a node was started anew."""
+        pids = {one.node.pid: one.host.failure_domain for one in self.members.values()}
+        ask(self._network_control, "POST", "/sources", json.dumps(pids))
+
     def platform_statistics(self) -> dict:
         """Returns the platform's counts of requests."""
         return json.loads(ask(self.platform_address, "GET", "/statistics").body)
@@ -288,15 +307,34 @@
         processes.wait_until(lambda: _answers(self.platform_address), "the platform answers")
         self.apply(self._text)
         addresses = {host.name: self._take_addresses() for host in self._hosts}
-        first = [addresses[host.name].control for host in self._hosts[:2]]
+        if self._network:
+            self._start_network(addresses)
+        first = [addresses[host.name].advertised_control for host in self._hosts[:2]]
         for host in self._hosts:
             settings = self._write_settings(host, addresses[host.name], first)
             member = Member(host, addresses[host.name], settings, self._directory)
             self.members[host.name] = member
             self._processes += [member.node, member.upstream]
+        if self._network:
+            self.register_processes()
 
     def _take_addresses(self) -> Addresses:
-        return Addresses(*(self._ports.take() for _ in attrs.fields(Addresses)))
+        taken = Addresses(*(self._ports.take() for _ in attrs.fields(Addresses)))
+        if self._network:
+            return taken
+        return attrs.evolve(taken, advertised_relay=taken.relay, advertised_control=taken.control)
+
+    def _start_network(self, addresses: dict[str, Addresses]) -> None:
+        links = [f"--link={self._platform_link}={self.platform_address}="]
+        for host in self._hosts:
+            own = addresses[host.name]
+            links += [
+                f"--link={own.advertised_relay}={own.relay}={host.failure_domain}",
+                f"--link={own.advertised_control}={own.control}={host.failure_domain}",
+            ]
+        self.launch("network", "standins.relay", f"--control={self._network_control}", *links)
+        last = addresses[self._hosts[-1].name].advertised_control
+        processes.wait_until(lambda: _listens(last), "the network listens")
 
     def _write_settings(self, host: Host, addresses: Addresses, first: list[str]) -> pathlib.Path:
         path = self._directory / f"{host.name}.toml"
@@ -308,12 +346,13 @@
         yield f'failure_domain = "{host.failure_domain}"'
         yield f'fleet_secret = "{SECRET}"'
         yield "[addresses]"
-        for port in ("callers", "upstream", "relay", "control", "operators"):
-            yield f'{port} = "{getattr(addresses, port)}"'
+        ports = attrs.asdict(addresses)
+        del ports["server"]
+        yield from (f'{port} = "{address}"' for port, address in ports.items())
         yield "[platform]"
-        yield f'address = "{self.platform_address}"'
+        yield f'address = "{self._platform_link if self._network else self.platform_address}"'
         yield "[peers]"
-        others = [address for address in first if address != addresses.control]
+        others = [address for address in first if address != addresses.advertised_control]
         yield f"first = {json.dumps(others)}"
         yield host.settings
 
@@ -326,6 +365,15 @@
         return status.get("configuration_version", 0) > 0 and known >= set(self.members)
 
 
+def _listens(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), ASK_S).close()
+    except OSError:
+        return False
+    return True
+
+
 def _answers(address: str) -> bool:
     try:
         return ask(address, "GET", "/statistics").status == 200
--- a/standins/load.py
+++ b/standins/load.py
@@ -66,10 +66,17 @@
 
 @attrs.frozen
 class Plan:
-    """All streams of one load."""
+    """All streams of one load.
+
+    Attributes:
+        seed: Seed of the arrivals.
+        streams: The streams.
+        name: Begins the tags of all calls; unique among the loads of one fleet.
+    """
 
     seed: int
     streams: tuple[Stream, ...]
+    name: str = "load"
 
 
 @attrs.frozen
@@ -141,7 +148,7 @@
         number = 0
         while at < stream.end_s:
             number += 1
-            due.append(Arrival(start + at, f"t{plan.seed}-{index}-{number}", 1, stream))
+            due.append(Arrival(start + at, f"{plan.name}-{index}-{number}", 1, stream))
             at += source.expovariate(stream.rate)
     heapq.heapify(due)
     return due
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,8 +1,13 @@
-"""A TCP relay whose connections can be cut and refused: a stand-in for a network that fails.
+"""A TCP relay that stands in for the network between failure domains, and can be cut.
 
-Run ``python -m standins.relay --link 127.0.0.1:7000=127.0.0.1:8000 --control 127.0.0.1:7999``.
-``POST /cut`` with JSON ``{"links": ["127.0.0.1:7000"], "cut": true}`` cuts links, each named by
-its listening address; without ``links`` it cuts them all.
+Run ``python -m standins.relay --link 127.0.0.1:7000=127.0.0.1:8000=east --control
+127.0.0.1:7999``. Each link names its listening address, its target and the target's failure
+domain, which is empty for the platform.
+
+* ``POST /sources`` with JSON ``{"PID": "DOMAIN"}`` says where the connecting processes are.
+* ``POST /cut`` with JSON ``{"failure_domains": ["east"]}`` cuts these off from all others and from
+  the platform; an empty list mends everything. A cut is silent: connections stay open and carry
+  nothing until it is mended, as when a network loses its packets.
 """
 
 import json
@@ -11,10 +16,9 @@
 
 from absl import app, flags
 
-from standins import serving
+from standins import serving, sources
 
 CHUNK_BYTES = 65_536
-CONNECT_TIMEOUT_S = 5.0
 
 
 def _split(address: str) -> tuple[str, int]:
@@ -22,66 +26,72 @@
     return host, int(port)
 
 
+class Network:
+    """Knows which failure domains are cut off."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._cut: frozenset[str] = frozenset()
+
+    def cut(self, failure_domains: list[str]) -> None:
+        """Cuts these failure domains off, and only these."""
+        with self._changed:
+            self._cut = frozenset(failure_domains)
+            self._changed.notify_all()
+
+    def wait_open(self, source: str, target: str) -> None:
+        """Waits until the two failure domains reach each other."""
+        with self._changed:
+            while source != target and self._cut & {source, target}:
+                self._changed.wait()
+
+
 class Link:
     """Carries connections from one listening address to one target."""
 
-    def __init__(self, listen: str, target: str) -> None:
-        self.listen = listen
+    def __init__(
+        self, listen: str, target: str, domain: str, network: Network, known: sources.Sources
+    ) -> None:
         self._target = _split(target)
-        self._lock = threading.Lock()
-        self._sockets: set[socket.socket] = set()
-        self._cut = False
+        self._domain = domain
+        self._network = network
+        self._known = known
         self._listener = socket.create_server(_split(listen), backlog=serving.BACKLOG)
         threading.Thread(target=self._accept, name=f"link {listen}", daemon=True).start()
 
-    def cut(self, cut: bool) -> None:
-        """Cuts all connections and refuses new ones, or lets new ones through again."""
-        with self._lock:
-            self._cut = cut
-            sockets = list(self._sockets) if cut else []
-        for connection in sockets:
-            _shut(connection)
-
     def _accept(self) -> None:
         while True:
-            client, _ = self._listener.accept()
-            threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+            client, peer = self._listener.accept()
+            arguments = (client, peer[1])
+            threading.Thread(target=self._connect, args=arguments, daemon=True).start()
 
-    def _connect(self, client: socket.socket) -> None:
+    def _connect(self, client: socket.socket, port: int) -> None:
+        source = self._known.domain(port)
+        self._network.wait_open(source, self._domain)
         try:
-            server = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+            server = socket.create_connection(self._target)
         except OSError:
             client.close()
             return
-        server.settimeout(None)
         for connection in (client, server):
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with self._lock:
-            refused = self._cut
-            if not refused:
-                self._sockets |= {client, server}
-        if refused:
-            client.close()
-            server.close()
-            return
-        back = threading.Thread(target=_pump, args=(server, client), daemon=True)
+        back = threading.Thread(target=self._pump, args=(server, client, source), daemon=True)
         back.start()
-        _pump(client, server)
+        self._pump(client, server, source)
         back.join()
-        with self._lock:
-            self._sockets -= {client, server}
         client.close()
         server.close()
 
-
-def _pump(source: socket.socket, sink: socket.socket) -> None:
-    try:
-        while data := source.recv(CHUNK_BYTES):
-            sink.sendall(data)
-    except OSError:
-        pass
-    _shut(sink)
-    _shut(source)
+    def _pump(self, origin: socket.socket, sink: socket.socket, source: str) -> None:
+        try:
+            while data := origin.recv(CHUNK_BYTES):
+                self._network.wait_open(source, self._domain)
+                sink.sendall(data)
+        except OSError:
+            pass
+        self._network.wait_open(source, self._domain)
+        for connection in (origin, sink):
+            _shut(connection)
 
 
 def _shut(connection: socket.socket) -> None:
@@ -94,29 +104,34 @@
 class Handler(serving.Handler):
     """The relay's control port."""
 
-    links: list[Link]
+    network: Network
+    known: sources.Sources
 
     def do_POST(self) -> None:  # noqa: N802
-        """Cuts links or mends them."""
+        """Takes sources and cuts."""
         order = json.loads(self.read_body())
-        named = order.get("links", [link.listen for link in self.links])
-        chosen = [link for link in self.links if link.listen in named]
-        for link in chosen:
-            link.cut(bool(order["cut"]))
-        self.answer_json(200, {"links": len(chosen)})
+        if self.path == "/sources":
+            for pid, failure_domain in order.items():
+                self.known.register(int(pid), failure_domain)
+        else:
+            self.network.cut(order["failure_domains"])
+        self.answer_json(200, {})
 
 
 def define_flags() -> None:
     """Defines the flags of the command line."""
-    flags.DEFINE_multi_string("link", [], "LISTEN=TARGET, both IP:PORT")
-    flags.DEFINE_string("control", "127.0.0.1:7999", "IP:PORT that takes POST /cut")
+    flags.DEFINE_multi_string("link", [], "LISTEN=TARGET=DOMAIN, addresses as IP:PORT")
+    flags.DEFINE_string("control", "127.0.0.1:7999", "IP:PORT that takes orders")
 
 
 def main(_: list[str]) -> None:
     """Relays until SIGTERM."""
-    links = [Link(*text.split("=")) for text in flags.FLAGS.links]
-    server = serving.Server(flags.FLAGS.control, type("BoundHandler", (Handler,), {"links": links}))
-    server.start()
+    network, known = Network(), sources.Sources()
+    for text in flags.FLAGS.link:
+        listen, target, failure_domain = text.split("=")
+        Link(listen, target, failure_domain, network, known)
+    handler = type("BoundHandler", (Handler,), {"network": network, "known": known})
+    serving.Server(flags.FLAGS.control, handler).start()
     serving.wait_for_stop()
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,6 +24,14 @@
     assert loaded.host == "h1"
     assert loaded.limits.retries == 2
     assert loaded.peers.first == ()
+    assert loaded.addresses.relay_for_nodes == "127.0.0.1:8002"
+
+
+def test_advertised_address_goes_before_the_listening_one():
+    advertised = '[addresses]\nadvertised_relay = "10.0.0.1:80"'
+    loaded = settings.read(GOOD.replace("[addresses]", advertised), "node.toml")
+    assert loaded.addresses.relay_for_nodes == "10.0.0.1:80"
+    assert loaded.addresses.control_for_nodes == "127.0.0.1:8003"
 
 
 @pytest.mark.parametrize(
