Let a few nodes of each failure domain watch the platform

Cause: a waiting watch counts as a read, and 630 nodes with two watches each would wake together at each change. Ruled out: watches at every node; one elected watcher (needs agreement, and its loss is noticed late). Three by rank of hash need no agreement: differing views cost reads only. Change: Duty tells which nodes watch; a node that hears no peer watches itself; all others read every two minutes.

--- a/bergamotridge/callers/withdrawals.py
+++ b/bergamotridge/callers/withdrawals.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 from collections.abc import Callable
 from concurrent import futures
 
@@ -23,7 +24,7 @@
         ring: keys.KeyRing,
         interval_s: float,
         rng: random.Random,
-        writes: Callable[[], bool] = lambda: True,
+        writes: Callable[[float], bool] = lambda now: True,
     ) -> None:
         """Prepares the task.
 
@@ -32,7 +33,7 @@
             ring: Keys of this node.
             interval_s: Mean seconds between two attempts.
             rng: Source of jitter.
-            writes: Tells whether this node is one that writes for its failure domain.
+            writes: Tells from the present monotonic time whether this node has to write.
         """
         self._platform = platform
         self._ring = ring
@@ -66,7 +67,7 @@
     def _run(self) -> None:
         while not self._stopping.wait(self._rng.uniform(0.5, 1.5) * self._interval_s):
             try:
-                if self._writes():
+                if self._writes(time.monotonic()):
                     self.write_pending()
             except Exception:
                 _log.exception("writing withdrawals failed")
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -9,7 +9,7 @@
 import logbook
 
 from bergamotridge import errors
-from bergamotridge.nodes import membership, peers
+from bergamotridge.nodes import duty, membership
 from bergamotridge.platform import client
 from bergamotridge.util import backoff
 
@@ -39,8 +39,8 @@
 class Bootstrap:
     """Reads first addresses while this node is alone, and writes its own if its rank is low.
 
-    Each failure domain has `places` objects, one for each low rank, so writes do not grow with
-    the fleet and happen only when a low rank passes to another host.
+    Each failure domain has an object for each place on duty, so writes do not grow with the fleet
+    and happen only when a place passes to another host.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         platform: client.ObjectClient,
         members: membership.Membership,
         found: Callable[[Sequence[str]], None],
-        places: int,
+        on_duty: duty.Duty,
         timings: BootstrapTimings,
         rng: random.Random,
     ) -> None:
@@ -58,14 +58,14 @@
             platform: Client of the platform.
             members: Membership of this node.
             found: Is told addresses from the platform.
-            places: Objects for each failure domain.
+            on_duty: Places that have an object, a few for each failure domain.
             timings: Pace of the task.
             rng: Source of jitter.
         """
         self._platform = platform
         self._members = members
         self._found = found
-        self._places = places
+        self._duty = on_duty
         self._timings = timings
         self._rng = rng
         self._backoff = backoff.Backoff(timings.backoff_base_s, timings.backoff_cap_s, rng)
@@ -109,9 +109,8 @@
             self._written = place
 
     def _place(self) -> str | None:
-        own = self._members.own
-        rank = peers.rank(own, self._members.members())
-        return f"{own.failure_domain}.{rank}" if rank < self._places else None
+        place = self._duty.place()
+        return None if place is None else f"{self._members.own.failure_domain}.{place}"
 
     def _read(self) -> list[str]:
         items = self._platform.list(KIND).items
--- a/bergamotridge/nodes/peers.py
+++ b/bergamotridge/nodes/peers.py
@@ -5,7 +5,6 @@
 from collections.abc import Sequence
 
 import attrs
-import xxhash
 
 from bergamotridge.nodes import membership, record
 
@@ -67,6 +66,11 @@
         with self._lock:
             self._answered_at[peer.address] = now
 
+    def hears(self, now: float) -> bool:
+        """Returns True if a peer was heard within the last few seconds."""
+        with self._lock:
+            return any(now - at <= HEALTHY_S for at in self._answered_at.values())
+
     def unanswered(self, peer: Peer, failures: int, now: float) -> bool:
         """Notes a failed message, the `failures`-th in a row; returns True to give the peer up.
 
@@ -119,18 +123,3 @@
     if link == 1:
         return [outside, region, anywhere]
     return [anywhere]
-
-
-def rank(own: record.UpstreamRecord, members: Sequence[record.UpstreamRecord]) -> int:
-    """Returns this host's place in its failure domain in an order that all nodes agree on.
-
-    Nodes with a low rank do for their failure domain what only a few should do. While views
-    differ, two nodes may take the same rank.
-    """
-    hosts = {item.host for item in members if item.failure_domain == own.failure_domain}
-    mine = _weight(own.host)
-    return sum(_weight(host) < mine for host in hosts - {own.host})
-
-
-def _weight(host: str) -> int:
-    return xxhash.xxh64_intdigest(host.encode())
--- a/bergamotridge/platform/watch.py
+++ b/bergamotridge/platform/watch.py
@@ -26,6 +26,7 @@
         backoff_base_s: Bound of the first delay after a failure in seconds.
         backoff_cap_s: Highest bound of the delay in seconds.
         gap_s: Least time between two requests in seconds, also when changes come fast.
+        check_s: Time between two looks at whether this node now has to watch, in seconds.
     """
 
     wait_s: float = 20.0
@@ -33,13 +34,14 @@
     backoff_base_s: float = 0.5
     backoff_cap_s: float = 4.0
     gap_s: float = 0.2
+    check_s: float = 2.0
 
 
 class Watcher:
     """Watches one kind and feeds a replica, from `start` to `stop`.
 
     It resumes from the replica's version, so that after an outage one request brings what was
-    missed. Whether this node watches or leaves that to its peers is asked before each request.
+    missed. A node that leaves the watching to its peers still reads now and then.
     """
 
     def __init__(
@@ -48,7 +50,7 @@
         copy: replica.Replica,
         timings: WatchTimings,
         rng: random.Random,
-        watches: Callable[[], bool] = lambda: True,
+        watches: Callable[[float], bool] = lambda now: True,
     ) -> None:
         """Prepares the task.
 
@@ -57,7 +59,7 @@
             copy: Replica to feed.
             timings: When to ask.
             rng: Source of jitter.
-            watches: Tells whether this node is one that watches for its failure domain.
+            watches: Tells from the present monotonic time whether this node has to watch itself.
         """
         self._platform = platform
         self._replica = copy
@@ -68,6 +70,7 @@
         self._stopping = threading.Event()
         self._executor = futures.ThreadPoolExecutor(1, f"watch-{copy.kind}")
         self._reachable: bool | None = None
+        self._poll_at = 0.0
 
     @property
     def reachable(self) -> bool | None:
@@ -94,9 +97,11 @@
 
     def _ask(self) -> float:
         """Makes one request and returns the seconds until the next."""
-        watching = self._watches()
-        wait_s = self._timings.wait_s if watching else 0.0
         began = time.monotonic()
+        watching = self._watches(began)
+        if not watching and began < self._poll_at:
+            return self._timings.check_s
+        wait_s = self._timings.wait_s if watching else 0.0
         try:
             listing = self._platform.watch(self._replica.kind, self._replica.version, wait_s)
         except errors.PlatformError as error:
@@ -107,6 +112,5 @@
         self._reachable = True
         self._backoff.reset()
         self._replica.take(listing)
-        if not watching:
-            return self._rng.uniform(0.5, 1.5) * self._timings.poll_s
+        self._poll_at = began + self._rng.uniform(0.5, 1.5) * self._timings.poll_s
         return max(0.0, began + self._timings.gap_s - time.monotonic())
--- /dev/null
+++ b/tests/test_nodes/test_peers.py
@@ -0,0 +1,65 @@
+"""Choice of peers and of the nodes on duty, and when a node suspects others."""
+
+import collections
+import random
+
+from bergamotridge.nodes import duty, membership, peers
+from tests.test_nodes import fleet
+
+
+def _chooser(size: int, first=()):
+    members = membership.Membership(fleet.own_record("own", 1), membership.Timings())
+    records = [
+        fleet.own_record(f"h{n}", 100 + n, domain="ab"[n % 2], region="rs"[n % 4 // 2])
+        for n in range(size)
+    ]
+    news = [membership.News(item, item.version, suspected=False) for item in records]
+    members.merge(news, "h0", 0.0)
+    return members, peers.PeerChooser(members, first, random.Random(5))
+
+
+def test_links_keep_to_their_scope_and_one_goes_anywhere():
+    members, chooser = _chooser(16)
+    records = {item.host: item for item in members.members()}
+    seen = collections.defaultdict(set)
+    for _ in range(200):
+        for link in range(3):
+            found = records[chooser.choose(link).host]
+            seen[link].add((found.region, found.failure_domain))
+    assert seen[0] == {("r", "a")}
+    assert seen[1] == {("r", "b")}
+    assert len(seen[2]) == 4
+
+
+def test_a_node_that_hears_nobody_suspects_nobody():
+    members, chooser = _chooser(6)
+    chosen = [chooser.choose(link) for link in range(3)]
+    assert not chooser.unanswered(chosen[0], 2, 10.0)
+    assert chooser.unanswered(chosen[0], 3, 10.0)
+    members.tick(60.0)
+    assert members.lost() == ()
+    chooser.answered(chosen[1], 60.0)
+    assert chooser.unanswered(chosen[0], 3, 61.0)
+    members.tick(70.0)
+    assert [item.host for item in members.lost()] == [chosen[0].host]
+
+
+def test_lost_hosts_and_first_addresses_are_tried_again():
+    members, chooser = _chooser(3, ("127.0.0.1:9",))
+    members.suspect("h0", 0.0)
+    members.tick(100.0)
+    tried = {chooser.choose(2).address for _ in range(200)}
+    assert {"127.0.0.1:9", "127.0.0.1:100"} <= tried
+
+
+def test_a_few_nodes_of_each_failure_domain_are_on_duty():
+    members, chooser = _chooser(40)
+    ranks = [
+        duty.rank(item, members.members())
+        for item in members.members()
+        if item.failure_domain == "a"
+    ]
+    assert sorted(ranks) == list(range(21))
+    assert duty.Duty(members, chooser, 0).holds(0.0)
+    chooser.answered(chooser.choose(0), 1.0)
+    assert not duty.Duty(members, chooser, 0).holds(2.0)
