Make the reference of settings, metrics, events and reasons from their declarations

Cause: tables written by hand drift from the code.

Ranges of whole numbers are written out and say that they are whole.

--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -70,6 +70,7 @@
         "Tell why one request was refused, retried or shed.",
         ("REQUEST_ID",),
     ),
+    Command("reference", "reference", "Print settings, metrics, events and reasons as Markdown."),
 )
 
 
@@ -97,7 +98,8 @@
     """Returns usage, summary and flags of one command."""
     values = flags.FlagValues()
     command.load().define_flags(values)
-    lines = [f"usage: {command.usage}", "", command.summary, "", "flags:"]
+    lines = [f"usage: {command.usage}", "", command.summary]
+    lines += ["", "flags:"] if len(values) else []
     for name in sorted(values):
         flag = values[name]
         default = "" if flag.default in (None, "", []) else f" (default: {flag.default_as_str})"
--- /dev/null
+++ b/bergamotridge/operators/kinds.py
@@ -0,0 +1,16 @@
+"""Kinds of events and what each tells."""
+
+KINDS = {
+    "call.failed": "A caller's call failed after it may have reached an upstream.",
+    "call.refused": "A caller's call was refused and did not run.",
+    "call.retried": "A node sends a call again, to another upstream.",
+    "configuration.accepted": "A version of the operator's text came into force on the node.",
+    "key.withdrawn": "An operator withdrew a key through the node.",
+    "member.changed": "News of a host: its upstream's service or state changed.",
+    "member.forgotten": "A lost host is no longer kept.",
+    "member.joined": "A host became known.",
+    "member.lost": "A host is taken for lost; it gets no more calls.",
+    "member.suspected": "A host has been silent for longer than it should.",
+    "node.started": "The node has opened its ports.",
+    "node.stopping": "The node has begun a graceful shutdown.",
+}
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -33,13 +33,13 @@
 
 
 def _number(default: float, help_text: str, low: float, high: float) -> typing.Any:
-    return _setting(
-        default, help_text, f"a number from {low:g} to {high:g}", lambda value: low <= value <= high
-    )
+    kind = "a whole number" if isinstance(default, int) else "a number"
+    accepted = f"{kind} from {low} to {high}"
+    return _setting(default, help_text, accepted, lambda value: low <= value <= high)
 
 
 def _name(default: str, help_text: str) -> typing.Any:
-    return _setting(default, help_text, "a name that is not empty", bool)
+    return _setting(default, help_text, "a text that is not empty", bool)
 
 
 def _addresses(help_text: str) -> typing.Any:
