--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -107,7 +107,7 @@
     return "\n".join(lines)
 
 
-def _parse(command: Command, words: list[str]) -> tuple[flags.FlagValues, list[str]]:
+def _parse(command: Command, words: Sequence[str]) -> tuple[flags.FlagValues, list[str]]:
     values = flags.FlagValues()
     values.set_gnu_getopt(True)
     command.load().define_flags(values)
@@ -126,6 +126,12 @@
     return values, arguments
 
 
+def check(words: Sequence[str]) -> None:
+    """Raises UsageError unless `words` name a command with flags and arguments that it takes."""
+    command, rest = _find(words)
+    _parse(command, rest)
+
+
 def run(words: Sequence[str]) -> int:
     """Runs the command that `words` name and returns its exit code.
 
--- a/bergamotridge/logs.py
+++ b/bergamotridge/logs.py
@@ -9,8 +9,8 @@
 from logbook import compat
 
 from bergamotridge import events, settings
+from bergamotridge.operators import kinds
 
-QUIET_PREFIX = "call."
 _log = logbook.Logger(__name__)
 
 
@@ -53,7 +53,7 @@
 
     def __call__(self, event: events.Event) -> None:
         """Logs one event."""
-        quiet = event.kind.startswith(QUIET_PREFIX)
+        quiet = event.kind.startswith(kinds.OF_CALLS)
         fields = {"event": event.kind, "stamp": str(event.stamp), **event.detail}
         if event.request_id:
             fields["request_id"] = event.request_id
--- a/bergamotridge/operators/explain.py
+++ b/bergamotridge/operators/explain.py
@@ -28,7 +28,9 @@
 
 def _call(event: events.Event) -> str:
     path = _detail(event, "path", "")
-    return f"the call to '{path}'" if path else "the call"
+    service = _detail(event, "service", "")
+    caller = f" of service '{service}'" if service else ""
+    return f"the call{caller} to '{path}'" if path else f"the call{caller}"
 
 
 def _refused(event: events.Event) -> str:
@@ -51,6 +53,8 @@
     "call.refused": _refused,
     "call.failed": _failed,
     "call.retried": _retried,
+    "dependency.refused": _refused,
+    "dependency.failed": _failed,
 }
 
 
--- a/bergamotridge/operators/kinds.py
+++ b/bergamotridge/operators/kinds.py
@@ -5,6 +5,8 @@
     "call.refused": "A caller's call was refused and did not run.",
     "call.retried": "A node sends a call again, to another upstream.",
     "configuration.accepted": "A version of the operator's text came into force on the node.",
+    "dependency.failed": "An upstream's call to a dependency failed; that may have run.",
+    "dependency.refused": "An upstream's call to a dependency was refused and did not run.",
     "key.withdrawn": "An operator withdrew a key through the node.",
     "member.changed": "News of a host: its upstream's service or state changed.",
     "member.forgotten": "A lost host is no longer kept.",
@@ -14,3 +16,6 @@
     "node.started": "The node has opened its ports.",
     "node.stopping": "The node has begun a graceful shutdown.",
 }
+
+# Kinds of events of single calls; their causes are reasons.
+OF_CALLS = ("call.", "dependency.")
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable, Iterable
 
 from bergamotridge import events, metrics
-from bergamotridge.operators import status
+from bergamotridge.operators import kinds, status
 
 PREFIX = "bergamotridge_"
-CALL_KINDS = "call."
 _MEMORY_PATH = "/proc/self/statm"
 _NO_REASON = "none"
 
@@ -73,7 +72,7 @@
 
     def count_event(self, event: events.Event) -> None:
         """Counts one event, by its cause only where causes are fixed words."""
-        cause = event.cause if event.kind.startswith(CALL_KINDS) else ""
+        cause = event.cause if event.kind.startswith(kinds.OF_CALLS) else ""
         self._events.add(kind=event.kind, cause=cause)
 
     def _register_gauges(self, registry: metrics.Metrics) -> None:
--- a/tests/test_operators/test_fleet.py
+++ b/tests/test_operators/test_fleet.py
@@ -64,7 +64,11 @@
 )
 RING_2 = (
     event(2, "h2", "upstream.lost", cause="silent"),
-    event(7, "h2", "call.shed", "r1", "queue", service="booking"),
+    event(
+        *(7, "h2", "dependency.failed", "r1", "deadline"),
+        **{"service": "booking", "path": "/parts", "verdict": "may-have-run"},
+    ),
+    event(8, "h2", "call.other", "r1", "new-reason", service="booking"),
 )
 
 
