Read TOML and files in one place

Cause: the settings, the operator's text and the commands each read files and TOML with messages of their own; duplicates listed the first two.

Change: util/texts.py does both.

Conclusion: messages are unchanged but for the reason of a file that cannot be read, which no longer repeats the path.

--- a/bergamotridge/commands/apply.py
+++ b/bergamotridge/commands/apply.py
@@ -6,9 +6,10 @@
 from absl import flags
 
 from bergamotridge import errors
-from bergamotridge.commands import files, objects
+from bergamotridge.commands import objects
 from bergamotridge.operators import text
 from bergamotridge.platform import apply, client, configuration
+from bergamotridge.util import texts
 
 LATEST = -1
 
@@ -30,7 +31,7 @@
 def run(values: flags.FlagValues, arguments: list[str]) -> int:
     """Checks and applies the text, and prints the new version."""
     del arguments
-    source = files.read(values.file)
+    source = texts.read_file(values.file)
     text.parse(source, values.file)
     platform = objects.connect(values)
     read_version = values.read_version
--- a/bergamotridge/commands/keys_grant.py
+++ b/bergamotridge/commands/keys_grant.py
@@ -4,7 +4,7 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.commands import files, objects
+from bergamotridge.commands import objects, secret
 from bergamotridge.platform import client
 from bergamotridge.util import suggestion
 
@@ -12,17 +12,17 @@
 def define_flags(values: flags.FlagValues) -> None:
     """Defines the flags of the command."""
     objects.define_flags(values)
-    files.define_secret_flag(values)
+    secret.define_flag(values)
     flags.DEFINE_string("team", None, "team of the key", flag_values=values, required=True)
 
 
 def run(values: flags.FlagValues, arguments: list[str]) -> int:
     """Grants the key and prints its id and the key itself, which is shown only once."""
     del arguments
-    secret = files.read_secret(values)
+    fleet_secret = secret.read(values)
     platform = objects.connect(values)
     _check_team(platform, values.team)
-    granted = keys.grant(platform, secret, values.team)
+    granted = keys.grant(platform, fleet_secret, values.team)
     print(f"key_id: {granted.key_id}")
     print(f"key: {granted.secret_text}")
     return 0
--- a/bergamotridge/commands/keys_withdraw.py
+++ b/bergamotridge/commands/keys_withdraw.py
@@ -6,14 +6,14 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.commands import files, nodes, objects
+from bergamotridge.commands import nodes, objects, secret
 
 
 def define_flags(values: flags.FlagValues) -> None:
     """Defines the flags of the command."""
     objects.define_flags(values, required=False)
     nodes.define_flags(values, required=False)
-    files.define_secret_flag(values, required=False)
+    secret.define_flag(values, required=False)
     flags.DEFINE_string("key_id", None, "id of the key", flag_values=values, required=True)
 
 
@@ -52,12 +52,12 @@
 def _tell_nodes(values: flags.FlagValues) -> list[errors.BergamotridgeError]:
     if not values.nodes:
         return []
-    secret = files.read_secret(values)
+    fleet_secret = secret.read(values)
     connect = nodes.connector(values)
     failures = []
     for address in values.nodes:
         try:
-            connect(address).withdraw(values.key_id, secret)
+            connect(address).withdraw(values.key_id, fleet_secret)
         except errors.OperatorPortError as error:
             failures.append(error)
     return failures
--- /dev/null
+++ b/bergamotridge/commands/secret.py
@@ -0,0 +1,24 @@
+"""The fleet secret, which operators keep in a file."""
+
+from absl import flags
+
+from bergamotridge import errors
+from bergamotridge.util import texts
+
+_SECRET_HELP = "file that holds the fleet secret and nothing else"
+
+
+def define_flag(values: flags.FlagValues, *, required: bool = True) -> None:
+    """Defines the flag that names the file of the fleet secret."""
+    default = None if required else ""
+    flags.DEFINE_string("secret_file", default, _SECRET_HELP, flag_values=values, required=required)
+
+
+def read(values: flags.FlagValues) -> str:
+    """Returns the fleet secret; raises SettingsError if its file gives none."""
+    if not values.secret_file:
+        raise errors.UsageError(f"give --secret_file: {_SECRET_HELP}")
+    secret = texts.read_file(values.secret_file).strip()
+    if not secret:
+        raise errors.SettingsError(f"{values.secret_file}: is empty; accepted: the fleet secret")
+    return secret
--- a/bergamotridge/operators/text.py
+++ b/bergamotridge/operators/text.py
@@ -1,14 +1,13 @@
 """The operator's text: services, routes and teams, checked before it is accepted."""
 
 import graphlib
-import tomllib
 from collections.abc import Iterable
 
 import attrs
 from werkzeug import routing
 
 from bergamotridge import call, errors
-from bergamotridge.util import suggestion
+from bergamotridge.util import suggestion, texts
 
 IMPORTANCE_NAMES = {
     "critical": call.Importance.CRITICAL,
@@ -223,10 +222,7 @@
     Raises:
         SettingsError: Names the file, the key and the accepted values.
     """
-    try:
-        table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise errors.SettingsError(f"{source}: not valid TOML: {error}") from error
+    table = texts.parse_toml(text, source)
     for key in table:
         if key not in PARTS:
             raise errors.SettingsError(
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -1,14 +1,12 @@
 """Node settings: every key declared once with default, unit and accepted values."""
 
 import ipaddress
-import pathlib
-import tomllib
 import typing
 
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.util import suggestion
+from bergamotridge.util import suggestion, texts
 
 
 def _setting(default: object, help_text: str, accepted: str, check=None) -> typing.Any:
@@ -181,17 +179,9 @@
     Raises:
         SettingsError: Names the file, the key and the accepted values.
     """
-    try:
-        table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise errors.SettingsError(f"{source}: not valid TOML: {error}") from error
-    return _read_table(source, "", NodeSettings, table)
+    return _read_table(source, "", NodeSettings, texts.parse_toml(text, source))
 
 
 def load(path: str) -> NodeSettings:
     """Reads and checks the settings file at `path`; raises SettingsError if it is unusable."""
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(f"{path}: cannot be read: {error}") from error
-    return read(text, path)
+    return read(texts.read_file(path), path)
--- a/tests/test_commands/test_changes.py
+++ b/tests/test_commands/test_changes.py
@@ -5,20 +5,11 @@
 from bergamotridge import __main__
 from bergamotridge.commands import registry
 from bergamotridge.operators import pages, port
-from standins import platform
 
 TEXT = "[services.booking]\n[teams.delft]\nrate = 10\nburst = 5\n"
 SECRET = "fleet secret"
 
 
-@pytest.fixture
-def server():
-    server = platform.start("127.0.0.1:0")
-    yield server
-    server.shutdown()
-    server.server_close()
-
-
 @pytest.fixture
 def address(server):
     return "{}:{}".format(*server.server_address)
