--- a/bergamotridge/callers/bucket.py
+++ b/bergamotridge/callers/bucket.py
@@ -133,7 +133,7 @@
         """Takes note that lent tokens were spent or expired, and takes unused ones back."""
         self.refill(now)
         self._lent -= spent + unused
-        self._level += unused
+        self._level = min(self._level + unused, max(0.0, self._burst - self._lent))
         self._room.note(self._burst - self._lent - self._level, self._filled_at)
 
     def resize(self, rate: float, burst: float, now: float) -> None:
--- /dev/null
+++ b/tests/fake_objects.py
@@ -0,0 +1,95 @@
+"""The platform's object API in memory, one client for each host, with faults in virtual time."""
+
+from collections.abc import Callable
+
+import attrs
+
+from bergamotridge import errors
+from standins import store
+
+
+@attrs.define
+class Faults:
+    """Faults between one host and the platform.
+
+    Attributes:
+        outage: Every request fails and has no effect.
+        lose_answers: The next writes take effect and fail.
+        hold_writes: The next writes fail and take effect when `release` is called, if they can.
+        before_write: Called once, while the next write is under way.
+    """
+
+    outage: bool = False
+    lose_answers: int = 0
+    hold_writes: int = 0
+    before_write: Callable[[], None] | None = None
+
+
+class FakeObjects:
+    """One host's client; satisfies `objects.Objects`."""
+
+    def __init__(self, shared: store.Store) -> None:
+        self.faults = Faults()
+        self.reads = 0
+        self.writes = 0
+        self._shared = shared
+        self._held: list[tuple[str, str, object, int]] = []
+
+    def get(self, kind, name):
+        self._count_read()
+        item = self._shared.get(kind, name)
+        if item is None:
+            raise errors.NotFoundError(f"no {kind}/{name}")
+        return item
+
+    def list(self, kind):
+        self._count_read()
+        return self._shared.list(kind)
+
+    def put(self, kind, name, value, version):
+        self.writes += 1
+        race, self.faults.before_write = self.faults.before_write, None
+        if race is not None:
+            race()
+        if self.faults.outage:
+            raise errors.PlatformUnavailableError("outage")
+        if self.faults.hold_writes:
+            self.faults.hold_writes -= 1
+            self._held.append((kind, name, value, version))
+            raise errors.PlatformUnavailableError("write is late")
+        written = self._write(kind, name, value, version)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise errors.PlatformUnavailableError("answer lost")
+        return written
+
+    def delete(self, kind, name, version):
+        self.writes += 1
+        if self.faults.outage:
+            raise errors.PlatformUnavailableError("outage")
+        try:
+            self._shared.delete(kind, name, version)
+        except KeyError as error:
+            raise errors.NotFoundError(f"no {kind}/{name}") from error
+        except store.VersionConflict as error:
+            raise errors.ConflictError(str(error), error.version) from error
+
+    def release(self):
+        """Lets late writes arrive; those whose version has passed have no effect."""
+        held, self._held = self._held, []
+        for kind, name, value, version in held:
+            try:
+                self._write(kind, name, value, version)
+            except errors.ConflictError:
+                continue
+
+    def _count_read(self):
+        self.reads += 1
+        if self.faults.outage:
+            raise errors.PlatformUnavailableError("outage")
+
+    def _write(self, kind, name, value, version):
+        try:
+            return self._shared.put(kind, name, version, value)
+        except store.VersionConflict as error:
+            raise errors.ConflictError(str(error), error.version) from error
