Add admission at the node beside the upstream, shedding and choice

The data path needs the decisions under overload behind stable interfaces. Types that nodes exchange live in nodes/load.py, since upstreams import nodes and not the other way round.

--- /dev/null
+++ b/bergamotridge/nodes/choice.py
@@ -0,0 +1,191 @@
+"""Choice of the upstream that a call goes to."""
+
+import random
+import threading
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from bergamotridge.nodes import load, record
+from bergamotridge.upstreams import outcome
+
+FULL = 1.0
+SPILL_MARGIN = 0.1
+REPORT_FRESH_S = 1.0
+FAILURES_TO_EJECT = 3
+EJECTION_S = 0.5
+LONGEST_EJECTION_S = 5.0
+RETURN_S = 2.0
+RETURN_SHARE = 0.1
+FAILURES = (outcome.Outcome.FAILED, outcome.Outcome.TIMED_OUT, outcome.Outcome.REFUSED)
+
+
+@attrs.define
+class _Health:
+    """What this node learned of one host from its own calls; times are monotonic seconds."""
+
+    load: float = 0.0
+    load_at: float = float("-inf")
+    sent: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = float("-inf")
+    probing: bool = False
+    returned_at: float = float("-inf")
+
+    @property
+    def ejected(self) -> bool:
+        """True from an ejection until a probe succeeds."""
+        return self.ejections > 0 and self.ejected_until > float("-inf")
+
+
+class Chooser:
+    """Chooses among the upstreams of a service; thread-safe.
+
+    The own host comes first, then the own failure domain, while they have room. Else the lesser
+    loaded of two random ones elsewhere is taken if it is clearly less loaded. Loads come with
+    answers; the loads in records only stand in for them. An upstream that fails repeatedly is
+    ejected, tried again with single calls, and after a success gets its share back slowly.
+    """
+
+    def __init__(
+        self,
+        own_host: str,
+        own_failure_domain: str,
+        own_region: str,
+        rng: random.Random,
+    ) -> None:
+        self._own_host = own_host
+        self._own_failure_domain = own_failure_domain
+        self._own_region = own_region
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._hosts: dict[str, _Health] = {}
+
+    def choose(
+        self,
+        candidates: Sequence[record.UpstreamRecord],
+        excluded: Collection[str],
+        now: float,
+    ) -> record.UpstreamRecord | None:
+        """Returns the upstream to call, or None if there is none.
+
+        Args:
+            candidates: Records of the service's upstreams.
+            excluded: Hosts that this call has tried.
+            now: Monotonic time in seconds.
+        """
+        ready = [
+            item
+            for item in candidates
+            if item.state is record.State.READY and item.host not in excluded
+        ]
+        with self._lock:
+            chosen = self._probe(ready, now) or self._pick(ready, now)
+            if chosen is not None:
+                self._health(chosen.host).sent += 1
+            return chosen
+
+    def report(
+        self,
+        host: str,
+        result: outcome.Outcome,
+        report: load.LoadReport | None,
+        latency_s: float,
+        now: float,
+    ) -> None:
+        """Learns how a call to `host` ended.
+
+        Args:
+            host: The host chosen.
+            result: Its outcome.
+            report: The report that came with the answer, or None.
+            latency_s: Time that the call took, in seconds.
+            now: Monotonic time in seconds.
+        """
+        with self._lock:
+            health = self._health(host)
+            if report is not None:
+                health.load, health.load_at, health.sent = report.load, now, 0
+            if result in FAILURES:
+                self._failed(health, now)
+            elif result is outcome.Outcome.CANCELLED:
+                health.probing = False
+            else:
+                self._answered(health, now)
+
+    def _health(self, host: str) -> _Health:
+        return self._hosts.setdefault(host, _Health())
+
+    def _failed(self, health: _Health, now: float) -> None:
+        health.failures += 1
+        if health.probing or health.failures >= FAILURES_TO_EJECT:
+            seconds = min(LONGEST_EJECTION_S, EJECTION_S * 2**health.ejections)
+            if health.probing or not health.ejected:
+                health.ejections += 1
+                health.ejected_until = now + seconds * self._rng.uniform(0.8, 1.2)
+            health.probing = False
+
+    def _answered(self, health: _Health, now: float) -> None:
+        if health.ejected and health.probing:
+            health.ejected_until = float("-inf")
+            health.returned_at = now
+        if now - health.returned_at > RETURN_S:
+            health.ejections = 0
+        health.probing = False
+        health.failures = 0
+
+    def _probe(
+        self, ready: Sequence[record.UpstreamRecord], now: float
+    ) -> record.UpstreamRecord | None:
+        for item in ready:
+            health = self._health(item.host)
+            if health.ejected and not health.probing and now >= health.ejected_until:
+                health.probing = True
+                return item
+        return None
+
+    def _pick(
+        self, ready: Sequence[record.UpstreamRecord], now: float
+    ) -> record.UpstreamRecord | None:
+        usable = [item for item in ready if self._takes(item, now)]
+        if not usable:
+            usable = [item for item in ready if not self._health(item.host).ejected]
+        if not usable:
+            return self._rng.choice(ready) if ready else None
+        near = self._near(usable)
+        best_near = self._two_choices(near, now) if near else None
+        if best_near is not None and self._load(best_near, now) < FULL:
+            return best_near
+        far = [item for item in usable if item not in near]
+        if not far:
+            return best_near
+        best_far = self._two_choices(far, now)
+        if best_near is None:
+            return best_far
+        spill = self._load(best_far, now) + SPILL_MARGIN < self._load(best_near, now)
+        return best_far if spill else best_near
+
+    def _near(self, usable: Sequence[record.UpstreamRecord]) -> list[record.UpstreamRecord]:
+        own = [item for item in usable if item.host == self._own_host]
+        if own:
+            return own
+        return [item for item in usable if item.failure_domain == self._own_failure_domain]
+
+    def _two_choices(
+        self, items: Sequence[record.UpstreamRecord], now: float
+    ) -> record.UpstreamRecord:
+        pair = self._rng.sample(items, min(2, len(items)))
+        return min(pair, key=lambda item: self._load(item, now))
+
+    def _load(self, item: record.UpstreamRecord, now: float) -> float:
+        health = self._health(item.host)
+        known = health.load if now - health.load_at < REPORT_FRESH_S else item.load
+        return known + health.sent / max(1, item.slots)
+
+    def _takes(self, item: record.UpstreamRecord, now: float) -> bool:
+        health = self._health(item.host)
+        if health.ejected:
+            return False
+        share = RETURN_SHARE + (1.0 - RETURN_SHARE) * (now - health.returned_at) / RETURN_S
+        return share >= 1.0 or self._rng.random() < share
--- /dev/null
+++ b/bergamotridge/nodes/load.py
@@ -0,0 +1,116 @@
+"""What a gate tells the nodes that call it: its load and the shares that it can take."""
+
+from collections.abc import Mapping
+
+import attrs
+import xxhash
+
+from bergamotridge import call
+
+REPORT_HEADER = "Bergamotridge-Load"
+THRESHOLDS_HEADER = "Bergamotridge-Thresholds"
+
+Key = tuple[call.Importance, str]
+
+
+def position(request_id: str) -> float:
+    """Returns where a request stands in its class, from 0.0 to below 1.0, alike on all nodes."""
+    return xxhash.xxh32_intdigest(request_id.encode()) / 2**32
+
+
+@attrs.frozen
+class Threshold:
+    """Admitted shares, 0.0 to 1.0, by class and team.
+
+    Attributes:
+        defaults: Share of each class for the teams that are not listed.
+        shares: Shares of listed teams by (class, team).
+    """
+
+    defaults: tuple[float, float, float] = (1.0, 1.0, 1.0)
+    shares: Mapping[Key, float] = attrs.field(factory=dict)
+
+    @property
+    def open(self) -> bool:
+        """True if nothing is shed."""
+        return min(self.defaults) >= 1.0 and all(share >= 1.0 for share in self.shares.values())
+
+    def share(self, importance: call.Importance, team: str) -> float:
+        """Returns the admitted share of requests of `team` in class `importance`."""
+        return self.shares.get((importance, team), self.defaults[importance])
+
+    def encode(self) -> str:
+        """Returns the form in a header; "" if nothing is shed."""
+        if self.open:
+            return ""
+        listed = [f"{key[0].value}:{key[1]}={share:.3f}" for key, share in self.shares.items()]
+        return ";".join([",".join(f"{share:.3f}" for share in self.defaults), *listed])
+
+    @classmethod
+    def decode(cls, text: str) -> "Threshold":
+        """Returns the threshold that `encode` wrote; raises ValueError on any other text."""
+        if not text:
+            return OPEN
+        first, *listed = text.split(";")
+        defaults = tuple(_share(part) for part in first.split(","))
+        if len(defaults) != len(call.Importance):
+            raise ValueError(f"threshold with {len(defaults)} classes")
+        shares = {}
+        for item in listed:
+            name, _, share = item.rpartition("=")
+            importance, _, team = name.partition(":")
+            shares[call.Importance(int(importance)), team] = _share(share)
+        return cls(defaults, shares)
+
+
+def _share(text: str) -> float:
+    share = float(text)
+    if not 0.0 <= share <= 1.0:
+        raise ValueError(f"share {text!r} is not within 0 and 1")
+    return share
+
+
+OPEN = Threshold()
+
+
+@attrs.frozen
+class LoadReport:
+    """State of one gate.
+
+    Attributes:
+        load: Calls running and waiting over the limit; above 1.0 calls wait.
+        limit: Calls that may run at once.
+        in_flight: Calls that run.
+        queued: Calls that wait.
+        threshold: Shares of classes and teams that the gate can take.
+    """
+
+    load: float
+    limit: int
+    in_flight: int
+    queued: int
+    threshold: Threshold = OPEN
+
+    def encode(self) -> str:
+        """Returns the form in a header."""
+        return (
+            f"{self.load:.3f} {self.limit} {self.in_flight} {self.queued} "
+            f"{self.threshold.encode()}"
+        ).rstrip()
+
+    @classmethod
+    def decode(cls, text: str | None) -> "LoadReport | None":
+        """Returns the report in a header value, or None if there is none or it is malformed."""
+        parts = (text or "").split(" ", 4)
+        if len(parts) < 4:
+            return None
+        try:
+            return cls(
+                float(parts[0]),
+                int(parts[1]),
+                int(parts[2]),
+                int(parts[3]),
+                Threshold.decode(parts[4] if len(parts) == 5 else ""),
+            )
+        except ValueError:
+            return None
--- /dev/null
+++ b/bergamotridge/upstreams/threshold.py
@@ -0,0 +1,157 @@
+"""Works out which share of each class and team a gate can take."""
+
+import math
+
+import attrs
+
+from bergamotridge import call
+from bergamotridge.nodes import load
+
+INTERVAL_S = 0.1
+SMOOTHING = 0.2
+GROWTH = 1.5
+FIRST_SHARE = 0.02
+DEMAND_FLOOR = 0.05
+HOLD_SMOOTHING = 0.05
+CORRECTION_STEP = 0.03
+CORRECTION_RANGE = (0.5, 1.3)
+LISTED_TEAMS = 32
+
+
+@attrs.define
+class _Flow:
+    """Smoothed arrivals of one class and team, and the share that let them through."""
+
+    weight: float = 1.0
+    arrivals: int = 0
+    rate: float = 0.0
+    filtered_share: float = 1.0
+    share: float = 1.0
+
+    @property
+    def demand(self) -> float:
+        """Calls per second that would arrive if nothing were shed."""
+        return self.rate / max(self.filtered_share, DEMAND_FLOOR)
+
+    def close_interval(self, seconds: float) -> None:
+        """Takes the arrivals of the last `seconds` into the smoothed rate."""
+        keep = (1.0 - SMOOTHING) ** (seconds / INTERVAL_S)
+        self.rate = keep * self.rate + (1.0 - keep) * self.arrivals / seconds
+        self.filtered_share = keep * self.filtered_share + (1.0 - keep) * self.share
+        self.arrivals = 0
+
+
+def fair_level(demands: list[tuple[float, float]], capacity: float) -> float:
+    """Returns the level per unit of weight that shares `capacity` by max-min fairness.
+
+    Args:
+        demands: Pairs of demand and weight.
+        capacity: What there is to share, in the unit of the demands.
+
+    Returns:
+        A level L such that the sum of min(demand, weight * L) is the capacity, or infinity if all
+        demands fit.
+    """
+    left = capacity
+    weight_left = sum(weight for _, weight in demands)
+    for demand, weight in sorted(demands, key=lambda pair: pair[0] / pair[1]):
+        level = left / weight_left
+        if demand / weight > level:
+            return max(0.0, level)
+        left -= demand
+        weight_left -= weight
+    return math.inf
+
+
+class ThresholdController:
+    """Works out the threshold of one gate from its arrivals and its capacity.
+
+    Demand is what arrived divided by the share that was let through, both smoothed alike. The
+    capacity is the limit over the time that a call holds its slot, corrected by what the queue
+    shows. Classes are filled in order; where capacity ends, teams share by max-min fairness.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[load.Key, _Flow] = {}
+        self._updated_at = -math.inf
+        self._hold_s = 0.0
+        self._correction = 1.0
+        self._threshold = load.OPEN
+
+    @property
+    def threshold(self) -> load.Threshold:
+        """The threshold last worked out."""
+        return self._threshold
+
+    @property
+    def hold_s(self) -> float:
+        """Smoothed time in seconds for which a call holds its slot, 0 before the first call."""
+        return self._hold_s
+
+    def arrived(self, context: call.CallContext) -> None:
+        """Counts a call that reached the gate, taken or not."""
+        flow = self._flows.get((context.importance, context.team))
+        if flow is None:
+            flow = _Flow(share=self._threshold.defaults[context.importance])
+            self._flows[context.importance, context.team] = flow
+        flow.weight = context.weight
+        flow.arrivals += 1
+
+    def held(self, seconds: float) -> None:
+        """Learns for how long a call that ended held its slot."""
+        if not self._hold_s:
+            self._hold_s = seconds
+        self._hold_s += HOLD_SMOOTHING * (seconds - self._hold_s)
+
+    def update(self, limit: int, in_flight: int, queued: int, room: int, now: float) -> None:
+        """Works out the threshold again if an interval has passed.
+
+        Args:
+            limit: Calls that may run at once.
+            in_flight: Calls that run.
+            queued: Calls that wait.
+            room: Calls that may wait.
+            now: Monotonic time in seconds.
+        """
+        if self._updated_at == -math.inf:
+            self._updated_at = now
+        seconds = now - self._updated_at
+        if seconds < INTERVAL_S:
+            return
+        self._updated_at = now
+        for flow in self._flows.values():
+            flow.close_interval(seconds)
+        self._correct(limit, in_flight, queued, room)
+        if self._hold_s:
+            self._fill(self._correction * limit / self._hold_s)
+        self._threshold = self._published()
+
+    def _correct(self, limit: int, in_flight: int, queued: int, room: int) -> None:
+        low, high = CORRECTION_RANGE
+        if queued > room / 2:
+            self._correction = max(low, self._correction * (1.0 - CORRECTION_STEP))
+        elif not queued and (in_flight < limit or self._threshold.open):
+            self._correction = min(high, self._correction * (1.0 + CORRECTION_STEP))
+
+    def _fill(self, capacity: float) -> None:
+        left = capacity
+        for importance in call.Importance:
+            flows = [flow for key, flow in self._flows.items() if key[0] is importance]
+            if not flows:
+                continue
+            level = fair_level([(flow.demand, flow.weight) for flow in flows], max(0.0, left))
+            for flow in flows:
+                target = min(1.0, flow.weight * level / flow.demand) if flow.demand else 1.0
+                flow.share = min(target, max(FIRST_SHARE, GROWTH * flow.share))
+            left -= sum(min(flow.demand, flow.weight * level) for flow in flows)
+
+    def _published(self) -> load.Threshold:
+        limited = {key: flow.share for key, flow in self._flows.items() if flow.share < 1.0}
+        if not limited:
+            return load.OPEN
+        defaults = tuple(
+            max([flow.share for key, flow in self._flows.items() if key[0] is importance] or [1.0])
+            for importance in call.Importance
+        )
+        listed = sorted(limited.items(), key=lambda item: item[1])[:LISTED_TEAMS]
+        return load.Threshold(defaults, dict(listed))
