Prove the control state over any order of failures in virtual time

Cause: nothing yet showed that configuration, keys and membership keep their promises under loss, cuts, late copies, restarts, pauses and outages. Ruled out: a simulator of its own; a fake network between the real decision code does (one file). Change: the life of one link moves into nodes/link, so that tests and tasks run the same code. Scenarios: regions that lose each other, a paused host, a host that boots in an outage, a drain whose news is lost.

--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -17,6 +17,7 @@
     exchange,
     gossip_pb2,
     gossip_pb2_grpc,
+    link,
     membership,
     peers,
     record,
@@ -98,8 +99,8 @@
 
     def start(self) -> None:
         """Starts a task for each link and one for time and fetches."""
-        for link in range(self._timings.links):
-            self._executor.submit(self._guard, self._run_link, link)
+        for number in range(self._timings.links):
+            self._executor.submit(self._guard, self._run_link, number)
         self._executor.submit(self._guard, self._run_clock)
 
     def stop(self) -> None:
@@ -140,38 +141,31 @@
                 _log.exception("a task of gossip failed and starts again")
                 time.sleep(self._timings.interval_s)
 
-    def _run_link(self, link: int) -> None:
+    def _run_link(self, number: int) -> None:
         """Talks to one peer after another."""
+        talk = link.Link(number, self._chooser, self._exchange, self._timings.hold_s, self._rng)
         while not self._stopping:
-            peer = self._chooser.choose(link)
-            if peer is None:
-                self._pause(self._round, self._timings.interval_s)
-            else:
-                self._talk(peer)
-
-    def _talk(self, peer: peers.Peer) -> None:
-        """Talks to a peer until its time is over or it fails."""
-        stub = gossip_pb2_grpc.GossipStub(self._channels.channel(peer.address))
-        until = time.monotonic() + self._rng.uniform(0.5, 1.5) * self._timings.hold_s
-        session, failures = self._exchange.session_of(peer.host), 0
-        while not self._stopping and time.monotonic() < until:
             seen = self._round
-            try:
-                message = self._exchange.build(session, _wall_ms())
-                reply = stub.Exchange(message, timeout=self._timings.timeout_s)
-            except grpc.RpcError:
-                failures += 1
-                if self._chooser.unanswered(peer, failures, time.monotonic()):
-                    return
-                self._pause(seen, self._timings.interval_s)
-                continue
-            failures = 0
-            received = self._exchange.receive(reply, time.monotonic())
-            first_contact, session = session != received.session, received.session
-            self._chooser.answered(peer, time.monotonic())
-            self._ask_for(peer.address, received.behind)
-            if not (received.more or first_contact):
-                self._pause(seen, self._rng.uniform(0.5, 1.5) * self._timings.interval_s)
+            peer = talk.peer(time.monotonic())
+            reply = None if peer is None else self._send(peer, talk.message(_wall_ms()))
+            if reply is not None:
+                received = talk.answered(reply, time.monotonic())
+                self._ask_for(peer.address, received.behind)
+                if received.more:
+                    continue
+            elif peer is not None:
+                talk.unanswered(time.monotonic())
+            self._pause(seen, self._rng.uniform(0.5, 1.5) * self._timings.interval_s)
+
+    def _send(
+        self, peer: peers.Peer, message: gossip_pb2.GossipMessage
+    ) -> gossip_pb2.GossipMessage | None:
+        stub = gossip_pb2_grpc.GossipStub(self._channels.channel(peer.address))
+        try:
+            return stub.Exchange(message, timeout=self._timings.timeout_s)
+        except grpc.RpcError as error:
+            _log.debug("no answer from {}: {}", peer.address, error)
+            return None
 
     def _pause(self, seen: int, wait_s: float) -> None:
         """Waits until the next message is due, at once for news since round `seen`."""
--- /dev/null
+++ b/tests/test_nodes/network.py
@@ -0,0 +1,168 @@
+"""A network in virtual time between the control decisions of nodes: loss, cuts, late copies."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from bergamotridge.callers import keys
+from bergamotridge.nodes import duty, exchange, link, membership, peers, record
+from bergamotridge.platform import client, configuration
+from tests.test_nodes import fleet
+
+LINKS = 3
+HOLD_S = 20.0
+LATE_SHARE = 0.1
+LATEST_S = 15.0
+TIMINGS = membership.Timings(suspect_s=4.0, forget_s=600.0)
+
+
+@attrs.define
+class Node:
+    serial: int
+    members: membership.Membership
+    store: configuration.ConfigurationStore
+    ring: keys.KeyRing
+    exchange: exchange.Exchange
+    on_duty: duty.Duty
+    links: list[link.Link]
+    in_force: list[int] = attrs.field(factory=list)
+    paused: bool = False
+
+    @property
+    def host(self):
+        return self.members.own.host
+
+
+class FakePlatform:
+    """Objects of two kinds with versions from one counter; may answer from an old copy."""
+
+    def __init__(self):
+        self.version = 0
+        self.items: dict[tuple[str, str], client.StoredObject] = {}
+        self.history: list[client.StoredObject] = []
+        self.down = False
+        self.stale_at: int | None = None
+
+    def write(self, kind, name, value):
+        self.version += 1
+        item = client.StoredObject(kind, name, self.version, value)
+        self.items[kind, name] = item
+        self.history.append(item)
+        return self.version
+
+    def watch(self, kind, since):
+        limit = self.version if self.stale_at is None else self.stale_at
+        latest = {item.name: item for item in self.history if item.version <= limit}
+        found = [item for item in latest.values() if item.kind == kind and item.version > since]
+        return client.Listing(tuple(sorted(found, key=lambda item: item.version)), limit)
+
+
+class Network:
+    """Nodes by host; `blocked` tells which pairs are cut, `platform_blocked` who misses it."""
+
+    def __init__(self, size, seed):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.loss = 0.0
+        self.platform = FakePlatform()
+        self.parts: dict[str, int] = {}
+        self.platform_blocked: set[str] = set()
+        self.late: list[tuple[float, Callable[[], object]]] = []
+        self.nodes: dict[str, Node] = {}
+        self.by_address: dict[str, str] = {}
+        self.booted = 0
+        for number in range(size):
+            self.boot(number, 1)
+
+    def boot(self, number, incarnation):
+        own = fleet.own_record(
+            f"h{number}", number + 1, incarnation, "abcd"[number % 4], "rs"[number % 4 // 2]
+        )
+        members = membership.Membership(own, TIMINGS)
+        store, ring = configuration.ConfigurationStore(), keys.KeyRing(fleet.SECRET)
+        session = self.rng.getrandbits(60) + 1
+        news = exchange.Exchange(members, (store, ring), ring, session)
+        chooser = peers.PeerChooser(members, ("127.0.0.1:1", "127.0.0.1:2"), self.rng)
+        self.booted += 1
+        node = Node(self.booted, members, store, ring, news, duty.Duty(members, chooser, 1), [])
+        store.listen(lambda current: node.in_force.append(current.version))
+        node.links = [link.Link(n, chooser, news, HOLD_S, self.rng) for n in range(LINKS)]
+        self.nodes[own.host] = node
+        self.by_address[own.control_address] = own.host
+        self.announce(own.host, record.State.READY)
+
+    def announce(self, host, state):
+        self.nodes[host].members.announce("booking", state, 50, 0.0, self.now)
+
+    def reaches(self, sender, receiver):
+        cut = self.parts.get(sender, 0) != self.parts.get(receiver, 0)
+        node = self.nodes.get(receiver)
+        return not cut and node is not None and not node.paused and self.rng.random() >= self.loss
+
+    def step(self, seconds=1):
+        """Lets each node take its turns, second by second."""
+        for _ in range(seconds):
+            self.now += 1.0
+            self._deliver_late()
+            for host in self.rng.sample(sorted(self.nodes), len(self.nodes)):
+                if not self.nodes[host].paused:
+                    self._turn(self.nodes[host])
+
+    def _turn(self, node):
+        state = node.members.own.state
+        load = self.rng.random() if node.serial % 2 else 0.0
+        node.members.announce("booking", state, 50, load, self.now)
+        node.members.tick(self.now)
+        for talk in node.links:
+            self._talk(node, talk)
+        available = not self.platform.down and node.host not in self.platform_blocked
+        if available and (node.on_duty.holds(self.now) or self.rng.random() < 0.02):
+            for copy in (node.store, node.ring):
+                self._take(copy, self.platform.watch(copy.kind, copy.version))
+
+    def _talk(self, node, talk):
+        peer = talk.peer(self.now)
+        if peer is None:
+            return
+        message = talk.message(0)
+        other = self._send(node.host, self.by_address.get(peer.address), message)
+        if other is None:
+            talk.unanswered(self.now)
+            return
+        received = other.exchange.receive(message, self.now)
+        self._fetch(other, node, received.behind)
+        reply = other.exchange.build(received.session, 0)
+        if self._send(other.host, node.host, reply) is None:
+            talk.unanswered(self.now)
+            return
+        self._fetch(node, other, talk.answered(reply, self.now).behind)
+
+    def _send(self, sender, receiver, message):
+        """Returns the receiving node, None if the message is lost; some come again later."""
+        if receiver is None or not self.reaches(sender, receiver):
+            return None
+        other = self.nodes[receiver]
+        if self.rng.random() < LATE_SHARE:
+            self._again_later(lambda: other.exchange.receive(message, self.now))
+        return other
+
+    def _take(self, copy, listing):
+        copy.take(listing)
+        if self.rng.random() < LATE_SHARE:
+            self._again_later(lambda: copy.take(listing))
+
+    def _again_later(self, deliver):
+        self.late.append((self.now + self.rng.uniform(1.0, LATEST_S), deliver))
+
+    def _deliver_late(self):
+        due = [deliver for at, deliver in self.late if at <= self.now]
+        self.late = [item for item in self.late if item[0] > self.now]
+        for deliver in due:
+            deliver()
+
+    def _fetch(self, node, other, kinds):
+        for copy in (node.store, node.ring):
+            source = {other.store.kind: other.store, other.ring.kind: other.ring}[copy.kind]
+            if copy.kind in kinds and self.reaches(other.host, node.host):
+                self._take(copy, source.newer(copy.version))
--- /dev/null
+++ b/tests/test_nodes/test_membership.py
@@ -0,0 +1,82 @@
+"""Decisions of membership over time: heartbeats, damped load, suspicion, forgetting."""
+
+import attrs
+
+from bergamotridge.nodes import membership, record
+from tests.test_nodes import fleet
+
+TIMINGS = membership.Timings(heartbeat_s=0.5, suspect_s=4.0, forget_s=100.0)
+
+
+def _members(incarnation=1):
+    return membership.Membership(fleet.own_record("own", 1, incarnation), TIMINGS)
+
+
+def _news(host="h1", version=1, suspected=False, **fields):
+    found = attrs.evolve(fleet.own_record(host, 2), version=version, **fields)
+    return membership.News(found, version, suspected)
+
+
+def test_silence_of_three_heartbeats_is_lost():
+    members = _members()
+    members.announce("booking", record.State.READY, 50, 0.0, 10.0)
+    members.tick(11.4)
+    assert members.candidates("booking")
+    members.tick(11.6)
+    assert members.own.state is record.State.LOST
+    members.announce("booking", record.State.READY, 50, 0.0, 12.0)
+    assert members.candidates("booking")
+
+
+def test_load_makes_few_versions_and_brief_news():
+    members, other = _members(), _members()
+    members.announce("booking", record.State.READY, 50, 0.0, 0.0)
+    known = members.sequence
+    for tenth in range(1, 400):
+        members.announce("booking", record.State.READY, 50, tenth % 7 / 3, tenth / 10)
+    assert members.own.version <= 2 + 4
+    (brief,) = members.delta(known, "h1", 10).news
+    assert isinstance(brief, membership.Brief)
+    assert other.merge([attrs.evolve(brief, host="h9")], "h1", 0.0) is False
+
+
+def test_a_load_of_unknown_details_asks_for_them():
+    members = _members()
+    members.merge([_news(version=1)], "h1", 0.0)
+    assert members.merge([membership.Brief("h1", 1, 2, 1, 0.5, False)], "h1", 0.0)
+    assert not members.merge([membership.Brief("h1", 1, 4, 3, 0.5, False)], "h1", 0.0)
+    assert members.members()[1].load == 0.5
+
+
+def test_a_lost_host_is_forgotten_and_does_not_return_by_hearsay():
+    members, changes = _members(), []
+    members.listen(lambda found, change: changes.append((found.host, change.value)))
+    members.merge([_news()], "h1", 0.0)
+    members.suspect("h1", 1.0)
+    members.tick(4.9)
+    assert len(members.members()) == 2
+    members.tick(5.0)
+    assert (len(members.members()), len(members.lost())) == (1, 1)
+    members.tick(101.0)
+    members.merge([_news(suspected=True)], "h2", 102.0)
+    assert members.lost() == () and len(members.members()) == 1
+    assert [change for _, change in changes] == ["joined", "suspected", "lost", "forgotten"]
+
+
+def test_a_host_outbids_news_of_its_predecessor():
+    members = _members(incarnation=5)
+    members.merge([_news("own", version=9, incarnation=7)], "h1", 0.0)
+    assert members.own.order > (7, 9)
+    order = members.own.order
+    members.merge([_news("own", version=2, incarnation=5)], "h1", 0.0)
+    assert members.own.order == order
+
+
+def test_news_is_cut_to_pages_and_not_sent_back():
+    members = _members()
+    members.merge([_news(f"h{n}") for n in range(10)], "h1", 0.0)
+    first = members.delta(0, "h2", 4)
+    assert (len(first.news), first.more) == (4, True)
+    rest = members.delta(first.sequence, "h2", 100)
+    assert (len(rest.news), rest.more, rest.sequence) == (7, False, members.sequence)
+    assert len(members.delta(0, "h1", 100).news) == 1
