Check histories of configuration and keys for linearizability

Cause: racing operators with lost answers need more than a test of each single case. Ruled out: a library for it (none is declared); the checker is one short search. Four concurrent operators with seeded lost answers run against the stand-in. Planted faults that it catches: a client whose writes ignore their condition, a withdrawn key that reads as valid, and written histories. Tests of the platform use the shared fixture of the stand-in.

--- /dev/null
+++ b/tests/test_history_configuration.py
@@ -0,0 +1,174 @@
+"""Concurrent operators with lost answers: configuration and keys are linearizable."""
+
+import math
+import random
+import time
+from concurrent import futures
+
+import pytest
+
+from bergamotridge import errors
+from bergamotridge.callers import keys
+from bergamotridge.platform import apply, client, configuration
+from tests import history_configuration as history
+
+TEXT = "[services.booking]\n"
+OPERATORS = 4
+ROUNDS = 10
+SECRET = "fleet-secret"
+
+
+class _Blind(client.ObjectClient):
+    """Planted fault: writes whatever the current version is."""
+
+    def put(self, kind, name, value, version):
+        try:
+            version = self.get(kind, name).version
+        except errors.NotFoundError:
+            version = 0
+        return super().put(kind, name, value, version)
+
+
+def _store(server, cls=client.ObjectClient):
+    return cls("{}:{}".format(*server.server_address), 5.0)
+
+
+def _read(store):
+    began = time.monotonic()
+    try:
+        stored = store.get(configuration.KIND, configuration.NAME)
+    except errors.NotFoundError:
+        stored = client.StoredObject(configuration.KIND, configuration.NAME, 0, {})
+    value = stored.value.get("change_id")
+    return stored, history.Operation(began, time.monotonic(), "read", value)
+
+
+def _apply(store, base):
+    began, written = time.monotonic(), []
+
+    class Recorder:
+        get = store.get
+
+        def put(self, kind, name, value, version):
+            written.append(value["change_id"])
+            return store.put(kind, name, value, version)
+
+    succeeded, ended = True, None
+    try:
+        apply.apply(Recorder(), TEXT, base.version)
+    except errors.ConflictError:
+        succeeded = False
+    except errors.PlatformUnavailableError:
+        ended = math.inf
+    change = written[0] if written else "refused before any write"
+    return history.Operation(
+        began, ended or time.monotonic(), "apply", change, base.value.get("change_id"), succeeded
+    )
+
+
+def _operate(store, seed, faults):
+    rng, operations = random.Random(seed), []
+    for _ in range(ROUNDS):
+        stored, operation = _read(store)
+        operations.append(operation)
+        if rng.random() < 0.3:
+            faults({"lose_answers": rng.randint(1, 2)})
+        operations.append(_apply(store, stored))
+    return operations
+
+
+def _concurrently(task):
+    with futures.ThreadPoolExecutor(OPERATORS) as executor:
+        parts = executor.map(task, range(OPERATORS))
+        return [operation for part in parts for operation in part]
+
+
+def test_configuration_is_linearizable(server):
+    store, faults = _store(server), server.RequestHandlerClass.platform.change_faults
+    found = _concurrently(lambda seed: _operate(store, seed, faults))
+    assert history.linearizable(found, history.configuration_step)
+    applied = [item for item in found if item.name == "apply" and item.succeeded]
+    assert len({item.base for item in applied if item.answered}) > OPERATORS
+
+
+class _OldFirstAnswer:
+    """Answers the first read from before the first change, so that the write has to notice."""
+
+    def __init__(self, store):
+        self._store = store
+        self._answers = [errors.NotFoundError("old copy")]
+
+    def get(self, kind, name):
+        if self._answers:
+            raise self._answers.pop()
+        return self._store.get(kind, name)
+
+    def put(self, kind, name, value, version):
+        return self._store.put(kind, name, value, version)
+
+
+@pytest.mark.parametrize(("cls", "expected"), [(client.ObjectClient, True), (_Blind, False)])
+def test_a_write_without_its_condition_is_caught(server, cls, expected):
+    store = _store(server, cls)
+    stored, read = _read(store)
+    found = [read, _apply(store, stored), _apply(_OldFirstAnswer(store), stored)]
+    assert [item.succeeded for item in found] == [True, True, not expected]
+    assert history.linearizable(found, history.configuration_step) is expected
+
+
+@pytest.mark.parametrize(
+    ("operations", "expected"),
+    [
+        ([("apply", 0, 1, "a", None), ("read", 2, 3, None, None)], False),
+        ([("apply", 0, 4, "a", None), ("read", 2, 3, None, None)], True),
+        ([("apply", 0, math.inf, "a", None), ("read", 2, 3, None, None)], True),
+        (
+            [
+                ("apply", 0, math.inf, "a", None),
+                ("read", 2, 3, "a", None),
+                ("read", 4, 5, None, None),
+            ],
+            False,
+        ),
+        ([("apply", 0, 3, "a", None), ("apply", 1, 2, "b", None)], False),
+        ([("apply", 0, 3, "a", "b"), ("apply", 1, 2, "b", None)], True),
+    ],
+)
+def test_the_checker_on_written_histories(operations, expected):
+    found = [
+        history.Operation(began, ended, name, value, base)
+        for name, began, ended, value, base in operations
+    ]
+    assert history.linearizable(found, history.configuration_step) is expected
+
+
+def _withdraw_and_read(store, key_id, faults, seed):
+    rng, operations = random.Random(seed), []
+    for _ in range(ROUNDS):
+        began = time.monotonic()
+        stored = store.get(keys.KIND, key_id)
+        state = "withdrawn" if stored.value["withdrawn"] else "valid"
+        operations.append(history.Operation(began, time.monotonic(), "read", state))
+        if rng.random() < 0.2:
+            faults({"lose_answers": 1})
+            began, ended = time.monotonic(), None
+            try:
+                keys.withdraw(store, key_id)
+            except errors.PlatformUnavailableError:
+                ended = math.inf
+            ended = ended or time.monotonic()
+            operations.append(history.Operation(began, ended, "withdraw", "withdrawn"))
+    return operations
+
+
+def test_keys_are_linearizable(server):
+    store, faults = _store(server), server.RequestHandlerClass.platform.change_faults
+    began = time.monotonic()
+    granted = keys.grant(store, SECRET, "ward")
+    grant = history.Operation(began, time.monotonic(), "grant", "valid")
+    found = _concurrently(lambda seed: _withdraw_and_read(store, granted.key_id, faults, seed))
+    assert history.linearizable([grant, *found], history.key_step)
+    assert any(item.name == "withdraw" for item in found)
+    last = max(item.ended for item in found if item.answered)
+    undone = history.Operation(last + 1, last + 2, "read", "valid")
+    assert not history.linearizable([grant, *found, undone], history.key_step)
--- a/tests/test_platform/test_apply.py
+++ b/tests/test_platform/test_apply.py
@@ -6,19 +6,10 @@
 
 from bergamotridge import errors
 from bergamotridge.platform import apply, client
-from standins import platform
 
 TEXT = "[services.booking]\n"
 
 
-@pytest.fixture
-def server():
-    server = platform.start("127.0.0.1:0")
-    yield server
-    server.shutdown()
-    server.server_close()
-
-
 @pytest.fixture
 def store(server):
     return client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
--- a/tests/test_platform/test_watch.py
+++ b/tests/test_platform/test_watch.py
@@ -7,7 +7,6 @@
 import pytest
 
 from bergamotridge.platform import apply, client, configuration, watch
-from standins import platform
 
 TEXT = "[services.booking]\n"
 FAST = watch.WatchTimings(
@@ -16,14 +15,6 @@
 PATIENCE_S = 20.0
 
 
-@pytest.fixture
-def server():
-    server = platform.start("127.0.0.1:0")
-    yield server
-    server.shutdown()
-    server.server_close()
-
-
 @contextlib.contextmanager
 def _watching(server, watches=lambda now: True):
     store = client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
