--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -10,7 +10,7 @@
 import logbook
 
 from bergamotridge import answer, errors, events, logs, metrics, settings
-from bergamotridge.callers import claims, keys, once, rates, shedding, withdrawals
+from bergamotridge.callers import claims, keys, once, quota_rates, shedding, withdrawals
 from bergamotridge.callers import port as callers_port
 from bergamotridge.nodes import (
     below,
@@ -25,6 +25,7 @@
     gossip,
     membership,
     peers,
+    quota,
     record,
     relay,
     routing,
@@ -153,7 +154,15 @@
 
     def _make_callers(self) -> None:
         node = self.settings
-        self.rates = rates.LocalRates(self.routes.teams)
+        self.rates = quota_rates.QuotaRates(
+            node.host,
+            self.incarnation,
+            node.failure_domain,
+            self.objects,
+            quota.QuotaClient(self.channels),
+            self.members.members,
+            self.routes.teams,
+        )
         self.once = once.OnceDispatcher(
             node.host,
             claims.Claims(node.host, self.incarnation),
@@ -210,7 +219,13 @@
     def _make_operators(self) -> None:
         node = self.settings
         self.status = node_status.StatusReader(
-            node, self.incarnation, self.members, self.configuration, self.keys, self.gate
+            node,
+            self.incarnation,
+            self.members,
+            self.configuration,
+            self.keys,
+            self.gate,
+            self.rates.shares,
         )
         self.metrics = metrics.Metrics()
         self.node_metrics = node_metrics.NodeMetrics(self.metrics, self.status.read)
@@ -233,7 +248,7 @@
         """
         node = self.settings
         self.control = control.ControlServer(
-            node.addresses.control, node.fleet_secret, (self.gossip,)
+            node.addresses.control, node.fleet_secret, (self.gossip, self.rates)
         )
         started = []
         try:
@@ -252,6 +267,8 @@
             raise
         self.control.start()
         self.gossip.start()
+        # A new process may take over what this host held only once it has the host's ports.
+        self.rates.start()
         for task in self.platform_tasks:
             task.start()
         self.events.emit("node.started", incarnation=self.incarnation)
@@ -269,6 +286,7 @@
         self.caller_server.stop(max(0.0, limit - time.monotonic()))
         self.relay_server.stop(max(0.0, limit - time.monotonic()))
         self.upstream_server.stop(max(0.0, limit - time.monotonic()))
+        self.rates.stop()
         for task in self.platform_tasks:
             task.stop()
         self.gossip.stop()
--- a/bergamotridge/operators/node_status.py
+++ b/bergamotridge/operators/node_status.py
@@ -1,6 +1,7 @@
 """Collects what a node says of itself on its status page."""
 
 import time
+from collections.abc import Callable, Mapping
 
 from bergamotridge import settings
 from bergamotridge.callers import keys
@@ -21,6 +22,7 @@
         store: configuration.ConfigurationStore,
         key_ring: keys.KeyRing,
         admission: gate.Gate,
+        shares: Callable[[], Mapping[str, float]],
     ) -> None:
         self._settings = node
         self._incarnation = incarnation
@@ -28,6 +30,7 @@
         self._store = store
         self._keys = key_ring
         self._gate = admission
+        self._shares = shares
         self._started_at = time.monotonic()
 
     def read(self) -> status.Status:
@@ -47,7 +50,7 @@
             state=own.state.value,
             load=status.Load(report.in_flight, report.queued, report.limit),
             members=self._read_members(),
-            teams=(),
+            teams=self._read_teams(),
         )
 
     def _read_members(self) -> tuple[status.Member, ...]:
@@ -63,3 +66,17 @@
             )
             for item in self._members.members()
         )
+
+    def _read_teams(self) -> tuple[status.TeamRate, ...]:
+        current = self._store.current
+        shares = self._shares()
+        teams = current.text.teams.values() if current else ()
+        return tuple(
+            status.TeamRate(
+                team=team.name,
+                rate=team.rate,
+                burst=team.burst,
+                held_rate=team.rate * shares.get(team.name, 0.0),
+            )
+            for team in teams
+        )
