Claim keys that callers chose in the platform, and check histories of claims

Cause: a key that a caller chose was claimed at the node that the call entered, so a repeat at another node ran a second time. Seen in review; ClaimsMachine starts a run at two nodes at once without the platform claim. Ruled out: handed-out keys only (callers that keep keys of their own would have no promise); a claim log for each shard (docs/design-once.md weighs it). Change: the first call with a chosen key creates one object, whose creator is the key's home; others get ClaimedElsewhereError and relay there. An unknown create is doubt until the object shows which attempt took effect. Proof: hypothesis over three nodes with kills, outages, lost answers, late writes and cuts; the check catches an unknown write taken for a claim, a key freed after doubt, and keys of an earlier process. Old claim objects are not removed yet.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -165,7 +165,7 @@
         )
         self.once = once.OnceDispatcher(
             node.host,
-            claims.Claims(node.host, self.incarnation),
+            claims.Claims(node.host, self.incarnation, self.objects),
             self.dispatcher,
             self.relay_client,
             self.members.members,
--- a/bergamotridge/callers/idempotency.py
+++ b/bergamotridge/callers/idempotency.py
@@ -75,8 +75,8 @@
         key = IssuedKey(self._host, self._incarnation, issued_ms, nonce, "")
         return str(attrs.evolve(key, tag=self._tag(key)))
 
-    def expiry(self, key: IssuedKey, now: float) -> float:
-        """Returns the monotonic time up to which an issued key can be used here.
+    def check(self, key: IssuedKey, now: float) -> None:
+        """Checks that an issued key can be used here at `now`, in monotonic seconds.
 
         Raises:
             CallError: The key was not issued by this process or has expired.
@@ -101,15 +101,13 @@
                 status=BAD_REQUEST,
                 reason="idempotency-forged",
             )
-        expires = key.issued_ms / MILLIS_PER_S + self._lifetime_s
-        if now >= expires:
+        if now >= key.issued_ms / MILLIS_PER_S + self._lifetime_s:
             raise errors.CallError(
                 "this Idempotency-Key has expired; the call may have run",
                 status=CONFLICT,
                 reason="idempotency-doubt",
                 verdict=verdict.Verdict.MAY_HAVE_RUN,
             )
-        return expires
 
     def _tag(self, key: IssuedKey) -> str:
         text = str(attrs.evolve(key, tag="")).encode()
--- a/bergamotridge/callers/once.py
+++ b/bergamotridge/callers/once.py
@@ -61,7 +61,21 @@
         """Sends a call at most once; raises CallError with the verdict over all its repeats."""
         home = self._claims.home(claimed.idempotency_key)
         if home == self._host:
-            return self.run_here(claimed, allowance)
+            try:
+                return self.run_here(claimed, allowance)
+            except errors.ClaimedElsewhereError as error:
+                if error.host == self._host:
+                    raise
+                home = error.host
+        return self._relay(home, claimed, allowance, token)
+
+    def _relay(
+        self,
+        home: str,
+        claimed: ClaimedCall,
+        allowance: call.Allowance,
+        token: cancellation.Token,
+    ) -> answer.Answer:
         address = self._relay_address(home)
         if address is None:
             raise errors.CallError(
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -97,3 +97,22 @@
         self.reason = reason
         self.verdict = verdict
         self.retry_after_s = retry_after_s
+
+
+class ClaimedElsewhereError(CallError):
+    """Another process has claimed the call's Idempotency-Key.
+
+    Attributes:
+        host: Host of that process.
+        incarnation: Start time of that process in milliseconds.
+    """
+
+    def __init__(self, host: str, incarnation: int) -> None:
+        super().__init__(
+            f"a call with this Idempotency-Key went to host '{host}' and may have run",
+            status=409,
+            reason="idempotency-doubt",
+            verdict=verdict.Verdict.MAY_HAVE_RUN,
+        )
+        self.host = host
+        self.incarnation = incarnation
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -67,6 +67,10 @@
         "the idempotency key was used for another call",
         "give each call a key of its own",
     ),
+    "idempotency-store": Reason(
+        "the platform did not confirm the claim of an idempotency key that the caller chose",
+        "repeat with the same key later; keys that a node handed out need no platform",
+    ),
     "key": Reason(
         "the call carried no key, or one that is unknown or withdrawn",
         "grant a key with 'bergamotridge keys grant'",
--- a/tests/test_callers/test_claims.py
+++ b/tests/test_callers/test_claims.py
@@ -4,6 +4,8 @@
 
 from bergamotridge import errors, verdict
 from bergamotridge.callers import claims
+from standins import store
+from tests import fake_objects
 
 ANSWER = claims.StoredAnswer(201, (("Content-Type", "text/plain"),), b"paid")
 
@@ -56,3 +58,40 @@
         store.begin(store.issue(59.0), "utrecht", "pay", 59.0)
     assert caught.value.verdict is verdict.Verdict.NOT_RUN
     assert store.begin(store.issue(61.0), "utrecht", "pay", 61.0).first
+
+
+def test_a_chosen_key_runs_at_one_node_and_names_it_to_the_others():
+    shared = store.Store()
+    first, second = (claims.Claims(host, 1, fake_objects.FakeObjects(shared)) for host in "ab")
+    first.begin("mine", "utrecht", "pay", 0.0).finish(verdict.Verdict.RUN, ANSWER, 1.0)
+    with pytest.raises(errors.ClaimedElsewhereError) as caught:
+        second.begin("mine", "utrecht", "pay", 2.0)
+    assert (caught.value.host, caught.value.verdict) == ("a", verdict.Verdict.MAY_HAVE_RUN)
+
+
+def test_a_chosen_key_whose_claim_was_forgotten_is_doubt():
+    client = fake_objects.FakeObjects(store.Store())
+    held = claims.Claims("a", 1, client, key_lifetime_s=60.0, capacity=1)
+    for key, now in (("mine", 0.0), ("other", 61.0)):
+        held.begin(key, "utrecht", "pay", now).finish(verdict.Verdict.RUN, ANSWER, now)
+    with pytest.raises(errors.CallError) as caught:
+        held.begin("mine", "utrecht", "pay", 122.0)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+def test_a_chosen_key_that_has_not_run_is_free_without_the_platform():
+    client = fake_objects.FakeObjects(store.Store())
+    held = claims.Claims("a", 1, client)
+    held.begin("mine", "utrecht", "pay", 0.0).finish(verdict.Verdict.NOT_RUN, None, 0.0)
+    client.faults.outage = True
+    assert held.begin("mine", "utrecht", "pay", 1.0).first
+
+
+def test_a_lost_answer_of_the_claim_is_resolved_at_the_next_repeat():
+    client = fake_objects.FakeObjects(store.Store())
+    held = claims.Claims("a", 1, client)
+    client.faults.lose_answers = 1
+    with pytest.raises(errors.CallError) as caught:
+        held.begin("mine", "utrecht", "pay", 0.0)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+    assert held.begin("mine", "utrecht", "pay", 1.0).first
--- /dev/null
+++ b/tests/test_callers/test_claims_safety.py
@@ -0,0 +1,164 @@
+"""At most one run for each key and true verdicts, in any order of faults; planted faults show."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bergamotridge import errors, verdict
+from bergamotridge.callers import claims, idempotency
+from bergamotridge.platform import claims as claim_objects
+from standins import store
+from tests import fake_objects, history_once
+
+HOSTS = ("a", "b", "c")
+KEY_LIFETIME_S = 30.0
+TEAM = "utrecht"
+KEYS = st.integers(0, 3)
+ANSWER = claims.StoredAnswer(200, (), b"")
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Three hosts; repeats anywhere; kills, outages, lost answers and late writes."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.incarnation = 0
+        self.shared = store.Store()
+        self.history = history_once.OnceHistory()
+        self.nodes, self.clients, self.running = {}, {}, {}
+        self.reachable = set(HOSTS)
+        for host in HOSTS:
+            self.replace(host)
+        self.keys = ["chosen-0", "chosen-1", self.nodes["a"].issue(100.0), "chosen-3"]
+
+    def replace(self, host):
+        self.incarnation += 1
+        self.clients[host] = fake_objects.FakeObjects(self.shared)
+        self.nodes[host] = claims.Claims(
+            host, self.incarnation, self.clients[host], key_lifetime_s=KEY_LIFETIME_S, capacity=2
+        )
+        self.running[host] = []
+
+    def begin(self, host, key, relayed=False):
+        home = self.nodes[host].home(key)
+        if home != host:
+            return self.relay(home, key)
+        try:
+            claim = self.nodes[host].begin(key, TEAM, "pay", self.now)
+        except errors.ClaimedElsewhereError as error:
+            if relayed or error.host == host:
+                return error.verdict
+            return self.relay(error.host, key)
+        except errors.CallError as error:
+            return error.verdict
+        if claim.first:
+            self.running[host].append((claim, self.history.start((TEAM, key))))
+            return None
+        return None if claim.wait(0.0) else claim.outcome
+
+    def relay(self, host, key):
+        if host not in self.reachable:
+            return verdict.Verdict.MAY_HAVE_RUN
+        return self.begin(host, key, relayed=True)
+
+    @stateful.rule(host=st.sampled_from(HOSTS), index=KEYS)
+    def call(self, host, index):
+        told = self.begin(host, self.keys[index])
+        if told is not None:
+            self.history.refuse((TEAM, self.keys[index]), told)
+
+    @stateful.rule(host=st.sampled_from(HOSTS), outcome=st.sampled_from(verdict.Verdict))
+    def finish(self, host, outcome):
+        if self.running[host]:
+            claim, run = self.running[host].pop(0)
+            self.history.end(run, outcome)
+            answer = ANSWER if outcome is verdict.Verdict.RUN else None
+            claim.finish(outcome, answer, self.now)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def kill(self, host):
+        self.replace(host)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def cut_or_mend(self, host):
+        self.reachable ^= {host}
+
+    @stateful.rule(index=KEYS, host=st.sampled_from(HOSTS), issued=st.booleans())
+    def next_key(self, index, host, issued):
+        chosen = f"chosen-{len(self.history.runs)}-{self.now}"
+        self.keys[index] = self.nodes[host].issue(self.now) if issued else chosen
+
+    @stateful.rule(seconds=st.sampled_from((1.0, 10.0, 31.0)))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(host=st.sampled_from(HOSTS), fault=st.sampled_from(("out", "lost", "late")))
+    def fault(self, host, fault):
+        faults = self.clients[host].faults
+        faults.outage ^= fault == "out"
+        faults.lose_answers += fault == "lost"
+        faults.hold_writes += fault == "late"
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def late_writes(self, host):
+        self.clients[host].release()
+
+
+def settings(examples, phases=tuple(hypothesis.Phase)):
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=40,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=phases,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+ClaimsMachine.TestCase.settings = settings(150)
+TestClaims = ClaimsMachine.TestCase
+
+
+def take_an_unknown_write_for_a_claim(monkeypatch):
+    create = claim_objects.ClaimObjects.create
+
+    def planted(self, name, owner, created_ms):
+        try:
+            return create(self, name, owner, created_ms)
+        except errors.PlatformUnavailableError:
+            return owner
+
+    monkeypatch.setattr(claim_objects.ClaimObjects, "create", planted)
+
+
+def free_a_key_after_doubt(monkeypatch):
+    finish = claims.Claim.finish
+
+    def planted(self, outcome, answer, now):
+        doubt = outcome is verdict.Verdict.MAY_HAVE_RUN
+        finish(self, verdict.Verdict.NOT_RUN if doubt else outcome, answer, now)
+
+    monkeypatch.setattr(claims.Claim, "finish", planted)
+
+
+def accept_keys_of_an_earlier_process(monkeypatch):
+    monkeypatch.setattr(idempotency.KeyIssuer, "check", lambda self, key, now: None)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        take_an_unknown_write_for_a_claim,
+        free_a_key_after_doubt,
+        accept_keys_of_an_earlier_process,
+    ],
+)
+def test_planted_fault_is_caught(monkeypatch, plant):
+    plant(monkeypatch)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            ClaimsMachine, settings=settings(1000, (hypothesis.Phase.generate,))
+        )
