--- a/bergamotridge/operators/explain.py
+++ b/bergamotridge/operators/explain.py
@@ -76,8 +76,8 @@
         history: Its events.
     """
     if history.events:
-        hosts = {event.host for event in history.events}
-        yield f"request '{request_id}': {len(history.events)} events on {len(hosts)} hosts"
+        hosts = ", ".join(dict.fromkeys(event.host for event in history.events))
+        yield f"request '{request_id}': events at {hosts}"
     else:
         yield (
             f"request '{request_id}': no node that was reached keeps an event of it; it was "
