Count answers and events in cells that are kept

Change: cells are kept by the values of their labels; events of calls are left out before a record is made, unless the level is DEBUG.

--- a/bergamotridge/logs.py
+++ b/bergamotridge/logs.py
@@ -54,16 +54,13 @@
     def __call__(self, event: events.Event) -> None:
         """Logs one event."""
         quiet = event.kind.startswith(kinds.OF_CALLS)
+        if quiet and _log.level > logbook.DEBUG:
+            return
         fields = {"event": event.kind, "stamp": str(event.stamp), **event.detail}
         if event.request_id:
             fields["request_id"] = event.request_id
-        _log.log(
-            logbook.DEBUG if quiet else logbook.INFO,
-            "{}: {}" if event.cause else "{}",
-            event.kind,
-            event.cause,
-            extra=fields,
-        )
+        text = f"{event.kind}: {event.cause}" if event.cause else event.kind
+        _log.log(logbook.DEBUG if quiet else logbook.INFO, "{}", text, extra=fields)
 
 
 def setup(
@@ -82,5 +79,6 @@
     handler = logbook.StreamHandler(stream or sys.stderr, level=node.log_level)
     handler.formatter = JsonFormatter(Origin(node.host, incarnation, node.failure_domain))
     handler.push_application()
+    _log.level = logbook.lookup_level(node.log_level)
     compat.redirect_logging()
     return handler
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -5,6 +5,8 @@
 import resource
 from collections.abc import Callable, Iterable
 
+import attrs
+
 from bergamotridge import events, metrics
 from bergamotridge.operators import kinds, status
 
@@ -26,6 +28,14 @@
         return float("nan")
 
 
+@attrs.frozen
+class _AnswerCells:
+    """Where answers with the same labels are counted."""
+
+    answers: metrics.CounterCell
+    latency: metrics.HistogramCell
+
+
 class NodeMetrics:
     """Registers the metrics of a node and takes in what is counted.
 
@@ -51,6 +61,8 @@
         self._events = registry.counter(
             f"{PREFIX}events_total", "Events, by kind, and by cause for those of calls."
         )
+        self._answer_cells: dict[tuple[str, str, str, str], _AnswerCells] = {}
+        self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._register_gauges(registry)
 
     def count_answer(
@@ -65,15 +77,27 @@
             verdict: Value of its verdict.
             seconds: Time that it took.
         """
-        self._answers.add(
-            team=team, importance=importance, reason=reason or _NO_REASON, verdict=verdict
-        )
-        self._latency.add(seconds, importance=importance)
+        key = (team, importance, reason, verdict)
+        cells = self._answer_cells.get(key)
+        if cells is None:
+            cells = self._answer_cells[key] = self._bind(*key)
+        cells.answers.add()
+        cells.latency.add(seconds)
 
     def count_event(self, event: events.Event) -> None:
         """Counts one event, by its cause only where causes are fixed words."""
         cause = event.cause if event.kind.startswith(kinds.OF_CALLS) else ""
-        self._events.add(kind=event.kind, cause=cause)
+        key = (event.kind, cause)
+        cell = self._event_cells.get(key)
+        if cell is None:
+            cell = self._event_cells[key] = self._events.labelled(kind=event.kind, cause=cause)
+        cell.add()
+
+    def _bind(self, team: str, importance: str, reason: str, verdict: str) -> _AnswerCells:
+        answers = self._answers.labelled(
+            team=team, importance=importance, reason=reason or _NO_REASON, verdict=verdict
+        )
+        return _AnswerCells(answers, self._latency.labelled(importance=importance))
 
     def _register_gauges(self, registry: metrics.Metrics) -> None:
         read = self._read
