Tell at which host an attempt was refused or failed

Cause: explain could not name the host that shed a call; only the end at the first node was an event.

Change: the dispatcher emits attempt.refused and attempt.failed with host, service and verdict, only for attempts that did not succeed; call.retried no longer repeats them. The test of the table of kinds now also refuses kinds that nothing emits.

Ruled out: an event at the refusing node, since it would be missing when that node cannot be read.

--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -84,12 +84,7 @@
                 return last
             excluded.add(target.host)
             self._log.emit(
-                "call.retried",
-                outgoing.context.request_id,
-                last.reason,
-                service=outgoing.service,
-                failed_host=target.host,
-                verdict=last.verdict.value,
+                "call.retried", outgoing.context.request_id, last.reason, service=outgoing.service
             )
 
     def _attempt(
@@ -111,9 +106,24 @@
             relayed = context.RelayedCall(outgoing.service, outgoing.context, granted, stamp)
             given = self._client.send(target.relay_address, relayed, outgoing.request, token)
         allowance.give_back(given.unused, granted)
+        if given.reason:
+            self._tell(target, outgoing, given)
         self._learn(target, outgoing.service, given, time.monotonic() - started)
         return given
 
+    def _tell(
+        self, target: record.UpstreamRecord, outgoing: Outgoing, given: answer.Answer
+    ) -> None:
+        refused = given.verdict is verdict.Verdict.NOT_RUN
+        self._log.emit(
+            "attempt.refused" if refused else "attempt.failed",
+            outgoing.context.request_id,
+            given.reason,
+            service=outgoing.service,
+            target=target.host,
+            verdict=given.verdict.value,
+        )
+
     def _learn(
         self, target: record.UpstreamRecord, service: str, given: answer.Answer, latency_s: float
     ) -> None:
--- a/bergamotridge/operators/explain.py
+++ b/bergamotridge/operators/explain.py
@@ -41,15 +41,28 @@
     return f"{_call(event)} failed with {_because(event)}; {_verdict(event)}"
 
 
-def _retried(event: events.Event) -> str:
+def _attempt(event: events.Event, ended: str) -> str:
     return (
-        f"the call to service '{_detail(event, 'service')}' ended at host "
-        f"'{_detail(event, 'failed_host')}' with {_because(event)}; {_verdict(event)}, "
-        f"so it was sent again"
+        f"the attempt at host '{_detail(event, 'target')}' of service "
+        f"'{_detail(event, 'service')}' {ended} {_because(event)}; {_verdict(event)}"
     )
 
 
+def _attempt_refused(event: events.Event) -> str:
+    return _attempt(event, "was refused for")
+
+
+def _attempt_failed(event: events.Event) -> str:
+    return _attempt(event, "failed with")
+
+
+def _retried(event: events.Event) -> str:
+    return f"the call to service '{_detail(event, 'service')}' is sent again, to another host"
+
+
 SENTENCES: dict[str, Callable[[events.Event], str]] = {
+    "attempt.refused": _attempt_refused,
+    "attempt.failed": _attempt_failed,
     "call.refused": _refused,
     "call.failed": _failed,
     "call.retried": _retried,
--- a/bergamotridge/operators/kinds.py
+++ b/bergamotridge/operators/kinds.py
@@ -1,6 +1,8 @@
 """Kinds of events and what each tells."""
 
 KINDS = {
+    "attempt.failed": "An attempt at one upstream failed after it may have reached it.",
+    "attempt.refused": "An attempt at one upstream was refused and did not run.",
     "call.failed": "A caller's call failed after it may have reached an upstream.",
     "call.refused": "A caller's call was refused and did not run.",
     "call.retried": "A node sends a call again, to another upstream.",
@@ -18,4 +20,4 @@
 }
 
 # Kinds of events of single calls; their causes are reasons.
-OF_CALLS = ("call.", "dependency.")
+OF_CALLS = ("attempt.", "call.", "dependency.")
--- a/tests/test_docs/test_reference.py
+++ b/tests/test_docs/test_reference.py
@@ -23,7 +23,8 @@
         for kind in source.strings(call.args[0])
     }
     unknown = [kind for kind in used if not fnmatch.filter(kinds.KINDS, kind)]
-    assert unknown == [], "add them to operators/kinds.py"
+    unused = [kind for kind in kinds.KINDS if not any(fnmatch.fnmatch(kind, one) for one in used)]
+    assert (unknown, unused) == ([], []), "change operators/kinds.py"
 
 
 def test_each_reason_is_in_the_table():
--- a/tests/test_operators/test_fleet.py
+++ b/tests/test_operators/test_fleet.py
@@ -59,7 +59,11 @@
 
 RING_1 = (
     event(0, "h1", "upstream.ready", service="booking"),
-    event(5, "h1", "call.retried", "r1", "node-failed", service="booking", failed_host="h3"),
+    event(
+        *(4, "h1", "attempt.refused", "r1", "draining"),
+        **{"service": "booking", "target": "h3", "verdict": "not-run"},
+    ),
+    event(5, "h1", "call.retried", "r1", "draining", service="booking"),
     event(9, "h1", "call.refused", "r1", "shed", verdict="not-run", path="/bookings"),
 )
 RING_2 = (
