Find lost hosts again within seconds of a mended cut

Cause: a tenth of the choices of one link went to lost hosts, each kept for a minute, so two halves of a fleet of 16 would have met after 37 s in the mean (16 nodes, one such choice per 600 s each). With 10 s to settle instead of 60, the test of two regions failed before this change. Ruled out: a higher share of the ordinary links, which would weaken the spread among live nodes. Change: one more task per node tries lost hosts and first addresses, and only those. Its pace falls with the size of the fleet, so that the fleet as a whole makes 16 tries a second. Figures: two regions of 6 nodes agree 10 s after the cut is mended, in virtual time. Conclusion: tests/test_nodes pass.

--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -27,6 +27,7 @@
 _log = logbook.Logger(__name__)
 
 TICK_S = 0.1
+RETURN_HOLD_S = 5.0
 URGENT_STATES = (record.State.DRAINING, record.State.LOST)
 
 
@@ -90,7 +91,7 @@
         self._round = 0
         self._stopping = False
         self._fetches: queue.SimpleQueue[_Fetch] = queue.SimpleQueue()
-        self._executor = futures.ThreadPoolExecutor(timings.links + 1, "gossip")
+        self._executor = futures.ThreadPoolExecutor(timings.links + 2, "gossip")
         members.listen(self._on_change)
 
     def register(self, server: grpc.Server) -> None:
@@ -98,9 +99,10 @@
         gossip_pb2_grpc.add_GossipServicer_to_server(_Servicer(self), server)
 
     def start(self) -> None:
-        """Starts a task for each link and one for time and fetches."""
+        """Starts a task for each link, one for lost hosts, and one for time and fetches."""
         for number in range(self._timings.links):
             self._executor.submit(self._guard, self._run_link, number)
+        self._executor.submit(self._guard, self._run_return)
         self._executor.submit(self._guard, self._run_clock)
 
     def stop(self) -> None:
@@ -146,16 +148,32 @@
         talk = link.Link(number, self._chooser, self._exchange, self._timings.hold_s, self._rng)
         while not self._stopping:
             seen = self._round
-            peer = talk.peer(time.monotonic())
-            reply = None if peer is None else self._send(peer, talk.message(_wall_ms()))
-            if reply is not None:
-                received = talk.answered(reply, time.monotonic())
-                self._ask_for(peer.address, received.behind)
-                if received.more:
-                    continue
-            elif peer is not None:
-                talk.unanswered(time.monotonic())
-            self._pause(seen, self._rng.uniform(0.5, 1.5) * self._timings.interval_s)
+            if not self._talk(talk):
+                self._pause(seen, self._timings.interval_s)
+
+    def _run_return(self) -> None:
+        """Tries lost hosts and first addresses, and talks for a while to one that answers."""
+        talk = link.Link(None, self._chooser, self._exchange, RETURN_HOLD_S, self._rng)
+        while not self._stopping:
+            seen = self._round
+            if not self._talk(talk):
+                if talk.answers:
+                    self._pause(seen, self._timings.interval_s)
+                else:
+                    self._pause(None, self._chooser.return_interval_s())
+
+    def _talk(self, talk: link.Link) -> bool:
+        """Exchanges one pair of messages; returns True if the next should follow at once."""
+        peer = talk.peer(time.monotonic())
+        if peer is None:
+            return False
+        reply = self._send(peer, talk.message(_wall_ms()))
+        if reply is None:
+            talk.unanswered(time.monotonic())
+            return False
+        received = talk.answered(reply, time.monotonic())
+        self._ask_for(peer.address, received.behind)
+        return received.more
 
     def _send(
         self, peer: peers.Peer, message: gossip_pb2.GossipMessage
@@ -167,12 +185,14 @@
             _log.debug("no answer from {}: {}", peer.address, error)
             return None
 
-    def _pause(self, seen: int, wait_s: float) -> None:
-        """Waits until the next message is due, at once for news since round `seen`."""
-        time.sleep(self._timings.gap_s)
+    def _pause(self, seen: int | None, mean_s: float) -> None:
+        """Waits until the next message is due, at once for news since round `seen` if given."""
+        wait_s = self._rng.uniform(0.5, 1.5) * mean_s
         with self._urgent:
+            self._urgent.wait_for(lambda: self._stopping, self._timings.gap_s)
             self._urgent.wait_for(
-                lambda: self._stopping or self._round != seen, wait_s - self._timings.gap_s
+                lambda: self._stopping or seen not in (None, self._round),
+                wait_s - self._timings.gap_s,
             )
 
     def _ask_for(self, address: str, kinds: Sequence[str]) -> None:
--- a/bergamotridge/nodes/link.py
+++ b/bergamotridge/nodes/link.py
@@ -10,7 +10,7 @@
 
     def __init__(
         self,
-        number: int,
+        number: int | None,
         chooser: peers.PeerChooser,
         news: exchange.Exchange,
         hold_s: float,
@@ -19,7 +19,8 @@
         """Starts without a peer.
 
         Args:
-            number: Number of the link at this node, which gives its scope.
+            number: Number of the link at this node, which gives its scope; None for the link that
+                tries lost hosts.
             chooser: Choice of peers.
             news: Builds and takes in messages.
             hold_s: Mean seconds that a peer is kept.
@@ -35,10 +36,15 @@
         self._session = 0
         self._failures = 0
 
+    @property
+    def answers(self) -> bool:
+        """True if the present peer answered the last message."""
+        return self._peer is not None and self._session != 0 and self._failures == 0
+
     def peer(self, now: float) -> peers.Peer | None:
         """Returns the peer to talk to now, a new one if the last one's time is over."""
         if self._peer is None or now >= self._until:
-            self._peer = self._chooser.choose(self._number)
+            self._peer = self._choose()
             self._until = now + self._rng.uniform(0.5, 1.5) * self._hold_s
             self._failures = 0
             self._session = self._exchange.session_of(self._peer.host) if self._peer else 0
@@ -59,5 +65,11 @@
     def unanswered(self, now: float) -> None:
         """Notes that no answer came; after a few of them the peer is given up."""
         self._failures += 1
-        if self._chooser.unanswered(self._peer, self._failures, now):
+        given_up = self._chooser.unanswered(self._peer, self._failures, now)
+        if given_up or self._number is None:
             self._peer = None
+
+    def _choose(self) -> peers.Peer | None:
+        if self._number is None:
+            return self._chooser.choose_returning()
+        return self._chooser.choose(self._number)
--- a/bergamotridge/nodes/peers.py
+++ b/bergamotridge/nodes/peers.py
@@ -8,9 +8,10 @@
 
 from bergamotridge.nodes import membership, record
 
-RETURN_SHARE = 0.1  # Share of choices that go to lost hosts and first addresses.
 FAILURES_TO_SUSPECT = 3
 HEALTHY_S = 5.0
+RETURN_TRIES_S = 16.0  # Over the whole fleet, while some host is lost.
+LEAST_RETURN_S = 1.0
 
 
 @attrs.frozen
@@ -25,9 +26,9 @@
     """Chooses the peer of each link, and judges peers that do not answer.
 
     Link 0 stays in the own failure domain, link 1 in the own region but outside the failure
-    domain, further links go anywhere. A scope without a free peer gives way to a wider one. Now
-    and then a further link tries a lost host or a first address, so that two parts of the fleet
-    that were cut off find each other again.
+    domain, further links go anywhere. A scope without a free peer gives way to a wider one. One
+    more link tries lost hosts and first addresses, so that two parts of the fleet that were cut
+    off find each other again.
     """
 
     def __init__(
@@ -61,6 +62,19 @@
                 self._taken[link] = peer
             return peer
 
+    def choose_returning(self) -> Peer | None:
+        """Returns a lost host or a first address to try, None if all are members."""
+        with self._lock:
+            live = {item.control_address for item in self._members.members()}
+            return self._returning(live)
+
+    def return_interval_s(self) -> float:
+        """Returns the seconds between two tries to find a lost host.
+
+        The larger the fleet, the less each node tries: the fleet as a whole tries at a fixed rate.
+        """
+        return max(LEAST_RETURN_S, len(self._members.members()) / RETURN_TRIES_S)
+
     def answered(self, peer: Peer, now: float) -> None:
         """Notes that a peer is heard."""
         with self._lock:
@@ -93,20 +107,16 @@
         self._answered_at = {
             address: at for address, at in self._answered_at.items() if address in taken
         }
-        if link >= 2 and self._rng.random() < RETURN_SHARE:
-            peer = self._returning(taken)
-            if peer is not None:
-                return peer
         for scope in _scopes(link, own, live):
             if scope:
                 chosen = self._rng.choice(scope)
                 return Peer(chosen.control_address, chosen.host)
         return self._returning(taken)
 
-    def _returning(self, taken: set[str]) -> Peer | None:
+    def _returning(self, excluded: set[str]) -> Peer | None:
         found = [Peer(item.control_address, item.host) for item in self._members.lost()]
         found += [Peer(address) for address in self._first]
-        found = [peer for peer in found if peer.address not in taken]
+        found = [peer for peer in found if peer.address not in excluded]
         return self._rng.choice(found) if found else None
 
 
--- a/bergamotridge/platform/watch.py
+++ b/bergamotridge/platform/watch.py
@@ -21,6 +21,7 @@
     """When a watch task asks the platform.
 
     Attributes:
+        first_s: Longest delay of the first request in seconds, for hosts that boot together.
         wait_s: Longest wait of one watch in seconds.
         poll_s: Mean time between two reads of a node that leaves the watching to its peers.
         backoff_base_s: Bound of the first delay after a failure in seconds.
@@ -29,6 +30,7 @@
         check_s: Time between two looks at whether this node now has to watch, in seconds.
     """
 
+    first_s: float = 1.0
     wait_s: float = 20.0
     poll_s: float = 120.0
     backoff_base_s: float = 0.5
@@ -87,7 +89,7 @@
         self._executor.shutdown(wait=False)
 
     def _run(self) -> None:
-        delay_s = self._rng.uniform(0.0, self._timings.backoff_base_s)
+        delay_s = self._rng.uniform(0.0, self._timings.first_s)
         while not self._stopping.wait(delay_s):
             try:
                 delay_s = self._ask()
@@ -101,7 +103,7 @@
         watching = self._watches(began)
         if not watching and began < self._poll_at:
             return self._timings.check_s
-        wait_s = self._timings.wait_s if watching else 0.0
+        wait_s = self._timings.wait_s * self._rng.uniform(0.75, 1.0) if watching else 0.0
         try:
             listing = self._platform.watch(self._replica.kind, self._replica.version, wait_s)
         except errors.PlatformError as error:
--- a/tests/test_nodes/network.py
+++ b/tests/test_nodes/network.py
@@ -87,7 +87,8 @@
         self.booted += 1
         node = Node(self.booted, members, store, ring, news, duty.Duty(members, chooser, 1), [])
         store.listen(lambda current: node.in_force.append(current.version))
-        node.links = [link.Link(n, chooser, news, HOLD_S, self.rng) for n in range(LINKS)]
+        numbers = [*range(LINKS), None]
+        node.links = [link.Link(n, chooser, news, HOLD_S, self.rng) for n in numbers]
         self.nodes[own.host] = node
         self.by_address[own.control_address] = own.host
         self.announce(own.host, record.State.READY)
--- a/tests/test_nodes/test_convergence.py
+++ b/tests/test_nodes/test_convergence.py
@@ -184,7 +184,7 @@
     for host, found in zip(net.nodes, _live_hosts(net.nodes), strict=True):
         assert found == {other for other in net.nodes if net.parts[other] == net.parts[host]}
     net.parts = {}
-    net.step(60)
+    net.step(10)
     assert _live_hosts(net.nodes) == [set(net.nodes)] * 12
 
 
--- a/tests/test_nodes/test_peers.py
+++ b/tests/test_nodes/test_peers.py
@@ -45,11 +45,18 @@
 
 
 def test_lost_hosts_and_first_addresses_are_tried_again():
-    members, chooser = _chooser(3, ("127.0.0.1:9",))
+    members, chooser = _chooser(3, ("127.0.0.1:9", "127.0.0.1:101"))
     members.suspect("h0", 0.0)
     members.tick(100.0)
-    tried = {chooser.choose(2).address for _ in range(200)}
-    assert {"127.0.0.1:9", "127.0.0.1:100"} <= tried
+    tried = {chooser.choose_returning().address for _ in range(50)}
+    assert tried == {"127.0.0.1:9", "127.0.0.1:100"}
+    assert "127.0.0.1:100" not in {chooser.choose(link).address for link in (0, 1)}
+
+
+def test_a_large_fleet_tries_lost_hosts_at_the_rate_of_a_small_one():
+    for size, interval_s in ((3, 1.0), (159, 10.0)):
+        _, chooser = _chooser(size)
+        assert chooser.return_interval_s() == interval_s
 
 
 def test_a_few_nodes_of_each_failure_domain_are_on_duty():
--- a/tests/test_platform/test_watch.py
+++ b/tests/test_platform/test_watch.py
@@ -10,7 +10,13 @@
 
 TEXT = "[services.booking]\n"
 FAST = watch.WatchTimings(
-    wait_s=0.5, poll_s=0.1, backoff_base_s=0.01, backoff_cap_s=0.05, gap_s=0.0, check_s=0.01
+    first_s=0.01,
+    wait_s=0.5,
+    poll_s=0.1,
+    backoff_base_s=0.01,
+    backoff_cap_s=0.05,
+    gap_s=0.0,
+    check_s=0.01,
 )
 PATIENCE_S = 20.0
 
