Add a benchmark of the control state against the size of the fleet

Ruled out: one process per host up to 630, which this machine cannot hold; hosts without a process publish their records through the processes that run, so that each real node carries the whole fleet's state and news. Change: python -m bench.membership measures cost per node, spread of news, and the load on the platform. Conclusion: the benchmark runs at each size.

--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,164 @@
+"""Cost and speed of the control state against the size of the fleet.
+
+Run ``python -m bench.membership [cost] [spread] [platform]``; all three by default.
+"""
+
+import sys
+import time
+
+import attrs
+
+from bench import control_node, platform_load
+
+COST_PROCESSES = 10
+COST_RECORDS = (20, 80, 160, 315, 630)
+COST_SECONDS = 12.0
+LOAD_CHANGES_S = 10.0
+SPREAD_PROCESSES = 8
+SPREAD_NODES = (16, 48, 96, 160)
+SPREAD_REPEATS = 5
+PLATFORM_FLEETS = (160, 315, 630)
+PLATFORM_RESTARTS = 220
+SETTLE_TIMEOUT_S = 60.0
+TEXT = "[services.booking]\n" + "".join(
+    f'[services.service-{n}]\n[routes.route-{n}]\npath = "/{n}"\nservice = "service-{n}"\n'
+    for n in range(24)
+)
+
+
+def _settle(processes: list[control_node.Process], members: int) -> None:
+    until = time.monotonic() + SETTLE_TIMEOUT_S
+    while any(process.ask("usage").members < members for process in processes):
+        if time.monotonic() > until:
+            raise TimeoutError(f"the fleet did not find its {members} members")
+        time.sleep(0.5)
+
+
+def _start(
+    nodes: int, processes: int, records: int = 0, load_changes_s: float = 0.0
+) -> list[control_node.Process]:
+    addresses = control_node.free_addresses(nodes)
+    share, started = nodes // processes, []
+    ghosts = [f"{control_node.GHOST_PREFIX}-{n:04d}" for n in range(max(0, records - nodes))]
+    for number in range(processes):
+        layout = control_node.Layout(
+            first_number=number * share,
+            addresses=tuple(addresses[number * share : (number + 1) * share]),
+            first=tuple(addresses[:3]),
+            ghosts=tuple(ghosts[number::processes]),
+            load_changes_s=load_changes_s,
+        )
+        started.append(control_node.Process(layout))
+    return started
+
+
+def _end(processes: list[control_node.Process]) -> None:
+    for process in processes:
+        process.end()
+
+
+def _cost_of(records: int, load_changes_s: float) -> None:
+    processes = _start(COST_PROCESSES, COST_PROCESSES, records, load_changes_s)
+    try:
+        _settle(processes, records)
+        time.sleep(2.0)
+        before, began = [process.ask("usage") for process in processes], time.monotonic()
+        time.sleep(COST_SECONDS)
+        after, seconds = [process.ask("usage") for process in processes], time.monotonic() - began
+    finally:
+        _end(processes)
+
+    def rate(name: str) -> float:
+        first = sum(getattr(item, name) for item in before)
+        return (sum(getattr(item, name) for item in after) - first) / seconds / COST_PROCESSES
+
+    memory_mb = max(item.memory_mb for item in after)
+    kind = f"each load changes every {load_changes_s:g} s" if load_changes_s else "quiet"
+    print(
+        f"{records:5d} records, {kind}: messages/s {rate('messages'):.1f}, "
+        f"sent {rate('sent_bytes') / 1000:.2f} KB/s, "
+        f"received {rate('received_bytes') / 1000:.2f} KB/s, "
+        f"processor {rate('cpu_s') * 100:.2f}%, memory {memory_mb:.0f} MB",
+        flush=True,
+    )
+
+
+def measure_cost() -> None:
+    """Prints bytes, processor time and memory of a node for several numbers of records."""
+    print(f"cost per node, {COST_PROCESSES} processes, other hosts as records only")
+    for load_changes_s in (0.0, LOAD_CHANGES_S):
+        for records in COST_RECORDS:
+            _cost_of(records, load_changes_s)
+
+
+@attrs.frozen
+class _Spread:
+    """Seconds until news had reached every node, and the median node."""
+
+    last_s: float
+    median_s: float
+
+
+def _spread(processes: list[control_node.Process], news: str, began: float) -> _Spread:
+    until = time.monotonic() + SETTLE_TIMEOUT_S
+    while True:
+        found = [at for process in processes for at in process.ask("arrivals", news)]
+        if None not in found:
+            delays = sorted(at - began for at in found)
+            return _Spread(delays[-1], delays[len(delays) // 2])
+        if time.monotonic() > until:
+            raise TimeoutError(f"'{news}' did not reach every node")
+        time.sleep(0.2)
+
+
+def _measure_spread(processes: list[control_node.Process], repeat: int) -> dict[str, _Spread]:
+    origin = processes[repeat % len(processes)]
+    found = {}
+    began = origin.ask("configure", repeat + 1, TEXT)
+    found["configuration"] = _spread(processes, f"configuration {repeat + 1}", began)
+    began = origin.ask("withdraw", f"key-{repeat}")
+    found["withdrawn key"] = _spread(processes, f"withdrawn key-{repeat}", began)
+    began, host = origin.ask("drain")
+    found["drain"] = _spread(processes, f"drain {host}", began)
+    return found
+
+
+def measure_spread() -> None:
+    """Prints how long news takes to reach every node for several sizes of the fleet."""
+    print(f"spread of news, {SPREAD_PROCESSES} processes of several nodes, {SPREAD_REPEATS} times")
+    for nodes in SPREAD_NODES:
+        processes = _start(nodes, SPREAD_PROCESSES)
+        try:
+            _settle(processes, nodes)
+            results = [_measure_spread(processes, repeat) for repeat in range(SPREAD_REPEATS)]
+        finally:
+            _end(processes)
+        for kind in results[0]:
+            worst = max(result[kind].last_s for result in results)
+            median = sorted(result[kind].median_s for result in results)[SPREAD_REPEATS // 2]
+            print(
+                f"{nodes:4d} nodes, {kind}: all after {worst:.2f} s at worst, "
+                f"median node {median:.2f} s",
+                flush=True,
+            )
+
+
+def measure_platform() -> None:
+    """Prints the requests of whole fleets to the platform."""
+    print(f"load on the platform, {platform_load.PLACES} nodes per failure domain watch")
+    for fleet in PLATFORM_FLEETS:
+        platform_load.measure(fleet, False, PLATFORM_RESTARTS)
+    print("the same if every node watches")
+    platform_load.measure(PLATFORM_FLEETS[0], True, 0)
+
+
+def run(argv: list[str]) -> int:
+    """Runs the named parts and returns the exit code."""
+    parts = {"cost": measure_cost, "spread": measure_spread, "platform": measure_platform}
+    for name in argv or list(parts):
+        parts[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:]))
