Shed by the threshold only where calls had to wait

The threshold worked out from arrivals and smoothed hold times alone: one stall of the machine raised the hold time and so lowered the capacity below the demand, though nothing waited. Ruled out: smoothing the hold time more (a long enough stall does the same). Change: an open threshold closes only after a call found all slots taken since the last update.

--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -99,6 +99,7 @@
             self._check_deadline(context, 0, now)
             self._start(entry, now)
             return entry
+        self._controller.waited()
         self._check_threshold(context)
         self._check_deadline(context, self._queue.ahead(context.importance), now)
         victim = self._queue.push(entry)
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -77,6 +77,7 @@
         self._hold_s = 0.0
         self._correction = 1.0
         self._threshold = load.OPEN
+        self._waited = False
 
     @property
     def threshold(self) -> load.Threshold:
@@ -97,6 +98,10 @@
         flow.weight = context.weight
         flow.arrivals += 1
 
+    def waited(self) -> None:
+        """Learns that a call found all slots taken."""
+        self._waited = True
+
     def held(self, seconds: float) -> None:
         """Learns for how long a call that ended held its slot."""
         if not self._hold_s:
@@ -122,7 +127,9 @@
         for flow in self._flows.values():
             flow.close_interval(seconds)
         self._correct(limit, in_flight, queued, room)
-        if self._hold_s:
+        # The estimate of the capacity alone sheds nothing: a stall of the machine lowers it too.
+        crowded, self._waited = self._waited or not self._threshold.open, False
+        if self._hold_s and crowded:
             self._fill(self._correction * limit / self._hold_s)
         self._threshold = self._published()
 
