Test the running fleet under kills, pauses, cuts, outages and races

tests/fleet.py keeps a fleet of four hosts for the whole test session, restores it before each test and judges loads by the history checkers; a second fleet has a network that can be cut. Conditions are polled with generous limits and no test compares times.

--- a/standins/history.py
+++ b/standins/history.py
@@ -199,6 +199,23 @@
     return excesses
 
 
+def faults(
+    attempts: Sequence[load.Attempt],
+    history: Iterable[Run],
+    repeatable: Callable[[Run], bool],
+) -> list[object]:
+    """Returns all that breaks a rule which holds for every load, among the runs of its calls."""
+    tags = {attempt.tag for attempt in attempts}
+    own = [run for run in history if run.tag in tags]
+    return [
+        *crossed(attempts),
+        *doubled(own, repeatable),
+        *with_key(own),
+        *false_not_run(attempts, own),
+        *answered_without_run(attempts, own),
+    ]
+
+
 def _by_tag(attempts: Iterable[load.Attempt]) -> dict[str, list[load.Attempt]]:
     found: dict[str, list[load.Attempt]] = collections.defaultdict(list)
     for attempt in sorted(attempts, key=lambda one: one.start):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -40,11 +40,19 @@
             self._changed.notify_all()
 
     def wait_open(self, source: str, target: str) -> None:
-        """Waits until the two failure domains reach each other."""
+        """Waits until the two failure domains reach each other.
+
+        A connection of an unknown process, with an empty `source`, is held by every cut.
+        """
         with self._changed:
-            while source != target and self._cut & {source, target}:
+            while self._parts(source, target):
                 self._changed.wait()
 
+    def _parts(self, source: str, target: str) -> bool:
+        if not source:
+            return bool(self._cut)
+        return source != target and bool(self._cut & {source, target})
+
 
 class Link:
     """Carries connections from one listening address to one target."""
@@ -66,7 +74,7 @@
             threading.Thread(target=self._connect, args=arguments, daemon=True).start()
 
     def _connect(self, client: socket.socket, port: int) -> None:
-        source = self._known.domain(port)
+        source = self._known.domain(port, self._listener.getsockname()[1])
         self._network.wait_open(source, self._domain)
         try:
             server = socket.create_connection(self._target)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -22,12 +22,12 @@
 path = "/reads/<id>"
 service = "front"
 repeatable = true
-timeout_s = 8.0
+timeout_s = 4.0
 [routes.rows]
 path = "/rows"
 service = "back"
 repeatable = true
-timeout_s = 8.0
+timeout_s = 4.0
 [routes.glance]
 path = "/glances"
 service = "back"
@@ -39,13 +39,13 @@
 path = "/payments"
 service = "back"
 importance = "critical"
-timeout_s = 8.0
+timeout_s = 4.0
 [routes.order]
 method = "POST"
 path = "/orders"
 service = "front"
 importance = "critical"
-timeout_s = 8.0
+timeout_s = 4.0
 [routes.open]
 path = "/open"
 service = "back"
@@ -164,6 +164,10 @@
         """Sends load in the background."""
         return self._pool.submit(self.send, *streams, seed=seed)
 
+    def faults(self, attempts: list[load.Attempt]) -> list[object]:
+        """Returns what broke the rules that hold for every load."""
+        return history.faults(attempts, self.runs(), is_repeatable)
+
     def stream(
         self, team: str, route: str, rate: float, seconds: float, hosts: tuple[str, ...], **options
     ) -> load.Stream:
@@ -195,6 +199,9 @@
         for member in self.fleet.members.values():
             processes.wait_until(lambda member=member: self._mended(member), member.host.name)
         self.fleet.wait_ready()
+        # A holder that was lost or replaced hands out tokens of the team only after a while.
+        for host in self.fleet.members:
+            self.until_served(host)
 
     def stop(self) -> None:
         """Ends the background calls."""
