Let only nodes on duty retry the platform soon in an outage

Also: of more than 500 pending withdrawals only the first 500 spread, and a record with an unknown state broke the whole message. Ruled out: a longer cap of the backoff, which would delay the nodes on duty after the outage. Change: a failed rare read waits for the next rare read. Withdrawals take turns in messages. An unknown state counts as lost.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,14 +1,20 @@
 """Cost and speed of the control state against the size of the fleet.
 
-Run ``python -m bench.membership [cost] [spread] [platform]``; all three by default.
+Run ``python -m bench.membership [PART ...]`` with any of cost, framing, keys, spread and platform;
+all of them by default.
 """
 
 import sys
 import time
+import tracemalloc
 
 import attrs
+import orjson
 
-from bench import control_node, platform_load
+from bench import control_node, counting_relay, platform_load
+from bergamotridge.callers import keys
+from bergamotridge.nodes import control, gossip_pb2, gossip_pb2_grpc
+from bergamotridge.platform import client
 
 COST_PROCESSES = 10
 COST_RECORDS = (20, 80, 160, 315, 630)
@@ -17,6 +23,11 @@
 SPREAD_PROCESSES = 8
 SPREAD_NODES = (16, 48, 96, 160)
 SPREAD_REPEATS = 5
+FRAMING_WARM_UP = 20
+FRAMING_MESSAGES = 200
+FRAMING_TIMEOUT_S = 5.0
+KEYS = 10_000
+KEY_CHECKS = 100_000
 PLATFORM_FLEETS = (160, 315, 630)
 PLATFORM_RESTARTS = 220
 SETTLE_TIMEOUT_S = 60.0
@@ -143,6 +154,57 @@
             )
 
 
+def measure_framing() -> None:
+    """Prints the bytes that gRPC and HTTP/2 add to one message."""
+    address, _ = control_node.free_addresses(2)
+    process = control_node.Process(control_node.Layout(0, (address,), ()))
+    process.ask("usage")
+    relay, pool = counting_relay.CountingRelay(address), control.ChannelPool(control_node.SECRET)
+    stub = gossip_pb2_grpc.GossipStub(pool.channel(relay.address))
+    message = gossip_pb2.GossipMessage(host="node-0001", session=1)
+    for _ in range(FRAMING_WARM_UP):
+        stub.Exchange(message, timeout=FRAMING_TIMEOUT_S)
+    before = relay.carried_bytes
+    answers = [stub.Exchange(message, timeout=FRAMING_TIMEOUT_S) for _ in range(FRAMING_MESSAGES)]
+    carried = relay.carried_bytes - before
+    payload = sum(answer.ByteSize() + message.ByteSize() for answer in answers)
+    added = (carried - payload) / FRAMING_MESSAGES / 2
+    print(f"framing: gRPC and HTTP/2 add {added:.0f} bytes to a message", flush=True)
+    process.end()
+
+
+class _Recorder:
+    """Takes the platform's place while keys are granted."""
+
+    def __init__(self) -> None:
+        self.items: list[client.StoredObject] = []
+
+    def put(self, kind: str, name: str, value: dict, version: int) -> int:
+        """Keeps an object and returns its version."""
+        self.items.append(client.StoredObject(kind, name, len(self.items) + 1, dict(value)))
+        return len(self.items)
+
+
+def measure_keys() -> None:
+    """Prints the memory of a key and the time of a check."""
+    recorder, ring = _Recorder(), keys.KeyRing(control_node.SECRET)
+    granted = [keys.grant(recorder, control_node.SECRET, "team") for _ in range(KEYS)]
+    tracemalloc.start()
+    # A copy, as the texts of an answer from the platform would be the ring's own.
+    encoded = orjson.dumps([attrs.asdict(item) for item in recorder.items])
+    items = tuple(client.StoredObject(**item) for item in orjson.loads(encoded))
+    del encoded
+    ring.take(client.Listing(items, KEYS))
+    del items
+    bytes_per_key = tracemalloc.get_traced_memory()[0] / KEYS
+    tracemalloc.stop()
+    header, began = f"Bearer {granted[0].secret_text}", time.perf_counter()
+    for _ in range(KEY_CHECKS):
+        ring.check(header, 0.0)
+    check_us = (time.perf_counter() - began) / KEY_CHECKS * 1e6
+    print(f"keys: {bytes_per_key:.0f} bytes for each of {KEYS}, one check {check_us:.1f} us")
+
+
 def measure_platform() -> None:
     """Prints the requests of whole fleets to the platform."""
     print(f"load on the platform, {platform_load.PLACES} nodes per failure domain watch")
@@ -154,7 +216,13 @@
 
 def run(argv: list[str]) -> int:
     """Runs the named parts and returns the exit code."""
-    parts = {"cost": measure_cost, "spread": measure_spread, "platform": measure_platform}
+    parts = {
+        "cost": measure_cost,
+        "framing": measure_framing,
+        "keys": measure_keys,
+        "spread": measure_spread,
+        "platform": measure_platform,
+    }
     for name in argv or list(parts):
         parts[name]()
     return 0
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -55,6 +55,7 @@
     got: int = 0
     unequal: int = 0
     withdrawn_checksum: int = 0
+    withdrawn_sent: int = 0
 
 
 class Exchange:
@@ -150,8 +151,8 @@
                 _encode(message, item)
         pending = self._withdrawals.pending
         message.withdrawn_checksum = _checksum(pending)
-        if pending and (cursor is None or cursor.withdrawn_checksum != message.withdrawn_checksum):
-            message.withdrawn.extend(sorted(pending)[:MESSAGE_WITHDRAWALS])
+        if cursor is not None and cursor.withdrawn_checksum != message.withdrawn_checksum:
+            message.withdrawn.extend(_page(sorted(pending), cursor))
 
     def _cursor(self, message: gossip_pb2.GossipMessage) -> _Cursor:
         cursor = self._cursors.pop(message.session, None) or _Cursor(message.host)
@@ -207,7 +208,7 @@
         failure_domain=item.failure_domain,
         region=item.region,
         service=item.service,
-        state=record.State(item.state),
+        state=_state(item.state),
         slots=item.slots,
         load=item.load,
         relay_address=item.relay_address,
@@ -228,6 +229,21 @@
     )
 
 
+def _page(key_ids: Sequence[str], cursor: _Cursor) -> Sequence[str]:
+    """Returns the next ids for a link, in turns if they do not fit into one message."""
+    start = cursor.withdrawn_sent if cursor.withdrawn_sent < len(key_ids) else 0
+    cursor.withdrawn_sent = start + MESSAGE_WITHDRAWALS
+    return key_ids[start : start + MESSAGE_WITHDRAWALS]
+
+
+def _state(name: str) -> record.State:
+    """Returns the state of a name; one of a later release counts as lost and gets no work."""
+    try:
+        return record.State(name)
+    except ValueError:
+        return record.State.LOST
+
+
 def _checksum(key_ids: Iterable[str]) -> int:
     checksum = 0
     for key_id in key_ids:
--- a/bergamotridge/platform/watch.py
+++ b/bergamotridge/platform/watch.py
@@ -92,17 +92,18 @@
         delay_s = self._rng.uniform(0.0, self._timings.first_s)
         while not self._stopping.wait(delay_s):
             try:
-                delay_s = self._ask()
+                delay_s = self.ask()
             except Exception:
                 _log.exception("watch of {} failed", self._replica.kind)
                 delay_s = self._backoff.next_delay_s()
 
-    def _ask(self) -> float:
+    def ask(self) -> float:
         """Makes one request and returns the seconds until the next."""
         began = time.monotonic()
         watching = self._watches(began)
         if not watching and began < self._poll_at:
             return self._timings.check_s
+        self._poll_at = began + self._rng.uniform(0.5, 1.5) * self._timings.poll_s
         wait_s = self._timings.wait_s * self._rng.uniform(0.75, 1.0) if watching else 0.0
         try:
             listing = self._platform.watch(self._replica.kind, self._replica.version, wait_s)
@@ -110,9 +111,8 @@
             if self._reachable is not False and not self._stopping.is_set():
                 _log.warning("the platform does not answer: {}", error)
             self._reachable = False
-            return self._backoff.next_delay_s()
+            return self._backoff.next_delay_s() if watching else self._timings.check_s
         self._reachable = True
         self._backoff.reset()
         self._replica.take(listing)
-        self._poll_at = began + self._rng.uniform(0.5, 1.5) * self._timings.poll_s
         return max(0.0, began + self._timings.gap_s - time.monotonic())
--- a/tests/test_platform/test_watch.py
+++ b/tests/test_platform/test_watch.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bergamotridge import errors
 from bergamotridge.platform import apply, client, configuration, watch
 
 TEXT = "[services.booking]\n"
@@ -65,3 +66,23 @@
         seen = server.RequestHandlerClass.platform.statistics.watches
         _wait_for(lambda: server.RequestHandlerClass.platform.statistics.watches > seen + 2)
         assert copy.current.version == first.version + 1
+
+
+class _Down:
+    """A platform in an outage."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def watch(self, kind, since, wait_s):
+        self.asked += 1
+        raise errors.PlatformUnavailableError("outage")
+
+
+@pytest.mark.parametrize(("watches", "expected"), [(True, 5), (False, 1)])
+def test_in_an_outage_only_nodes_on_duty_ask_again_soon(watches, expected):
+    down, copy = _Down(), configuration.ConfigurationStore()
+    task = watch.Watcher(down, copy, watch.WatchTimings(), random.Random(1), lambda now: watches)
+    for _ in range(5):
+        task.ask()
+    assert down.asked == expected
