Tell a cancelled relayed call from a failed node

Cause: a relayed call that was cancelled, because its caller had left or the call above it had ended, was given the reason node-failed. The choice of upstream counted that as a failure of the host.

Change: the reason is cancelled if the call's token is.

Conclusion: node-failed now speaks of the node only.

--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -37,7 +37,7 @@
         try:
             response = self._pools.to(address).send(sent, limit, token)
         except http_client.TransferError as error:
-            return _lost(address, error, relayed.retries)
+            return _lost(address, error, relayed.retries, cancelled=token.cancelled)
         given = context_header.decode_report(response)
         if given is None:
             error = http_client.TransferError(
@@ -49,12 +49,19 @@
         return given
 
 
-def _lost(address: str, error: http_client.TransferError, retries: int) -> answer.Answer:
-    reason = "deadline" if error.timed_out else "node-failed"
+def _reason(error: http_client.TransferError, cancelled: bool) -> str:
+    if cancelled:
+        return "cancelled"
+    return "deadline" if error.timed_out else "node-failed"
+
+
+def _lost(
+    address: str, error: http_client.TransferError, retries: int, *, cancelled: bool = False
+) -> answer.Answer:
     failure = errors.CallError(
         f"node at '{address}': {error}",
         status=504 if error.timed_out else 502,
-        reason=reason,
+        reason=_reason(error, cancelled),
         verdict=error.verdict,
         retry_after_s=1,
     )
