Keep fetches and watches from spinning on what is not taken

Cause: found by reading: a deleted configuration object, or any other object of its kind, comes with each watch again at once (5 requests a second from each node on duty), and a fetch from a peer would ask for ever when what comes is not taken. A fetch from a peer that has just died held up the clock of the membership, and each peer that was ahead was asked although the first had sent all. Ruled out: taking a deleted text into force as an empty one; it would revert the configuration. Change: a deleted text counts as seen and stays out of force; a watch that brings nothing new backs off; fetches have a task of their own and stop when they bring nothing. The benchmark also replaces all hosts at once. Conclusion: the new tests of the store and the watch fail without the change and pass with it.

--- a/bench/control_node.py
+++ b/bench/control_node.py
@@ -146,6 +146,7 @@
         self.members = _WithoutGhosts(own, membership.Timings())
         self.store = configuration.ConfigurationStore()
         self.ring = keys.KeyRing(SECRET)
+        self.ghosts: _Ghosts | None = None
         self.arrivals: dict[str, float] = {}
         rng = random.Random(number)
         self.exchange = CountingExchange(
@@ -213,6 +214,15 @@
                 self._change(self._rng.randrange(len(self._records)))
             due -= int(due)
 
+    def restart_all(self) -> None:
+        """Replaces all hosts at once by successors."""
+        self._records = [
+            attrs.evolve(item, incarnation=item.incarnation + 1, version=1)
+            for item in self._records
+        ]
+        news = [membership.News(item, 1, False) for item in self._records]
+        self._members.merge(news, "", time.monotonic())
+
     def _change(self, number: int) -> None:
         old = self._records[number]
         new = attrs.evolve(old, version=old.version + 1, load=self._rng.randrange(5) / 4)
@@ -224,7 +234,7 @@
 def serve(pipe: multiprocessing.connection.Connection, layout: Layout) -> None:
     """Runs the nodes of one process and obeys commands until told to end."""
     nodes = [BenchNode(layout, place) for place in range(len(layout.addresses))]
-    ghosts = _Ghosts(nodes[0].members, layout)
+    ghosts = nodes[0].ghosts = _Ghosts(nodes[0].members, layout)
     for node in nodes:
         node.start()
     threading.Thread(target=ghosts.run, daemon=True).start()
@@ -266,6 +276,10 @@
     return began
 
 
+def _restart_ghosts(nodes: list[BenchNode]) -> None:
+    nodes[0].ghosts.restart_all()
+
+
 def _drain(nodes: list[BenchNode]) -> tuple[float, str]:
     own = nodes[-1].members.own
     began = time.time()
@@ -281,6 +295,7 @@
     "configure": _configure,
     "withdraw": _withdraw,
     "drain": _drain,
+    "restart ghosts": _restart_ghosts,
 }
 
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,7 +1,7 @@
 """Cost and speed of the control state against the size of the fleet.
 
-Run ``python -m bench.membership [PART ...]`` with any of cost, framing, keys, spread and platform;
-all of them by default.
+Run ``python -m bench.membership [PART ...]`` with any of cost, burst, framing, keys, spread and
+platform; all of them by default.
 """
 
 import sys
@@ -19,6 +19,7 @@
 COST_PROCESSES = 10
 COST_RECORDS = (20, 80, 160, 315, 630)
 COST_SECONDS = 12.0
+BURST_SECONDS = 15.0
 LOAD_CHANGES_S = 10.0
 SPREAD_PROCESSES = 8
 SPREAD_NODES = (16, 48, 96, 160)
@@ -154,6 +155,31 @@
             )
 
 
+def measure_burst() -> None:
+    """Prints what all hosts replaced at once cost each node."""
+    processes = _start(COST_PROCESSES, COST_PROCESSES, COST_RECORDS[-1])
+    try:
+        _settle(processes, COST_RECORDS[-1])
+        time.sleep(2.0)
+        before = [process.ask("usage") for process in processes]
+        for process in processes:
+            process.ask("restart ghosts")
+        time.sleep(BURST_SECONDS)
+        after = [process.ask("usage") for process in processes]
+    finally:
+        _end(processes)
+    pairs = list(zip(before, after, strict=True))
+    sent = sum(last.sent_bytes - first.sent_bytes for first, last in pairs)
+    received = sum(last.received_bytes - first.received_bytes for first, last in pairs)
+    used = sum(last.cpu_s - first.cpu_s for first, last in pairs)
+    print(
+        f"{COST_RECORDS[-1]} records replaced at once, {BURST_SECONDS:g} s: per node sent "
+        f"{sent / COST_PROCESSES / 1000:.0f} KB, received {received / COST_PROCESSES / 1000:.0f} "
+        f"KB, processor {used / COST_PROCESSES:.2f} s",
+        flush=True,
+    )
+
+
 def measure_framing() -> None:
     """Prints the bytes that gRPC and HTTP/2 add to one message."""
     address, _ = control_node.free_addresses(2)
@@ -218,6 +244,7 @@
     """Runs the named parts and returns the exit code."""
     parts = {
         "cost": measure_cost,
+        "burst": measure_burst,
         "framing": measure_framing,
         "keys": measure_keys,
         "spread": measure_spread,
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -33,18 +33,26 @@
         """Withdraws keys; returns True if any was news."""
 
 
+@attrs.frozen
+class Behind:
+    """A replica of which a peer has a higher version."""
+
+    kind: str
+    version: int
+
+
 @attrs.frozen
 class Received:
     """What a message asks for.
 
     Attributes:
         session: Session of the sender, for the answer.
-        behind: Kinds of replicas of which the sender has a higher version.
+        behind: Replicas of which the sender has a higher version.
         more: True if the sender has more news to send at once.
     """
 
     session: int
-    behind: tuple[str, ...]
+    behind: tuple[Behind, ...]
     more: bool
 
 
@@ -132,7 +140,9 @@
             self._withdrawals.withdraw_all(message.withdrawn)
         own = {copy.kind: copy.version for copy in self._replicas}
         behind = tuple(
-            item.kind for item in message.versions if item.version > own.get(item.kind, 1 << 63)
+            Behind(item.kind, item.version)
+            for item in message.versions
+            if item.kind in own and item.version > own[item.kind]
         )
         return Received(message.session, behind, message.more)
 
--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -28,6 +28,7 @@
 
 TICK_S = 0.1
 RETURN_HOLD_S = 5.0
+FETCH_TIMEOUT_S = 3.0
 URGENT_STATES = (record.State.DRAINING, record.State.LOST)
 
 
@@ -53,7 +54,7 @@
 @attrs.frozen
 class _Fetch:
     address: str
-    kind: str
+    behind: exchange.Behind
 
 
 class Gossip:
@@ -91,7 +92,7 @@
         self._round = 0
         self._stopping = False
         self._fetches: queue.SimpleQueue[_Fetch] = queue.SimpleQueue()
-        self._executor = futures.ThreadPoolExecutor(timings.links + 2, "gossip")
+        self._executor = futures.ThreadPoolExecutor(timings.links + 3, "gossip")
         members.listen(self._on_change)
 
     def register(self, server: grpc.Server) -> None:
@@ -99,10 +100,11 @@
         gossip_pb2_grpc.add_GossipServicer_to_server(_Servicer(self), server)
 
     def start(self) -> None:
-        """Starts a task for each link, one for lost hosts, and one for time and fetches."""
+        """Starts a task for each link, and one each for lost hosts, fetches and time."""
         for number in range(self._timings.links):
             self._executor.submit(self._guard, self._run_link, number)
         self._executor.submit(self._guard, self._run_return)
+        self._executor.submit(self._guard, self._run_fetches)
         self._executor.submit(self._guard, self._run_clock)
 
     def stop(self) -> None:
@@ -195,21 +197,16 @@
                 wait_s - self._timings.gap_s,
             )
 
-    def _ask_for(self, address: str, kinds: Sequence[str]) -> None:
-        for kind in kinds:
-            self._fetches.put(_Fetch(address, kind))
+    def _ask_for(self, address: str, behind: Sequence[exchange.Behind]) -> None:
+        for item in behind:
+            self._fetches.put(_Fetch(address, item))
 
     def _run_clock(self) -> None:
-        """Lets time pass for the membership, fetches replicas, and notices news from elsewhere."""
+        """Lets time pass for the membership, and notices news that came from elsewhere."""
         versions = self._versions()
         while not self._stopping:
+            time.sleep(TICK_S)
             self._members.tick(time.monotonic())
-            try:
-                self._fetch(self._fetches.get(timeout=TICK_S))
-            except queue.Empty:
-                pass
-            except grpc.RpcError as error:
-                _log.debug("fetch from a peer failed: {}", error)
             current = self._versions()
             if current != versions:
                 versions = current
@@ -219,16 +216,27 @@
         own = tuple(copy.version for copy in self._replicas.values())
         return (*own, self._exchange.withdrawn)
 
+    def _run_fetches(self) -> None:
+        """Fetches what peers have and this node lacks; what fails is asked for again later."""
+        while not self._stopping:
+            try:
+                self._fetch(self._fetches.get(timeout=self._timings.interval_s))
+            except queue.Empty:
+                continue
+            except grpc.RpcError as error:
+                _log.debug("fetch from a peer failed: {}", error)
+
     def _fetch(self, wanted: _Fetch) -> None:
         """Brings a replica up to a peer's version, page by page."""
-        copy = self._replicas[wanted.kind]
+        kind = wanted.behind.kind
+        copy = self._replicas[kind]
         stub = gossip_pb2_grpc.GossipStub(self._channels.channel(wanted.address))
-        while not self._stopping:
-            request = gossip_pb2.FetchRequest(kind=wanted.kind, since=copy.version)
-            response = stub.Fetch(request, timeout=self._timings.timeout_s)
-            if not response.objects:
-                return
-            copy.take(_decode(wanted.kind, response))
+        before = -1
+        while not self._stopping and before < copy.version < wanted.behind.version:
+            before = copy.version
+            request = gossip_pb2.FetchRequest(kind=kind, since=before)
+            response = stub.Fetch(request, timeout=FETCH_TIMEOUT_S)
+            copy.take(_decode(kind, response))
 
 
 class _Servicer(gossip_pb2_grpc.GossipServicer):
--- a/bergamotridge/platform/configuration.py
+++ b/bergamotridge/platform/configuration.py
@@ -82,8 +82,7 @@
             if version <= self._latest.version:
                 return False
             value = {TEXT_KEY: source, CHANGE_KEY: change_id}
-            item = client.StoredObject(KIND, NAME, version, value)
-            self._latest = client.Listing((item,), version)
+            self._latest = _listing(version, value)
             try:
                 parsed = text.parse(source, f"{KIND} version {version}")
             except errors.SettingsError as error:
@@ -105,8 +104,24 @@
         """Offers the texts of a listing; returns True if one came into force."""
         news = False
         for item in listing.items:
-            if item.name == NAME and isinstance(item.value, dict):
-                source = str(item.value.get(TEXT_KEY, ""))
-                change_id = str(item.value.get(CHANGE_KEY, ""))
-                news = self.offer(item.version, source, change_id) or news
+            value = item.value if isinstance(item.value, dict) else {}
+            if item.name != NAME:
+                continue
+            if isinstance(value.get(TEXT_KEY), str):
+                change_id = str(value.get(CHANGE_KEY, ""))
+                news = self.offer(item.version, value[TEXT_KEY], change_id) or news
+            else:
+                self._reject(item)
         return news
+
+    def _reject(self, item: client.StoredObject) -> None:
+        """Keeps the text in force although the object was deleted or has no text."""
+        with self._lock:
+            if item.version > self._latest.version:
+                self._latest = _listing(item.version, item.value)
+                self._rejected = f"{KIND} version {item.version} has no text"
+                _log.error("configuration kept out: {}", self._rejected)
+
+
+def _listing(version: int, value: object) -> client.Listing:
+    return client.Listing((client.StoredObject(KIND, NAME, version, value),), version)
--- a/bergamotridge/platform/watch.py
+++ b/bergamotridge/platform/watch.py
@@ -113,6 +113,10 @@
             self._reachable = False
             return self._backoff.next_delay_s() if watching else self._timings.check_s
         self._reachable = True
-        self._backoff.reset()
+        before = self._replica.version
         self._replica.take(listing)
+        if listing.items and self._replica.version == before:
+            # Not news, or not of this replica: the next watch would bring it again at once.
+            return self._backoff.next_delay_s()
+        self._backoff.reset()
         return max(0.0, began + self._timings.gap_s - time.monotonic())
--- a/tests/test_nodes/network.py
+++ b/tests/test_nodes/network.py
@@ -162,8 +162,8 @@
         for deliver in due:
             deliver()
 
-    def _fetch(self, node, other, kinds):
+    def _fetch(self, node, other, behind):
         for copy in (node.store, node.ring):
             source = {other.store.kind: other.store, other.ring.kind: other.ring}[copy.kind]
-            if copy.kind in kinds and self.reaches(other.host, node.host):
+            if copy.kind in {item.kind for item in behind} and self.reaches(other.host, node.host):
                 self._take(copy, source.newer(copy.version))
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -25,6 +25,16 @@
     assert store.rejected is None
 
 
+def test_a_deleted_text_stays_in_force():
+    store = configuration.ConfigurationStore()
+    store.offer(1, TEXT.format("a"))
+    deleted = client.StoredObject("configuration", "current", 2, None)
+    assert not store.take(client.Listing((deleted,), 2))
+    assert (store.current.version, store.version) == (1, 2)
+    assert store.newer(1).items == (deleted,)
+    assert store.offer(3, TEXT.format("b"))
+
+
 def test_a_store_feeds_another():
     first, second = configuration.ConfigurationStore(), configuration.ConfigurationStore()
     first.offer(4, TEXT.format("a"), "change")
--- a/tests/test_platform/test_watch.py
+++ b/tests/test_platform/test_watch.py
@@ -86,3 +86,17 @@
     for _ in range(5):
         task.ask()
     assert down.asked == expected
+
+
+class _Foreign:
+    """A platform that holds an object which the replica does not know."""
+
+    def watch(self, kind, since, wait_s):
+        return client.Listing((client.StoredObject(kind, "other", 9, 1),), 9)
+
+
+def test_objects_that_are_not_taken_do_not_make_the_watch_spin():
+    store = configuration.ConfigurationStore()
+    timings = watch.WatchTimings(backoff_base_s=1.0, backoff_cap_s=64.0)
+    task = watch.Watcher(_Foreign(), store, timings, random.Random(1))
+    assert sum(task.ask() for _ in range(5)) > 10 * timings.gap_s
