--- a/tests/test_process/test_kill.py
+++ b/tests/test_process/test_kill.py
@@ -84,3 +84,17 @@
     assert pending.result().status == 200
     assert history.started_after(rig.runs(), member.addresses.server, drained + 2.0) == []
     rig.until_served("front-1")
+
+
+@pytest.mark.parametrize("stopped", ["back-1", "front-1"])
+def test_graceful_stop_under_load_fails_no_call(rig, stopped):
+    routes = ("read", "pay", "order")
+    streams = [rig.stream("large", route, 20, 3, ("front-2",)) for route in routes]
+    before = len(rig.runs())
+    pending = rig.begin_send(*streams)
+    processes.wait_until(lambda: len(rig.runs()) > before, "load runs")
+    rig.fleet.members[stopped].node.terminate()
+    attempts = pending.result()
+    assert rig.faults(attempts) == []
+    failed = [one for one in attempts if one.status != 200 and one.verdict != "not-run"]
+    assert failed == []
