Hand out idempotency keys on the callers' port, and charge no team for a refused claim

Cause: claims of handed-out keys existed but no caller could get such a key; a claimed call that was refused as not run kept its token, since the refusal passed by the place that gives it back. Change: POST /_bergamotridge/idempotency-key; refusals of claims come back as answers; paths below /_bergamotridge are refused in the operator's text. Test: test_a_team_is_charged_only_for_calls_that_may_have_run[not run] failed with 1 token taken, then passes.

--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -16,6 +16,7 @@
 REQUEST_ID_HEADER = call.REQUEST_ID_HEADER.lower().encode()
 TIMEOUT_HEADER = call.TIMEOUT_HEADER.lower().encode()
 IDEMPOTENCY_HEADER = b"idempotency-key"
+ISSUE_PATH = b"/_bergamotridge/idempotency-key"
 REQUEST_ID_BYTES = 16
 
 
@@ -121,12 +122,32 @@
     def _answer(
         self, progress: _Progress, request: message.Request, token: cancellation.Token
     ) -> answer.Answer:
+        if request.target == ISSUE_PATH:
+            return self._issue(progress, request)
         admitted = self._admit(progress, request)
-        given = self._send(admitted, request, token)
+        try:
+            given = self._send(admitted, request, token)
+        except errors.CallError as error:
+            progress.refusal = str(error)
+            given = answer.refuse(error)
         if given.verdict is verdict.Verdict.NOT_RUN and admitted.context.team:
             self.team_rates.give_back(admitted.context.team, time.monotonic(), admitted.at)
         return given
 
+    def _issue(self, progress: _Progress, request: message.Request) -> answer.Answer:
+        """Hands out an idempotency key whose home is this node to the owner of a team's key."""
+        if request.method != b"POST":
+            raise errors.CallError(
+                f"accepted on '{ISSUE_PATH.decode()}': POST", status=405, reason="route"
+            )
+        given = request.header(b"authorization")
+        now = time.monotonic()
+        progress.team = self.key_ring.check(given.decode("latin-1") if given else None, now).team
+        response = message.Response(
+            201, [(b"content-type", b"text/plain")], self.once.issue().encode()
+        )
+        return answer.Answer(response, verdict.Verdict.RUN)
+
     def _admit(self, progress: _Progress, request: message.Request) -> Admitted:
         now = time.monotonic()
         table = self.routes.routes()
--- a/bergamotridge/operators/text.py
+++ b/bergamotridge/operators/text.py
@@ -14,6 +14,7 @@
     "standard": call.Importance.STANDARD,
     "sheddable": call.Importance.SHEDDABLE,
 }
+OWN_PATH = "/_bergamotridge"
 DEFAULT_TIMEOUT_S = 2.0
 METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 PARTS = ("routes", "services", "teams")
@@ -127,6 +128,8 @@
     path = _string(source, key, value)
     if not path.startswith("/"):
         raise _fail(source, key, f"is {path!r}; accepted: a path that begins with '/'")
+    if path.startswith(OWN_PATH):
+        raise _fail(source, key, f"is {path!r}; paths below '{OWN_PATH}' are the nodes' own")
     try:
         routing.Map([routing.Rule(path)])
     except (ValueError, LookupError, SyntaxError) as error:
--- /dev/null
+++ b/tests/test_callers/test_port.py
@@ -0,0 +1,118 @@
+"""The caller port: order of its checks, what it charges for, and what passes on."""
+
+import attrs
+import pytest
+
+from bergamotridge import answer, errors, events, verdict
+from bergamotridge.callers import keys, port
+from bergamotridge.nodes import routing
+from bergamotridge.operators import text
+from bergamotridge.util import cancellation, message
+
+TEXT = """
+[services.pay]
+[routes.pay]
+path = "/pay"
+method = "POST"
+service = "pay"
+[routes.prices]
+path = "/prices"
+service = "pay"
+open = true
+[teams.a]
+rate = 1
+burst = 1
+"""
+NOT_RUN, RUN = verdict.Verdict.NOT_RUN, verdict.Verdict.RUN
+KEY = (b"authorization", b"Bearer good")
+
+
+@attrs.define
+class Node:
+    """Stands for all parts behind the port."""
+
+    shed: bool = False
+    outcome: verdict.Verdict = RUN
+    taken: int = 0
+    sent: list = attrs.field(factory=list)
+
+    def check(self, *arguments):
+        if len(arguments) > 2:
+            if self.shed:
+                raise errors.CallError("x", status=503, reason="shed")
+            return None
+        if arguments[0] != "Bearer good":
+            raise errors.CallError("x", status=401, reason="key")
+        return keys.Key("k", "a")
+
+    def take(self, team, now):
+        self.taken += 1
+
+    def give_back(self, team, now, taken_at):
+        self.taken -= 1
+
+    def issue(self):
+        return "issued"
+
+    def send(self, outgoing, allowance, token):
+        self.sent.append(outgoing)
+        if self.outcome is NOT_RUN:
+            raise errors.CallError("x", status=503, reason="claims-full")
+        return answer.Answer(message.Response(200), self.outcome)
+
+
+def call(node: Node, method: bytes, path: bytes, *headers: message.Header) -> message.Response:
+    routes = routing.CurrentRoutes()
+    routes.replace(text.parse(TEXT, "test"))
+    opened = port.CallerPort(
+        routes=routes,
+        key_ring=node,
+        team_rates=node,
+        thresholds=node,
+        once=node,
+        dispatcher=node,
+        log=events.EventLog("h", 1, "fd"),
+        retries=2,
+        count=lambda seen: None,
+    )
+    return opened.handle(message.Request(method, path, list(headers)), cancellation.Token())
+
+
+@pytest.mark.parametrize(
+    ("node", "status", "taken"),
+    [
+        (Node(), 200, 1),
+        (Node(shed=True), 503, 0),
+        (Node(outcome=NOT_RUN), 503, 0),
+        (Node(outcome=verdict.Verdict.MAY_HAVE_RUN), 200, 1),
+    ],
+    ids=["run", "shed", "not run", "in doubt"],
+)
+def test_a_team_is_charged_only_for_calls_that_may_have_run(node, status, taken):
+    assert call(node, b"POST", b"/pay", KEY).status == status
+    assert node.taken == taken
+
+
+def test_key_and_own_headers_stay_behind():
+    node = Node()
+    call(node, b"POST", b"/pay", KEY, (b"bergamotridge-call", b"forged"), (b"x-tag", b"1"))
+    assert node.sent[0].request.headers == [(b"x-tag", b"1")]
+
+
+def test_without_a_key_only_open_routes_answer():
+    node = Node()
+    assert call(node, b"POST", b"/pay").status == 401
+    assert call(node, b"POST", port.ISSUE_PATH).status == 401
+    assert call(node, b"GET", b"/prices").status == 200
+    assert node.sent[0].context.team == ""
+
+
+def test_idempotency_keys_are_handed_out_to_owners_of_keys():
+    given = call(Node(), b"POST", port.ISSUE_PATH, KEY)
+    assert (given.status, given.body) == (201, b"issued")
+
+
+@pytest.mark.parametrize("value", [b"0", b"-1", b"x"])
+def test_bad_timeout_is_refused(value):
+    headers = (KEY, (b"bergamotridge-timeout-ms", value))
+    assert call(Node(), b"POST", b"/pay", *headers).status == 400
--- a/tests/test_operators/test_text.py
+++ b/tests/test_operators/test_text.py
@@ -41,6 +41,7 @@
         ('"/bookings"', '"/bookings/<id"', "routes.book.path"),
         ('"/bookings"', '"/bookings/<uid:id>"', "routes.book.path"),
         ('"/bookings"', '"/a/<id>/<id>"', "routes.book.path"),
+        ('"/bookings"', '"/_bergamotridge/announce"', "the nodes' own"),
         ('"POST"', '"BOOK"', "accepted: DELETE, GET"),
         ("rate = 10", "rate = nan", "teams.utrecht.rate"),
     ],
