Send the details of a host before its load when news comes in pages

A load change moves a host to the end of the log. When the news before it went out as a page, the receiver confirmed a number above the change of the details, and the host then came as brief news without them, again and again while loads moved. Change: within a delta, hosts stand at the place of what the receiver lacks, details before loads. Conclusion: test_pages_hold_the_details_of_hosts_whose_load_changed_meanwhile failed before and passes now.

--- a/bergamotridge/nodes/membership.py
+++ b/bergamotridge/nodes/membership.py
@@ -106,6 +106,14 @@
         """True if the host has not yet refuted a suspicion."""
         return self.suspected_at is not None
 
+    def due(self, since: int) -> int:
+        """Returns the place in the log at which a receiver that knows it up to `since` needs this.
+
+        Details that it lacks count from their own change: a later change of the load must not
+        move them behind the end of a page.
+        """
+        return self.detail_sequence if self.detail_sequence > since else self.sequence
+
     @property
     def position(self) -> tuple[int, int, bool]:
         """What decides between two pieces of news of the same host."""
@@ -226,10 +234,10 @@
                     break
                 if entry.source != receiver:
                     found.append(entry)
-            found.reverse()
+            found.sort(key=lambda entry: entry.due(since))
             chosen = found[:limit]
             more = len(found) > limit
-            sequence = chosen[-1].sequence if more else self._sequence
+            sequence = chosen[-1].due(since) if more else self._sequence
             return Delta(tuple(_news(entry, since) for entry in chosen), sequence, more)
 
     def _load_is_news(self, load: float, now: float) -> bool:
--- a/tests/test_nodes/test_membership.py
+++ b/tests/test_nodes/test_membership.py
@@ -80,3 +80,16 @@
     rest = members.delta(first.sequence, "h2", 100)
     assert (len(rest.news), rest.more, rest.sequence) == (7, False, members.sequence)
     assert len(members.delta(0, "h1", 100).news) == 1
+
+
+def test_pages_hold_the_details_of_hosts_whose_load_changed_meanwhile():
+    members = _members()
+    members.merge([_news(f"h{n}") for n in range(10)], "h1", 0.0)
+    members.merge([membership.Brief(f"h{n}", 1, 2, 1, 0.5, False) for n in range(3)], "h1", 0.0)
+    news, sequence, more = [], 0, True
+    while more:
+        page = members.delta(sequence, "h2", 4)
+        news += page.news
+        sequence, more = page.sequence, page.more
+    detailed = {item.record.host for item in news if isinstance(item, membership.News)}
+    assert detailed == {"own", *(f"h{n}" for n in range(10))}
