Measure rates of teams and lend tokens further ahead

Change: a share falls by a quarter at most, and only if it is 30% of the mean above its target; a node draws again at a quarter of its stock; failure domains of more than 40 nodes have more holders; tokens live for 5 s. bench.quota prints refusals, slopes and platform calls.

--- /dev/null
+++ b/bench/quota.py
@@ -0,0 +1,27 @@
+"""Rates of teams: calls refused within the rate, and what holders and the platform pay.
+
+Run ``python -m bench.quota [refusals|slopes|herd]``. Refusals and herd run in virtual time with
+the real decisions; slopes run over gRPC on loopback.
+"""
+
+import sys
+from collections.abc import Callable, Sequence
+
+from bench import quota_herd, quota_refusals, quota_slopes
+
+PARTS: dict[str, Callable[[], None]] = {
+    "refusals": quota_refusals.run,
+    "slopes": quota_slopes.run,
+    "herd": quota_herd.run,
+}
+
+
+def run(argv: Sequence[str]) -> int:
+    """Runs the named parts, or all of them."""
+    for name in argv or PARTS:
+        PARTS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:]))
--- a/bergamotridge/callers/prepaid.py
+++ b/bergamotridge/callers/prepaid.py
@@ -7,10 +7,10 @@
 from bergamotridge.util import decay
 
 DEMAND_WINDOW_S = 2.0
-LONGEST_HORIZON_S = 1.0
+LONGEST_HORIZON_S = 2.0
 SHORTEST_HORIZON_S = 0.05
 BURST_SHARE = 0.25  # Part of the time in which the rate fills the burst for which to draw ahead.
-LOW_WATER = 0.5
+LOW_WATER = 0.25
 KEEP_HORIZONS = 3.0
 KEEP_LIFETIMES = 0.6
 NEVER = float("inf")
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -1,5 +1,6 @@
 """The quota shares of one host: kept in the platform, spent here or lent to other nodes."""
 
+import math
 import threading
 from collections.abc import Callable, Collection
 
@@ -146,7 +147,7 @@
             team=draw.team,
             batch=grant.batch,
             granted=grant.granted,
-            retry_after_ms=int(grant.retry_after_s * MILLIS_PER_S),
+            retry_after_ms=math.ceil(grant.retry_after_s * MILLIS_PER_S),
         )
 
     def _state(self, team: text.Team) -> _TeamState:
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -41,6 +41,25 @@
     draw_timeout_s: float = 0.25
 
 
+class Pace:
+    """Pauses between looks at the platform, spread so that hosts never look all at once."""
+
+    def __init__(self, interval_s: float, rng: random.Random) -> None:
+        """Creates pauses of `interval_s` seconds on average while the platform answers."""
+        self._interval_s = interval_s
+        self._rng = rng
+        self._pause_s = interval_s
+
+    def first_s(self) -> float:
+        """Returns the pause before the first look."""
+        return min(1.0, self._interval_s) * self._rng.random()
+
+    def next_s(self, failed: bool) -> float:
+        """Returns the pause before the next look; it doubles while looks fail."""
+        self._pause_s = min(LONGEST_BACKOFF_S, 2.0 * self._pause_s) if failed else self._interval_s
+        return self._pause_s * (0.5 + self._rng.random())
+
+
 class QuotaRates:
     """Team rates of one node of a fleet.
 
@@ -205,20 +224,19 @@
             self._arrived.notify_all()
 
     def _hold(self) -> None:
-        timings = self._settings.timings
-        pause_s = min(1.0, timings.adjust_s)
-        self._stopping.wait(pause_s * self._rng.random())
+        pace = Pace(self._settings.timings.adjust_s, self._rng)
         left: Sequence[str] | None = None
+        self._stopping.wait(pace.first_s())
         while not self._stopping.is_set():
+            failed = False
             try:
                 if left is None:
                     left = self._holder.predecessor_shares()
                 self._adjust(left)
-                pause_s = timings.adjust_s
             except errors.PlatformError as error:
                 _log.warning("quota shares not adjusted: {}", error)
-                pause_s = min(LONGEST_BACKOFF_S, max(pause_s, timings.adjust_s) * 2.0)
-            self._stopping.wait(pause_s * (0.5 + self._rng.random()))
+                failed = True
+            self._stopping.wait(pace.next_s(failed))
 
     def _adjust(self, also: Sequence[str]) -> None:
         now = self._clock()
--- a/bergamotridge/nodes/holders.py
+++ b/bergamotridge/nodes/holders.py
@@ -4,6 +4,7 @@
 go to a host that holds nothing and are sent elsewhere; the rates stay exact.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 
 import xxhash
@@ -13,6 +14,7 @@
 from bergamotridge.platform import quota
 
 HOLDERS_PER_DOMAIN = 2
+NODES_PER_HOLDER = 20
 
 
 def _weight(*parts: str) -> int:
@@ -26,7 +28,8 @@
 ) -> Mapping[str, Sequence[record.UpstreamRecord]]:
     """Returns the hosts that should hold a team's quota, by failure domain.
 
-    A small burst has fewer holders, in fewer failure domains if need be, so that each can hold
+    A large failure domain has more than `per_domain`, so that no holder serves too many nodes. A
+    small burst has fewer holders, in fewer failure domains if need be, so that each can hold
     whole tokens.
     """
     domains: dict[str, list[record.UpstreamRecord]] = {}
@@ -35,11 +38,14 @@
             domains.setdefault(member.failure_domain, []).append(member)
     most = max(1, int(team.burst / quota.MIN_TOKENS))
     names = sorted(domains, key=lambda name: _weight(team.name, "domain", name))[:most]
-    each = min(per_domain, most // len(names)) if names else 0
-    return {
-        name: sorted(domains[name], key=lambda member: _weight(team.name, member.host))[:each]
-        for name in names
-    }
+    return {name: _first(team, domains[name], per_domain, most // len(names)) for name in names}
+
+
+def _first(
+    team: text.Team, members: Sequence[record.UpstreamRecord], least: int, most: int
+) -> list[record.UpstreamRecord]:
+    count = min(most, max(least, math.ceil(len(members) / NODES_PER_HOLDER)))
+    return sorted(members, key=lambda member: _weight(team.name, member.host))[:count]
 
 
 def draw_order(
--- a/bergamotridge/platform/holding.py
+++ b/bergamotridge/platform/holding.py
@@ -5,8 +5,9 @@
 from bergamotridge.platform import quota
 
 CLOCK_DRIFT = 0.01
-LARGEST_CUT = 0.5
-HYSTERESIS = 0.05
+LARGEST_CUT = 0.25
+LEAST_CUT = 0.3  # Of the mean share; smaller cuts are not worth a write.
+LEAST_RAISE = 0.05  # Of the mean share.
 DEMAND_CHANGE = 0.25
 
 
@@ -25,7 +26,7 @@
     lease_s: float = 1800.0
     renew_s: float = 300.0
     adjust_s: float = 5.0
-    token_lifetime_s: float = 3.0
+    token_lifetime_s: float = 5.0
     join_after_s: float = 3.0
 
     @property
@@ -242,7 +243,7 @@
         target = quota.targets(live.replace(wish), circumstances.burst)[self._host]
         if target >= held:
             return min(target, held + room)
-        if held - target < HYSTERESIS * quota.PARTS / (len(live.shares) or 1):
+        if held - target < LEAST_CUT * quota.PARTS / (len(live.shares) or 1):
             return held
         return max(target, int(held * (1.0 - LARGEST_CUT)))
 
@@ -253,6 +254,6 @@
         if len(live.shares) != len(self._quota.shares) or self._in_doubt is not None:
             return True
         change = abs(parts - own.parts)
-        if parts < own.parts or change > HYSTERESIS * quota.PARTS / len(live.shares):
+        if parts < own.parts or change > LEAST_RAISE * quota.PARTS / len(live.shares):
             return True
         return abs(demand - own.demand) > max(1.0, DEMAND_CHANGE * own.demand)
