Close connections that stay silent

Ruled out: socket.settimeout, which adds a poll to each read of the hot path. Change: receive and send limits in the kernel, 75 s. Test: test_a_connection_that_sends_half_a_request_does_not_stay failed before (no such argument; by hand: the connection stayed), passes now.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -4,6 +4,7 @@
 import contextlib
 import select
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 DEPARTURE_CHECK_S = 0.05
 IDLE_CLOSE_S = 0.5
 HEADER_BYTES = 65_536
+IDLE_S = 75.0
 
 Handler = Callable[[message.Request, cancellation.Token], message.Response]
 
@@ -104,7 +106,20 @@
         body_limit: int,
         name: str,
         refusal: message.Response,
+        idle_s: float = IDLE_S,
     ) -> None:
+        """Prepares the server.
+
+        Args:
+            address: IP:PORT to listen on.
+            handler: Answers each request.
+            connections: Connections at once; further ones get `refusal`.
+            body_limit: Largest body of a request in bytes.
+            name: Name of the port, for messages.
+            refusal: Answer to a connection above the bound.
+            idle_s: Seconds without a byte from its client after which a connection is closed.
+        """
+        self._idle_s = idle_s
         self._address = address
         self._handler = handler
         self._limit = connections
@@ -181,7 +196,7 @@
                     return
                 time.sleep(DEPARTURE_CHECK_S)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._prepare(sock)
             connection = _Connection(sock, idle_since=time.monotonic())
             with self._lock:
                 room = len(self._open) < self._limit
@@ -192,6 +207,14 @@
             else:
                 self._refuse(sock)
 
+    def _prepare(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A time limit in the kernel costs no call per read, unlike socket.settimeout.
+        seconds, fraction = divmod(self._idle_s, 1)
+        limit = struct.pack("ll", int(seconds), int(fraction * 1e6))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+
     def _refuse(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):
             sock.setblocking(False)
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -15,7 +15,7 @@
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
-def make(handler, connections=8) -> tuple[httpd.Server, str]:
+def make(handler, connections=8, **more) -> tuple[httpd.Server, str]:
     address = free_address()
     server = httpd.Server(
         address,
@@ -24,6 +24,7 @@
         body_limit=100,
         name="test",
         refusal=message.Response(503),
+        **more,
     )
     server.start()
     return server, address
@@ -103,3 +104,11 @@
         sock.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
     assert cancelled.wait(30)
     server.stop(1)
+
+
+def test_a_connection_that_sends_half_a_request_does_not_stay():
+    server, address = make(echo, idle_s=0.05)
+    with socket.create_connection(httpd.split_address(address), timeout=30) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nhost:")
+        assert sock.recv(1) == b""
+    server.stop(0)
