Measure latency by rounds, and what a node spends on a call

Cause: one p99 over a whole run says little on a busy machine: a single stall moves it. Change: percentiles of each round, median and range; processor time and memory of both nodes.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -5,6 +5,7 @@
 """
 
 import pathlib
+import statistics
 import sys
 import tempfile
 import time
@@ -42,44 +43,83 @@
     fleet.Host("near", "fd1", "other", service_ms=0.0),
 )
 
+PATHS_THROUGH = {"far": 2, "near": 1}
+CPU_METRIC = "bergamotridge_cpu_seconds"
+MEMORY_METRIC = "bergamotridge_resident_memory_bytes"
+
+
+def _histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(1, HIGHEST_US, DIGITS)
+
 
 @attrs.define
 class Path:
-    """One way to the upstream and its measured latencies in microseconds."""
+    """One way to the upstream and its measured latencies, a histogram in us for each round."""
 
     name: str
     address: str
     headers: list[message.Header]
-    latencies: histogram.HdrHistogram = attrs.field(
-        factory=lambda: histogram.HdrHistogram(1, HIGHEST_US, DIGITS)
-    )
+    rounds: list[histogram.HdrHistogram] = attrs.field(factory=list)
+
+    def percentiles_ms(self, percentile: float) -> list[float]:
+        """Returns a percentile of each round in milliseconds."""
+        return [one.get_value_at_percentile(percentile) / 1000 for one in self.rounds]
 
-    def percentile_ms(self, percentile: float) -> float:
-        """Returns a percentile of the latencies in milliseconds."""
-        return self.latencies.get_value_at_percentile(percentile) / 1000
+
+@attrs.frozen
+class NodeCost:
+    """What one node used for the measured calls.
+
+    Attributes:
+        name: Host of the node.
+        calls: Measured calls that passed it.
+        cpu_s: Processor time in seconds between the first and the last of them.
+        resident_bytes: Resident memory at the end.
+    """
+
+    name: str
+    calls: int
+    cpu_s: float
+    resident_bytes: float
 
 
-def _measure(path: Path, pool: http_client.Pool, calls: int, *, keep: bool) -> None:
+def _measure(path: Path, pool: http_client.Pool, calls: int) -> histogram.HdrHistogram:
     request = message.Request(b"GET", TARGET.encode(), path.headers)
+    latencies = _histogram()
     for _ in range(calls):
         started = time.perf_counter_ns()
         response = pool.send(request, 5.0)
         elapsed_us = (time.perf_counter_ns() - started) // 1000
         if response.status != 200:
             raise RuntimeError(f"{path.name}: status {response.status}: {response.body!r}")
-        if keep:
-            path.latencies.record_value(max(1, elapsed_us))
+        latencies.record_value(max(1, elapsed_us))
+    return latencies
 
 
-def _table(paths: Sequence[Path]) -> str:
+def _spread(values: Sequence[float]) -> str:
+    return f"{statistics.median(values):.2f} ({min(values):.2f} to {max(values):.2f})"
+
+
+def _table(paths: Sequence[Path], costs: Sequence[NodeCost]) -> str:
     direct, relay = paths[0], paths[1]
-    lines = ["| path | p50 ms | p99 ms | added p99 ms | p99 over bare relay |"]
-    lines.append("|---|---|---|---|---|")
+    lines = [
+        "Median over the rounds, and range; added and ratio are of the same round.",
+        "",
+        "| path | p50 ms | p99 ms | added at p99, ms | p99 over bare relay |",
+        "|---|---|---|---|---|",
+    ]
     for path in paths:
-        p50, p99 = path.percentile_ms(50), path.percentile_ms(99)
-        added = p99 - direct.percentile_ms(99)
-        ratio = p99 / relay.percentile_ms(99)
-        lines.append(f"| {path.name} | {p50:.2f} | {p99:.2f} | {added:+.2f} | {ratio:.2f} |")
+        p99s = path.percentiles_ms(99)
+        added = [one - other for one, other in zip(p99s, direct.percentiles_ms(99), strict=True)]
+        ratio = [one / other for one, other in zip(p99s, relay.percentiles_ms(99), strict=True)]
+        cells = (path.percentiles_ms(50), p99s, added, ratio)
+        lines.append(f"| {path.name} | {' | '.join(_spread(cell) for cell in cells)} |")
+    lines.append("")
+    for cost in costs:
+        lines.append(
+            f"node {cost.name}: {cost.cpu_s / cost.calls * 1e3:.2f} ms of processor time per call "
+            f"(control included), {cost.resident_bytes / 1e6:.0f} MB resident"
+        )
     lines.append(f"Targets: one node adds at most {TARGET_ADDED_MS} ms at p99,")
     lines.append(f"and its p99 is at most {TARGET_RATIO} times that of the bare relay.")
     return "\n".join(lines)
@@ -111,26 +151,42 @@
         return False
 
 
-def _run(directory: pathlib.Path) -> list[Path]:
+def _metric(running: fleet.Fleet, host: str, name: str) -> float:
+    page = fleet.ask(running.addresses(host).operators, "GET", "/metrics").body.decode()
+    lines = (line.split() for line in page.splitlines())
+    return next(float(words[-1]) for words in lines if words and words[0].startswith(name))
+
+
+def _run(directory: pathlib.Path) -> tuple[list[Path], list[NodeCost]]:
     with fleet.Fleet(directory, HOSTS, TEXT) as running:
         paths = _paths(running)
         pools = [http_client.Pool(path.address, BODY_LIMIT) for path in paths]
         for path, pool in zip(paths, pools, strict=True):
-            _measure(path, pool, WARM_UP_CALLS, keep=False)
+            _measure(path, pool, WARM_UP_CALLS)
+        before = {host.name: _metric(running, host.name, CPU_METRIC) for host in HOSTS}
         for _ in range(ROUNDS):
             for path, pool in zip(paths, pools, strict=True):
-                _measure(path, pool, CALLS_PER_ROUND, keep=True)
-    return paths
-
-
-def run(argv: Sequence[str] = ()) -> int:
+                path.rounds.append(_measure(path, pool, CALLS_PER_ROUND))
+        costs = [
+            NodeCost(
+                name,
+                ROUNDS * CALLS_PER_ROUND * PATHS_THROUGH[name],
+                _metric(running, name, CPU_METRIC) - spent,
+                _metric(running, name, MEMORY_METRIC),
+            )
+            for name, spent in before.items()
+        ]
+    return paths, costs
+
+
+def main(arguments: Sequence[str] = ()) -> int:
     """Measures all paths in one run and prints the table; returns the exit code."""
-    del argv
+    del arguments
     with tempfile.TemporaryDirectory() as directory:
-        paths = _run(pathlib.Path(directory))
-    print(_table(paths))
+        paths, costs = _run(pathlib.Path(directory))
+    print(_table(paths, costs))
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(run(sys.argv[1:]))
+    sys.exit(main(sys.argv[1:]))
