Cut the fixed work around each call at a node

Change: bound metric cells, options set when they change, one filter per node, sets made once per configuration. Stored digests of keys change their form; nothing has been released.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -137,7 +137,7 @@
             ),
         ]
         self.thresholds = shedding.ThresholdTable()
-        self.below = below.Below(self.thresholds, self.routes.reach)
+        self.below = below.Below(self.thresholds, self.routes.below)
         self.relay_client = relay.RelayClient(
             self.pools, context.relay_token(node.fleet_secret), self.events
         )
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -15,6 +15,7 @@
 SCHEME = "bearer"
 KEY_ID_BYTES = 8
 SECRET_BYTES = 24
+DIGEST_BYTES = 32
 PAGE_ITEMS = 1000
 WRITE_ATTEMPTS = 5
 
@@ -203,7 +204,8 @@
 
 
 def _digest(secret: str, secret_text: str) -> str:
-    return hmac.digest(secret.encode(), secret_text.encode(), hashlib.sha256).hex()
+    key = secret.encode()[: hashlib.blake2b.MAX_KEY_SIZE]
+    return hashlib.blake2b(secret_text.encode(), key=key, digest_size=DIGEST_BYTES).hexdigest()
 
 
 def _matches(grant: _Grant, secret: str, secret_text: str) -> bool:
--- a/bergamotridge/callers/once.py
+++ b/bergamotridge/callers/once.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from bergamotridge import answer, call, errors, headers, verdict
+from bergamotridge import answer, call, errors, verdict
 from bergamotridge.callers import claims
 from bergamotridge.nodes import context, dispatch, record, relay
 from bergamotridge.util import cancellation, message
@@ -114,8 +114,7 @@
     ) -> answer.Answer:
         """Runs or joins a call that another node relayed here; refusals are answers."""
         del token
-        clean = attrs.evolve(request, headers=headers.for_upstream(request.headers))
-        outgoing = dispatch.Outgoing(relayed.service, relayed.context, clean)
+        outgoing = dispatch.Outgoing(relayed.service, relayed.context, request)
         claimed = ClaimedCall(relayed.claim, relayed.route, outgoing)
         allowance = call.Allowance(relayed.retries)
         try:
--- a/bergamotridge/nodes/below.py
+++ b/bergamotridge/nodes/below.py
@@ -22,21 +22,21 @@
 class Below:
     """Joins the table of thresholds with the dependency graph now in force."""
 
-    def __init__(self, table: ThresholdTable, reach: Callable[[str], frozenset[str]]) -> None:
+    def __init__(self, table: ThresholdTable, below: Callable[[str], frozenset[str]]) -> None:
         """Creates the view.
 
         Args:
             table: The thresholds that this node knows.
-            reach: Returns a service and all services below it.
+            below: Returns all services below a service.
         """
         self._table = table
-        self._reach = reach
+        self._below = below
 
     def encode(self, service: str, now: float) -> str:
         """Returns the thresholds below `service` for the answer of a call to it."""
-        return self._table.encode(self._reach(service) - {service}, now)
+        return self._table.encode(self._below(service), now)
 
     def learn(self, service: str, own: load.Threshold, told: str, now: float) -> None:
         """Takes over the threshold of `service` and those that its answer told of."""
         self._table.observe(service, own, now)
-        self._table.merge(told, self._reach(service) - {service}, now)
+        self._table.merge(told, self._below(service), now)
--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-from bergamotridge import answer, errors, events, verdict
+from bergamotridge import answer, errors, events, headers, verdict
 from bergamotridge.nodes import below
 from bergamotridge.nodes import context as context_header
 from bergamotridge.upstreams import local
@@ -110,11 +110,13 @@
             return answer.refusal(403, str(error), "relay")
         if relayed.stamp:
             self._log.clock.observe(hlc.parse(relayed.stamp))
+        fields = headers.for_upstream(request.headers)
+        clean = message.Request(request.method, request.target, fields, request.body)
         if relayed.claim:
-            given = self._claims.run_relayed(relayed, request, token)
+            given = self._claims.run_relayed(relayed, clean, token)
         else:
             given = self._upstream.run(
-                relayed.service, relayed.context, request, relayed.retries, token
+                relayed.service, relayed.context, clean, relayed.retries, token
             )
             given.report = self._upstream.report(time.monotonic())
         given.thresholds = self._below.encode(relayed.service, time.monotonic())
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -36,6 +36,7 @@
     def __init__(self, source: text.Text) -> None:
         self.text = source
         self._reach = {name: reachable(source.services, name) for name in source.services}
+        self._below = {name: reach - {name} for name, reach in self._reach.items()}
         rules = [
             werkzeug.routing.Rule(route.path, methods=[route.method], endpoint=route.name)
             for route in source.routes.values()
@@ -48,9 +49,9 @@
         }
         self._lock = threading.Lock()
 
-    def reach(self, service: str) -> frozenset[str]:
-        """Returns `service` and all services below it; only itself if it is unknown."""
-        return self._reach.get(service, frozenset((service,)))
+    def below(self, service: str) -> frozenset[str]:
+        """Returns all services below `service`, none if it is unknown."""
+        return self._below.get(service, frozenset())
 
     def match(self, method: str, path: str) -> Target:
         """Returns the target of a call; raises CallError 404 or 405."""
@@ -95,10 +96,10 @@
             )
         return table
 
-    def reach(self, service: str) -> frozenset[str]:
-        """Returns a service and all services below it."""
+    def below(self, service: str) -> frozenset[str]:
+        """Returns all services below a service, none before the first configuration."""
         table = self._table
-        return table.reach(service) if table else frozenset((service,))
+        return table.below(service) if table else frozenset()
 
     def teams(self) -> dict[str, text.Team]:
         """Returns the teams, none before the first configuration."""
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -63,6 +63,9 @@
         )
         self._answer_cells: dict[tuple[str, str, str, str], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
+        self._cells: dict[
+            tuple[str, str, str, str], tuple[metrics.CounterCell, metrics.HistogramCell]
+        ] = {}
         self._register_gauges(registry)
 
     def count_answer(
--- a/bergamotridge/upstreams/local.py
+++ b/bergamotridge/upstreams/local.py
@@ -73,7 +73,10 @@
         retries: int,
         token: cancellation.Token,
     ) -> answer.Answer:
-        """Runs one call and returns its end; refusals are answers too, never exceptions."""
+        """Runs one call and returns its end; refusals are answers too, never exceptions.
+
+        The request holds only header fields that may reach an upstream.
+        """
         announcement = self._announcement
         if announcement is None or announcement.service != service:
             return answer.refuse(_no_upstream(service), retries)
@@ -100,7 +103,7 @@
         entry = self._live.open(announcement.service, context, retries, call_token)
         left = context.time_left(time.monotonic())
         fields = [
-            *headers.for_upstream(request.headers),
+            *request.headers,
             (CALL_HEADER, entry.call_id.encode()),
             (TIMEOUT_HEADER, b"%d" % max(0, int(left * 1000))),
             (b"host", announcement.address.encode()),
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -15,7 +15,8 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 NO_BODY_STATUSES = frozenset((204, 304))
-_QUIET_HEADERS = ["User-Agent:", "Accept:", "Expect:", "Content-Type:"]
+# Given without a value, libcurl's own defaults stay out; a value of the caller's goes first.
+_QUIET_HEADERS = [b"User-Agent:", b"Accept:", b"Expect:", b"Content-Type:"]
 _NOT_SENT = frozenset(
     (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT)
 )
@@ -48,6 +49,8 @@
         self._token: cancellation.Token | None = None
         self._fresh = True
         self._may_open = True
+        self._target = b""
+        self._method = b""
         self._curl = self._prepare()
 
     def _prepare(self) -> pycurl.Curl:
@@ -134,17 +137,20 @@
 
     def _set_request(self, request: message.Request, timeout_s: float) -> None:
         curl = self._curl
-        headers = [b"%s: %s" % field if field[1] else field[0] + b";" for field in request.headers]
-        curl.setopt(pycurl.URL, self._base + request.target)
+        if request.target != self._target:
+            curl.setopt(pycurl.URL, self._base + request.target)
+            self._target = request.target
         if request.body or request.method not in (b"GET", b"HEAD"):
             curl.setopt(pycurl.POSTFIELDS, request.body)
-        else:
+            self._method = b""
+        elif request.method != self._method:
             curl.setopt(pycurl.HTTPGET, 1)
-        curl.setopt(pycurl.NOBODY, int(request.method == b"HEAD"))
-        curl.setopt(pycurl.CUSTOMREQUEST, request.method.decode("ascii"))
-        present = {name for name, _ in request.headers}
-        quiet = [line for line in _QUIET_HEADERS if line[:-1].lower().encode() not in present]
-        curl.setopt(pycurl.HTTPHEADER, headers + quiet)
+        if request.method != self._method:
+            curl.setopt(pycurl.NOBODY, int(request.method == b"HEAD"))
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method.decode("ascii"))
+            self._method = request.method
+        headers = [b"%s: %s" % field if field[1] else field[0] + b";" for field in request.headers]
+        curl.setopt(pycurl.HTTPHEADER, headers + _QUIET_HEADERS)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
 
     def _failure(self, error: pycurl.error) -> TransferError:
