Refuse paths that an upstream may read as another route

Cause: read as an attacker would: libcurl resolves '..' in a path before it sends it, so that GET /prices/../pay matched an open route here and reached the upstream as GET /pay: a call on a route that is not open, without any team's key. Ruled out: resolving '..' before the match (the upstream may still resolve encoded ones its way). Change: the target is sent byte for byte; a path with a segment '.' or '..', plain or encoded, or with '#', gets 400. Before: the four new tests failed, the request line read 'GET /pay?a=../b'; after: they pass.

--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -1,6 +1,7 @@
 """From the operator's text to routes: which route a call matches and what it can reach."""
 
 import threading
+import urllib.parse
 
 import attrs
 import werkzeug.exceptions
@@ -54,7 +55,7 @@
         return self._below.get(service, frozenset())
 
     def match(self, method: str, path: str) -> Target:
-        """Returns the target of a call; raises CallError 404 or 405."""
+        """Returns the target of a call; raises CallError 400, 404 or 405."""
         name = self._fixed.get((method, path))
         if name is None:
             name = self._match_rule(method, path)
@@ -62,6 +63,12 @@
         return Target(route, self._reach[route.service])
 
     def _match_rule(self, method: str, path: str) -> str:
+        if _is_ambiguous(path):
+            raise errors.CallError(
+                f"path '{path}' holds '.', '..' or '#'; send the path that is meant",
+                status=400,
+                reason="route",
+            )
         try:
             with self._lock:
                 endpoint, _ = self._adapter.match(path, method)
@@ -74,6 +81,12 @@
         return endpoint
 
 
+def _is_ambiguous(path: str) -> bool:
+    """Tells whether an upstream may read a path as another one than was matched here."""
+    segments = urllib.parse.unquote(path).replace("\\", "/").split("/")
+    return "#" in path or "." in segments or ".." in segments
+
+
 class CurrentRoutes:
     """The route table of the configuration now in force."""
 
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -56,6 +56,7 @@
     def _prepare(self) -> pycurl.Curl:
         curl = pycurl.Curl()
         curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -16,7 +16,7 @@
 method = "POST"
 service = "pay"
 [routes.prices]
-path = "/prices"
+path = "/prices/<path:name>"
 service = "pay"
 open = true
 [teams.a]
@@ -103,7 +103,7 @@
     node = Node()
     assert call(node, b"POST", b"/pay").status == 401
     assert call(node, b"POST", port.ISSUE_PATH).status == 401
-    assert call(node, b"GET", b"/prices").status == 200
+    assert call(node, b"GET", b"/prices/wheel").status == 200
     assert node.sent[0].context.team == ""
 
 
@@ -116,3 +116,10 @@
 def test_bad_timeout_is_refused(value):
     headers = (KEY, (b"bergamotridge-timeout-ms", value))
     assert call(Node(), b"POST", b"/pay", *headers).status == 400
+
+
+@pytest.mark.parametrize("path", [b"/prices/../pay", b"/prices/%2E%2e/pay", b"/prices/./pay"])
+def test_a_path_that_an_upstream_may_read_otherwise_is_refused(path):
+    node = Node()
+    assert call(node, b"GET", path).status == 400
+    assert not node.sent
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -101,3 +101,10 @@
     assert isinstance(failure, http_client.TransferError)
     assert failure.verdict is verdict.Verdict.MAY_HAVE_RUN
     assert not failure.timed_out
+
+
+def test_target_is_sent_as_it_was_matched():
+    server = Script(WHOLE)
+    pool = http_client.Pool(server.address, BODY_LIMIT)
+    pool.send(message.Request(b"GET", b"/prices/../pay?a=../b", []), 5)
+    assert server.requests[0].startswith(b"GET /prices/../pay?a=../b HTTP/1.1\r\n")
