--- a/bench/latency.py
+++ b/bench/latency.py
@@ -15,7 +15,7 @@
 from hdrh import histogram
 
 from bergamotridge.util import http_client, message
-from standins import fleet, processes
+from standins import client, fleet, processes
 
 ROUNDS = 10
 CALLS_PER_ROUND = 400
@@ -139,11 +139,12 @@
         Path("two nodes", running.addresses("near").callers, authorization),
     ]
     for path in paths:
-        processes.wait_until(lambda path=path: _answers(path), f"{path.name} answers")
+        processes.wait_until(lambda path=path: answers(path), f"{path.name} answers")
     return paths
 
 
-def _answers(path: Path) -> bool:
+def answers(path: Path) -> bool:
+    """Returns True if a call by a path ends well."""
     request = message.Request(b"GET", TARGET.encode(), path.headers)
     try:
         return http_client.Pool(path.address, BODY_LIMIT).send(request, 1.0).status == 200
@@ -151,8 +152,9 @@
         return False
 
 
-def _metric(running: fleet.Fleet, host: str, name: str) -> float:
-    page = fleet.ask(running.addresses(host).operators, "GET", "/metrics").body.decode()
+def metric(running: fleet.Fleet, host: str, name: str) -> float:
+    """Returns the first sample of a metric of the node on `host`."""
+    page = client.ask(running.addresses(host).operators, "GET", "/metrics").body.decode()
     lines = (line.split() for line in page.splitlines())
     return next(float(words[-1]) for words in lines if words and words[0].startswith(name))
 
@@ -163,7 +165,7 @@
         pools = [http_client.Pool(path.address, BODY_LIMIT) for path in paths]
         for path, pool in zip(paths, pools, strict=True):
             _measure(path, pool, WARM_UP_CALLS)
-        before = {host.name: _metric(running, host.name, CPU_METRIC) for host in HOSTS}
+        before = {host.name: metric(running, host.name, CPU_METRIC) for host in HOSTS}
         for _ in range(ROUNDS):
             for path, pool in zip(paths, pools, strict=True):
                 path.rounds.append(_measure(path, pool, CALLS_PER_ROUND))
@@ -171,8 +173,8 @@
             NodeCost(
                 name,
                 ROUNDS * CALLS_PER_ROUND * PATHS_THROUGH[name],
-                _metric(running, name, CPU_METRIC) - spent,
-                _metric(running, name, MEMORY_METRIC),
+                metric(running, name, CPU_METRIC) - spent,
+                metric(running, name, MEMORY_METRIC),
             )
             for name, spent in before.items()
         ]
