Check announcements and context headers whole

Cause: new tests of both ports: an announcement with no slots, a host name as address or a negative load was accepted, and a context token with letters outside ASCII ended in 500, not 403, since compare_digest takes no such text. Change: bounds for each key, named in the answer; tokens compared as bytes.

--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -78,9 +78,10 @@
         weight, retries, stamp, claim, route = rest
         importance = call.Importance(importance)
         deadline = now + float(left)
-    except (ValueError, TypeError) as error:
+        known = hmac.compare_digest(given.encode(), token.encode())
+    except (ValueError, TypeError, AttributeError) as error:
         raise ContextError("malformed context header") from error
-    if not hmac.compare_digest(given, token):
+    if not known:
         raise ContextError("the context header does not carry this fleet's token")
     context = call.CallContext(
         request_id, team, importance, deadline, depth, bool(repeatable), float(weight)
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -15,7 +15,8 @@
     )
 
 
-def _is_address(value: object) -> bool:
+def is_address(value: object) -> bool:
+    """Returns True for ``IP:PORT``; brackets may stand around IPv6."""
     if not isinstance(value, str):
         return False
     host, _, port = value.rpartition(":")
@@ -27,7 +28,7 @@
 
 
 def _address(help_text: str) -> typing.Any:
-    return _setting("", help_text, "IP:PORT, such as 10.0.0.5:8000", _is_address)
+    return _setting("", help_text, "IP:PORT, such as 10.0.0.5:8000", is_address)
 
 
 def _number(default: float, help_text: str, low: float, high: float) -> typing.Any:
@@ -45,13 +46,13 @@
         (),
         help_text,
         'a list of "IP:PORT"',
-        lambda value: all(_is_address(item) for item in value),
+        lambda value: all(is_address(item) for item in value),
     )
 
 
 def _optional_address(help_text: str) -> typing.Any:
     return _setting(
-        "", help_text, "IP:PORT, or nothing", lambda value: not value or _is_address(value)
+        "", help_text, "IP:PORT, or nothing", lambda value: not value or is_address(value)
     )
 
 
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -2,12 +2,12 @@
 
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import orjson
 
-from bergamotridge import answer, call, errors, events, headers, verdict
+from bergamotridge import answer, call, errors, events, headers, settings, verdict
 from bergamotridge.nodes import dispatch, record, routing
 from bergamotridge.upstreams import live, local
 from bergamotridge.util import cancellation, message
@@ -28,6 +28,13 @@
     "connections": (int,),
     "load": (int, float),
 }
+_BOUNDS: tuple[tuple[str, str, Callable[[Any], bool]], ...] = (
+    ("service", "a name that is not empty", bool),
+    ("address", "IP:PORT", settings.is_address),
+    ("slots", "at least 1", lambda value: value >= 1),
+    ("connections", "at least 1", lambda value: value >= 1),
+    ("load", "a number of at least 0", lambda value: 0 <= value < float("inf")),
+)
 
 
 class Routes(Protocol):
@@ -150,6 +157,9 @@
         if not isinstance(value, kinds) or isinstance(value, bool):
             accepted = " or ".join(kind.__name__ for kind in kinds)
             raise ValueError(f"announcement: key '{key}' is {value!r}; accepted: {accepted}")
+    for key, accepted, good in _BOUNDS:
+        if not good(fields[key]):
+            raise ValueError(f"announcement: key '{key}' is {fields[key]!r}; accepted: {accepted}")
     if fields["state"] not in _STATES:
         raise ValueError(
             f"announcement: key 'state' is {fields['state']!r}; accepted: {', '.join(_STATES)}"
