--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -76,6 +76,7 @@
         withdrawals: Withdrawals,
         session: int,
         clock: hlc.HybridClock | None = None,
+        page: int = MESSAGE_NEWS,
     ) -> None:
         """Prepares the exchange of news.
 
@@ -85,12 +86,14 @@
             withdrawals: Withdrawn keys to spread.
             session: Random number of this process, not 0.
             clock: Clock whose stamps travel with the messages.
+            page: Most news in one message.
         """
         self._members = members
         self._replicas = tuple(replicas)
         self._withdrawals = withdrawals
         self._session = session
         self._clock = clock
+        self._page = page
         self._lock = threading.Lock()
         self._cursors: dict[int, _Cursor] = {}
         self._sessions: dict[str, int] = {}
@@ -152,7 +155,7 @@
             # The receiver may know everything already: its answer tells.
             message.sequence_from = message.sequence_to = self._members.sequence
         else:
-            delta = self._members.delta(cursor.sent, cursor.host, MESSAGE_NEWS)
+            delta = self._members.delta(cursor.sent, cursor.host, self._page)
             message.acknowledged = cursor.got
             message.sequence_from = cursor.sent
             message.sequence_to = delta.sequence
--- a/tests/test_nodes/fleet.py
+++ b/tests/test_nodes/fleet.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from bench import control_node
 from bergamotridge.callers import keys
 from bergamotridge.nodes import control, exchange, gossip, membership, peers, record
 from bergamotridge.platform import configuration
@@ -46,36 +47,20 @@
         self.channels.close()
 
 
-class _LateService:
-    """Lets a port be bound before the service that needs its number exists."""
-
-    def __init__(self):
-        self.gossip = None
-
-    def register(self, server):
-        gossip.gossip_pb2_grpc.add_GossipServicer_to_server(gossip._Servicer(self), server)
-
-    def answer(self, message):
-        return self.gossip.answer(message)
-
-    def newer(self, kind, since):
-        return self.gossip.newer(kind, since)
-
-
-def start(number: int, first=(), suspect_s: float = 0.5, address: str = "127.0.0.1:0", **record_):
-    service = _LateService()
-    server = control.ControlServer(address, SECRET, (service,))
-    own = own_record(f"h{number}", server.port, **record_)
+def start(number: int, first=(), suspect_s: float = 0.5, address: str = "", **record_):
+    address = address or control_node.free_addresses(1)[0]
+    own = own_record(f"h{number}", int(address.rpartition(":")[2]), **record_)
     members = membership.Membership(own, membership.Timings(suspect_s=suspect_s))
     store, ring = configuration.ConfigurationStore(), keys.KeyRing(SECRET)
     rng = random.Random(number)
     news = exchange.Exchange(members, (store, ring), ring, rng.getrandbits(63) + 1)
     channels = control.ChannelPool(SECRET)
     chooser = peers.PeerChooser(members, first, rng)
-    service.gossip = gossip.Gossip(members, chooser, news, (store, ring), channels, TIMINGS, rng)
+    talk = gossip.Gossip(members, chooser, news, (store, ring), channels, TIMINGS, rng)
+    server = control.ControlServer(address, SECRET, (talk,))
     server.start()
-    service.gossip.start()
-    return Node(members, store, ring, service.gossip, server, channels)
+    talk.start()
+    return Node(members, store, ring, talk, server, channels)
 
 
 @contextlib.contextmanager
--- a/tests/test_nodes/network.py
+++ b/tests/test_nodes/network.py
@@ -11,6 +11,7 @@
 from tests.test_nodes import fleet
 
 LINKS = 3
+PAGE = 2
 HOLD_S = 20.0
 LATE_SHARE = 0.1
 LATEST_S = 15.0
@@ -82,7 +83,7 @@
         members = membership.Membership(own, TIMINGS)
         store, ring = configuration.ConfigurationStore(), keys.KeyRing(fleet.SECRET)
         session = self.rng.getrandbits(60) + 1
-        news = exchange.Exchange(members, (store, ring), ring, session)
+        news = exchange.Exchange(members, (store, ring), ring, session, page=PAGE)
         chooser = peers.PeerChooser(members, ("127.0.0.1:1", "127.0.0.1:2"), self.rng)
         self.booted += 1
         node = Node(self.booted, members, store, ring, news, duty.Duty(members, chooser, 1), [])
