Wait for stopping processes before the rig starts them anew

Cause: the test before it leaves a node that is still draining; restore() saw it running, went on, and nobody started the host again once it had ended.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -54,6 +54,7 @@
         self.output = directory / f"{name}.log"
         self._words = [sys.executable, "-m", *words]
         self._popen: subprocess.Popen | None = None
+        self._ending = False
         self.start()
 
     @property
@@ -61,6 +62,11 @@
         """True until the process has ended."""
         return self._popen.poll() is None
 
+    @property
+    def ending(self) -> bool:
+        """True from the request to stop until another is started in its place."""
+        return self._ending
+
     @property
     def pid(self) -> int:
         """Id of the process."""
@@ -73,6 +79,7 @@
 
     def start(self) -> None:
         """Starts it, or starts another in its place once it has ended."""
+        self._ending = False
         with self.output.open("ab") as output:
             self._popen = subprocess.Popen(
                 self._words,
@@ -98,6 +105,7 @@
 
     def terminate(self) -> None:
         """Asks it by SIGTERM to stop."""
+        self._ending = True
         if self.running:
             self._popen.terminate()
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -194,6 +194,8 @@
         for member in self.fleet.members.values():
             for process in (member.node, member.upstream):
                 process.resume()
+                if process.ending:
+                    process.wait()
                 if not process.running:
                     process.start()
         for member in self.fleet.members.values():
