--- a/bergamotridge/callers/bucket.py
+++ b/bergamotridge/callers/bucket.py
@@ -65,6 +65,7 @@
         self._level = min(level, burst)
         self._lent = 0
         self._filled_at = now
+        self._hold_until = now
         room = burst - self._level
         self._room = _LowestRoom(undo_window_s, now, room, room)
 
@@ -90,7 +91,7 @@
 
     def refill(self, now: float) -> None:
         """Creates the tokens due since the last decision, as far as there is room."""
-        elapsed = max(0.0, now - self._filled_at)
+        elapsed = max(0.0, now - max(self._filled_at, self._hold_until))
         self._filled_at = max(now, self._filled_at)
         room = max(0.0, self._burst - self._lent)
         self._level = min(room, self._level + elapsed * self._rate)
@@ -98,7 +99,7 @@
 
     def hold_until(self, time: float) -> None:
         """Creates no token before the given monotonic time."""
-        self._filled_at = max(self._filled_at, time)
+        self._hold_until = time
 
     def take(self, now: float) -> bool:
         """Spends one token for a call; returns False if there is none."""
@@ -148,7 +149,7 @@
         self.refill(now)
         if self._level >= 1.0:
             return 0.0
-        held = max(0.0, self._filled_at - now)
+        held = max(0.0, self._hold_until - now)
         if self._rate <= 0.0:
             return float("inf")
         return held + (1.0 - self._level) / self._rate
--- a/bergamotridge/callers/lending.py
+++ b/bergamotridge/callers/lending.py
@@ -50,16 +50,14 @@
 class Lending:
     """Tokens of one team at one holder. The caller holds a lock around each method."""
 
-    def __init__(self, now: float, create_from: float, loan_s: float) -> None:
+    def __init__(self, now: float, loan_s: float) -> None:
         """Starts empty.
 
         Args:
             now: Monotonic time in seconds.
-            create_from: Time before which no token is created.
             loan_s: Seconds after which a lent token that was not settled counts as spent.
         """
         self._bucket = bucket.TokenBucket(0.0, 0.0, now, undo_window_s=UNDO_WINDOW_S)
-        self._bucket.hold_until(create_from)
         self._loan_s = loan_s
         self._loans: dict[int, _Loan] = {}
         self._batches = itertools.count(1)
@@ -77,9 +75,14 @@
         """Tokens at hand as of the last decision."""
         return self._bucket.level
 
-    def resize(self, rate: float, burst: float, now: float) -> None:
-        """Sets this holder's part of rate and burst from now on."""
+    def resize(self, rate: float, burst: float, create_from: float, now: float) -> None:
+        """Sets this holder's part of rate and burst from now on.
+
+        No token is created before `create_from`.
+        """
         self._expire(now)
+        self._bucket.refill(now)
+        self._bucket.hold_until(create_from)
         if (rate, burst) != (self._bucket.rate, self._bucket.burst):
             self._bucket.resize(rate, burst, now)
 
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -28,7 +28,12 @@
     def sync(self, now: float) -> None:
         """Applies the share that may be used now to the tokens."""
         fraction = self.holding.usable(now) / quota.PARTS
-        self.lending.resize(self.team.rate * fraction, self.team.burst * fraction, now)
+        self.lending.resize(
+            self.team.rate * fraction,
+            self.team.burst * fraction,
+            self.holding.create_from,
+            now,
+        )
 
 
 class QuotaHolder:
@@ -162,7 +167,7 @@
                     self._timings,
                     self._started,
                 )
-                tokens = lending.Lending(now, held.create_from, self._timings.loan_s)
+                tokens = lending.Lending(now, self._timings.loan_s)
                 state = self._states[team.name] = _TeamState(team, held, tokens)
             state.team = team
             return state
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -21,6 +21,7 @@
 LONGEST_BACKOFF_S = 30.0
 RECONFIGURE_S = 0.5
 LEAVE_INTERVAL_S = 0.1
+JOIN_LOOK_S = 1.0  # Longest pause while this host is about to join.
 _log = logbook.Logger("quota")
 
 
@@ -236,7 +237,13 @@
             except errors.PlatformError as error:
                 _log.warning("quota shares not adjusted: {}", error)
                 failed = True
-            self._stopping.wait(pace.next_s(failed))
+            pause_s = pace.next_s(failed)
+            soon = self._joining() and not failed
+            self._stopping.wait(min(pause_s, JOIN_LOOK_S) if soon else pause_s)
+
+    def _joining(self) -> bool:
+        held = self._holder.held()
+        return any(team not in held for team in self._chosen_since)
 
     def _adjust(self, also: Sequence[str]) -> None:
         now = self._clock()
--- a/bergamotridge/platform/holding.py
+++ b/bergamotridge/platform/holding.py
@@ -101,6 +101,7 @@
         self._failure_domain = failure_domain
         self._timings = timings
         self._create_from = now + timings.loan_s
+        self._joined_fresh = False
         self._version = -1
         self._quota = quota.Quota()
         self._own: quota.Share | None = None
@@ -117,9 +118,10 @@
     def create_from(self) -> float:
         """Monotonic time before which no token is created.
 
-        All tokens drawn from an earlier process on this host have expired by then.
+        All tokens drawn from an earlier process on this host have expired by then. There are none
+        if this process joined a quota in which that process had no share.
         """
-        return self._create_from
+        return float("-inf") if self._joined_fresh else self._create_from
 
     @property
     def share(self) -> quota.Share | None:
@@ -156,13 +158,13 @@
         if mine is None and not circumstances.chosen:
             return self._removal_of_lapsed(live, now)
         parts = self._next_parts(live, mine, circumstances)
-        if self._own is None and mine is not None and now < self._create_from:
+        if self._own is None and mine is not None and now < self.create_from:
             # Tokens drawn from the predecessor still count against all of its share.
             parts = max(parts, mine.parts)
         if self._own is not None and parts < self._own.parts:
             self._cut = parts
             lent_out = circumstances.lent * quota.PARTS > parts * circumstances.burst
-            if lent_out or now < self._create_from:
+            if lent_out or now < self.create_from:
                 return None
         if not circumstances.chosen and parts == 0:
             return self._write(live.without([self._host]), None, now)
@@ -181,6 +183,8 @@
 
     def confirm(self, write: Write, version: int, now: float) -> None:
         """Takes note that an update took effect."""
+        if self._quota.find(self._host) is None and write.share is not None:
+            self._joined_fresh = True
         self.observe(write.quota, version, now)
         self._cut = quota.PARTS
 
--- a/tests/test_callers/test_quota_faults.py
+++ b/tests/test_callers/test_quota_faults.py
@@ -45,9 +45,9 @@
 def start_full(monkeypatch):
     resize = lending.Lending.resize
 
-    def planted(self, rate, burst, now):
+    def planted(self, rate, burst, create_from, now):
         fresh = self._bucket.burst == 0.0
-        resize(self, rate, burst, now)
+        resize(self, rate, burst, create_from, now)
         if fresh:
             self._bucket._level = burst
 
