--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -39,7 +39,7 @@
         "let callers keep fewer connections, or raise the bound in 'limits'",
     ),
     "deadline": Reason(
-        "the time limit of the call ran out",
+        "the time limit of the call ran out, or would have run out before its end",
         "look at the load of the services below; raise the route's 'timeout_s' only if they are "
         "not overloaded",
     ),
