Correct the capacity of a threshold in proportion, class by class

Cause: the correction was an integral that fell as long as the queue was above half of its room. Calls already admitted higher up keep the queue of a deep service full for a second, so it wound down to 0.7 and shed critical requests that fit; then it took seconds to return.

Change: capacity is limit over hold time, plus what is needed to fill free slots and work off the class's own backlog within half a second. A backlog of lower classes no longer sheds higher ones. The ramp grows while half of the limit is used, since a threshold that sheds to capacity never saturates it. Encoded thresholds are cached, they go with every answer.

Left: a cold start of one host sheds requests that others could take.

--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -119,11 +119,13 @@
             for domain in range(deployment.DOMAINS)
             for node in [Node(self, service, domain, self.rng, policy)]
         }
+        self._alive: list[Node] = []
         self._records: dict[str, list[record.UpstreamRecord]] = {}
         self.publish()
 
     def publish(self) -> None:
         """Spreads what the upstreams say of themselves to all nodes."""
+        self._alive = [node for node in self.nodes.values() if node.alive]
         self._records = {service: [] for service in self.deployment.work_s}
         for node in self.nodes.values():
             self._records[node.service].append(node.record())
@@ -139,6 +141,7 @@
     def kill(self, node: Node) -> None:
         """Kills a host; the others hear of it late."""
         node.alive = False
+        self.publish()
         node.upstream.kill()
         self._later_said(node, record.State.LOST)
 
@@ -152,7 +155,7 @@
 
     def send(self, request: Request, done: Callable[[bool], None]) -> None:
         """Sends a client's try to a random node."""
-        origin = self.rng.choice([node for node in self.nodes.values() if node.alive])
+        origin = self.rng.choice(self._alive)
         now = self.loop.now
         if self.policy.thresholds and not self.policy.baseline:
             try:
--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -71,7 +71,7 @@
         with self._lock:
             seen = [(service, self._seen.get(service)) for service in services]
         return " ".join(
-            f"{service}@{int((now - item.at) * 1000)}@{item.threshold.encode()}"
+            f"{service}@{int((now - item.at) * 1000)}@{item.threshold.encoded}"
             for service, item in seen
             if item is not None and not item.threshold.open and now - item.at < FRESH_S + DECAY_S
         )
@@ -89,7 +89,7 @@
             service, _, rest = part.partition("@")
             age_ms, _, encoded = rest.partition("@")
             try:
-                told[service] = _Seen(load.Threshold.decode(encoded), now - float(age_ms) / 1000)
+                told[service] = _Seen(load.decode_threshold(encoded), now - float(age_ms) / 1000)
             except ValueError:
                 continue
         for service in services:
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -115,7 +115,10 @@
                 self._answered(health, now)
 
     def _health(self, host: str) -> _Health:
-        return self._hosts.setdefault(host, _Health())
+        health = self._hosts.get(host)
+        if health is None:
+            health = self._hosts[host] = _Health()
+        return health
 
     def _failed(self, health: _Health, now: float) -> None:
         health.failures += 1
--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -1,5 +1,6 @@
 """What a gate tells the nodes that call it: its load and the shares that it can take."""
 
+import functools
 from collections.abc import Mapping
 
 import attrs
@@ -10,6 +11,8 @@
 REPORT_HEADER = "Bergamotridge-Load"
 THRESHOLDS_HEADER = "Bergamotridge-Thresholds"
 
+DECODED_KEPT = 256
+
 Key = tuple[call.Importance, str]
 
 
@@ -30,7 +33,7 @@
     defaults: tuple[float, float, float] = (1.0, 1.0, 1.0)
     shares: Mapping[Key, float] = attrs.field(factory=dict)
 
-    @property
+    @functools.cached_property
     def open(self) -> bool:
         """True if nothing is shed."""
         return min(self.defaults) >= 1.0 and all(share >= 1.0 for share in self.shares.values())
@@ -39,28 +42,33 @@
         """Returns the admitted share of requests of `team` in class `importance`."""
         return self.shares.get((importance, team), self.defaults[importance])
 
-    def encode(self) -> str:
-        """Returns the form in a header; "" if nothing is shed."""
+    @functools.cached_property
+    def encoded(self) -> str:
+        """The form in a header; "" if nothing is shed."""
         if self.open:
             return ""
         listed = [f"{key[0].value}:{key[1]}={share:.3f}" for key, share in self.shares.items()]
         return ";".join([",".join(f"{share:.3f}" for share in self.defaults), *listed])
 
-    @classmethod
-    def decode(cls, text: str) -> "Threshold":
-        """Returns the threshold that `encode` wrote; raises ValueError on any other text."""
-        if not text:
-            return OPEN
-        first, *listed = text.split(";")
-        defaults = tuple(_share(part) for part in first.split(","))
-        if len(defaults) != len(call.Importance):
-            raise ValueError(f"threshold with {len(defaults)} classes")
-        shares = {}
-        for item in listed:
-            name, _, share = item.rpartition("=")
-            importance, _, team = name.partition(":")
-            shares[call.Importance(int(importance)), team] = _share(share)
-        return cls(defaults, shares)
+
+OPEN = Threshold()
+
+
+@functools.lru_cache(maxsize=DECODED_KEPT)
+def decode_threshold(text: str) -> Threshold:
+    """Returns the threshold with this encoded form; raises ValueError on any other text."""
+    if not text:
+        return OPEN
+    first, *listed = text.split(";")
+    defaults = tuple(_share(part) for part in first.split(","))
+    if len(defaults) != len(call.Importance):
+        raise ValueError(f"threshold with {len(defaults)} classes")
+    shares = {}
+    for item in listed:
+        name, _, share = item.rpartition("=")
+        importance, _, team = name.partition(":")
+        shares[call.Importance(int(importance)), team] = _share(share)
+    return Threshold(defaults, shares)
 
 
 def _share(text: str) -> float:
@@ -70,9 +78,6 @@
     return share
 
 
-OPEN = Threshold()
-
-
 @attrs.frozen
 class LoadReport:
     """State of one gate.
@@ -95,7 +100,7 @@
         """Returns the form in a header."""
         return (
             f"{self.load:.3f} {self.limit} {self.in_flight} {self.queued} "
-            f"{self.threshold.encode()}"
+            f"{self.threshold.encoded}"
         ).rstrip()
 
     @classmethod
@@ -110,7 +115,7 @@
                 int(parts[1]),
                 int(parts[2]),
                 int(parts[3]),
-                Threshold.decode(parts[4] if len(parts) == 5 else ""),
+                decode_threshold(parts[4] if len(parts) == 5 else ""),
             )
         except ValueError:
             return None
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -121,11 +121,11 @@
         if entry.state is not queue.EntryState.STARTED:
             return
         entry.state = queue.EntryState.FINISHED
-        saturated = self._in_flight >= self._limit.value
+        used = self._in_flight
         self._in_flight -= 1
         if result not in (outcome.Outcome.SHED, outcome.Outcome.REFUSED):
             self._controller.held(now - entry.started_at)
-        self._limit.finished(result, self._controller.hold_s, saturated=saturated, now=now)
+        self._limit.finished(result, self._controller.hold_s, used, now)
         self._advance(now)
 
     def report(self, now: float) -> load.LoadReport:
@@ -144,9 +144,7 @@
         return min(self._slots, self._connections, self._announced)
 
     def _update(self, now: float) -> None:
-        self._controller.update(
-            self._limit.value, self._in_flight, len(self._queue), self._queue.room, now
-        )
+        self._controller.update(self._limit.value, self._in_flight, self._queue.waiting(), now)
 
     def _expected_s(self) -> float:
         return EXPECTED_SHARE * self._controller.hold_s
--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -4,6 +4,7 @@
 
 RAMP_SHARE = 0.1
 CUT = 0.85
+GROW_ABOVE = 0.5
 LEAST = 1.0
 
 
@@ -12,7 +13,8 @@
 
     A new upstream starts at a small share of its ceiling and gains one for each call that ends
     well, so a cold one is filled no faster than it answers. Later a shed or timed-out call cuts
-    the limit, at most once per round of calls, and a full round of good calls adds one.
+    the limit, at most once per round of calls, and a full round of good calls adds one. The limit
+    grows only while at least half of it is in use.
     """
 
     def __init__(self, ceiling: int) -> None:
@@ -45,20 +47,18 @@
         self._value = max(LEAST, RAMP_SHARE * self._ceiling)
         self._ramping = True
 
-    def finished(
-        self, result: outcome.Outcome, hold_s: float, *, saturated: bool, now: float
-    ) -> None:
+    def finished(self, result: outcome.Outcome, hold_s: float, used: int, now: float) -> None:
         """Learns how a call ended.
 
         Args:
             result: Its outcome.
             hold_s: Smoothed time in seconds that a call takes.
-            saturated: True if the limit was in full use.
+            used: Calls that ran until then, this one included.
             now: Monotonic time in seconds.
         """
         if result in (outcome.Outcome.SHED, outcome.Outcome.TIMED_OUT):
             self._cut(hold_s, now)
-        elif result is outcome.Outcome.OK and saturated:
+        elif result is outcome.Outcome.OK and used >= GROW_ABOVE * self.value:
             self._value += 1.0 if self._ramping else 1.0 / self._value
             if self._value >= self._ceiling:
                 self._value = float(self._ceiling)
--- a/bergamotridge/upstreams/queue.py
+++ b/bergamotridge/upstreams/queue.py
@@ -86,14 +86,16 @@
         """Calls that may wait."""
         return self._room
 
+    def waiting(self) -> dict[call.Importance, int]:
+        """Returns the number of waiting calls by class."""
+        return {
+            importance: sum(len(entries) for entries in teams.values())
+            for importance, teams in self._classes.items()
+        }
+
     def ahead(self, importance: call.Importance) -> int:
         """Returns the number of waiting calls of this class and more important ones."""
-        return sum(
-            len(entries)
-            for level in call.Importance
-            if level <= importance
-            for entries in self._classes[level].values()
-        )
+        return sum(count for level, count in self.waiting().items() if level <= importance)
 
     def charge(self, context: call.CallContext) -> None:
         """Counts a call as started in the shares of the teams."""
@@ -133,10 +135,6 @@
             del teams[entry.context.team]
         self._count(entry, -1)
 
-    def late(self, now: float, expected_s: float) -> list[Entry]:
-        """Returns the calls that could not end in time if they started now."""
-        return [entry for entry in self.entries() if entry.context.time_left(now) < expected_s]
-
     def entries(self) -> list[Entry]:
         """Returns all waiting calls."""
         return [
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -1,6 +1,7 @@
 """Works out which share of each class and team a gate can take."""
 
 import math
+from collections.abc import Mapping
 
 import attrs
 
@@ -13,8 +14,8 @@
 FIRST_SHARE = 0.02
 DEMAND_FLOOR = 0.05
 HOLD_SMOOTHING = 0.05
-CORRECTION_STEP = 0.03
-CORRECTION_RANGE = (0.5, 1.3)
+QUEUE_TARGET = 0.1
+CORRECTION_S = 0.5
 LISTED_TEAMS = 32
 
 
@@ -67,15 +68,16 @@
     """Works out the threshold of one gate from its arrivals and its capacity.
 
     Demand is what arrived divided by the share that was let through, both smoothed alike. The
-    capacity is the limit over the time that a call holds its slot, corrected by what the queue
-    shows. Classes are filled in order; where capacity ends, teams share by max-min fairness.
+    capacity is the limit over the time that a call holds its slot. For each class it is corrected
+    so that free slots are filled, and what waits in this class and above it is worked off, within
+    `CORRECTION_S`. Classes are filled in order; where capacity ends, teams share by max-min
+    fairness.
     """
 
     def __init__(self) -> None:
         self._flows: dict[load.Key, _Flow] = {}
         self._updated_at = -math.inf
         self._hold_s = 0.0
-        self._correction = 1.0
         self._threshold = load.OPEN
         self._waited = False
 
@@ -108,14 +110,15 @@
             self._hold_s = seconds
         self._hold_s += HOLD_SMOOTHING * (seconds - self._hold_s)
 
-    def update(self, limit: int, in_flight: int, queued: int, room: int, now: float) -> None:
+    def update(
+        self, limit: int, in_flight: int, waiting: Mapping[call.Importance, int], now: float
+    ) -> None:
         """Works out the threshold again if an interval has passed.
 
         Args:
             limit: Calls that may run at once.
             in_flight: Calls that run.
-            queued: Calls that wait.
-            room: Calls that may wait.
+            waiting: Calls that wait, by class.
             now: Monotonic time in seconds.
         """
         if self._updated_at == -math.inf:
@@ -126,31 +129,28 @@
         self._updated_at = now
         for flow in self._flows.values():
             flow.close_interval(seconds)
-        self._correct(limit, in_flight, queued, room)
         # The estimate of the capacity alone sheds nothing: a stall of the machine lowers it too.
         crowded, self._waited = self._waited or not self._threshold.open, False
         if self._hold_s and crowded:
-            self._fill(self._correction * limit / self._hold_s)
+            self._fill(limit / self._hold_s, limit - in_flight, waiting, QUEUE_TARGET * limit)
         self._threshold = self._published()
 
-    def _correct(self, limit: int, in_flight: int, queued: int, room: int) -> None:
-        low, high = CORRECTION_RANGE
-        if queued > room / 2:
-            self._correction = max(low, self._correction * (1.0 - CORRECTION_STEP))
-        elif not queued and (in_flight < limit or self._threshold.open):
-            self._correction = min(high, self._correction * (1.0 + CORRECTION_STEP))
-
-    def _fill(self, capacity: float) -> None:
-        left = capacity
+    def _fill(
+        self, capacity: float, free: int, waiting: Mapping[call.Importance, int], target: float
+    ) -> None:
+        used, ahead = 0.0, 0
         for importance in call.Importance:
+            ahead += waiting.get(importance, 0)
             flows = [flow for key, flow in self._flows.items() if key[0] is importance]
             if not flows:
                 continue
-            level = fair_level([(flow.demand, flow.weight) for flow in flows], max(0.0, left))
+            missing = free + target - ahead
+            left = max(0.0, capacity + missing / CORRECTION_S - used)
+            level = fair_level([(flow.demand, flow.weight) for flow in flows], left)
             for flow in flows:
-                target = min(1.0, flow.weight * level / flow.demand) if flow.demand else 1.0
-                flow.share = min(target, max(FIRST_SHARE, GROWTH * flow.share))
-            left -= sum(min(flow.demand, flow.weight * level) for flow in flows)
+                aim = min(1.0, flow.weight * level / flow.demand) if flow.demand else 1.0
+                flow.share = min(aim, max(FIRST_SHARE, GROWTH * flow.share))
+            used += sum(min(flow.demand, flow.weight * level) for flow in flows)
 
     def _published(self) -> load.Threshold:
         limited = {key: flow.share for key, flow in self._flows.items() if flow.share < 1.0}
