Join the thresholds of a service's hosts

Tried and left: greatest share of all hosts, and mean share with relayed thresholds kept per relay.

Change: mean share of the hosts that this node has heard itself, open where one host is open; relayed thresholds count only without fresh own ones, and keep the time at which a host said them.

--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -271,7 +271,7 @@
             below = self._request.path[self._index + 1 :]
             told = target.thresholds.encode(below, now)
             self._origin.thresholds.merge(told, below, now)
-            self._origin.thresholds.observe(self._service, report.threshold, now)
+            self._origin.thresholds.observe(self._service, report.threshold, now, target.host)
         return report
 
     def _may_retry(self, result: outcome.Outcome, not_run: bool) -> bool:
--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -1,7 +1,7 @@
 """Shedding at the first node, by the thresholds of all services that a request can reach."""
 
 import threading
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -21,20 +21,78 @@
     at: float
 
 
+_UNKNOWN = _Seen(load.OPEN, float("-inf"))
+
+
+@attrs.define
+class _Service:
+    """What is known of one service.
+
+    Attributes:
+        by_host: What its hosts said to this node.
+        joint: What they admit together.
+        relayed: The latest that other nodes told of it.
+    """
+
+    by_host: dict[str, _Seen] = attrs.field(factory=dict)
+    joint: _Seen = _UNKNOWN
+    relayed: _Seen = _UNKNOWN
+
+    def current(self, now: float) -> _Seen:
+        """Returns what the hosts said, or what was relayed if that is older than `FRESH_S`."""
+        if now - self.joint.at < FRESH_S or self.joint.at >= self.relayed.at:
+            return self.joint
+        return self.relayed
+
+    def take(self, host: str, seen: _Seen) -> None:
+        """Takes over what a host said."""
+        earlier = self.by_host.get(host)
+        self.by_host[host] = seen
+        if earlier is not None and earlier.threshold is seen.threshold:
+            self.joint = attrs.evolve(self.joint, at=seen.at)
+            return
+        self.by_host = {
+            name: item for name, item in self.by_host.items() if seen.at - item.at < FRESH_S
+        }
+        self.joint = _Seen(joined([item.threshold for item in self.by_host.values()]), seen.at)
+
+
+def joined(thresholds: Sequence[load.Threshold]) -> load.Threshold:
+    """Returns the mean share of each class and team; 1.0 where one of the thresholds has 1.0.
+
+    Calls go where there is room, so nothing is shed that one host admits whole.
+    """
+    if len(thresholds) == 1:
+        return thresholds[0]
+    if any(item.open for item in thresholds):
+        return load.OPEN
+    keys = sorted({key for item in thresholds for key in item.shares})
+    return load.Threshold(
+        tuple(_joint([item.defaults[level] for item in thresholds]) for level in call.Importance),
+        {key: _joint([item.share(*key) for item in thresholds]) for key in keys},
+    )
+
+
+def _joint(shares: Sequence[float]) -> float:
+    return 1.0 if max(shares) >= 1.0 else sum(shares) / len(shares)
+
+
 class ThresholdTable:
     """Latest thresholds by service; thread-safe.
 
     A request is placed by a hash of its id, so all nodes shed the same requests and the tree of
-    one is kept or shed whole. A threshold that is not refreshed opens by itself.
+    one is kept or shed whole. A threshold that is not refreshed opens by itself. What other nodes
+    relay keeps the time at which a host said it, so that nodes cannot refresh each other's memory.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._seen: dict[str, _Seen] = {}
+        self._seen: dict[str, _Service] = {}
 
-    def observe(self, service: str, observed: load.Threshold, now: float) -> None:
-        """Takes over a threshold that came with an answer of `service`."""
-        self._take(service, observed, now)
+    def observe(self, service: str, observed: load.Threshold, now: float, host: str = "") -> None:
+        """Takes over the threshold that came with an answer of `service` on `host`."""
+        with self._lock:
+            self._known(service).take(host, _Seen(observed, now))
 
     def check(
         self,
@@ -62,18 +120,20 @@
                 raise admission.refusal("shed", f"service '{service}' is overloaded", request_id)
 
     def encode(self, services: Collection[str], now: float) -> str:
-        """Returns the thresholds of `services` that shed anything, with their ages, for a header.
+        """Returns the thresholds of `services` that are known, with their ages, for a header.
 
         Args:
             services: Services below the one that answers.
             now: Monotonic time in seconds.
         """
         with self._lock:
-            seen = [(service, self._seen.get(service)) for service in services]
+            seen = [
+                (name, self._seen[name].current(now)) for name in services if name in self._seen
+            ]
         return " ".join(
             f"{service}@{int((now - item.at) * 1000)}@{item.threshold.encoded}"
             for service, item in seen
-            if item is not None and not item.threshold.open and now - item.at < FRESH_S + DECAY_S
+            if now - item.at < (FRESH_S if item.threshold.open else FRESH_S + DECAY_S)
         )
 
     def merge(self, text: str | None, services: Collection[str], now: float) -> None:
@@ -81,31 +141,34 @@
 
         Args:
             text: The header; malformed parts are passed over.
-            services: Services that the sender may speak of; those it leaves out shed nothing.
+            services: Services that the sender may speak of.
             now: Monotonic time in seconds.
         """
-        told = {}
         for part in (text or "").split(" "):
             service, _, rest = part.partition("@")
             age_ms, _, encoded = rest.partition("@")
+            if service not in services:
+                continue
             try:
-                told[service] = _Seen(load.decode_threshold(encoded), now - float(age_ms) / 1000)
+                seen = _Seen(load.decode_threshold(encoded), now - float(age_ms) / 1000)
             except ValueError:
                 continue
-        for service in services:
-            item = told.get(service, _Seen(load.OPEN, now))
-            self._take(service, item.threshold, item.at)
+            with self._lock:
+                known = self._known(service)
+                if seen.at > known.relayed.at:
+                    known.relayed = seen
 
-    def _take(self, service: str, observed: load.Threshold, at: float) -> None:
-        with self._lock:
-            earlier = self._seen.get(service)
-            if earlier is None or at >= earlier.at:
-                self._seen[service] = _Seen(observed, at)
+    def _known(self, service: str) -> _Service:
+        known = self._seen.get(service)
+        if known is None:
+            known = self._seen[service] = _Service()
+        return known
 
     def _share(self, service: str, importance: call.Importance, team: str, now: float) -> float:
-        item = self._seen.get(service)
-        if item is None:
+        known = self._seen.get(service)
+        if known is None:
             return 1.0
+        item = known.current(now)
         share = item.threshold.share(importance, team)
         opened = min(1.0, max(0.0, now - item.at - FRESH_S) / DECAY_S)
         return share + (1.0 - share) * opened
