Drop calls that wait too long and work out thresholds more often

Cause: in the first tenth of a second of a surge the queue of the deep service fills with calls of the middle class, which critical ones then starve; they hold slots above for up to two seconds (hold time of status 0.2 to 0.5 s), and requests that only need the upper service are shed.

Change: the threshold is worked out every 50 ms; a call leaves the queue after half a hold time, or a whole one if work has been done for it; shares may double in an interval.

--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -9,6 +9,9 @@
 LEAST_RETRY_S = 0.5
 RETRY_SPREAD_S = 1.5
 EXPECTED_SHARE = 0.7
+LEAST_WAIT_S = 0.05
+FRESH_WAIT = 0.5
+INVESTED_WAIT = 1.0
 
 
 def refusal(
@@ -144,7 +147,16 @@
         return min(self._slots, self._connections, self._announced)
 
     def _update(self, now: float) -> None:
-        self._controller.update(self._limit.value, self._in_flight, self._queue.waiting(), now)
+        waiting = self._queue.waiting()
+        if self._controller.update(self._limit.value, self._in_flight, waiting, now):
+            self._drop_stale(now)
+
+    def _drop_stale(self, now: float) -> None:
+        hold_s = self._controller.hold_s
+        for entry in self._queue.entries():
+            holds = INVESTED_WAIT if entry.context.depth else FRESH_WAIT
+            if hold_s and now - entry.arrived_at > max(LEAST_WAIT_S, holds * hold_s):
+                self.withdraw(entry, "shed")
 
     def _expected_s(self) -> float:
         return EXPECTED_SHARE * self._controller.hold_s
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -8,9 +8,9 @@
 from bergamotridge import call
 from bergamotridge.nodes import load
 
-INTERVAL_S = 0.1
+INTERVAL_S = 0.05
 SMOOTHING = 0.2
-GROWTH = 1.5
+GROWTH = 2.0
 FIRST_SHARE = 0.02
 DEMAND_FLOOR = 0.05
 HOLD_SMOOTHING = 0.05
@@ -112,8 +112,8 @@
 
     def update(
         self, limit: int, in_flight: int, waiting: Mapping[call.Importance, int], now: float
-    ) -> None:
-        """Works out the threshold again if an interval has passed.
+    ) -> bool:
+        """Works out the threshold again if an interval has passed; returns whether it has.
 
         Args:
             limit: Calls that may run at once.
@@ -125,7 +125,7 @@
             self._updated_at = now
         seconds = now - self._updated_at
         if seconds < INTERVAL_S:
-            return
+            return False
         self._updated_at = now
         for flow in self._flows.values():
             flow.close_interval(seconds)
@@ -134,6 +134,7 @@
         if self._hold_s and crowded:
             self._fill(limit / self._hold_s, limit - in_flight, waiting, QUEUE_TARGET * limit)
         self._threshold = self._published()
+        return True
 
     def _fill(
         self, capacity: float, free: int, waiting: Mapping[call.Importance, int], target: float
