Set the limit to what a shedding upstream kept, and not cut it on timeouts

With an upstream that sheds, six rounds of cuts were needed to find its size.

Change: only a shed lowers the limit, to the calls that the upstream kept; steps of growth start at a quarter a round and double until the next shed.

--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -3,25 +3,28 @@
 from bergamotridge.upstreams import outcome
 
 RAMP_SHARE = 0.1
-CUT = 0.85
 GROW_ABOVE = 0.5
+FIRST_STEP = 0.25
+LARGEST_STEP_SHARE = 0.1
 LEAST = 1.0
 
 
 class AdaptiveLimit:
-    """Calls that may run at once: additive increase, multiplicative decrease, under a ceiling.
+    """Calls that may run at once, under a ceiling.
 
     A new upstream starts at a small share of its ceiling and gains one for each call that ends
-    well, so a cold one is filled no faster than it answers. Later a shed or timed-out call cuts
-    the limit, at most once per round of calls, and a full round of good calls adds one. The limit
-    grows only while at least half of it is in use.
+    well, so a cold one is filled no faster than it answers. When the upstream sheds, the limit
+    falls to the calls that it kept. Then it grows by a step in each round of good calls; the step
+    doubles from round to round and starts again at the next shed. The limit grows only while at
+    least half of it is in use.
     """
 
     def __init__(self, ceiling: int) -> None:
         self._ceiling = max(1, ceiling)
         self._value = LEAST
         self._ramping = True
-        self._cut_at = float("-inf")
+        self._step = FIRST_STEP
+        self._good = 0
         self.restart()
 
     @property
@@ -47,26 +50,27 @@
         self._value = max(LEAST, RAMP_SHARE * self._ceiling)
         self._ramping = True
 
-    def finished(self, result: outcome.Outcome, hold_s: float, used: int, now: float) -> None:
+    def finished(self, result: outcome.Outcome, used: int) -> None:
         """Learns how a call ended.
 
         Args:
             result: Its outcome.
-            hold_s: Smoothed time in seconds that a call takes.
             used: Calls that ran until then, this one included.
-            now: Monotonic time in seconds.
         """
-        if result in (outcome.Outcome.SHED, outcome.Outcome.TIMED_OUT):
-            self._cut(hold_s, now)
+        if result is outcome.Outcome.SHED:
+            self._ramping = False
+            self._value = max(LEAST, min(self._value, used - 1.0))
+            self._step = FIRST_STEP
+            self._good = 0
         elif result is outcome.Outcome.OK and used >= GROW_ABOVE * self.value:
-            self._value += 1.0 if self._ramping else 1.0 / self._value
-            if self._value >= self._ceiling:
-                self._value = float(self._ceiling)
-                self._ramping = False
+            self._grow()
 
-    def _cut(self, hold_s: float, now: float) -> None:
-        if now - self._cut_at < hold_s:
-            return
-        self._cut_at = now
-        self._ramping = False
-        self._value = max(LEAST, self._value * CUT)
+    def _grow(self) -> None:
+        self._value += 1.0 if self._ramping else self._step / self._value
+        self._good += 1
+        if self._good >= self._value:
+            self._good = 0
+            self._step = min(2.0 * self._step, max(1.0, LARGEST_STEP_SHARE * self._value))
+        if self._value >= self._ceiling:
+            self._value = float(self._ceiling)
+            self._ramping = False
