Let the ramp of the limit grow with every good call

Cause: a service with little traffic never used half of its limit, so its ramp stood still (payment at 43 of 150 slots after 3 s), and a surge met a low limit that shed critical requests.

--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -15,8 +15,8 @@
     A new upstream starts at a small share of its ceiling and gains one for each call that ends
     well, so a cold one is filled no faster than it answers. When the upstream sheds, the limit
     falls to the calls that it kept. Then it grows by a step in each round of good calls; the step
-    doubles from round to round and starts again at the next shed. The limit grows only while at
-    least half of it is in use.
+    doubles from round to round and starts again at the next shed. After the ramp the limit
+    grows only while at least half of it is in use.
     """
 
     def __init__(self, ceiling: int) -> None:
@@ -62,7 +62,9 @@
             self._value = max(LEAST, min(self._value, used - 1.0))
             self._step = FIRST_STEP
             self._good = 0
-        elif result is outcome.Outcome.OK and used >= GROW_ABOVE * self.value:
+        elif result is outcome.Outcome.OK and (
+            self._ramping or used >= GROW_ABOVE * self.value
+        ):
             self._grow()
 
     def _grow(self) -> None:
