--- /dev/null
+++ b/tests/test_callers/test_shedding.py
@@ -0,0 +1,78 @@
+"""Thresholds at the first node: whole requests, and none that nodes keep alive by themselves."""
+
+import pytest
+
+from bergamotridge import call, errors
+from bergamotridge.callers import shedding
+from bergamotridge.nodes import load
+
+STANDARD, SHEDDABLE = call.Importance.STANDARD, call.Importance.SHEDDABLE
+HALF = load.Threshold((1.0, 1.0, 0.5), {(STANDARD, "greedy"): 0.25})
+SHUT = load.Threshold((1.0, 0.0, 0.0))
+
+
+def admitted(table, services, now=0.0, importance=SHEDDABLE, team=""):
+    kept = set()
+    for number in range(400):
+        try:
+            table.check(f"r{number}", importance, services, now, team)
+        except errors.CallError as error:
+            assert error.retry_after_s > 0
+        else:
+            kept.add(number)
+    return kept
+
+
+def test_all_nodes_and_services_shed_the_same_requests():
+    one, other = shedding.ThresholdTable(), shedding.ThresholdTable()
+    one.observe("depot", HALF, 0.0)
+    other.observe("booking", HALF, 0.0)
+    kept = admitted(one, ["booking", "depot"])
+    assert kept == admitted(other, ["booking", "depot"])
+    assert 150 < len(kept) < 250
+    assert len(admitted(one, ["booking"])) == 400
+    assert len(admitted(one, ["depot"], importance=STANDARD, team="greedy")) < 150
+
+
+def test_a_threshold_that_is_not_refreshed_opens():
+    table = shedding.ThresholdTable()
+    table.observe("depot", SHUT, 0.0)
+    assert not admitted(table, ["depot"])
+    assert 0 < len(admitted(table, ["depot"], shedding.FRESH_S + shedding.DECAY_S / 2)) < 400
+    assert len(admitted(table, ["depot"], shedding.FRESH_S + shedding.DECAY_S)) == 400
+
+
+@pytest.mark.parametrize(("first", "after"), [(SHUT, 400), (load.OPEN, 0)])
+def test_nodes_that_tell_each_other_do_not_keep_an_old_threshold_alive(first, after):
+    one, other = shedding.ThresholdTable(), shedding.ThresholdTable()
+    one.observe("depot", first, 0.0)
+    for step in range(1, 80):
+        now = step * 0.05
+        other.merge(one.encode(["depot"], now), ["depot"], now)
+        one.merge(other.encode(["depot"], now), ["depot"], now)
+    if first is load.OPEN:
+        other.observe("depot", SHUT, 4.0)
+        one.merge(other.encode(["depot"], 4.1), ["depot"], 4.1)
+    assert len(admitted(one, ["depot"], 4.1)) == after
+
+
+def test_one_host_with_room_keeps_the_service_open():
+    table = shedding.ThresholdTable()
+    table.observe("depot", SHUT, 0.0, "cold")
+    table.observe("depot", load.OPEN, 0.0, "warm")
+    assert len(admitted(table, ["depot"])) == 400
+    table.observe("depot", HALF, 0.1, "warm")
+    assert 50 < len(admitted(table, ["depot"], 0.1)) < 150
+
+
+def test_a_malformed_header_is_passed_over():
+    table = shedding.ThresholdTable()
+    table.merge("depot@x@ depot@1@9,9,9 depot booking@5@0,0,0", ["depot"], 1.0)
+    assert len(admitted(table, ["depot", "booking"], 1.0)) == 400
+
+
+def test_encoded_forms_come_back():
+    report = load.LoadReport(1.25, 50, 50, 12, HALF)
+    assert load.LoadReport.decode(report.encode()) == report
+    assert load.LoadReport.decode("1 2 3") is None
+    assert load.LoadReport.decode("a 2 3 4") is None
