--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -62,9 +62,7 @@
             self._value = max(LEAST, min(self._value, used - 1.0))
             self._step = FIRST_STEP
             self._good = 0
-        elif result is outcome.Outcome.OK and (
-            self._ramping or used >= GROW_ABOVE * self.value
-        ):
+        elif result is outcome.Outcome.OK and (self._ramping or used >= GROW_ABOVE * self.value):
             self._grow()
 
     def _grow(self) -> None:
