Divide the demand of a class between teams by slower estimates

Change: quick estimates add up to the class's demand, slow ones divide it, and follow at once a difference of more than 2.5 standard deviations.

--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -1,7 +1,7 @@
 """Works out which share of each class and team a gate can take."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -9,10 +9,12 @@
 from bergamotridge.nodes import load
 
 INTERVAL_S = 0.05
-SMOOTHING = 0.2
+QUICK_SMOOTHING = 0.2
+SLOW_SMOOTHING = 0.03
+CHANCE = 2.5
 GROWTH = 2.0
 FIRST_SHARE = 0.02
-DEMAND_FLOOR = 0.05
+DEMAND_FLOOR = 0.01
 HOLD_SMOOTHING = 0.05
 QUEUE_TARGET = 0.1
 CORRECTION_S = 0.5
@@ -20,26 +22,67 @@
 
 
 @attrs.define
-class _Flow:
-    """Smoothed arrivals of one class and team, and the share that let them through."""
+class _Estimate:
+    """Arrivals per second and the share that let them through, smoothed alike.
 
-    weight: float = 1.0
-    arrivals: int = 0
+    Attributes:
+        smoothing: Weight of the last interval of INTERVAL_S.
+        rate: Smoothed arrivals per second.
+        share: Smoothed share.
+    """
+
+    smoothing: float
     rate: float = 0.0
-    filtered_share: float = 1.0
     share: float = 1.0
 
     @property
     def demand(self) -> float:
         """Calls per second that would arrive if nothing were shed."""
-        return self.rate / max(self.filtered_share, DEMAND_FLOOR)
+        return self.rate / max(self.share, DEMAND_FLOOR)
+
+    @property
+    def noise(self) -> float:
+        """Standard deviation of the demand, if arrivals are independent."""
+        window_s = INTERVAL_S / self.smoothing
+        return math.sqrt(max(self.rate, 1.0) / (2.0 * window_s)) / max(self.share, DEMAND_FLOOR)
+
+    def add(self, rate: float, share: float, seconds: float) -> None:
+        """Takes in what arrived during the last `seconds`."""
+        keep = (1.0 - self.smoothing) ** (seconds / INTERVAL_S)
+        self.rate = keep * self.rate + (1.0 - keep) * rate
+        self.share = keep * self.share + (1.0 - keep) * share
+
+
+@attrs.define
+class _Flow:
+    """Arrivals of one class and team.
+
+    The quick estimates of a class add up to its demand, the slow ones divide it between teams: a
+    team with few calls would otherwise be limited by chance. A slow one follows the quick one at
+    once when they differ by more than chance explains.
+    """
+
+    weight: float = 1.0
+    arrivals: int = 0
+    share: float = 1.0
+    quick: _Estimate = attrs.field(factory=lambda: _Estimate(QUICK_SMOOTHING))
+    slow: _Estimate = attrs.field(factory=lambda: _Estimate(SLOW_SMOOTHING))
 
     def close_interval(self, seconds: float) -> None:
-        """Takes the arrivals of the last `seconds` into the smoothed rate."""
-        keep = (1.0 - SMOOTHING) ** (seconds / INTERVAL_S)
-        self.rate = keep * self.rate + (1.0 - keep) * self.arrivals / seconds
-        self.filtered_share = keep * self.filtered_share + (1.0 - keep) * self.share
+        """Takes the arrivals of the last `seconds` into the estimates."""
+        rate = self.arrivals / seconds
         self.arrivals = 0
+        self.quick.add(rate, self.share, seconds)
+        self.slow.add(rate, self.share, seconds)
+        if abs(self.quick.demand - self.slow.demand) > CHANCE * self.quick.noise:
+            self.slow.rate, self.slow.share = self.quick.rate, self.quick.share
+
+
+def _demands(flows: Sequence[_Flow]) -> list[float]:
+    """Returns the demand of each team of a class, in calls per second."""
+    total = sum(flow.quick.demand for flow in flows)
+    divisor = sum(flow.slow.demand for flow in flows)
+    return [total * flow.slow.demand / divisor if divisor else 0.0 for flow in flows]
 
 
 def fair_level(demands: list[tuple[float, float]], capacity: float) -> float:
@@ -147,11 +190,13 @@
                 continue
             missing = free + target - ahead
             left = max(0.0, capacity + missing / CORRECTION_S - used)
-            level = fair_level([(flow.demand, flow.weight) for flow in flows], left)
-            for flow in flows:
-                aim = min(1.0, flow.weight * level / flow.demand) if flow.demand else 1.0
+            demands = _demands(flows)
+            pairs = [(demand, flow.weight) for demand, flow in zip(demands, flows, strict=True)]
+            level = fair_level(pairs, left)
+            for demand, flow in zip(demands, flows, strict=True):
+                aim = min(1.0, flow.weight * level / demand) if demand else 1.0
                 flow.share = min(aim, max(FIRST_SHARE, GROWTH * flow.share))
-            used += sum(min(flow.demand, flow.weight * level) for flow in flows)
+            used += sum(min(demand, weight * level) for demand, weight in pairs)
 
     def _published(self) -> load.Threshold:
         limited = {key: flow.share for key, flow in self._flows.items() if flow.share < 1.0}
