Replay recorded traces, probe with calls that may be repeated, and test the policy

Found by the tests: an answer that was on its way when an upstream was ejected put it back at once, without probe or slow return (test_a_failing_upstream_is_ejected_probed_alone_and_returns_slowly failed first). A refusal for lack of time by a gate that answers counted as a failure of its upstream, so a slow dependency ejected the services above.

--- a/bench/policy/baseline.py
+++ b/bench/policy/baseline.py
@@ -64,6 +64,7 @@
         candidates: Sequence[record.UpstreamRecord],
         excluded: Collection[str],
         now: float,
+        may_probe: bool = True,
     ) -> record.UpstreamRecord | None:
         """Returns the next upstream, also one that this call has tried."""
         ready = [item for item in candidates if item.state is record.State.READY]
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -215,7 +215,10 @@
         """Sends the call once."""
         now = self._world.loop.now
         chosen = self._origin.chooser.choose(
-            self._world.records(self._service), self._excluded, now
+            self._world.records(self._service),
+            self._excluded,
+            now,
+            self._request.route.repeatable,
         )
         if chosen is None:
             self._finish(False, repeatable=True)
--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -70,6 +70,12 @@
         "Tell why one request was refused, retried or shed.",
         ("REQUEST_ID",),
     ),
+    Command(
+        "replay",
+        "replay",
+        "Replay a recorded trace through the decision modules.",
+        ("TRACE",),
+    ),
     Command("reference", "reference", "Print settings, metrics, events and reasons as Markdown."),
 )
 
--- /dev/null
+++ b/bergamotridge/commands/replay.py
@@ -0,0 +1,19 @@
+"""`bergamotridge replay TRACE`: replays a recorded trace through the decision modules."""
+
+from absl import flags
+
+from bergamotridge.operators import replay, trace
+from bergamotridge.util import texts
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of the command."""
+    flags.DEFINE_integer("seed", 0, "seed of the random choices", flag_values=values)
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Prints what became of the calls, by class and team."""
+    path = arguments[0]
+    events = trace.parse(texts.read_file(path).splitlines(), path)
+    print(replay.table(replay.Replay(values.seed).run(events)), end="")
+    return 0
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -39,6 +39,11 @@
         return self.ejections > 0 and self.ejected_until > float("-inf")
 
 
+def _only_late(result: outcome.Outcome, report: load.LoadReport | None) -> bool:
+    """Tells whether a gate that answers ran out of time, as it does when others are slow."""
+    return result is outcome.Outcome.TIMED_OUT and report is not None
+
+
 class Chooser:
     """Chooses among the upstreams of a service; thread-safe.
 
@@ -67,6 +72,7 @@
         candidates: Sequence[record.UpstreamRecord],
         excluded: Collection[str],
         now: float,
+        may_probe: bool = True,
     ) -> record.UpstreamRecord | None:
         """Returns the upstream to call, or None if there is none.
 
@@ -74,6 +80,8 @@
             candidates: Records of the service's upstreams.
             excluded: Hosts that this call has tried.
             now: Monotonic time in seconds.
+            may_probe: False if the call may not be repeated elsewhere should it fail; it probes
+                an ejected upstream only if no other call does for `LONGEST_EJECTION_S`.
         """
         ready = [
             item
@@ -81,7 +89,7 @@
             if item.state is record.State.READY and item.host not in excluded
         ]
         with self._lock:
-            chosen = self._probe(ready, now) or self._pick(ready, now)
+            chosen = self._probe(ready, now, may_probe) or self._pick(ready, now)
             if chosen is not None:
                 self._health(chosen.host).sent += 1
             return chosen
@@ -107,7 +115,7 @@
             health = self._health(host)
             if report is not None:
                 health.load, health.load_at, health.sent = report.load, now, 0
-            if result in FAILURES:
+            if result in FAILURES and not _only_late(result, report):
                 self._failed(health, now)
             elif result is outcome.Outcome.CANCELLED:
                 health.probing = False
@@ -130,7 +138,9 @@
             health.probing = False
 
     def _answered(self, health: _Health, now: float) -> None:
-        if health.ejected and health.probing:
+        if health.ejected and not health.probing:
+            return
+        if health.probing:
             health.ejected_until = float("-inf")
             health.returned_at = now
         if now - health.returned_at > RETURN_S:
@@ -139,11 +149,13 @@
         health.failures = 0
 
     def _probe(
-        self, ready: Sequence[record.UpstreamRecord], now: float
+        self, ready: Sequence[record.UpstreamRecord], now: float, may_probe: bool
     ) -> record.UpstreamRecord | None:
+        waited_s = 0.0 if may_probe else LONGEST_EJECTION_S
         for item in ready:
             health = self._health(item.host)
-            if health.ejected and not health.probing and now >= health.ejected_until:
+            due = now >= health.ejected_until + waited_s
+            if health.ejected and not health.probing and due:
                 health.probing = True
                 return item
         return None
