--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -128,7 +128,7 @@
         self._in_flight -= 1
         if result not in (outcome.Outcome.SHED, outcome.Outcome.REFUSED):
             self._controller.held(now - entry.started_at)
-        self._limit.finished(result, used)
+        self._limit.finished(result, used, self._controller.hold_s, now)
         self._advance(now)
 
     def report(self, now: float) -> load.LoadReport:
--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -6,6 +6,8 @@
 GROW_ABOVE = 0.5
 FIRST_STEP = 0.25
 LARGEST_STEP_SHARE = 0.1
+LARGEST_CUT = 0.5
+LEAST_ROUND_S = 0.05
 LEAST = 1.0
 
 
@@ -14,9 +16,9 @@
 
     A new upstream starts at a small share of its ceiling and gains one for each call that ends
     well, so a cold one is filled no faster than it answers. When the upstream sheds, the limit
-    falls to the calls that it kept. Then it grows by a step in each round of good calls; the step
-    doubles from round to round and starts again at the next shed. After the ramp the limit
-    grows only while at least half of it is in use.
+    falls to the calls that it kept, but no more than by half in the time of a call. Then it grows
+    by a step in each round of good calls; the step doubles from round to round and starts again
+    at the next shed. After the ramp the limit grows only while at least half of it is in use.
     """
 
     def __init__(self, ceiling: int) -> None:
@@ -25,6 +27,8 @@
         self._ramping = True
         self._step = FIRST_STEP
         self._good = 0
+        self._floor = LEAST
+        self._cut_at = float("-inf")
         self.restart()
 
     @property
@@ -50,21 +54,29 @@
         self._value = max(LEAST, RAMP_SHARE * self._ceiling)
         self._ramping = True
 
-    def finished(self, result: outcome.Outcome, used: int) -> None:
+    def finished(self, result: outcome.Outcome, used: int, hold_s: float, now: float) -> None:
         """Learns how a call ended.
 
         Args:
             result: Its outcome.
             used: Calls that ran until then, this one included.
+            hold_s: Time in seconds that a call takes.
+            now: Monotonic time in seconds.
         """
         if result is outcome.Outcome.SHED:
-            self._ramping = False
-            self._value = max(LEAST, min(self._value, used - 1.0))
-            self._step = FIRST_STEP
-            self._good = 0
+            self._cut(used - 1.0, hold_s, now)
         elif result is outcome.Outcome.OK and (self._ramping or used >= GROW_ABOVE * self.value):
             self._grow()
 
+    def _cut(self, kept: float, hold_s: float, now: float) -> None:
+        if now - self._cut_at >= max(hold_s, LEAST_ROUND_S):
+            self._cut_at = now
+            self._floor = max(LEAST, LARGEST_CUT * self._value)
+        self._value = max(self._floor, min(self._value, kept))
+        self._ramping = False
+        self._step = FIRST_STEP
+        self._good = 0
+
     def _grow(self) -> None:
         self._value += 1.0 if self._ramping else self._step / self._value
         self._good += 1
