Lower the limit only by an upstream's own word, and name the host of a threshold

Cause: an upstream that answers 503 because a dependency refused it counted as shedding itself, so an overloaded deep service would have taken down the limits above it.

--- a/bergamotridge/nodes/below.py
+++ b/bergamotridge/nodes/below.py
@@ -9,8 +9,8 @@
 class ThresholdTable(Protocol):
     """Knows the latest thresholds by service."""
 
-    def observe(self, service: str, observed: load.Threshold, now: float) -> None:
-        """Takes over the threshold of a service."""
+    def observe(self, service: str, observed: load.Threshold, now: float, host: str) -> None:
+        """Takes over the threshold of a service on a host."""
 
     def encode(self, services: Collection[str], now: float) -> str:
         """Returns the thresholds of services, for a header."""
@@ -36,7 +36,7 @@
         """Returns the thresholds below `service` for the answer of a call to it."""
         return self._table.encode(self._below(service), now)
 
-    def learn(self, service: str, own: load.Threshold, told: str, now: float) -> None:
-        """Takes over the threshold of `service` and those that its answer told of."""
-        self._table.observe(service, own, now)
+    def learn(self, service: str, host: str, own: load.Threshold, told: str, now: float) -> None:
+        """Takes over the threshold of `service` on `host` and those that its answer told of."""
+        self._table.observe(service, own, now, host)
         self._table.merge(told, self._below(service), now)
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -70,7 +70,8 @@
         last: answer.Answer | None = None
         while True:
             now = time.monotonic()
-            target = self._chooser.choose(self._known.candidates(outgoing.service), excluded, now)
+            known = self._known.candidates(outgoing.service)
+            target = self._chooser.choose(known, excluded, now, outgoing.context.repeatable)
             if target is None:
                 return last or answer.refuse(_no_upstream(outgoing.service))
             if last is None:
@@ -131,7 +132,8 @@
         ended = _OUTCOMES.get(given.reason, outcome.Outcome.FAILED)
         self._chooser.report(target.host, ended, given.report, latency_s, now)
         if given.report is not None:
-            self._below.learn(service, given.report.threshold, given.thresholds, now)
+            threshold = given.report.threshold
+            self._below.learn(service, target.host, threshold, given.thresholds, now)
 
     def _may_retry(
         self,
--- a/bergamotridge/upstreams/local.py
+++ b/bergamotridge/upstreams/local.py
@@ -129,7 +129,10 @@
     if response.status == SHED_STATUS:
         vouched = verdict.parse((response.header(answer.VERDICT_HEADER) or b"").decode("latin-1"))
         response.headers = headers.for_caller(response.headers)
-        return answer.Answer(response, vouched, "upstream-shed", unused), outcome.Outcome.SHED
+        # Without its word the upstream may only pass on what a dependency refused.
+        own = vouched is verdict.Verdict.NOT_RUN
+        ended = outcome.Outcome.SHED if own else outcome.Outcome.CANCELLED
+        return answer.Answer(response, vouched, "upstream-shed", unused), ended
     response.headers = headers.for_caller(response.headers)
     ended = outcome.Outcome.FAILED if response.status >= SERVER_ERROR else outcome.Outcome.OK
     return answer.Answer(response, verdict.Verdict.RUN, "", unused), ended
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -36,7 +36,7 @@
     def candidates(self, service):
         return [make_record(host) for host in HOSTS]
 
-    def choose(self, candidates, excluded, now):
+    def choose(self, candidates, excluded, now, may_probe):
         return next((item for item in candidates if item.host not in excluded), None)
 
     def report(self, *_) -> None:
