Begin the ramp of the limit at three tenths of the ceiling

Cause: after a start of all upstreams the limits of services with little traffic were still low two seconds later, and a surge of five times the capacity had critical requests shed by cancellation and payment.

--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -2,7 +2,7 @@
 
 from bergamotridge.upstreams import outcome
 
-RAMP_SHARE = 0.1
+RAMP_SHARE = 0.3
 GROW_ABOVE = 0.5
 FIRST_STEP = 0.25
 LARGEST_STEP_SHARE = 0.1
@@ -14,7 +14,7 @@
 class AdaptiveLimit:
     """Calls that may run at once, under a ceiling.
 
-    A new upstream starts at a small share of its ceiling and gains one for each call that ends
+    A new upstream starts at a share of its ceiling and gains one for each call that ends
     well, so a cold one is filled no faster than it answers. When the upstream sheds, the limit
     falls to the calls that it kept, but no more than by half in the time of a call. Then it grows
     by a step in each round of good calls; the step doubles from round to round and starts again
