--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -190,7 +190,9 @@
     def _two_choices(
         self, items: Sequence[record.UpstreamRecord], now: float
     ) -> record.UpstreamRecord:
-        pair = self._rng.sample(items, min(2, len(items)))
+        if len(items) == 1:
+            return items[0]
+        pair = self._rng.sample(items, 2)
         return min(pair, key=lambda item: self._load(item, now))
 
     def _load(self, item: record.UpstreamRecord, now: float) -> float:
