Draw a sample of one upstream again

Cause: test_trace_ends_as_stated[lying-upstream] failed on: without the draw the sequence of random choices shifts, and the replayed trace ends with one call more shed and one less finished.

--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -190,9 +190,7 @@
     def _two_choices(
         self, items: Sequence[record.UpstreamRecord], now: float
     ) -> record.UpstreamRecord:
-        if len(items) == 1:
-            return items[0]
-        pair = self._rng.sample(items, 2)
+        pair = self._rng.sample(items, min(2, len(items)))
         return min(pair, key=lambda item: self._load(item, now))
 
     def _load(self, item: record.UpstreamRecord, now: float) -> float:
