--- a/bench/control_node.py
+++ b/bench/control_node.py
@@ -12,7 +12,7 @@
 
 from bergamotridge.callers import keys
 from bergamotridge.nodes import control, exchange, gossip, membership, peers, record
-from bergamotridge.platform import configuration
+from bergamotridge.store import configuration
 
 SECRET = "fleet-secret"
 FAILURE_DOMAINS = 8
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -14,7 +14,7 @@
 from bench import control_node, counting_relay, platform_load
 from bergamotridge.callers import keys
 from bergamotridge.nodes import control, gossip_pb2, gossip_pb2_grpc
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 COST_PROCESSES = 10
 COST_RECORDS = (20, 80, 160, 315, 630)
--- a/bench/platform_load.py
+++ b/bench/platform_load.py
@@ -13,7 +13,7 @@
 from bergamotridge import errors
 from bergamotridge.callers import keys
 from bergamotridge.nodes import bootstrap, duty, record
-from bergamotridge.platform import apply, client, configuration, watch
+from bergamotridge.store import apply, client, configuration, watch
 from standins import platform
 
 PROCESSES = 7
--- a/bench/quota_herd.py
+++ b/bench/quota_herd.py
@@ -9,7 +9,7 @@
 from bench import quota_refusals
 from bergamotridge.callers import quota_rates
 from bergamotridge.operators import text
-from bergamotridge.platform import holding
+from bergamotridge.store import holding
 from tests import quota_fleet
 
 TEAMS = 8
--- a/bench/quota_refusals.py
+++ b/bench/quota_refusals.py
@@ -13,7 +13,7 @@
 
 from bergamotridge.callers import bucket, quota_rates
 from bergamotridge.operators import text
-from bergamotridge.platform import holding
+from bergamotridge.store import holding
 from tests import quota_fleet
 
 DOMAINS = 4
--- a/bench/quota_slopes.py
+++ b/bench/quota_slopes.py
@@ -17,7 +17,7 @@
 from bergamotridge.callers import quota_rates
 from bergamotridge.nodes import control, quota, quota_pb2, record
 from bergamotridge.operators import text
-from bergamotridge.platform import holding
+from bergamotridge.store import holding
 from standins import store
 from tests import fake_objects
 
--- a/bergamotridge/answer.py
+++ b/bergamotridge/answer.py
@@ -23,6 +23,7 @@
         report: Load report of the node beside the upstream, None if there is none.
         thresholds: Thresholds of the services below, in the form of `ThresholdTable.encode`.
         stamp: Hybrid logical time of the answer, encoded, or "".
+        retry_after_s: Seconds after which the caller may try again, None if not given.
     """
 
     response: message.Response
@@ -32,6 +33,7 @@
     report: load.LoadReport | None = None
     thresholds: str = ""
     stamp: str = ""
+    retry_after_s: float | None = None
 
 
 def refuse(error: errors.CallError, unused: int = 0) -> Answer:
@@ -44,7 +46,7 @@
         headers.append((b"retry-after", b"%d" % max(1, math.ceil(error.retry_after_s))))
     body = f"{error}\n".encode()
     response = message.Response(error.status, headers, body)
-    return Answer(response, error.verdict, error.reason, unused)
+    return Answer(response, error.verdict, error.reason, unused, retry_after_s=error.retry_after_s)
 
 
 def refusal(status: int, text: str, reason: str) -> message.Response:
--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -10,8 +10,16 @@
 
 import logbook
 
-from bergamotridge import answer, errors, events, logs, metrics, settings
-from bergamotridge.callers import claims, keys, once, quota_rates, shedding, withdrawals
+from bergamotridge import answer, environment, errors, events, logs, metrics, settings
+from bergamotridge.callers import (
+    claims,
+    keys,
+    once,
+    quota_rates,
+    shedding,
+    text_keys,
+    withdrawals,
+)
 from bergamotridge.callers import port as callers_port
 from bergamotridge.nodes import (
     below,
@@ -31,17 +39,16 @@
     relay,
     routing,
 )
-from bergamotridge.operators import node_metrics, node_status, pages
+from bergamotridge.operators import health, node_metrics, node_status, pages
 from bergamotridge.operators import port as operators_port
-from bergamotridge.platform import client, configuration, watch
-from bergamotridge.upstreams import gate, live, local
+from bergamotridge.store import configuration, watch
+from bergamotridge.upstreams import announcement, gate, live, local
 from bergamotridge.upstreams import port as upstreams_port
 from bergamotridge.util import http_client, httpd
 
 SWITCH_INTERVAL_S = 0.0005
 GC_ALLOCATIONS = 20_000
 CONTROL_GRACE_S = 0.5
-DRAIN_NOTICE_S = 1.5
 PLACES_ON_DUTY = 3
 WITHDRAWAL_INTERVAL_S = 1.0
 
@@ -55,14 +62,21 @@
     stop it beside its neighbours.
     """
 
-    def __init__(self, node: settings.NodeSettings, incarnation: int) -> None:
+    def __init__(
+        self,
+        node: settings.NodeSettings,
+        incarnation: int,
+        surroundings: environment.Environment | None = None,
+    ) -> None:
         """Makes all parts and opens no port yet.
 
         Args:
             node: Checked settings.
             incarnation: Start time of the process in milliseconds.
+            surroundings: What differs from the product's own surroundings.
         """
         self.settings = node
+        self.environment = surroundings or environment.Environment()
         self.incarnation = incarnation
         self.events = events.EventLog(node.host, incarnation, node.failure_domain)
         self._rng = random.Random()
@@ -75,18 +89,20 @@
 
     def _make_platform(self) -> None:
         node = self.settings
-        self.objects = client.ObjectClient(node.platform.address, node.platform.timeout_s)
+        self.objects = self.environment.store(node)
         self.routes = routing.CurrentRoutes()
-        self.configuration = configuration.ConfigurationStore()
+        self.configuration = configuration.ConfigurationStore(self.environment.parse)
         self.configuration.listen(self._configured)
         self.keys = keys.KeyRing(node.fleet_secret)
 
     def _make_upstream(self) -> None:
         limits = self.settings.limits
-        self.pools = http_client.Pools(limits.body_bytes)
+        self.pools = http_client.Pools(limits.body_bytes, self.environment.close_delimited)
         self.gate = gate.Gate(1, limits.queue)
         self.live = live.LiveCalls()
-        self.upstream = local.LocalUpstream(self.gate, self.live, self.pools)
+        self.upstream = local.LocalUpstream(
+            self.gate, self.live, self.pools, self.environment.upstreams
+        )
 
     def _make_nodes(self) -> None:
         node = self.settings
@@ -96,7 +112,7 @@
             version=1,
             failure_domain=node.failure_domain,
             region=node.region,
-            service="",
+            service=self.environment.service,
             state=record.State.STARTING,
             slots=0,
             load=0.0,
@@ -104,10 +120,13 @@
             control_address=node.addresses.control_for_nodes,
             operators_address=node.addresses.operators,
         )
-        self.members = membership.Membership(own, membership.Timings())
+        self.members = membership.Membership(
+            own, membership.Timings(heartbeat_s=node.limits.heartbeat_s)
+        )
         self.members.listen(self._member_changed)
         self.channels = control.ChannelPool(node.fleet_secret)
-        replicas = (self.configuration, self.keys)
+        in_text = self.environment.keys_in_text
+        replicas = (self.configuration,) if in_text else (self.configuration, self.keys)
         chooser = peers.PeerChooser(self.members, node.peers.first, self._rng)
         session = self._rng.getrandbits(63) | 1
         self.gossip = gossip.Gossip(
@@ -134,10 +153,13 @@
                 bootstrap.BootstrapTimings(),
                 self._rng,
             ),
-            withdrawals.WithdrawalWriter(
-                self.objects, self.keys, WITHDRAWAL_INTERVAL_S, self._rng, on_duty.holds
-            ),
         ]
+        if not in_text:
+            self.platform_tasks.append(
+                withdrawals.WithdrawalWriter(
+                    self.objects, self.keys, WITHDRAWAL_INTERVAL_S, self._rng, on_duty.holds
+                )
+            )
         self.thresholds = shedding.ThresholdTable()
         self.below = below.Below(self.thresholds, self.routes.below)
         self.relay_client = relay.RelayClient(
@@ -149,7 +171,7 @@
             self.relay_client,
             self.members,
             choice.Chooser(node.host, node.failure_domain, node.region, self._rng),
-            budget.RetryBudget(),
+            budget.RetryBudget(node.retries.ratio, node.retries.depth),
             self.below,
             self.events,
         )
@@ -175,7 +197,9 @@
         )
         self.callers = callers_port.CallerPort(
             routes=self.routes,
-            key_ring=self.keys,
+            key_ring=(
+                text_keys.TextKeys(self.routes) if self.environment.keys_in_text else self.keys
+            ),
             team_rates=self.rates,
             thresholds=self.thresholds,
             once=self.once,
@@ -183,6 +207,8 @@
             log=self.events,
             retries=node.limits.retries,
             count=self._count_answer,
+            speech=self.environment.callers,
+            origin=self.environment.service,
         )
         upstream_port = upstreams_port.UpstreamPort(
             self.live, self.dispatcher, self._announced, self.routes, self.events
@@ -196,8 +222,9 @@
         )
         make = functools.partial(self._server, node.limits.body_bytes)
         limits, addresses = node.limits, node.addresses
+        from_upstream = self.environment.upstream_port(upstream_port.handle, self._announced)
         self.upstream_server = make(
-            "upstream", addresses.upstream, upstream_port.handle, limits.upstream_connections
+            "upstream", addresses.upstream, from_upstream, limits.upstream_connections
         )
         self.relay_server = make(
             "relay", addresses.relay, relay_port.handle, limits.relay_connections
@@ -205,6 +232,11 @@
         self.caller_server = make(
             "callers", addresses.callers, self.callers.handle, limits.caller_connections
         )
+        self.ready_server = None
+        if addresses.ready:
+            self.ready_server = make(
+                "ready", addresses.ready, health.handler(self.ready), health.CONNECTIONS
+            )
 
     def _server(
         self, body_bytes: int, name: str, address: str, handler: httpd.Handler, connections: int
@@ -242,6 +274,10 @@
             ),
         )
 
+    def ready(self) -> bool:
+        """Returns True while this node should get new calls."""
+        return self.routes.configured and not self._stopping
+
     def start(self) -> None:
         """Opens all ports and starts all tasks.
 
@@ -259,6 +295,7 @@
                 self.upstream_server,
                 self.caller_server,
                 self.operator_port,
+                *([self.ready_server] if self.ready_server else []),
             ):
                 part.start()
                 started.append(part)
@@ -283,8 +320,11 @@
         limit = time.monotonic() + drain_s
         self.members.leave(time.monotonic())
         self.gate.drain()
-        # Other nodes learn of the leave while this one still answers them.
-        time.sleep(min(DRAIN_NOTICE_S, drain_s))
+        # Other nodes and load balancers learn of the leave while this one still answers.
+        self.caller_server.close_after_answers()
+        self.relay_server.close_after_answers()
+        self.gossip.nudge()
+        time.sleep(min(self.settings.limits.notice_s, drain_s))
         self.caller_server.stop(max(0.0, limit - time.monotonic()))
         self.relay_server.stop(max(0.0, limit - time.monotonic()))
         self.upstream_server.stop(max(0.0, limit - time.monotonic()))
@@ -296,6 +336,8 @@
         self.channels.close()
         self.objects.close()
         self.operator_port.stop()
+        if self.ready_server is not None:
+            self.ready_server.stop(0)
         self.pools.close()
 
     def _configured(self, accepted: configuration.Configuration) -> None:
@@ -311,19 +353,14 @@
         if service is not None:
             self.gate.configure(service.slots, service.connections)
 
-    def _announced(self, announcement: local.Announcement, now: float) -> None:
-        first = self.upstream.service != announcement.service
-        self.upstream.announce(announcement, now)
+    def _announced(self, heard: announcement.Announcement, now: float) -> None:
+        first = self.upstream.service != heard.service
+        if not self.upstream.announce(heard, now):
+            return
         if first:
             self._size_gate()
         if not self._stopping:
-            self.members.announce(
-                announcement.service,
-                announcement.state,
-                announcement.slots,
-                announcement.load,
-                now,
-            )
+            self.members.announce(heard.service, heard.state, heard.slots, heard.load, now)
 
     def _member_changed(self, changed: record.UpstreamRecord, change: membership.Change) -> None:
         self.events.emit(
@@ -347,7 +384,7 @@
         )
 
 
-def run(node: settings.NodeSettings) -> int:
+def run(node: settings.NodeSettings, surroundings: environment.Environment | None = None) -> int:
     """Runs a node until SIGTERM or SIGINT and returns the exit code of the process."""
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
@@ -355,7 +392,7 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    application = Application(node, incarnation)
+    application = Application(node, incarnation, surroundings)
     application.events.listen(logs.EventWriter())
     application.start()
     # What stands after the start stays, so the collector need not look at it again and again.
--- a/bergamotridge/call.py
+++ b/bergamotridge/call.py
@@ -33,6 +33,8 @@
         depth: Calls above this one in the request's tree.
         repeatable: True if running this call twice does no harm.
         weight: Share of the team against other teams.
+        virtual_host: Host that the caller addressed, "" if routes do not depend on it.
+        origin: Service of the host at which the call entered the fleet, "" if unknown.
     """
 
     request_id: str
@@ -42,6 +44,8 @@
     depth: int
     repeatable: bool
     weight: float = 1.0
+    virtual_host: str = ""
+    origin: str = ""
 
     def time_left(self, now: float) -> float:
         """Returns the seconds until the deadline, negative once it has passed."""
--- a/bergamotridge/callers/claims.py
+++ b/bergamotridge/callers/claims.py
@@ -17,8 +17,8 @@
 
 from bergamotridge import errors, verdict
 from bergamotridge.callers import answers, bucket, idempotency
-from bergamotridge.platform import claims as platform_claims
-from bergamotridge.platform import objects
+from bergamotridge.store import claims as platform_claims
+from bergamotridge.store import objects
 
 CLAIMS_PER_S = 5.0
 BURST_S = 4.0
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 KIND = "keys"
 SCHEME = "bearer"
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -1,6 +1,6 @@
 """The HTTP port for callers: each call is admitted here, once, for the whole fleet."""
 
-import os
+import random
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -8,16 +8,13 @@
 import attrs
 
 from bergamotridge import answer, call, errors, events, headers, verdict
-from bergamotridge.callers import keys, once, rates, shedding
+from bergamotridge.callers import dialect, keys, once, rates, shedding
 from bergamotridge.nodes import dispatch, routing
 from bergamotridge.operators import text
 from bergamotridge.util import cancellation, message
 
-REQUEST_ID_HEADER = call.REQUEST_ID_HEADER.lower().encode()
-TIMEOUT_HEADER = call.TIMEOUT_HEADER.lower().encode()
 IDEMPOTENCY_HEADER = b"idempotency-key"
 ISSUE_PATH = b"/_bergamotridge/idempotency-key"
-REQUEST_ID_BYTES = 16
 
 
 class Routes(Protocol):
@@ -27,11 +24,19 @@
         """Returns the table; raises CallError 503 before the first configuration."""
 
 
+class KeyRing(Protocol):
+    """Knows the keys of teams."""
+
+    def check(self, authorization: str | None, now: float) -> keys.Key:
+        """Returns the key in an Authorization header; raises CallError 401."""
+
+
 @attrs.frozen
 class Admitted:
-    """A call that has been let in at the monotonic time `at`."""
+    """A call that has been let in at the monotonic time `at` and goes to `service`."""
 
     target: routing.Target
+    service: str
     context: call.CallContext
     at: float
 
@@ -76,7 +81,7 @@
     """
 
     routes: Routes
-    key_ring: keys.KeyRing
+    key_ring: KeyRing
     team_rates: rates.TeamRates
     thresholds: shedding.ThresholdTable
     once: once.OnceDispatcher
@@ -84,23 +89,21 @@
     log: events.EventLog
     retries: int
     count: Callable[[Seen], None]
+    speech: dialect.CallerDialect = attrs.field(factory=dialect.OwnDialect)
+    origin: str = ""
+    rng: random.Random = attrs.field(factory=random.Random)
 
     def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one call; a handler for `httpd.Server`."""
         started = time.monotonic()
-        progress = _Progress(os.urandom(REQUEST_ID_BYTES).hex())
+        progress = _Progress(self.speech.request_id(request))
         try:
             given = self._answer(progress, request, token)
         except errors.CallError as error:
             progress.refusal = str(error)
             given = answer.refuse(error)
         self._tell(progress, request, given, time.monotonic() - started)
-        fields = [
-            *given.response.headers,
-            (REQUEST_ID_HEADER, progress.request_id.encode()),
-            (answer.VERDICT_HEADER, given.verdict.value.encode()),
-        ]
-        return message.Response(given.response.status, fields, given.response.body)
+        return self.speech.response(given, progress.request_id)
 
     def _tell(
         self, progress: _Progress, request: message.Request, given: answer.Answer, seconds: float
@@ -158,27 +161,44 @@
     def _admit(self, progress: _Progress, request: message.Request) -> Admitted:
         now = time.monotonic()
         table = self.routes.routes()
-        target = table.match(request.method.decode("latin-1"), request.path)
+        host = (request.header(b"host") or b"").decode("latin-1")
+        target = table.match(request.method.decode("latin-1"), request.path, host)
         route = target.route
-        progress.service = route.service
-        progress.importance = route.importance.name.lower()
+        progress.service = service = self._service(route)
         progress.claims = not route.repeatable and request.header(IDEMPOTENCY_HEADER) is not None
         team = progress.team = self._team(route, request, now)
-        deadline = now + _time_limit(route, request)
-        self.thresholds.check(progress.request_id, route.importance, target.services, now, team)
+        declared = table.text.teams.get(team)
+        importance = route.importance
+        if declared is not None and declared.importance is not None:
+            importance = declared.importance
+        progress.importance = importance.name.lower()
+        deadline = now + self._time_limit(route, request)
+        self.thresholds.check(progress.request_id, importance, target.services, now, team)
         if team:
             self.team_rates.take(team, now)
-        declared = table.text.teams.get(team)
         context = call.CallContext(
             request_id=progress.request_id,
             team=team,
-            importance=route.importance,
+            importance=importance,
             deadline=deadline,
             depth=0,
             repeatable=route.repeatable,
             weight=declared.weight if declared else 1.0,
+            virtual_host=host,
+            origin=self.origin,
         )
-        return Admitted(target, context, now)
+        return Admitted(target, service, context, now)
+
+    def _service(self, route: text.Route) -> str:
+        if not route.shares:
+            return route.service
+        weights = [share.weight for share in route.shares]
+        return self.rng.choices(route.services, weights)[0]
+
+    def _time_limit(self, route: text.Route, request: message.Request) -> float:
+        """Returns the seconds a call may take: the route's timeout, or less if the caller asks."""
+        given_s = self.speech.time_left_s(request)
+        return route.timeout_s if given_s is None else min(route.timeout_s, given_s)
 
     def _team(self, route: text.Route, request: message.Request, now: float) -> str:
         if route.open:
@@ -192,25 +212,10 @@
         fields = headers.for_upstream(request.headers)
         clean = message.Request(request.method, request.target, fields, request.body)
         route = admitted.target.route
-        outgoing = dispatch.Outgoing(route.service, admitted.context, clean)
-        allowance = call.Allowance(self.retries)
+        outgoing = dispatch.Outgoing(admitted.service, admitted.context, clean)
+        allowance = call.Allowance(route.attempts - 1 if route.attempts else self.retries)
         idempotency_key = request.header(IDEMPOTENCY_HEADER)
         if idempotency_key is None or route.repeatable:
             return self.dispatcher.send(outgoing, allowance, token)
         claimed = once.ClaimedCall(idempotency_key.decode("latin-1"), route.name, outgoing)
         return self.once.send(claimed, allowance, token)
-
-
-def _time_limit(route: text.Route, request: message.Request) -> float:
-    """Returns the seconds a call may take: the route's timeout, or less if the caller asks."""
-    given = request.header(TIMEOUT_HEADER)
-    if given is None:
-        return route.timeout_s
-    if not given.isdigit() or int(given) == 0:
-        raise errors.CallError(
-            f"header '{call.TIMEOUT_HEADER}' is {given.decode('latin-1')!r}; "
-            f"accepted: a whole number of milliseconds above zero",
-            status=400,
-            reason="timeout",
-        )
-    return min(route.timeout_s, int(given) / 1000)
--- a/bergamotridge/callers/quota_drawer.py
+++ b/bergamotridge/callers/quota_drawer.py
@@ -8,7 +8,7 @@
 from bergamotridge.callers import prepaid
 from bergamotridge.nodes import holders, quota_pb2, record
 from bergamotridge.operators import text
-from bergamotridge.platform import holding
+from bergamotridge.store import holding
 
 MILLIS_PER_S = 1000
 UNREACHABLE_RETRY_S = 1.0
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -10,7 +10,7 @@
 from bergamotridge.callers import lending
 from bergamotridge.nodes import quota_pb2
 from bergamotridge.operators import text
-from bergamotridge.platform import holding, objects, quota
+from bergamotridge.store import holding, objects, quota
 
 CONFLICT_ATTEMPTS = 4
 MILLIS_PER_S = 1000
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -15,7 +15,7 @@
 from bergamotridge.callers import quota_drawer, quota_holder, rates
 from bergamotridge.nodes import holders, quota, quota_pb2, record
 from bergamotridge.operators import text
-from bergamotridge.platform import holding, objects
+from bergamotridge.store import holding, objects
 
 DRAW_THREADS = 4
 LONGEST_BACKOFF_S = 30.0
--- a/bergamotridge/callers/withdrawals.py
+++ b/bergamotridge/callers/withdrawals.py
@@ -10,7 +10,7 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 _log = logbook.Logger(__name__)
 
--- a/bergamotridge/commands/apply.py
+++ b/bergamotridge/commands/apply.py
@@ -8,7 +8,7 @@
 from bergamotridge import errors
 from bergamotridge.commands import objects
 from bergamotridge.operators import text
-from bergamotridge.platform import apply, client, configuration
+from bergamotridge.store import apply, client, configuration
 from bergamotridge.util import texts
 
 LATEST = -1
--- a/bergamotridge/commands/keys_grant.py
+++ b/bergamotridge/commands/keys_grant.py
@@ -5,7 +5,7 @@
 from bergamotridge import errors
 from bergamotridge.callers import keys
 from bergamotridge.commands import objects, secret
-from bergamotridge.platform import client
+from bergamotridge.store import client
 from bergamotridge.util import suggestion
 
 
--- a/bergamotridge/commands/objects.py
+++ b/bergamotridge/commands/objects.py
@@ -3,7 +3,7 @@
 from absl import flags
 
 from bergamotridge import errors
-from bergamotridge.platform import client, configuration
+from bergamotridge.store import client, configuration
 
 DEFAULT_TIMEOUT_S = 3.0
 _HELP = "address of the platform's object API (IP:PORT)"
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -10,7 +10,7 @@
 
 from bergamotridge import errors
 from bergamotridge.nodes import duty, membership
-from bergamotridge.platform import client
+from bergamotridge.store import client
 from bergamotridge.util import backoff
 
 KIND = "nodes"
@@ -25,12 +25,14 @@
 
     Attributes:
         check_s: Mean seconds between two looks at the membership.
+        alone_s: The same while no other node is known.
         stable_s: Seconds that a rank must last before the platform is told.
         backoff_base_s: Bound of the first delay after a failure in seconds.
         backoff_cap_s: Highest bound of the delay in seconds.
     """
 
     check_s: float = 5.0
+    alone_s: float = 1.0
     stable_s: float = 60.0
     backoff_base_s: float = 0.5
     backoff_cap_s: float = 4.0
@@ -70,6 +72,7 @@
         self._rng = rng
         self._backoff = backoff.Backoff(timings.backoff_base_s, timings.backoff_cap_s, rng)
         self._written: str | None = None
+        self._added = False
         self._stopping = threading.Event()
         self._executor = futures.ThreadPoolExecutor(1, "bootstrap")
 
@@ -92,7 +95,9 @@
                 place = current
                 self._step(place if stable_s >= self._timings.stable_s else None)
                 self._backoff.reset()
-                delay_s = self._rng.uniform(0.5, 1.5) * self._timings.check_s
+                alone = len(self._members.members()) == 1
+                mean_s = self._timings.alone_s if alone else self._timings.check_s
+                delay_s = self._rng.uniform(0.5, 1.5) * mean_s
             except errors.PlatformError as error:
                 _log.debug("first addresses: {}", error)
                 delay_s = self._backoff.next_delay_s()
@@ -102,12 +107,22 @@
 
     def _step(self, place: str | None) -> None:
         if len(self._members.members()) == 1:
-            self._found(self._read())
+            self._find()
         if place != self._written:
             if place is not None:
                 self._write(place)
             self._written = place
 
+    def _find(self) -> None:
+        """Reads the addresses of others; a node that has found nobody adds its own.
+
+        Hosts that boot together all do so, and whoever reads last knows all of them.
+        """
+        if not self._added:
+            self._write(self._members.own.host)
+            self._added = True
+        self._found(self._read())
+
     def _place(self) -> str | None:
         place = self._duty.place()
         return None if place is None else f"{self._members.own.failure_domain}.{place}"
--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -59,6 +59,8 @@
         context.depth,
         context.repeatable,
         context.weight,
+        context.virtual_host,
+        context.origin,
         relayed.retries,
         relayed.stamp,
         relayed.claim,
@@ -75,7 +77,7 @@
         given, service, request_id, team, importance, left, depth, repeatable, *rest = orjson.loads(
             value
         )
-        weight, retries, stamp, claim, route = rest
+        weight, virtual_host, origin, retries, stamp, claim, route = rest
         importance = call.Importance(importance)
         deadline = now + float(left)
         known = hmac.compare_digest(given.encode(), token.encode())
@@ -84,7 +86,15 @@
     if not known:
         raise ContextError("the context header does not carry this fleet's token")
     context = call.CallContext(
-        request_id, team, importance, deadline, depth, bool(repeatable), float(weight)
+        request_id,
+        team,
+        importance,
+        deadline,
+        depth,
+        bool(repeatable),
+        float(weight),
+        virtual_host,
+        origin,
     )
     return RelayedCall(service, context, int(retries), stamp, claim, route)
 
@@ -98,6 +108,7 @@
         given.report.encode() if given.report else "",
         given.thresholds,
         given.stamp,
+        given.retry_after_s,
     ]
     return REPORT_HEADER, orjson.dumps(fields)
 
@@ -108,11 +119,18 @@
     if value is None:
         return None
     try:
-        outcome, reason, unused, encoded, thresholds, stamp = orjson.loads(value)
+        outcome, reason, unused, encoded, thresholds, stamp, retry_s = orjson.loads(value)
     except (ValueError, TypeError):
         return None
     response.headers = [field for field in response.headers if field[0] != REPORT_HEADER]
     report = load.LoadReport.decode(encoded)
     return answer.Answer(
-        response, verdict.parse(outcome), reason, int(unused), report, thresholds, stamp
+        response,
+        verdict.parse(outcome),
+        reason,
+        int(unused),
+        report,
+        thresholds,
+        stamp,
+        retry_s,
     )
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from bergamotridge.nodes import gossip_pb2, membership, record
-from bergamotridge.platform import replica
+from bergamotridge.store import replica
 from bergamotridge.util import hlc
 
 MESSAGE_NEWS = 150
--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -22,7 +22,7 @@
     peers,
     record,
 )
-from bergamotridge.platform import client, replica
+from bergamotridge.store import client, replica
 
 _log = logbook.Logger(__name__)
 
--- a/bergamotridge/nodes/holders.py
+++ b/bergamotridge/nodes/holders.py
@@ -11,7 +11,7 @@
 
 from bergamotridge.nodes import record
 from bergamotridge.operators import text
-from bergamotridge.platform import quota
+from bergamotridge.store import quota
 
 HOLDERS_PER_DOMAIN = 2
 NODES_PER_HOLDER = 20
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -36,31 +36,45 @@
 
     def __init__(self, source: text.Text) -> None:
         self.text = source
+        self.team_of_key = {key: team.name for team in source.teams.values() for key in team.keys}
         self._reach = {name: reachable(source.services, name) for name in source.services}
         self._below = {name: reach - {name} for name, reach in self._reach.items()}
+        plain = [route for route in source.routes.values() if not route.is_prefix]
         rules = [
             werkzeug.routing.Rule(route.path, methods=[route.method], endpoint=route.name)
-            for route in source.routes.values()
+            for route in plain
         ]
         self._adapter = werkzeug.routing.Map(rules, redirect_defaults=False).bind("fleet")
         self._fixed = {
-            (route.method, route.path): route.name
-            for route in source.routes.values()
-            if "<" not in route.path
+            (route.method, route.path): route.name for route in plain if "<" not in route.path
         }
+        self._prefixes = _by_host(source)
         self._lock = threading.Lock()
 
     def below(self, service: str) -> frozenset[str]:
         """Returns all services below `service`, none if it is unknown."""
         return self._below.get(service, frozenset())
 
-    def match(self, method: str, path: str) -> Target:
-        """Returns the target of a call; raises CallError 400, 404 or 405."""
-        name = self._fixed.get((method, path))
-        if name is None:
-            name = self._match_rule(method, path)
-        route = self.text.routes[name]
-        return Target(route, self._reach[route.service])
+    def match(self, method: str, path: str, host: str = "") -> Target:
+        """Returns the target of a call; raises CallError 400, 404 or 405.
+
+        Args:
+            method: HTTP method.
+            path: Path without the query.
+            host: Host that the caller addressed.
+        """
+        route = self._match_prefix(path, host)
+        if route is None:
+            name = self._fixed.get((method, path)) or self._match_rule(method, path)
+            route = self.text.routes[name]
+        reach = [self._reach[service] for service in route.services]
+        return Target(route, reach[0] if len(reach) == 1 else frozenset().union(*reach))
+
+    def _match_prefix(self, path: str, host: str) -> text.Route | None:
+        for route in self._prefixes.get(host.lower(), ()):
+            if path.startswith(route.path):
+                return route
+        return None
 
     def _match_rule(self, method: str, path: str) -> str:
         if _is_ambiguous(path):
@@ -81,6 +95,17 @@
         return endpoint
 
 
+def _by_host(source: text.Text) -> dict[str, list[text.Route]]:
+    """Returns the routes that stand for a prefix by host, the longest prefixes first."""
+    found: dict[str, list[text.Route]] = {}
+    for route in source.routes.values():
+        if route.is_prefix:
+            found.setdefault(route.host.lower(), []).append(route)
+    for routes in found.values():
+        routes.sort(key=lambda route: len(route.path), reverse=True)
+    return found
+
+
 def _is_ambiguous(path: str) -> bool:
     """Tells whether an upstream may read a path as another one than was matched here."""
     segments = urllib.parse.unquote(path).replace("\\", "/").split("/")
@@ -93,6 +118,11 @@
     def __init__(self) -> None:
         self._table: RouteTable | None = None
 
+    @property
+    def configured(self) -> bool:
+        """True once a configuration is in force."""
+        return self._table is not None
+
     def replace(self, source: text.Text) -> None:
         """Puts a new operator's text in force."""
         self._table = RouteTable(source)
--- /dev/null
+++ b/bergamotridge/operators/health.py
@@ -0,0 +1,18 @@
+"""The readiness port: tells a load balancer whether this node should get new calls."""
+
+from collections.abc import Callable
+
+from bergamotridge.util import cancellation, httpd, message
+
+CONNECTIONS = 16
+BODY_BYTES = 1024
+
+
+def handler(ready: Callable[[], bool]) -> httpd.Handler:
+    """Returns the handler that answers 200 while `ready` says so, else 503."""
+
+    def handle(request: message.Request, token: cancellation.Token) -> message.Response:
+        del request, token
+        return message.Response(200 if ready() else 503)
+
+    return handle
--- a/bergamotridge/operators/node_status.py
+++ b/bergamotridge/operators/node_status.py
@@ -7,7 +7,7 @@
 from bergamotridge.callers import keys
 from bergamotridge.nodes import membership
 from bergamotridge.operators import status
-from bergamotridge.platform import configuration
+from bergamotridge.store import configuration
 from bergamotridge.upstreams import gate
 
 
--- a/bergamotridge/operators/text.py
+++ b/bergamotridge/operators/text.py
@@ -17,6 +17,7 @@
 OWN_PATH = "/_bergamotridge"
 DEFAULT_TIMEOUT_S = 2.0
 METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
+NOT_IN_TOML = ("name", "host", "is_prefix", "attempts", "target_s", "shares")
 PARTS = ("routes", "services", "teams")
 
 
@@ -30,6 +31,14 @@
     connections: int = 400
 
 
+@attrs.frozen
+class Share:
+    """Part of a route's calls that one service takes; weights are relative to each other."""
+
+    service: str
+    weight: float
+
+
 @attrs.frozen
 class Route:
     """A route: which calls it matches, which service answers, and how they are treated.
@@ -43,6 +52,11 @@
         open: True if no key is needed.
         repeatable: True if a call may run more than once.
         timeout_s: Time limit of a call in seconds.
+        host: Host that the caller must address, "" for any.
+        is_prefix: True if `path` stands for every path that begins with it.
+        attempts: Upstreams that may run one call, 0 for the limit of the node's settings.
+        target_s: Seconds within which an answer is worth most, 0 if not given.
+        shares: Services that take the route's calls by weight, in place of `service` alone.
     """
 
     name: str
@@ -53,16 +67,54 @@
     open: bool = False
     repeatable: bool = False
     timeout_s: float = DEFAULT_TIMEOUT_S
+    host: str = ""
+    is_prefix: bool = False
+    attempts: int = 0
+    target_s: float = 0.0
+    shares: tuple[Share, ...] = ()
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """All services that may take calls of this route."""
+        return tuple(share.service for share in self.shares) or (self.service,)
 
 
 @attrs.frozen
 class Team:
-    """A team: calls per second and burst over the whole fleet, and its weight in overload."""
+    """A team: its limits over the whole fleet and how its calls are treated.
+
+    Attributes:
+        name: Name in the text.
+        rate: Calls per second, infinity for no limit.
+        burst: Calls above the rate at once.
+        weight: Share in overload against other teams.
+        importance: Class of all its calls, None if the route decides.
+        keys: Keys of its callers where the text holds them.
+    """
 
     name: str
     rate: float
     burst: int
     weight: float = 1.0
+    importance: call.Importance | None = None
+    keys: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Limits:
+    """Bounds on what a caller may send; 0 leaves a bound to the node's settings.
+
+    Attributes:
+        header_bytes: Longest head of a request in bytes.
+        body_bytes: Longest body of a request in bytes.
+        header_timeout_s: Seconds within which a head must be complete.
+        idle_timeout_s: Seconds for which a connection may stay idle.
+    """
+
+    header_bytes: int = 0
+    body_bytes: int = 0
+    header_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
 
 
 @attrs.frozen
@@ -72,6 +124,7 @@
     services: dict[str, Service]
     routes: dict[str, Route]
     teams: dict[str, Team]
+    limits: Limits = Limits()
 
 
 def _fail(source: str, key: str, message: str) -> errors.SettingsError:
@@ -146,7 +199,7 @@
 
 def _route(source: str, name: str, table: object) -> Route:
     key = f"routes.{name}"
-    known = [field.name for field in attrs.fields(Route) if field.name != "name"]
+    known = [field.name for field in attrs.fields(Route) if field.name not in NOT_IN_TOML]
     table = _check_keys(source, key, table, known)
     for needed in ("path", "service"):
         if needed not in table:
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -65,6 +65,7 @@
     relay: str = _address("HTTP for calls from other nodes")
     control: str = _address("gRPC for control messages between nodes")
     operators: str = _address("HTTP for operators: metrics, status, events")
+    ready: str = _optional_address("HTTP for load balancers: GET /ready, 200 or 503")
     advertised_relay: str = _optional_address(
         "where other nodes reach 'relay', if not at the same address"
     )
@@ -112,6 +113,22 @@
     retries: int = _number(2, "retries per request in its whole tree", 0, 100)
     queue: int = _number(64, "calls waiting beside the upstream", 0, 10_000)
     drain_s: float = _number(20.0, "longest wait for calls at a planned stop, in seconds", 0, 600)
+    notice_s: float = _number(
+        1.5, "time at a planned stop in which calls are still taken, in seconds", 0, 600
+    )
+    heartbeat_s: float = _number(
+        0.5, "time between two announcements of the upstream, in seconds", 0.05, 60
+    )
+
+
+@attrs.frozen
+class Retries:
+    """What all nodes together may add to the load of a service by retries."""
+
+    ratio: float = _number(0.1, "retries for each first attempt", 0.0, 1.0)
+    depth: float = _number(
+        10.0, "retries of one node beyond the ratio in a short time", 0.0, 10_000.0
+    )
 
 
 @attrs.frozen
@@ -132,6 +149,7 @@
     platform: Platform = attrs.field(factory=Platform)
     peers: Peers = attrs.field(factory=Peers)
     limits: Limits = attrs.field(factory=Limits)
+    retries: Retries = attrs.field(factory=Retries)
 
 
 def _check_value(source: str, key: str, field: attrs.Attribute, value: object) -> object:
@@ -183,6 +201,11 @@
     return _read_table(source, "", NodeSettings, texts.parse_toml(text, source))
 
 
+def from_table(table: dict, source: str) -> NodeSettings:
+    """Returns the settings in a table that is already parsed; raises SettingsError."""
+    return _read_table(source, "", NodeSettings, table)
+
+
 def load(path: str) -> NodeSettings:
     """Reads and checks the settings file at `path`; raises SettingsError if it is unusable."""
     return read(texts.read_file(path), path)
--- a/bergamotridge/platform/apply.py
+++ b/bergamotridge/store/apply.py
@@ -11,7 +11,7 @@
 
 from bergamotridge import errors
 from bergamotridge.operators import text
-from bergamotridge.platform import client, configuration
+from bergamotridge.store import client, configuration
 
 ATTEMPTS = 4
 EARLIER_KEY = "earlier_change_ids"
--- a/bergamotridge/platform/claims.py
+++ b/bergamotridge/store/claims.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.platform import objects
+from bergamotridge.store import objects
 
 KIND = "claims"
 NAME_BYTES = 16
--- a/bergamotridge/platform/client.py
+++ b/bergamotridge/store/client.py
@@ -1,6 +1,7 @@
 """Client of the platform's object API: conditional updates and watches over HTTP."""
 
 import io
+import socket
 import threading
 import urllib.parse
 
@@ -9,6 +10,7 @@
 import pycurl
 
 from bergamotridge import errors
+from bergamotridge.util import http_client
 
 _OK = 200
 _NOT_FOUND = 404
@@ -36,11 +38,92 @@
 
 
 @attrs.frozen
-class _Answer:
+class Reply:
+    """What the platform answered to one request."""
+
     status: int
     body: bytes
 
 
+class Transport:
+    """Sends single requests to the platform; safe to share between threads.
+
+    Each thread keeps a connection of its own.
+    """
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        """Prepares requests.
+
+        Args:
+            address: IP:PORT of the object API.
+            timeout_s: Time limit of one request in seconds.
+        """
+        self._base = f"http://{address}"
+        self.timeout_s = timeout_s
+        self._local = threading.local()
+        self._closed = False
+
+    def close(self) -> None:
+        """Ends requests in flight within about a second and fails all later ones."""
+        self._closed = True
+
+    def perform(
+        self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
+    ) -> Reply:
+        """Sends one request.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON body, None for none.
+            timeout_s: Time limit in seconds, that of the transport if None.
+
+        Raises:
+            PlatformUnavailableError: No whole answer came in time; a write may still take effect.
+        """
+        if self._closed:
+            raise errors.PlatformUnavailableError("the client of the platform is closed")
+        handle = self._handle()
+        received = io.BytesIO()
+        handle.reset()
+        handle.setopt(pycurl.URL, self._base + path)
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.MAXCONNECTS, 1)
+        handle.setopt(pycurl.OPENSOCKETFUNCTION, _open_socket)
+        # libcurl sends a request again by itself when a reused connection dies unanswered. A
+        # repeated write would report a conflict with itself, so writes take a new connection.
+        handle.setopt(pycurl.FRESH_CONNECT, int(method != "GET"))
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(self.timeout_s * 1000))
+        handle.setopt(pycurl.TIMEOUT_MS, int((timeout_s or self.timeout_s) * 1000))
+        handle.setopt(pycurl.WRITEFUNCTION, received.write)
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._closed))
+        if body is not None:
+            handle.setopt(pycurl.POSTFIELDS, body)
+            handle.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            message = f"{method} {path}: {error.args[-1]}"
+            raise errors.PlatformUnavailableError(message) from error
+        return Reply(handle.getinfo(pycurl.RESPONSE_CODE), received.getvalue())
+
+    def _handle(self) -> pycurl.Curl:
+        handle = getattr(self._local, "handle", None)
+        if handle is None:
+            handle = self._local.handle = pycurl.Curl()
+        return handle
+
+
+def _open_socket(_purpose: int, address: tuple) -> socket.socket:
+    family, kind, protocol, _ = address
+    sock = socket.socket(family, kind, protocol)
+    http_client.keep_watch(sock)
+    return sock
+
+
 class ObjectClient:
     """Talks to the platform's object API; safe to share between threads.
 
@@ -55,10 +138,7 @@
             address: IP:PORT of the object API.
             timeout_s: Time limit of one request in seconds; a watch has its own wait on top.
         """
-        self._base = f"http://{address}"
-        self._timeout_s = timeout_s
-        self._local = threading.local()
-        self._closed = False
+        self._transport = Transport(address, timeout_s)
 
     def get(self, kind: str, name: str) -> StoredObject:
         """Returns the current version of an object; raises NotFoundError if there is none."""
@@ -98,19 +178,17 @@
         The listing is empty if none came within `wait_s` seconds.
         """
         path = f"/watch/{_quote(kind)}?since={since}&wait_s={wait_s:g}"
-        answer = self._request("GET", path, timeout_s=self._timeout_s + wait_s + _GRACE_S)
+        answer = self._request("GET", path, timeout_s=self._transport.timeout_s + wait_s + _GRACE_S)
         return _listing(kind, _mapping(answer))
 
     def close(self) -> None:
         """Ends requests in flight within about a second and fails all later ones."""
-        self._closed = True
+        self._transport.close()
 
     def _request(
         self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
-    ) -> _Answer:
-        if self._closed:
-            raise errors.PlatformUnavailableError("the client of the platform is closed")
-        answer = self._perform(method, path, body, timeout_s or self._timeout_s)
+    ) -> Reply:
+        answer = self._transport.perform(method, path, body, timeout_s)
         if answer.status == _OK:
             return answer
         if answer.status == _NOT_FOUND:
@@ -122,39 +200,6 @@
             raise errors.PlatformUnavailableError(f"{method} {path}: status {answer.status}")
         raise errors.PlatformError(f"{method} {path}: status {answer.status}")
 
-    def _perform(self, method: str, path: str, body: bytes | None, timeout_s: float) -> _Answer:
-        handle = self._handle()
-        received = io.BytesIO()
-        handle.reset()
-        handle.setopt(pycurl.URL, self._base + path)
-        handle.setopt(pycurl.CUSTOMREQUEST, method)
-        handle.setopt(pycurl.NOSIGNAL, 1)
-        handle.setopt(pycurl.PROXY, "")
-        handle.setopt(pycurl.MAXCONNECTS, 1)
-        # libcurl sends a request again by itself when a reused connection dies unanswered. A
-        # repeated write would report a conflict with itself, so writes take a new connection.
-        handle.setopt(pycurl.FRESH_CONNECT, int(method != "GET"))
-        handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(self._timeout_s * 1000))
-        handle.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
-        handle.setopt(pycurl.WRITEFUNCTION, received.write)
-        handle.setopt(pycurl.NOPROGRESS, 0)
-        handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._closed))
-        if body is not None:
-            handle.setopt(pycurl.POSTFIELDS, body)
-            handle.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
-        try:
-            handle.perform()
-        except pycurl.error as error:
-            message = f"{method} {path}: {error.args[-1]}"
-            raise errors.PlatformUnavailableError(message) from error
-        return _Answer(handle.getinfo(pycurl.RESPONSE_CODE), received.getvalue())
-
-    def _handle(self) -> pycurl.Curl:
-        handle = getattr(self._local, "handle", None)
-        if handle is None:
-            handle = self._local.handle = pycurl.Curl()
-        return handle
-
 
 def _quote(part: str) -> str:
     return urllib.parse.quote(part, safe="")
@@ -164,7 +209,7 @@
     return f"/objects/{_quote(kind)}/{_quote(name)}"
 
 
-def _mapping(answer: _Answer) -> dict:
+def _mapping(answer: Reply) -> dict:
     try:
         decoded = orjson.loads(answer.body)
     except orjson.JSONDecodeError as error:
--- a/bergamotridge/platform/configuration.py
+++ b/bergamotridge/store/configuration.py
@@ -8,7 +8,7 @@
 
 from bergamotridge import errors
 from bergamotridge.operators import text
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 KIND = "configuration"
 NAME = "current"
@@ -42,7 +42,13 @@
     why, and the version counts as seen so that it is not fetched again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, parse: Callable[[str, str], text.Text] = text.parse) -> None:
+        """Starts without a configuration.
+
+        Args:
+            parse: Reads a source text; is given its name for messages and raises SettingsError.
+        """
+        self._parse = parse
         self._lock = threading.Lock()
         self._current: Configuration | None = None
         self._latest = client.Listing((), 0)
@@ -84,7 +90,7 @@
             value = {TEXT_KEY: source, CHANGE_KEY: change_id}
             self._latest = _listing(version, value)
             try:
-                parsed = text.parse(source, f"{KIND} version {version}")
+                parsed = self._parse(source, f"{KIND} version {version}")
             except errors.SettingsError as error:
                 self._rejected = str(error)
                 _log.error("configuration kept out: {}", error)
--- a/bergamotridge/platform/holding.py
+++ b/bergamotridge/store/holding.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bergamotridge.platform import quota
+from bergamotridge.store import quota
 
 CLOCK_DRIFT = 0.01
 LARGEST_CUT = 0.25
--- a/bergamotridge/platform/replica.py
+++ b/bergamotridge/store/replica.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 
 class Replica(Protocol):
--- a/bergamotridge/platform/watch.py
+++ b/bergamotridge/store/watch.py
@@ -10,7 +10,7 @@
 import logbook
 
 from bergamotridge import errors
-from bergamotridge.platform import client, replica
+from bergamotridge.store import client, replica
 from bergamotridge.util import backoff
 
 _log = logbook.Logger(__name__)
--- a/bergamotridge/upstreams/local.py
+++ b/bergamotridge/upstreams/local.py
@@ -3,41 +3,37 @@
 import threading
 import time
 
-import attrs
-
-from bergamotridge import answer, call, errors, headers, verdict
-from bergamotridge.nodes import load, record
-from bergamotridge.upstreams import gate, live, outcome
+from bergamotridge import answer, call, errors, verdict
+from bergamotridge.nodes import load
+from bergamotridge.upstreams import announcement as announcements
+from bergamotridge.upstreams import dialect, gate, live, outcome
 from bergamotridge.util import cancellation, http_client, message
 
-CALL_HEADER = call.CALL_HEADER.lower().encode()
-TIMEOUT_HEADER = call.TIMEOUT_HEADER.lower().encode()
-SHED_STATUS = 503
-SERVER_ERROR = 500
-
-
-@attrs.frozen
-class Announcement:
-    """What an upstream says of itself; see docs/internals.md for the wire form."""
-
-    service: str
-    address: str
-    state: record.State
-    incarnation: int
-    slots: int
-    connections: int
-    load: float
-
 
 class LocalUpstream:
     """Runs calls at the upstream beside this node, within the limit and queue of its gate."""
 
-    def __init__(self, admission: gate.Gate, calls: live.LiveCalls, pools: http_client.Pools):
+    def __init__(
+        self,
+        admission: gate.Gate,
+        calls: live.LiveCalls,
+        pools: http_client.Pools,
+        speech: dialect.UpstreamDialect | None = None,
+    ) -> None:
+        """Starts without an upstream.
+
+        Args:
+            admission: Limit and queue.
+            calls: Registry of the calls that run.
+            pools: Connections.
+            speech: Header fields between node and upstream, the fleet's own if None.
+        """
         self._gate = admission
         self._live = calls
         self._pools = pools
+        self._dialect = speech or dialect.OwnDialect()
         self._lock = threading.Lock()
-        self._announcement: Announcement | None = None
+        self._announcement: announcements.Announcement | None = None
 
     @property
     def service(self) -> str:
@@ -45,21 +41,18 @@
         return self._announcement.service if self._announcement else ""
 
     @property
-    def announcement(self) -> Announcement | None:
+    def announcement(self) -> announcements.Announcement | None:
         """The latest announcement."""
         return self._announcement
 
-    def announce(self, announcement: Announcement, now: float) -> None:
-        """Takes in an announcement of the local upstream."""
+    def announce(self, heard: announcements.Announcement, now: float) -> bool:
+        """Takes in an announcement; returns False if a later one is known."""
         with self._lock:
-            self._announcement = announcement
-        self._gate.announce(
-            announcement.state,
-            announcement.slots,
-            announcement.connections,
-            announcement.load,
-            now,
-        )
+            if not heard.replaces(self._announcement):
+                return False
+            self._announcement = heard
+        self._gate.announce(heard.state, heard.slots, heard.connections, heard.load, now)
+        return True
 
     def report(self, now: float) -> load.LoadReport:
         """Returns the load report of the gate."""
@@ -77,8 +70,8 @@
 
         The request holds only header fields that may reach an upstream.
         """
-        announcement = self._announcement
-        if announcement is None or announcement.service != service:
+        known = self._announcement
+        if known is None or known.service != service:
             return answer.refuse(_no_upstream(service), retries)
         try:
             ticket = self._gate.enter(context, time.monotonic(), token)
@@ -86,31 +79,26 @@
             return answer.refuse(error, retries)
         ended = outcome.Outcome.FAILED
         try:
-            given, ended = self._send(announcement, context, request, retries, token)
+            given, ended = self._send(context, request, retries, token)
         finally:
             ticket.finish(ended, time.monotonic())
         return given
 
     def _send(
         self,
-        announcement: Announcement,
         context: call.CallContext,
         request: message.Request,
         retries: int,
         token: cancellation.Token,
     ) -> tuple[answer.Answer, outcome.Outcome]:
+        to = self._announcement
         call_token = cancellation.Token(token)
-        entry = self._live.open(announcement.service, context, retries, call_token)
+        entry = self._live.open(to.service, context, retries, call_token)
         left = context.time_left(time.monotonic())
-        fields = [
-            *request.headers,
-            (CALL_HEADER, entry.call_id.encode()),
-            (TIMEOUT_HEADER, b"%d" % max(0, int(left * 1000))),
-            (b"host", announcement.address.encode()),
-        ]
-        sent = message.Request(request.method, request.target, fields, request.body)
+        sent = self._dialect.request(dialect.Sending(context, request, to, entry.call_id, left))
         try:
-            response = self._pools.to(announcement.address).send(sent, left, call_token)
+            pool = self._pools.to(to.address)
+            response = pool.send(sent, left, call_token, check=self._dialect.fault)
             failure = None
         except http_client.TransferError as error:
             failure = error
@@ -122,27 +110,17 @@
             call_token.close()
         if failure is not None:
             return _failed(failure, unused, cancelled)
-        return _answered(response, unused)
-
-
-def _answered(response: message.Response, unused: int) -> tuple[answer.Answer, outcome.Outcome]:
-    if response.status == SHED_STATUS:
-        vouched = verdict.parse((response.header(answer.VERDICT_HEADER) or b"").decode("latin-1"))
-        response.headers = headers.for_caller(response.headers)
-        # Without its word the upstream may only pass on what a dependency refused.
-        own = vouched is verdict.Verdict.NOT_RUN
-        ended = outcome.Outcome.SHED if own else outcome.Outcome.CANCELLED
-        return answer.Answer(response, vouched, "upstream-shed", unused), ended
-    response.headers = headers.for_caller(response.headers)
-    ended = outcome.Outcome.FAILED if response.status >= SERVER_ERROR else outcome.Outcome.OK
-    return answer.Answer(response, verdict.Verdict.RUN, "", unused), ended
+        reading = self._dialect.read(response)
+        dialect.strip(response)
+        return answer.Answer(response, reading.verdict, reading.reason, unused), reading.ended
 
 
 def _failed(
     failure: http_client.TransferError, unused: int, cancelled: bool
 ) -> tuple[answer.Answer, outcome.Outcome]:
     if cancelled:
-        ended, status, reason = outcome.Outcome.CANCELLED, 503, "cancelled"
+        unsent = failure.verdict is verdict.Verdict.NOT_RUN
+        ended, status, reason = outcome.Outcome.CANCELLED, 503 if unsent else 502, "cancelled"
     elif failure.timed_out:
         ended, status, reason = outcome.Outcome.TIMED_OUT, 504, "deadline"
     else:
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -9,7 +9,8 @@
 
 from bergamotridge import answer, call, errors, events, headers, settings, verdict
 from bergamotridge.nodes import dispatch, record, routing
-from bergamotridge.upstreams import live, local
+from bergamotridge.upstreams import announcement as announcements
+from bergamotridge.upstreams import dialect, live
 from bergamotridge.util import cancellation, message
 
 ANNOUNCE_PATH = b"/_bergamotridge/announce"
@@ -50,7 +51,7 @@
 
     calls: live.LiveCalls
     dispatcher: dispatch.Dispatcher
-    announced: Callable[[local.Announcement, float], None]
+    announced: Callable[[announcements.Announcement, float], None]
     routes: Routes
     log: events.EventLog
 
@@ -120,7 +121,7 @@
             parent.token.remove(registration)
 
     def _parent(self, request: message.Request) -> live.LiveCall | None:
-        call_id = request.header(local.CALL_HEADER) or b""
+        call_id = request.header(dialect.CALL_HEADER) or b""
         return self.calls.find(call_id.decode("latin-1"))
 
     def _check_dependency(self, parent: live.LiveCall, target: routing.Target) -> None:
@@ -144,7 +145,7 @@
     )
 
 
-def read_announcement(body: bytes) -> local.Announcement:
+def read_announcement(body: bytes) -> announcements.Announcement:
     """Returns the announcement in a JSON body; raises ValueError that names the key at fault."""
     try:
         fields = orjson.loads(body)
@@ -165,4 +166,4 @@
             f"announcement: key 'state' is {fields['state']!r}; accepted: {', '.join(_STATES)}"
         )
     known = {key: fields[key] for key in _FIELDS}
-    return local.Announcement(**{**known, "state": _STATES[fields["state"]]})
+    return announcements.Announcement(**{**known, "state": _STATES[fields["state"]]})
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -6,6 +6,8 @@
 import select
 import socket
 import threading
+import time
+from collections.abc import Callable
 
 import attrs
 import pycurl
@@ -14,6 +16,12 @@
 from bergamotridge.util import cancellation, message
 
 CONNECT_TIMEOUT_MS = 1_000
+USER_TIMEOUT_MS = 2_000
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 2
+IDLE_S = 4.0
+ANNOUNCED_SHARE = 0.5  # Of the time for which the other side says it keeps a connection.
 NO_BODY_STATUSES = frozenset((204, 304))
 # Given without a value, libcurl's own defaults stay out; a value of the caller's goes first.
 _QUIET_HEADERS = [b"User-Agent:", b"Accept:", b"Expect:", b"Content-Type:"]
@@ -22,6 +30,9 @@
 )
 
 
+Check = Callable[[message.Request, message.Response], str]
+
+
 class TransferError(Exception):
     """No whole answer came.
 
@@ -39,7 +50,9 @@
 class _Exchange:
     """One curl handle with its one kept-alive connection."""
 
-    def __init__(self, address: str, body_limit: int) -> None:
+    def __init__(self, address: str, body_limit: int, close_delimited: bool) -> None:
+        self.idle_until = 0.0
+        self._close_delimited = close_delimited
         self._base = f"http://{address}".encode()
         self._body_limit = body_limit
         self._lines: list[bytes] = []
@@ -84,6 +97,7 @@
         self._may_open = False
         family, kind, protocol, _ = address
         self._sock = socket.socket(family, kind, protocol)
+        keep_watch(self._sock)
         return self._sock
 
     def _close_socket(self, descriptor: int) -> int:
@@ -134,7 +148,9 @@
         finally:
             if token is not None:
                 token.remove(registration)
-        return self._response(request)
+        response = self._response(request)
+        self.idle_until = time.monotonic() + _idle_s(response)
+        return response
 
     def _set_request(self, request: message.Request, timeout_s: float) -> None:
         curl = self._curl
@@ -167,7 +183,7 @@
     def _response(self, request: message.Request) -> message.Response:
         status = self._curl.getinfo(pycurl.RESPONSE_CODE)
         headers: list[message.Header] = []
-        framed = request.method == b"HEAD" or status in NO_BODY_STATUSES
+        framed = self._close_delimited or request.method == b"HEAD" or status in NO_BODY_STATUSES
         for line in self._lines:
             if line.startswith(b"HTTP/"):
                 headers.clear()
@@ -184,6 +200,24 @@
         return message.Response(status, headers, b"".join(self._body))
 
 
+def keep_watch(sock: socket.socket) -> None:
+    """Makes the kernel notice within a few seconds that the other side has gone silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def _idle_s(response: message.Response) -> float:
+    """Returns the seconds for which a connection may wait for its next request."""
+    for part in (response.header(b"keep-alive") or b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return ANNOUNCED_SHARE * int(value)
+    return IDLE_S
+
+
 @attrs.define
 class Pool:
     """Kept-alive connections to one address; each transfer has a connection of its own.
@@ -193,21 +227,35 @@
 
     address: str
     body_limit: int
+    close_delimited: bool = False
     _idle: collections.deque = attrs.field(factory=collections.deque, init=False)
     _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
 
     def send(
-        self, request: message.Request, timeout_s: float, token: cancellation.Token | None = None
+        self,
+        request: message.Request,
+        timeout_s: float,
+        token: cancellation.Token | None = None,
+        check: Check | None = None,
     ) -> message.Response:
-        """Sends a request within `timeout_s` seconds; raises TransferError with the verdict."""
+        """Sends a request within `timeout_s` seconds; raises TransferError with the verdict.
+
+        Args:
+            request: The request.
+            timeout_s: Time limit in seconds.
+            token: Cancelled when nobody waits for the answer any more.
+            check: Returns why a response is not the answer to the request, "" if it is.
+        """
         if timeout_s <= 0 or (token is not None and token.cancelled):
             raise TransferError("nothing was sent", verdict.Verdict.NOT_RUN, timed_out=True)
-        with self._lock:
-            exchange = self._idle.pop() if self._idle else None
+        exchange = self._reusable(time.monotonic())
         if exchange is None:
-            exchange = _Exchange(self.address, self.body_limit)
+            exchange = _Exchange(self.address, self.body_limit, self.close_delimited)
         try:
             response = exchange.perform(request, timeout_s, token)
+            fault = check(request, response) if check is not None else ""
+            if fault:
+                raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
         except BaseException:
             exchange.close()
             raise
@@ -215,6 +263,17 @@
             self._idle.append(exchange)
         return response
 
+    def _reusable(self, now: float) -> _Exchange | None:
+        """Returns an idle connection that the other side surely keeps open still."""
+        with self._lock:
+            old = [item for item in self._idle if now >= item.idle_until]
+            for item in old:
+                self._idle.remove(item)
+            exchange = self._idle.pop() if self._idle else None
+        for item in old:
+            item.close()
+        return exchange
+
     def close(self) -> None:
         """Closes the idle connections."""
         with self._lock:
@@ -225,8 +284,15 @@
 class Pools:
     """The pools of all addresses that this process calls."""
 
-    def __init__(self, body_limit: int) -> None:
+    def __init__(self, body_limit: int, close_delimited: bool = False) -> None:
+        """Starts without a pool.
+
+        Args:
+            body_limit: Longest body of an answer in bytes.
+            close_delimited: True if an answer may end with its connection.
+        """
         self._body_limit = body_limit
+        self._close_delimited = close_delimited
         self._pools: dict[str, Pool] = {}
         self._lock = threading.Lock()
 
@@ -235,7 +301,9 @@
         pool = self._pools.get(address)
         if pool is None:
             with self._lock:
-                pool = self._pools.setdefault(address, Pool(address, self._body_limit))
+                pool = self._pools.setdefault(
+                    address, Pool(address, self._body_limit, self._close_delimited)
+                )
         return pool
 
     def close(self) -> None:
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -130,6 +130,7 @@
         self._executor = concurrent.futures.ThreadPoolExecutor(connections + 2, name)
         self._lock = threading.Lock()
         self._open: set[_Connection] = set()
+        self._closing = threading.Event()
         self._draining = threading.Event()
         self._stopped = threading.Event()
 
@@ -158,8 +159,13 @@
         self._executor.submit(self._accept, listener)
         self._executor.submit(self._watch_departures)
 
+    def close_after_answers(self) -> None:
+        """Makes each later answer close its connection; new connections are still taken."""
+        self._closing.set()
+
     def drain(self) -> None:
         """Stops accepting; each later answer on an open connection closes it."""
+        self._closing.set()
         self._draining.set()
         if self._listener is not None:
             with contextlib.suppress(OSError):
@@ -263,7 +269,7 @@
         except Exception:
             logger.exception("handler of {} failed", self._name)
             response = message.Response(500, [(b"bergamotridge-verdict", b"may-have-run")])
-        keep_alive = request.keep_alive and not self._draining.is_set()
+        keep_alive = request.keep_alive and not self._closing.is_set()
         data = message.encode(response, keep_alive=keep_alive, head=request.method == b"HEAD")
         try:
             connection.sock.sendall(data)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -8,7 +8,7 @@
 from bergamotridge.callers import quota_drawer, quota_holder
 from bergamotridge.nodes import holders, record
 from bergamotridge.operators import text
-from bergamotridge.platform import holding, quota
+from bergamotridge.store import holding, quota
 from standins import store
 from tests import fake_objects
 
--- a/tests/test_callers/test_keys.py
+++ b/tests/test_callers/test_keys.py
@@ -4,7 +4,7 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 SECRET = "fleet-secret"
 
--- a/tests/test_callers/test_quota_faults.py
+++ b/tests/test_callers/test_quota_faults.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 
 from bergamotridge.callers import lending
-from bergamotridge.platform import holding, quota
+from bergamotridge.store import holding, quota
 from tests import history_rates
 from tests.test_callers import test_quota_safety
 
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -10,8 +10,8 @@
 from bergamotridge.callers import quota_rates
 from bergamotridge.nodes import control, quota, record
 from bergamotridge.operators import text
-from bergamotridge.platform import holding
-from bergamotridge.platform import quota as quota_object
+from bergamotridge.store import holding
+from bergamotridge.store import quota as quota_object
 from standins import store
 from tests import fake_objects, history_rates
 
--- a/tests/test_callers/test_quota_safety.py
+++ b/tests/test_callers/test_quota_safety.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from bergamotridge.operators import text
-from bergamotridge.platform import quota
+from bergamotridge.store import quota
 from tests import fake_objects, history_rates, quota_fleet
 
 TEAM = text.Team("utrecht", rate=8.0, burst=12)
--- a/tests/test_callers/test_withdrawals.py
+++ b/tests/test_callers/test_withdrawals.py
@@ -3,7 +3,7 @@
 import random
 
 from bergamotridge.callers import keys, withdrawals
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 SECRET = "fleet-secret"
 
--- a/tests/test_history_configuration.py
+++ b/tests/test_history_configuration.py
@@ -9,7 +9,7 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.platform import apply, client, configuration
+from bergamotridge.store import apply, client, configuration
 from tests import history_configuration as history
 
 TEXT = "[services.booking]\n"
--- a/tests/test_nodes/fleet.py
+++ b/tests/test_nodes/fleet.py
@@ -9,7 +9,7 @@
 from bench import control_node
 from bergamotridge.callers import keys
 from bergamotridge.nodes import control, exchange, gossip, membership, peers, record
-from bergamotridge.platform import configuration
+from bergamotridge.store import configuration
 
 SECRET = "fleet-secret"
 TIMINGS = gossip.GossipTimings(interval_s=0.1, gap_s=0.02, hold_s=1.0, timeout_s=1.0)
--- a/tests/test_nodes/network.py
+++ b/tests/test_nodes/network.py
@@ -7,7 +7,7 @@
 
 from bergamotridge.callers import keys
 from bergamotridge.nodes import duty, exchange, link, membership, peers, record
-from bergamotridge.platform import client, configuration
+from bergamotridge.store import client, configuration
 from tests.test_nodes import fleet
 
 LINKS = 3
--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -3,7 +3,7 @@
 import random
 
 from bergamotridge.nodes import bootstrap, duty, membership, peers
-from bergamotridge.platform import client
+from bergamotridge.store import client
 from tests.test_nodes import fleet
 
 FAST = bootstrap.BootstrapTimings(
--- a/tests/test_nodes/test_convergence.py
+++ b/tests/test_nodes/test_convergence.py
@@ -7,7 +7,7 @@
 from bergamotridge import errors
 from bergamotridge.callers import keys
 from bergamotridge.nodes import record
-from bergamotridge.platform import configuration
+from bergamotridge.store import configuration
 from tests.test_nodes import fleet, network
 
 HOSTS = 6
--- a/tests/test_platform/test_apply.py
+++ b/tests/test_store/test_apply.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.platform import apply, client
+from bergamotridge.store import apply, client
 
 TEXT = "[services.booking]\n"
 
--- a/tests/test_platform/test_client.py
+++ b/tests/test_store/test_client.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.platform import client
+from bergamotridge.store import client
 
 LOST = None
 
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_store/test_configuration.py
@@ -1,6 +1,6 @@
 """The store takes in only higher versions and keeps out what it cannot read."""
 
-from bergamotridge.platform import client, configuration
+from bergamotridge.store import client, configuration
 
 TEXT = "[services.booking]\n[teams.{}]\nrate = 1\nburst = 1\n"
 
--- a/tests/test_platform/test_holding.py
+++ b/tests/test_store/test_holding.py
@@ -1,6 +1,6 @@
 """Shares of a team's quota: none is left without while another has all."""
 
-from bergamotridge.platform import holding, quota
+from bergamotridge.store import holding, quota
 
 HOLDERS = 4
 BURST = 1000.0
--- a/tests/test_platform/test_watch.py
+++ b/tests/test_store/test_watch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.platform import apply, client, configuration, watch
+from bergamotridge.store import apply, client, configuration, watch
 
 TEXT = "[services.booking]\n"
 FAST = watch.WatchTimings(
--- a/tests/test_upstreams/test_local.py
+++ b/tests/test_upstreams/test_local.py
@@ -6,7 +6,7 @@
 
 from bergamotridge import call
 from bergamotridge.nodes import record
-from bergamotridge.upstreams import gate, live, local
+from bergamotridge.upstreams import announcement, gate, live, local
 from bergamotridge.util import cancellation, message
 
 
@@ -31,7 +31,7 @@
     opened = gate.Gate(80, 10, 80)
     upstream = local.LocalUpstream(opened, live.LiveCalls(), Upstream(fields))
     upstream.announce(
-        local.Announcement("depot", "127.0.0.1:1", record.State.READY, 1, 80, 80, 0.0), now
+        announcement.Announcement("depot", "127.0.0.1:1", record.State.READY, 1, 80, 80, 0.0), now
     )
     context = call.CallContext("r", "t", call.Importance.STANDARD, now + 60, 0, True)
     request = message.Request(b"GET", b"/parts", [])
