Start at the full limit where the upstream tells how cold it is

Cause sought: 666 refusals by threshold in the first five seconds. A gate that was made with one slot began its ramp at one. The thresholds still refuse with servers free: next.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -41,7 +41,7 @@
 )
 from bergamotridge.operators import health, node_metrics, node_status, pages
 from bergamotridge.operators import port as operators_port
-from bergamotridge.store import configuration, watch
+from bergamotridge.store import configuration, holding, watch
 from bergamotridge.upstreams import announcement, gate, live, local
 from bergamotridge.upstreams import port as upstreams_port
 from bergamotridge.util import http_client, httpd
@@ -186,6 +186,15 @@
             quota.QuotaClient(self.channels),
             self.members.members,
             self.routes.teams,
+            quota_rates.QuotaSettings(
+                holding.Timings(
+                    lease_s=node.quota.lease_s,
+                    adjust_s=node.quota.adjust_s,
+                    token_lifetime_s=node.quota.token_lifetime_s,
+                    join_after_s=node.quota.join_after_s,
+                ),
+                per_domain=node.quota.per_domain,
+            ),
         )
         self.once = once.OnceDispatcher(
             node.host,
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -131,6 +131,25 @@
     )
 
 
+@attrs.frozen
+class Quota:
+    """How the rates of teams are divided between nodes; equal on all nodes of a fleet."""
+
+    lease_s: float = _number(
+        1800.0, "time for which a holder uses its share without the platform, in seconds", 10, 86400
+    )
+    adjust_s: float = _number(
+        5.0, "mean time between two looks at a team's shares, in seconds", 0.5, 3600
+    )
+    token_lifetime_s: float = _number(
+        5.0, "time for which a drawn token can be spent, in seconds", 0.2, 60
+    )
+    join_after_s: float = _number(
+        3.0, "time for which a node is chosen before it becomes a holder, in seconds", 0, 600
+    )
+    per_domain: int = _number(2, "least holders of a team in each failure domain", 1, 100)
+
+
 @attrs.frozen
 class NodeSettings:
     """All settings of `bergamotridge node`."""
@@ -150,6 +169,7 @@
     peers: Peers = attrs.field(factory=Peers)
     limits: Limits = attrs.field(factory=Limits)
     retries: Retries = attrs.field(factory=Retries)
+    quota: Quota = attrs.field(factory=Quota)
 
 
 def _check_value(source: str, key: str, field: attrs.Attribute, value: object) -> object:
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -63,7 +63,15 @@
         self._connections = connections
         self._limit.set_ceiling(self._ceiling())
 
-    def announce(self, state: record.State, slots: int, connections: int, now: float) -> None:
+    def announce(
+        self,
+        state: record.State,
+        slots: int,
+        connections: int,
+        now: float,
+        *,
+        tells_cold: bool = False,
+    ) -> None:
         """Takes over what the upstream says of itself.
 
         Args:
@@ -71,11 +79,13 @@
             slots: Calls it says it can run at once.
             connections: Connections it says it accepts.
             now: Monotonic time in seconds.
+            tells_cold: True if it says itself how long it stays slow, so that its limit needs
+                no ramp to find out.
         """
         self._announced = min(slots, connections)
         self._limit.set_ceiling(self._ceiling())
         if state is record.State.READY and self._state is not record.State.READY:
-            self._limit.restart()
+            self._limit.restart(ramp=not tells_cold)
         self._state = state
         if state is not record.State.READY:
             self._refuse_waiting()
--- a/bergamotridge/upstreams/announcement.py
+++ b/bergamotridge/upstreams/announcement.py
@@ -19,7 +19,7 @@
         load: Load that it claims; a hint that decides nothing.
         instance: Id of this start of the upstream, "" if it gives none.
         sequence: Rises with each announcement of one incarnation, 0 if it gives none.
-        cold_s: Seconds for which it stays slow after its start.
+        cold_s: Seconds for which it stays slow after its start, None if it does not say.
         last: True if it will announce itself no more.
     """
 
@@ -32,7 +32,7 @@
     load: float
     instance: str = ""
     sequence: int = 0
-    cold_s: float = 0.0
+    cold_s: float | None = None
     last: bool = False
 
     def replaces(self, earlier: "Announcement | None") -> bool:
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -113,7 +113,14 @@
             self._admission.configure(slots, connections)
 
     def announce(
-        self, state: record.State, slots: int, connections: int, load: float, now: float
+        self,
+        state: record.State,
+        slots: int,
+        connections: int,
+        load: float,
+        now: float,
+        *,
+        tells_cold: bool = False,
     ) -> None:
         """Takes over what the upstream says of itself.
 
@@ -123,9 +130,10 @@
             connections: Connections it says it accepts.
             load: Load that it claims; a hint that decides nothing.
             now: Monotonic time in seconds.
+            tells_cold: True if it says itself how long it stays slow after its start.
         """
         with self._lock:
-            self._admission.announce(state, slots, connections, now)
+            self._admission.announce(state, slots, connections, now, tells_cold=tells_cold)
 
     def drain(self) -> None:
         """Refuses waiting and further calls; running ones go on."""
--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -49,10 +49,10 @@
         self._ceiling = ceiling
         self._value = min(self._value, float(ceiling))
 
-    def restart(self) -> None:
-        """Begins the ramp of a new upstream."""
-        self._value = max(LEAST, RAMP_SHARE * self._ceiling)
-        self._ramping = True
+    def restart(self, ramp: bool = True) -> None:
+        """Begins with a new upstream: with a ramp, or at the ceiling without one."""
+        self._value = max(LEAST, RAMP_SHARE * self._ceiling) if ramp else float(self._ceiling)
+        self._ramping = ramp
 
     def finished(self, result: outcome.Outcome, used: int, hold_s: float, now: float) -> None:
         """Learns how a call ended.
--- a/bergamotridge/upstreams/local.py
+++ b/bergamotridge/upstreams/local.py
@@ -51,7 +51,14 @@
             if not heard.replaces(self._announcement):
                 return False
             self._announcement = heard
-        self._gate.announce(heard.state, heard.slots, heard.connections, heard.load, now)
+        self._gate.announce(
+            heard.state,
+            heard.slots,
+            heard.connections,
+            heard.load,
+            now,
+            tells_cold=heard.cold_s is not None,
+        )
         return True
 
     def report(self, now: float) -> load.LoadReport:
