Carry transfers on plain sockets instead of libcurl

Answers that end with their connection are whole unless reset; bytes after an answer close the connection.

--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -1,34 +1,30 @@
-"""HTTP client over pycurl: pools of kept-alive connections, whole answers, honest verdicts."""
+"""HTTP client on kept-alive connections: whole answers, checked framing, honest verdicts."""
 
 import collections
 import contextlib
-import os
-import select
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
 
 import attrs
-import pycurl
+import httptools
 
 from bergamotridge import verdict
 from bergamotridge.util import cancellation, message
 
-CONNECT_TIMEOUT_MS = 1_000
+CONNECT_TIMEOUT_S = 1.0
 USER_TIMEOUT_MS = 2_000
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBES = 2
 IDLE_S = 4.0
 ANNOUNCED_SHARE = 0.5  # Of the time for which the other side says it keeps a connection.
-NO_BODY_STATUSES = frozenset((204, 304))
-# Given without a value, libcurl's own defaults stay out; a value of the caller's goes first.
-_QUIET_HEADERS = [b"User-Agent:", b"Accept:", b"Expect:", b"Content-Type:"]
-_NOT_SENT = frozenset(
-    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT)
-)
-
+RECEIVE_BYTES = 65_536
+BODILESS_METHODS = frozenset((b"GET", b"HEAD"))
+FIRST_FINAL_STATUS = 200
+_LENGTH_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 
 Check = Callable[[message.Request, message.Response], str]
 
@@ -47,72 +43,86 @@
         self.timed_out = timed_out
 
 
+class _BodyTooLargeError(Exception):
+    """The body of an answer is above the stated size."""
+
+
+class _Reader:
+    """Callbacks of httptools; collects one final response."""
+
+    def __init__(self, body_limit: int, head: bool) -> None:
+        self._body_limit = body_limit
+        self._head = head
+        self._size = 0
+        self._body: list[bytes] = []
+        self._headers: list[message.Header] = []
+        self.started = False
+        self.framed = False
+        self.complete = False
+        self.excess = False
+        self.keep_alive = False
+        self.status = 0
+        self.parser = httptools.HttpResponseParser(self)
+
+    @property
+    def response(self) -> message.Response:
+        """What was read."""
+        return message.Response(self.status, self._headers, b"".join(self._body))
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.excess = True
+        self.started = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.complete:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if self.complete:
+            return
+        self.status = self.parser.get_status_code()
+        self.framed = any(name in _LENGTH_FIELDS for name, _ in self._headers)
+        if self._head and self.status >= FIRST_FINAL_STATUS:
+            self.complete = True
+
+    def on_body(self, body: bytes) -> None:
+        if self.complete:
+            self.excess = True
+            return
+        self._size += len(body)
+        if self._size > self._body_limit:
+            raise _BodyTooLargeError
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self.status < FIRST_FINAL_STATUS:
+            self._headers = []
+        else:
+            self.complete = True
+            # Only here does the parser know it.
+            self.keep_alive = self.parser.should_keep_alive()
+
+    def feed(self, data: bytes) -> None:
+        """Takes in bytes; what follows a whole answer is only noted."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if not self.complete:
+                raise
+            self.excess = True
+
+
 class _Exchange:
-    """One curl handle with its one kept-alive connection."""
+    """One connection; carries one transfer at a time."""
 
     def __init__(self, address: str, body_limit: int, close_delimited: bool) -> None:
         self.idle_until = 0.0
-        self._close_delimited = close_delimited
-        self._base = f"http://{address}".encode()
+        self._address = address
         self._body_limit = body_limit
-        self._lines: list[bytes] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._close_delimited = close_delimited
         self._sock: socket.socket | None = None
-        self._token: cancellation.Token | None = None
-        self._fresh = True
-        self._may_open = True
-        self._target = b""
-        self._method = b""
-        self._curl = self._prepare()
-
-    def _prepare(self) -> pycurl.Curl:
-        curl = pycurl.Curl()
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.PATH_AS_IS, 1)
-        curl.setopt(pycurl.TCP_NODELAY, 1)
-        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        curl.setopt(pycurl.HEADERFUNCTION, self._lines.append)
-        curl.setopt(pycurl.WRITEFUNCTION, self._take)
-        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
-        curl.setopt(pycurl.CLOSESOCKETFUNCTION, self._close_socket)
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.MAXCONNECTS, 1)
-        return curl
-
-    def _take(self, data: bytes) -> int:
-        self._size += len(data)
-        if self._size > self._body_limit:
-            return 0
-        self._body.append(data)
-        return len(data)
-
-    def _open_socket(self, _purpose: int, address: tuple) -> socket.socket | int:
-        # libcurl sends a request again by itself when a reused connection dies unanswered, which
-        # would run a call twice; so a new socket is refused once the request may be on its way.
-        cancelled = self._token is not None and self._token.cancelled
-        if not self._may_open or cancelled:
-            return pycurl.SOCKET_BAD
-        self._may_open = False
-        family, kind, protocol, _ = address
-        self._sock = socket.socket(family, kind, protocol)
-        keep_watch(self._sock)
-        return self._sock
-
-    def _close_socket(self, descriptor: int) -> int:
-        os.close(descriptor)
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
-        return 0
-
-    def _is_stale(self) -> bool:
-        if self._sock is None:
-            return True
-        poll = select.poll()
-        poll.register(self._sock, select.POLLIN | select.POLLRDHUP)
-        return bool(poll.poll(0))
+        self._sent = False
 
     def abort(self) -> None:
         """Ends the transfer that another thread waits for."""
@@ -122,82 +132,122 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Closes the handle and its connection."""
-        self._curl.close()
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
+        """Closes the connection."""
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            sock.close()
+
+    def is_stale(self) -> bool:
+        """Returns True if the other side has closed, or has sent what nobody asked for."""
+        if self._sock is None:
+            return True
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def perform(
         self, request: message.Request, timeout_s: float, token: cancellation.Token | None
     ) -> message.Response:
         """Sends one request and returns its whole answer; raises TransferError."""
-        curl = self._curl
-        self._fresh = self._may_open = self._is_stale()
-        curl.setopt(pycurl.FRESH_CONNECT, int(self._fresh))
-        self._token = token
-        self._lines.clear()
-        self._body.clear()
-        self._size = 0
-        self._set_request(request, timeout_s)
+        limit = time.monotonic() + timeout_s
+        self._sent = False
         registration = token.on_cancel(self.abort) if token is not None else -1
         try:
-            curl.perform()
-        except pycurl.error as error:
-            raise self._failure(error) from error
+            if self._sock is None:
+                self._connect(timeout_s)
+            if token is not None and token.cancelled:
+                raise TransferError("the caller has left", verdict.Verdict.NOT_RUN)
+            return self._transfer(request, limit)
+        except TimeoutError as error:
+            raise self._failure("no whole answer in time", timed_out=True) from error
+        except (OSError, httptools.HttpParserError, _BodyTooLargeError) as error:
+            raise self._failure(f"{type(error).__name__}: {error}") from error
         finally:
             if token is not None:
                 token.remove(registration)
-        response = self._response(request)
-        self.idle_until = time.monotonic() + _idle_s(response)
-        return response
 
-    def _set_request(self, request: message.Request, timeout_s: float) -> None:
-        curl = self._curl
-        if request.target != self._target:
-            curl.setopt(pycurl.URL, self._base + request.target)
-            self._target = request.target
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            curl.setopt(pycurl.POSTFIELDS, request.body)
-            self._method = b""
-        elif request.method != self._method:
-            curl.setopt(pycurl.HTTPGET, 1)
-        if request.method != self._method:
-            curl.setopt(pycurl.NOBODY, int(request.method == b"HEAD"))
-            curl.setopt(pycurl.CUSTOMREQUEST, request.method.decode("ascii"))
-            self._method = request.method
-        headers = [b"%s: %s" % field if field[1] else field[0] + b";" for field in request.headers]
-        curl.setopt(pycurl.HTTPHEADER, headers + _QUIET_HEADERS)
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
-
-    def _failure(self, error: pycurl.error) -> TransferError:
-        code, text = error.args[0], error.args[1]
-        # On a reused connection "could not connect" is the resend refused in `_open_socket`, so
-        # the first copy may have run.
-        unsent = self._fresh and (
-            code in _NOT_SENT or self._curl.getinfo(pycurl.PRETRANSFER_TIME) == 0.0
-        )
-        outcome = verdict.Verdict.NOT_RUN if unsent else verdict.Verdict.MAY_HAVE_RUN
-        return TransferError(text, outcome, timed_out=code == pycurl.E_OPERATION_TIMEDOUT)
-
-    def _response(self, request: message.Request) -> message.Response:
-        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
-        headers: list[message.Header] = []
-        framed = self._close_delimited or request.method == b"HEAD" or status in NO_BODY_STATUSES
-        for line in self._lines:
-            if line.startswith(b"HTTP/"):
-                headers.clear()
-                continue
-            name, separator, value = line.partition(b":")
-            if separator:
-                headers.append((name.lower(), value.strip()))
-                framed = framed or name.lower() in (b"content-length", b"transfer-encoding")
-        if not framed:
-            raise TransferError(
-                "the answer gives no length, so it cannot be known to be whole",
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
-        return message.Response(status, headers, b"".join(self._body))
+    def _connect(self, timeout_s: float) -> None:
+        host, _, port = self._address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        self._sock = sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        keep_watch(sock)
+        sock.settimeout(min(CONNECT_TIMEOUT_S, timeout_s))
+        sock.connect((host.strip("[]"), int(port)))
+        sock.settimeout(None)
+
+    def _transfer(self, request: message.Request, limit: float) -> message.Response:
+        reader = _Reader(self._body_limit, request.method == b"HEAD")
+        try:
+            self._send(_encode(request, self._address), limit)
+        except (ConnectionError, TimeoutError):
+            # An early answer may lie there although the rest of the request was not taken.
+            if not self._sent or self.is_stale() is False:
+                raise
+        self._receive(reader, limit)
+        framed = reader.framed or reader.response.bodiless
+        if framed and not reader.excess and reader.keep_alive and request.method != b"HEAD":
+            self.idle_until = time.monotonic() + _idle_s(reader.response)
+        else:
+            self.close()
+        return reader.response
+
+    def _send(self, data: bytes, limit: float) -> None:
+        left = memoryview(data)
+        while left:
+            self._bound(socket.SO_SNDTIMEO, limit)
+            try:
+                count = self._sock.send(left)
+            except BlockingIOError as error:
+                raise TimeoutError from error
+            self._sent = True
+            left = left[count:]
+
+    def _receive(self, reader: _Reader, limit: float) -> None:
+        while not reader.complete:
+            self._bound(socket.SO_RCVTIMEO, limit)
+            try:
+                data = self._sock.recv(RECEIVE_BYTES)
+            except BlockingIOError as error:
+                raise TimeoutError from error
+            if data:
+                reader.feed(data)
+            elif self._close_delimited and reader.status and not reader.framed:
+                return
+            else:
+                raise ConnectionError("the connection ended before the answer was whole")
+        if not reader.framed and not self._close_delimited and not reader.response.bodiless:
+            raise ConnectionError("the answer gives no length")
+
+    def _bound(self, option: int, limit: float) -> None:
+        """Limits the next call in the kernel, which costs less than a poll before each call."""
+        left = limit - time.monotonic()
+        if left <= 0:
+            raise TimeoutError
+        seconds, fraction = divmod(left, 1)
+        value = struct.pack("ll", int(seconds), max(1, int(fraction * 1e6)))
+        self._sock.setsockopt(socket.SOL_SOCKET, option, value)
+
+    def _failure(self, text: str, *, timed_out: bool = False) -> TransferError:
+        outcome = verdict.Verdict.MAY_HAVE_RUN if self._sent else verdict.Verdict.NOT_RUN
+        return TransferError(text, outcome, timed_out=timed_out and self._sent)
+
+
+def _encode(request: message.Request, address: str) -> bytes:
+    fields = request.headers
+    parts = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+    if request.header(b"host") is None:
+        parts.append(b"host: %s\r\n" % address.encode())
+    parts += [b"%s: %s\r\n" % field for field in fields]
+    if request.body or request.method not in BODILESS_METHODS:
+        parts.append(b"content-length: %d\r\n" % len(request.body))
+    parts += [b"\r\n", request.body]
+    return b"".join(parts)
 
 
 def keep_watch(sock: socket.socket) -> None:
@@ -259,20 +309,22 @@
         except BaseException:
             exchange.close()
             raise
-        with self._lock:
-            self._idle.append(exchange)
+        if exchange.idle_until:
+            with self._lock:
+                self._idle.append(exchange)
         return response
 
     def _reusable(self, now: float) -> _Exchange | None:
         """Returns an idle connection that the other side surely keeps open still."""
-        with self._lock:
-            old = [item for item in self._idle if now >= item.idle_until]
-            for item in old:
-                self._idle.remove(item)
-            exchange = self._idle.pop() if self._idle else None
-        for item in old:
-            item.close()
-        return exchange
+        while True:
+            with self._lock:
+                exchange = self._idle.pop() if self._idle else None
+            if exchange is None:
+                return None
+            if now < exchange.idle_until and not exchange.is_stale():
+                exchange.idle_until = 0.0
+                return exchange
+            exchange.close()
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -301,9 +353,8 @@
         pool = self._pools.get(address)
         if pool is None:
             with self._lock:
-                pool = self._pools.setdefault(
-                    address, Pool(address, self._body_limit, self._close_delimited)
-                )
+                pool = Pool(address, self._body_limit, self._close_delimited)
+                pool = self._pools.setdefault(address, pool)
         return pool
 
     def close(self) -> None:
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -286,6 +286,8 @@
                     for connection in self._open
                     if connection.token is not None
                 }
+            if not waiting:
+                continue
             poll = select.poll()
             for number in waiting:
                 if number >= 0:
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -20,6 +20,7 @@
     )
 )
 
+BODILESS_STATUSES = frozenset((204, 304))
 Header = tuple[bytes, bytes]
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -68,6 +69,11 @@
     headers: list[Header] = attrs.field(factory=list)
     body: bytes = b""
 
+    @property
+    def bodiless(self) -> bool:
+        """True if the status alone says that there is no body."""
+        return self.status in BODILESS_STATUSES
+
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of the header `name` (lower case), or None."""
         return find(self.headers, name)
@@ -75,8 +81,7 @@
 
 def encode(response: Response, *, keep_alive: bool, head: bool = False) -> bytes:
     """Returns the bytes of a response with Content-Length; no body for HEAD, 204 and 304."""
-    status = response.status
-    bare = status in (204, 304)
+    status, bare = response.status, response.bodiless
     parts = [b"HTTP/1.1 %d %s\r\n" % (status, _REASONS.get(status, b"Unknown"))]
     parts += [b"%s: %s\r\n" % field for field in response.headers]
     if not bare:
--- a/tests/test_store/test_apply.py
+++ b/tests/test_store/test_apply.py
@@ -59,7 +59,7 @@
             apply.apply(store, TEXT, written)
             raise errors.PlatformUnavailableError("answer lost")
 
-    late = LateReader(store._base.removeprefix("http://"), 5.0)
+    late = LateReader(store._transport._base.removeprefix("http://"), 5.0)
     assert apply.apply(late, TEXT, 0).replaced
 
 
--- a/tests/test_upstreams/test_local.py
+++ b/tests/test_upstreams/test_local.py
@@ -19,7 +19,7 @@
     def to(self, address):
         return self
 
-    def send(self, request, left, token):
+    def send(self, request, left, token, check):
         return message.Response(503, list(self._fields))
 
 
