--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -49,7 +49,6 @@
 SWITCH_INTERVAL_S = 0.0005
 GC_ALLOCATIONS = 20_000
 CONTROL_GRACE_S = 0.5
-PLACES_ON_DUTY = 3
 WITHDRAWAL_INTERVAL_S = 1.0
 
 _log = logbook.Logger(__name__)
@@ -139,7 +138,7 @@
             self._rng,
         )
         timings = watch.WatchTimings(wait_s=node.platform.watch_s)
-        on_duty = duty.Duty(self.members, chooser, PLACES_ON_DUTY)
+        on_duty = duty.Duty(self.members, chooser, node.platform.watchers)
         self.platform_tasks = [
             *(
                 watch.Watcher(self.objects, copy, timings, self._rng, on_duty.holds)
@@ -171,7 +170,12 @@
             self.relay_client,
             self.members,
             choice.Chooser(node.host, node.failure_domain, node.region, self._rng),
-            budget.RetryBudget(node.retries.ratio, node.retries.depth),
+            budget.RetryBudget(
+                node.retries.ratio,
+                node.retries.slack,
+                node.retries.window_s,
+                lambda: len(self.members.members()),
+            ),
             self.below,
             self.events,
         )
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -18,7 +18,7 @@
 from bergamotridge.store import holding, objects
 
 DRAW_THREADS = 4
-LONGEST_BACKOFF_S = 30.0
+LONGEST_BACKOFF_S = 4.0
 RECONFIGURE_S = 0.5
 LEAVE_INTERVAL_S = 0.1
 JOIN_LOOK_S = 1.0  # Longest pause while this host is about to join.
@@ -242,8 +242,13 @@
             self._stopping.wait(min(pause_s, JOIN_LOOK_S) if soon else pause_s)
 
     def _joining(self) -> bool:
-        held = self._holder.held()
-        return any(team not in held for team in self._chosen_since)
+        """Returns True while the teams are not known, or this host is to hold one and does not."""
+        teams, held = self._teams(), self._holder.held()
+        return not teams or any(team not in held and self._is_in_group(team) for team in teams)
+
+    def _is_in_group(self, team: str) -> bool:
+        group = self._chosen.get(team, {}).get(self._failure_domain, ())
+        return any(member.host == self._host for member in group)
 
     def _adjust(self, also: Sequence[str]) -> None:
         now = self._clock()
@@ -257,8 +262,7 @@
                 self._holder.adjust(team, joins, count)
 
     def _is_chosen(self, team: str, now: float) -> bool:
-        group = self._chosen.get(team, {}).get(self._failure_domain, ())
-        if not any(member.host == self._host for member in group):
+        if not self._is_in_group(team):
             self._chosen_since.pop(team, None)
             return False
         since = self._chosen_since.setdefault(team, now)
--- a/bergamotridge/nodes/budget.py
+++ b/bergamotridge/nodes/budget.py
@@ -1,12 +1,14 @@
-"""Retry budget: retries of one node to a service, as a ratio of its first attempts."""
+"""Retry budget: what one node may add to the load of a service, as its part of the fleet's."""
 
 import threading
+from collections.abc import Callable
 
 import attrs
 
 RATIO = 0.1
-DEPTH = 10.0
-IDLE_RATE = 0.2
+SLACK = 10.0
+WINDOW_S = 50.0
+LEAST_DEPTH = 1.0
 
 
 @attrs.define
@@ -20,23 +22,29 @@
 class RetryBudget:
     """Token bucket per service; thread-safe.
 
-    Each first attempt adds `ratio` tokens, a retry takes one. A slow trickle over time lets a node
-    with little traffic retry as well.
+    Each first attempt adds `ratio` tokens, a retry takes one. The fleet's slack is divided evenly:
+    a bucket holds a node's part of it, and refills that part in a window without traffic.
     """
 
     def __init__(
-        self, ratio: float = RATIO, depth: float = DEPTH, idle_rate: float = IDLE_RATE
+        self,
+        ratio: float = RATIO,
+        slack: float = SLACK,
+        window_s: float = WINDOW_S,
+        nodes: Callable[[], int] = lambda: 1,
     ) -> None:
         """Creates full buckets.
 
         Args:
             ratio: Retries for each first attempt.
-            depth: Most tokens kept.
-            idle_rate: Tokens per second without traffic.
+            slack: Retries of all nodes beyond the ratio in a window.
+            window_s: The window in seconds.
+            nodes: Returns the number of nodes in the fleet.
         """
         self._ratio = ratio
-        self._depth = depth
-        self._idle_rate = idle_rate
+        self._slack = slack
+        self._window_s = window_s
+        self._nodes = nodes
         self._lock = threading.Lock()
         self._buckets: dict[str, _Bucket] = {}
 
@@ -44,7 +52,7 @@
         """Counts a first attempt."""
         with self._lock:
             bucket = self._bucket(service, now)
-            bucket.tokens = min(self._depth, bucket.tokens + self._ratio)
+            bucket.tokens = min(self._depth(), bucket.tokens + self._ratio)
 
     def may_retry(self, service: str, now: float) -> bool:
         """Takes a token for a retry; returns False if there is none."""
@@ -55,9 +63,16 @@
             bucket.tokens -= 1.0
             return True
 
+    def _share(self) -> float:
+        return self._slack / max(1, self._nodes())
+
+    def _depth(self) -> float:
+        return max(LEAST_DEPTH, self._share())
+
     def _bucket(self, service: str, now: float) -> _Bucket:
-        bucket = self._buckets.setdefault(service, _Bucket(self._depth, now))
+        bucket = self._buckets.setdefault(service, _Bucket(self._depth(), now))
         passed = max(0.0, now - bucket.at)
-        bucket.tokens = min(self._depth, bucket.tokens + passed * self._idle_rate)
+        refilled = passed * self._share() / self._window_s
+        bucket.tokens = min(self._depth(), bucket.tokens + refilled)
         bucket.at = max(now, bucket.at)
         return bucket
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -23,6 +23,10 @@
 }
 
 
+# Reasons of refusals that say only that the upstream is not at this host any more.
+_ELSEWHERE = frozenset(("draining", "no-upstream", "node-failed"))
+
+
 class Candidates(Protocol):
     """Knows the upstreams of each service."""
 
@@ -76,11 +80,7 @@
                 return last or answer.refuse(_no_upstream(outgoing.service))
             if last is None:
                 self._budget.first_attempt(outgoing.service, now)
-            doubt = last is not None and last.verdict is not verdict.Verdict.NOT_RUN
-            last = self._attempt(target, outgoing, allowance, token)
-            if doubt and last.verdict is verdict.Verdict.NOT_RUN:
-                # The verdict speaks for all attempts, and an earlier one may have run.
-                last.verdict = verdict.Verdict.MAY_HAVE_RUN
+            last = _joined(last, self._attempt(target, outgoing, allowance, token))
             if not self._may_retry(last, outgoing, allowance, token):
                 return last
             excluded.add(target.host)
@@ -148,9 +148,22 @@
         now = time.monotonic()
         if not repeatable or outgoing.context.time_left(now) <= 0:
             return False
+        if last.verdict is verdict.Verdict.NOT_RUN and last.reason in _ELSEWHERE:
+            # No upstream was troubled, so neither the allowance nor the budget pays for it.
+            return True
         return self._budget.may_retry(outgoing.service, now) and allowance.spend()
 
 
+def _joined(earlier: answer.Answer | None, last: answer.Answer) -> answer.Answer:
+    """Returns the answer for both attempts: its verdict speaks for all that was sent."""
+    if earlier is None or last.verdict is not verdict.Verdict.NOT_RUN:
+        return last
+    if earlier.verdict is verdict.Verdict.RUN:
+        return earlier
+    last.verdict = earlier.verdict
+    return last
+
+
 def _no_upstream(service: str) -> errors.CallError:
     return errors.CallError(
         f"no upstream of service '{service}' is known",
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -90,6 +90,9 @@
 
     address: str = _address("HTTP address of the object API")
     timeout_s: float = _number(2.0, "time limit of one request, in seconds", 0.05, 60)
+    watchers: int = _number(
+        3, "nodes in each failure domain that watch the platform for the others", 1, 100_000
+    )
     watch_s: float = _number(20.0, "longest wait of one watch, in seconds", 1, 300)
 
 
@@ -126,9 +129,10 @@
     """What all nodes together may add to the load of a service by retries."""
 
     ratio: float = _number(0.1, "retries for each first attempt", 0.0, 1.0)
-    depth: float = _number(
-        10.0, "retries of one node beyond the ratio in a short time", 0.0, 10_000.0
+    slack: float = _number(
+        30.0, "retries of all nodes beyond the ratio in a window", 0.0, 1_000_000.0
     )
+    window_s: float = _number(50.0, "the window of the slack, in seconds", 0.1, 3600.0)
 
 
 @attrs.frozen
--- a/bergamotridge/store/watch.py
+++ b/bergamotridge/store/watch.py
@@ -33,8 +33,8 @@
     first_s: float = 1.0
     wait_s: float = 20.0
     poll_s: float = 120.0
-    backoff_base_s: float = 0.5
-    backoff_cap_s: float = 4.0
+    backoff_base_s: float = 0.2
+    backoff_cap_s: float = 1.0
     gap_s: float = 0.2
     check_s: float = 2.0
 
--- a/tests/test_nodes/test_budget.py
+++ b/tests/test_nodes/test_budget.py
@@ -4,7 +4,7 @@
 
 
 def test_retries_stay_below_the_ratio_and_the_first_tokens():
-    retries = budget.RetryBudget(ratio=0.1, depth=10.0, idle_rate=0.0)
+    retries = budget.RetryBudget(ratio=0.1, slack=10.0, window_s=float("inf"))
     granted = 0
     for number in range(2000):
         now = number / 1000
