Bound what a client may send and how long its head may take

A head without end and a target of megabytes were taken in whole, a trickling head was never cut, a request without Host or with two was routed, Expect got no answer, CONNECT and Upgrade ended without one. Now 431, 414, 408, 400, 100, 405; the configuration's limits hold where it gives them, and the slowest head gives way when the port is full.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -261,6 +261,17 @@
             body_limit=body_bytes,
             name=name,
             refusal=answer.refusal(503, f"too many connections of {name}", "connections"),
+            bounds=self._bounds if name == "callers" else None,
+        )
+
+    def _bounds(self) -> httpd.Bounds:
+        """Returns what callers may send: the text's limits where it gives them."""
+        text_limits = self.routes.limits()
+        return httpd.Bounds(
+            text_limits.header_bytes or httpd.HEADER_BYTES,
+            text_limits.body_bytes or self.settings.limits.body_bytes,
+            text_limits.header_timeout_s or httpd.HEADER_TIMEOUT_S,
+            text_limits.idle_timeout_s or httpd.IDLE_S,
         )
 
     def _make_operators(self) -> None:
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -144,6 +144,11 @@
         table = self._table
         return table.below(service) if table else frozenset()
 
+    def limits(self) -> text.Limits:
+        """Returns the bounds on what callers may send, none before the first configuration."""
+        table = self._table
+        return table.text.limits if table else text.Limits()
+
     def teams(self) -> dict[str, text.Team]:
         """Returns the teams, none before the first configuration."""
         table = self._table
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -23,7 +23,9 @@
 DEPARTURE_CHECK_S = 0.05
 IDLE_CLOSE_S = 0.5
 HEADER_BYTES = 65_536
+HEADER_TIMEOUT_S = 10.0
 IDLE_S = 75.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[message.Request, cancellation.Token], message.Response]
 
@@ -34,47 +36,111 @@
     return host.strip("[]"), int(port)
 
 
-class _BodyTooLargeError(Exception):
-    """The body of a request is above the stated size."""
+@attrs.frozen
+class Bounds:
+    """What a client may send and how long it may take.
+
+    Attributes:
+        header_bytes: Longest head of a request in bytes.
+        body_bytes: Longest body of a request in bytes.
+        header_timeout_s: Seconds within which a head must be complete.
+        idle_s: Seconds without a byte from its client after which a connection is closed.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_s: float
+
+
+class _BadRequestError(Exception):
+    """A request is refused before it was read whole, with a status."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+def _limit(sock: socket.socket, option: int, seconds: float) -> None:
+    whole, fraction = divmod(seconds, 1)
+    value = struct.pack("ll", int(whole), max(1, int(fraction * 1e6)))
+    sock.setsockopt(socket.SOL_SOCKET, option, value)
 
 
 class _Reader:
     """Callbacks of httptools; collects whole requests."""
 
-    def __init__(self, body_limit: int) -> None:
+    def __init__(self, bounds: Bounds) -> None:
         self.requests: list[message.Request] = []
         self.parser = httptools.HttpRequestParser(self)
-        self._body_limit = body_limit
-        self.on_message_begin()
-
-    def on_message_begin(self) -> None:
+        self.bounds = bounds
+        self.in_head = False
+        self.expects_continue = False
+        self.upgrades = False
+        self._raw_head = 0
+        self._reset()
+
+    def _reset(self) -> None:
         self._target = b""
         self._headers: list[message.Header] = []
-        self._body = b""
+        self._body: list[bytes] = []
+        self._body_size = 0
         self._header_size = 0
+        self._hosts = 0
+
+    def feed(self, data: bytes) -> None:
+        """Takes in bytes; raises _BadRequestError or httptools' errors."""
+        fresh = not self.in_head
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.upgrades = True
+        if self.in_head:
+            self._raw_head = len(data) if fresh else self._raw_head + len(data)
+            if self._raw_head > self.bounds.header_bytes:
+                raise _BadRequestError(431 if self._headers else 414)
+
+    def on_message_begin(self) -> None:
+        self._reset()
+        self.in_head = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
+        if len(self._target) > self.bounds.header_bytes:
+            raise _BadRequestError(414)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._header_size += len(name) + len(value)
-        if self._header_size > HEADER_BYTES:
-            raise _BodyTooLargeError
-        self._headers.append((name.lower(), value))
+        if self._header_size > self.bounds.header_bytes:
+            raise _BadRequestError(431)
+        name = name.lower()
+        self._hosts += name == b"host"
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        if self.parser.get_method() == b"CONNECT":
+            raise _BadRequestError(405)
+        if self._hosts != 1 and self.parser.get_http_version() == "1.1":
+            raise _BadRequestError(400)
+        expected = message.find(self._headers, b"expect") or b""
+        self.expects_continue = expected.lower() == b"100-continue"
 
     def on_body(self, body: bytes) -> None:
-        self._body += body
-        if len(self._body) > self._body_limit:
-            raise _BodyTooLargeError
+        self._body_size += len(body)
+        if self._body_size > self.bounds.body_bytes:
+            raise _BadRequestError(413)
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         parser = self.parser
+        self.expects_continue = False
         self.requests.append(
             message.Request(
                 parser.get_method(),
                 self._target,
                 self._headers,
-                self._body,
+                b"".join(self._body),
                 parser.should_keep_alive(),
             )
         )
@@ -87,6 +153,7 @@
     sock: socket.socket
     token: cancellation.Token | None = None
     idle_since: float = 0.0
+    head_since: float | None = None
 
 
 class Server:
@@ -107,6 +174,7 @@
         name: str,
         refusal: message.Response,
         idle_s: float = IDLE_S,
+        bounds: Callable[[], Bounds] | None = None,
     ) -> None:
         """Prepares the server.
 
@@ -118,12 +186,13 @@
             name: Name of the port, for messages.
             refusal: Answer to a connection above the bound.
             idle_s: Seconds without a byte from its client after which a connection is closed.
+            bounds: Returns the bounds now in force, in place of `body_limit` and `idle_s`.
         """
-        self._idle_s = idle_s
+        fixed = Bounds(HEADER_BYTES, body_limit, HEADER_TIMEOUT_S, idle_s)
+        self._bounds = bounds or (lambda: fixed)
         self._address = address
         self._handler = handler
         self._limit = connections
-        self._body_limit = body_limit
         self._name = name
         self._refusal = message.encode(refusal, keep_alive=False)
         self._listener: socket.socket | None = None
@@ -205,7 +274,7 @@
             self._prepare(sock)
             connection = _Connection(sock, idle_since=time.monotonic())
             with self._lock:
-                room = len(self._open) < self._limit
+                room = len(self._open) < self._limit or self._evict()
                 if room:
                     self._open.add(connection)
             if room:
@@ -213,13 +282,23 @@
             else:
                 self._refuse(sock)
 
+    def _evict(self) -> bool:
+        """Closes the connection whose head has been on its way longest; False if there is none."""
+        waiting = [item for item in self._open if item.head_since is not None]
+        if not waiting:
+            return False
+        oldest = min(waiting, key=lambda item: item.head_since)
+        self._open.discard(oldest)
+        with contextlib.suppress(OSError):
+            oldest.sock.shutdown(socket.SHUT_RDWR)
+        return True
+
     def _prepare(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # A time limit in the kernel costs no call per read, unlike socket.settimeout.
-        seconds, fraction = divmod(self._idle_s, 1)
-        limit = struct.pack("ll", int(seconds), int(fraction * 1e6))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+        idle_s = self._bounds().idle_s
+        _limit(sock, socket.SO_RCVTIMEO, idle_s)
+        _limit(sock, socket.SO_SNDTIMEO, idle_s)
 
     def _refuse(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):
@@ -233,8 +312,10 @@
             self._serve_requests(connection)
         except OSError:
             pass
-        except (httptools.HttpParserError, _BodyTooLargeError) as error:
-            status = 413 if isinstance(error.__context__, _BodyTooLargeError) else 400
+        except (httptools.HttpParserError, _BadRequestError) as error:
+            # httptools wraps what a callback raises.
+            cause = error if isinstance(error, _BadRequestError) else error.__context__
+            status = cause.status if isinstance(cause, _BadRequestError) else 400
             self._answer_bad(connection.sock, status)
         except Exception:
             logger.exception("connection of {} failed", self._name)
@@ -250,20 +331,43 @@
 
     def _serve_requests(self, connection: _Connection) -> None:
         sock = connection.sock
-        reader = _Reader(self._body_limit)
+        reader = _Reader(self._bounds())
         keep_alive = True
-        while keep_alive:
-            data = sock.recv(RECEIVE_BYTES)
+        while keep_alive and not reader.upgrades:
+            data = self._receive(connection, reader)
             if not data:
                 return
-            reader.parser.feed_data(data)
+            reader.feed(data)
+            if reader.expects_continue:
+                reader.expects_continue = False
+                sock.sendall(CONTINUE)
             while reader.requests and keep_alive:
                 request = reader.requests.pop(0)
                 keep_alive = self._serve_one(connection, request)
 
+    def _receive(self, connection: _Connection, reader: _Reader) -> bytes:
+        """Waits for bytes: for the rest of a head no longer than the bounds say."""
+        sock = connection.sock
+        if not reader.in_head:
+            return sock.recv(RECEIVE_BYTES)
+        if connection.head_since is None:
+            connection.head_since = time.monotonic()
+        left = connection.head_since + min(reader.bounds.header_timeout_s, reader.bounds.idle_s)
+        left -= time.monotonic()
+        if left <= 0:
+            raise _BadRequestError(408)
+        _limit(sock, socket.SO_RCVTIMEO, left)
+        try:
+            return sock.recv(RECEIVE_BYTES)
+        except BlockingIOError as error:
+            raise _BadRequestError(408) from error
+        finally:
+            _limit(sock, socket.SO_RCVTIMEO, reader.bounds.idle_s)
+
     def _serve_one(self, connection: _Connection, request: message.Request) -> bool:
         token = cancellation.Token()
         connection.token = token
+        connection.head_since = None
         try:
             response = self._handler(request, token)
         except Exception:
