--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -77,7 +77,9 @@
         self.settings = node
         self.environment = surroundings or environment.Environment()
         self.incarnation = incarnation
-        self.events = events.EventLog(node.host, incarnation, node.failure_domain)
+        self.events = events.EventLog(
+            node.host, incarnation, node.failure_domain, node.limits.events
+        )
         self._rng = random.Random()
         self._stopping = False
         self._make_platform()
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -17,7 +17,13 @@
 LONGEST_EJECTION_S = 5.0
 RETURN_S = 2.0
 RETURN_SHARE = 0.1
-FAILURES = (outcome.Outcome.FAILED, outcome.Outcome.TIMED_OUT, outcome.Outcome.REFUSED)
+PROBE_S = 5.0
+FAILURES = (
+    outcome.Outcome.FAILED,
+    outcome.Outcome.TIMED_OUT,
+    outcome.Outcome.REFUSED,
+    outcome.Outcome.UNREACHABLE,
+)
 
 
 @attrs.define
@@ -31,6 +37,7 @@
     ejections: int = 0
     ejected_until: float = float("-inf")
     probing: bool = False
+    probed_at: float = float("-inf")
     returned_at: float = float("-inf")
 
     @property
@@ -116,7 +123,7 @@
             if report is not None:
                 health.load, health.load_at, health.sent = report.load, now, 0
             if result in FAILURES and not _only_late(result, report):
-                self._failed(health, now)
+                self._failed(health, now, at_once=result is outcome.Outcome.UNREACHABLE)
             elif result is outcome.Outcome.CANCELLED:
                 health.probing = False
             else:
@@ -128,9 +135,9 @@
             health = self._hosts[host] = _Health()
         return health
 
-    def _failed(self, health: _Health, now: float) -> None:
+    def _failed(self, health: _Health, now: float, at_once: bool) -> None:
         health.failures += 1
-        if health.probing or health.failures >= FAILURES_TO_EJECT:
+        if at_once or health.probing or health.failures >= FAILURES_TO_EJECT:
             seconds = min(LONGEST_EJECTION_S, EJECTION_S * 2**health.ejections)
             if health.probing or not health.ejected:
                 health.ejections += 1
@@ -155,8 +162,10 @@
         for item in ready:
             health = self._health(item.host)
             due = now >= health.ejected_until + waited_s
-            if health.ejected and not health.probing and due:
+            unreported = health.probing and now >= health.probed_at + PROBE_S
+            if health.ejected and due and (unreported or not health.probing):
                 health.probing = True
+                health.probed_at = now
                 return item
         return None
 
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -130,6 +130,8 @@
     ) -> None:
         now = time.monotonic()
         ended = _OUTCOMES.get(given.reason, outcome.Outcome.FAILED)
+        if given.reason == "node-failed" and given.verdict is verdict.Verdict.NOT_RUN:
+            ended = outcome.Outcome.UNREACHABLE
         self._chooser.report(target.host, ended, given.report, latency_s, now)
         if given.report is not None:
             threshold = given.report.threshold
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -115,6 +115,7 @@
     body_bytes: int = _number(4_194_304, "largest body taken, in bytes", 1024, 1_073_741_824)
     retries: int = _number(2, "retries per request in its whole tree", 0, 100)
     queue: int = _number(64, "calls waiting beside the upstream", 0, 10_000)
+    events: int = _number(20_000, "events kept for operators", 100, 10_000_000)
     drain_s: float = _number(20.0, "longest wait for calls at a planned stop, in seconds", 0, 600)
     notice_s: float = _number(
         1.5, "time at a planned stop in which calls are still taken, in seconds", 0, 600
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -32,6 +32,19 @@
         self._gate.finish(self._entry, result, now)
 
 
+class _Signal:
+    """Tells the thread of a call that its entry was settled; most calls never wait for it."""
+
+    __slots__ = ("event",)
+
+    def __init__(self) -> None:
+        self.event: threading.Event | None = None
+
+    def __call__(self, entry: queue.Entry) -> None:
+        if self.event is not None:
+            self.event.set()
+
+
 class Gate:
     """The only way to the local upstream; safe for use by many threads."""
 
@@ -70,11 +83,13 @@
         """
         if token is not None and token.cancelled:
             raise _left(context)
-        settled = threading.Event()
+        signal = _Signal()
         with self._lock:
-            entry = self._admission.offer(context, now, lambda _: settled.set())
-        if entry.state is not queue.EntryState.STARTED:
-            self._wait(entry, settled, context.deadline - now, token)
+            entry = self._admission.offer(context, now, signal)
+            if entry.state is queue.EntryState.WAITING:
+                signal.event = threading.Event()
+        if signal.event is not None:
+            self._wait(entry, signal.event, context.deadline - now, token)
         if entry.state is not queue.EntryState.STARTED:
             raise entry.refusal
         if token is not None and token.cancelled:
--- a/bergamotridge/upstreams/outcome.py
+++ b/bergamotridge/upstreams/outcome.py
@@ -12,3 +12,4 @@
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
     REFUSED = "refused"
+    UNREACHABLE = "unreachable"
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -14,8 +14,8 @@
 from bergamotridge import verdict
 from bergamotridge.util import cancellation, message
 
-CONNECT_TIMEOUT_S = 1.0
-USER_TIMEOUT_MS = 2_000
+CONNECT_TIMEOUT_S = 0.3
+USER_TIMEOUT_MS = 1_000
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBES = 2
--- a/tests/test_nodes/test_choice.py
+++ b/tests/test_nodes/test_choice.py
@@ -77,3 +77,22 @@
         answer(chosen, "near", outcome.Outcome.TIMED_OUT)
         answer(chosen, "near", outcome.Outcome.SHED)
     assert counts(chosen, 20, 0.1)["near"] == 20
+
+
+def unreachable(chosen, host, now):
+    chosen.report(host, outcome.Outcome.UNREACHABLE, None, 0.3, now)
+
+
+def test_a_host_that_cannot_be_reached_is_left_out_at_once():
+    chosen = chooser()
+    unreachable(chosen, "near", 0.0)
+    assert "near" not in {chosen.choose(HOSTS, (), 0.01).host for _ in range(50)}
+
+
+def test_a_probe_whose_end_is_never_told_does_not_stay_the_last():
+    chosen = chooser()
+    unreachable(chosen, "near", 0.0)
+    probes = [chosen.choose(HOSTS, (), 10.0).host for _ in range(50)]
+    assert probes.count("near") == 1
+    later = [chosen.choose(HOSTS, (), 10.0 + choice.PROBE_S).host for _ in range(50)]
+    assert later.count("near") == 1
