--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -21,7 +21,7 @@
 PROBES = 2
 IDLE_S = 4.0
 ANNOUNCED_SHARE = 0.5  # Of the time for which the other side says it keeps a connection.
-RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 16_384
 BODILESS_METHODS = frozenset((b"GET", b"HEAD"))
 FIRST_FINAL_STATUS = 200
 _LENGTH_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
@@ -316,6 +316,13 @@
 
     def _reusable(self, now: float) -> _Exchange | None:
         """Returns an idle connection that the other side surely keeps open still."""
+        with self._lock:
+            expired = []
+            # The last used goes first out, so those that nobody needs any more gather on the left.
+            while self._idle and now >= self._idle[0].idle_until:
+                expired.append(self._idle.popleft())
+        for exchange in expired:
+            exchange.close()
         while True:
             with self._lock:
                 exchange = self._idle.pop() if self._idle else None
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -18,7 +18,7 @@
 
 logger = logbook.Logger(__name__)
 
-RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 16_384
 BACKLOG = 1024
 DEPARTURE_CHECK_S = 0.1
 IDLE_CLOSE_S = 0.5
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -8,6 +8,7 @@
 
 from bergamotridge import verdict
 from bergamotridge.util import cancellation, http_client, message
+from tests.test_util import test_httpd
 
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 BODY_LIMIT = 1024
@@ -108,3 +109,19 @@
     pool = http_client.Pool(server.address, BODY_LIMIT)
     pool.send(message.Request(b"GET", b"/prices/../pay?a=../b", []), 5)
     assert server.requests[0].startswith(b"GET /prices/../pay?a=../b HTTP/1.1\r\n")
+
+
+def test_connections_that_nobody_needs_any_more_are_closed():
+    server, address = test_httpd.make(test_httpd.echo)
+    pool = http_client.Pool(address, 1000)
+    post = message.Request(b"POST", b"/", [], b"x")
+    pool.send(post, 10)
+    (old,) = pool._idle
+    second = http_client._Exchange(address, 1000, False)
+    second.perform(post, 10, None)
+    pool._idle.append(second)
+    old.idle_until = 0.0
+    pool.send(post, 10)
+    assert list(pool._idle) == [second] and old.is_stale()
+    pool.close()
+    server.stop(0)
