--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -21,7 +21,8 @@
 LONGEST_BACKOFF_S = 4.0
 RECONFIGURE_S = 0.5
 LEAVE_INTERVAL_S = 0.1
-JOIN_LOOK_S = 1.0  # Longest pause while this host is about to join.
+JOIN_LOOK_S = 1.0  # Longest pause while this host is about to join or leave.
+SMALL_SHARE = 0.5  # Of an equal share; below it a holder looks again soon.
 _log = logbook.Logger("quota")
 
 
@@ -111,6 +112,7 @@
         self._chosen_since: dict[str, float] = {}
         self._configured_at = float("-inf")
         self._stopping = threading.Event()
+        self._leaving = threading.Event()
         self._tasks = futures.ThreadPoolExecutor(2, "quota")
         self._sends = futures.ThreadPoolExecutor(DRAW_THREADS, "quota-draw")
 
@@ -131,8 +133,14 @@
         self._tasks.submit(self._hold)
         self._tasks.submit(self._draw)
 
+    def hand_back(self) -> None:
+        """Returns shares, as far as that can be done in a few seconds; tokens are still drawn."""
+        self._leaving.set()
+        self._leave()
+
     def stop(self) -> None:
         """Returns drawn tokens and shares, as far as that can be done in a few seconds."""
+        self._leaving.set()
         self._stopping.set()
         with self._lock:
             self._drawer.return_all()
@@ -227,8 +235,8 @@
     def _hold(self) -> None:
         pace = Pace(self._settings.timings.adjust_s, self._rng)
         left: Sequence[str] | None = None
-        self._stopping.wait(pace.first_s())
-        while not self._stopping.is_set():
+        self._leaving.wait(pace.first_s())
+        while not self._leaving.is_set():
             failed = False
             try:
                 if left is None:
@@ -238,13 +246,26 @@
                 _log.warning("quota shares not adjusted: {}", error)
                 failed = True
             pause_s = pace.next_s(failed)
-            soon = self._joining() and not failed
-            self._stopping.wait(min(pause_s, JOIN_LOOK_S) if soon else pause_s)
+            soon = self._moving() and not failed
+            self._leaving.wait(min(pause_s, JOIN_LOOK_S) if soon else pause_s)
 
-    def _joining(self) -> bool:
-        """Returns True while the teams are not known, or this host is to hold one and does not."""
-        teams, held = self._teams(), self._holder.held()
-        return not teams or any(team not in held and self._is_in_group(team) for team in teams)
+    def _moving(self) -> bool:
+        """Returns True while shares do not stand where they should as far as this host knows."""
+        teams = self._teams()
+        if not teams:
+            return True
+        shares = self._holder.shares(self._clock())
+        for team in teams:
+            share = shares.get(team)
+            if not self._is_in_group(team):
+                if share is not None:
+                    return True
+            elif share is None or share * self._group_size(team) < SMALL_SHARE:
+                return True
+        return False
+
+    def _group_size(self, team: str) -> int:
+        return sum(len(group) for group in self._chosen.get(team, {}).values())
 
     def _is_in_group(self, team: str) -> bool:
         group = self._chosen.get(team, {}).get(self._failure_domain, ())
@@ -257,7 +278,8 @@
             chosen = dict(self._chosen)
         for name, team in self._teams().items():
             count = sum(len(group) for group in chosen.get(name, {}).values())
-            joins = self._is_chosen(name, now)
+            # A share that a predecessor left here is taken over without the wait of a newcomer.
+            joins = self._is_chosen(name, now) or (name in also and self._is_in_group(name))
             if joins or name in held:
                 self._holder.adjust(team, joins, count)
 
