--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -369,7 +369,7 @@
         self.pools.close()
 
     def _configured(self, accepted: configuration.Configuration) -> None:
-        self.routes.replace(accepted.text)
+        self.routes.replace(accepted.text, accepted.version)
         self._size_gate()
         self.events.emit(
             "configuration.accepted", version=accepted.version, change_id=accepted.change_id
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -70,6 +70,8 @@
     service: str = ""
     refusal: str = ""
     claims: bool = False
+    target_s: float = 0.0
+    configuration: int = 0
 
 
 @attrs.frozen
@@ -121,6 +123,21 @@
                 importance=progress.importance,
                 service=progress.service,
                 told=progress.refusal,
+                configuration=progress.configuration,
+                ms=round(1000 * seconds),
+            )
+        elif 0 < progress.target_s < seconds:
+            self.log.emit(
+                "call.late",
+                progress.request_id,
+                "target",
+                path=request.path,
+                team=progress.team,
+                importance=progress.importance,
+                service=progress.service,
+                configuration=progress.configuration,
+                ms=round(1000 * seconds),
+                target_ms=round(1000 * progress.target_s),
             )
 
     def _answer(
@@ -161,10 +178,12 @@
     def _admit(self, progress: _Progress, request: message.Request) -> Admitted:
         now = time.monotonic()
         table = self.routes.routes()
+        progress.configuration = table.version
         host = (request.header(b"host") or b"").decode("latin-1")
         target = table.match(request.method.decode("latin-1"), request.path, host)
         route = target.route
         progress.service = service = self._service(route)
+        progress.target_s = route.target_s
         progress.claims = not route.repeatable and request.header(IDEMPOTENCY_HEADER) is not None
         team = progress.team = self._team(route, request, now)
         declared = table.text.teams.get(team)
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -108,12 +108,16 @@
             given = self._client.send(target.relay_address, relayed, outgoing.request, token)
         allowance.give_back(given.unused, granted)
         if given.reason:
-            self._tell(target, outgoing, given)
+            self._tell(target, outgoing, given, time.monotonic() - started)
         self._learn(target, outgoing.service, given, time.monotonic() - started)
         return given
 
     def _tell(
-        self, target: record.UpstreamRecord, outgoing: Outgoing, given: answer.Answer
+        self,
+        target: record.UpstreamRecord,
+        outgoing: Outgoing,
+        given: answer.Answer,
+        seconds: float,
     ) -> None:
         refused = given.verdict is verdict.Verdict.NOT_RUN
         self._log.emit(
@@ -123,6 +127,9 @@
             service=outgoing.service,
             target=target.host,
             verdict=given.verdict.value,
+            ms=round(1000 * seconds),
+            load=round(given.report.load, 3) if given.report else None,
+            record_version=target.version,
         )
 
     def _learn(
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -34,8 +34,9 @@
 class RouteTable:
     """Matches calls against the routes of one version of the operator's text."""
 
-    def __init__(self, source: text.Text) -> None:
+    def __init__(self, source: text.Text, version: int = 0) -> None:
         self.text = source
+        self.version = version
         self.team_of_key = {key: team.name for team in source.teams.values() for key in team.keys}
         self._reach = {name: reachable(source.services, name) for name in source.services}
         self._below = {name: reach - {name} for name, reach in self._reach.items()}
@@ -123,9 +124,9 @@
         """True once a configuration is in force."""
         return self._table is not None
 
-    def replace(self, source: text.Text) -> None:
-        """Puts a new operator's text in force."""
-        self._table = RouteTable(source)
+    def replace(self, source: text.Text, version: int = 0) -> None:
+        """Puts a new operator's text in force; `version` is the platform's."""
+        self._table = RouteTable(source, version)
 
     def routes(self) -> RouteTable:
         """Returns the table; raises CallError 503 before the first configuration."""
--- a/bergamotridge/operators/kinds.py
+++ b/bergamotridge/operators/kinds.py
@@ -4,6 +4,7 @@
     "attempt.failed": "An attempt at one upstream failed after it may have reached it.",
     "attempt.refused": "An attempt at one upstream was refused and did not run.",
     "call.failed": "A caller's call failed after it may have reached an upstream.",
+    "call.late": "A caller's call was answered later than its route's target.",
     "call.refused": "A caller's call was refused and did not run.",
     "call.retried": "A node sends a call again, to another upstream.",
     "configuration.accepted": "A version of the operator's text came into force on the node.",
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -17,6 +17,18 @@
 
 
 REASONS = {
+    "target": Reason(
+        "the answer came later than the route's target",
+        "read the lines of its attempts: which upstream, how long, and how loaded it was",
+    ),
+    "upstream-error": Reason(
+        "the upstream ran the call and answered with status 5xx",
+        "look at the upstream's own log for the request id",
+    ),
+    "upstream-replaced": Reason(
+        "another upstream than the announced one has the address",
+        "nothing, if upstreams are being replaced; else check what listens at the address",
+    ),
     "call-id": Reason(
         "the upstream's call to a dependency named no call that is running",
         "let the upstream pass on the header 'Bergamotridge-Call' of the call it works on, and "
