--- a/bergamotridge/callers/dialect.py
+++ b/bergamotridge/callers/dialect.py
@@ -24,6 +24,9 @@
             CallError: 400: the field cannot be read.
         """
 
+    def serves_running_work(self, request: message.Request) -> bool:
+        """Returns True for a call that an upstream makes for a request it works on."""
+
     def response(self, given: answer.Answer, request_id: str) -> message.Response:
         """Returns the response for a caller."""
 
@@ -50,6 +53,11 @@
             )
         return int(given) / 1000
 
+    def serves_running_work(self, request: message.Request) -> bool:
+        """Returns False: calls of upstreams come to a port of their own."""
+        del request
+        return False
+
     def response(self, given: answer.Answer, request_id: str) -> message.Response:
         """Adds the id of the request and the verdict."""
         fields = [
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -188,11 +188,16 @@
         team = progress.team = self._team(route, request, now)
         declared = table.text.teams.get(team)
         importance = route.importance
-        if declared is not None and declared.importance is not None:
+        inner = route.open and self.speech.serves_running_work(request)
+        if inner:
+            # What was already spent on the request above is lost if this call is turned away.
+            importance = call.Importance.CRITICAL
+        elif declared is not None and declared.importance is not None:
             importance = declared.importance
         progress.importance = importance.name.lower()
         deadline = now + self._time_limit(route, request)
-        self.thresholds.check(progress.request_id, importance, target.services, now, team)
+        if not inner:
+            self.thresholds.check(progress.request_id, importance, target.services, now, team)
         if team:
             self.team_rates.take(team, now)
         context = call.CallContext(
@@ -200,7 +205,7 @@
             team=team,
             importance=importance,
             deadline=deadline,
-            depth=0,
+            depth=int(inner),
             repeatable=route.repeatable,
             weight=declared.weight if declared else 1.0,
             virtual_host=host,
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -22,7 +22,6 @@
 RECONFIGURE_S = 0.5
 LEAVE_INTERVAL_S = 0.1
 JOIN_LOOK_S = 1.0  # Longest pause while this host is about to join or leave.
-SMALL_SHARE = 0.5  # Of an equal share; below it a holder looks again soon.
 _log = logbook.Logger("quota")
 
 
@@ -260,13 +259,10 @@
             if not self._is_in_group(team):
                 if share is not None:
                     return True
-            elif share is None or share * self._group_size(team) < SMALL_SHARE:
+            elif not share:
                 return True
         return False
 
-    def _group_size(self, team: str) -> int:
-        return sum(len(group) for group in self._chosen.get(team, {}).values())
-
     def _is_in_group(self, team: str) -> bool:
         group = self._chosen.get(team, {}).get(self._failure_domain, ())
         return any(member.host == self._host for member in group)
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -44,6 +44,7 @@
         self._queue = queue.AdmissionQueue(room)
         self._controller = threshold.ThresholdController()
         self._state = record.State.LOST
+        self._exact = False
         self._draining = False
         self._in_flight = 0
 
@@ -70,7 +71,7 @@
         connections: int,
         now: float,
         *,
-        tells_cold: bool = False,
+        exact: bool = False,
     ) -> None:
         """Takes over what the upstream says of itself.
 
@@ -79,13 +80,15 @@
             slots: Calls it says it can run at once.
             connections: Connections it says it accepts.
             now: Monotonic time in seconds.
-            tells_cold: True if it says itself how long it stays slow, so that its limit needs
-                no ramp to find out.
+            exact: True if its slots are its own count and it says how long it stays slow; the
+                limit then stays at the slots, and a call that it sheds all the same says
+                nothing about them.
         """
         self._announced = min(slots, connections)
         self._limit.set_ceiling(self._ceiling())
         if state is record.State.READY and self._state is not record.State.READY:
-            self._limit.restart(ramp=not tells_cold)
+            self._limit.restart(ramp=not exact)
+        self._exact = exact
         self._state = state
         if state is not record.State.READY:
             self._refuse_waiting()
@@ -138,7 +141,8 @@
         self._in_flight -= 1
         if result not in (outcome.Outcome.SHED, outcome.Outcome.REFUSED):
             self._controller.held(now - entry.started_at)
-        self._limit.finished(result, used, self._controller.hold_s, now)
+        if not self._exact:
+            self._limit.finished(result, used, self._controller.hold_s, now)
         self._advance(now)
 
     def report(self, now: float) -> load.LoadReport:
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -135,7 +135,7 @@
         load: float,
         now: float,
         *,
-        tells_cold: bool = False,
+        exact: bool = False,
     ) -> None:
         """Takes over what the upstream says of itself.
 
@@ -145,10 +145,11 @@
             connections: Connections it says it accepts.
             load: Load that it claims; a hint that decides nothing.
             now: Monotonic time in seconds.
-            tells_cold: True if it says itself how long it stays slow after its start.
+            exact: True if it also says how long it stays slow after its start, so that its
+                slots are its own count and no guess.
         """
         with self._lock:
-            self._admission.announce(state, slots, connections, now, tells_cold=tells_cold)
+            self._admission.announce(state, slots, connections, now, exact=exact)
 
     def drain(self) -> None:
         """Refuses waiting and further calls; running ones go on."""
--- a/bergamotridge/upstreams/local.py
+++ b/bergamotridge/upstreams/local.py
@@ -57,7 +57,7 @@
             heard.connections,
             heard.load,
             now,
-            tells_cold=heard.cold_s is not None,
+            exact=heard.cold_s is not None,
         )
         return True
 
--- /dev/null
+++ b/tests/test_platform/test_running_work.py
@@ -0,0 +1,45 @@
+"""Calls that an upstream makes for a request it works on go before new requests."""
+
+import pytest
+
+from bergamotridge import call, errors, events
+from bergamotridge.callers import port
+from bergamotridge.nodes import routing
+from bergamotridge.util import cancellation, message
+from tests.test_callers import test_port
+from tests.test_platform import test_configuration
+
+
+class Shedding:
+    """Thresholds that shed everything."""
+
+    def check(self, *arguments):
+        raise errors.CallError("x", status=503, reason="shed")
+
+
+@pytest.mark.parametrize(("key", "sent"), [(None, True), (b"Bearer k1", False)])
+def test_only_a_call_without_a_key_counts_as_running_work(key, sent):
+    from hosting import configuration, dialects
+
+    node, routes = test_port.Node(), routing.CurrentRoutes()
+    source = test_configuration.orjson.dumps(test_configuration.CONFIGURATION).decode()
+    routes.replace(configuration.parse(source, "test"))
+    opened = port.CallerPort(
+        routes=routes,
+        key_ring=node,
+        team_rates=node,
+        thresholds=Shedding(),
+        once=node,
+        dispatcher=node,
+        log=events.EventLog("h", 1, "fd"),
+        retries=2,
+        count=lambda seen: None,
+        speech=dialects.Callers(),
+    )
+    fields = [(b"host", b"a.example")] + ([(b"authorization", key)] if key else [])
+    opened.handle(message.Request(b"POST", b"/x/y/1", fields), cancellation.Token())
+    assert bool(node.sent) is sent
+    if sent:
+        (outgoing,) = node.sent
+        context = outgoing.context
+        assert (context.depth, context.importance) == (1, call.Importance.CRITICAL)
--- a/tests/test_upstreams/test_admission.py
+++ b/tests/test_upstreams/test_admission.py
@@ -116,3 +116,13 @@
     for entry in fill(gate, 50):
         gate.finish(entry, outcome.Outcome.TIMED_OUT, 2.0)
     assert gate.report(2.0).limit == 50
+
+
+def test_an_upstream_that_counts_its_own_slots_keeps_its_limit_though_it_sheds():
+    gate = admission.Admission(100, 10)
+    gate.announce(record.State.READY, 8, 100, 0.0, exact=True)
+    assert gate.report(0.0).limit == 8
+    for number in range(20):
+        entry = gate.offer(context(f"r{number}"), 1.0 + number, lambda _: None)
+        gate.finish(entry, outcome.Outcome.SHED, 1.1 + number)
+    assert gate.report(30.0).limit == 8
