Reread the settings at SIGHUP instead of ending, and log when the platform answers again

SIGHUP ended the process, which had no handler for it; the users' platform sends it when the file changes.

--- a/bergamotridge/commands/node.py
+++ b/bergamotridge/commands/node.py
@@ -18,4 +18,7 @@
     # Imported here so that --help does not load the servers.
     from bergamotridge import application
 
-    return application.run(settings.load(values.settings))
+    def read() -> settings.NodeSettings:
+        return settings.load(values.settings)
+
+    return application.run(read(), read=read)
--- a/bergamotridge/store/watch.py
+++ b/bergamotridge/store/watch.py
@@ -112,6 +112,8 @@
                 _log.warning("the platform does not answer: {}", error)
             self._reachable = False
             return self._backoff.next_delay_s() if watching else self._timings.check_s
+        if self._reachable is False:
+            _log.info("the platform answers again, {} is read from it", self._replica.kind)
         self._reachable = True
         before = self._replica.version
         self._replica.take(listing)
