--- a/bergamotridge/commands/explain.py
+++ b/bergamotridge/commands/explain.py
@@ -3,19 +3,18 @@
 from absl import flags
 
 from bergamotridge.commands import nodes
-from bergamotridge.operators import explain, fleet
+from bergamotridge.operators import explain
 
 
 def define_flags(values: flags.FlagValues) -> None:
     """Defines the flags of the command."""
-    nodes.define_flags(values)
+    nodes.define_source_flags(values)
 
 
 def run(values: flags.FlagValues, arguments: list[str]) -> int:
     """Prints the story of the request; returns 1 if no node that was reached knows of it."""
     request_id = arguments[0]
-    found = nodes.survey(values)
-    history = fleet.history(found, nodes.connector(values), request_id=request_id)
+    history = nodes.history(values, request_id=request_id)
     for line in explain.lines(request_id, history):
         print(line)
     return 0 if history.events else 1
--- a/bergamotridge/commands/nodes.py
+++ b/bergamotridge/commands/nodes.py
@@ -5,7 +5,7 @@
 from absl import flags
 
 from bergamotridge import errors
-from bergamotridge.operators import client, fleet
+from bergamotridge.operators import client, fleet, log_lines
 
 DEFAULT_TIMEOUT_S = 3.0
 
@@ -29,6 +29,23 @@
     )
 
 
+def define_source_flags(values: flags.FlagValues) -> None:
+    """Defines the flags that say where events are read: from nodes or from their logs."""
+    define_flags(values, required=False)
+    flags.DEFINE_list(
+        "logs", [], "files with log lines of nodes, in place of asking them", flag_values=values
+    )
+
+
+def history(values: flags.FlagValues, request_id: str = "", since: str = "") -> fleet.History:
+    """Returns the events that the nodes keep or that their logs hold."""
+    if values.logs:
+        return log_lines.history(values.logs, request_id, since)
+    if not values.nodes:
+        raise errors.UsageError("give --nodes=IP:PORT or --logs=FILE")
+    return fleet.history(survey(values), connector(values), request_id=request_id, since=since)
+
+
 def connector(values: flags.FlagValues) -> fleet.Connect:
     """Returns what makes the client of an operators' address."""
     return functools.partial(client.OperatorClient, timeout_s=values.timeout_s)
--- a/bergamotridge/commands/timeline.py
+++ b/bergamotridge/commands/timeline.py
@@ -3,12 +3,12 @@
 from absl import flags
 
 from bergamotridge.commands import nodes
-from bergamotridge.operators import fleet, summary, timeline
+from bergamotridge.operators import summary, timeline
 
 
 def define_flags(values: flags.FlagValues) -> None:
     """Defines the flags of the command."""
-    nodes.define_flags(values)
+    nodes.define_source_flags(values)
     flags.DEFINE_string(
         "since", "", "only events after this stamp or these milliseconds", flag_values=values
     )
@@ -27,8 +27,7 @@
 def run(values: flags.FlagValues, arguments: list[str]) -> int:
     """Prints the time line, and names the nodes that are missing from it."""
     del arguments
-    found = nodes.survey(values)
-    history = fleet.history(found, nodes.connector(values), since=values.since)
+    history = nodes.history(values, since=values.since)
     if values.every_s > 0:
         shown = summary.lines(history, values.every_s, values.kinds)
     else:
--- a/bergamotridge/logs.py
+++ b/bergamotridge/logs.py
@@ -109,6 +109,8 @@
             if left_out:
                 _log.info("lines on calls left out: {}", left_out)
         fields = {"event": event.kind, "stamp": str(event.stamp), **event.detail}
+        if event.cause:
+            fields["cause"] = event.cause
         if event.request_id:
             fields["request_id"] = event.request_id
         text = f"{event.kind}: {event.cause}" if event.cause else event.kind
--- a/bergamotridge/operators/explain.py
+++ b/bergamotridge/operators/explain.py
@@ -69,6 +69,13 @@
     return _ended(_attempted(event), "failed with", event)
 
 
+def _late(event: events.Event) -> str:
+    return (
+        f"{_call(event)} was answered after {_detail(event, 'ms')} ms, "
+        f"its target is {_detail(event, 'target_ms')} ms"
+    )
+
+
 def _retried(event: events.Event) -> str:
     return f"the call to service '{_detail(event, 'service')}' is sent again, to another host"
 
@@ -78,6 +85,7 @@
     "attempt.failed": _attempt_failed,
     "call.refused": _refused,
     "call.failed": _failed,
+    "call.late": _late,
     "call.retried": _retried,
     "dependency.refused": _dependency_refused,
     "dependency.failed": _dependency_failed,
