Write logs past Python's stream and to their end

A task that hangs in a write to standard output held the stream's lock, on which the end of the process waits, and the last lines of a stop were lost.

--- a/bergamotridge/logs.py
+++ b/bergamotridge/logs.py
@@ -1,5 +1,6 @@
 """Logs: one JSON object on a line on standard output, through logbook."""
 
+import atexit
 import sys
 import threading
 import time
@@ -131,8 +132,9 @@
         The handler, which is in force until its `pop_application` is called.
     """
     if stream is None:
-        stream = line_queue.LineQueue(sys.stdout)
+        stream = line_queue.LineQueue(sys.stdout.fileno())
         stream.start()
+        atexit.register(stream.stop)
     handler = logbook.StreamHandler(stream, level=node.log_level)
     handler.formatter = JsonFormatter(Origin(node.host, incarnation, node.failure_domain))
     handler.push_application()
--- a/bergamotridge/util/line_queue.py
+++ b/bergamotridge/util/line_queue.py
@@ -1,8 +1,8 @@
 """Output that never makes its writers wait."""
 
 import collections
+import os
 import threading
-from typing import TextIO
 
 LINES = 4096
 DRAIN_S = 1.0
@@ -15,9 +15,15 @@
     left out and counted, and the next line that gets through is preceded by their number.
     """
 
-    def __init__(self, stream: TextIO, size: int = LINES) -> None:
-        """Prepares the queue; nothing is written before `start`."""
-        self._stream = stream
+    def __init__(self, descriptor: int, size: int = LINES) -> None:
+        """Prepares the queue; nothing is written before `start`.
+
+        Args:
+            descriptor: File descriptor to write to. A stream of Python's would be locked by a
+                write that hangs, and with it the end of the process.
+            size: Most lines kept.
+        """
+        self._descriptor = descriptor
         self._size = size
         self._lines: collections.deque[str] = collections.deque()
         self._ready = threading.Condition()
@@ -66,10 +72,14 @@
             if left_out:
                 lines.append(f'{{"level":"WARNING","message":"lines left out: {left_out}"}}\n')
             try:
-                self._stream.write("".join(lines))
-                self._stream.flush()
-            except (OSError, ValueError):
+                self._write_out("".join(lines).encode())
+            except OSError:
                 # Nobody is left to tell: the output itself is gone.
                 return
             if stopping and not self._lines:
                 return
+
+    def _write_out(self, data: bytes) -> None:
+        left = memoryview(data)
+        while left:
+            left = left[os.write(self._descriptor, left) :]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -65,7 +65,7 @@
 
 def test_output_that_nobody_reads_makes_no_writer_wait():
     reading, writing = os.pipe()
-    lines = line_queue.LineQueue(os.fdopen(writing, "w"), size=100)
+    lines = line_queue.LineQueue(writing, size=100)
     lines.start()
     for number in range(100_000):
         lines.write(f"{number}\n")
@@ -74,6 +74,16 @@
     lines.stop()
 
 
+def test_what_was_queued_is_written_before_the_end():
+    reading, writing = os.pipe()
+    lines = line_queue.LineQueue(writing)
+    lines.start()
+    for number in range(100):
+        lines.write(f"{number}\n")
+    lines.stop()
+    assert os.read(reading, 65536).split()[-1] == b"99"
+
+
 def test_an_exception_stays_on_one_line():
     def write():
         try:
