--- a/bergamotridge/commands/node.py
+++ b/bergamotridge/commands/node.py
@@ -16,9 +16,9 @@
     """Runs the node until it is told to stop and returns its exit code."""
     del arguments
     # Imported here so that --help does not load the servers.
-    from bergamotridge import application
+    from bergamotridge import daemon
 
     def read() -> settings.NodeSettings:
         return settings.load(values.settings)
 
-    return application.run(read(), read=read)
+    return daemon.run(read(), read=read)
--- a/tests/test_application.py
+++ b/tests/test_daemon.py
@@ -3,21 +3,21 @@
 import attrs
 import logbook
 
-from bergamotridge import application, errors, settings
+from bergamotridge import daemon, errors, settings
 
 NODE = settings.NodeSettings(host="h1", failure_domain="a", fleet_secret="s")
 
 
 def told(read):
     with logbook.TestHandler() as handler:
-        application.reread(NODE, read)
+        daemon.reread(NODE, read)
     return handler.formatted_records
 
 
 def test_changed_settings_are_named_with_their_tables():
     limits = attrs.evolve(NODE.limits, queue=3)
     changed = attrs.evolve(NODE, host="h2", limits=limits)
-    assert application.changed_keys(NODE, changed) == ["host", "limits.queue"]
+    assert daemon.changed_keys(NODE, changed) == ["host", "limits.queue"]
     (line,) = told(lambda: changed)
     assert "limits.queue" in line
 
