--- a/bergamotridge/answer.py
+++ b/bergamotridge/answer.py
@@ -24,6 +24,7 @@
         thresholds: Thresholds of the services below, in the form of `ThresholdTable.encode`.
         stamp: Hybrid logical time of the answer, encoded, or "".
         retry_after_s: Seconds after which the caller may try again, None if not given.
+        host: Host that gave it, "" if no host was asked.
     """
 
     response: message.Response
@@ -34,6 +35,7 @@
     thresholds: str = ""
     stamp: str = ""
     retry_after_s: float | None = None
+    host: str = ""
 
 
 def refuse(error: errors.CallError, unused: int = 0) -> Answer:
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -138,6 +138,8 @@
                 configuration=progress.configuration,
                 ms=round(1000 * seconds),
                 target_ms=round(1000 * progress.target_s),
+                target=given.host,
+                load=round(given.report.load, 3) if given.report else None,
             )
 
     def _answer(
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -106,6 +106,7 @@
             stamp = str(self._log.clock.stamp(time.time_ns() // 1_000_000))
             relayed = context.RelayedCall(outgoing.service, outgoing.context, granted, stamp)
             given = self._client.send(target.relay_address, relayed, outgoing.request, token)
+        given.host = target.host
         allowance.give_back(given.unused, granted)
         if given.reason:
             self._tell(target, outgoing, given, time.monotonic() - started)
--- a/bergamotridge/operators/explain.py
+++ b/bergamotridge/operators/explain.py
@@ -72,7 +72,8 @@
 def _late(event: events.Event) -> str:
     return (
         f"{_call(event)} was answered after {_detail(event, 'ms')} ms, "
-        f"its target is {_detail(event, 'target_ms')} ms"
+        f"its target is {_detail(event, 'target_ms')} ms; host '{_detail(event, 'target')}' "
+        f"answered it at a load of {_detail(event, 'load')}"
     )
 
 
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -96,3 +96,16 @@
     fleet = Fleet(NOT_RUN, RUN)
     send(fleet, repeatable=True, left_s=-1.0)
     assert len(fleet.hosts) == 1
+
+
+def test_the_answer_of_an_upstream_is_told_and_not_a_refusal_that_came_after_it():
+    answered = answer.Answer(message.Response(500), RUN, "upstream-error")
+    refused = answer.refuse(errors.CallError("full", status=503, reason="shed"))
+    assert dispatch._joined(answered, refused) is answered
+
+
+def test_a_host_that_its_upstream_has_left_costs_no_retry(monkeypatch):
+    fleet = Fleet(NOT_RUN, NOT_RUN, RUN)
+    monkeypatch.setattr(dispatch, "_ELSEWHERE", frozenset(("shed",)))
+    given, allowance = send(fleet, repeatable=False, retries=0)
+    assert (given.verdict, len(fleet.hosts), allowance.left) == (RUN, 3, 0)
--- a/tests/test_operators/test_log_lines.py
+++ b/tests/test_operators/test_log_lines.py
@@ -18,7 +18,11 @@
         log = events.EventLog(host, 17, "a")
         log.listen(logs.EventWriter())
         kept.append(log.emit("attempt.failed", "r1", "deadline", target="h3", service="fees"))
-        kept.append(log.emit("call.late", "r2", "target", path="/x", ms=900, target_ms=500))
+        kept.append(
+            log.emit(
+                "call.late", "r2", "target", path="/x", ms=900, target_ms=500, target="h4", load=1.5
+            )
+        )
         handler.pop_application()
     path = tmp_path / "node.log"
     lines = [f"  0.1 host {line}\n" for line in stream.getvalue().splitlines()]
@@ -34,7 +38,7 @@
 def test_one_request_is_explained_from_logs(written):
     path, _ = written
     told = "\n".join(explain.lines("r2", log_lines.history([path], "r2")))
-    assert "was answered after 900 ms, its target is 500 ms" in told
+    assert "was answered after 900 ms, its target is 500 ms; host 'h4' answered" in told
     assert "h3" not in told
 
 
