--- a/bench/bare_relay.py
+++ b/bench/bare_relay.py
@@ -6,7 +6,7 @@
 
 from absl import app, flags
 
-from bergamotridge.util import cancellation, http_client, httpd, message
+from bergamotridge.util import cancellation, http_client, httpd, loop, message
 
 CONNECTIONS = 64
 BODY_LIMIT = 1 << 20
@@ -21,13 +21,10 @@
     del argv
     pool = http_client.Pool(_UPSTREAM.value, BODY_LIMIT)
 
-    def relay(request: message.Request, token: cancellation.Token) -> message.Response:
+    async def relay(request: message.Request, token: cancellation.Token) -> message.Response:
         kept = [field for field in request.headers if field[0] not in message.HOP_BY_HOP]
         sent = message.Request(request.method, request.target, kept, request.body)
-        response = pool.send(sent, TIMEOUT_S, token)
-        response.headers = [
-            field for field in response.headers if field[0] not in message.HOP_BY_HOP
-        ]
+        response = await pool.send(sent, TIMEOUT_S, token)
         return response
 
     server = httpd.Server(
@@ -37,6 +34,7 @@
         body_limit=BODY_LIMIT,
         name="bare relay",
         refusal=message.Response(503),
+        on=loop.Loop("calls"),
     )
     server.start()
     stopped = threading.Event()
--- a/bench/connections.py
+++ b/bench/connections.py
@@ -37,7 +37,7 @@
     request = message.Request(b"GET", latency.TARGET.encode(), headers)
     while len(pools) < count:
         pool = http_client.Pool(address, latency.BODY_LIMIT)
-        if pool.send(request, 10.0).status != 200:
+        if latency.LOOP.run(pool.send(request, 10.0)).status != 200:
             raise RuntimeError("a call was refused")
         pools.append(pool)
 
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -14,9 +14,10 @@
 import attrs
 from hdrh import histogram
 
-from bergamotridge.util import http_client, message
+from bergamotridge.util import http_client, loop, message
 from standins import client, fleet, processes
 
+LOOP = loop.Loop("bench")
 ROUNDS = 10
 CALLS_PER_ROUND = 400
 WARM_UP_CALLS = 300
@@ -83,12 +84,12 @@
     resident_bytes: float
 
 
-def _measure(path: Path, pool: http_client.Pool, calls: int) -> histogram.HdrHistogram:
+async def _measure(path: Path, pool: http_client.Pool, calls: int) -> histogram.HdrHistogram:
     request = message.Request(b"GET", TARGET.encode(), path.headers)
     latencies = _histogram()
     for _ in range(calls):
         started = time.perf_counter_ns()
-        response = pool.send(request, 5.0)
+        response = await pool.send(request, 5.0)
         elapsed_us = (time.perf_counter_ns() - started) // 1000
         if response.status != 200:
             raise RuntimeError(f"{path.name}: status {response.status}: {response.body!r}")
@@ -147,7 +148,7 @@
     """Returns True if a call by a path ends well."""
     request = message.Request(b"GET", TARGET.encode(), path.headers)
     try:
-        return http_client.Pool(path.address, BODY_LIMIT).send(request, 1.0).status == 200
+        return http_client.send_once(path.address, request, 1.0, BODY_LIMIT).status == 200
     except http_client.TransferError:
         return False
 
@@ -164,11 +165,11 @@
         paths = _paths(running)
         pools = [http_client.Pool(path.address, BODY_LIMIT) for path in paths]
         for path, pool in zip(paths, pools, strict=True):
-            _measure(path, pool, WARM_UP_CALLS)
+            LOOP.run(_measure(path, pool, WARM_UP_CALLS))
         before = {host.name: metric(running, host.name, CPU_METRIC) for host in HOSTS}
         for _ in range(ROUNDS):
             for path, pool in zip(paths, pools, strict=True):
-                path.rounds.append(_measure(path, pool, CALLS_PER_ROUND))
+                path.rounds.append(LOOP.run(_measure(path, pool, CALLS_PER_ROUND)))
         costs = [
             NodeCost(
                 name,
--- a/bench/quota_slopes.py
+++ b/bench/quota_slopes.py
@@ -18,6 +18,7 @@
 from bergamotridge.nodes import control, quota, quota_pb2, record
 from bergamotridge.operators import text
 from bergamotridge.store import holding
+from bergamotridge.util import loop
 from standins import store
 from tests import fake_objects
 
@@ -28,6 +29,7 @@
 WORKERS = 8
 SECRET = "bench"
 HOLDER = "holder"
+LOOP = loop.Loop("bench")
 NAME = "utrecht"
 RATE = 10_000.0
 BURSTS_S = (1.0, 4.0)  # Bursts, as seconds of the rate; they set how far ahead nodes draw.
@@ -102,7 +104,7 @@
         started = time.monotonic()
         for rates in nodes:
             try:
-                rates.take(NAME, time.monotonic())
+                LOOP.run(rates.take(NAME, time.monotonic()))
             except errors.CallError:
                 refused += 1
         time.sleep(max(0.0, 1.0 / CALLS_PER_S - (time.monotonic() - started)))
--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -38,7 +38,7 @@
 from bergamotridge.store import configuration, holding, watch
 from bergamotridge.upstreams import announcement, gate, live, local
 from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import http_client, httpd
+from bergamotridge.util import http_client, httpd, loop
 
 CONTROL_GRACE_S = 0.5
 WITHDRAWAL_INTERVAL_S = 1.0
@@ -72,6 +72,7 @@
         )
         self._rng = random.Random()
         self._stopping = False
+        self.loop = loop.Loop("calls")
         self._make_platform()
         self._make_upstream()
         self._make_nodes()
@@ -254,6 +255,7 @@
             name=name,
             refusal=answer.refusal(503, f"too many connections of {name}", "connections"),
             bounds=self._bounds if name == "callers" else None,
+            on=self.loop,
         )
 
     def _bounds(self) -> httpd.Bounds:
@@ -356,7 +358,8 @@
         self.operator_port.stop()
         if self.ready_server is not None:
             self.ready_server.stop(0)
-        self.pools.close()
+        self.loop.call(self.pools.close)
+        self.loop.stop()
 
     def _configured(self, accepted: configuration.Configuration) -> None:
         self.routes.replace(accepted.text, accepted.version)
--- a/bergamotridge/callers/once.py
+++ b/bergamotridge/callers/once.py
@@ -1,7 +1,10 @@
 """Calls with an Idempotency-Key: run at the home of the key, once; repeats join or are refused."""
 
+import asyncio
+import functools
 import time
 from collections.abc import Callable, Sequence
+from concurrent import futures
 
 import attrs
 
@@ -12,6 +15,8 @@
 
 CONFLICT = 409
 UNAVAILABLE = 503
+BEGINS = 32
+JOINS = 128
 
 
 @attrs.frozen
@@ -50,26 +55,28 @@
         self._client = client
         self._members = members
         self._stamp = stamp
+        self._begins = futures.ThreadPoolExecutor(BEGINS, "claims")
+        self._joins = futures.ThreadPoolExecutor(JOINS, "claim-repeats")
 
     def issue(self) -> str:
         """Returns a new key whose home is this node."""
         return self._claims.issue(time.monotonic())
 
-    def send(
+    async def send(
         self, claimed: ClaimedCall, allowance: call.Allowance, token: cancellation.Token
     ) -> answer.Answer:
         """Sends a call at most once; raises CallError with the verdict over all its repeats."""
         home = self._claims.home(claimed.idempotency_key)
         if home == self._host:
             try:
-                return self.run_here(claimed, allowance)
+                return await self.run_here(claimed, allowance)
             except errors.ClaimedElsewhereError as error:
                 if error.host == self._host:
                     raise
                 home = error.host
-        return self._relay(home, claimed, allowance, token)
+        return await self._relay(home, claimed, allowance, token)
 
-    def _relay(
+    async def _relay(
         self,
         home: str,
         claimed: ClaimedCall,
@@ -95,7 +102,7 @@
             claimed.idempotency_key,
             claimed.route,
         )
-        given = self._client.send(address, relayed, outgoing.request, token)
+        given = await self._client.send(address, relayed, outgoing.request, token)
         allowance.give_back(given.unused, granted)
         # An earlier repeat may have run even if this one never reached the home.
         if given.reason == "node-failed" and given.verdict is verdict.Verdict.NOT_RUN:
@@ -106,7 +113,7 @@
         found = (item.relay_address for item in self._members() if item.host == host)
         return next(found, None)
 
-    def run_relayed(
+    async def run_relayed(
         self,
         relayed: context.RelayedCall,
         request: message.Request,
@@ -118,25 +125,25 @@
         claimed = ClaimedCall(relayed.claim, relayed.route, outgoing)
         allowance = call.Allowance(relayed.retries)
         try:
-            given = self.run_here(claimed, allowance)
+            given = await self.run_here(claimed, allowance)
         except errors.CallError as error:
             given = answer.refuse(error)
         given.unused = allowance.drain()
         return given
 
-    def run_here(self, claimed: ClaimedCall, allowance: call.Allowance) -> answer.Answer:
+    async def run_here(self, claimed: ClaimedCall, allowance: call.Allowance) -> answer.Answer:
         """Runs or joins a call whose key has its home here; raises CallError.
 
         The call goes on when its caller leaves, so that a repeat finds its answer.
         """
         team = claimed.outgoing.context.team
         now = time.monotonic()
-        claim = self._claims.begin(claimed.idempotency_key, team, claimed.route, now)
+        claim = await self._begin(claimed, team, now)
         if not claim.first:
-            return _join(claim, claimed.outgoing.context.time_left(now))
+            return await self._join(claim, claimed.outgoing.context.time_left(now))
         outcome, stored = verdict.Verdict.MAY_HAVE_RUN, None
         try:
-            given = self._dispatcher.send(claimed.outgoing, allowance, cancellation.Token())
+            given = await self._dispatcher.send(claimed.outgoing, allowance, cancellation.Token())
             outcome = given.verdict
             if outcome is verdict.Verdict.RUN:
                 stored = _store(given.response)
@@ -144,18 +151,25 @@
             claim.finish(outcome, stored, time.monotonic())
         return given
 
-
-def _join(claim: claims.Claim, timeout_s: float) -> answer.Answer:
-    stored = claim.wait(max(0.0, timeout_s))
-    if stored is not None:
-        return answer.Answer(_restore(stored), verdict.Verdict.RUN)
-    raise errors.CallError(
-        "an earlier call with this Idempotency-Key has given no answer",
-        status=CONFLICT,
-        reason="idempotency-doubt",
-        verdict=claim.outcome,
-        retry_after_s=1,
-    )
+    async def _begin(self, claimed: ClaimedCall, team: str, now: float) -> claims.Claim:
+        """Claims a key; that may ask the platform, so it does not run on the event loop."""
+        work = functools.partial(
+            self._claims.begin, claimed.idempotency_key, team, claimed.route, now
+        )
+        return await asyncio.get_running_loop().run_in_executor(self._begins, work)
+
+    async def _join(self, claim: claims.Claim, timeout_s: float) -> answer.Answer:
+        wait = functools.partial(claim.wait, max(0.0, timeout_s))
+        stored = await asyncio.get_running_loop().run_in_executor(self._joins, wait)
+        if stored is not None:
+            return answer.Answer(_restore(stored), verdict.Verdict.RUN)
+        raise errors.CallError(
+            "an earlier call with this Idempotency-Key has given no answer",
+            status=CONFLICT,
+            reason="idempotency-doubt",
+            verdict=claim.outcome,
+            retry_after_s=1,
+        )
 
 
 def _store(response: message.Response) -> answers.StoredAnswer:
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -95,12 +95,12 @@
     origin: str = ""
     rng: random.Random = attrs.field(factory=random.Random)
 
-    def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
+    async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one call; a handler for `httpd.Server`."""
         started = time.monotonic()
         progress = _Progress(self.speech.request_id(request))
         try:
-            given = self._answer(progress, request, token)
+            given = await self._answer(progress, request, token)
         except errors.CallError as error:
             progress.refusal = str(error)
             given = answer.refuse(error)
@@ -142,20 +142,20 @@
                 load=round(given.report.load, 3) if given.report else None,
             )
 
-    def _answer(
+    async def _answer(
         self, progress: _Progress, request: message.Request, token: cancellation.Token
     ) -> answer.Answer:
         if request.target == ISSUE_PATH:
             return self._issue(progress, request)
         try:
-            admitted = self._admit(progress, request)
+            admitted = await self._admit(progress, request)
         except errors.CallError as error:
             if progress.claims:
                 # Refused before its claim was looked up: an earlier call with the key may have run.
                 error.verdict = verdict.Verdict.MAY_HAVE_RUN
             raise
         try:
-            given = self._send(admitted, request, token)
+            given = await self._send(admitted, request, token)
         except errors.CallError as error:
             progress.refusal = str(error)
             given = answer.refuse(error)
@@ -177,7 +177,7 @@
         )
         return answer.Answer(response, verdict.Verdict.RUN)
 
-    def _admit(self, progress: _Progress, request: message.Request) -> Admitted:
+    async def _admit(self, progress: _Progress, request: message.Request) -> Admitted:
         now = time.monotonic()
         table = self.routes.routes()
         progress.configuration = table.version
@@ -201,7 +201,7 @@
         if not inner:
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
         if team:
-            self.team_rates.take(team, now)
+            await self.team_rates.take(team, now)
         context = call.CallContext(
             request_id=progress.request_id,
             team=team,
@@ -232,7 +232,7 @@
         given = request.header(b"authorization")
         return self.key_ring.check(given.decode("latin-1") if given else None, now).team
 
-    def _send(
+    async def _send(
         self, admitted: Admitted, request: message.Request, token: cancellation.Token
     ) -> answer.Answer:
         fields = headers.for_upstream(request.headers)
@@ -242,6 +242,6 @@
         allowance = call.Allowance(route.attempts - 1 if route.attempts else self.retries)
         idempotency_key = request.header(IDEMPOTENCY_HEADER)
         if idempotency_key is None or route.repeatable:
-            return self.dispatcher.send(outgoing, allowance, token)
+            return await self.dispatcher.send(outgoing, allowance, token)
         claimed = once.ClaimedCall(idempotency_key.decode("latin-1"), route.name, outgoing)
-        return self.once.send(claimed, allowance, token)
+        return await self.once.send(claimed, allowance, token)
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -16,6 +16,7 @@
 from bergamotridge.nodes import holders, quota, quota_pb2, record
 from bergamotridge.operators import text
 from bergamotridge.store import holding, objects
+from bergamotridge.util import loop
 
 DRAW_THREADS = 4
 LONGEST_BACKOFF_S = 4.0
@@ -105,7 +106,7 @@
         self._holder: quota_holder.QuotaHolder | None = None
         self._lock = threading.Lock()
         self._work = threading.Condition(self._lock)
-        self._arrived = threading.Condition(self._lock)
+        self._arrivals: list[loop.Wake] = []
         self._drawer = quota_drawer.QuotaDrawer(host, failure_domain, self._rng)
         self._chosen: Mapping[str, Mapping[str, Sequence[record.UpstreamRecord]]] = {}
         self._chosen_since: dict[str, float] = {}
@@ -145,7 +146,7 @@
             self._drawer.return_all()
             draws = self._drawer.plan(self._members_by_host(), self._clock())
             self._work.notify_all()
-            self._arrived.notify_all()
+            self._wake_waiting()
         futures.wait([self._sends.submit(self._send, draw) for draw in draws])
         self._tasks.shutdown()
         self._sends.shutdown()
@@ -155,7 +156,7 @@
         """Returns the fraction of each team's quota that this host may use now."""
         return self._holder.shares(self._clock()) if self._holder else {}
 
-    def take(self, team: str, now: float) -> None:
+    async def take(self, team: str, now: float) -> None:
         """Spends one token; see `rates.TeamRates`."""
         if team not in self._teams():
             raise rates.refusal(team, rates.HIGHEST_RETRY_AFTER_S)
@@ -165,7 +166,7 @@
             self._drawer.note_demand(team, now)
             if self._drawer.take(team, now, now):
                 return
-            self._wait_for_draw(team, now)
+        await self._wait_for_draw(team, now)
 
     def give_back(self, team: str, now: float, taken_at: float) -> None:
         """Returns a token; see `rates.TeamRates`."""
@@ -175,22 +176,34 @@
         if self._holder is not None:
             self._holder.give_back(team, now, taken_at)
 
-    def _wait_for_draw(self, team: str, now: float) -> None:
+    async def _wait_for_draw(self, team: str, now: float) -> None:
         asked_at, end = now, now + self._settings.draw_timeout_s
-        self._drawer.add_waiting(team, 1)
+        with self._lock:
+            self._drawer.add_waiting(team, 1)
         try:
             while now < end and not self._stopping.is_set():
-                if not self._drawer.can_draw(team, now):
-                    break
-                self._work.notify_all()
-                self._arrived.wait(end - now)
+                wake = loop.Wake()
+                with self._lock:
+                    if not self._drawer.can_draw(team, now):
+                        break
+                    self._arrivals.append(wake)
+                    self._work.notify_all()
+                await wake.wait(end - now)
                 now = self._clock()
-                if self._drawer.take(team, now, asked_at):
-                    return
+                with self._lock:
+                    if self._drawer.take(team, now, asked_at):
+                        return
         finally:
-            self._drawer.add_waiting(team, -1)
+            with self._lock:
+                self._drawer.add_waiting(team, -1)
         raise rates.refusal(team, self._drawer.retry_after_s(team, now))
 
+    def _wake_waiting(self) -> None:
+        """Wakes the calls that wait for a draw; the caller holds the lock."""
+        arrivals, self._arrivals = self._arrivals, []
+        for wake in arrivals:
+            wake()
+
     def _answer(self, request: quota_pb2.DrawRequest) -> quota_pb2.DrawResponse:
         if self._holder is None:
             return quota_pb2.DrawResponse(incarnation=self._incarnation)
@@ -229,7 +242,7 @@
             )
         with self._lock:
             self._drawer.apply(draw, response, self._clock())
-            self._arrived.notify_all()
+            self._wake_waiting()
 
     def _hold(self) -> None:
         pace = Pace(self._settings.timings.adjust_s, self._rng)
--- a/bergamotridge/callers/rates.py
+++ b/bergamotridge/callers/rates.py
@@ -15,7 +15,7 @@
 class TeamRates(Protocol):
     """Admits the calls of a team within its rate and burst."""
 
-    def take(self, team: str, now: float) -> None:
+    async def take(self, team: str, now: float) -> None:
         """Spends one token of the team.
 
         Args:
@@ -59,7 +59,7 @@
         self._lock = threading.Lock()
         self._buckets: dict[str, bucket.TokenBucket] = {}
 
-    def take(self, team: str, now: float) -> None:
+    async def take(self, team: str, now: float) -> None:
         """Spends one token; see `TeamRates`."""
         with self._lock:
             tokens = self._bucket(team, now)
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -66,7 +66,7 @@
         self._below = learned
         self._log = log
 
-    def send(
+    async def send(
         self, outgoing: Outgoing, allowance: call.Allowance, token: cancellation.Token
     ) -> answer.Answer:
         """Sends a call, with retries as far as its verdicts, allowance and deadline let it."""
@@ -80,7 +80,7 @@
                 return last or answer.refuse(_no_upstream(outgoing.service))
             if last is None:
                 self._budget.first_attempt(outgoing.service, now)
-            last = _joined(last, self._attempt(target, outgoing, allowance, token))
+            last = _joined(last, await self._attempt(target, outgoing, allowance, token))
             if not self._may_retry(last, outgoing, allowance, token):
                 return last
             excluded.add(target.host)
@@ -88,7 +88,7 @@
                 "call.retried", outgoing.context.request_id, last.reason, service=outgoing.service
             )
 
-    def _attempt(
+    async def _attempt(
         self,
         target: record.UpstreamRecord,
         outgoing: Outgoing,
@@ -98,14 +98,14 @@
         started = time.monotonic()
         granted = allowance.grant()
         if target.host == self._host:
-            given = self._upstream.run(
+            given = await self._upstream.run(
                 outgoing.service, outgoing.context, outgoing.request, granted, token
             )
             given.report = self._upstream.report(time.monotonic())
         else:
             stamp = str(self._log.clock.stamp(time.time_ns() // 1_000_000))
             relayed = context.RelayedCall(outgoing.service, outgoing.context, granted, stamp)
-            given = self._client.send(target.relay_address, relayed, outgoing.request, token)
+            given = await self._client.send(target.relay_address, relayed, outgoing.request, token)
         given.host = target.host
         allowance.give_back(given.unused, granted)
         if given.reason:
--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -7,7 +7,7 @@
 from bergamotridge.nodes import below
 from bergamotridge.nodes import context as context_header
 from bergamotridge.upstreams import local
-from bergamotridge.util import cancellation, hlc, http_client, httpd, message
+from bergamotridge.util import cancellation, hlc, http_client, message
 
 GRACE_S = 0.02
 
@@ -20,7 +20,7 @@
         self._token = token
         self._log = log
 
-    def send(
+    async def send(
         self,
         address: str,
         relayed: context_header.RelayedCall,
@@ -35,7 +35,7 @@
         # The callee enforces the deadline; the grace lets its own verdict come back first.
         limit = relayed.context.time_left(now) + GRACE_S
         try:
-            response = self._pools.to(address).send(sent, limit, token)
+            response = await self._pools.to(address).send(sent, limit, token)
         except http_client.TransferError as error:
             return _lost(address, error, relayed.retries, cancelled=token.cancelled)
         given = context_header.decode_report(response)
@@ -73,7 +73,7 @@
 class ClaimRunner(Protocol):
     """Runs calls whose idempotency key has its home here."""
 
-    def run_relayed(
+    async def run_relayed(
         self,
         relayed: context_header.RelayedCall,
         request: message.Request,
@@ -99,7 +99,7 @@
         self._below = known
         self._claims = claims
 
-    def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
+    async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one relayed call; a handler for `httpd.Server`."""
         now = time.monotonic()
         try:
@@ -113,9 +113,9 @@
         fields = headers.for_upstream(request.headers)
         clean = message.Request(request.method, request.target, fields, request.body)
         if relayed.claim:
-            given = self._claims.run_relayed(relayed, clean, token)
+            given = await self._claims.run_relayed(relayed, clean, token)
         else:
-            given = self._upstream.run(
+            given = await self._upstream.run(
                 relayed.service, relayed.context, clean, relayed.retries, token
             )
             given.report = self._upstream.report(time.monotonic())
@@ -124,20 +124,3 @@
         report = context_header.encode_report(given)
         fields = [*given.response.headers, report]
         return message.Response(given.response.status, fields, given.response.body)
-
-
-def refusal_for_busy_port() -> message.Response:
-    """Returns the refusal for a connection above the bound."""
-    return answer.refusal(503, "too many connections from nodes", "connections")
-
-
-def make_server(address: str, port: RelayPort, connections: int, body_limit: int) -> httpd.Server:
-    """Returns the server for relayed calls."""
-    return httpd.Server(
-        address,
-        port.handle,
-        connections=connections,
-        body_limit=body_limit,
-        name="relay",
-        refusal=refusal_for_busy_port(),
-    )
--- a/bergamotridge/operators/client.py
+++ b/bergamotridge/operators/client.py
@@ -24,7 +24,6 @@
         """
         self._address = address
         self._timeout_s = timeout_s
-        self._pool = http_client.Pool(address, ANSWER_BYTES)
 
     def status(self) -> status.Status:
         """Returns what the node says of itself."""
@@ -51,11 +50,9 @@
     ) -> bytes:
         request = message.Request(method, target.encode(), headers or [], body)
         try:
-            response = self._pool.send(request, self._timeout_s)
+            response = http_client.send_once(self._address, request, self._timeout_s, ANSWER_BYTES)
         except http_client.TransferError as error:
             raise errors.OperatorPortError(f"node at '{self._address}': {error}") from error
-        finally:
-            self._pool.close()
         if response.status != _OK:
             reason = response.body.decode("utf-8", "replace").strip()
             raise errors.OperatorPortError(
--- a/bergamotridge/operators/health.py
+++ b/bergamotridge/operators/health.py
@@ -11,7 +11,7 @@
 def handler(ready: Callable[[], bool]) -> httpd.Handler:
     """Returns the handler that answers 200 while `ready` says so, else 503."""
 
-    def handle(request: message.Request, token: cancellation.Token) -> message.Response:
+    async def handle(request: message.Request, token: cancellation.Token) -> message.Response:
         del request, token
         return message.Response(200 if ready() else 503)
 
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -1,4 +1,4 @@
-"""Gate beside the local upstream: the blocking, thread-safe side of admission."""
+"""Gate beside the local upstream: where calls wait for their admission."""
 
 import threading
 import time
@@ -7,7 +7,7 @@
 from bergamotridge import call, errors
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import admission, outcome, queue
-from bergamotridge.util import cancellation
+from bergamotridge.util import cancellation, loop
 
 
 class Ticket:
@@ -32,21 +32,11 @@
         self._gate.finish(self._entry, result, now)
 
 
-class _Signal:
-    """Tells the thread of a call that its entry was settled; most calls never wait for it."""
-
-    __slots__ = ("event",)
-
-    def __init__(self) -> None:
-        self.event: threading.Event | None = None
-
-    def __call__(self, entry: queue.Entry) -> None:
-        if self.event is not None:
-            self.event.set()
-
-
 class Gate:
-    """The only way to the local upstream; safe for use by many threads."""
+    """The only way to the local upstream; calls enter from one event loop.
+
+    What is not a coroutine may be called from any thread.
+    """
 
     def __init__(self, slots: int, queue: int, connections: int | None = None) -> None:
         """Creates a gate that is shut until the upstream announces itself.
@@ -59,7 +49,7 @@
         self._lock = threading.Lock()
         self._admission = admission.Admission(slots, queue, connections)
 
-    def enter(
+    async def enter(
         self,
         context: call.CallContext,
         now: float,
@@ -83,13 +73,10 @@
         """
         if token is not None and token.cancelled:
             raise _left(context)
-        signal = _Signal()
         with self._lock:
-            entry = self._admission.offer(context, now, signal)
-            if entry.state is queue.EntryState.WAITING:
-                signal.event = threading.Event()
-        if signal.event is not None:
-            self._wait(entry, signal.event, context.deadline - now, token)
+            entry = self._admission.offer(context, now, _settled)
+        if entry.state is queue.EntryState.WAITING:
+            await self._wait(entry, context.deadline - now, token)
         if entry.state is not queue.EntryState.STARTED:
             raise entry.refusal
         if token is not None and token.cancelled:
@@ -97,18 +84,19 @@
             raise _left(context)
         return Ticket(self, entry)
 
-    def _wait(
-        self,
-        entry: queue.Entry,
-        settled: threading.Event,
-        wait_s: float,
-        token: cancellation.Token | None,
+    async def _wait(
+        self, entry: queue.Entry, wait_s: float, token: cancellation.Token | None
     ) -> None:
         """Waits until an entry is started or refused."""
         registration = -1
         if token is not None:
             registration = token.on_cancel(lambda: self._withdraw(entry, "cancelled"))
-        settled.wait(max(0.0, wait_s))
+        wake = loop.Wake()
+        with self._lock:
+            entry.notify = lambda _: wake()
+            waiting = entry.state is queue.EntryState.WAITING
+        if waiting:
+            await wake.wait(wait_s)
         self._withdraw(entry, "deadline")
         if token is not None:
             token.remove(registration)
@@ -162,5 +150,9 @@
             return self._admission.report(now)
 
 
+def _settled(entry: queue.Entry) -> None:
+    """Tells nobody: the call has not begun to wait."""
+
+
 def _left(context: call.CallContext) -> errors.CallError:
     return admission.refusal("cancelled", "the caller has left", context.request_id)
--- a/bergamotridge/upstreams/local.py
+++ b/bergamotridge/upstreams/local.py
@@ -65,7 +65,7 @@
         """Returns the load report of the gate."""
         return self._gate.report(now)
 
-    def run(
+    async def run(
         self,
         service: str,
         context: call.CallContext,
@@ -81,17 +81,17 @@
         if known is None or known.service != service:
             return answer.refuse(_no_upstream(service), retries)
         try:
-            ticket = self._gate.enter(context, time.monotonic(), token)
+            ticket = await self._gate.enter(context, time.monotonic(), token)
         except errors.CallError as error:
             return answer.refuse(error, retries)
         ended = outcome.Outcome.FAILED
         try:
-            given, ended = self._send(context, request, retries, token)
+            given, ended = await self._send(context, request, retries, token)
         finally:
             ticket.finish(ended, time.monotonic())
         return given
 
-    def _send(
+    async def _send(
         self,
         context: call.CallContext,
         request: message.Request,
@@ -105,7 +105,7 @@
         sent = self._dialect.request(dialect.Sending(context, request, to, entry.call_id, left))
         try:
             pool = self._pools.to(to.address)
-            response = pool.send(sent, left, call_token, check=self._dialect.fault)
+            response = await pool.send(sent, left, call_token, check=self._dialect.fault)
             failure = None
         except http_client.TransferError as error:
             failure = error
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -55,13 +55,13 @@
     routes: Routes
     log: events.EventLog
 
-    def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
+    async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one request of the upstream; a handler for `httpd.Server`."""
         if request.target == ANNOUNCE_PATH:
             return self._announce(request)
         parent = self._parent(request)
         try:
-            given = self._call(parent, request, token)
+            given = await self._call(parent, request, token)
         except errors.CallError as error:
             given = answer.refuse(error)
         if given.reason:
@@ -94,7 +94,7 @@
             path=request.path,
         )
 
-    def _call(
+    async def _call(
         self,
         parent: live.LiveCall | None,
         request: message.Request,
@@ -116,7 +116,7 @@
         outgoing = dispatch.Outgoing(target.route.service, context, clean)
         registration = parent.token.on_cancel(token.cancel)
         try:
-            return self.dispatcher.send(outgoing, parent.allowance, token)
+            return await self.dispatcher.send(outgoing, parent.allowance, token)
         finally:
             parent.token.remove(registration)
 
--- a/bergamotridge/util/cancellation.py
+++ b/bergamotridge/util/cancellation.py
@@ -1,16 +1,13 @@
 """Cancellation that follows a call down its tree."""
 
-import threading
 from collections.abc import Callable
 
-# Held for a few instructions at a time, so one lock serves all tokens.
-_lock = threading.Lock()
-
 
 class Token:
     """Tells the parts of one call that its answer is no longer wanted.
 
-    A child token is cancelled with its parent. Callbacks run once, in the thread that cancels.
+    A child token is cancelled with its parent. Callbacks run once, inside `cancel`. A token
+    belongs to the event loop that its call runs on and is not thread-safe.
     """
 
     __slots__ = ("_callbacks", "_cancelled", "_next", "_parent", "_registration")
@@ -29,29 +26,26 @@
 
     def on_cancel(self, callback: Callable[[], None]) -> int:
         """Registers a callback and returns its registration; runs it now if already cancelled."""
-        with _lock:
-            if not self._cancelled:
-                if self._callbacks is None:
-                    self._callbacks = {}
-                self._next += 1
-                self._callbacks[self._next] = callback
-                return self._next
-        callback()
-        return -1
+        if self._cancelled:
+            callback()
+            return -1
+        if self._callbacks is None:
+            self._callbacks = {}
+        self._next += 1
+        self._callbacks[self._next] = callback
+        return self._next
 
     def remove(self, registration: int) -> None:
         """Forgets a callback."""
-        with _lock:
-            if self._callbacks is not None:
-                self._callbacks.pop(registration, None)
+        if self._callbacks is not None:
+            self._callbacks.pop(registration, None)
 
     def cancel(self) -> None:
         """Cancels the call and all calls below it."""
-        with _lock:
-            if self._cancelled:
-                return
-            self._cancelled = True
-            callbacks, self._callbacks = self._callbacks, None
+        if self._cancelled:
+            return
+        self._cancelled = True
+        callbacks, self._callbacks = self._callbacks, None
         for callback in (callbacks or {}).values():
             callback()
 
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -1,11 +1,9 @@
 """HTTP client on kept-alive connections: whole answers, checked framing, honest verdicts."""
 
+import asyncio
 import collections
 import contextlib
 import socket
-import struct
-import threading
-import time
 from collections.abc import Callable
 
 import attrs
@@ -20,10 +18,7 @@
 PROBE_INTERVAL_S = 1
 PROBES = 2
 IDLE_S = 4.0
-BOUND_SHARE = 0.6
-LEAST_BOUND_SHARE = 0.25
 ANNOUNCED_SHARE = 0.5  # Of the time for which the other side says it keeps a connection.
-RECEIVE_BYTES = 16_384
 BODILESS_METHODS = frozenset((b"GET", b"HEAD"))
 FIRST_FINAL_STATUS = 200
 _LENGTH_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
@@ -58,33 +53,36 @@
         self._size = 0
         self._body: list[bytes] = []
         self._headers: list[message.Header] = []
-        self.started = False
         self.framed = False
         self.complete = False
         self.excess = False
         self.keep_alive = False
         self.status = 0
+        self.idle_s = IDLE_S
         self.parser = httptools.HttpResponseParser(self)
 
-    @property
     def response(self) -> message.Response:
-        """What was read."""
-        return message.Response(self.status, self._headers, b"".join(self._body))
+        """Returns what was read, without the fields that concern this connection only."""
+        fields = message.end_to_end(self._headers)
+        return message.Response(self.status, fields, b"".join(self._body))
 
     def on_message_begin(self) -> None:
         if self.complete:
             self.excess = True
-        self.started = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
-            self._headers.append((name.lower(), value))
+            name = name.lower()
+            if name in _LENGTH_FIELDS:
+                self.framed = True
+            elif name == b"keep-alive":
+                self.idle_s = _announced_s(value)
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         if self.complete:
             return
         self.status = self.parser.get_status_code()
-        self.framed = any(name in _LENGTH_FIELDS for name, _ in self._headers)
         if self._head and self.status >= FIRST_FINAL_STATUS:
             self.complete = True
 
@@ -100,6 +98,7 @@
     def on_message_complete(self) -> None:
         if self.status < FIRST_FINAL_STATUS:
             self._headers = []
+            self.framed = False
         else:
             self.complete = True
             # Only here does the parser know it.
@@ -115,150 +114,93 @@
             self.excess = True
 
 
-class _Exchange:
+class _Connection(asyncio.Protocol):
     """One connection; carries one transfer at a time."""
 
-    def __init__(self, address: str, body_limit: int, close_delimited: bool) -> None:
+    def __init__(self, events: asyncio.AbstractEventLoop, close_delimited: bool) -> None:
         self.idle_until = 0.0
-        self._address = address
-        self._body_limit = body_limit
+        self.ended = False
+        self._events = events
         self._close_delimited = close_delimited
-        self._sock: socket.socket | None = None
-        self._sent = False
-        self._bounds: dict[int, float] = {}
+        self._transport: asyncio.Transport | None = None
+        self._reader: _Reader | None = None
+        self._waiter: asyncio.Future | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        reader = self._reader
+        if reader is None:
+            # Bytes that nobody asked for belong to no request.
+            self.abort()
+            return
+        try:
+            reader.feed(data)
+        except (httptools.HttpParserError, _BodyTooLargeError) as error:
+            self._fail(error)
+            return
+        if reader.complete:
+            self._done()
 
-    def abort(self) -> None:
-        """Ends the transfer that another thread waits for."""
-        sock = self._sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+    def eof_received(self) -> None:
+        self.ended = True
+        reader = self._reader
+        if reader is not None and self._close_delimited and reader.status and not reader.framed:
+            self._done()
 
-    def close(self) -> None:
-        """Closes the connection."""
-        sock, self._sock = self._sock, None
-        if sock is not None:
-            sock.close()
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = True
+        self._fail(exc or ConnectionError("the connection ended before the answer was whole"))
 
-    def is_stale(self) -> bool:
-        """Returns True if the other side has closed, or has sent what nobody asked for."""
-        if self._sock is None:
-            return True
-        try:
-            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
-
-    def perform(
-        self, request: message.Request, timeout_s: float, token: cancellation.Token | None
-    ) -> message.Response:
-        """Sends one request and returns its whole answer; raises TransferError."""
-        limit = time.monotonic() + timeout_s
-        self._sent = False
+    @property
+    def settled(self) -> bool:
+        """True if the connection is open and all of the request has been sent."""
+        return not self.ended and not self._transport.get_write_buffer_size()
+
+    def abort(self) -> None:
+        """Closes the connection at once and ends its transfer."""
+        self.ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def transfer(
+        self, data: bytes, reader: _Reader, limit: float, token: cancellation.Token | None
+    ) -> None:
+        """Sends a request and reads its whole answer.
+
+        Raises:
+            TimeoutError: The answer was not whole at the time `limit` of the loop.
+            OSError: The connection failed.
+            httptools.HttpParserError: The answer could not be read.
+        """
+        waiter = self._waiter = self._events.create_future()
+        self._reader = reader
+        timer = self._events.call_at(limit, self._time_out)
         registration = token.on_cancel(self.abort) if token is not None else -1
         try:
-            if self._sock is None:
-                self._connect(timeout_s)
-            if token is not None and token.cancelled:
-                raise TransferError("the caller has left", verdict.Verdict.NOT_RUN)
-            return self._transfer(request, limit)
-        except TimeoutError as error:
-            raise self._failure("no whole answer in time", timed_out=True) from error
-        except (OSError, httptools.HttpParserError, _BodyTooLargeError) as error:
-            raise self._failure(f"{type(error).__name__}: {error}") from error
+            self._transport.write(data)
+            await waiter
         finally:
+            timer.cancel()
+            self._reader = self._waiter = None
             if token is not None:
                 token.remove(registration)
 
-    def _connect(self, timeout_s: float) -> None:
-        host, _, port = self._address.rpartition(":")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        self._sock = sock
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        keep_watch(sock)
-        sock.settimeout(min(CONNECT_TIMEOUT_S, timeout_s))
-        sock.connect((host.strip("[]"), int(port)))
-        sock.settimeout(None)
-
-    def _transfer(self, request: message.Request, limit: float) -> message.Response:
-        reader = _Reader(self._body_limit, request.method == b"HEAD")
-        try:
-            self._send(_encode(request, self._address), limit)
-        except (ConnectionError, TimeoutError):
-            # An early answer may lie there although the rest of the request was not taken.
-            if not self._sent or self.is_stale() is False:
-                raise
-        self._receive(reader, limit)
-        framed = reader.framed or reader.response.bodiless
-        if framed and not reader.excess and reader.keep_alive and request.method != b"HEAD":
-            self.idle_until = time.monotonic() + _idle_s(reader.response)
-        else:
-            self.close()
-        return reader.response
-
-    def _send(self, data: bytes, limit: float) -> None:
-        left = memoryview(data)
-        while left:
-            self._bound(socket.SO_SNDTIMEO, limit)
-            try:
-                count = self._sock.send(left)
-            except BlockingIOError:
-                self._set_bound(socket.SO_SNDTIMEO, _left(limit))
-                continue
-            self._sent = True
-            left = left[count:]
-
-    def _receive(self, reader: _Reader, limit: float) -> None:
-        while not reader.complete:
-            self._bound(socket.SO_RCVTIMEO, limit)
-            try:
-                data = self._sock.recv(RECEIVE_BYTES)
-            except BlockingIOError:
-                self._set_bound(socket.SO_RCVTIMEO, _left(limit))
-                continue
-            if data:
-                reader.feed(data)
-            elif self._close_delimited and reader.status and not reader.framed:
-                return
-            else:
-                raise ConnectionError("the connection ended before the answer was whole")
-        if not reader.framed and not self._close_delimited and not reader.response.bodiless:
-            raise ConnectionError("the answer gives no length")
-
-    def _bound(self, option: int, limit: float) -> None:
-        """Limits the next call in the kernel, which costs less than a poll before each call.
-
-        A limit that is somewhat too early stays: the call is made again with an exact one.
-        """
-        left = _left(limit)
-        known = self._bounds.get(option, 0.0)
-        if not LEAST_BOUND_SHARE * left <= known <= left:
-            self._set_bound(option, BOUND_SHARE * left)
-
-    def _set_bound(self, option: int, seconds: float) -> None:
-        whole, fraction = divmod(seconds, 1)
-        value = struct.pack("ll", int(whole), max(1, int(fraction * 1e6)))
-        self._sock.setsockopt(socket.SOL_SOCKET, option, value)
-        self._bounds[option] = seconds
-
-    def _failure(self, text: str, *, timed_out: bool = False) -> TransferError:
-        outcome = verdict.Verdict.MAY_HAVE_RUN if self._sent else verdict.Verdict.NOT_RUN
-        return TransferError(text, outcome, timed_out=timed_out and self._sent)
+    def _done(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
+    def _fail(self, error: Exception) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(error)
 
-def _left(limit: float) -> float:
-    """Returns the seconds until a limit; raises TimeoutError if there are none."""
-    left = limit - time.monotonic()
-    if left <= 0:
-        raise TimeoutError
-    return left
+    def _time_out(self) -> None:
+        self._fail(TimeoutError("no whole answer in time"))
 
 
-def _encode(request: message.Request, address: str) -> bytes:
+def encode(request: message.Request, address: str) -> bytes:
+    """Returns the bytes of a request; `address` stands in for a missing Host."""
     fields = request.headers
     parts = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
     if request.header(b"host") is None:
@@ -279,12 +221,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def _idle_s(response: message.Response) -> float:
+def _announced_s(value: bytes) -> float:
     """Returns the seconds for which a connection may wait for its next request."""
-    for part in (response.header(b"keep-alive") or b"").split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return ANNOUNCED_SHARE * int(value)
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return ANNOUNCED_SHARE * int(seconds)
     return IDLE_S
 
 
@@ -292,16 +234,16 @@
 class Pool:
     """Kept-alive connections to one address; each transfer has a connection of its own.
 
-    A connection whose transfer failed is closed and never used again.
+    A connection whose transfer failed is closed and never used again. A pool belongs to one
+    event loop.
     """
 
     address: str
     body_limit: int
     close_delimited: bool = False
-    _idle: collections.deque = attrs.field(factory=collections.deque, init=False)
-    _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
+    _idle: collections.deque[_Connection] = attrs.field(factory=collections.deque, init=False)
 
-    def send(
+    async def send(
         self,
         request: message.Request,
         timeout_s: float,
@@ -318,46 +260,89 @@
         """
         if timeout_s <= 0 or (token is not None and token.cancelled):
             raise TransferError("nothing was sent", verdict.Verdict.NOT_RUN, timed_out=True)
-        exchange = self._reusable(time.monotonic())
-        if exchange is None:
-            exchange = _Exchange(self.address, self.body_limit, self.close_delimited)
+        events = asyncio.get_running_loop()
+        now = events.time()
+        connection = self._reusable(now)
+        if connection is None:
+            connection = await self._connected(events, timeout_s)
+        if token is not None and token.cancelled:
+            connection.abort()
+            raise TransferError("the caller has left", verdict.Verdict.NOT_RUN)
+        is_head = request.method == b"HEAD"
+        reader = _Reader(self.body_limit, is_head)
+        limit = now + timeout_s
+        fault = ""
         try:
-            response = exchange.perform(request, timeout_s, token)
-            fault = check(request, response) if check is not None else ""
-            if fault:
-                raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
+            await connection.transfer(encode(request, self.address), reader, limit, token)
+            response = reader.response()
+            framed = reader.framed or response.bodiless
+            if not framed and not self.close_delimited and not is_head:
+                fault = "the answer gives no length"
+            elif check is not None:
+                fault = check(request, response)
+        except TimeoutError as error:
+            connection.abort()
+            raise TransferError(
+                str(error) or "the connection timed out",
+                verdict.Verdict.MAY_HAVE_RUN,
+                timed_out=events.time() >= limit,
+            ) from error
+        except (OSError, httptools.HttpParserError, _BodyTooLargeError) as error:
+            connection.abort()
+            text = f"{type(error).__name__}: {error}"
+            raise TransferError(text, verdict.Verdict.MAY_HAVE_RUN) from error
         except BaseException:
-            exchange.close()
+            connection.abort()
             raise
-        if exchange.idle_until:
-            with self._lock:
-                self._idle.append(exchange)
+        if fault:
+            connection.abort()
+            raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
+        reusable = framed and reader.keep_alive and not reader.excess and not is_head
+        if reusable and connection.settled:
+            connection.idle_until = events.time() + reader.idle_s
+            self._idle.append(connection)
+        else:
+            connection.abort()
         return response
 
-    def _reusable(self, now: float) -> _Exchange | None:
+    def _reusable(self, now: float) -> _Connection | None:
         """Returns an idle connection that the other side surely keeps open still."""
-        with self._lock:
-            expired = []
-            # The last used goes first out, so those that nobody needs any more gather on the left.
-            while self._idle and now >= self._idle[0].idle_until:
-                expired.append(self._idle.popleft())
-        for exchange in expired:
-            exchange.close()
-        while True:
-            with self._lock:
-                exchange = self._idle.pop() if self._idle else None
-            if exchange is None:
-                return None
-            if now < exchange.idle_until and not exchange.is_stale():
-                exchange.idle_until = 0.0
-                return exchange
-            exchange.close()
+        idle = self._idle
+        # The last used goes first out, so those that nobody needs any more gather on the left.
+        while idle and (now >= idle[0].idle_until or idle[0].ended):
+            idle.popleft().abort()
+        while idle:
+            connection = idle.pop()
+            if now < connection.idle_until and not connection.ended:
+                return connection
+            connection.abort()
+        return None
+
+    async def _connected(self, events: asyncio.AbstractEventLoop, timeout_s: float) -> _Connection:
+        host, _, port = self.address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            keep_watch(sock)
+            connecting = events.sock_connect(sock, (host.strip("[]"), int(port)))
+            await asyncio.wait_for(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
+            _, connection = await events.create_connection(
+                lambda: _Connection(events, self.close_delimited), sock=sock
+            )
+        except OSError as error:
+            sock.close()
+            text = f"cannot connect: {type(error).__name__}: {error}"
+            raise TransferError(text, verdict.Verdict.NOT_RUN) from error
+        except BaseException:
+            sock.close()
+            raise
+        return connection
 
     def close(self) -> None:
         """Closes the idle connections."""
-        with self._lock:
-            while self._idle:
-                self._idle.pop().close()
+        while self._idle:
+            self._idle.pop().abort()
 
 
 class Pools:
@@ -373,19 +358,29 @@
         self._body_limit = body_limit
         self._close_delimited = close_delimited
         self._pools: dict[str, Pool] = {}
-        self._lock = threading.Lock()
 
     def to(self, address: str) -> Pool:
         """Returns the pool for an address."""
         pool = self._pools.get(address)
         if pool is None:
-            with self._lock:
-                pool = Pool(address, self._body_limit, self._close_delimited)
-                pool = self._pools.setdefault(address, pool)
+            pool = Pool(address, self._body_limit, self._close_delimited)
+            self._pools[address] = pool
         return pool
 
     def close(self) -> None:
         """Closes all idle connections."""
-        with self._lock:
-            for pool in self._pools.values():
-                pool.close()
+        for pool in self._pools.values():
+            pool.close()
+
+
+def send_once(
+    address: str, request: message.Request, timeout_s: float, body_limit: int
+) -> message.Response:
+    """Sends one request from a thread without an event loop; raises TransferError."""
+
+    async def work() -> message.Response:
+        pool = Pool(address, body_limit)
+        with contextlib.closing(pool):
+            return await pool.send(request, timeout_s)
+
+    return asyncio.run(work())
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -1,33 +1,31 @@
-"""HTTP/1.1 server: one task per kept-alive connection on a bounded executor."""
+"""HTTP/1.1 server on an event loop: one task for each kept-alive connection."""
 
-import concurrent.futures
+import asyncio
+import collections
 import contextlib
-import select
 import socket
-import struct
-import threading
-import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import httptools
 import logbook
 
 from bergamotridge import errors
-from bergamotridge.util import cancellation, message
+from bergamotridge.util import cancellation, loop, message
 
 logger = logbook.Logger(__name__)
 
-RECEIVE_BYTES = 16_384
 BACKLOG = 1024
-DEPARTURE_CHECK_S = 0.1
+SWEEP_S = 1.0
+QUIET_CHECK_S = 0.05
 IDLE_CLOSE_S = 0.5
 HEADER_BYTES = 65_536
 HEADER_TIMEOUT_S = 10.0
 IDLE_S = 75.0
+PIPELINED = 16
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Handler = Callable[[message.Request, cancellation.Token], message.Response]
+Handler = Callable[[message.Request, cancellation.Token], Awaitable[message.Response]]
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -61,17 +59,11 @@
         self.status = status
 
 
-def _limit(sock: socket.socket, option: int, seconds: float) -> None:
-    whole, fraction = divmod(seconds, 1)
-    value = struct.pack("ll", int(whole), max(1, int(fraction * 1e6)))
-    sock.setsockopt(socket.SOL_SOCKET, option, value)
-
-
 class _Reader:
     """Callbacks of httptools; collects whole requests."""
 
     def __init__(self, bounds: Bounds) -> None:
-        self.requests: list[message.Request] = []
+        self.requests: collections.deque[message.Request] = collections.deque()
         self.parser = httptools.HttpRequestParser(self)
         self.bounds = bounds
         self.in_head = False
@@ -114,7 +106,10 @@
         if self._header_size > self.bounds.header_bytes:
             raise _BadRequestError(431)
         name = name.lower()
-        self._hosts += name == b"host"
+        if name == b"host":
+            self._hosts += 1
+        elif name == b"expect":
+            self.expects_continue = value.lower() == b"100-continue"
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -123,8 +118,6 @@
             raise _BadRequestError(405)
         if self._hosts != 1 and self.parser.get_http_version() == "1.1":
             raise _BadRequestError(400)
-        expected = message.find(self._headers, b"expect") or b""
-        self.expects_continue = expected.lower() == b"100-continue"
 
     def on_body(self, body: bytes) -> None:
         self._body_size += len(body)
@@ -146,22 +139,186 @@
         )
 
 
-@attrs.define(eq=False)
-class _Connection:
-    """One accepted connection and the call that it is waiting for."""
+class _Connection(asyncio.Protocol):
+    """One accepted connection; its task answers the requests in their order."""
+
+    def __init__(self, server: "Server", events: asyncio.AbstractEventLoop) -> None:
+        self.token: cancellation.Token | None = None
+        self.head_since: float | None = None
+        self.idle_since = events.time()
+        self._server = server
+        self._events = events
+        self._reader = _Reader(server.bounds())
+        self._transport: asyncio.Transport | None = None
+        self._request_waiter: asyncio.Future | None = None
+        self._write_waiter: asyncio.Future | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._write_blocked = False
+        self._ended = False
+        self._bad_status = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        if self._server.take(self):
+            self._events.create_task(self._serve())
+        else:
+            self._ended = True
+            transport.write(self._server.refusal)
+            transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended:
+            return
+        reader = self._reader
+        try:
+            reader.feed(data)
+        except (httptools.HttpParserError, _BadRequestError) as error:
+            # httptools wraps what a callback raises.
+            cause = error if isinstance(error, _BadRequestError) else error.__context__
+            self._bad(cause.status if isinstance(cause, _BadRequestError) else 400)
+            return
+        if reader.expects_continue:
+            reader.expects_continue = False
+            self._transport.write(CONTINUE)
+        if reader.requests:
+            self._head_done()
+            self._wake()
+            if len(reader.requests) > PIPELINED:
+                self._transport.pause_reading()
+        elif reader.in_head and self.head_since is None:
+            self.head_since = self._events.time()
+            limit = min(reader.bounds.header_timeout_s, reader.bounds.idle_s)
+            self._head_timer = self._events.call_later(limit, self._bad, 408)
+        elif not reader.in_head:
+            self._head_done()
+            self.idle_since = self._events.time()
+
+    def eof_received(self) -> bool:
+        self._leave()
+        # An answer that is being made may still be written.
+        return self.token is not None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        del exc
+        self._leave()
+        if self._write_waiter is not None:
+            loop.settle(self._write_waiter)
+        self._server.forget(self)
+
+    def pause_writing(self) -> None:
+        self._write_blocked = True
+
+    def resume_writing(self) -> None:
+        self._write_blocked = False
+        if self._write_waiter is not None:
+            loop.settle(self._write_waiter)
+
+    def is_idle_since(self, time: float) -> bool:
+        """Returns True if nothing came or was to be answered since a time of the loop."""
+        waits = self.token is None and self.head_since is None and not self._ended
+        return waits and self.idle_since < time
+
+    def close(self) -> None:
+        """Closes the connection; an answer that is being sent is cut."""
+        self._leave()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def evict(self) -> None:
+        """Closes the connection after what was written."""
+        self._leave()
+        self._transport.close()
+
+    def _head_done(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+            self.head_since = None
+
+    def _bad(self, status: int) -> None:
+        """Refuses what cannot be read, after the answers to the requests before it."""
+        self._head_done()
+        self._bad_status = status
+        self._leave()
+
+    def _leave(self) -> None:
+        self._ended = True
+        self._head_done()
+        if self.token is not None and not self._bad_status:
+            self.token.cancel()
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter = self._request_waiter
+        if waiter is not None:
+            self._request_waiter = None
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def _serve(self) -> None:
+        try:
+            keep_alive = True
+            while keep_alive and (request := await self._next()) is not None:
+                keep_alive = await self._answer(request)
+            if self._bad_status:
+                response = message.Response(
+                    self._bad_status, [(b"bergamotridge-verdict", b"not-run")]
+                )
+                self._transport.write(message.encode(response, keep_alive=False))
+        except Exception:
+            logger.exception("connection of {} failed", self._server.name)
+        finally:
+            self._transport.close()
+
+    async def _next(self) -> message.Request | None:
+        requests = self._reader.requests
+        while not requests:
+            if self._ended or self._reader.upgrades:
+                return None
+            self._request_waiter = self._events.create_future()
+            await self._request_waiter
+        if len(requests) == PIPELINED:
+            self._transport.resume_reading()
+        return requests.popleft()
+
+    async def _answer(self, request: message.Request) -> bool:
+        server = self._server
+        token = self.token = cancellation.Token()
+        if self._ended and not self._bad_status:
+            token.cancel()
+        try:
+            response = await server.handler(request, token)
+        except Exception:
+            logger.exception("handler of {} failed", server.name)
+            response = message.Response(500, [(b"bergamotridge-verdict", b"may-have-run")])
+        keep_alive = request.keep_alive and not server.closing
+        self._transport.write(
+            message.encode(response, keep_alive=keep_alive, head=request.method == b"HEAD")
+        )
+        if self._write_blocked:
+            await self._written()
+        self.token = None
+        self.idle_since = self._events.time()
+        return keep_alive
 
-    sock: socket.socket
-    token: cancellation.Token | None = None
-    idle_since: float = 0.0
-    head_since: float | None = None
+    async def _written(self) -> None:
+        """Waits until a slow reader has taken its answer, or cuts it off."""
+        waiter = self._write_waiter = self._events.create_future()
+        timer = self._events.call_later(self._reader.bounds.idle_s, self.close)
+        try:
+            if self._write_blocked and not self._transport.is_closing():
+                await waiter
+        finally:
+            self._write_waiter = None
+            timer.cancel()
 
 
 class Server:
     """Listens on one address and hands each whole request to a handler.
 
-    The handler returns the response; it raises only CallError-free results, so any exception from
-    it is logged and answered with 500. A caller that leaves while its call runs cancels the
-    call's token.
+    The handler returns the response; an exception from it is logged and answered with 500. A
+    caller that leaves while its call runs cancels the call's token.
     """
 
     def __init__(
@@ -175,6 +332,7 @@
         refusal: message.Response,
         idle_s: float = IDLE_S,
         bounds: Callable[[], Bounds] | None = None,
+        on: loop.Loop,
     ) -> None:
         """Prepares the server.
 
@@ -187,27 +345,27 @@
             refusal: Answer to a connection above the bound.
             idle_s: Seconds without a byte from its client after which a connection is closed.
             bounds: Returns the bounds now in force, in place of `body_limit` and `idle_s`.
+            on: The event loop that serves; all methods are called from other threads.
         """
         fixed = Bounds(HEADER_BYTES, body_limit, HEADER_TIMEOUT_S, idle_s)
-        self._bounds = bounds or (lambda: fixed)
+        self.bounds = bounds or (lambda: fixed)
+        self.handler = handler
+        self.name = name
+        self.refusal = message.encode(refusal, keep_alive=False)
+        self.closing = False
         self._address = address
-        self._handler = handler
         self._limit = connections
-        self._name = name
-        self._refusal = message.encode(refusal, keep_alive=False)
-        self._listener: socket.socket | None = None
-        self._executor = concurrent.futures.ThreadPoolExecutor(connections + 2, name)
-        self._lock = threading.Lock()
+        self._on = on
         self._open: set[_Connection] = set()
-        self._closing = threading.Event()
-        self._draining = threading.Event()
-        self._stopped = threading.Event()
+        self._listening: asyncio.Server | None = None
+        self._sweeper: asyncio.Task | None = None
 
     @property
     def in_flight(self) -> int:
         """Requests being handled now."""
-        with self._lock:
-            return sum(1 for connection in self._open if connection.token is not None)
+        return self._on.call(
+            lambda: sum(1 for connection in self._open if connection.token is not None)
+        )
 
     def start(self) -> None:
         """Binds the address and begins to accept; raises AddressInUseError if it is taken."""
@@ -221,66 +379,66 @@
         except OSError as error:
             listener.close()
             raise errors.AddressInUseError(
-                f"cannot listen for {self._name} on '{self._address}': {error.strerror}; "
+                f"cannot listen for {self.name} on '{self._address}': {error.strerror}; "
                 f"free the port or change the address in the settings"
             ) from error
-        self._listener = listener
-        self._executor.submit(self._accept, listener)
-        self._executor.submit(self._watch_departures)
+        self._on.run(self._listen(listener))
+
+    async def _listen(self, listener: socket.socket) -> None:
+        events = asyncio.get_running_loop()
+        self._listening = await events.create_server(
+            lambda: _Connection(self, events), sock=listener, backlog=BACKLOG
+        )
+        self._sweeper = events.create_task(self._sweep())
 
     def close_after_answers(self) -> None:
         """Makes each later answer close its connection; new connections are still taken."""
-        self._closing.set()
+        self.closing = True
 
     def drain(self) -> None:
         """Stops accepting; each later answer on an open connection closes it."""
-        self._closing.set()
-        self._draining.set()
-        if self._listener is not None:
-            with contextlib.suppress(OSError):
-                self._listener.shutdown(socket.SHUT_RDWR)
-            self._listener.close()
+        self.closing = True
+        self._on.call(self._stop_accepting)
 
     def stop(self, grace_s: float) -> None:
         """Drains, waits at most `grace_s` seconds for running calls, then closes all."""
-        self.drain()
-        limit = time.monotonic() + grace_s
-        while time.monotonic() < limit and not self._is_quiet(time.monotonic()):
-            self._stopped.wait(DEPARTURE_CHECK_S)
-        self._stopped.set()
-        with self._lock:
-            connections = list(self._open)
-        for connection in connections:
-            with contextlib.suppress(OSError):
-                connection.sock.shutdown(socket.SHUT_RDWR)
-        self._executor.shutdown(wait=True, cancel_futures=True)
+        self._on.run(self._stop(grace_s))
+
+    async def _stop(self, grace_s: float) -> None:
+        self.closing = True
+        self._stop_accepting()
+        events = asyncio.get_running_loop()
+        limit = events.time() + grace_s
+        while events.time() < limit and not self._is_quiet(events.time()):
+            await asyncio.sleep(QUIET_CHECK_S)
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self._open):
+            connection.close()
+        # Closed connections end in the next round of the loop.
+        await asyncio.sleep(0)
+
+    def _stop_accepting(self) -> None:
+        if self._listening is not None:
+            self._listening.close()
+            self._listening = None
 
     def _is_quiet(self, now: float) -> bool:
-        with self._lock:
-            return all(
-                connection.token is None and now - connection.idle_since >= IDLE_CLOSE_S
-                for connection in self._open
-            )
+        return all(
+            connection.token is None and now - connection.idle_since >= IDLE_CLOSE_S
+            for connection in self._open
+        )
+
+    def take(self, connection: _Connection) -> bool:
+        """Counts a new connection; returns False if there is no room for it."""
+        if len(self._open) >= self._limit and not self._evict():
+            return False
+        self._open.add(connection)
+        return True
 
-    def _accept(self, listener: socket.socket) -> None:
-        while not self._draining.is_set():
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                if self._draining.is_set():
-                    return
-                time.sleep(DEPARTURE_CHECK_S)
-                continue
-            self._prepare(sock)
-            connection = _Connection(sock, idle_since=time.monotonic())
-            with self._lock:
-                room = len(self._open) < self._limit or self._evict()
-                if room:
-                    self._open.add(connection)
-            if room:
-                self._executor.submit(self._serve, connection)
-            else:
-                self._refuse(sock)
+    def forget(self, connection: _Connection) -> None:
+        """Forgets a connection that has ended."""
+        self._open.discard(connection)
 
     def _evict(self) -> bool:
         """Closes the connection whose head has been on its way longest; False if there is none."""
@@ -289,112 +447,17 @@
             return False
         oldest = min(waiting, key=lambda item: item.head_since)
         self._open.discard(oldest)
-        with contextlib.suppress(OSError):
-            oldest.sock.shutdown(socket.SHUT_RDWR)
+        oldest.evict()
         return True
 
-    def _prepare(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # A time limit in the kernel costs no call per read, unlike socket.settimeout.
-        idle_s = self._bounds().idle_s
-        _limit(sock, socket.SO_RCVTIMEO, idle_s)
-        _limit(sock, socket.SO_SNDTIMEO, idle_s)
-
-    def _refuse(self, sock: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            sock.setblocking(False)
-            sock.send(self._refusal)
-            sock.shutdown(socket.SHUT_WR)
-        sock.close()
-
-    def _serve(self, connection: _Connection) -> None:
-        try:
-            self._serve_requests(connection)
-        except OSError:
-            pass
-        except (httptools.HttpParserError, _BadRequestError) as error:
-            # httptools wraps what a callback raises.
-            cause = error if isinstance(error, _BadRequestError) else error.__context__
-            status = cause.status if isinstance(cause, _BadRequestError) else 400
-            self._answer_bad(connection.sock, status)
-        except Exception:
-            logger.exception("connection of {} failed", self._name)
-        finally:
-            with self._lock:
-                self._open.discard(connection)
-            connection.sock.close()
-
-    def _answer_bad(self, sock: socket.socket, status: int) -> None:
-        response = message.Response(status, [(b"bergamotridge-verdict", b"not-run")])
-        with contextlib.suppress(OSError):
-            sock.sendall(message.encode(response, keep_alive=False))
-
-    def _serve_requests(self, connection: _Connection) -> None:
-        sock = connection.sock
-        reader = _Reader(self._bounds())
-        keep_alive = True
-        while keep_alive and not reader.upgrades:
-            data = self._receive(connection, reader)
-            if not data:
-                return
-            reader.feed(data)
-            if reader.expects_continue:
-                reader.expects_continue = False
-                sock.sendall(CONTINUE)
-            while reader.requests and keep_alive:
-                request = reader.requests.pop(0)
-                keep_alive = self._serve_one(connection, request)
-
-    def _receive(self, connection: _Connection, reader: _Reader) -> bytes:
-        """Waits for bytes: for the rest of a head no longer than the bounds say."""
-        sock = connection.sock
-        if not reader.in_head:
-            return sock.recv(RECEIVE_BYTES)
-        if connection.head_since is None:
-            connection.head_since = time.monotonic()
-        left = connection.head_since + min(reader.bounds.header_timeout_s, reader.bounds.idle_s)
-        left -= time.monotonic()
-        if left <= 0:
-            raise _BadRequestError(408)
-        _limit(sock, socket.SO_RCVTIMEO, left)
-        try:
-            return sock.recv(RECEIVE_BYTES)
-        except BlockingIOError as error:
-            raise _BadRequestError(408) from error
-        finally:
-            _limit(sock, socket.SO_RCVTIMEO, reader.bounds.idle_s)
-
-    def _serve_one(self, connection: _Connection, request: message.Request) -> bool:
-        token = cancellation.Token()
-        connection.token = token
-        connection.head_since = None
-        try:
-            response = self._handler(request, token)
-        except Exception:
-            logger.exception("handler of {} failed", self._name)
-            response = message.Response(500, [(b"bergamotridge-verdict", b"may-have-run")])
-        keep_alive = request.keep_alive and not self._closing.is_set()
-        data = message.encode(response, keep_alive=keep_alive, head=request.method == b"HEAD")
-        try:
-            connection.sock.sendall(data)
-        finally:
-            connection.idle_since = time.monotonic()
-            connection.token = None
-        return keep_alive
-
-    def _watch_departures(self) -> None:
-        while not self._stopped.wait(DEPARTURE_CHECK_S):
-            with self._lock:
-                waiting = {
-                    connection.sock.fileno(): connection.token
-                    for connection in self._open
-                    if connection.token is not None
-                }
-            if not waiting:
-                continue
-            poll = select.poll()
-            for number in waiting:
-                if number >= 0:
-                    poll.register(number, select.POLLRDHUP)
-            for number, _ in poll.poll(0):
-                waiting[number].cancel()
+    async def _sweep(self) -> None:
+        """Closes idle connections."""
+        events = asyncio.get_running_loop()
+        with contextlib.suppress(asyncio.CancelledError):
+            while True:
+                bounds = self.bounds()
+                await asyncio.sleep(min(SWEEP_S, bounds.idle_s))
+                limit = events.time() - bounds.idle_s
+                for connection in list(self._open):
+                    if connection.is_idle_since(limit):
+                        connection.evict()
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -20,11 +20,22 @@
     )
 )
 
+FRAMING = frozenset((b"content-length", b"transfer-encoding", b"connection"))
+CONNECTION_OPTIONS = frozenset((b"close", b"keep-alive"))
 BODILESS_STATUSES = frozenset((204, 304))
 Header = tuple[bytes, bytes]
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
+def end_to_end(headers: list[Header]) -> list[Header]:
+    """Returns the fields of a message that concern more than one connection."""
+    named = find(headers, b"connection")
+    if named is None or named.lower() in CONNECTION_OPTIONS:
+        return [field for field in headers if field[0] not in HOP_BY_HOP]
+    dropped = HOP_BY_HOP.union(name.strip().lower() for name in named.split(b","))
+    return [field for field in headers if field[0] not in dropped]
+
+
 def find(headers: list[Header], name: bytes) -> bytes | None:
     """Returns the first value of the header `name` (lower case), or None."""
     for key, value in headers:
@@ -83,7 +94,7 @@
     """Returns the bytes of a response with Content-Length; no body for HEAD, 204 and 304."""
     status, bare = response.status, response.bodiless
     parts = [b"HTTP/1.1 %d %s\r\n" % (status, _REASONS.get(status, b"Unknown"))]
-    parts += [b"%s: %s\r\n" % field for field in response.headers]
+    parts += [b"%s: %s\r\n" % field for field in response.headers if field[0] not in FRAMING]
     if not bare:
         parts.append(b"content-length: %d\r\n" % len(response.body))
     parts.append(b"\r\n" if keep_alive else b"connection: close\r\n\r\n")
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -8,6 +8,7 @@
 from bergamotridge.nodes import routing
 from bergamotridge.operators import text
 from bergamotridge.util import cancellation, message
+from tests import event_loop
 
 TEXT = """
 [services.pay]
@@ -45,7 +46,7 @@
             raise errors.CallError("x", status=401, reason="key")
         return keys.Key("k", "a")
 
-    def take(self, team, now):
+    async def take(self, team, now):
         self.taken += 1
 
     def give_back(self, team, now, taken_at):
@@ -54,7 +55,7 @@
     def issue(self):
         return "issued"
 
-    def send(self, outgoing, allowance, token):
+    async def send(self, outgoing, allowance, token):
         self.sent.append(outgoing)
         if self.outcome is NOT_RUN:
             raise errors.CallError("x", status=503, reason="claims-full")
@@ -75,7 +76,8 @@
         retries=2,
         count=lambda seen: None,
     )
-    return opened.handle(message.Request(method, path, list(headers)), cancellation.Token())
+    request = message.Request(method, path, list(headers))
+    return event_loop.run(opened.handle(request, cancellation.Token()))
 
 
 @pytest.mark.parametrize(
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -13,7 +13,7 @@
 from bergamotridge.store import holding
 from bergamotridge.store import quota as quota_object
 from standins import store
-from tests import fake_objects, history_rates
+from tests import event_loop, fake_objects, history_rates
 
 TEAM = text.Team("utrecht", rate=150.0, burst=30)
 SETTINGS = quota_rates.QuotaSettings(
@@ -104,7 +104,7 @@
         node = fleet.nodes[rng.choice(sorted(fleet.nodes))]
         start = time.monotonic()
         try:
-            node.rates.take(TEAM.name, start)
+            event_loop.run(node.rates.take(TEAM.name, start))
         except errors.CallError as error:
             assert error.reason == "rate"
         else:
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -7,6 +7,7 @@
 from bergamotridge import answer, call, errors, events, verdict
 from bergamotridge.nodes import budget, dispatch, record
 from bergamotridge.util import cancellation, message
+from tests import event_loop
 
 NOT_RUN, DOUBT, RUN = verdict.Verdict.NOT_RUN, verdict.Verdict.MAY_HAVE_RUN, verdict.Verdict.RUN
 HOSTS = ("h1", "h2", "h3", "h4")
@@ -25,7 +26,7 @@
         self.verdicts = list(verdicts)
         self.hosts: list[str] = []
 
-    def send(self, address, relayed, request, token) -> answer.Answer:
+    async def send(self, address, relayed, request, token) -> answer.Answer:
         self.hosts.append(address.partition(":")[0])
         given = self.verdicts.pop(0)
         if given is RUN:
@@ -58,7 +59,7 @@
     context = call.CallContext("r", "t", call.Importance.CRITICAL, deadline, 0, repeatable)
     outgoing = dispatch.Outgoing("pay", context, message.Request(b"POST", b"/pay", []))
     allowance = call.Allowance(retries)
-    given = dispatcher.send(outgoing, allowance, cancellation.Token())
+    given = event_loop.run(dispatcher.send(outgoing, allowance, cancellation.Token()))
     return given, allowance
 
 
--- a/tests/test_nodes/test_relay.py
+++ b/tests/test_nodes/test_relay.py
@@ -6,6 +6,7 @@
 from bergamotridge import call, events, verdict
 from bergamotridge.nodes import context, relay
 from bergamotridge.util import cancellation, http_client, message
+from tests import event_loop
 
 MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
 
@@ -20,7 +21,7 @@
     def to(self, address):
         return self
 
-    def send(self, request, timeout_s, token):
+    async def send(self, request, timeout_s, token):
         if self.leaves:
             token.cancel()
         raise http_client.TransferError("lost", MAY_HAVE_RUN, timed_out=self.timed_out)
@@ -41,5 +42,5 @@
     known = call.CallContext("r1", "delft", call.Importance.STANDARD, 1e12, 0, False)
     relayed = context.RelayedCall("booking", known, 2, "")
     request = message.Request(b"GET", b"/slots", [])
-    given = client.send("127.0.0.1:1", relayed, request, cancellation.Token())
+    given = event_loop.run(client.send("127.0.0.1:1", relayed, request, cancellation.Token()))
     assert (given.reason, given.verdict, given.unused) == (reason, MAY_HAVE_RUN, 0)
--- a/tests/test_operators/test_port.py
+++ b/tests/test_operators/test_port.py
@@ -53,8 +53,8 @@
 
 
 def request(node, method, target, headers=(), body=b""):
-    pool = http_client.Pool(node.address, 1 << 20)
-    return pool.send(message.Request(method, target, list(headers), body), TIMEOUT_S)
+    sent = message.Request(method, target, list(headers), body)
+    return http_client.send_once(node.address, sent, TIMEOUT_S, 1 << 20)
 
 
 def test_status_and_events_come_back_as_they_were(node):
--- a/tests/test_platform/test_announcements.py
+++ b/tests/test_platform/test_announcements.py
@@ -5,6 +5,7 @@
 
 from bergamotridge.nodes import record
 from bergamotridge.util import cancellation, message
+from tests import event_loop
 
 GOOD = {
     "service": "slots",
@@ -30,7 +31,8 @@
 def _say(port, call, body=b"", instance="i-1"):
     target = f"/Instances.{call}/{instance}".encode()
     body = body if isinstance(body, bytes) else orjson.dumps(body)
-    return port.handle(message.Request(b"POST", target, [], body), cancellation.Token()).status
+    request = message.Request(b"POST", target, [], body)
+    return event_loop.run(port.handle(request, cancellation.Token())).status
 
 
 def test_a_report_names_the_upstream(port):
--- a/tests/test_platform/test_running_work.py
+++ b/tests/test_platform/test_running_work.py
@@ -6,6 +6,7 @@
 from bergamotridge.callers import port
 from bergamotridge.nodes import routing
 from bergamotridge.util import cancellation, message
+from tests import event_loop
 from tests.test_callers import test_port
 from tests.test_platform import test_configuration
 
@@ -37,7 +38,8 @@
         speech=dialects.Callers(),
     )
     fields = [(b"host", b"a.example")] + ([(b"authorization", key)] if key else [])
-    opened.handle(message.Request(b"POST", b"/x/y/1", fields), cancellation.Token())
+    request = message.Request(b"POST", b"/x/y/1", fields)
+    event_loop.run(opened.handle(request, cancellation.Token()))
     assert bool(node.sent) is sent
     if sent:
         (outgoing,) = node.sent
--- a/tests/test_upstreams/test_gate.py
+++ b/tests/test_upstreams/test_gate.py
@@ -1,6 +1,6 @@
-"""The gate under threads: slots are never exceeded and nobody waits for nothing."""
+"""The gate under many calls: slots are never exceeded and nobody waits for nothing."""
 
-import concurrent.futures
+import asyncio
 import time
 
 import pytest
@@ -9,6 +9,7 @@
 from bergamotridge.nodes import record
 from bergamotridge.upstreams import gate, outcome
 from bergamotridge.util import cancellation
+from tests import event_loop
 
 
 def context(number, importance=call.Importance.STANDARD, left_s=30.0):
@@ -23,60 +24,75 @@
     return opened
 
 
+def enter(opened, *arguments):
+    return event_loop.run(opened.enter(*arguments))
+
+
 def wait_until_queued(opened, future):
     while not future.done() and not opened.report(time.monotonic()).queued:
         time.sleep(0.001)
 
 
-def test_threads_never_exceed_the_slots():
+def test_calls_never_exceed_the_slots():
     opened = open_gate(4, 200)
     running, most = [], []
 
-    def one(number):
-        ticket = opened.enter(context(number), time.monotonic())
+    async def one(number):
+        ticket = await opened.enter(context(number), time.monotonic())
         running.append(number)
         most.append(len(running))
+        await asyncio.sleep(0)
         running.remove(number)
         ticket.finish(outcome.Outcome.OK, time.monotonic())
 
-    with concurrent.futures.ThreadPoolExecutor(32) as pool:
-        list(pool.map(one, range(150)))
-    assert max(most) <= 4
+    async def worker(numbers):
+        for number in numbers:
+            await one(number)
+
+    async def everyone():
+        await asyncio.gather(*(worker(range(first, 150, 32)) for first in range(32)))
+
+    event_loop.run(everyone())
+    assert max(most) == 4
     assert opened.report(time.monotonic()).in_flight == 0
 
 
 @pytest.mark.parametrize(
-    ("act", "reason"),
+    ("act", "reason", "on_loop"),
     [
-        (lambda opened, token: token.cancel(), "cancelled"),
-        (lambda opened, token: opened.drain(), "draining"),
+        (lambda opened, token: token.cancel(), "cancelled", True),
+        (lambda opened, token: opened.drain(), "draining", False),
+        (lambda opened, token: opened.drain(), "draining", True),
         (
             lambda opened, token: opened.announce(record.State.LOST, 1, 1, 0.0, time.monotonic()),
             "no-upstream",
+            True,
         ),
     ],
 )
-def test_a_waiting_call_leaves_at_once_with_its_reason(act, reason):
+def test_a_waiting_call_leaves_at_once_with_its_reason(act, reason, on_loop):
     opened = open_gate(1, 10)
-    opened.enter(context(0), time.monotonic())
+    enter(opened, context(0), time.monotonic())
     token = cancellation.Token()
-    with concurrent.futures.ThreadPoolExecutor(1) as pool:
-        waiting = pool.submit(opened.enter, context(1), time.monotonic(), token)
-        wait_until_queued(opened, waiting)
+    waiting = event_loop.SHARED.submit(opened.enter(context(1), time.monotonic(), token))
+    wait_until_queued(opened, waiting)
+    if on_loop:
+        event_loop.call(lambda: act(opened, token))
+    else:
         act(opened, token)
-        with pytest.raises(errors.CallError) as caught:
-            waiting.result(timeout=20)
+    with pytest.raises(errors.CallError) as caught:
+        waiting.result(timeout=20)
     assert caught.value.reason == reason
     assert caught.value.verdict is verdict.Verdict.NOT_RUN
 
 
 def test_a_call_that_waits_past_its_deadline_is_refused_and_gives_its_place_back():
     opened = open_gate(1, 10)
-    first = opened.enter(context(0), time.monotonic())
+    first = enter(opened, context(0), time.monotonic())
     with pytest.raises(errors.CallError) as caught:
-        opened.enter(context(1, left_s=0.05), time.monotonic())
+        enter(opened, context(1, left_s=0.05), time.monotonic())
     assert caught.value.reason == "deadline"
     first.finish(outcome.Outcome.OK, time.monotonic())
     first.finish(outcome.Outcome.OK, time.monotonic())
     assert opened.report(time.monotonic()).in_flight == 0
-    opened.enter(context(2), time.monotonic())
+    enter(opened, context(2), time.monotonic())
--- a/tests/test_upstreams/test_local.py
+++ b/tests/test_upstreams/test_local.py
@@ -8,6 +8,7 @@
 from bergamotridge.nodes import record
 from bergamotridge.upstreams import announcement, gate, live, local
 from bergamotridge.util import cancellation, message
+from tests import event_loop
 
 
 class Upstream:
@@ -19,7 +20,7 @@
     def to(self, address):
         return self
 
-    def send(self, request, left, token, check):
+    async def send(self, request, left, token, check):
         return message.Response(503, list(self._fields))
 
 
@@ -36,5 +37,5 @@
     context = call.CallContext("r", "t", call.Importance.STANDARD, now + 60, 0, True)
     request = message.Request(b"GET", b"/parts", [])
     for _ in range(3):
-        upstream.run("depot", context, request, 0, cancellation.Token())
+        event_loop.run(upstream.run("depot", context, request, 0, cancellation.Token()))
     assert opened.report(now).limit == limit
--- a/tests/test_upstreams/test_port.py
+++ b/tests/test_upstreams/test_port.py
@@ -9,6 +9,7 @@
 from bergamotridge.operators import text
 from bergamotridge.upstreams import live, port
 from bergamotridge.util import cancellation, message
+from tests import event_loop
 
 TEXT = """
 [services.front]
@@ -53,14 +54,14 @@
         )
         self.parent = self.calls.open("front", context, 3, cancellation.Token())
 
-    def send(self, outgoing, allowance, token):
+    async def send(self, outgoing, allowance, token):
         self.sent.append((outgoing, allowance))
         return answer.Answer(message.Response(200), verdict.Verdict.RUN)
 
     def ask(self, method: bytes, target: bytes, body: bytes = b"", call_id: str = "") -> int:
         headers = [(b"bergamotridge-call", call_id.encode())] if call_id else []
         request = message.Request(method, target, headers, body)
-        return self.port.handle(request, cancellation.Token()).status
+        return event_loop.run(self.port.handle(request, cancellation.Token())).status
 
 
 def test_a_dependency_inherits_request_team_deadline_and_allowance():
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -8,6 +8,7 @@
 
 from bergamotridge import verdict
 from bergamotridge.util import cancellation, http_client, message
+from tests import event_loop
 from tests.test_util import test_httpd
 
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -43,7 +44,8 @@
 
 
 def send(pool: http_client.Pool, **more):
-    return pool.send(message.Request(b"POST", b"/pay", [], b"x"), more.pop("timeout_s", 5), **more)
+    request = message.Request(b"POST", b"/pay", [], b"x")
+    return event_loop.send(pool, request, more.pop("timeout_s", 5), **more)
 
 
 def test_a_dead_reused_connection_does_not_make_the_request_run_twice():
@@ -96,7 +98,7 @@
             waiting = executor.submit(send, pool, timeout_s=60, token=token)
             sock, _ = listener.accept()
             sock.recv(65536)
-            token.cancel()
+            event_loop.call(token.cancel)
             failure = waiting.exception(30)
         sock.close()
     assert isinstance(failure, http_client.TransferError)
@@ -107,7 +109,7 @@
 def test_target_is_sent_as_it_was_matched():
     server = Script(WHOLE)
     pool = http_client.Pool(server.address, BODY_LIMIT)
-    pool.send(message.Request(b"GET", b"/prices/../pay?a=../b", []), 5)
+    event_loop.send(pool, message.Request(b"GET", b"/prices/../pay?a=../b", []), 5)
     assert server.requests[0].startswith(b"GET /prices/../pay?a=../b HTTP/1.1\r\n")
 
 
@@ -115,13 +117,42 @@
     server, address = test_httpd.make(test_httpd.echo)
     pool = http_client.Pool(address, 1000)
     post = message.Request(b"POST", b"/", [], b"x")
-    pool.send(post, 10)
-    (old,) = pool._idle
-    second = http_client._Exchange(address, 1000, False)
-    second.perform(post, 10, None)
+    event_loop.send(pool, post, 10)
+    other = http_client.Pool(address, 1000)
+    event_loop.send(other, post, 10)
+    (old,), (second,) = pool._idle, other._idle
     pool._idle.append(second)
     old.idle_until = 0.0
-    pool.send(post, 10)
-    assert list(pool._idle) == [second] and old.is_stale()
-    pool.close()
+    event_loop.send(pool, post, 10)
+    assert list(pool._idle) == [second] and old.ended
+    event_loop.call(pool.close)
     server.stop(0)
+
+
+def test_framing_and_connection_fields_of_an_answer_are_not_passed_on():
+    answer = (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: x-hop, keep-alive\r\n"
+        b"keep-alive: timeout=9\r\nx-hop: 1\r\nx-end: 2\r\n\r\nok"
+    )
+    response = send(http_client.Pool(Script(answer).address, BODY_LIMIT))
+    assert response.headers == [(b"x-end", b"2")]
+
+
+def test_an_answer_before_its_request_was_sent_whole_ends_the_connection():
+    early, started = b"HTTP/1.1 413 X\r\ncontent-length: 0\r\n\r\n", threading.Event()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+        def answer_early():
+            sock, _ = listener.accept()
+            sock.recv(1000)
+            sock.sendall(early)
+            started.wait(30)
+            sock.close()
+
+        threading.Thread(target=answer_early, daemon=True).start()
+        pool = http_client.Pool(address, BODY_LIMIT)
+        large = message.Request(b"POST", b"/", [], b"x" * 50_000_000)
+        assert event_loop.send(pool, large, 20).status == 413
+        assert not pool._idle
+        started.set()
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -1,5 +1,6 @@
 """The server keeps connections, refuses what it cannot take, and cuts nothing at a stop."""
 
+import asyncio
 import concurrent.futures
 import socket
 import threading
@@ -8,6 +9,7 @@
 
 from bergamotridge import errors
 from bergamotridge.util import http_client, httpd, message
+from tests import event_loop
 
 
 def free_address() -> str:
@@ -24,16 +26,20 @@
         body_limit=100,
         name="test",
         refusal=message.Response(503),
+        on=event_loop.SHARED,
         **more,
     )
     server.start()
     return server, address
 
 
-def echo(request, _token):
+async def echo(request, _token):
     return message.Response(200, [], request.body)
 
 
+send = event_loop.send
+
+
 def request(body: bytes) -> message.Request:
     return message.Request(b"POST", b"/", [], body)
 
@@ -43,9 +49,9 @@
     pool = http_client.Pool(address, 1000)
     with concurrent.futures.ThreadPoolExecutor(8) as executor:
         bodies = [b"%d" % number for number in range(400)]
-        answers = executor.map(lambda body: pool.send(request(body), 10).body, bodies)
+        answers = executor.map(lambda body: send(pool, request(body), 10).body, bodies)
         assert list(answers) == bodies
-    pool.close()
+    event_loop.call(pool.close)
     server.stop(1)
 
 
@@ -53,37 +59,43 @@
     server, address = make(echo)
     with pytest.raises(errors.AddressInUseError, match=address):
         httpd.Server(
-            address, echo, connections=1, body_limit=1, name="b", refusal=message.Response(503)
+            address,
+            echo,
+            connections=1,
+            body_limit=1,
+            name="b",
+            refusal=message.Response(503),
+            on=event_loop.SHARED,
         ).start()
     server.stop(0)
 
 
 def test_large_body_is_refused():
     server, address = make(echo)
-    assert http_client.Pool(address, 1000).send(request(b"x" * 101), 5).status == 413
+    assert send(http_client.Pool(address, 1000), request(b"x" * 101), 5).status == 413
     server.stop(0)
 
 
 def test_connection_above_the_bound_is_refused():
     server, address = make(echo, connections=1)
     first = http_client.Pool(address, 1000)
-    first.send(request(b"1"), 5)
-    assert http_client.Pool(address, 1000).send(request(b"2"), 5).status == 503
-    first.close()
+    send(first, request(b"1"), 5)
+    assert send(http_client.Pool(address, 1000), request(b"2"), 5).status == 503
+    event_loop.call(first.close)
     server.stop(0)
 
 
 def test_stop_lets_a_running_call_finish():
     entered, go_on = threading.Event(), threading.Event()
 
-    def slow(given, _token):
+    async def slow(given, _token):
         entered.set()
-        go_on.wait(30)
+        await asyncio.to_thread(go_on.wait, 30)
         return message.Response(200, [], given.body)
 
     server, address = make(slow)
     with concurrent.futures.ThreadPoolExecutor(2) as executor:
-        running = executor.submit(http_client.Pool(address, 1000).send, request(b"1"), 30)
+        running = executor.submit(send, http_client.Pool(address, 1000), request(b"1"), 30)
         entered.wait(30)
         stopping = executor.submit(server.stop, 30)
         go_on.set()
@@ -94,9 +106,9 @@
 def test_departed_caller_cancels_its_call():
     cancelled = threading.Event()
 
-    def slow(_given, token):
+    async def slow(_given, token):
         token.on_cancel(cancelled.set)
-        cancelled.wait(30)
+        await asyncio.to_thread(cancelled.wait, 30)
         return message.Response(200)
 
     server, address = make(slow)
@@ -170,7 +182,7 @@
         pool = http_client.Pool(address, 1000)
         answers = []
         while not answers or answers[-1] == 503:
-            answers.append(pool.send(request(b"x"), 10).status)
+            answers.append(send(pool, request(b"x"), 10).status)
         assert answers[-1] == 200
-        pool.close()
+        event_loop.call(pool.close)
     server.stop(0)
