--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -30,7 +30,7 @@
         """Relays one call to the node at `address` and returns its end; never raises CallError."""
         now = time.monotonic()
         header = context_header.encode(self._token, relayed, now)
-        fields = [*request.headers, header, (b"host", address.encode())]
+        fields = [(b"host", address.encode()), *request.headers, header]
         sent = message.Request(request.method, request.target, fields, request.body)
         # The callee enforces the deadline; the grace lets its own verdict come back first.
         limit = relayed.context.time_left(now) + GRACE_S
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -50,6 +50,7 @@
             (route.method, route.path): route.name for route in plain if "<" not in route.path
         }
         self._prefixes = _by_host(source)
+        self._targets = {route.name: self._target(route) for route in source.routes.values()}
         self._lock = threading.Lock()
 
     def below(self, service: str) -> frozenset[str]:
@@ -68,8 +69,10 @@
         if route is None:
             name = self._fixed.get((method, path)) or self._match_rule(method, path)
             route = self.text.routes[name]
-        reach = [self._reach[service] for service in route.services]
-        return Target(route, reach[0] if len(reach) == 1 else frozenset().union(*reach))
+        return self._targets[route.name]
+
+    def _target(self, route: text.Route) -> Target:
+        return Target(route, frozenset().union(*(self._reach[name] for name in route.services)))
 
     def _match_prefix(self, path: str, host: str) -> text.Route | None:
         for route in self._prefixes.get(host.lower(), ()):
--- a/bergamotridge/util/cancellation.py
+++ b/bergamotridge/util/cancellation.py
@@ -10,10 +10,12 @@
     belongs to the event loop that its call runs on and is not thread-safe.
     """
 
-    __slots__ = ("_callbacks", "_cancelled", "_next", "_parent", "_registration")
+    __slots__ = ("_callbacks", "_cancelled", "_next", "_only", "_parent", "_registration")
 
     def __init__(self, parent: "Token | None" = None) -> None:
         self._cancelled = False
+        # Most tokens have one callback at a time, which needs no table.
+        self._only: Callable[[], None] | None = None
         self._callbacks: dict[int, Callable[[], None]] | None = None
         self._next = 0
         self._parent = parent
@@ -29,6 +31,9 @@
         if self._cancelled:
             callback()
             return -1
+        if self._only is None:
+            self._only = callback
+            return 0
         if self._callbacks is None:
             self._callbacks = {}
         self._next += 1
@@ -37,7 +42,9 @@
 
     def remove(self, registration: int) -> None:
         """Forgets a callback."""
-        if self._callbacks is not None:
+        if registration == 0:
+            self._only = None
+        elif self._callbacks is not None:
             self._callbacks.pop(registration, None)
 
     def cancel(self) -> None:
@@ -45,7 +52,10 @@
         if self._cancelled:
             return
         self._cancelled = True
+        only, self._only = self._only, None
         callbacks, self._callbacks = self._callbacks, None
+        if only is not None:
+            only()
         for callback in (callbacks or {}).values():
             callback()
 
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -47,23 +47,30 @@
 class _Reader:
     """Callbacks of httptools; collects one final response."""
 
-    def __init__(self, body_limit: int, head: bool) -> None:
+    def __init__(self, body_limit: int) -> None:
         self._body_limit = body_limit
+        self.parser = httptools.HttpResponseParser(self)
+        self.excess = False
+        self.keep_alive = False
+        self.expect(head=False)
+
+    def expect(self, *, head: bool) -> None:
+        """Prepares for the next response; `head` says whether it answers a HEAD."""
         self._head = head
         self._size = 0
         self._body: list[bytes] = []
         self._headers: list[message.Header] = []
+        self._dropped: set[bytes] | None = None
         self.framed = False
         self.complete = False
-        self.excess = False
-        self.keep_alive = False
         self.status = 0
         self.idle_s = IDLE_S
-        self.parser = httptools.HttpResponseParser(self)
 
     def response(self) -> message.Response:
         """Returns what was read, without the fields that concern this connection only."""
-        fields = message.end_to_end(self._headers)
+        fields = self._headers
+        if self._dropped:
+            fields = [field for field in fields if field[0] not in self._dropped]
         return message.Response(self.status, fields, b"".join(self._body))
 
     def on_message_begin(self) -> None:
@@ -71,13 +78,17 @@
             self.excess = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete:
-            name = name.lower()
-            if name in _LENGTH_FIELDS:
-                self.framed = True
-            elif name == b"keep-alive":
-                self.idle_s = _announced_s(value)
+        if self.complete:
+            return
+        name = name.lower()
+        if name not in message.HOP_BY_HOP:
             self._headers.append((name, value))
+        elif name in _LENGTH_FIELDS:
+            self.framed = True
+        elif name == b"keep-alive":
+            self.idle_s = _announced_s(value)
+        elif name == b"connection" and value.lower() not in message.CONNECTION_OPTIONS:
+            self._dropped = {option.strip().lower() for option in value.split(b",")}
 
     def on_headers_complete(self) -> None:
         if self.complete:
@@ -98,6 +109,7 @@
     def on_message_complete(self) -> None:
         if self.status < FIRST_FINAL_STATUS:
             self._headers = []
+            self._dropped = None
             self.framed = False
         else:
             self.complete = True
@@ -117,21 +129,23 @@
 class _Connection(asyncio.Protocol):
     """One connection; carries one transfer at a time."""
 
-    def __init__(self, events: asyncio.AbstractEventLoop, close_delimited: bool) -> None:
+    def __init__(
+        self, events: asyncio.AbstractEventLoop, body_limit: int, close_delimited: bool
+    ) -> None:
+        self.reader = _Reader(body_limit)
         self.idle_until = 0.0
         self.ended = False
         self._events = events
         self._close_delimited = close_delimited
         self._transport: asyncio.Transport | None = None
-        self._reader: _Reader | None = None
         self._waiter: asyncio.Future | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        reader = self._reader
-        if reader is None:
+        reader = self.reader
+        if self._waiter is None:
             # Bytes that nobody asked for belong to no request.
             self.abort()
             return
@@ -145,8 +159,8 @@
 
     def eof_received(self) -> None:
         self.ended = True
-        reader = self._reader
-        if reader is not None and self._close_delimited and reader.status and not reader.framed:
+        reader = self.reader
+        if self._close_delimited and reader.status and not reader.framed:
             self._done()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -164,9 +178,7 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def transfer(
-        self, data: bytes, reader: _Reader, limit: float, token: cancellation.Token | None
-    ) -> None:
+    async def transfer(self, data: bytes, limit: float, token: cancellation.Token | None) -> None:
         """Sends a request and reads its whole answer.
 
         Raises:
@@ -175,7 +187,6 @@
             httptools.HttpParserError: The answer could not be read.
         """
         waiter = self._waiter = self._events.create_future()
-        self._reader = reader
         timer = self._events.call_at(limit, self._time_out)
         registration = token.on_cancel(self.abort) if token is not None else -1
         try:
@@ -183,7 +194,7 @@
             await waiter
         finally:
             timer.cancel()
-            self._reader = self._waiter = None
+            self._waiter = None
             if token is not None:
                 token.remove(registration)
 
@@ -203,7 +214,7 @@
     """Returns the bytes of a request; `address` stands in for a missing Host."""
     fields = request.headers
     parts = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-    if request.header(b"host") is None:
+    if message.find(fields, b"host") is None:
         parts.append(b"host: %s\r\n" % address.encode())
     parts += [b"%s: %s\r\n" % field for field in fields]
     if request.body or request.method not in BODILESS_METHODS:
@@ -271,11 +282,12 @@
             connection.abort()
             raise TransferError("the caller has left", verdict.Verdict.NOT_RUN)
         is_head = request.method == b"HEAD"
-        reader = _Reader(self.body_limit, is_head)
+        reader = connection.reader
+        reader.expect(head=is_head)
         limit = now + timeout_s
         fault = ""
         try:
-            await connection.transfer(encode(request, self.address), reader, limit, token)
+            await connection.transfer(encode(request, self.address), limit, token)
             response = reader.response()
             framed = reader.framed or response.bodiless
             if not framed and not self.close_delimited and not is_head:
@@ -330,7 +342,7 @@
             connecting = events.sock_connect(sock, (host.strip("[]"), int(port)))
             await asyncio.wait_for(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
             _, connection = await events.create_connection(
-                lambda: _Connection(events, self.close_delimited), sock=sock
+                lambda: _Connection(events, self.body_limit, self.close_delimited), sock=sock
             )
         except OSError as error:
             sock.close()
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -27,15 +27,6 @@
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
-def end_to_end(headers: list[Header]) -> list[Header]:
-    """Returns the fields of a message that concern more than one connection."""
-    named = find(headers, b"connection")
-    if named is None or named.lower() in CONNECTION_OPTIONS:
-        return [field for field in headers if field[0] not in HOP_BY_HOP]
-    dropped = HOP_BY_HOP.union(name.strip().lower() for name in named.split(b","))
-    return [field for field in headers if field[0] not in dropped]
-
-
 def find(headers: list[Header], name: bytes) -> bytes | None:
     """Returns the first value of the header `name` (lower case), or None."""
     for key, value in headers:
