--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -8,9 +8,6 @@
 
 from bergamotridge import call
 
-REPORT_HEADER = "Bergamotridge-Load"
-THRESHOLDS_HEADER = "Bergamotridge-Thresholds"
-
 DECODED_KEPT = 256
 
 Key = tuple[call.Importance, str]
@@ -96,13 +93,6 @@
     queued: int
     threshold: Threshold = OPEN
 
-    def encode(self) -> str:
-        """Returns the form in a header."""
-        return (
-            f"{self.load:.3f} {self.limit} {self.in_flight} {self.queued} "
-            f"{self.threshold.encoded}"
-        ).rstrip()
-
     def fields(self) -> list[float | str]:
         """Returns the form in which nodes pass it on."""
         return [self.load, self.limit, self.in_flight, self.queued, self.threshold.encoded]
@@ -113,20 +103,3 @@
         known, limit, in_flight, queued, threshold = fields
         opened = decode_threshold(threshold) if threshold else OPEN
         return cls(float(known), int(limit), int(in_flight), int(queued), opened)
-
-    @classmethod
-    def decode(cls, text: str | None) -> "LoadReport | None":
-        """Returns the report in a header value, or None if there is none or it is malformed."""
-        parts = (text or "").split(" ", 4)
-        if len(parts) < 4:
-            return None
-        try:
-            return cls(
-                float(parts[0]),
-                int(parts[1]),
-                int(parts[2]),
-                int(parts[3]),
-                decode_threshold(parts[4] if len(parts) == 5 else ""),
-            )
-        except ValueError:
-            return None
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -368,13 +368,6 @@
         self._listening: asyncio.Server | None = None
         self._sweeper: asyncio.Task | None = None
 
-    @property
-    def in_flight(self) -> int:
-        """Requests being handled now."""
-        return self._on.call(
-            lambda: sum(1 for connection in self._open if connection.token is not None)
-        )
-
     def start(self) -> None:
         """Binds the address and begins to accept; raises AddressInUseError if it is taken."""
         host, port = split_address(self._address)
@@ -403,13 +396,8 @@
         """Makes each later answer close its connection; new connections are still taken."""
         self.closing = True
 
-    def drain(self) -> None:
-        """Stops accepting; each later answer on an open connection closes it."""
-        self.closing = True
-        self._on.call(self._stop_accepting)
-
     def stop(self, grace_s: float) -> None:
-        """Drains, waits at most `grace_s` seconds for running calls, then closes all."""
+        """Stops accepting, waits at most `grace_s` seconds for running calls, then closes all."""
         self._on.run(self._stop(grace_s))
 
     async def _stop(self, grace_s: float) -> None:
--- a/tests/test_callers/test_shedding.py
+++ b/tests/test_callers/test_shedding.py
@@ -73,6 +73,12 @@
 
 def test_encoded_forms_come_back():
     report = load.LoadReport(1.25, 50, 50, 12, HALF)
-    assert load.LoadReport.decode(report.encode()) == report
-    assert load.LoadReport.decode("1 2 3") is None
-    assert load.LoadReport.decode("a 2 3 4") is None
+    assert load.LoadReport.read(report.fields()) == report
+
+
+@pytest.mark.parametrize(
+    "fields", [[1, 2, 3], ["a", 2, 3, 4, ""], [1, 2, 3, 4, "9,9,9"], [1, 2, 3, 4, "x"], {}]
+)
+def test_a_malformed_report_is_an_error(fields):
+    with pytest.raises((ValueError, TypeError)):
+        load.LoadReport.read(fields)
--- a/tests/test_nodes/test_membership.py
+++ b/tests/test_nodes/test_membership.py
@@ -93,3 +93,19 @@
         sequence, more = page.sequence, page.more
     detailed = {item.record.host for item in news if isinstance(item, membership.News)}
     assert detailed == {"own", *(f"h{n}" for n in range(10))}
+
+
+def test_the_size_follows_hosts_that_join_are_lost_and_return():
+    members = _members()
+    assert members.size() == 1
+    members.merge([_news("h1"), _news("h2")], "h1", 0.0)
+    assert members.size() == 3
+    members.suspect("h2", 0.0)
+    members.tick(TIMINGS.suspect_s)
+    assert members.size() == len(members.members()) == 2
+    members.merge([_news("h2", version=2)], "h1", 5.0)
+    assert members.size() == 3
+    members.suspect("h2", 6.0)
+    members.tick(6.0 + TIMINGS.suspect_s)
+    members.tick(6.0 + TIMINGS.forget_s)
+    assert members.size() == 2
