--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -401,5 +401,5 @@
 
     def _count_answer(self, seen: callers_port.Seen) -> None:
         self.node_metrics.count_answer(
-            seen.team, seen.importance, seen.reason, seen.verdict.value, seen.seconds
+            seen.team, seen.importance, seen.reason, seen.verdict, seen.seconds
         )
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -17,6 +17,9 @@
 ISSUE_PATH = b"/_bergamotridge/idempotency-key"
 
 
+_CLASS_NAMES = tuple(importance.name.lower() for importance in call.Importance)
+
+
 class Routes(Protocol):
     """Gives the routes now in force."""
 
@@ -196,7 +199,7 @@
             importance = call.Importance.CRITICAL
         elif declared is not None and declared.importance is not None:
             importance = declared.importance
-        progress.importance = importance.name.lower()
+        progress.importance = _CLASS_NAMES[importance]
         deadline = now + self._time_limit(route, request)
         if not inner:
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -114,7 +114,7 @@
 def encode_report(given: answer.Answer) -> message.Header:
     """Returns the header that carries all of an answer but its response."""
     fields = [
-        given.verdict.value,
+        given.verdict,
         given.reason,
         given.unused,
         given.report.fields() if given.report else None,
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -108,9 +108,10 @@
             given = await self._client.send(target.relay_address, relayed, outgoing.request, token)
         given.host = target.host
         allowance.give_back(given.unused, granted)
+        ended = time.monotonic()
         if given.reason:
-            self._tell(target, outgoing, given, time.monotonic() - started)
-        self._learn(target, outgoing.service, given, time.monotonic() - started)
+            self._tell(target, outgoing, given, ended - started)
+        self._learn(target, outgoing.service, given, ended - started, ended)
         return given
 
     def _tell(
@@ -134,9 +135,13 @@
         )
 
     def _learn(
-        self, target: record.UpstreamRecord, service: str, given: answer.Answer, latency_s: float
+        self,
+        target: record.UpstreamRecord,
+        service: str,
+        given: answer.Answer,
+        latency_s: float,
+        now: float,
     ) -> None:
-        now = time.monotonic()
         ended = _OUTCOMES.get(given.reason, outcome.Outcome.FAILED)
         if given.reason == "node-failed" and given.verdict is verdict.Verdict.NOT_RUN:
             ended = outcome.Outcome.UNREACHABLE
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bergamotridge import events, metrics
+from bergamotridge import events, metrics, verdict
 from bergamotridge.operators import kinds, status
 
 PREFIX = "bergamotridge_"
@@ -61,15 +61,17 @@
         self._events = registry.counter(
             f"{PREFIX}events_total", "Events, by kind, and by cause for those of calls."
         )
-        self._answer_cells: dict[tuple[str, str, str, str], _AnswerCells] = {}
+        self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
-        self._cells: dict[
-            tuple[str, str, str, str], tuple[metrics.CounterCell, metrics.HistogramCell]
-        ] = {}
         self._register_gauges(registry)
 
     def count_answer(
-        self, team: str, importance: str, reason: str, verdict: str, seconds: float
+        self,
+        team: str,
+        importance: str,
+        reason: str,
+        outcome: verdict.Verdict,
+        seconds: float,
     ) -> None:
         """Counts one answer to a caller.
 
@@ -77,10 +79,10 @@
             team: Team of the call, "" if it has none.
             importance: Name of its class of importance, "" if it matched no route.
             reason: Why it was refused or failed, "" if an upstream answered.
-            verdict: Value of its verdict.
+            outcome: Its verdict.
             seconds: Time that it took.
         """
-        key = (team, importance, reason, verdict)
+        key = (team, importance, reason, outcome)
         cells = self._answer_cells.get(key)
         if cells is None:
             cells = self._answer_cells[key] = self._bind(*key)
@@ -96,9 +98,14 @@
             cell = self._event_cells[key] = self._events.labelled(kind=event.kind, cause=cause)
         cell.add()
 
-    def _bind(self, team: str, importance: str, reason: str, verdict: str) -> _AnswerCells:
+    def _bind(
+        self, team: str, importance: str, reason: str, outcome: verdict.Verdict
+    ) -> _AnswerCells:
         answers = self._answers.labelled(
-            team=team, importance=importance, reason=reason or _NO_REASON, verdict=verdict
+            team=team,
+            importance=importance,
+            reason=reason or _NO_REASON,
+            verdict=outcome.value,
         )
         return _AnswerCells(answers, self._latency.labelled(importance=importance))
 
--- a/tests/test_operators/test_node_metrics.py
+++ b/tests/test_operators/test_node_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a node: gauges follow its status, and events and answers are counted."""
 
-from bergamotridge import events, metrics
+from bergamotridge import events, metrics, verdict
 from bergamotridge.operators import node_metrics, status
 
 STATUS = status.Status(
@@ -26,8 +26,8 @@
     log.listen(node.count_event)
     log.emit("call.refused", "r1", "rate")
     log.emit("call.refused", "r2", "rate")
-    node.count_answer("delft", "critical", "", "run", 0.004)
-    node.count_answer("delft", "critical", "rate", "not-run", 0.001)
+    node.count_answer("delft", "critical", "", verdict.Verdict.RUN, 0.004)
+    node.count_answer("delft", "critical", "rate", verdict.Verdict.NOT_RUN, 0.001)
     lines = registry.render().body.decode().splitlines()
     changing = ("cpu_seconds", "resident_memory_bytes")
     assert [line for line in lines if not any(name in line for name in changing)] == snapshot
