Serve at once after a restart what a predecessor cannot have lent

Ruled out: no wait at all (a drawn token may still be spent; the checker of histories finds it). Change: a holder lends at most three quarters of its burst at once, and a new process on its host creates tokens from its start in the remaining quarter. A share is cut only to what its loans leave.

--- a/bergamotridge/callers/bucket.py
+++ b/bergamotridge/callers/bucket.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from bergamotridge.store import quota
+
 UNDO_WINDOW_S = 60.0
 
 
@@ -65,7 +67,7 @@
         self._level = min(level, burst)
         self._lent = 0
         self._filled_at = now
-        self._hold_until = now
+        self._reserve_until = now
         room = burst - self._level
         self._room = _LowestRoom(undo_window_s, now, room, room)
 
@@ -91,15 +93,18 @@
 
     def refill(self, now: float) -> None:
         """Creates the tokens due since the last decision, as far as there is room."""
-        elapsed = max(0.0, now - max(self._filled_at, self._hold_until))
+        elapsed = max(0.0, now - self._filled_at)
         self._filled_at = max(now, self._filled_at)
-        room = max(0.0, self._burst - self._lent)
+        room = max(0.0, self._burst - self._lent - self._reserved(now))
         self._level = min(room, self._level + elapsed * self._rate)
         self._room.note(room - self._level, self._filled_at)
 
-    def hold_until(self, time: float) -> None:
-        """Creates no token before the given monotonic time."""
-        self._hold_until = time
+    def reserve_until(self, time: float) -> None:
+        """Keeps room until the given monotonic time for all that a predecessor may have lent."""
+        self._reserve_until = time
+
+    def _reserved(self, now: float) -> float:
+        return quota.lendable(self._burst) if now < self._reserve_until else 0.0
 
     def take(self, now: float) -> bool:
         """Spends one token for a call; returns False if there is none."""
@@ -125,7 +130,9 @@
     def lend(self, wanted: int, now: float) -> int:
         """Hands up to `wanted` whole tokens to another node and returns how many."""
         self.refill(now)
-        granted = max(0, min(wanted, int(self._level)))
+        granted = max(
+            0, min(wanted, int(min(self._level, quota.lendable(self._burst) - self._lent)))
+        )
         self._level -= granted
         self._lent += granted
         return granted
@@ -149,7 +156,9 @@
         self.refill(now)
         if self._level >= 1.0:
             return 0.0
-        held = max(0.0, self._hold_until - now)
         if self._rate <= 0.0:
             return float("inf")
-        return held + (1.0 - self._level) / self._rate
+        created_s = (1.0 - self._level) / self._rate
+        if self._burst - self._reserved(now) >= 1.0:
+            return created_s
+        return self._reserve_until - now + created_s
--- a/bergamotridge/callers/lending.py
+++ b/bergamotridge/callers/lending.py
@@ -75,14 +75,14 @@
         """Tokens at hand as of the last decision."""
         return self._bucket.level
 
-    def resize(self, rate: float, burst: float, create_from: float, now: float) -> None:
+    def resize(self, rate: float, burst: float, settled_from: float, now: float) -> None:
         """Sets this holder's part of rate and burst from now on.
 
-        No token is created before `create_from`.
+        Before `settled_from`, room is kept for the loans of a predecessor.
         """
         self._expire(now)
         self._bucket.refill(now)
-        self._bucket.hold_until(create_from)
+        self._bucket.reserve_until(settled_from)
         if (rate, burst) != (self._bucket.rate, self._bucket.burst):
             self._bucket.resize(rate, burst, now)
 
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -29,18 +29,18 @@
 
     def sync_if_changed(self, now: float) -> None:
         """Applies the share that may be used now, unless it is in force already."""
-        if (self.holding.usable(now), self.holding.create_from) != self.applied:
+        if (self.holding.usable(now), self.holding.settled_from) != self.applied:
             self.sync(now)
 
     def sync(self, now: float) -> None:
         """Applies the share that may be used now to the tokens."""
         parts = self.holding.usable(now)
         fraction = parts / quota.PARTS
-        self.applied = (parts, self.holding.create_from)
+        self.applied = (parts, self.holding.settled_from)
         self.lending.resize(
             self.team.rate * fraction,
             self.team.burst * fraction,
-            self.holding.create_from,
+            self.holding.settled_from,
             now,
         )
 
--- a/bergamotridge/store/holding.py
+++ b/bergamotridge/store/holding.py
@@ -100,7 +100,7 @@
         self._incarnation = incarnation
         self._failure_domain = failure_domain
         self._timings = timings
-        self._create_from = now + timings.loan_s
+        self._settled_from = now + timings.loan_s
         self._joined_fresh = False
         self._version = -1
         self._quota = quota.Quota()
@@ -115,13 +115,12 @@
         self._first_seen: dict[tuple[str, int, int], float] = {}
 
     @property
-    def create_from(self) -> float:
-        """Monotonic time before which no token is created.
+    def settled_from(self) -> float:
+        """Monotonic time by which all tokens drawn from an earlier process here have expired.
 
-        All tokens drawn from an earlier process on this host have expired by then. There are none
-        if this process joined a quota in which that process had no share.
+        There are none if this process joined a quota in which that process had no share.
         """
-        return float("-inf") if self._joined_fresh else self._create_from
+        return float("-inf") if self._joined_fresh else self._settled_from
 
     @property
     def share(self) -> quota.Share | None:
@@ -158,13 +157,15 @@
         if mine is None and not circumstances.chosen:
             return self._removal_of_lapsed(live, now)
         parts = self._next_parts(live, mine, circumstances)
-        if self._own is None and mine is not None and now < self.create_from:
+        if self._own is None and mine is not None and now < self.settled_from:
             # Tokens drawn from the predecessor still count against all of its share.
             parts = max(parts, mine.parts)
         if self._own is not None and parts < self._own.parts:
             self._cut = parts
-            lent_out = circumstances.lent * quota.PARTS > parts * circumstances.burst
-            if lent_out or now < self.create_from:
+            lent_out = circumstances.lent > quota.lendable(
+                parts * circumstances.burst / quota.PARTS
+            )
+            if lent_out or now < self.settled_from:
                 return None
         if not circumstances.chosen and parts == 0:
             return self._write(live.without([self._host]), None, now)
--- a/bergamotridge/store/quota.py
+++ b/bergamotridge/store/quota.py
@@ -16,6 +16,8 @@
 PARTS = 1_000_000
 FLOOR_FRACTION = 0.25
 MIN_TOKENS = 2.0
+LENT_SHARE = 0.75  # What is left lets a new process serve while old loans may be spent.
+LEAST_LENT = 1.0
 
 
 @attrs.frozen
@@ -64,6 +66,11 @@
         return Quota((*self.without([share.host]).shares, share))
 
 
+def lendable(burst: float) -> float:
+    """Returns the tokens of a holder's burst that may be lent to other nodes at once."""
+    return min(burst, max(LEAST_LENT, LENT_SHARE * burst))
+
+
 def encode(quota: Quota) -> dict[str, object]:
     """Returns the JSON form of a quota."""
     return attrs.asdict(quota)
--- a/tests/test_callers/test_bucket.py
+++ b/tests/test_callers/test_bucket.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bergamotridge.callers import bucket
+from bergamotridge.store import quota
 from tests import history_rates
 
 RATE, BURST = 10.0, 5.0
@@ -56,3 +57,25 @@
     tokens.refill(0.0)
     tokens.refill(10.1)
     assert tokens.level == pytest.approx(1.0)
+
+
+def test_what_a_predecessor_may_have_lent_is_never_created_while_it_may_be_spent():
+    tokens = bucket.TokenBucket(RATE, BURST, 0.0)
+    tokens.reserve_until(100.0)
+    room = BURST - quota.lendable(BURST)
+    assert room >= 1.0
+    assert sum(tokens.take(50.0) for _ in range(int(BURST))) == int(room)
+    tokens.refill(99.9)
+    assert tokens.level == room
+    tokens.refill(1000.0)
+    assert tokens.level == BURST
+
+
+def test_no_more_is_lent_at_once_than_a_successor_reserves():
+    tokens = bucket.TokenBucket(RATE, BURST, 0.0, level=BURST)
+    lent = 0
+    for step in range(20):
+        lent += tokens.lend(int(BURST), float(step))
+    assert lent == int(quota.lendable(BURST))
+    tokens.settle(lent, 0, 21.0)
+    assert tokens.lend(1, 21.0) == 1
