--- a/tests/test_callers/test_quota_holder.py
+++ b/tests/test_callers/test_quota_holder.py
@@ -1,4 +1,4 @@
-"""A holder without a predecessor serves at once; another leaves room for its predecessor's loans."""
+"""A holder without a predecessor serves at once; another leaves room for what that one lent."""
 
 from bergamotridge.operators import text
 from bergamotridge.store import quota
