Look at quota shares as soon as the teams are known, and start looks within 0.4 s

A first look before the configuration was there put the next one off by 0.5 to 1.5 s, and first looks and the first read of the configuration were spread over a whole second. Change: the first look waits for the teams; both spreads are 0.4 s. At 630 nodes that is 1,600 reads a second, below the 2,000 that the platform takes. A test that failed first.

--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -22,6 +22,8 @@
 LONGEST_BACKOFF_S = 4.0
 RECONFIGURE_S = 0.5
 LEAVE_INTERVAL_S = 0.1
+FIRST_LOOK_S = 0.4  # Longest delay of the first look, for hosts that start together.
+TEAMS_POLL_S = 0.05
 JOIN_LOOK_S = 1.0  # Longest pause while this host is about to join or leave.
 _log = logbook.Logger("quota")
 
@@ -54,7 +56,7 @@
 
     def first_s(self) -> float:
         """Returns the pause before the first look."""
-        return min(1.0, self._interval_s) * self._rng.random()
+        return min(FIRST_LOOK_S, self._interval_s) * self._rng.random()
 
     def next_s(self, failed: bool) -> float:
         """Returns the pause before the next look; it doubles while looks fail."""
@@ -247,6 +249,7 @@
     def _hold(self) -> None:
         pace = Pace(self._settings.timings.adjust_s, self._rng)
         left: Sequence[str] | None = None
+        self._wait_for_teams()
         self._leaving.wait(pace.first_s())
         while not self._leaving.is_set():
             failed = False
@@ -261,6 +264,11 @@
             soon = self._moving() and not failed
             self._leaving.wait(min(pause_s, JOIN_LOOK_S) if soon else pause_s)
 
+    def _wait_for_teams(self) -> None:
+        """Waits for the first configuration: a look before it would only put off the next one."""
+        while not self._teams() and not self._leaving.wait(TEAMS_POLL_S):
+            pass
+
     def _moving(self) -> bool:
         """Returns True while shares do not stand where they should as far as this host knows."""
         teams = self._teams()
--- a/bergamotridge/store/watch.py
+++ b/bergamotridge/store/watch.py
@@ -30,7 +30,7 @@
         check_s: Time between two looks at whether this node now has to watch, in seconds.
     """
 
-    first_s: float = 1.0
+    first_s: float = 0.4
     wait_s: float = 20.0
     poll_s: float = 120.0
     backoff_base_s: float = 0.2
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -128,3 +128,23 @@
     for host in fleet.nodes:
         fleet.stop(host)
     assert fleet.holders() == []
+
+
+def test_the_quota_is_first_looked_at_once_the_teams_are_known():
+    fleet, teams, asked = Fleet([]), {}, []
+
+    def known():
+        asked.append(len(teams))
+        return teams
+
+    rates = quota_rates.QuotaRates(
+        "c0", 1, "c", objects := fake_objects.FakeObjects(fleet.store), None, list, known, SETTINGS
+    )
+    rates.start()
+    while len(asked) < 40:
+        time.sleep(GAP_S)
+    assert objects.reads == 0
+    teams[TEAM.name] = TEAM
+    while not objects.reads:
+        time.sleep(GAP_S)
+    rates.stop()
