Stop event loops before the interpreter ends

The loop's thread is a daemon: it goes on running compiled code of uvloop while the interpreter takes its modules apart.

Looked at: which threads are left when the suite ends (a plugin that lists them): the loop of the tests is the only one that runs compiled code; the others are plain sockets and timers of the stand-ins.

Change: a loop is stopped by an exit handler. Test: a process that ends with a running loop finds it stopped; it printed "running" on the old code.

--- a/bergamotridge/util/loop.py
+++ b/bergamotridge/util/loop.py
@@ -1,6 +1,7 @@
 """The event loop on which calls run, and ways into it from other threads."""
 
 import asyncio
+import atexit
 import threading
 from collections.abc import Callable, Coroutine
 from concurrent import futures
@@ -20,6 +21,8 @@
         self._loop = uvloop.new_event_loop()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
         self._thread.start()
+        # A thread that runs the loop while the interpreter ends can crash the process.
+        atexit.register(self.stop)
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
@@ -43,6 +46,7 @@
 
     def stop(self) -> None:
         """Ends the loop; tasks that still run are left where they are."""
+        atexit.unregister(self.stop)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
--- a/tests/test_util/test_loop.py
+++ b/tests/test_util/test_loop.py
@@ -1,6 +1,8 @@
 """The event loop: other threads enter it and wake its tasks, and no wake is lost."""
 
 import asyncio
+import subprocess
+import sys
 import threading
 
 import pytest
@@ -53,3 +55,15 @@
     assert made.run(asyncio.sleep(0, "done")) == "done"
     made.stop()
     assert "short-lived" not in {thread.name for thread in threading.enumerate()}
+
+
+def test_a_process_that_ends_stops_its_loops_first():
+    program = (
+        "import atexit, threading\n"
+        "from bergamotridge.util import loop\n"
+        "names = lambda: {thread.name for thread in threading.enumerate()}\n"
+        "atexit.register(lambda: print('running' if 'left' in names() else 'stopped'))\n"
+        "loop.Loop('left')\n"
+    )
+    ended = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True)
+    assert ended.stdout.decode().strip() == "stopped"
