--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -127,16 +127,16 @@
 
 def decode_report(response: message.Response) -> answer.Answer | None:
     """Takes the report out of a relayed response; None if it carries none that can be read."""
-    value = response.header(REPORT_HEADER)
-    if value is None:
+    # A node appends its report to the fields of the answer.
+    if not response.headers or response.headers[-1][0] != REPORT_HEADER:
         return None
+    _, value = response.headers.pop()
     try:
         outcome, reason, unused, told, thresholds, millis, counter, retry_s = orjson.loads(value)
         report = load.LoadReport.read(told) if told else None
         stamp = _stamp(millis, counter)
     except (ValueError, TypeError):
         return None
-    response.replace_headers([field for field in response.headers if field[0] != REPORT_HEADER])
     return answer.Answer(
         response,
         verdict.parse(outcome),
