--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -50,6 +50,21 @@
     return result is outcome.Outcome.TIMED_OUT and report is not None
 
 
+@attrs.frozen
+class _Split:
+    """Upstreams of a service that may be called, by how near they are.
+
+    Attributes:
+        of: The candidates that were split.
+        near: The own host, or else the own failure domain.
+        far: All others.
+    """
+
+    of: Sequence[record.UpstreamRecord]
+    near: Sequence[record.UpstreamRecord]
+    far: Sequence[record.UpstreamRecord]
+
+
 class Chooser:
     """Chooses among the upstreams of a service, on one event loop.
 
@@ -72,6 +87,7 @@
         self._rng = rng
         self._hosts: dict[str, _Health] = {}
         self._troubled: dict[str, _Health] = {}
+        self._splits: dict[str, _Split] = {}
 
     def choose(
         self,
@@ -89,19 +105,22 @@
             may_probe: False if the call may not be repeated elsewhere should it fail; it probes
                 an ejected upstream only if no other call does for `LONGEST_EJECTION_S`.
         """
-        ready = candidates
-        if excluded or any(item.state is not record.State.READY for item in candidates):
+        if not candidates:
+            return None
+        if excluded or self._troubled:
             ready = [
                 item
                 for item in candidates
                 if item.state is record.State.READY and item.host not in excluded
             ]
-        if not ready:
-            return None
-        if self._troubled:
+            if not ready:
+                return None
             chosen = self._probe(ready, now, may_probe) or self._pick(ready, now)
         else:
-            chosen = self._nearest(ready, now)
+            split = self._split(candidates)
+            if not split.near and not split.far:
+                return None
+            chosen = self._nearest(split, now)
         self._health(chosen.host).sent += 1
         return chosen
 
@@ -184,20 +203,30 @@
             usable = [item for item in ready if not self._health(item.host).ejected]
         if not usable:
             return self._rng.choice(ready) if ready else None
-        return self._nearest(usable, now)
+        return self._nearest(self._divided(usable), now)
 
-    def _nearest(
-        self, usable: Sequence[record.UpstreamRecord], now: float
-    ) -> record.UpstreamRecord:
-        """Returns the one to call among upstreams that may all be called."""
+    def _split(self, candidates: Sequence[record.UpstreamRecord]) -> _Split:
+        """Returns the ready ones among the candidates of a service, which change rarely."""
+        service = candidates[0].service
+        known = self._splits.get(service)
+        if known is None or known.of is not candidates:
+            ready = [item for item in candidates if item.state is record.State.READY]
+            known = attrs.evolve(self._divided(ready), of=candidates)
+            self._splits[service] = known
+        return known
+
+    def _divided(self, usable: Sequence[record.UpstreamRecord]) -> _Split:
         near = self._near(usable)
-        best_near = self._two_choices(near, now) if near else None
+        return _Split(usable, near, [item for item in usable if item not in near])
+
+    def _nearest(self, usable: _Split, now: float) -> record.UpstreamRecord:
+        """Returns the one to call among upstreams that may all be called."""
+        best_near = self._two_choices(usable.near, now) if usable.near else None
         if best_near is not None and self._load(best_near, now) < FULL:
             return best_near
-        far = [item for item in usable if item not in near]
-        if not far:
+        if not usable.far:
             return best_near
-        best_far = self._two_choices(far, now)
+        best_far = self._two_choices(usable.far, now)
         if best_near is None:
             return best_far
         spill = self._load(best_far, now) + SPILL_MARGIN < self._load(best_near, now)
