--- a/tests/test_platform/test_start.py
+++ b/tests/test_platform/test_start.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+import sysconfig
 import tomllib
 
 from tests import source
@@ -24,20 +25,21 @@
 
 def test_the_deploy_file_starts_the_adapter_without_hiding_the_standard_module():
     deploy = tomllib.loads((source.ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
-    _, script = deploy["roles"]["node"]["run"].split()
+    _, *options, script = deploy["roles"]["node"]["run"].split()
     code = (
         "import runpy, sys; sys.argv = [sys.argv[1]]; sys.path.insert(0, 'platform');"
         "runpy.run_path(sys.argv[0], run_name='started');"
         "import platform; print(platform.python_implementation())"
     )
     done = subprocess.run(
-        [sys.executable, "-c", code, script],
+        [sys.executable, *options, "-c", code, script],
         cwd=source.ROOT,
         capture_output=True,
         text=True,
         timeout=60,
         check=False,
-        env={key: value for key, value in os.environ.items() if key != "PYTHONPATH"},
+        # Where the platform installs the libraries, it puts their folder on the path.
+        env={**os.environ, "PYTHONPATH": sysconfig.get_path("purelib")},
     )
     assert (done.returncode, done.stdout.strip()) == (0, "CPython"), done.stderr
 
