Shed whole trees at the entry, by a call graph that nodes learn

Cause: on the platform an upstream's own calls do not tell their request, so calls below counted as critical ones of no team at their gate.

Ruled out: shedding such calls at the gate by a hash (loses the work above, payments with lookups); asking the operator for dependencies (the platform's configuration has no place for them).

Change: such calls are marked. A gate counts them as one more team of the lowest class towards the others and publishes one share for them all, which follows free slots and waiting calls (an integral). nodes.call_graph learns what lies below a service from the calls of the local upstream and from what answers tell; callers.trees fills the share at the first node in the order of importance.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -12,6 +12,7 @@
     quota_rates,
     shedding,
     text_keys,
+    trees,
     withdrawals,
 )
 from bergamotridge.callers import port as callers_port
@@ -19,6 +20,7 @@
     below,
     bootstrap,
     budget,
+    call_graph,
     choice,
     context,
     control,
@@ -155,7 +157,8 @@
                 )
             )
         self.thresholds = shedding.ThresholdTable()
-        self.below = below.Below(self.thresholds, self.routes.below)
+        self.graph = call_graph.CallGraph(self.routes.below)
+        self.below = below.Below(self.thresholds, self.graph)
         self.relay_client = relay.RelayClient(
             self.pools, context.relay_token(node.fleet_secret), self.events
         )
@@ -210,6 +213,8 @@
             ),
             team_rates=self.rates,
             thresholds=self.thresholds,
+            trees=trees.TreeShedding(self.thresholds, self.graph.below),
+            graph=self.graph,
             once=self.once,
             dispatcher=self.dispatcher,
             log=self.events,
--- a/bergamotridge/call.py
+++ b/bergamotridge/call.py
@@ -34,6 +34,7 @@
         weight: Share of the team against other teams.
         virtual_host: Host that the caller addressed, "" if routes do not depend on it.
         origin: Service of the host at which the call entered the fleet, "" if unknown.
+        unattributed: True if the call belongs to a running request, but to which is not known.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     weight: float = 1.0
     virtual_host: str = ""
     origin: str = ""
+    unattributed: bool = False
 
     def time_left(self, now: float) -> float:
         """Returns the seconds until the deadline, negative once it has passed."""
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -8,8 +8,8 @@
 import attrs
 
 from bergamotridge import answer, call, errors, events, headers, verdict
-from bergamotridge.callers import dialect, keys, once, rates, shedding
-from bergamotridge.nodes import dispatch, routing
+from bergamotridge.callers import dialect, keys, once, rates, shedding, trees
+from bergamotridge.nodes import call_graph, dispatch, routing
 from bergamotridge.operators import text
 from bergamotridge.util import cancellation, message
 
@@ -89,6 +89,8 @@
     key_ring: KeyRing
     team_rates: rates.TeamRates
     thresholds: shedding.ThresholdTable
+    trees: trees.TreeShedding
+    graph: call_graph.CallGraph
     once: once.OnceDispatcher
     dispatcher: dispatch.Dispatcher
     log: events.EventLog
@@ -201,8 +203,11 @@
             importance = declared.importance
         progress.importance = _CLASS_NAMES[importance]
         deadline = now + self._time_limit(route, request)
-        if not inner:
+        if inner:
+            self.graph.learn(self.origin, service)
+        else:
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
+            self.trees.check(progress.request_id, importance, service, now)
         if team:
             await self.team_rates.take(team, now)
         context = call.CallContext(
@@ -215,6 +220,7 @@
             weight=declared.weight if declared else 1.0,
             virtual_host=host,
             origin=self.origin,
+            unattributed=inner,
         )
         return Admitted(target, service, context, now)
 
--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -10,6 +10,7 @@
 
 FRESH_S = 1.0
 DECAY_S = 2.0
+_UNATTRIBUTED_KEY = (call.Importance.SHEDDABLE, load.UNATTRIBUTED)
 
 
 @attrs.define
@@ -67,10 +68,14 @@
         return thresholds[0]
     if any(item.open for item in thresholds):
         return load.OPEN
-    keys = sorted({key for item in thresholds for key in item.shares})
+    keys = sorted({key for item in thresholds for key in item.shares} - {_UNATTRIBUTED_KEY})
+    shares = {key: _joint([item.share(*key) for item in thresholds]) for key in keys}
+    unattributed = _joint([item.unattributed for item in thresholds])
+    if unattributed < 1.0:
+        shares[_UNATTRIBUTED_KEY] = unattributed
     return load.Threshold(
         tuple(_joint([item.defaults[level] for item in thresholds]) for level in call.Importance),
-        {key: _joint([item.share(*key) for item in thresholds]) for key in keys},
+        shares,
     )
 
 
@@ -123,6 +128,14 @@
             if load.position(request_id) >= self._share(known, importance, team, now):
                 raise admission.refusal("shed", f"service '{service}' is overloaded", request_id)
 
+    def unattributed(self, service: str, now: float) -> float:
+        """Returns the share that a service can take of calls which do not tell their request."""
+        known = self._seen.get(service)
+        if known is None or known.open:
+            return 1.0
+        item = known.current(now)
+        return _opened(item.threshold.unattributed, now - item.at)
+
     def encode(self, services: Collection[str], now: float) -> str:
         """Returns the thresholds of `services` that are known, with their ages, for a header.
 
@@ -160,6 +173,10 @@
             if seen.at > known.relayed.at:
                 known.relayed = seen
 
+    def named(self, text: str) -> list[str]:
+        """Returns the services of which a header that `encode` wrote speaks."""
+        return [part.partition("@")[0] for part in text.split(" ")]
+
     def _known(self, service: str) -> _Service:
         known = self._seen.get(service)
         if known is None:
@@ -168,6 +185,10 @@
 
     def _share(self, known: _Service, importance: call.Importance, team: str, now: float) -> float:
         item = known.current(now)
-        share = item.threshold.share(importance, team)
-        opened = min(1.0, max(0.0, now - item.at - FRESH_S) / DECAY_S)
-        return share + (1.0 - share) * opened
+        return _opened(item.threshold.share(importance, team), now - item.at)
+
+
+def _opened(share: float, age_s: float) -> float:
+    """Returns a share that opens by itself once it has not been refreshed for `FRESH_S`."""
+    opened = min(1.0, max(0.0, age_s - FRESH_S) / DECAY_S)
+    return share + (1.0 - share) * opened
--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -77,6 +77,7 @@
         *_times(relayed.stamp),
         relayed.claim,
         relayed.route,
+        context.unattributed,
     ]
     return CONTEXT_HEADER, orjson.dumps(fields)
 
@@ -89,7 +90,7 @@
         given, service, request_id, team, importance, left, depth, repeatable, *rest = orjson.loads(
             value
         )
-        weight, virtual_host, origin, retries, millis, counter, claim, route = rest
+        weight, virtual_host, origin, retries, millis, counter, claim, route, unattributed = rest
         importance = _IMPORTANCES[importance]
         deadline = now + float(left)
         known = hmac.compare_digest(given.encode(), token.encode())
@@ -107,6 +108,7 @@
         float(weight),
         virtual_host,
         origin,
+        bool(unattributed),
     )
     return RelayedCall(service, context, int(retries), _stamp(millis, counter), claim, route)
 
--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -9,6 +9,8 @@
 from bergamotridge import call
 
 DECODED_KEPT = 256
+# Stands for a team where calls do not tell their request; no team can have this name.
+UNATTRIBUTED = ":unattributed"
 
 Key = tuple[call.Importance, str]
 
@@ -39,6 +41,11 @@
         """Returns the admitted share of requests of `team` in class `importance`."""
         return self.shares.get((importance, team), self.defaults[importance])
 
+    @property
+    def unattributed(self) -> float:
+        """Admitted share of calls that belong to a running request which they do not tell."""
+        return self.shares.get((call.Importance.SHEDDABLE, UNATTRIBUTED), 1.0)
+
     @functools.cached_property
     def encoded(self) -> str:
         """The form in a header; "" if nothing is shed."""
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -19,6 +19,8 @@
 QUEUE_TARGET = 0.1
 CORRECTION_S = 0.5
 LISTED_TEAMS = 32
+UNATTRIBUTED_GAIN = 1.0  # Change of the share in a second, for each limit's worth of free slots.
+_UNATTRIBUTED_KEY = (call.Importance.SHEDDABLE, load.UNATTRIBUTED)
 
 
 @attrs.define
@@ -115,6 +117,10 @@
     so that free slots are filled, and what waits in this class and above it is worked off, within
     `CORRECTION_S`. Classes are filled in order; where capacity ends, teams share by max-min
     fairness.
+
+    Calls that do not tell their request cannot be shed by class here, and are shed as whole
+    requests by the nodes that let these in. Their share follows free slots and waiting calls, and
+    towards the others they count as one more team of the lowest class.
     """
 
     def __init__(self) -> None:
@@ -123,6 +129,7 @@
         self._hold_s = 0.0
         self._threshold = load.OPEN
         self._waited = False
+        self._unattributed = 1.0
 
     @property
     def threshold(self) -> load.Threshold:
@@ -136,10 +143,13 @@
 
     def arrived(self, context: call.CallContext) -> None:
         """Counts a call that reached the gate, taken or not."""
-        flow = self._flows.get((context.importance, context.team))
+        key = (context.importance, context.team)
+        if context.unattributed:
+            key = _UNATTRIBUTED_KEY
+        flow = self._flows.get(key)
         if flow is None:
-            flow = _Flow(share=self._threshold.defaults[context.importance])
-            self._flows[context.importance, context.team] = flow
+            share = 1.0 if context.unattributed else self._threshold.defaults[context.importance]
+            flow = self._flows[key] = _Flow(share=share)
         flow.weight = context.weight
         flow.arrivals += 1
 
@@ -179,7 +189,10 @@
         # The estimate of the capacity alone sheds nothing: a stall of the machine lowers it too.
         crowded, self._waited = self._waited or not self._threshold.open, False
         if self._hold_s and crowded:
-            self._fill(limit / self._hold_s, limit - in_flight, waiting, QUEUE_TARGET * limit)
+            target = QUEUE_TARGET * limit
+            self._fill(limit / self._hold_s, limit - in_flight, waiting, target)
+            room = limit - in_flight + target - sum(waiting.values())
+            self._steer(room / limit, seconds)
         self._threshold = self._published()
         return True
 
@@ -200,17 +213,33 @@
             # A small gate with slow calls counts too few arrivals to shed critical ones on it.
             estimate_only = importance is call.Importance.CRITICAL and not waiting.get(importance)
             for demand, flow in zip(demands, flows, strict=True):
+                if flow is self._flows.get(_UNATTRIBUTED_KEY):
+                    continue
                 aim = min(1.0, flow.weight * level / demand) if demand else 1.0
                 aim = 1.0 if estimate_only else aim
                 flow.share = min(aim, max(FIRST_SHARE, GROWTH * flow.share))
             used += sum(min(demand, weight * level) for demand, weight in pairs)
 
+    def _steer(self, room: float, seconds: float) -> None:
+        """Moves the share of calls that do not tell their request.
+
+        Args:
+            room: Free slots less calls that wait too many, over the limit.
+            seconds: Time since the last step.
+        """
+        if _UNATTRIBUTED_KEY in self._flows:
+            changed = self._unattributed + UNATTRIBUTED_GAIN * room * seconds
+            self._unattributed = min(1.0, max(FIRST_SHARE, changed))
+
     def _published(self) -> load.Threshold:
         limited = {key: flow.share for key, flow in self._flows.items() if flow.share < 1.0}
+        if self._unattributed < 1.0:
+            limited[_UNATTRIBUTED_KEY] = self._unattributed
         if not limited:
             return load.OPEN
+        told = {key: flow for key, flow in self._flows.items() if key != _UNATTRIBUTED_KEY}
         defaults = tuple(
-            max([flow.share for key, flow in self._flows.items() if key[0] is importance] or [1.0])
+            max([flow.share for key, flow in told.items() if key[0] is importance] or [1.0])
             for importance in call.Importance
         )
         listed = sorted(limited.items(), key=lambda item: item[1])[:LISTED_TEAMS]
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -4,8 +4,8 @@
 import pytest
 
 from bergamotridge import answer, errors, events, verdict
-from bergamotridge.callers import keys, port
-from bergamotridge.nodes import routing
+from bergamotridge.callers import keys, port, shedding, trees
+from bergamotridge.nodes import call_graph, routing
 from bergamotridge.operators import text
 from bergamotridge.util import cancellation, message
 from tests import event_loop
@@ -65,11 +65,14 @@
 def call(node: Node, method: bytes, path: bytes, *headers: message.Header) -> message.Response:
     routes = routing.CurrentRoutes()
     routes.replace(text.parse(TEXT, "test"))
+    graph = call_graph.CallGraph(routes.below)
     opened = port.CallerPort(
         routes=routes,
         key_ring=node,
         team_rates=node,
         thresholds=node,
+        trees=trees.TreeShedding(shedding.ThresholdTable(), graph.below),
+        graph=graph,
         once=node,
         dispatcher=node,
         log=events.EventLog("h", 1, "fd"),
--- a/tests/test_platform/test_running_work.py
+++ b/tests/test_platform/test_running_work.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bergamotridge import call, errors, events
-from bergamotridge.callers import port
-from bergamotridge.nodes import routing
+from bergamotridge.callers import port, shedding, trees
+from bergamotridge.nodes import call_graph, routing
 from bergamotridge.util import cancellation, message
 from tests import event_loop
 from tests.test_callers import test_port
@@ -25,11 +25,14 @@
     node, routes = test_port.Node(), routing.CurrentRoutes()
     source = test_configuration.orjson.dumps(test_configuration.CONFIGURATION).decode()
     routes.replace(configuration.parse(source, "test"))
+    graph = call_graph.CallGraph(routes.below)
     opened = port.CallerPort(
         routes=routes,
         key_ring=node,
         team_rates=node,
         thresholds=Shedding(),
+        trees=trees.TreeShedding(shedding.ThresholdTable(), graph.below),
+        graph=graph,
         once=node,
         dispatcher=node,
         log=events.EventLog("h", 1, "fd"),
--- a/tests/test_upstreams/test_threshold.py
+++ b/tests/test_upstreams/test_threshold.py
@@ -1,7 +1,9 @@
 """The threshold sheds only where calls had to wait."""
 
+import pytest
+
 from bergamotridge import call
-from bergamotridge.nodes import record
+from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import admission, outcome, threshold
 
 STALL_S = 0.5
@@ -38,3 +40,56 @@
     share = controller.threshold.share
     assert share(call.Importance.CRITICAL, "a") == 1.0
     assert share(call.Importance.STANDARD, "a") < 1.0
+
+
+def _interval(controller, now, limit, in_flight, waiting, direct=0, unattributed=0):
+    """Lets calls arrive and closes an interval."""
+    for number in range(direct):
+        context = call.CallContext(f"d{number}", "a", call.Importance.SHEDDABLE, now + 5.0, 0, True)
+        controller.arrived(context)
+    for number in range(unattributed):
+        context = call.CallContext(
+            f"u{number}", "", call.Importance.CRITICAL, now + 5.0, 1, True, unattributed=True
+        )
+        controller.arrived(context)
+    if waiting:
+        controller.waited()
+    controller.update(limit, in_flight, {call.Importance.CRITICAL: waiting}, now)
+
+
+def _overloaded(seconds=2.0):
+    """Returns a controller after calls of unknown requests took three times its capacity."""
+    controller = threshold.ThresholdController()
+    controller.held(0.04)
+    now = 0.0
+    controller.update(40, 40, {}, now)
+    while now < seconds:
+        now += 0.05
+        _interval(controller, now, 40, 40, 60, direct=2, unattributed=150)
+    return controller, now
+
+
+def test_calls_of_unknown_requests_do_not_starve_those_that_come_by_themselves():
+    controller, _ = _overloaded()
+    assert controller.threshold.share(call.Importance.SHEDDABLE, "a") == 1.0
+
+
+def test_the_share_of_calls_of_unknown_requests_falls_while_calls_wait():
+    controller, _ = _overloaded()
+    assert controller.threshold.unattributed < 0.1
+
+
+def test_the_share_of_calls_of_unknown_requests_rises_with_free_slots():
+    controller, now = _overloaded()
+    for _ in range(40):
+        now += 0.05
+        _interval(controller, now, 40, 10, 0, direct=2, unattributed=5)
+    assert controller.threshold.open
+
+
+def test_a_threshold_keeps_the_share_of_calls_of_unknown_requests_on_its_way():
+    controller, _ = _overloaded(0.4)
+    told = controller.threshold
+    assert load.decode_threshold(told.encoded).unattributed == pytest.approx(
+        told.unattributed, abs=0.001
+    )
