--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -40,7 +40,7 @@
 from bergamotridge.store import configuration, holding, watch
 from bergamotridge.upstreams import announcement, gate, live, local
 from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import hlc, http_client, httpd, loop
+from bergamotridge.util import hlc, http_client, httpd, loop, request_reader
 
 CONTROL_GRACE_S = 0.5
 WITHDRAWAL_INTERVAL_S = 1.0
@@ -265,10 +265,10 @@
             on=self.loop,
         )
 
-    def _bounds(self) -> httpd.Bounds:
+    def _bounds(self) -> request_reader.Bounds:
         """Returns what callers may send: the text's limits where it gives them."""
         text_limits = self.routes.limits()
-        return httpd.Bounds(
+        return request_reader.Bounds(
             text_limits.header_bytes or httpd.HEADER_BYTES,
             text_limits.body_bytes or self.settings.limits.body_bytes,
             text_limits.header_timeout_s or httpd.HEADER_TIMEOUT_S,
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -1,17 +1,15 @@
 """HTTP/1.1 server on an event loop: one task for each kept-alive connection."""
 
 import asyncio
-import collections
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
-import attrs
 import httptools
 import logbook
 
 from bergamotridge import errors
-from bergamotridge.util import cancellation, loop, message
+from bergamotridge.util import cancellation, loop, message, request_reader
 
 logger = logbook.Logger(__name__)
 
@@ -35,108 +33,6 @@
     return host.strip("[]"), int(port)
 
 
-@attrs.frozen
-class Bounds:
-    """What a client may send and how long it may take.
-
-    Attributes:
-        header_bytes: Longest head of a request in bytes.
-        body_bytes: Longest body of a request in bytes.
-        header_timeout_s: Seconds within which a head must be complete.
-        idle_s: Seconds without a byte from its client after which a connection is closed.
-    """
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_s: float
-
-
-class _BadRequestError(Exception):
-    """A request is refused before it was read whole, with a status."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-class _Reader:
-    """Callbacks of httptools; collects whole requests."""
-
-    def __init__(self, bounds: Bounds) -> None:
-        self.requests: collections.deque[message.Request] = collections.deque()
-        self.parser = httptools.HttpRequestParser(self)
-        self.bounds = bounds
-        self.in_head = False
-        self.expects_continue = False
-        self.upgrades = False
-        self._fed = 0
-        self._reset()
-
-    def _reset(self) -> None:
-        self._target = b""
-        self._headers: list[message.Header] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
-
-    def feed(self, data: bytes) -> None:
-        """Takes in bytes; raises _BadRequestError or httptools' errors."""
-        self._fed = len(data) + (self._fed if self.in_head else 0)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.upgrades = True
-        if self.in_head and self._fed > self.bounds.header_bytes:
-            raise _BadRequestError(431 if self._headers else 414)
-
-    def on_message_begin(self) -> None:
-        self._reset()
-        self.in_head = True
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-        if len(self._target) > self.bounds.header_bytes:
-            raise _BadRequestError(414)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self.in_head = False
-        headers = self._headers
-        if self._fed > self.bounds.header_bytes:
-            size = sum(len(name) + len(value) for name, value in headers)
-            if size > self.bounds.header_bytes:
-                raise _BadRequestError(431)
-        if self.parser.get_method() == b"CONNECT":
-            raise _BadRequestError(405)
-        names = [name for name, _ in headers]
-        if names.count(b"host") != 1 and self.parser.get_http_version() == "1.1":
-            raise _BadRequestError(400)
-        if b"expect" in names:
-            expected = message.find(headers, b"expect")
-            self.expects_continue = expected.lower() == b"100-continue"
-
-    def on_body(self, body: bytes) -> None:
-        self._body_size += len(body)
-        if self._body_size > self.bounds.body_bytes:
-            raise _BadRequestError(413)
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        parser = self.parser
-        self.expects_continue = False
-        self.requests.append(
-            message.Request(
-                parser.get_method(),
-                self._target,
-                self._headers,
-                b"".join(self._body),
-                parser.should_keep_alive(),
-            )
-        )
-
-
 class _Connection(asyncio.Protocol):
     """One accepted connection; its task answers the requests in their order."""
 
@@ -146,7 +42,7 @@
         self.idle_since = events.time()
         self._server = server
         self._events = events
-        self._reader = _Reader(server.bounds())
+        self._reader = request_reader.RequestReader(server.bounds())
         self._transport: asyncio.Transport | None = None
         self._request_waiter: asyncio.Future | None = None
         self._write_waiter: asyncio.Future | None = None
@@ -171,10 +67,12 @@
         reader = self._reader
         try:
             reader.feed(data)
-        except (httptools.HttpParserError, _BadRequestError) as error:
+        except (httptools.HttpParserError, request_reader.BadRequestError) as error:
             # httptools wraps what a callback raises.
-            cause = error if isinstance(error, _BadRequestError) else error.__context__
-            self._bad(cause.status if isinstance(cause, _BadRequestError) else 400)
+            cause = (
+                error if isinstance(error, request_reader.BadRequestError) else error.__context__
+            )
+            self._bad(cause.status if isinstance(cause, request_reader.BadRequestError) else 400)
             return
         if reader.expects_continue:
             reader.expects_continue = False
@@ -340,7 +238,7 @@
         name: str,
         refusal: message.Response,
         idle_s: float = IDLE_S,
-        bounds: Callable[[], Bounds] | None = None,
+        bounds: Callable[[], request_reader.Bounds] | None = None,
         on: loop.Loop,
     ) -> None:
         """Prepares the server.
@@ -356,7 +254,7 @@
             bounds: Returns the bounds now in force, in place of `body_limit` and `idle_s`.
             on: The event loop that serves; all methods are called from other threads.
         """
-        fixed = Bounds(HEADER_BYTES, body_limit, HEADER_TIMEOUT_S, idle_s)
+        fixed = request_reader.Bounds(HEADER_BYTES, body_limit, HEADER_TIMEOUT_S, idle_s)
         self.bounds = bounds or (lambda: fixed)
         self.handler = handler
         self.name = name
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.util import http_client, httpd, message
+from bergamotridge.util import http_client, httpd, message, request_reader
 from tests import event_loop
 
 
@@ -135,7 +135,7 @@
         return b"".join(iter(lambda: sock.recv(1000), b""))
 
 
-BOUNDS = httpd.Bounds(header_bytes=2000, body_bytes=100, header_timeout_s=0.2, idle_s=5.0)
+BOUNDS = request_reader.Bounds(header_bytes=2000, body_bytes=100, header_timeout_s=0.2, idle_s=5.0)
 
 
 @pytest.mark.parametrize(
