Tell the tokens at hand in a node's status, and leave teams without a limit out

Causes: the status and the metric team_tokens read 0 for every team, as nothing filled the field; and a team without a limit has an infinite rate, which JSON does not know: the status of a node on the users' platform could not be decoded again (seen with a status made by hand: OperatorPortError), so `bergamotridge status` failed there.

Change: tokens of the own share and drawn ones are summed; teams that have no rate are not listed.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -285,6 +285,7 @@
             self.keys,
             self.gate,
             self.rates.shares,
+            self.rates.tokens,
         )
         self.metrics = metrics.Metrics()
         self.node_metrics = node_metrics.NodeMetrics(self.metrics, self.status.read)
--- a/bergamotridge/callers/lending.py
+++ b/bergamotridge/callers/lending.py
@@ -75,6 +75,12 @@
         """Tokens at hand as of the last decision."""
         return self._bucket.level
 
+    def at_hand(self, now: float) -> float:
+        """Returns the tokens that could be spent or lent now."""
+        self._expire(now)
+        self._bucket.refill(now)
+        return self._bucket.level
+
     def resize(self, rate: float, burst: float, settled_from: float, now: float) -> None:
         """Sets this holder's part of rate and burst from now on.
 
--- a/bergamotridge/callers/prepaid.py
+++ b/bergamotridge/callers/prepaid.py
@@ -87,6 +87,11 @@
                 return True
         return False
 
+    def left(self, now: float) -> int:
+        """Returns the tokens that may be spent now."""
+        self._expire(now)
+        return sum(batch.left for batch in self._batches)
+
     def give_back(self, now: float, asked_at: float) -> bool:
         """Undoes a take unless its batch has expired or the holder was told of it."""
         self._expire(now)
@@ -107,8 +112,7 @@
 
     def wanted(self, now: float) -> int:
         """Returns how many tokens to draw now."""
-        self._expire(now)
-        left = sum(batch.left for batch in self._batches)
+        left = self.left(now)
         ahead = self._demand.rate(now) * self._horizon_s
         if self.waiting <= left and left >= ahead * LOW_WATER:
             return 0
--- a/bergamotridge/callers/quota_drawer.py
+++ b/bergamotridge/callers/quota_drawer.py
@@ -81,6 +81,10 @@
         state = self._states.get(team)
         return state is not None and state.tokens.take(now, asked_at)
 
+    def tokens(self, now: float) -> dict[str, int]:
+        """Returns the drawn tokens of each team that may be spent now."""
+        return {team: state.tokens.left(now) for team, state in self._states.items()}
+
     def give_back(self, team: str, now: float, asked_at: float) -> bool:
         """Undoes a take of a drawn token; returns False if that cannot be done."""
         state = self._states.get(team)
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -91,6 +91,13 @@
                 if state.holding.share
             }
 
+    def tokens(self, now: float) -> dict[str, float]:
+        """Returns the tokens of each held team that a call here could spend now."""
+        with self._lock:
+            for state in self._states.values():
+                state.sync(now)
+            return {team: state.lending.at_hand(now) for team, state in self._states.items()}
+
     def predecessor_shares(self) -> list[str]:
         """Returns the teams of which an earlier process on this host has left a share."""
         left = []
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -158,6 +158,16 @@
         """Returns the fraction of each team's quota that this host may use now."""
         return self._holder.shares(self._clock()) if self._holder else {}
 
+    def tokens(self) -> dict[str, float]:
+        """Returns the tokens of each team that calls at this host could spend now."""
+        now = self._clock()
+        with self._lock:
+            tokens: dict[str, float] = dict(self._drawer.tokens(now))
+        held = self._holder.tokens(now) if self._holder else {}
+        for team, count in held.items():
+            tokens[team] = tokens.get(team, 0.0) + count
+        return tokens
+
     async def take(self, team: str, now: float) -> None:
         """Spends one token; see `rates.TeamRates`."""
         if team not in self._teams():
--- a/bergamotridge/operators/node_status.py
+++ b/bergamotridge/operators/node_status.py
@@ -1,5 +1,6 @@
 """Collects what a node says of itself on its status page."""
 
+import math
 import time
 from collections.abc import Callable, Mapping
 
@@ -23,6 +24,7 @@
         key_ring: keys.KeyRing,
         admission: gate.Gate,
         shares: Callable[[], Mapping[str, float]],
+        tokens: Callable[[], Mapping[str, float]],
     ) -> None:
         self._settings = node
         self._incarnation = incarnation
@@ -31,6 +33,7 @@
         self._keys = key_ring
         self._gate = admission
         self._shares = shares
+        self._tokens = tokens
         self._started_at = time.monotonic()
 
     def read(self) -> status.Status:
@@ -69,7 +72,7 @@
 
     def _read_teams(self) -> tuple[status.TeamRate, ...]:
         current = self._store.current
-        shares = self._shares()
+        shares, tokens = self._shares(), self._tokens()
         teams = current.text.teams.values() if current else ()
         return tuple(
             status.TeamRate(
@@ -77,6 +80,8 @@
                 rate=team.rate,
                 burst=team.burst,
                 held_rate=team.rate * shares.get(team.name, 0.0),
+                tokens=tokens.get(team.name, 0.0),
             )
             for team in teams
+            if math.isfinite(team.rate)
         )
--- a/bergamotridge/operators/status.py
+++ b/bergamotridge/operators/status.py
@@ -63,7 +63,7 @@
         state: State of that upstream.
         load: Calls at that upstream.
         members: All hosts that the node knows of.
-        teams: Rates of the teams.
+        teams: Rates of the teams that have one.
     """
 
     host: str
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -148,3 +148,17 @@
     while not objects.reads:
         time.sleep(GAP_S)
     rates.stop()
+
+
+def test_the_tokens_at_hand_are_those_of_the_share_and_those_drawn():
+    fleet = Fleet(["a0", "b0"])
+    fleet.wait_for_holders(2)
+    for _ in range(LOOKS):
+        told = [fleet.nodes[host].rates.tokens().get(TEAM.name, 0.0) for host in ("a0", "b0")]
+        if min(told) >= 1.0:
+            break
+        time.sleep(GAP_S)
+    assert min(told) >= 1.0
+    assert sum(told) <= TEAM.burst
+    for host in fleet.nodes:
+        fleet.stop(host)
