Tell the share of unattributed calls beside any number of teams, and step it evenly after a stall

Two faults found in reading the change: the share was dropped when more than LISTED_TEAMS teams were limited below it (a site with 81 teams), and a stall of some seconds moved it in one step by as much as those seconds. Both tests fail on the code before. The key of such calls now stands once, in nodes.load.

--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -10,7 +10,6 @@
 
 FRESH_S = 1.0
 DECAY_S = 2.0
-_UNATTRIBUTED_KEY = (call.Importance.SHEDDABLE, load.UNATTRIBUTED)
 
 
 @attrs.define
@@ -68,11 +67,11 @@
         return thresholds[0]
     if any(item.open for item in thresholds):
         return load.OPEN
-    keys = sorted({key for item in thresholds for key in item.shares} - {_UNATTRIBUTED_KEY})
+    keys = sorted({key for item in thresholds for key in item.shares} - {load.UNATTRIBUTED})
     shares = {key: _joint([item.share(*key) for item in thresholds]) for key in keys}
     unattributed = _joint([item.unattributed for item in thresholds])
     if unattributed < 1.0:
-        shares[_UNATTRIBUTED_KEY] = unattributed
+        shares[load.UNATTRIBUTED] = unattributed
     return load.Threshold(
         tuple(_joint([item.defaults[level] for item in thresholds]) for level in call.Importance),
         shares,
--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -9,11 +9,12 @@
 from bergamotridge import call
 
 DECODED_KEPT = 256
-# Stands for a team where calls do not tell their request; no team can have this name.
-UNATTRIBUTED = ":unattributed"
 
 Key = tuple[call.Importance, str]
 
+# The class and team of calls that do not tell their request; no team can have this name.
+UNATTRIBUTED: Key = (call.Importance.SHEDDABLE, ":unattributed")
+
 
 def position(request_id: str) -> float:
     """Returns where a request stands in its class, from 0.0 to below 1.0, alike on all nodes."""
@@ -44,7 +45,7 @@
     @property
     def unattributed(self) -> float:
         """Admitted share of calls that belong to a running request which they do not tell."""
-        return self.shares.get((call.Importance.SHEDDABLE, UNATTRIBUTED), 1.0)
+        return self.shares.get(UNATTRIBUTED, 1.0)
 
     @functools.cached_property
     def encoded(self) -> str:
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -19,8 +19,8 @@
 QUEUE_TARGET = 0.1
 CORRECTION_S = 0.5
 LISTED_TEAMS = 32
+LONGEST_STEP_S = 0.2
 UNATTRIBUTED_GAIN = 1.0  # Change of the share in a second, for each limit's worth of free slots.
-_UNATTRIBUTED_KEY = (call.Importance.SHEDDABLE, load.UNATTRIBUTED)
 
 
 @attrs.define
@@ -145,7 +145,7 @@
         """Counts a call that reached the gate, taken or not."""
         key = (context.importance, context.team)
         if context.unattributed:
-            key = _UNATTRIBUTED_KEY
+            key = load.UNATTRIBUTED
         flow = self._flows.get(key)
         if flow is None:
             share = 1.0 if context.unattributed else self._threshold.defaults[context.importance]
@@ -213,7 +213,7 @@
             # A small gate with slow calls counts too few arrivals to shed critical ones on it.
             estimate_only = importance is call.Importance.CRITICAL and not waiting.get(importance)
             for demand, flow in zip(demands, flows, strict=True):
-                if flow is self._flows.get(_UNATTRIBUTED_KEY):
+                if flow is self._flows.get(load.UNATTRIBUTED):
                     continue
                 aim = min(1.0, flow.weight * level / demand) if demand else 1.0
                 aim = 1.0 if estimate_only else aim
@@ -227,20 +227,22 @@
             room: Free slots less calls that wait too many, over the limit.
             seconds: Time since the last step.
         """
-        if _UNATTRIBUTED_KEY in self._flows:
-            changed = self._unattributed + UNATTRIBUTED_GAIN * room * seconds
+        if load.UNATTRIBUTED in self._flows:
+            # After a stall of the machine its waiting calls say little about the time before.
+            step_s = min(seconds, LONGEST_STEP_S)
+            changed = self._unattributed + UNATTRIBUTED_GAIN * room * step_s
             self._unattributed = min(1.0, max(FIRST_SHARE, changed))
 
     def _published(self) -> load.Threshold:
         limited = {key: flow.share for key, flow in self._flows.items() if flow.share < 1.0}
-        if self._unattributed < 1.0:
-            limited[_UNATTRIBUTED_KEY] = self._unattributed
-        if not limited:
+        if not limited and self._unattributed >= 1.0:
             return load.OPEN
-        told = {key: flow for key, flow in self._flows.items() if key != _UNATTRIBUTED_KEY}
+        told = {key: flow for key, flow in self._flows.items() if key != load.UNATTRIBUTED}
         defaults = tuple(
             max([flow.share for key, flow in told.items() if key[0] is importance] or [1.0])
             for importance in call.Importance
         )
-        listed = sorted(limited.items(), key=lambda item: item[1])[:LISTED_TEAMS]
-        return load.Threshold(defaults, dict(listed))
+        listed = dict(sorted(limited.items(), key=lambda item: item[1])[:LISTED_TEAMS])
+        if self._unattributed < 1.0:
+            listed[load.UNATTRIBUTED] = self._unattributed
+        return load.Threshold(defaults, listed)
--- a/tests/test_callers/test_shedding.py
+++ b/tests/test_callers/test_shedding.py
@@ -85,17 +85,15 @@
 
 
 def test_a_service_sheds_calls_of_unknown_requests_only_if_all_its_hosts_do():
-    key = (call.Importance.SHEDDABLE, load.UNATTRIBUTED)
     table = shedding.ThresholdTable()
-    table.observe("deep", load.Threshold((1.0, 1.0, 0.5), {key: 0.4}), 0.0, "h1")
+    table.observe("deep", load.Threshold((1.0, 1.0, 0.5), {load.UNATTRIBUTED: 0.4}), 0.0, "h1")
     assert table.unattributed("deep", 0.0) == 0.4
     table.observe("deep", load.Threshold((1.0, 1.0, 0.5)), 0.0, "h2")
     assert table.unattributed("deep", 0.0) == 1.0
 
 
 def test_the_share_of_calls_of_unknown_requests_opens_by_itself():
-    key = (call.Importance.SHEDDABLE, load.UNATTRIBUTED)
     table = shedding.ThresholdTable()
-    table.observe("deep", load.Threshold(shares={key: 0.4}), 0.0, "h1")
+    table.observe("deep", load.Threshold(shares={load.UNATTRIBUTED: 0.4}), 0.0, "h1")
     aged = shedding.FRESH_S + shedding.DECAY_S
     assert table.unattributed("deep", aged) == 1.0
--- a/tests/test_upstreams/test_threshold.py
+++ b/tests/test_upstreams/test_threshold.py
@@ -93,3 +93,27 @@
     assert load.decode_threshold(told.encoded).unattributed == pytest.approx(
         told.unattributed, abs=0.001
     )
+
+
+def test_the_share_of_calls_of_unknown_requests_is_told_beside_any_number_of_teams():
+    controller, now = _overloaded()
+    for _ in range(20):
+        now += 0.05
+        for team in range(2 * threshold.LISTED_TEAMS):
+            for number in range(20):
+                context = call.CallContext(
+                    f"t{team}-{number}", f"t{team}", call.Importance.SHEDDABLE, now + 5.0, 0, True
+                )
+                controller.arrived(context)
+        _interval(controller, now, 40, 40, 60, unattributed=150)
+    assert len(controller.threshold.shares) > threshold.LISTED_TEAMS
+    assert controller.threshold.unattributed < 0.1
+
+
+def test_a_stall_does_not_shut_out_calls_of_unknown_requests():
+    controller = threshold.ThresholdController()
+    controller.held(0.04)
+    controller.update(40, 0, {}, 0.0)
+    _interval(controller, 0.05, 40, 40, 0, unattributed=10)
+    _interval(controller, 4.05, 40, 40, 60, unattributed=60)
+    assert controller.threshold.unattributed > 0.5
