Bound how old a configuration may be, instead of a watch by every node

Nodes that booted together each wrote and listed addresses. Change: a replica has a time as of which it is known to be current (store.freshness). The leader, the head of one failure domain, watches; the other heads ask it by datagrams how current it is, and all other nodes ask their head (nodes.freshness, nodes.freshness_exchange). An answer waits for news, and its age counts from when the request was sent, so delay never makes a replica look younger. A node whose replica is older than `platform.max_age_s` reads the platform itself (store.read_policy). Of nodes that boot together for the first time a few write their address; the others read stale lists. Requests to the platform and bytes of control messages are counted in metrics. Ruled out: a push of stamps, since one that was held up would make a replica look current; a watch for each failure domain costs six times the requests.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -3,6 +3,7 @@
 import functools
 import random
 import time
+from collections.abc import Sequence
 
 from bergamotridge import answer, environment, errors, events, metrics, settings
 from bergamotridge.callers import (
@@ -26,6 +27,7 @@
     dependency_thresholds,
     dispatch,
     exchange,
+    freshness_exchange,
     gossip,
     membership,
     peers,
@@ -35,14 +37,29 @@
     routing,
     watch_election,
 )
+from bergamotridge.nodes import freshness as nodes_freshness
 from bergamotridge.operators import node_metrics, node_status, pages, readiness
 from bergamotridge.operators import port as operators_port
-from bergamotridge.store import configuration, holding, watch
+from bergamotridge.store import (
+    configuration,
+    counted,
+    freshness,
+    holding,
+    read_policy,
+    replica,
+    watch,
+)
 from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream
 from bergamotridge.upstreams import port as upstreams_port
 from bergamotridge.util import hlc, http_client, httpd, loop, request_reader
 
 CONTROL_GRACE_S = 0.5
+# Of the longest allowed age of the configuration: how long a watch, or a request to another node,
+# waits for news, and the least progress that counts as news.
+WATCH_AGE_FRACTION = 0.4
+NEWS_AGE_FRACTION = 0.05
+# Over the whole fleet, while the platform does not answer.
+PLATFORM_RETRIES_PER_S = 8.0
 WITHDRAWAL_INTERVAL_S = 1.0
 
 
@@ -76,6 +93,8 @@
         self._rng = random.Random()
         self._stopping = False
         self.loop = loop.Loop("calls", node.limits.gather_s)
+        self.metrics = metrics.Metrics()
+        self.node_metrics = node_metrics.NodeMetrics(self.metrics, lambda: self.status.read())
         self._create_platform_parts()
         self._create_upstream_parts()
         self._create_node_parts()
@@ -84,7 +103,9 @@
 
     def _create_platform_parts(self) -> None:
         node = self.settings
-        self.objects = self.environment.create_store(node)
+        self.objects = counted.CountedStore(
+            self.environment.create_store(node), self.node_metrics.count_platform_request
+        )
         self.routes = routing.CurrentRoutes()
         self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
         self.configuration.add_listener(self._apply_configuration)
@@ -134,29 +155,9 @@
             self.channels,
             gossip.GossipTimings(interval_s=node.peers.interval_s, links=node.peers.fanout),
             self._rng,
+            self.node_metrics.count_control_bytes,
         )
-        timings = watch.WatchTimings(wait_s=node.platform.watch_s)
-        election = watch_election.WatchElection(self.members, peer_chooser, node.platform.watchers)
-        self.platform_tasks = [
-            *(
-                watch.Watcher(self.objects, replica, timings, self._rng, election.is_elected)
-                for replica in replicas
-            ),
-            bootstrap.Bootstrap(
-                self.objects,
-                self.members,
-                peer_chooser.add_seed_addresses,
-                election,
-                bootstrap.BootstrapTimings(),
-                self._rng,
-            ),
-        ]
-        if not keys_in_text:
-            self.platform_tasks.append(
-                withdrawals.WithdrawalWriter(
-                    self.objects, self.keys, WITHDRAWAL_INTERVAL_S, self._rng, election.is_elected
-                )
-            )
+        self._create_platform_readers(replicas, peer_chooser)
         self.thresholds = shedding.ThresholdTable()
         self.graph = call_graph.CallGraph(self.routes.dependencies_of)
         self.dependency_thresholds = dependency_thresholds.DependencyThresholds(
@@ -181,6 +182,62 @@
             self.events,
         )
 
+    def _create_platform_readers(
+        self, replicas: Sequence[replica.Replica], peer_chooser: peers.PeerChooser
+    ) -> None:
+        """Creates the parts that keep the replicas current with few reads of the platform."""
+        node, max_age_s = self.settings, self.settings.platform.max_age_s
+        election = watch_election.WatchElection(self.members, peer_chooser, node.platform.elected)
+        known_freshness = freshness.Freshness()
+        self.freshness_port = nodes_freshness.FreshnessPort(
+            node.addresses.control,
+            node.fleet_secret,
+            freshness_exchange.FreshnessExchange(
+                known_freshness, replicas, NEWS_AGE_FRACTION * max_age_s
+            ),
+            election.sources,
+            self.gossip.fetch,
+            self.loop,
+            nodes_freshness.FreshnessTimings(wait_s=WATCH_AGE_FRACTION * max_age_s),
+            self.node_metrics.count_control_bytes,
+        )
+        known_freshness.add_listener(self.freshness_port.notify_progress)
+        self.configuration.add_listener(lambda _: self.freshness_port.notify_progress())
+        timings = watch.WatchTimings(
+            max_first_delay_s=node.platform.start_spread_s,
+            max_age_s=max_age_s,
+            wait_s=WATCH_AGE_FRACTION * max_age_s,
+        )
+
+        def read_duty() -> read_policy.ReadDuty:
+            retry_cap_s = self.members.size() / PLATFORM_RETRIES_PER_S
+            return read_policy.ReadDuty(election.read_age_fraction(), retry_cap_s)
+
+        def add_seed_addresses(addresses: Sequence[str]) -> None:
+            peer_chooser.add_seed_addresses(addresses)
+            self.gossip.start_urgent_round()
+
+        self.platform_tasks = [
+            *(
+                watch.Watcher(self.objects, item, known_freshness, timings, self._rng, read_duty)
+                for item in replicas
+            ),
+            bootstrap.Bootstrap(
+                self.objects,
+                self.members,
+                add_seed_addresses,
+                election,
+                bootstrap.BootstrapTimings(),
+                self._rng,
+            ),
+        ]
+        if not self.environment.keys_in_text:
+            self.platform_tasks.append(
+                withdrawals.WithdrawalWriter(
+                    self.objects, self.keys, WITHDRAWAL_INTERVAL_S, self._rng, election.is_elected
+                )
+            )
+
     def _create_caller_parts(self) -> None:
         node = self.settings
         self.team_rates = quota_rates.QuotaRates(
@@ -188,7 +245,7 @@
             self.incarnation,
             node.failure_domain,
             self.objects,
-            quota.QuotaClient(self.channels),
+            quota.QuotaClient(self.channels, self.node_metrics.count_control_bytes),
             self.members.members,
             self.routes.teams,
             quota_rates.QuotaSettings(
@@ -295,8 +352,6 @@
             self.team_rates.shares,
             self.team_rates.tokens,
         )
-        self.metrics = metrics.Metrics()
-        self.node_metrics = node_metrics.NodeMetrics(self.metrics, self.status.read)
         self.events.add_listener(self.node_metrics.count_event)
         self.operator_port = operators_port.OperatorPort(
             node.addresses.operators,
@@ -339,6 +394,7 @@
             self.control.stop(0)
             raise
         self.control.start()
+        self.freshness_port.start()
         self.gossip.start()
         # Quota shares that this host held may be taken over only by the process that has bound the
         # host's ports.
@@ -368,6 +424,7 @@
         self.team_rates.stop()
         for task in self.platform_tasks:
             task.stop()
+        self.freshness_port.stop()
         self.gossip.stop()
         self.control.stop(CONTROL_GRACE_S)
         self.channels.close()
--- a/bergamotridge/environment.py
+++ b/bergamotridge/environment.py
@@ -1,32 +1,22 @@
 """Parts of a node that a platform adapter may replace: store, text parser, header fields."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
 from bergamotridge import settings
 from bergamotridge.callers import dialect as callers_dialect
 from bergamotridge.operators import operator_text
-from bergamotridge.store import client, objects
+from bergamotridge.store import client, counted
 from bergamotridge.upstreams import announcement
 from bergamotridge.upstreams import dialect as upstreams_dialect
 from bergamotridge.util import httpd
 
+CreateStore = Callable[[settings.NodeSettings], counted.WatchableObjects]
 OnAnnouncement = Callable[[announcement.Announcement, float], None]
 
 
-class Store(objects.Objects, Protocol):
-    """Client of the platform's object store; see `store.client.ObjectClient`."""
-
-    def watch(self, kind: str, since: int, wait_s: float) -> client.Listing:
-        """Waits at most `wait_s` seconds for objects of a kind with a version above `since`."""
-
-    def close(self) -> None:
-        """Cancels requests in flight."""
-
-
-def _create_object_client(node: settings.NodeSettings) -> Store:
+def _create_object_client(node: settings.NodeSettings) -> counted.WatchableObjects:
     return client.ObjectClient(node.platform.address, node.platform.timeout_s)
 
 
@@ -53,7 +43,9 @@
         service: Service of this host if the settings name it, else "".
     """
 
-    create_store: Callable[[settings.NodeSettings], Store] = _create_object_client
+    create_store: Callable[[settings.NodeSettings], counted.WatchableObjects] = (
+        _create_object_client
+    )
     parse_text: Callable[[str, str], operator_text.OperatorText] = operator_text.parse
     keys_in_text: bool = False
     caller_dialect: callers_dialect.CallerDialect = attrs.field(
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -15,6 +15,7 @@
 
 KIND = "nodes"
 ADDRESS_KEY = "address"
+MAX_FIRST_DELAY_S = 0.2  # Spreads the first reads of hosts that boot together.
 
 _log = logbook.Logger(__name__)
 
@@ -25,28 +26,32 @@
 
     Attributes:
         check_s: Mean seconds between two checks of the membership.
-        alone_s: Mean seconds between two checks while no other node is known.
+        alone_s: Mean seconds between two reads while no other node is known.
         stable_s: Seconds for which the rank of this node must be unchanged before its address is
             written under that rank.
         backoff_base_s: Upper bound of the first delay after a failure in seconds.
         backoff_cap_s: Maximum of that upper bound after further failures in seconds.
+        first_writers_fraction: Fraction of the nodes that write their address as soon as they find
+            none; the others look for addresses again first.
+        reads_before_write: Reads after which a node that finds no other writes its address.
     """
 
     check_s: float = 5.0
-    alone_s: float = 1.0
-    stable_s: float = 60.0
+    alone_s: float = 0.4
+    stable_s: float = 5.0
     backoff_base_s: float = 0.5
     backoff_cap_s: float = 4.0
+    first_writers_fraction: float = 0.07
+    reads_before_write: int = 3
 
 
 class Bootstrap:
     """Reads seed addresses while this node has no record of another, and writes its own address.
 
-    A node writes its address once when it first finds itself alone, and whenever it becomes
-    elected.
-
     Each failure domain has one object for each elected rank, so the number of writes does not grow
-    with the fleet, and a write is needed only when another host takes a rank.
+    with the fleet, and a write is needed only when another host takes a rank. When a fleet starts
+    for the first time, no address is stored and no node is elected yet. Then a few nodes chosen at
+    random write theirs at once, and the others find them.
     """
 
     def __init__(
@@ -76,7 +81,9 @@
         self._rng = rng
         self._backoff = backoff.Backoff(timings.backoff_base_s, timings.backoff_cap_s, rng)
         self._written_name: str | None = None
-        self._own_address_added = False
+        self._reads_alone = 0
+        self._has_announced = False
+        self._is_first_writer = rng.random() < timings.first_writers_fraction
         self._stopping = threading.Event()
         self._executor = futures.ThreadPoolExecutor(1, "bootstrap")
 
@@ -90,7 +97,7 @@
         self._executor.shutdown(wait=False)
 
     def _run(self) -> None:
-        delay_s = self._rng.uniform(0.0, self._timings.backoff_base_s)
+        delay_s = self._rng.uniform(0.0, MAX_FIRST_DELAY_S)
         stable_s, name = 0.0, None
         while not self._stopping.wait(delay_s):
             try:
@@ -120,22 +127,41 @@
             self._written_name = name
 
     def _discover_peers(self) -> None:
-        """Reads the addresses of other nodes, after writing the own address once.
+        """Reads the addresses of other nodes, and writes the own address if there seem to be none.
 
-        Hosts that boot together all write theirs first, so the one that reads last gets all of
-        them.
+        The address is written at most once, and read before and after that: hosts that boot
+        together write at about the same time, so the one that reads last gets all addresses.
+        """
+        addresses = self._read(allow_stale=True)
+        self._reads_alone += 1
+        should_write = self._reads_alone > self._timings.reads_before_write or (
+            self._is_first_writer and not addresses
+        )
+        if should_write and not self._has_announced:
+            self._has_announced = True
+            self._announce()
+            addresses = self._read(allow_stale=False)
+        self._on_addresses(addresses)
+
+    def _announce(self) -> None:
+        """Writes the own address under a rank at random; an address that is stored there stays.
+
+        After several reads without a peer, the stored addresses are those of hosts that are gone,
+        and are replaced.
         """
-        if not self._own_address_added:
-            self._write(self._members.own.host)
-            self._own_address_added = True
-        self._on_addresses(self._read())
+        own = self._members.own
+        name = f"{own.failure_domain}.{self._rng.randrange(self._election.nodes_per_domain)}"
+        if self._reads_alone > self._timings.reads_before_write:
+            self._write(name)
+        else:
+            self._put(name, 0)
 
     def _address_object_name(self) -> str | None:
         place = self._election.place()
         return None if place is None else f"{self._members.own.failure_domain}.{place}"
 
-    def _read(self) -> list[str]:
-        items = self._platform.list(KIND).items
+    def _read(self, *, allow_stale: bool) -> list[str]:
+        items = self._platform.list(KIND, allow_stale=allow_stale).items
         values = [item.value for item in items if isinstance(item.value, dict)]
         own = self._members.own.control_address
         return [
@@ -145,16 +171,22 @@
         ]
 
     def _write(self, name: str) -> None:
-        value = {"host": self._members.own.host, ADDRESS_KEY: self._members.own.control_address}
         version = 0
         try:
             stored = self._platform.get(KIND, name)
-            if stored.value == value:
+            if stored.value == self._own_value():
                 return
             version = stored.version
         except errors.NotFoundError:
             pass
+        self._put(name, version)
+
+    def _put(self, name: str, version: int) -> None:
         try:
-            self._platform.put(KIND, name, value, version)
+            self._platform.put(KIND, name, self._own_value(), version)
         except errors.ConflictError:
             _log.debug("another host wrote its address to object {} first", name)
+
+    def _own_value(self) -> dict[str, str]:
+        own = self._members.own
+        return {"host": own.host, ADDRESS_KEY: own.control_address}
--- /dev/null
+++ b/bergamotridge/nodes/freshness_exchange.py
@@ -0,0 +1,190 @@
+"""Requests and answers by which nodes tell each other how current they are; sends nothing.
+
+The age in an answer is counted from when the request was sent. So a message that was delayed on its
+way makes a replica look older than it is, never younger.
+"""
+
+import math
+from collections.abc import Sequence
+
+import attrs
+
+from bergamotridge.nodes import freshness_pb2, record
+from bergamotridge.store import freshness, replica
+
+MILLIS_PER_S = 1000
+
+
+@attrs.frozen
+class KnownReplica:
+    """What another node has of one kind of objects.
+
+    Attributes:
+        version: Version of its replica.
+        as_of: Monotonic time of this host in seconds as of which that replica is current.
+    """
+
+    version: int
+    as_of: float
+
+
+UNKNOWN_REPLICA = KnownReplica(0, freshness.NEVER)
+
+
+@attrs.frozen(eq=False)
+class ReceivedRequest:
+    """A request of another node.
+
+    Attributes:
+        number: Number that the other node gave to the request.
+        received_at: Monotonic time in seconds.
+        wait_s: Time in seconds for which the answer may wait for news.
+        known: What the other node has, by kind.
+    """
+
+    number: int
+    received_at: float
+    wait_s: float
+    known: dict[str, KnownReplica]
+
+
+@attrs.frozen
+class NewerReplica:
+    """A replica of another node that has a higher version than the local one."""
+
+    kind: str
+    version: int
+
+
+@attrs.frozen
+class AnswerResult:
+    """What an answer brought.
+
+    Attributes:
+        progressed: True if it shows that a replica is more current than was known before.
+        newer_replicas: Replicas that have to be fetched.
+    """
+
+    progressed: bool
+    newer_replicas: tuple[NewerReplica, ...] = ()
+
+
+class FreshnessExchange:
+    """Builds and applies the messages of one node."""
+
+    def __init__(
+        self,
+        known_freshness: freshness.Freshness,
+        replicas: Sequence[replica.Replica],
+        min_step_s: float,
+    ) -> None:
+        """Works on the replicas of a node and their freshness.
+
+        Args:
+            known_freshness: Freshness of the replicas.
+            replicas: The replicas.
+            min_step_s: Smallest progress in seconds that counts as news.
+        """
+        self._freshness = known_freshness
+        self._replicas = {item.kind: item for item in replicas}
+        self._min_step_s = min_step_s
+
+    def build_request(
+        self, number: int, wait_s: float, now: float
+    ) -> freshness_pb2.FreshnessMessage:
+        """Returns a request whose answer may wait `wait_s` seconds for news."""
+        request = freshness_pb2.FreshnessMessage(number=number, wait_ms=int(wait_s * MILLIS_PER_S))
+        self._add_ages(request, now)
+        return request
+
+    def receive_request(
+        self, request: freshness_pb2.FreshnessMessage, now: float
+    ) -> ReceivedRequest:
+        """Returns the request in a message that arrived at `now` (monotonic seconds)."""
+        known = {
+            item.kind: KnownReplica(item.version, now - item.age_ms / MILLIS_PER_S)
+            for item in request.ages
+        }
+        return ReceivedRequest(request.number, now, request.wait_ms / MILLIS_PER_S, known)
+
+    def has_news(self, request: ReceivedRequest) -> bool:
+        """Returns whether this node has a newer or more current replica than the requesting one."""
+        for kind, local_replica in self._replicas.items():
+            known = request.known.get(kind, UNKNOWN_REPLICA)
+            if local_replica.version > known.version:
+                return True
+            if self._freshness.as_of(kind) > known.as_of + self._min_step_s:
+                return True
+        return False
+
+    def build_answer(self, request: ReceivedRequest, now: float) -> freshness_pb2.FreshnessMessage:
+        """Returns the answer to a request that has waited until `now` (monotonic seconds)."""
+        waited_ms = int((now - request.received_at) * MILLIS_PER_S)
+        answer = freshness_pb2.FreshnessMessage(
+            number=request.number, is_answer=True, wait_ms=waited_ms
+        )
+        self._add_ages(answer, now)
+        return answer
+
+    def apply_answer(
+        self, answer: freshness_pb2.FreshnessMessage, sent_at: float, now: float
+    ) -> AnswerResult:
+        """Applies an answer.
+
+        Args:
+            answer: The answer.
+            sent_at: Monotonic time in seconds at which the request was sent.
+            now: Monotonic time in seconds at which the answer arrived.
+        """
+        progressed = False
+        newer_replicas = []
+        waited_s = min(answer.wait_ms / MILLIS_PER_S, now - sent_at)
+        for item in answer.ages:
+            local_replica = self._replicas.get(item.kind)
+            if local_replica is None or item.version < local_replica.version:
+                continue
+            if item.version > local_replica.version:
+                newer_replicas.append(NewerReplica(item.kind, item.version))
+                continue
+            as_of = sent_at + waited_s - item.age_ms / MILLIS_PER_S
+            progressed = self._freshness.confirm(item.kind, as_of) or progressed
+        return AnswerResult(progressed or bool(newer_replicas), tuple(newer_replicas))
+
+    def _add_ages(self, message: freshness_pb2.FreshnessMessage, now: float) -> None:
+        for kind, local_replica in self._replicas.items():
+            # Read before the version: a replica is never replaced by a lower version, so it has at
+            # least what it had when it was confirmed to be current.
+            as_of = self._freshness.as_of(kind)
+            if as_of > freshness.NEVER:
+                age_ms = max(0, math.ceil((now - as_of) * MILLIS_PER_S))
+                message.ages.add(kind=kind, version=local_replica.version, age_ms=age_ms)
+
+
+class SourceRotation:
+    """Chooses the node to ask next: the preferred one, and others while it brings no progress."""
+
+    def __init__(self, preferred_retry_s: float) -> None:
+        """Starts with the preferred source.
+
+        Args:
+            preferred_retry_s: Time in seconds after which the preferred source is asked again.
+        """
+        self._preferred_retry_s = preferred_retry_s
+        self._index = 0
+        self._preferred_again_at = float("-inf")
+
+    def choose(
+        self, sources: Sequence[record.UpstreamRecord], now: float
+    ) -> record.UpstreamRecord | None:
+        """Returns the source to ask at `now` (monotonic seconds), or None if there is none."""
+        if self._index and now >= self._preferred_again_at:
+            self._index = 0
+        return sources[self._index % len(sources)] if sources else None
+
+    def record_result(self, progressed: bool, now: float) -> None:
+        """Records whether the source that was chosen last brought progress."""
+        if progressed:
+            return
+        if not self._index:
+            self._preferred_again_at = now + self._preferred_retry_s
+        self._index += 1
--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -21,12 +21,13 @@
     membership,
     peers,
     record,
+    traffic,
 )
 from bergamotridge.store import client, replica
 
 _log = logbook.Logger(__name__)
 
-TICK_S = 0.1
+TICK_S = 0.25
 RECONNECT_HOLD_S = 5.0
 FETCH_TIMEOUT_S = 3.0
 URGENT_STATES = (record.State.DRAINING, record.State.LOST)
@@ -71,6 +72,7 @@
         channels: control.ChannelPool,
         timings: GossipTimings,
         rng: random.Random,
+        count_bytes: traffic.CountBytes = traffic.ignore_bytes,
     ) -> None:
         """Creates the tasks without starting them.
 
@@ -82,9 +84,11 @@
             channels: Channels to peers.
             timings: Intervals and time limits.
             rng: Source of jitter.
+            count_bytes: Counts the bytes of the messages.
         """
         self._members = members
         self._chooser = chooser
+        self._count_bytes = count_bytes
         self._exchange = gossip_exchange
         self._replicas = {local_replica.kind: local_replica for local_replica in replicas}
         self._channels = channels
@@ -122,13 +126,19 @@
             self._urgent_rounds += 1
             self._wake_up.notify_all()
 
+    def fetch(self, peer: record.UpstreamRecord, kind: str, version: int) -> None:
+        """Fetches a replica from a peer that has a higher version than this node, soon."""
+        self._fetches.put(_Fetch(peer.control_address, exchange.StaleReplica(kind, version)))
+
     def answer(self, message: gossip_pb2.GossipMessage) -> gossip_pb2.GossipMessage:
         """Processes a message from a peer and returns the answer."""
         now = time.monotonic()
         received = self._exchange.process_message(message, now)
         self._chooser.record_answer(peers.Peer(message.control_address, message.host), now)
         self._enqueue_fetches(message.control_address, received.stale_replicas)
-        return self._exchange.build_message(received.session, _wall_clock_ms())
+        reply = self._exchange.build_message(received.session, _wall_clock_ms())
+        self._count_bytes("gossip", reply.ByteSize(), message.ByteSize())
+        return reply
 
     def listing_since(self, kind: str, since: int) -> client.Listing | None:
         """Returns a replica's objects with a version above `since`, None for an unknown kind."""
@@ -195,10 +205,12 @@
     ) -> gossip_pb2.GossipMessage | None:
         stub = gossip_pb2_grpc.GossipStub(self._channels.channel(peer.address))
         try:
-            return stub.Exchange(message, timeout=self._timings.timeout_s)
+            reply = stub.Exchange(message, timeout=self._timings.timeout_s)
         except grpc.RpcError as error:
             _log.debug("peer {} did not answer a gossip message: {}", peer.address, error)
             return None
+        self._count_bytes("gossip", message.ByteSize(), reply.ByteSize())
+        return reply
 
     def _wait_for_next_message(self, seen_round: int | None, mean_s: float) -> None:
         """Waits until the next message is due.
@@ -267,6 +279,7 @@
             previous_version = local_replica.version
             request = gossip_pb2.FetchRequest(kind=kind, since=previous_version)
             response = stub.Fetch(request, timeout=FETCH_TIMEOUT_S)
+            self._count_bytes("fetch", request.ByteSize(), response.ByteSize())
             local_replica.apply_listing(_decode_listing(kind, response))
 
 
--- a/bergamotridge/nodes/quota.py
+++ b/bergamotridge/nodes/quota.py
@@ -6,7 +6,7 @@
 import grpc
 
 from bergamotridge import errors
-from bergamotridge.nodes import quota_pb2, quota_pb2_grpc
+from bergamotridge.nodes import quota_pb2, quota_pb2_grpc, traffic
 
 
 class Channels(Protocol):
@@ -32,9 +32,12 @@
 class QuotaClient:
     """Sends draws over gRPC."""
 
-    def __init__(self, channels: Channels) -> None:
-        """Uses the given channels."""
+    def __init__(
+        self, channels: Channels, count_bytes: traffic.CountBytes = traffic.ignore_bytes
+    ) -> None:
+        """Uses the given channels and counts the bytes of the draws."""
         self._channels = channels
+        self._count_bytes = count_bytes
 
     def draw(
         self, address: str, request: quota_pb2.DrawRequest, timeout_s: float
@@ -42,13 +45,15 @@
         """Sends one draw; see `Transport`."""
         stub = quota_pb2_grpc.QuotaStub(self._channels.channel(address))
         try:
-            return stub.Draw(request, timeout=timeout_s)
+            response = stub.Draw(request, timeout=timeout_s)
         except (grpc.RpcError, ValueError) as error:
             # gRPC raises ValueError for a call on a channel that was closed.
             raise UnreachableError(
                 f"the holder at {address} did not answer a draw: {error}; "
                 "check that its node runs and that its control port is reachable"
             ) from error
+        self._count_bytes("draw", request.ByteSize(), response.ByteSize())
+        return response
 
 
 class QuotaService(quota_pb2_grpc.QuotaServicer):
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -62,6 +62,15 @@
         self._events = registry.counter(
             f"{METRIC_PREFIX}events_total", "Events, by kind; events of calls also by cause."
         )
+        self._platform_requests = registry.counter(
+            f"{METRIC_PREFIX}platform_requests_total",
+            "Requests to the platform's object store, by kind of object, operation and result.",
+        )
+        self._control_bytes = registry.counter(
+            f"{METRIC_PREFIX}control_bytes_total",
+            "Bytes of control messages between nodes, by message and direction, without those of "
+            "the transport.",
+        )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._register_gauges(registry)
@@ -99,6 +108,15 @@
             cell = self._event_cells[key] = self._events.labelled(kind=event.kind, cause=cause)
         cell.add()
 
+    def count_platform_request(self, kind: str, operation: str, result: str) -> None:
+        """Counts one request to the platform; see `store.counted`."""
+        self._platform_requests.add(kind=kind, operation=operation, result=result)
+
+    def count_control_bytes(self, message: str, sent: int, received: int) -> None:
+        """Counts the bytes of one control message and its answer, by name of the message."""
+        self._control_bytes.add(sent, message=message, direction="sent")
+        self._control_bytes.add(received, message=message, direction="received")
+
     def _create_answer_cells(
         self, team: str, importance: str, reason: str, answer_verdict: verdict.Verdict
     ) -> _AnswerCells:
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -90,10 +90,26 @@
 
     address: str = _address("HTTP address of the object API")
     timeout_s: float = _number(2.0, "time limit of one request, in seconds", 0.05, 60)
-    watchers: int = _number(
-        3, "nodes in each failure domain that watch the platform for the others", 1, 100_000
+    elected: int = _number(
+        3,
+        "nodes in each failure domain whose addresses the platform lists and that write to it for "
+        "the others",
+        1,
+        100,
+    )
+    max_age_s: float = _number(
+        5.0,
+        "longest age of the configuration and the keys, beyond which a node reads them itself, in "
+        "seconds",
+        0.2,
+        300,
+    )
+    start_spread_s: float = _number(
+        0.4,
+        "time over which nodes that start together spread their first reads, in seconds",
+        0.0,
+        60.0,
     )
-    watch_s: float = _number(20.0, "longest wait of one watch request, in seconds", 1, 300)
 
 
 @attrs.frozen
