Show when a stopping node refuses calls, how long it returns shares, and what it cuts off

A call whose connection the stop closed was logged as left by its caller, and no line told when the refusal of late calls began or how long the return of quota shares took.

No decision changes.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -428,7 +428,8 @@
         self._stopping = True
         self.events.emit("node.stopping")
         drain_s = self.settings.limits.drain_s
-        drain_deadline = time.monotonic() + drain_s
+        stop_requested_at = time.monotonic()
+        drain_deadline = stop_requested_at + drain_s
         self.members.publish_lost(time.monotonic())
         self.gate.drain()
         # This node still answers while its departure spreads to other nodes and load balancers.
@@ -439,6 +440,10 @@
         self.team_rates.return_shares()
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
         self.shutdown.begin(drain_deadline)
+        stopping_s = round(time.monotonic() - stop_requested_at, 3)
+        self.events.emit(
+            "node.draining", after_s=stopping_s, notice_s=self.settings.limits.notice_s
+        )
         self.caller_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.relay_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.upstream_server.stop(max(0.0, drain_deadline - time.monotonic()))
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -146,7 +146,9 @@
         except errors.CallError as error:
             progress.error_text = str(error)
             result = answer.from_error(error)
-        self._record_answer(progress, request, result, time.monotonic() - started)
+        now = time.monotonic()
+        result.reason = self.node_shutdown.reason_of(result.reason, now)
+        self._record_answer(progress, request, result, now - started)
         return self.dialect.response(result, progress.request_id)
 
     def _record_answer(
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -367,7 +367,8 @@
 
     def _return_shares(self) -> None:
         timings = self._settings.timings
-        deadline = self._clock() + 2.0 * timings.loan_s
+        started_at = self._clock()
+        deadline = started_at + 2.0 * timings.loan_s
         try:
             while self._holder is not None and self._clock() < deadline:
                 plans: dict[str, list[quota_holder.TeamPlan]] = {}
@@ -375,9 +376,10 @@
                     plan = quota_holder.TeamPlan(team, chosen=False, holders=0)
                     plans.setdefault(self._choice.group_of(name), []).append(plan)
                 if not plans:
-                    return
+                    break
                 for group, group_plans in plans.items():
                     self._holder.adjust(group, group_plans)
                 threading.Event().wait(SHARE_RETURN_INTERVAL_S)
         except errors.PlatformError as error:
             _log.warning("quota shares not returned: {}", error)
+        _log.info("return of quota shares ended after {:.3f} s", self._clock() - started_at)
--- a/bergamotridge/callers/shutdown.py
+++ b/bergamotridge/callers/shutdown.py
@@ -3,6 +3,8 @@
 from bergamotridge.upstreams import admission
 
 MARGIN_S = 0.2  # For the answer to reach the caller before the connections are closed.
+CANCELLED_REASON = "cancelled"
+STOPPED_REASON = "node-stopped"
 
 
 class Shutdown:
@@ -19,6 +21,16 @@
         """
         self._closes_at = closes_at
 
+    def reason_of(self, reason: str, now: float) -> str:
+        """Returns why a call ended: a cancelled one was cut off if its connection was closed here.
+
+        Args:
+            reason: Reason of the answer.
+            now: Monotonic time in seconds.
+        """
+        closes = self._closes_at is not None and now >= self._closes_at - MARGIN_S
+        return STOPPED_REASON if closes and reason == CANCELLED_REASON else reason
+
     def check(self, request_id: str, deadline: float) -> None:
         """Refuses a call that might still run when the connections are closed.
 
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -16,6 +16,7 @@
     "member.joined": "A host became known.",
     "member.lost": "A host counts as lost and receives no more calls.",
     "member.suspected": "A host has been silent for longer than expected.",
+    "node.draining": "The stopping node begins to refuse calls that might not end before it.",
     "node.started": "The node has opened its ports.",
     "node.stopping": "The node has begun a graceful shutdown.",
     "upstream.leaving": "The local upstream says in an answer that it is about to stop.",
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -88,6 +88,11 @@
         "the call carried no key, or one that is unknown or withdrawn",
         "grant a key with 'bergamotridge keys grant'",
     ),
+    "node-stopped": Reason(
+        "the node was stopped before the call ended, and closed the connection",
+        "look for the time of its 'node.stopping': raise 'limits.drain_s' and the time until the "
+        "process is killed if calls take longer",
+    ),
     "no-upstream": Reason(
         "no ready upstream of the service is known",
         "see 'bergamotridge status' for upstreams that are starting, draining or lost",
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import Callable
 
+import logbook
+
 from bergamotridge import errors
 from bergamotridge.util import http_connection, loop, message, request_reader
 
@@ -18,6 +20,8 @@
 
 Handler = http_connection.Handler
 
+_log = logbook.Logger(__name__)
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``IP:PORT`` into IP and port; brackets around an IPv6 address are removed."""
@@ -130,11 +134,17 @@
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._idle_check is not None:
             self._idle_check.cancel()
-        for connection in list(self._connections):
-            connection.close()
+        self._close_connections()
         # Aborted connections are removed in the next iteration of the loop.
         await asyncio.sleep(0)
 
+    def _close_connections(self) -> None:
+        running = sum(connection.token is not None for connection in self._connections)
+        if running:
+            _log.warning("the server '{}' stops and cuts off {} running calls", self.name, running)
+        for connection in list(self._connections):
+            connection.close()
+
     def _stop_accepting(self) -> None:
         if self._asyncio_server is not None:
             self._asyncio_server.close()
