Begin to refuse late calls at a fixed time after SIGTERM, whatever the platform does

Callers saw requests that were accepted seconds after SIGTERM, passed on, and cut off without an answer when the stopping node closed its connections.

Cause: Application.stop returned the quota shares first, waited for the notice time after that, and told the callers' port to refuse late calls last. A return takes two or more requests to the platform for each group of quotas and goes on while tokens are on loan, so with a slow platform the refusal began up to several seconds late, or never. The class: a promise to callers that hangs on the progress of a step which waits for somebody else.

Change: Shutdown is told both times at SIGTERM, and check takes the present time, so that no step of the stop can delay it. The return runs in the background, after the share loop, and no further request to the platform begins once the drain time has passed, so that the process ends by itself.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -427,27 +427,25 @@
         """Shuts down gracefully: running calls may finish until the drain time has passed."""
         self._stopping = True
         self.events.emit("node.stopping")
-        drain_s = self.settings.limits.drain_s
-        stop_requested_at = time.monotonic()
-        drain_deadline = stop_requested_at + drain_s
-        self.members.publish_lost(time.monotonic())
+        limits, now = self.settings.limits, time.monotonic()
+        drain_deadline = now + limits.drain_s
+        notice_deadline = now + min(limits.notice_s, limits.drain_s)
+        # The times are fixed before anything that can take long.
+        self.shutdown.begin(notice_deadline, drain_deadline)
+        self.members.publish_lost(now)
         self.gate.drain()
         # This node still answers while its departure spreads to other nodes and load balancers.
         self.caller_server.close_after_answers()
         self.relay_server.close_after_answers()
         self.gossip.start_urgent_round()
-        notice_deadline = time.monotonic() + min(self.settings.limits.notice_s, drain_s)
-        self.team_rates.return_shares()
+        self.team_rates.start_return()
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
-        self.shutdown.begin(drain_deadline)
-        stopping_s = round(time.monotonic() - stop_requested_at, 3)
-        self.events.emit(
-            "node.draining", after_s=stopping_s, notice_s=self.settings.limits.notice_s
-        )
+        after_s = round(time.monotonic() - now, 3)
+        self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
         self.caller_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.relay_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.upstream_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.team_rates.stop()
+        self.team_rates.stop(drain_deadline)
         for task in self.platform_tasks:
             task.stop()
         self.freshness_port.stop()
--- a/bergamotridge/callers/at_most_once.py
+++ b/bergamotridge/callers/at_most_once.py
@@ -157,7 +157,7 @@
 
     def _check_shutdown(self, context: call.CallContext) -> None:
         try:
-            self._shutdown.check(context.request_id, context.deadline)
+            self._shutdown.check(context.request_id, context.deadline, time.monotonic())
         except errors.CallError as error:
             # The claim was not looked up, so an earlier call with the key may have run.
             error.verdict = verdict.Verdict.MAY_HAVE_RUN
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -255,7 +255,7 @@
         if is_nested_call:
             self.call_graph.record_call(self.origin, service)
         else:
-            self.node_shutdown.check(progress.request_id, deadline)
+            self.node_shutdown.check(progress.request_id, deadline, now)
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
             self.tree_shedding.check(progress.request_id, importance, service, now)
         if team:
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -131,6 +131,7 @@
         )
         self._stopping = threading.Event()
         self._leaving = threading.Event()
+        self._return_deadline = float("inf")
         # Set when the share loop has to look at the shares before its pause has ended.
         self._shares_due = threading.Event()
         self._loop_executor = futures.ThreadPoolExecutor(2, "quota")
@@ -156,14 +157,22 @@
         self._loop_executor.submit(self._run_share_loop)
         self._loop_executor.submit(self._run_draw_loop)
 
-    def return_shares(self) -> None:
-        """Returns shares to the platform as far as possible in a few seconds; draws continue."""
+    def start_return(self) -> None:
+        """Starts to return shares to the platform in the background; draws continue.
+
+        The return takes as long as the platform needs for its answers.
+        """
         self._end_share_loop()
-        self._return_shares()
+        self._loop_executor.submit(self._return_shares)
 
-    def stop(self) -> None:
-        """Returns drawn tokens and shares as far as possible in a few seconds."""
+    def stop(self, deadline: float = float("inf")) -> None:
+        """Returns drawn tokens and shares as far as possible in a few seconds.
+
+        Args:
+            deadline: Monotonic time in seconds after which no request to the platform begins.
+        """
         self._end_share_loop()
+        self._return_deadline = deadline
         self._stopping.set()
         with self._lock:
             self._drawer.return_all()
@@ -366,20 +375,26 @@
         return plans
 
     def _return_shares(self) -> None:
-        timings = self._settings.timings
+        """Returns shares until none is held, the platform fails, or all loans have expired."""
         started_at = self._clock()
-        deadline = started_at + 2.0 * timings.loan_s
+        deadline = started_at + 2.0 * self._settings.timings.loan_s
         try:
-            while self._holder is not None and self._clock() < deadline:
-                plans: dict[str, list[quota_holder.TeamPlan]] = {}
-                for name, team in self._holder.held_teams().items():
-                    plan = quota_holder.TeamPlan(team, chosen=False, holders=0)
-                    plans.setdefault(self._choice.group_of(name), []).append(plan)
+            while self._holder is not None and self._clock() < min(deadline, self._return_deadline):
+                plans = self._plan_return()
                 if not plans:
                     break
                 for group, group_plans in plans.items():
-                    self._holder.adjust(group, group_plans)
+                    if self._clock() < self._return_deadline:
+                        self._holder.adjust(group, group_plans)
                 threading.Event().wait(SHARE_RETURN_INTERVAL_S)
         except errors.PlatformError as error:
             _log.warning("quota shares not returned: {}", error)
         _log.info("return of quota shares ended after {:.3f} s", self._clock() - started_at)
+
+    def _plan_return(self) -> Mapping[str, Sequence[quota_holder.TeamPlan]]:
+        """Returns the plans to give up all shares that are held, by group."""
+        plans: dict[str, list[quota_holder.TeamPlan]] = {}
+        for name, team in self._holder.held_teams().items():
+            plan = quota_holder.TeamPlan(team, chosen=False, holders=0)
+            plans.setdefault(self._choice.group_of(name), []).append(plan)
+        return plans
--- a/bergamotridge/callers/shutdown.py
+++ b/bergamotridge/callers/shutdown.py
@@ -11,14 +11,17 @@
     """Knows when the node will close its connections; until a stop begins, all calls may run."""
 
     def __init__(self) -> None:
-        self._closes_at: float | None = None
+        self._refuses_from = float("inf")
+        self._closes_at = float("inf")
 
-    def begin(self, closes_at: float) -> None:
-        """Starts to refuse calls whose deadline is later than `closes_at`.
+    def begin(self, refuses_from: float, closes_at: float) -> None:
+        """Plans the refusal of calls whose deadline is later than `closes_at`.
 
         Args:
+            refuses_from: Monotonic time in seconds from which such calls are refused.
             closes_at: Monotonic time in seconds at which open connections are closed.
         """
+        self._refuses_from = refuses_from
         self._closes_at = closes_at
 
     def reason_of(self, reason: str, now: float) -> str:
@@ -28,20 +31,21 @@
             reason: Reason of the answer.
             now: Monotonic time in seconds.
         """
-        closes = self._closes_at is not None and now >= self._closes_at - MARGIN_S
+        closes = now >= self._closes_at - MARGIN_S
         return STOPPED_REASON if closes and reason == CANCELLED_REASON else reason
 
-    def check(self, request_id: str, deadline: float) -> None:
+    def check(self, request_id: str, deadline: float, now: float) -> None:
         """Refuses a call that might still run when the connections are closed.
 
         Args:
             request_id: Id of the request.
             deadline: Monotonic time in seconds until which the call may run.
+            now: Monotonic time in seconds.
 
         Raises:
             CallError: The call is refused; the verdict is NOT_RUN.
         """
-        if self._closes_at is not None and deadline > self._closes_at - MARGIN_S:
+        if now >= self._refuses_from and deadline > self._closes_at - MARGIN_S:
             raise admission.build_refusal(
                 "draining",
                 "the node is shutting down and may close this connection before the call ends; "
--- a/tests/test_process/test_late_requests.py
+++ b/tests/test_process/test_late_requests.py
@@ -12,7 +12,9 @@
 
 DRAIN_S = 6.0
 SERVICE_MS = 2000.0
+LONG_SERVICE_MS = 3500.0
 SEND_INTERVAL_S = 0.3
+PLATFORM_DELAY_MS = 1500.0
 KEPT_CONNECTIONS = 24
 LIMITS = f"[limits]\nnotice_s = 0.5\ndrain_s = {DRAIN_S}"
 HOSTS = (
@@ -52,10 +54,10 @@
     return response.status, response.headers.get("Bergamotridge-Verdict")
 
 
-# Payments that came late in the time to drain were passed on, and cut off at its end.
-def test_no_request_is_passed_on_and_then_cut_off_in_a_planned_stop(rig):
+def _send_payments_during_a_stop(rig, service_ms):
+    """Stops a node while payments come on its kept connections; returns the replies by tag."""
     connections = [_open_kept_connection(rig) for _ in range(KEPT_CONNECTIONS)]
-    rig.inject_faults("back", service_ms=SERVICE_MS)
+    rig.inject_faults("back", service_ms=service_ms)
     node = rig.fleet.members["front-1"].node
     node.terminate()
     sent = {}
@@ -66,9 +68,27 @@
             time.sleep(SEND_INTERVAL_S)
     replies = {tag: future.result() for tag, future in sent.items()}
     assert node.wait() == 0
+    return replies
+
+
+def _assert_none_was_cut_off(rig, replies):
     for tag, reply in replies.items():
         if reply is None:
             assert rig.runs(tag) == []
         else:
             assert reply == (200, "run") or reply[1] == "not-run"
     assert (200, "run") in replies.values()
+
+
+# Payments that came late in the time to drain were passed on, and cut off at its end.
+def test_no_request_is_passed_on_and_then_cut_off_in_a_planned_stop(rig):
+    replies = _send_payments_during_a_stop(rig, SERVICE_MS)
+    _assert_none_was_cut_off(rig, replies)
+
+
+# A stopping node took payments for as long as it waited for the platform, and cut them off.
+def test_no_request_is_cut_off_in_a_planned_stop_while_the_platform_is_slow(rig):
+    rig.fleet.wait_rates({"large": fleet.LARGE_TEAM_RATE_PER_S})
+    rig.fleet.inject_platform_faults(delay_ms=PLATFORM_DELAY_MS)
+    replies = _send_payments_during_a_stop(rig, LONG_SERVICE_MS)
+    _assert_none_was_cut_off(rig, replies)
