End the calls that a stopping node takes before it closes their connections

Calls that a stopping node still takes (all of them in the notice time, and later those of the upstream beside it, which are exempt from the refusal of late calls) kept their own deadline, which may lie behind the moment at which connections are closed. They were passed on and cut off there, with no answer.

Cause: only new callers' calls after the notice time are compared with the end of the stop.

Change: the deadline of each call that is taken after SIGTERM ends with the stop, less the margin for its answer. The upstream is told that deadline, gives up by itself, and its answer or the node's own 504 still reaches the caller. Calls of upstreams are not refused: they serve a request that has already cost work, and most end within milliseconds.

test_port.py::test_a_call_taken_by_a_stopping_node_ends_before_its_connection_is_closed: both cases failed before (deadline 30 s away, connections closed after 5 s).

--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -264,7 +264,7 @@
             request_id=progress.request_id,
             team=team,
             importance=importance,
-            deadline=deadline,
+            deadline=self.node_shutdown.limit(deadline),
             depth=int(is_nested_call),
             repeatable=route.repeatable,
             weight=team_settings.weight if team_settings else 1.0,
--- a/bergamotridge/callers/shutdown.py
+++ b/bergamotridge/callers/shutdown.py
@@ -34,6 +34,16 @@
         closes = now >= self._closes_at - MARGIN_S
         return STOPPED_REASON if closes and reason == CANCELLED_REASON else reason
 
+    def limit(self, deadline: float) -> float:
+        """Returns the deadline of a call that is taken now; it ends before the connections close.
+
+        So the upstream gives up before it is cut off, and its answer still reaches the caller.
+
+        Args:
+            deadline: Monotonic time in seconds until which the call may run otherwise.
+        """
+        return min(deadline, self._closes_at - MARGIN_S)
+
     def check(self, request_id: str, deadline: float, now: float) -> None:
         """Refuses a call that might still run when the connections are closed.
 
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -1,10 +1,13 @@
 """The caller port: order of its checks, charges to teams, and what upstreams receive."""
 
+import time
+
 import attrs
 import pytest
 
 from bergamotridge import answer, errors, events, verdict
-from bergamotridge.callers import keys, port, shedding, tree_shedding
+from bergamotridge.callers import dialect as caller_dialect
+from bergamotridge.callers import keys, port, shedding, shutdown, tree_shedding
 from bergamotridge.nodes import call_graph, routing
 from bergamotridge.operators import operator_text
 from bergamotridge.util import cancellation, message
@@ -19,6 +22,7 @@
 [routes.prices]
 path = "/prices/<path:name>"
 service = "pay"
+timeout_s = 30
 open = true
 [teams.a]
 rate = 1
@@ -63,7 +67,14 @@
         return answer.Answer(message.Response(200), self.outcome)
 
 
-def send_call(node: Node, method: bytes, path: bytes, *headers: message.Header) -> message.Response:
+def send_call(
+    node: Node,
+    method: bytes,
+    path: bytes,
+    *headers: message.Header,
+    node_shutdown: shutdown.Shutdown | None = None,
+    dialect: caller_dialect.CallerDialect | None = None,
+) -> message.Response:
     """Returns the response of a caller port whose other parts are `node`."""
     routes = routing.CurrentRoutes()
     routes.replace(operator_text.parse(TEXT, "test"))
@@ -80,6 +91,8 @@
         log=events.EventLog("h", 1, "fd"),
         retries=2,
         record_answer=lambda seen: None,
+        node_shutdown=node_shutdown or shutdown.Shutdown(),
+        dialect=dialect or caller_dialect.DefaultDialect(),
     )
     request = message.Request(method, path, list(headers))
     return event_loop.run(caller_port.handle(request, cancellation.Token()))
@@ -141,3 +154,21 @@
 ):
     response = send_call(Node(shed=True), b"POST", b"/pay", *headers)
     assert response.header(b"bergamotridge-verdict") == expected_verdict
+
+
+class NestedCallDialect(caller_dialect.DefaultDialect):
+    """Takes every call without a key for one of an upstream, made for a running request."""
+
+    def is_nested_call(self, request):
+        return request.header(b"authorization") is None
+
+
+# Calls of upstreams that a stopping node took ran until it closed their connections.
+@pytest.mark.parametrize(("path", "headers"), [(b"/prices/1", ()), (b"/prices/1", (KEY,))])
+def test_a_call_taken_by_a_stopping_node_ends_before_its_connection_is_closed(path, headers):
+    node, stop = Node(), shutdown.Shutdown()
+    now = time.monotonic()
+    closes_at = now + 5.0
+    stop.begin(now + 3.0, closes_at)
+    send_call(node, b"GET", path, *headers, node_shutdown=stop, dialect=NestedCallDialect())
+    assert node.sent[0].context.deadline <= closes_at - shutdown.MARGIN_S
