Answer the calls that still wait when a stopping node closes its connections

Calls that waited for a token, in a queue or for a further attempt when a stopping node closed its connections ended without any answer, though the node knew that they had not run; their callers could only guess.

Cause: the server aborted all connections at the end of the drain time and cancelled the calls by that, so the refusal that each of them then produced had no connection left.

Change: the server first cancels the running calls, gives them 0.1 s for their answers (a refusal as not run, or 502 for those at an upstream), and closes the connections then.

test_httpd.py::test_a_call_that_waits_at_the_end_of_a_stop_gets_its_refusal failed before: the connection ended without a byte.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -13,7 +13,9 @@
 LISTEN_BACKLOG = 1024
 IDLE_CHECK_INTERVAL_S = 1.0
 STOP_CHECK_INTERVAL_S = 0.05
+CANCEL_CHECK_INTERVAL_S = 0.005
 STOP_IDLE_S = 0.5
+CANCEL_GRACE_S = 0.1  # For the answers of calls that a stop has cancelled.
 HEADER_BYTES = 65_536
 HEADER_TIMEOUT_S = 10.0
 IDLE_S = 75.0
@@ -120,6 +122,8 @@
     def stop(self, grace_s: float) -> None:
         """Stops accepting connections, waits for running calls, then closes all connections.
 
+        Calls that still run at the end are cancelled, and their answers are sent.
+
         Args:
             grace_s: Maximum wait for running calls and recently used connections in seconds.
         """
@@ -130,20 +134,30 @@
         self._stop_accepting()
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + grace_s
-        while event_loop.time() < deadline and not self._is_quiet(event_loop.time()):
+        while event_loop.time() < deadline - CANCEL_GRACE_S:
+            if self._is_quiet(event_loop.time()):
+                break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._idle_check is not None:
             self._idle_check.cancel()
-        self._close_connections()
+        await self._cancel_running_calls()
+        for connection in list(self._connections):
+            connection.close()
         # Aborted connections are removed in the next iteration of the loop.
         await asyncio.sleep(0)
 
-    def _close_connections(self) -> None:
-        running = sum(connection.token is not None for connection in self._connections)
-        if running:
-            _log.warning("the server '{}' stops and cuts off {} running calls", self.name, running)
-        for connection in list(self._connections):
-            connection.close()
+    async def _cancel_running_calls(self) -> None:
+        """Cancels the running calls and waits until they are answered, `CANCEL_GRACE_S` at most."""
+        running = [item for item in self._connections if item.token is not None]
+        if not running:
+            return
+        _log.warning("the server '{}' stops and cuts off {} running calls", self.name, len(running))
+        for connection in running:
+            connection.token.cancel()
+        event_loop = asyncio.get_running_loop()
+        deadline = event_loop.time() + CANCEL_GRACE_S
+        while event_loop.time() < deadline and not self._connections.isdisjoint(running):
+            await asyncio.sleep(CANCEL_CHECK_INTERVAL_S)
 
     def _stop_accepting(self) -> None:
         if self._asyncio_server is not None:
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -106,6 +106,25 @@
         stopping.result(30)
 
 
+# Calls that waited when the server stopped ended without an answer, though they had not run.
+def test_a_call_that_waits_at_the_end_of_a_stop_gets_its_refusal():
+    entered = threading.Event()
+
+    async def wait_in_a_queue(_given, token):
+        cancelled = asyncio.Event()
+        token.on_cancel(cancelled.set)
+        entered.set()
+        await cancelled.wait()
+        return message.Response(503, [(b"bergamotridge-verdict", b"not-run")])
+
+    server, address = start_server(wait_in_a_queue)
+    with socket.create_connection(httpd.split_address(address), timeout=30) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert entered.wait(30)
+        server.stop(0.2)
+        assert sock.recv(1000).startswith(b"HTTP/1.1 503 ")
+
+
 def test_a_call_is_cancelled_when_its_caller_disconnects():
     cancelled = threading.Event()
 
