Check each address before a socket gets it

What could be seen: a call whose target has an address with a port such as 99,999 went to port 34,463 of that host, as the event loop takes the port modulo 65,536; with a port that is no number, or one of thousands of digits, it raised ValueError, which no caller expects, so the caller got status 500 and "may have run" for a call that reached nothing. The same for the datagrams by which nodes tell each other how current they are; there each try at such an address also left its request registered for good. A setting whose port is a digit but no decimal one (a superscript two) ended the start with a traceback in place of the message that names the key.

Cause: an address was split by four functions, of which one checked it, and that one for settings only. Another writer's address went to the socket as it was.

The report that led here says that asyncio closes the datagram transport for good at a port out of range. That is so for asyncio's own loop; the product runs on uvloop, which wraps the port or raises ValueError (tried both, port 99,999, -5, 10**30, an IPv6 address, a name).

Change: util.addresses.Address is the one checked form, and parse the one parser: an IP and a port from 1 to 65,535 in ASCII digits, else MalformedEntryError. Settings, the HTTP client, both servers and the datagram port use it. A transfer to an address that cannot exist fails as one that did not run. The datagram port passes over a node whose address is malformed or of another family than its own, and whatever fails there no longer ends its task or repeats without a pause.

--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -71,6 +71,12 @@
     """The object does not exist on the platform."""
 
 
+class MalformedEntryError(BergamotridgeError):
+    """An entry, record or message of another process cannot be read and is skipped."""
+
+    category = Category.NODE
+
+
 class OperatorPortError(BergamotridgeError):
     """The operators' port of a node refused a request or could not be reached."""
 
--- a/bergamotridge/nodes/freshness.py
+++ b/bergamotridge/nodes/freshness.py
@@ -11,7 +11,7 @@
 
 from bergamotridge import errors
 from bergamotridge.nodes import freshness_exchange, freshness_pb2, record, traffic
-from bergamotridge.util import clock, httpd, loop
+from bergamotridge.util import addresses, clock, loop
 
 MAC_BYTES = 16
 MAC_PURPOSE = b"freshness"  # Input from which the key of the codes is derived.
@@ -77,7 +77,7 @@
             count_bytes: Counts the bytes of the datagrams.
         """
         self._count_bytes = count_bytes
-        self._address = address
+        self._address = addresses.parse(address)
         self._mac_key = hashlib.blake2b(MAC_PURPOSE, key=secret.encode()[:MAX_KEY_BYTES]).digest()
         self._exchange = exchange
         self._list_sources = list_sources
@@ -111,9 +111,7 @@
     async def _open(self) -> None:
         event_loop = asyncio.get_running_loop()
         try:
-            await event_loop.create_datagram_endpoint(
-                lambda: self, local_addr=httpd.split_address(self._address)
-            )
+            await event_loop.create_datagram_endpoint(lambda: self, local_addr=self._address.pair)
         except OSError as error:
             raise errors.AddressInUseError(
                 f"cannot receive datagrams on {self._address}: {error.strerror}; free the port or "
@@ -153,23 +151,39 @@
         """Asks other nodes, one request after another, until cancelled."""
         while True:
             await asyncio.sleep(self._timings.min_pause_s)
-            source = self._rotation.choose(self._list_sources(), clock.boot_time())
-            if source is None:
-                await asyncio.sleep(self._timings.wait_s)
-                continue
             try:
-                progressed = await self._poll(source)
+                await self._poll_next_source()
             except Exception:
-                _log.exception("asking {} how current it is failed", source.host)
-                progressed = False
+                _log.exception("asking another node how current it is failed")
+                await asyncio.sleep(self._timings.wait_s)
+
+    async def _poll_next_source(self) -> None:
+        source = self._rotation.choose(self._list_sources(), clock.boot_time())
+        if source is None:
+            await asyncio.sleep(self._timings.wait_s)
+            return
+        progressed = False
+        try:
+            progressed = await self._poll(source)
+        finally:
             self._rotation.record_result(progressed, clock.boot_time())
 
     async def _poll(self, source: record.UpstreamRecord) -> bool:
-        """Asks one node and applies its answer; returns whether that brought progress."""
+        """Asks one node and applies its answer; returns whether that brought progress.
+
+        Raises:
+            MalformedEntryError: The node's address is not one to which this port can send.
+        """
+        address = addresses.parse(source.control_address)
+        if address.family != self._address.family:
+            raise errors.MalformedEntryError(
+                f"host '{source.host}' has the address {address}, which is of another family than "
+                f"{self._address}; correct the address in its settings"
+            )
         request = self._exchange.build_request(self._timings.wait_s, clock.boot_time())
         waiter = self._results[request.request_id] = self._asyncio_loop.create_future()
-        self._send(request, httpd.split_address(source.control_address))
         try:
+            self._send(request, address.pair)
             time_limit_s = self._timings.wait_s + self._timings.answer_grace_s
             result = await asyncio.wait_for(waiter, time_limit_s)
         except TimeoutError:
--- a/bergamotridge/nodes/freshness_exchange.py
+++ b/bergamotridge/nodes/freshness_exchange.py
@@ -96,6 +96,11 @@
         self._rng = rng
         self._sent_at: dict[int, float] = {}
 
+    @property
+    def waiting_requests(self) -> int:
+        """Number of requests whose answer would still be applied."""
+        return len(self._sent_at)
+
     def build_request(self, wait_s: float, now: float) -> freshness_pb2.FreshnessMessage:
         """Returns a request whose answer may wait `wait_s` seconds for news.
 
--- a/bergamotridge/operators/port.py
+++ b/bergamotridge/operators/port.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from bergamotridge import errors
+from bergamotridge.util import addresses
 
 if TYPE_CHECKING:
     from bergamotridge.operators import page_server
@@ -82,11 +83,9 @@
         self._server.serve()
 
     def _create_listener(self) -> socket.socket:
-        host, _, port = self._address.rpartition(":")
-        host = host.strip("[]")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        address = addresses.parse(self._address, min_port=addresses.ANY_PORT)
         try:
-            return socket.create_server((host, int(port)), family=family, backlog=LISTEN_BACKLOG)
+            return socket.create_server(address.pair, family=address.family, backlog=LISTEN_BACKLOG)
         except OSError as error:
             raise errors.AddressInUseError(
                 f"cannot listen for operators on '{self._address}': {error.strerror}; "
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -1,12 +1,11 @@
 """Settings of a node: declares each key with default, unit and accepted values."""
 
-import ipaddress
 import typing
 
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.util import suggestion, text_files
+from bergamotridge.util import addresses, suggestion, text_files
 
 
 def _setting(default: object, help_text: str, accepted: str, check=None) -> typing.Any:
@@ -15,20 +14,8 @@
     )
 
 
-def is_address(value: object) -> bool:
-    """Returns True for ``IP:PORT``; an IPv6 address may be in brackets."""
-    if not isinstance(value, str):
-        return False
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdigit() and 0 < int(port) < 65536
-
-
 def _address(help_text: str) -> typing.Any:
-    return _setting("", help_text, "IP:PORT, such as 10.0.0.5:8000", is_address)
+    return _setting("", help_text, "IP:PORT, such as 10.0.0.5:8000", addresses.is_address)
 
 
 def _number(default: float, help_text: str, low: float, high: float) -> typing.Any:
@@ -46,13 +33,16 @@
         (),
         help_text,
         'a list of "IP:PORT"',
-        lambda value: all(is_address(item) for item in value),
+        lambda value: all(addresses.is_address(item) for item in value),
     )
 
 
 def _optional_address(help_text: str) -> typing.Any:
     return _setting(
-        "", help_text, "IP:PORT, or an empty string", lambda value: not value or is_address(value)
+        "",
+        help_text,
+        "IP:PORT, or an empty string",
+        lambda value: not value or addresses.is_address(value),
     )
 
 
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -7,11 +7,11 @@
 import attrs
 import orjson
 
-from bergamotridge import answer, call, errors, events, headers, settings, verdict
+from bergamotridge import answer, call, errors, events, headers, verdict
 from bergamotridge.nodes import dispatch, record, routing
 from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.upstreams import dialect, live_calls
-from bergamotridge.util import cancellation, message
+from bergamotridge.util import addresses, cancellation, message
 
 ANNOUNCE_PATH = b"/_bergamotridge/announce"
 HEARTBEAT_S = 0.5
@@ -31,7 +31,7 @@
 }
 _VALUE_RULES: tuple[tuple[str, str, Callable[[Any], bool]], ...] = (
     ("service", "a non-empty name", bool),
-    ("address", "IP:PORT", settings.is_address),
+    ("address", "IP:PORT", addresses.is_address),
     ("slots", "at least 1", lambda value: value >= 1),
     ("connections", "at least 1", lambda value: value >= 1),
     ("load", "a number of at least 0", lambda value: 0 <= value < float("inf")),
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -9,8 +9,8 @@
 import attrs
 import httptools
 
-from bergamotridge import verdict
-from bergamotridge.util import cancellation, loop, message, response_reader
+from bergamotridge import errors, verdict
+from bergamotridge.util import addresses, cancellation, loop, message, response_reader
 
 CONNECT_TIMEOUT_S = 0.3
 TCP_USER_TIMEOUT_MS = 1_000
@@ -285,13 +285,15 @@
         self, event_loop: asyncio.AbstractEventLoop, timeout_s: float
     ) -> _Connection:
         """Opens a connection; raises TransferError with the verdict NOT_RUN if this fails."""
-        host, _, port = self.address.rpartition(":")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            address = addresses.parse(self.address)
+        except errors.MalformedEntryError as error:
+            raise TransferError(f"cannot connect: {error}", verdict.Verdict.NOT_RUN) from error
+        sock = socket.socket(address.family, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
             enable_tcp_keepalive(sock)
-            connecting = event_loop.sock_connect(sock, (host.strip("[]"), int(port)))
+            connecting = event_loop.sock_connect(sock, address.pair)
             await asyncio.wait_for(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
             _, connection = await event_loop.create_connection(
                 lambda: _Connection(
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from bergamotridge import errors
-from bergamotridge.util import http_connection, loop, message, request_reader
+from bergamotridge.util import addresses, http_connection, loop, message, request_reader
 
 LISTEN_BACKLOG = 1024
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -21,8 +21,7 @@
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``IP:PORT`` into IP and port; brackets around an IPv6 address are removed."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+    return addresses.parse(address, min_port=addresses.ANY_PORT).pair
 
 
 class Server:
@@ -85,12 +84,11 @@
 
     def start(self) -> None:
         """Binds the address and accepts connections; raises AddressInUseError if this fails."""
-        host, port = split_address(self._address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
+        address = addresses.parse(self._address, min_port=addresses.ANY_PORT)
+        listener = socket.socket(address.family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            listener.bind((host, port))
+            listener.bind(address.pair)
             listener.listen(LISTEN_BACKLOG)
         except OSError as error:
             listener.close()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -41,6 +41,8 @@
         ('host = "h1"', 'hots = "h1"', "did you mean 'host'?"),
         ('host = "h1"', "host = 3", "key 'host' is 3"),
         ("127.0.0.1:8000", "localhost:8000", "key 'addresses.callers'"),
+        # A digit that is no decimal one ended the start with a traceback.
+        ("127.0.0.1:8000", "127.0.0.1:\u00b2", "key 'addresses.callers'"),
         ("[platform]", "[platform]\ntimeout_s = -1", "key 'platform.timeout_s' is -1"),
         ('host = "h1"', 'host = "h1"\npeers = 3', "key 'peers' must be a table"),
     ],
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -297,3 +297,21 @@
         with pytest.raises(http_client.TransferError) as caught:
             send_post(pool)
         assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+# A port that is no number raised ValueError, which no caller expects: status 500, "may have run".
+@pytest.mark.parametrize("port", ["99999", "-5", "0", str(10**30), "9" * 5000, "\u00b2", "x"])
+def test_a_call_to_an_address_that_cannot_exist_fails_as_one_that_did_not_run(port):
+    pool = http_client.Pool(f"127.0.0.1:{port}", BODY_LIMIT)
+    with pytest.raises(http_client.TransferError) as caught:
+        send_post(pool)
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
+# A call to port 99,999 went to port 34,463 of that host.
+def test_a_call_to_a_port_out_of_range_reaches_no_other_port():
+    server = ScriptedServer(OK_RESPONSE)
+    host, _, port = server.address.rpartition(":")
+    with pytest.raises(http_client.TransferError):
+        send_post(http_client.Pool(f"{host}:{int(port) + 65_536}", BODY_LIMIT))
+    assert server.requests == []
