Check every field of an upstream's announcement

What could be seen: one announcement of another writer was enough. - An `address` that is a number, a list or null raised AttributeError, a `cold_remaining` or own field of a thousand levels RecursionError (the message quoted the whole value): status 500 and a traceback where 400 is meant. - `slots` of 2**32 and more were taken. They don't fit into a gossip message, so from then on each message that the node built raised ValueError: its links restarted again and again, and its answers to other nodes failed. The node was out of the fleet until it was restarted. - `seq` and `born` of 10**18 were taken, so all later reports of the upstream were late ones. A `seq` of 0 stood for "not sent" and replaced any other, also that of an older start. - Ports out of range, negative and endless times, a missing zone or version, ids that cannot go into a header field, one of any length.

Cause: each reader checked what it needed itself, by the errors that Python happens to raise, and nothing bounded a number by what is done with it later.

Change: upstreams.announcement.Announcement checks its own values, so it can be built with none that gossip, the gate or the HTTP client can't take; the parsers of both wire forms read typed fields (util.fields) and raise MalformedEntryError alone. Numbers of a start are milliseconds before the year 2100, so one in another unit outranks nothing. That a sequence wasn't sent is now None.

An announcement that can't be read is counted by the new metric bergamotridge_malformed_entries_total and gives the new event entry.malformed, each once a minute and at most 20 a minute; before, it was a log line each, of any length.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -39,7 +39,13 @@
     watch_election,
 )
 from bergamotridge.nodes import freshness as nodes_freshness
-from bergamotridge.operators import node_metrics, node_status, readiness, upstream_observer
+from bergamotridge.operators import (
+    malformed_entries,
+    node_metrics,
+    node_status,
+    readiness,
+    upstream_observer,
+)
 from bergamotridge.operators import port as operators_port
 from bergamotridge.store import (
     configuration,
@@ -96,6 +102,9 @@
         self.loop = loop.Loop("calls", node.limits.gather_s)
         self.metrics = metrics.Metrics()
         self.node_metrics = node_metrics.NodeMetrics(self.metrics, lambda: self.status.read())
+        self.malformed_entries = malformed_entries.MalformedEntries(
+            self.events, self.node_metrics.count_malformed_entry
+        )
         self._create_platform_parts()
         self._create_upstream_parts()
         self._create_node_parts()
@@ -297,7 +306,12 @@
             node_shutdown=self.shutdown,
         )
         upstream_port = upstreams_port.UpstreamPort(
-            self.live_calls, self.dispatcher, self._apply_announcement, self.routes, self.events
+            self.live_calls,
+            self.dispatcher,
+            self._apply_announcement,
+            self.routes,
+            self.events,
+            self.malformed_entries.report,
         )
         relay_port = relay.RelayPort(
             self.upstream,
@@ -309,7 +323,7 @@
         create_server = functools.partial(self._create_server, node.limits.body_bytes)
         limits, addresses = node.limits, node.addresses
         upstream_handler = self.environment.make_upstream_handler(
-            upstream_port.handle, self._apply_announcement
+            upstream_port.handle, self._apply_announcement, self.malformed_entries.report
         )
         self.upstream_server = create_server(
             "upstream", addresses.upstream, upstream_handler, limits.upstream_connections
--- a/bergamotridge/environment.py
+++ b/bergamotridge/environment.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bergamotridge import settings
+from bergamotridge import malformed, settings
 from bergamotridge.callers import dialect as callers_dialect
 from bergamotridge.operators import operator_text
 from bergamotridge.store import client, counted
@@ -20,8 +20,12 @@
     return client.ObjectClient(node.platform.address, node.platform.timeout_s)
 
 
-def _use_default_handler(handler: httpd.Handler, on_announcement: OnAnnouncement) -> httpd.Handler:
-    del on_announcement
+def _use_default_handler(
+    handler: httpd.Handler,
+    on_announcement: OnAnnouncement,
+    on_malformed: malformed.OnMalformed,
+) -> httpd.Handler:
+    del on_announcement, on_malformed
     return handler
 
 
@@ -37,7 +41,8 @@
         caller_dialect: Header fields used between callers and nodes.
         upstream_dialect: Header fields used between a node and its upstream.
         make_upstream_handler: Returns the handler of the port for the upstream; takes the default
-            handler and the function that applies announcements of the upstream.
+            handler, the function that applies announcements of the upstream, and the one that takes
+            reports of those that cannot be read.
         accepts_close_delimited: True if the end of the connection may mark the end of an upstream's
             response.
         service: Service of this host if the settings name it, else "".
@@ -54,8 +59,8 @@
     upstream_dialect: upstreams_dialect.UpstreamDialect = attrs.field(
         factory=upstreams_dialect.DefaultDialect
     )
-    make_upstream_handler: Callable[[httpd.Handler, OnAnnouncement], httpd.Handler] = (
-        _use_default_handler
-    )
+    make_upstream_handler: Callable[
+        [httpd.Handler, OnAnnouncement, malformed.OnMalformed], httpd.Handler
+    ] = _use_default_handler
     accepts_close_delimited: bool = False
     service: str = ""
--- a/bergamotridge/nodes/record.py
+++ b/bergamotridge/nodes/record.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+MAX_SLOTS = 1_000_000
+
 
 class State(enum.Enum):
     """State of an upstream from its announcements; LOST if none has come for too long.
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -10,6 +10,9 @@
     "configuration.accepted": "The node put a version of the operator's text into force.",
     "dependency.failed": "An upstream's call to a dependency failed; it may have run.",
     "dependency.refused": "An upstream's call to a dependency was refused and did not run.",
+    "entry.malformed": (
+        "An object, announcement or message of another process cannot be read and is skipped."
+    ),
     "key.withdrawn": "An operator withdrew a key through the node.",
     "member.changed": "The service or state of a host's upstream changed.",
     "member.forgotten": "A lost host was removed from the members.",
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -71,6 +71,10 @@
             "Bytes of control messages between nodes, by message and direction, without those of "
             "the transport.",
         )
+        self._malformed_entries = registry.counter(
+            f"{METRIC_PREFIX}malformed_entries_total",
+            "Entries of other processes that could not be read and were skipped, by source.",
+        )
         self._upstream_calls = registry.counter(
             f"{METRIC_PREFIX}upstream_calls_total", "Calls that were sent to the local upstream."
         ).labelled()
@@ -119,6 +123,10 @@
         """Counts a call that is sent to the local upstream."""
         self._upstream_calls.add()
 
+    def count_malformed_entry(self, source: str) -> None:
+        """Counts an entry that was skipped; see `malformed.MalformedEntry`."""
+        self._malformed_entries.add(source=source)
+
     def count_control_bytes(self, message: str, sent: int, received: int) -> None:
         """Counts the bytes of one control message and its answer, by name of the message."""
         self._control_bytes.add(sent, message=message, direction="sent")
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -2,16 +2,16 @@
 
 import time
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import attrs
 import orjson
 
-from bergamotridge import answer, call, errors, events, headers, verdict
+from bergamotridge import answer, call, errors, events, headers, malformed, verdict
 from bergamotridge.nodes import dispatch, record, routing
 from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.upstreams import dialect, live_calls
-from bergamotridge.util import addresses, cancellation, message
+from bergamotridge.util import cancellation, excerpt, fields, message
 
 ANNOUNCE_PATH = b"/_bergamotridge/announce"
 HEARTBEAT_S = 0.5
@@ -20,22 +20,7 @@
     "ready": record.State.READY,
     "draining": record.State.DRAINING,
 }
-_FIELD_TYPES: dict[str, tuple[type, ...]] = {
-    "service": (str,),
-    "address": (str,),
-    "state": (str,),
-    "incarnation": (int,),
-    "slots": (int,),
-    "connections": (int,),
-    "load": (int, float),
-}
-_VALUE_RULES: tuple[tuple[str, str, Callable[[Any], bool]], ...] = (
-    ("service", "a non-empty name", bool),
-    ("address", "IP:PORT", addresses.is_address),
-    ("slots", "at least 1", lambda value: value >= 1),
-    ("connections", "at least 1", lambda value: value >= 1),
-    ("load", "a number of at least 0", lambda value: 0 <= value < float("inf")),
-)
+_NUMBER_FIELDS = ("incarnation", "slots", "connections", "load")
 
 
 class Routes(Protocol):
@@ -55,6 +40,7 @@
         on_announcement: Callback, run with each announcement and the monotonic time in seconds.
         routes: Provider of the current route table.
         log: Event log for failed calls to dependencies.
+        on_malformed: Callback, run with a report of each announcement that cannot be read.
     """
 
     calls: live_calls.LiveCalls
@@ -62,6 +48,7 @@
     on_announcement: Callable[[announcements.Announcement, float], None]
     routes: Routes
     log: events.EventLog
+    on_malformed: malformed.OnMalformed = malformed.ignore
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one request of the upstream; used as handler of `httpd.Server`."""
@@ -83,7 +70,8 @@
     def _handle_announcement(self, request: message.Request) -> message.Response:
         try:
             announcement = parse_announcement(request.body)
-        except ValueError as error:
+        except errors.MalformedEntryError as error:
+            self.on_malformed(malformed.MalformedEntry(announcements.SOURCE, "", error))
             return message.Response(400, [], f"{error}\n".encode())
         self.on_announcement(announcement, time.monotonic())
         body = orjson.dumps({"heartbeat_s": HEARTBEAT_S})
@@ -157,24 +145,19 @@
 
 
 def parse_announcement(body: bytes) -> announcements.Announcement:
-    """Returns the announcement in a JSON body; raises ValueError with the invalid key."""
+    """Returns the announcement in a JSON body; raises MalformedEntryError with the invalid key."""
     try:
-        fields = orjson.loads(body)
+        report = fields.table("the body", orjson.loads(body))
     except orjson.JSONDecodeError as error:
-        raise ValueError(f"announcement: the body is not valid JSON: {error}") from error
-    if not isinstance(fields, dict):
-        raise ValueError("announcement: the body must be a JSON object")
-    for key, accepted_types in _FIELD_TYPES.items():
-        value = fields.get(key)
-        if not isinstance(value, accepted_types) or isinstance(value, bool):
-            accepted = " or ".join(accepted_type.__name__ for accepted_type in accepted_types)
-            raise ValueError(f"announcement: key '{key}' is {value!r}; accepted: {accepted}")
-    for key, accepted, is_valid in _VALUE_RULES:
-        if not is_valid(fields[key]):
-            raise ValueError(f"announcement: key '{key}' is {fields[key]!r}; accepted: {accepted}")
-    if fields["state"] not in _STATES:
-        raise ValueError(
-            f"announcement: key 'state' is {fields['state']!r}; accepted: {', '.join(_STATES)}"
+        raise errors.MalformedEntryError(f"the body is not valid JSON: {error}") from error
+    state = report.get("state")
+    if not isinstance(state, str) or state not in _STATES:
+        raise errors.MalformedEntryError(
+            f"'state' is {excerpt.quote(state)}; accepted: {', '.join(_STATES)}"
         )
-    values = {key: fields[key] for key in _FIELD_TYPES}
-    return announcements.Announcement(**{**values, "state": _STATES[fields["state"]]})
+    return announcements.Announcement(
+        service=fields.text("service", report.get("service")),
+        address=report.get("address"),
+        state=_STATES[state],
+        **{name: report.get(name) for name in _NUMBER_FIELDS},
+    )
--- a/tests/test_upstreams/test_port.py
+++ b/tests/test_upstreams/test_port.py
@@ -97,6 +97,13 @@
         (VALID_ANNOUNCEMENT.replace(b'"slots": 5', b'"slots": 0'), 400),
         (VALID_ANNOUNCEMENT.replace(b"127.0.0.1:1", b"localhost:1"), 400),
         (VALID_ANNOUNCEMENT.replace(b'"load": 0', b'"load": -1'), 400),
+        # Numbers too large for a gossip message ended all gossip of the node.
+        (VALID_ANNOUNCEMENT.replace(b'"slots": 5', b'"slots": 5000000000'), 400),
+        (VALID_ANNOUNCEMENT.replace(b'"slots": 5', b'"slots": ' + str(10**18).encode()), 400),
+        (VALID_ANNOUNCEMENT.replace(b'"load": 0', b'"load": 1e300'), 400),
+        (VALID_ANNOUNCEMENT.replace(b"127.0.0.1:1", b"127.0.0.1:99999"), 400),
+        # The message quoted the whole value, which has more levels than can be descended.
+        (VALID_ANNOUNCEMENT.replace(b'"load": 0', b'"load": ' + b"[" * 1000 + b"]" * 1000), 400),
         (b"[]", 400),
         (b"{", 400),
     ],
