Skip an odd object of the platform's store, and read the others

What could be seen: a node that no longer followed any change of a kind. One object without a name, with a revision that is missing, true, negative or no whole number, or one that is no object at all failed each listing of its kind, and a watch event without an object each watch. An object that is nested deeper than 254 levels was read and then written again, which raised TypeError outside the parser's error handling, so each round of that watch ended with a traceback. A revision of 10**18 was taken; all later configurations would have been old ones.

Cause: a list of objects was read as a whole, though its entries have several writers; and orjson reads 1,024 levels but writes 254.

An entry is skipped, and reported by CountedStore, if it has no printable name, no whole revision from 1 to that of the listing, or a value that cannot be written as JSON. So an entry never counts as newer than the store itself. A single read of such an object raises the new MalformedObjectError; it is a PlatformUnavailableError, as after a write it leaves the outcome open as before.

FakeObjects of the tests now returns the client's own Listing.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -114,7 +114,9 @@
     def _create_platform_parts(self) -> None:
         node = self.settings
         self.objects = counted.CountedStore(
-            self.environment.create_store(node), self.node_metrics.count_platform_request
+            self.environment.create_store(node),
+            self.node_metrics.count_platform_request,
+            self.malformed_entries.report,
         )
         self.routes = routing.CurrentRoutes()
         self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -55,6 +55,13 @@
     """The platform did not answer; a write may have taken effect or not."""
 
 
+class MalformedObjectError(PlatformUnavailableError):
+    """The platform answered with an object that cannot be read.
+
+    As an answer to a write it leaves the outcome open, as no answer does.
+    """
+
+
 class ConflictError(PlatformError):
     """A conditional update was refused because its version is not the current version.
 
--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -9,8 +9,9 @@
 import orjson
 import pycurl
 
-from bergamotridge import errors
-from bergamotridge.util import http_client
+from bergamotridge import errors, malformed
+from bergamotridge.store import readable
+from bergamotridge.util import fields, http_client
 
 _OK = 200
 _NOT_FOUND = 404
@@ -31,10 +32,17 @@
 
 @attrs.frozen
 class Listing:
-    """Objects of one kind, read at one version of the whole store."""
+    """Objects of one kind, read at one version of the whole store.
+
+    Attributes:
+        items: The objects that could be read.
+        version: The version of the store.
+        skipped: Reports of the objects that could not be read.
+    """
 
     items: tuple[StoredObject, ...]
     version: int
+    skipped: tuple[malformed.MalformedEntry, ...] = ()
 
 
 @attrs.frozen
@@ -251,27 +259,39 @@
 
 def _version_of(mapping: dict) -> int:
     version = mapping.get("version")
-    if not isinstance(version, int):
+    if type(version) is not int or not 0 <= version <= fields.MAX_INTEGER:
         raise errors.PlatformUnavailableError(
             "the platform's response has no version: try again, or check the platform's address"
         )
     return version
 
 
-def _decode_object(kind: str, mapping: dict) -> StoredObject:
-    name = mapping.get("name")
-    if not isinstance(name, str):
-        raise errors.PlatformUnavailableError(
-            "the platform's response has an object without a name: "
-            "try again, or check the platform's address"
-        )
-    return StoredObject(kind, name, _version_of(mapping), mapping.get("value"))
+def _decode_object(kind: str, entry: object, max_version: int = fields.MAX_INTEGER) -> StoredObject:
+    """Returns the object of an entry; raises MalformedObjectError if it cannot be read."""
+    try:
+        name = fields.text("name", readable.member(entry, "name"))
+        version = readable.member(entry, "version")
+        fields.whole_number("version", version, 1, max_version)
+    except errors.MalformedEntryError as error:
+        raise errors.MalformedObjectError(
+            f"the platform's response has an object that cannot be read: {error}"
+        ) from error
+    value = readable.member(entry, "value")
+    readable.check_value(value)
+    return StoredObject(kind, name, version, value)
 
 
 def _decode_listing(kind: str, mapping: dict) -> Listing:
     items = mapping.get("items")
-    if not isinstance(items, list) or not all(isinstance(item, dict) for item in items):
+    if not isinstance(items, list):
         raise errors.PlatformUnavailableError(
             "the platform's response has no items: try again, or check the platform's address"
         )
-    return Listing(tuple(_decode_object(kind, item) for item in items), _version_of(mapping))
+    version = _version_of(mapping)
+    read = readable.decode_each(
+        kind,
+        items,
+        lambda entry: _decode_object(kind, entry, version),
+        lambda entry: readable.member(entry, "name"),
+    )
+    return Listing(read.items, version, read.skipped)
--- a/bergamotridge/store/counted.py
+++ b/bergamotridge/store/counted.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
-from bergamotridge import errors
+from bergamotridge import errors, malformed
 from bergamotridge.store import client, objects
 
 OK = "ok"
 NOT_FOUND = "not-found"
 CONFLICT = "conflict"
 UNAVAILABLE = "unavailable"
+MALFORMED = "malformed"
 REFUSED = "refused"
 
 Result = TypeVar("Result")
@@ -30,25 +31,40 @@
 class CountedStore:
     """Passes all requests on to another client and counts them."""
 
-    def __init__(self, inner: WatchableObjects, count_request: CountRequest) -> None:
+    def __init__(
+        self,
+        inner: WatchableObjects,
+        count_request: CountRequest,
+        on_malformed: malformed.OnMalformed = malformed.ignore,
+    ) -> None:
         """Wraps a client.
 
         Args:
             inner: Client that sends the requests.
             count_request: Called with kind, operation and result once a request has ended.
+            on_malformed: Called with a report of each object that cannot be read.
         """
         self._inner = inner
         self._count_request = count_request
+        self._on_malformed = on_malformed
 
     def get(self, kind: str, name: str, *, eventual: bool = False) -> client.StoredObject:
         """Returns an object; see `objects.Objects`."""
         operation = "get-stale" if eventual else "get"
-        return self._count(kind, operation, lambda: self._inner.get(kind, name, eventual=eventual))
+        try:
+            return self._count(
+                kind, operation, lambda: self._inner.get(kind, name, eventual=eventual)
+            )
+        except errors.MalformedObjectError as error:
+            self._on_malformed(malformed.MalformedEntry(kind, name, error))
+            raise
 
     def list(self, kind: str, *, eventual: bool = False) -> client.Listing:
         """Returns all objects of a kind; see `objects.Objects`."""
         operation = "list-stale" if eventual else "list"
-        return self._count(kind, operation, lambda: self._inner.list(kind, eventual=eventual))
+        return self._report(
+            self._count(kind, operation, lambda: self._inner.list(kind, eventual=eventual))
+        )
 
     def put(self, kind: str, name: str, value: object, version: int) -> int:
         """Writes an object; see `objects.Objects`."""
@@ -61,12 +77,19 @@
     def watch(self, kind: str, since: int, wait_s: float) -> client.Listing:
         """Waits for changes of a kind; a watch that does not wait counts as a read."""
         operation = "watch" if wait_s else "read"
-        return self._count(kind, operation, lambda: self._inner.watch(kind, since, wait_s))
+        return self._report(
+            self._count(kind, operation, lambda: self._inner.watch(kind, since, wait_s))
+        )
 
     def close(self) -> None:
         """Cancels requests in flight."""
         self._inner.close()
 
+    def _report(self, listing: client.Listing) -> client.Listing:
+        for entry in listing.skipped:
+            self._on_malformed(entry)
+        return listing
+
     def _count(self, kind: str, operation: str, send: Callable[[], Result]) -> Result:
         result = REFUSED
         try:
@@ -79,6 +102,9 @@
         except errors.ConflictError:
             result = CONFLICT
             raise
+        except errors.MalformedObjectError:
+            result = MALFORMED
+            raise
         except errors.PlatformUnavailableError:
             result = UNAVAILABLE
             raise
--- a/tests/fake_objects.py
+++ b/tests/fake_objects.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bergamotridge import errors
+from bergamotridge.store import client
 from standins import store
 
 
@@ -52,7 +53,8 @@
 
     def list(self, kind, *, eventual=False):
         self._count_read()
-        return self._shared.list(kind)
+        listing = self._shared.list(kind)
+        return client.Listing(tuple(listing.items), listing.version)
 
     def put(self, kind, name, value, version):
         self.writes += 1
