Leave odd seed addresses out

What could be seen: an object among the seed addresses with a port out of range, a name or any other text as its address was handed to the peers. A node that knew no other dialled it again and again between the others, and nothing told on-call of it. The gossip tasks did not end by it: gRPC answers calls to such targets with UNAVAILABLE or UNKNOWN (tried with ports 99,999, -5 and 10**30, an empty text, a NUL, unix: and dns: targets), though it also resolves the names among them and opens the sockets.

Change: the task reads each object by itself, takes only addresses that util.addresses accepts, and reports the others, also objects without address.

Test: test_bootstrap.py::test_an_odd_seed_address_is_left_out_and_the_others_hold; on the cases with a text as address failed.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -249,6 +249,7 @@
                 election,
                 bootstrap.BootstrapTimings(),
                 self._rng,
+                self.malformed_entries.report,
             ),
         ]
         if not self.environment.keys_in_text:
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -8,10 +8,10 @@
 import attrs
 import logbook
 
-from bergamotridge import errors
+from bergamotridge import errors, malformed
 from bergamotridge.nodes import membership, watch_election
 from bergamotridge.store import client
-from bergamotridge.util import backoff
+from bergamotridge.util import addresses, backoff, fields
 
 KIND = "nodes"
 ADDRESS_KEY = "address"
@@ -62,6 +62,7 @@
         election: watch_election.WatchElection,
         timings: BootstrapTimings,
         rng: random.Random,
+        on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
         """Creates the task without starting it.
 
@@ -72,8 +73,10 @@
             election: Gives the rank of this node if it is elected; each such rank has an object.
             timings: Intervals of the task.
             rng: Source of jitter.
+            on_malformed: Called with a report of each object without a usable address.
         """
         self._platform = platform
+        self._on_malformed = on_malformed
         self._members = members
         self._on_addresses = on_addresses
         self._election = election
@@ -132,16 +135,16 @@
         The address is written at most once, and read before and after that: hosts that boot
         together write at about the same time, so the one that reads last gets all addresses.
         """
-        addresses = self._read(eventual=True)
+        found = self._read(eventual=True)
         self._reads_alone += 1
         should_write = self._reads_alone > self._timings.reads_before_write or (
-            self._is_first_writer and not addresses
+            self._is_first_writer and not found
         )
         if should_write and not self._has_announced:
             self._has_announced = True
             self._announce()
-            addresses = self._read(eventual=False)
-        self._on_addresses(addresses)
+            found = self._read(eventual=False)
+        self._on_addresses(found)
 
     def _announce(self) -> None:
         """Writes the own address under a rank at random; an address that is stored there stays.
@@ -162,13 +165,19 @@
 
     def _read(self, *, eventual: bool) -> list[str]:
         items = self._platform.list(KIND, eventual=eventual).items
-        values = [item.value for item in items if isinstance(item.value, dict)]
         own = self._members.own.control_address
-        return [
-            value[ADDRESS_KEY]
-            for value in values
-            if isinstance(value.get(ADDRESS_KEY), str) and value[ADDRESS_KEY] != own
-        ]
+        found = [self._read_address(item) for item in items]
+        return [address for address in found if address not in (None, own)]
+
+    def _read_address(self, item: client.StoredObject) -> str | None:
+        """Returns the address in an object, None if it has none that can be used."""
+        try:
+            address = fields.table("the object", item.value).get(ADDRESS_KEY)
+            addresses.parse(address)
+        except errors.MalformedEntryError as error:
+            self._on_malformed(malformed.MalformedEntry(KIND, item.name, error))
+            return None
+        return address
 
     def _write(self, name: str) -> None:
         version = 0
--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+from bergamotridge import malformed
 from bergamotridge.nodes import bootstrap, membership, peers, watch_election
 from bergamotridge.store import client
 from tests.test_nodes import fleet
@@ -12,14 +15,18 @@
 HOSTS = 12
 
 
-def _create_task(server, host: str, port: int, on_addresses, nodes_per_domain: int):
+def _create_task(
+    server, host: str, port: int, on_addresses, nodes_per_domain: int, on_malformed=malformed.ignore
+):
     members = membership.Membership(fleet.own_record(host, port), membership.MembershipTimings())
     rng = random.Random(port)
     chooser = peers.PeerChooser(members, (), rng)
     platform_client = client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
     election = watch_election.WatchElection(members, chooser, nodes_per_domain)
     return (
-        bootstrap.Bootstrap(platform_client, members, on_addresses, election, FAST, rng),
+        bootstrap.Bootstrap(
+            platform_client, members, on_addresses, election, FAST, rng, on_malformed
+        ),
         platform_client,
     )
 
@@ -61,3 +68,34 @@
     for task, task_client in tasks:
         task.stop()
         task_client.close()
+
+
+# Such an address was dialled again and again among the others, without a word to operators.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"host": "x"},
+        {"address": "127.0.0.1:99999"},
+        {"address": f"127.0.0.1:{10**30}"},
+        {"address": "127.0.0.1:-5"},
+        {"address": ["127.0.0.1:5"]},
+        {"address": "\0"},
+        {"address": None},
+        "127.0.0.1:5",
+        ["address"],
+        7,
+    ],
+)
+def test_an_odd_seed_address_is_left_out_and_the_others_hold(server, odd):
+    writer = client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
+    writer.put("nodes", "odd", odd, 0)
+    writer.put("nodes", "a.0", {"address": "127.0.0.1:1"}, 0)
+    writer.close()
+    found, reports = set(), []
+    task, task_client = _create_task(server, "h2", 2, found.update, 1, reports.append)
+    task.start()
+    fleet.wait_for(lambda: found)
+    task.stop()
+    task_client.close()
+    assert found == {"127.0.0.1:1"}
+    assert {(report.source, report.name) for report in reports} == {("nodes", "odd")}
