Skip an odd object among those that a peer sends, and read the others

What could be seen: one value that is no JSON in the answer of a peer ended the task that fetches replicas, with all other objects of that answer; it started anew a second later and met the same answer. A configuration object without a text was kept as it was: one of more than 254 levels could be read but not passed on, so each peer that asked for the configuration got an error, and one whose change id had a thousand levels ended the watch with RecursionError after each read.

Change: each fetched object is decoded by itself, and is skipped if its version is not from 1 to that of the answer or its value can't be read or written again. A configuration without a text goes on to peers as one without a value, which is all they need. A change id that is no text counts as none.

--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -12,6 +12,7 @@
 import logbook
 import orjson
 
+from bergamotridge import errors, malformed
 from bergamotridge.nodes import (
     control,
     exchange,
@@ -23,7 +24,8 @@
     record,
     traffic,
 )
-from bergamotridge.store import client, replica
+from bergamotridge.store import client, readable, replica
+from bergamotridge.util import fields
 
 _log = logbook.Logger(__name__)
 
@@ -73,6 +75,7 @@
         timings: GossipTimings,
         rng: random.Random,
         count_bytes: traffic.CountBytes = traffic.ignore_bytes,
+        on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
         """Creates the tasks without starting them.
 
@@ -85,7 +88,9 @@
             timings: Intervals and time limits.
             rng: Source of jitter.
             count_bytes: Counts the bytes of the messages.
+            on_malformed: Called with a report of each fetched object that cannot be read.
         """
+        self._on_malformed = on_malformed
         self._members = members
         self._chooser = chooser
         self._count_bytes = count_bytes
@@ -280,7 +285,10 @@
             request = gossip_pb2.FetchRequest(kind=kind, since=previous_version)
             response = stub.Fetch(request, timeout=FETCH_TIMEOUT_S)
             self._count_bytes("fetch", request.ByteSize(), response.ByteSize())
-            local_replica.apply_listing(_decode_listing(kind, response))
+            listing = _decode_listing(kind, response)
+            for entry in listing.skipped:
+                self._on_malformed(entry)
+            local_replica.apply_listing(listing)
 
 
 class _Servicer(gossip_pb2_grpc.GossipServicer):
@@ -316,13 +324,25 @@
 
 
 def _decode_listing(kind: str, response: gossip_pb2.FetchResponse) -> client.Listing:
-    items = tuple(
-        client.StoredObject(
-            kind, item.name, item.version, orjson.loads(item.value) if item.value else None
-        )
-        for item in response.objects
+    read = readable.decode_each(
+        kind,
+        response.objects,
+        lambda item: _decode_object(kind, item, response.version),
+        lambda item: item.name,
     )
-    return client.Listing(items, response.version)
+    return client.Listing(read.items, response.version, read.skipped)
+
+
+def _decode_object(
+    kind: str, item: gossip_pb2.FetchedObject, max_version: int
+) -> client.StoredObject:
+    try:
+        fields.whole_number("version", item.version, 1, min(max_version, fields.MAX_INTEGER))
+        value = orjson.loads(item.value) if item.value else None
+    except (errors.MalformedEntryError, orjson.JSONDecodeError) as error:
+        raise errors.MalformedObjectError(f"a peer's object cannot be read: {error}") from error
+    readable.check_value(value)
+    return client.StoredObject(kind, item.name, item.version, value)
 
 
 def _wall_clock_ms() -> int:
--- a/bergamotridge/store/configuration.py
+++ b/bergamotridge/store/configuration.py
@@ -125,7 +125,8 @@
             if item.name != NAME:
                 continue
             if isinstance(value.get(TEXT_KEY), str):
-                change_id = str(value.get(CHANGE_KEY, ""))
+                given_id = value.get(CHANGE_KEY)
+                change_id = given_id if isinstance(given_id, str) else ""
                 changed = self.apply_version(item.version, value[TEXT_KEY], change_id) or changed
             else:
                 self._reject_without_text(item)
@@ -135,7 +136,8 @@
         """Rejects an object that was deleted or has no text; the earlier text stays in force."""
         with self._lock:
             if item.version > self._latest.version:
-                self._latest = _single_listing(item.version, item.value)
+                # Other nodes need no more than to know that this version has no text.
+                self._latest = _single_listing(item.version, None)
                 self._rejection_reason = (
                     f"{KIND} version {item.version} has no text; apply a text to replace it"
                 )
