Skip an odd record or stamp in a gossip message, and take the others

What could be seen: - A record of this node's own host with an incarnation of 2**64 - 1 made the node publish 2**64, which fits into no message: each message that it built raised ValueError, so all its gossip failed until the restart, and the next process met the same record. - A clock stamp of 10**18 milliseconds was taken by the clock, which never goes back, and so passed on to every node; a longer one doesn't fit into the JSON of the header by which calls are relayed. A stamp that is no number ended the exchange with that peer. - Records with addresses that are none, a port out of range, an endless load or names of any length were kept and passed on.

Cause: what another node sends was taken as far as its protocol buffer type reaches, and some numbers are raised by one before they are sent on.

Change: record.check bounds each value of a record, and exchange skips and reports what doesn't hold; briefs of a skipped record are left out too, as they would ask for the whole log with each message. A record of the own host with a version near the end of the range is refuted by a higher incarnation. hlc.parse bounds time and counter. Hosts, failure domains and regions in the settings are held to what other nodes accept, so that a node with such a name is told at its start and not ignored by the others.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -170,12 +170,20 @@
         self.gossip = gossip.Gossip(
             self.members,
             peer_chooser,
-            exchange.Exchange(self.members, replicas, self.keys, session, self.events.clock),
+            exchange.Exchange(
+                self.members,
+                replicas,
+                self.keys,
+                session,
+                self.events.clock,
+                on_malformed=self.malformed_entries.report,
+            ),
             replicas,
             self.channels,
             gossip.GossipTimings(interval_s=node.peers.interval_s, links=node.peers.fanout),
             self._rng,
             self.node_metrics.count_control_bytes,
+            self.malformed_entries.report,
         )
         self._create_platform_readers(replicas, peer_chooser)
         self.thresholds = shedding.ThresholdTable()
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -12,13 +12,16 @@
 import attrs
 import xxhash
 
+from bergamotridge import errors, malformed
 from bergamotridge.nodes import change_log, gossip_pb2, membership, record
 from bergamotridge.store import replica
-from bergamotridge.util import hlc
+from bergamotridge.util import fields, hlc
 
 MAX_UPDATES_PER_MESSAGE = 150
 MAX_WITHDRAWALS_PER_MESSAGE = 500
 MAX_CURSORS = 256
+MAX_SKIPPED_HOSTS = 256
+SOURCE = "gossip"  # Of records and stamps that cannot be read.
 # Consecutive messages without updates but with different checksums, before all is sent again.
 MISMATCHES_UNTIL_RESYNC = 5
 
@@ -94,6 +97,7 @@
         session: int,
         clock: hlc.HybridClock | None = None,
         max_updates: int = MAX_UPDATES_PER_MESSAGE,
+        on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
         """Initializes the exchange without any cursor.
 
@@ -104,7 +108,11 @@
             session: Random number that identifies this process, not 0.
             clock: Hybrid logical clock whose stamps are sent with the messages.
             max_updates: Maximum number of membership updates in one message.
+            on_malformed: Called with a report of each record that cannot be read.
         """
+        self._on_malformed = on_malformed
+        # Hosts whose latest record could not be read, oldest first; the values are not used.
+        self._skipped_hosts: dict[str, None] = {}
         self._members = members
         self._replicas = tuple(replicas)
         self._withdrawals = withdrawals
@@ -149,8 +157,7 @@
 
     def process_message(self, message: gossip_pb2.GossipMessage, now: float) -> ReceiveResult:
         """Processes a message from a peer; `now` is monotonic time in seconds."""
-        if self._clock is not None and message.stamp:
-            self._clock.observe(hlc.parse(message.stamp))
+        self._observe_stamp(message)
         with self._lock:
             cursor = self._get_or_create_cursor(message)
             self._update_confirmed_sequence(cursor, message)
@@ -168,6 +175,14 @@
         )
         return ReceiveResult(message.session, stale_replicas, message.more)
 
+    def _observe_stamp(self, message: gossip_pb2.GossipMessage) -> None:
+        if self._clock is None or not message.stamp:
+            return
+        try:
+            self._clock.observe(hlc.parse(message.stamp))
+        except ValueError as error:
+            self._on_malformed(malformed.MalformedEntry(SOURCE, message.host, error))
+
     def _add_updates(self, message: gossip_pb2.GossipMessage, cursor: _Cursor | None) -> None:
         message.checksum = self._members.checksum
         if cursor is None:
@@ -219,8 +234,7 @@
     def _merge_updates(
         self, cursor: _Cursor, message: gossip_pb2.GossipMessage, now: float
     ) -> None:
-        updates = [_decode_record(item) for item in message.records]
-        updates += [_decode_brief(item) for item in message.briefs]
+        updates = self._read_updates(message)
         complete = self._members.merge(updates, message.host, now)
         if not complete:
             cursor.received_sequence = 0
@@ -232,6 +246,37 @@
         if cursor.checksum_mismatches >= MISMATCHES_UNTIL_RESYNC:
             cursor.checksum_mismatches = cursor.confirmed_sequence = cursor.received_sequence = 0
 
+    def _read_updates(
+        self, message: gossip_pb2.GossipMessage
+    ) -> list[change_log.RecordUpdate | change_log.BriefUpdate]:
+        """Returns the updates in a message, without those that cannot be read.
+
+        Left out are also the briefs of a host whose record was: this node would ask for its details
+        with each message.
+        """
+        updates: list[change_log.RecordUpdate | change_log.BriefUpdate] = []
+        for item in message.records:
+            try:
+                updates.append(_decode_record(item))
+                self._skipped_hosts.pop(item.host, None)
+            except errors.MalformedEntryError as error:
+                self._skip_host(item.host)
+                self._on_malformed(malformed.MalformedEntry(SOURCE, item.host, error))
+        for item in message.briefs:
+            try:
+                brief = _decode_brief(item)
+            except errors.MalformedEntryError as error:
+                self._on_malformed(malformed.MalformedEntry(SOURCE, item.host, error))
+                continue
+            if brief.host not in self._skipped_hosts:
+                updates.append(brief)
+        return updates
+
+    def _skip_host(self, host: str) -> None:
+        self._skipped_hosts[host] = None
+        if len(self._skipped_hosts) > MAX_SKIPPED_HOSTS:
+            del self._skipped_hosts[next(iter(self._skipped_hosts))]
+
 
 def _add_item(
     message: gossip_pb2.GossipMessage, item: change_log.RecordUpdate | change_log.BriefUpdate
@@ -259,10 +304,15 @@
         control_address=item.control_address,
         operators_address=item.operators_address,
     )
+    record.check(decoded)
+    record.check_order(item.incarnation, item.detail_version)
     return change_log.RecordUpdate(decoded, item.detail_version, item.suspected)
 
 
 def _decode_brief(item: gossip_pb2.MemberBrief) -> change_log.BriefUpdate:
+    record.check_order(item.incarnation, item.version)
+    record.check_order(item.incarnation, item.detail_version)
+    fields.number("load", item.load, 0.0, record.MAX_LOAD)
     return change_log.BriefUpdate(
         item.host,
         item.incarnation,
--- a/bergamotridge/nodes/membership.py
+++ b/bergamotridge/nodes/membership.py
@@ -12,6 +12,7 @@
 import attrs
 
 from bergamotridge.nodes import change_log, record
+from bergamotridge.util import fields
 
 MISSED_HEARTBEATS_UNTIL_LOST = 3
 
@@ -299,10 +300,13 @@
         own = self.own
         if received_order < own.order or (received_order == own.order and not suspected):
             return
-        incarnation = (
-            received_order[0] if received_order[0] == own.incarnation else received_order[0] + 1
-        )
-        version = max(received_order[1], own.version)
+        incarnation, version = received_order
+        if incarnation != own.incarnation or version >= record.MAX_REFUTED_VERSION:
+            incarnation = min(incarnation + 1, fields.MAX_START_MS)
+        # A version beyond the one that others accept would outrank whatever this host publishes.
+        if incarnation > received_order[0]:
+            version = own.version
+        version = max(version, own.version)
         self._log.get(self._host).record = attrs.evolve(
             own, incarnation=incarnation, version=version
         )
--- a/bergamotridge/nodes/record.py
+++ b/bergamotridge/nodes/record.py
@@ -4,7 +4,12 @@
 
 import attrs
 
+from bergamotridge.util import addresses, fields
+
 MAX_SLOTS = 1_000_000
+MAX_LOAD = 1_000_000.0
+# Records above this version are refuted by a higher incarnation, not by a higher version.
+MAX_REFUTED_VERSION = 2**62
 
 
 class State(enum.Enum):
@@ -57,3 +62,33 @@
     def order(self) -> tuple[int, int]:
         """Sort key among the records of the same host."""
         return (self.incarnation, self.version)
+
+
+def check(item: UpstreamRecord) -> None:
+    """Checks a record that another process sent.
+
+    A value that does not fit into a message would end each message that passes the record on.
+
+    Raises:
+        MalformedEntryError: A value is out of its range, or an address is not one.
+    """
+    fields.text("host", item.host)
+    fields.text("failure_domain", item.failure_domain)
+    fields.text("region", item.region)
+    fields.text("service", item.service, min_length=0)
+    check_order(item.incarnation, item.version)
+    fields.whole_number("slots", item.slots, 0, MAX_SLOTS)
+    fields.number("load", item.load, 0.0, MAX_LOAD)
+    addresses.parse(item.relay_address)
+    addresses.parse(item.control_address)
+    if item.operators_address:
+        addresses.parse(item.operators_address)
+
+
+def check_order(incarnation: int, version: int) -> None:
+    """Checks the numbers that order records; raises MalformedEntryError.
+
+    A host publishes a higher number than any that it receives for itself, so there is room above.
+    """
+    fields.whole_number("incarnation", incarnation, 0, fields.MAX_START_MS)
+    fields.whole_number("version", version, 0, fields.MAX_INTEGER)
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.util import addresses, suggestion, text_files
+from bergamotridge.util import addresses, fields, suggestion, text_files
 
 
 def _setting(default: object, help_text: str, accepted: str, check=None) -> typing.Any:
@@ -28,6 +28,11 @@
     return _setting(default, help_text, "a non-empty string", bool)
 
 
+def _name(default: str, help_text: str) -> typing.Any:
+    accepted = f"printable text of 1 to {fields.MAX_NAME_LENGTH} characters"
+    return _setting(default, help_text, accepted, fields.is_text)
+
+
 def _addresses(help_text: str) -> typing.Any:
     return _setting(
         (),
@@ -190,9 +195,9 @@
 class NodeSettings:
     """All settings of `bergamotridge node`."""
 
-    host: str = _non_empty_string("", "name of this host, unique in the fleet")
-    failure_domain: str = _non_empty_string("", "failure domain of this host")
-    region: str = _non_empty_string("default", "region of this host")
+    host: str = _name("", "name of this host, unique in the fleet")
+    failure_domain: str = _name("", "failure domain of this host")
+    region: str = _name("default", "region of this host")
     fleet_secret: str = _non_empty_string("", "secret shared by all nodes and the operators")
     log_level: str = _setting(
         "INFO",
@@ -228,16 +233,16 @@
 
 def _parse_table(source: str, prefix: str, cls: type, table: dict) -> typing.Any:
     """Returns an instance of `cls`; `prefix` is put before the keys in error messages."""
-    fields = attrs.fields_dict(cls)
-    unknown = sorted(set(table) - set(fields))
+    cls_fields = attrs.fields_dict(cls)
+    unknown = sorted(set(table) - set(cls_fields))
     if unknown:
-        known = ", ".join(sorted(fields))
+        known = ", ".join(sorted(cls_fields))
         raise errors.SettingsError(
             f"{source}: unknown key '{prefix}{unknown[0]}'; accepted: {known}"
-            f"{suggestion.hint(unknown[0], fields)}"
+            f"{suggestion.hint(unknown[0], cls_fields)}"
         )
     values = {}
-    for name, field in fields.items():
+    for name, field in cls_fields.items():
         key = prefix + name
         if attrs.has(field.type):
             if not isinstance(table.get(name, {}), dict):
--- a/bergamotridge/upstreams/announcement.py
+++ b/bergamotridge/upstreams/announcement.py
@@ -10,7 +10,6 @@
 
 SOURCE = "announcement"  # Of announcements that cannot be read.
 MAX_CONNECTIONS = 1_000_000
-MAX_LOAD = 1_000_000.0
 MAX_SEQUENCE = 2**31 - 1
 
 
@@ -29,7 +28,7 @@
 
 
 def _check_load(_: object, attribute: attrs.Attribute, value: object) -> None:
-    fields.number(attribute.name, value, 0.0, MAX_LOAD)
+    fields.number(attribute.name, value, 0.0, record.MAX_LOAD)
 
 
 @attrs.frozen
--- a/bergamotridge/util/fields.py
+++ b/bergamotridge/util/fields.py
@@ -45,8 +45,7 @@
     Raises:
         MalformedEntryError: `value` is anything else, or shorter than `min_length`.
     """
-    has_length = isinstance(value, str) and min_length <= len(value) <= MAX_NAME_LENGTH
-    if has_length and value.isprintable():
+    if is_text(value, min_length=min_length):
         return value
     raise errors.MalformedEntryError(
         f"'{name}' is {excerpt.quote(value)}; accepted: printable text of {min_length} to "
@@ -54,6 +53,12 @@
     )
 
 
+def is_text(value: object, *, min_length: int = 1) -> bool:
+    """Returns True if `text` accepts a value."""
+    has_length = isinstance(value, str) and min_length <= len(value) <= MAX_NAME_LENGTH
+    return has_length and value.isprintable()
+
+
 def table(name: str, value: object) -> dict:
     """Returns a value that is a JSON object; raises MalformedEntryError if it is not."""
     if isinstance(value, dict):
--- a/bergamotridge/util/hlc.py
+++ b/bergamotridge/util/hlc.py
@@ -5,6 +5,10 @@
 
 import attrs
 
+from bergamotridge.util import fields
+
+MAX_COUNTER = 2**53
+
 
 @functools.total_ordering
 @attrs.frozen(eq=True, order=False)
@@ -32,7 +36,22 @@
     """Parses the output of `str(stamp)`; raises ValueError if `text` has another form."""
     clock, _, host = text.partition("@")
     millis, _, counter = clock.partition(".")
-    return Stamp(int(millis), int(counter), host)
+    return received(int(millis), int(counter), host)
+
+
+def received(millis: object, counter: object, host: str) -> Stamp:
+    """Returns a stamp that another process sent.
+
+    A clock never goes back, so it would keep a time that is far too late, and pass it on.
+
+    Raises:
+        ValueError: The time or the counter is not a whole number, or out of range.
+    """
+    if type(millis) is not int or type(counter) is not int:
+        raise ValueError("the milliseconds and the counter of a time stamp must be integers")
+    if not (0 <= millis <= fields.MAX_START_MS and 0 <= counter <= MAX_COUNTER):
+        raise ValueError("the milliseconds or the counter of a time stamp are out of range")
+    return Stamp(millis, counter, host)
 
 
 class HybridClock:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -40,6 +40,9 @@
         ('host = "h1"', 'hots = "h1"', "unknown key 'hots'"),
         ('host = "h1"', 'hots = "h1"', "did you mean 'host'?"),
         ('host = "h1"', "host = 3", "key 'host' is 3"),
+        # Other nodes skip the records of a host with such a name.
+        ('host = "h1"', 'host = "a\\nb"', "key 'host' is"),
+        ('host = "h1"', f'host = "{"h" * 300}"', "key 'host' is"),
         ("127.0.0.1:8000", "localhost:8000", "key 'addresses.callers'"),
         # A digit that is no decimal one ended the start with a traceback.
         ("127.0.0.1:8000", "127.0.0.1:\u00b2", "key 'addresses.callers'"),
