--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -39,7 +39,13 @@
     watch_election,
 )
 from bergamotridge.nodes import freshness as nodes_freshness
-from bergamotridge.operators import node_metrics, node_status, readiness, upstream_observer
+from bergamotridge.operators import (
+    malformed_entries,
+    node_metrics,
+    node_status,
+    readiness,
+    upstream_observer,
+)
 from bergamotridge.operators import port as operators_port
 from bergamotridge.store import (
     configuration,
@@ -96,6 +102,9 @@
         self.loop = loop.Loop("calls", node.limits.gather_s)
         self.metrics = metrics.Metrics()
         self.node_metrics = node_metrics.NodeMetrics(self.metrics, lambda: self.status.read())
+        self.malformed_entries = malformed_entries.MalformedEntries(
+            self.events, self.node_metrics.count_malformed_entry
+        )
         self._create_platform_parts()
         self._create_upstream_parts()
         self._create_node_parts()
@@ -105,7 +114,9 @@
     def _create_platform_parts(self) -> None:
         node = self.settings
         self.objects = counted.CountedStore(
-            self.environment.create_store(node), self.node_metrics.count_platform_request
+            self.environment.create_store(node),
+            self.node_metrics.count_platform_request,
+            self.malformed_entries.report,
         )
         self.routes = routing.CurrentRoutes()
         self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
@@ -159,12 +170,20 @@
         self.gossip = gossip.Gossip(
             self.members,
             peer_chooser,
-            exchange.Exchange(self.members, replicas, self.keys, session, self.events.clock),
+            exchange.Exchange(
+                self.members,
+                replicas,
+                self.keys,
+                session,
+                self.events.clock,
+                on_malformed=self.malformed_entries.report,
+            ),
             replicas,
             self.channels,
             gossip.GossipTimings(interval_s=node.peers.interval_s, links=node.peers.fanout),
             self._rng,
             self.node_metrics.count_control_bytes,
+            self.malformed_entries.report,
         )
         self._create_platform_readers(replicas, peer_chooser)
         self.thresholds = shedding.ThresholdTable()
@@ -238,6 +257,7 @@
                 election,
                 bootstrap.BootstrapTimings(),
                 self._rng,
+                self.malformed_entries.report,
             ),
         ]
         if not self.environment.keys_in_text:
@@ -297,7 +317,12 @@
             node_shutdown=self.shutdown,
         )
         upstream_port = upstreams_port.UpstreamPort(
-            self.live_calls, self.dispatcher, self._apply_announcement, self.routes, self.events
+            self.live_calls,
+            self.dispatcher,
+            self._apply_announcement,
+            self.routes,
+            self.events,
+            self.malformed_entries.report,
         )
         relay_port = relay.RelayPort(
             self.upstream,
@@ -309,7 +334,7 @@
         create_server = functools.partial(self._create_server, node.limits.body_bytes)
         limits, addresses = node.limits, node.addresses
         upstream_handler = self.environment.make_upstream_handler(
-            upstream_port.handle, self._apply_announcement
+            upstream_port.handle, self._apply_announcement, self.malformed_entries.report
         )
         self.upstream_server = create_server(
             "upstream", addresses.upstream, upstream_handler, limits.upstream_connections
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -55,6 +55,13 @@
     """The platform did not answer; a write may have taken effect or not."""
 
 
+class MalformedObjectError(PlatformUnavailableError):
+    """The platform answered with an object that cannot be read.
+
+    As an answer to a write it leaves the outcome open, as no answer does.
+    """
+
+
 class ConflictError(PlatformError):
     """A conditional update was refused because its version is not the current version.
 
@@ -71,6 +78,12 @@
     """The object does not exist on the platform."""
 
 
+class MalformedEntryError(BergamotridgeError):
+    """An entry, record or message of another process cannot be read and is skipped."""
+
+    category = Category.NODE
+
+
 class OperatorPortError(BergamotridgeError):
     """The operators' port of a node refused a request or could not be reached."""
 
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -1,12 +1,11 @@
 """Settings of a node: declares each key with default, unit and accepted values."""
 
-import ipaddress
 import typing
 
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.util import suggestion, text_files
+from bergamotridge.util import addresses, fields, suggestion, text_files
 
 
 def _setting(default: object, help_text: str, accepted: str, check=None) -> typing.Any:
@@ -15,20 +14,8 @@
     )
 
 
-def is_address(value: object) -> bool:
-    """Returns True for ``IP:PORT``; an IPv6 address may be in brackets."""
-    if not isinstance(value, str):
-        return False
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isdigit() and 0 < int(port) < 65536
-
-
 def _address(help_text: str) -> typing.Any:
-    return _setting("", help_text, "IP:PORT, such as 10.0.0.5:8000", is_address)
+    return _setting("", help_text, "IP:PORT, such as 10.0.0.5:8000", addresses.is_address)
 
 
 def _number(default: float, help_text: str, low: float, high: float) -> typing.Any:
@@ -41,18 +28,26 @@
     return _setting(default, help_text, "a non-empty string", bool)
 
 
+def _name(default: str, help_text: str) -> typing.Any:
+    accepted = f"printable text of 1 to {fields.MAX_NAME_LENGTH} characters"
+    return _setting(default, help_text, accepted, fields.is_text)
+
+
 def _addresses(help_text: str) -> typing.Any:
     return _setting(
         (),
         help_text,
         'a list of "IP:PORT"',
-        lambda value: all(is_address(item) for item in value),
+        lambda value: all(addresses.is_address(item) for item in value),
     )
 
 
 def _optional_address(help_text: str) -> typing.Any:
     return _setting(
-        "", help_text, "IP:PORT, or an empty string", lambda value: not value or is_address(value)
+        "",
+        help_text,
+        "IP:PORT, or an empty string",
+        lambda value: not value or addresses.is_address(value),
     )
 
 
@@ -200,9 +195,9 @@
 class NodeSettings:
     """All settings of `bergamotridge node`."""
 
-    host: str = _non_empty_string("", "name of this host, unique in the fleet")
-    failure_domain: str = _non_empty_string("", "failure domain of this host")
-    region: str = _non_empty_string("default", "region of this host")
+    host: str = _name("", "name of this host, unique in the fleet")
+    failure_domain: str = _name("", "failure domain of this host")
+    region: str = _name("default", "region of this host")
     fleet_secret: str = _non_empty_string("", "secret shared by all nodes and the operators")
     log_level: str = _setting(
         "INFO",
@@ -238,16 +233,16 @@
 
 def _parse_table(source: str, prefix: str, cls: type, table: dict) -> typing.Any:
     """Returns an instance of `cls`; `prefix` is put before the keys in error messages."""
-    fields = attrs.fields_dict(cls)
-    unknown = sorted(set(table) - set(fields))
+    cls_fields = attrs.fields_dict(cls)
+    unknown = sorted(set(table) - set(cls_fields))
     if unknown:
-        known = ", ".join(sorted(fields))
+        known = ", ".join(sorted(cls_fields))
         raise errors.SettingsError(
             f"{source}: unknown key '{prefix}{unknown[0]}'; accepted: {known}"
-            f"{suggestion.hint(unknown[0], fields)}"
+            f"{suggestion.hint(unknown[0], cls_fields)}"
         )
     values = {}
-    for name, field in fields.items():
+    for name, field in cls_fields.items():
         key = prefix + name
         if attrs.has(field.type):
             if not isinstance(table.get(name, {}), dict):
