Tell when the store was restored from a copy, and what is ignored after it

On-call could not tell a restoration of the store from a quiet store: no line, no metric. The store's epoch, which it names in all its answers, is now decoded (by the platform's adapter, and from the header Store-Epoch of the object API), kept by store.restorations, written as the event store.restored and shown as bergamotridge_store_epoch and in the status. A text that is read and not put into force, as its version counts as seen, leaves one line. Nothing is decided by the epoch yet.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -48,6 +48,7 @@
     holding,
     read_policy,
     replica,
+    restorations,
     watch,
 )
 from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream
@@ -104,8 +105,11 @@
 
     def _create_platform_parts(self) -> None:
         node = self.settings
+        self.restorations = restorations.Restorations()
+        self.restorations.add_listener(self._record_restoration)
         self.objects = counted.CountedStore(
-            self.environment.create_store(node), self.node_metrics.count_platform_request
+            self.environment.create_store(node, self.restorations),
+            self.node_metrics.count_platform_request,
         )
         self.routes = routing.CurrentRoutes()
         self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
@@ -366,6 +370,7 @@
             self.team_rates.shares,
             self.team_rates.tokens,
             self.freshness,
+            self.restorations,
         )
         self.events.add_listener(self.node_metrics.count_event)
         self.operator_port = operators_port.OperatorPort(
@@ -492,6 +497,9 @@
             incarnation_of=changed.incarnation,
         )
 
+    def _record_restoration(self, restoration: restorations.Restoration) -> None:
+        self.events.emit("store.restored", epoch=restoration.epoch, told_by=restoration.source)
+
     def _withdraw_key(self, key_id: str) -> None:
         self.keys.withdraw(key_id)
         self.events.emit("key.withdrawn", cause="operator", key_id=key_id)
--- a/bergamotridge/environment.py
+++ b/bergamotridge/environment.py
@@ -7,17 +7,19 @@
 from bergamotridge import settings
 from bergamotridge.callers import dialect as callers_dialect
 from bergamotridge.operators import operator_text
-from bergamotridge.store import client, counted
+from bergamotridge.store import client, counted, restorations
 from bergamotridge.upstreams import announcement
 from bergamotridge.upstreams import dialect as upstreams_dialect
 from bergamotridge.util import httpd
 
-CreateStore = Callable[[settings.NodeSettings], counted.WatchableObjects]
+CreateStore = Callable[[settings.NodeSettings, restorations.Restorations], counted.WatchableObjects]
 OnAnnouncement = Callable[[announcement.Announcement, float], None]
 
 
-def _create_object_client(node: settings.NodeSettings) -> counted.WatchableObjects:
-    return client.ObjectClient(node.platform.address, node.platform.timeout_s)
+def _create_object_client(
+    node: settings.NodeSettings, known_restorations: restorations.Restorations
+) -> counted.WatchableObjects:
+    return client.ObjectClient(node.platform.address, node.platform.timeout_s, known_restorations)
 
 
 def _use_default_handler(handler: httpd.Handler, on_announcement: OnAnnouncement) -> httpd.Handler:
@@ -30,7 +32,8 @@
     """Replaceable parts of a node; the defaults are the implementations of this package.
 
     Attributes:
-        create_store: Creates the client of the platform's object store.
+        create_store: Creates the client of the platform's object store; takes the settings and the
+            record of restorations that the client reports to.
         parse_text: Parses the operator's text; takes the text and the name of its source.
         keys_in_text: True if the operator's text holds the keys of teams; no other object holds
             keys then.
@@ -43,9 +46,7 @@
         service: Service of this host if the settings name it, else "".
     """
 
-    create_store: Callable[[settings.NodeSettings], counted.WatchableObjects] = (
-        _create_object_client
-    )
+    create_store: CreateStore = _create_object_client
     parse_text: Callable[[str, str], operator_text.OperatorText] = operator_text.parse
     keys_in_text: bool = False
     caller_dialect: callers_dialect.CallerDialect = attrs.field(
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -18,6 +18,7 @@
     "member.suspected": "A host has been silent for longer than expected.",
     "node.started": "The node has opened its ports.",
     "node.stopping": "The node has begun a graceful shutdown.",
+    "store.restored": "The platform's store was restored from an earlier copy, as its epoch shows.",
     "upstream.leaving": "The local upstream says in an answer that it is about to stop.",
     "upstream.limited": "The local upstream names a limit on its calls per second, or another one.",
     "upstream.unlimited": "The local upstream no longer names a limit on its calls per second.",
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -163,6 +163,12 @@
                 "Version of the operator's text in force, 0 before the first.",
                 lambda: read_status().configuration_version,
             ),
+            (
+                "store_epoch",
+                "Highest epoch of the platform's store that the node knows; it rises when the store"
+                " is restored from an earlier copy.",
+                lambda: read_status().store_epoch,
+            ),
             (
                 "withdrawn_keys",
                 "Withdrawn keys that the node knows of.",
--- a/bergamotridge/operators/node_status.py
+++ b/bergamotridge/operators/node_status.py
@@ -8,7 +8,7 @@
 from bergamotridge.callers import keys
 from bergamotridge.nodes import membership
 from bergamotridge.operators import status
-from bergamotridge.store import configuration, freshness
+from bergamotridge.store import configuration, freshness, restorations
 from bergamotridge.upstreams import gate, local_upstream
 from bergamotridge.util import clock
 
@@ -30,6 +30,7 @@
         shares: Callable[[], Mapping[str, float]],
         tokens: Callable[[], Mapping[str, float]],
         known_freshness: freshness.Freshness,
+        known_restorations: restorations.Restorations,
     ) -> None:
         """Prepares a reader; the uptime counts from now.
 
@@ -44,6 +45,7 @@
             shares: Returns the fraction of each team's rate that this node holds, by team.
             tokens: Returns the tokens in each team's bucket on this node, by team.
             known_freshness: Tells how current the replicas of the platform's objects are.
+            known_restorations: Tells the epoch of the platform's store.
         """
         self._settings = node
         self._incarnation = incarnation
@@ -55,6 +57,7 @@
         self._shares = shares
         self._tokens = tokens
         self._freshness = known_freshness
+        self._restorations = known_restorations
         self._started_at = time.monotonic()
 
     def read(self) -> status.Status:
@@ -79,6 +82,7 @@
                 report.limit,
                 _NO_RATE_LIMIT if rate_limit is None else rate_limit,
             ),
+            store_epoch=self._restorations.epoch,
             replica_ages=self._freshness.ages(clock.boot_time()),
             members=self._build_members(),
             teams=self._build_team_rates(),
--- a/bergamotridge/operators/status.py
+++ b/bergamotridge/operators/status.py
@@ -81,6 +81,8 @@
         teams: Rates of the teams that have a rate limit.
         replica_ages: Seconds since each replica of the platform's objects was known to be current,
             by kind.
+        store_epoch: Highest epoch of the platform's store that the node knows; it rises when the
+            store is restored from an earlier copy.
     """
 
     host: str
@@ -95,6 +97,7 @@
     members: tuple[Member, ...] = ()
     teams: tuple[TeamRate, ...] = ()
     replica_ages: dict[str, float] = attrs.field(factory=dict)
+    store_epoch: int = 0
 
 
 def encode(status: Status) -> bytes:
--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -4,14 +4,17 @@
 import socket
 import threading
 import urllib.parse
+from collections.abc import Mapping, Sequence
 
 import attrs
 import orjson
 import pycurl
 
 from bergamotridge import errors
-from bergamotridge.util import http_client
+from bergamotridge.store import restorations
+from bergamotridge.util import clock, http_client
 
+EPOCH_HEADER = "Store-Epoch"  # Rises when the store was restored from an earlier copy.
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -39,10 +42,30 @@
 
 @attrs.frozen
 class Reply:
-    """The platform's response to one request."""
+    """The platform's response to one request.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        headers: Header fields, by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+    def epoch(self, header: str) -> int:
+        """Returns the store's epoch as a header field gives it, 0 if there is no such field.
+
+        Raises:
+            PlatformUnavailableError: The value is not a whole number.
+        """
+        value = self.headers.get(header.lower(), "0")
+        if not (value.isascii() and value.isdigit()):
+            raise errors.PlatformUnavailableError(
+                f"the response's header field '{header}' is not a whole number; try again"
+            )
+        return int(value)
 
 
 class Transport:
@@ -88,6 +111,7 @@
             )
         handle = self._thread_handle()
         body_buffer = io.BytesIO()
+        header_lines: list[bytes] = []
         handle.reset()
         handle.setopt(pycurl.URL, self._base_url + path)
         handle.setopt(pycurl.CUSTOMREQUEST, method)
@@ -102,6 +126,7 @@
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(self.timeout_s * 1000))
         handle.setopt(pycurl.TIMEOUT_MS, int((timeout_s or self.timeout_s) * 1000))
         handle.setopt(pycurl.WRITEFUNCTION, body_buffer.write)
+        handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._closed))
         if body is not None:
@@ -112,7 +137,11 @@
         except pycurl.error as error:
             message = f"{method} {path}: {error.args[-1]}"
             raise errors.PlatformUnavailableError(message) from error
-        return Reply(handle.getinfo(pycurl.RESPONSE_CODE), body_buffer.getvalue())
+        return Reply(
+            handle.getinfo(pycurl.RESPONSE_CODE),
+            body_buffer.getvalue(),
+            _parse_header_lines(header_lines),
+        )
 
     def _thread_handle(self) -> pycurl.Curl:
         handle = getattr(self._local, "handle", None)
@@ -121,6 +150,16 @@
         return handle
 
 
+def _parse_header_lines(lines: Sequence[bytes]) -> dict[str, str]:
+    """Returns the header fields by name in lower case; those of interim responses are included."""
+    fields = {}
+    for line in lines:
+        name, separator, value = line.decode("latin-1").partition(":")
+        if separator:
+            fields[name.strip().lower()] = value.strip()
+    return fields
+
+
 def _open_socket(_purpose: int, address: tuple) -> socket.socket:
     family, kind, protocol, _ = address
     sock = socket.socket(family, kind, protocol)
@@ -135,14 +174,21 @@
     response arrived within the time limit. A write that raises it may or may not have taken effect.
     """
 
-    def __init__(self, address: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float,
+        known_restorations: restorations.Restorations | None = None,
+    ) -> None:
         """Creates a client without opening a connection.
 
         Args:
             address: IP:PORT of the object API.
             timeout_s: Time limit of one request in seconds; the wait of a watch is added to it.
+            known_restorations: Receives the store's epoch of each response; a new one if None.
         """
         self._transport = Transport(address, timeout_s)
+        self._restorations = known_restorations or restorations.Restorations()
 
     def get(self, kind: str, name: str, *, eventual: bool = False) -> StoredObject:
         """Returns the current version of an object; raises NotFoundError if there is none.
@@ -205,6 +251,7 @@
         self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
     ) -> Reply:
         reply = self._transport.perform(method, path, body, timeout_s)
+        self._restorations.observe(reply.epoch(EPOCH_HEADER), clock.boot_time())
         if reply.status == _OK:
             return reply
         if reply.status == _NOT_FOUND:
--- a/bergamotridge/store/configuration.py
+++ b/bergamotridge/store/configuration.py
@@ -57,6 +57,7 @@
         self._current: Configuration | None = None
         self._latest = client.Listing((), 0)
         self._rejection_reason: str | None = None
+        self._ignored_id = ""
         self._listeners: list[Callable[[Configuration], None]] = []
 
     @property
@@ -97,6 +98,7 @@
         """
         with self._lock:
             if version <= self._latest.version:
+                self._log_ignored(version, change_id)
                 return False
             value = {TEXT_KEY: source, CHANGE_KEY: change_id}
             self._latest = _single_listing(version, value)
@@ -131,6 +133,25 @@
                 self._reject_without_text(item)
         return changed
 
+    def _log_ignored(self, version: int, change_id: str) -> None:
+        """Logs another text that is not put into force because its version is not above those seen.
+
+        Late and repeated listings are the usual cause; after a restoration of the store it may be a
+        text that was written since.
+        """
+        if change_id not in (self._latest_change_id(), self._ignored_id):
+            self._ignored_id = change_id
+            _log.info(
+                "change {} with version {} ignored, as version {} was seen before",
+                change_id,
+                version,
+                self._latest.version,
+            )
+
+    def _latest_change_id(self) -> str:
+        value = self._latest.items[0].value if self._latest.items else None
+        return str(value.get(CHANGE_KEY, "")) if isinstance(value, dict) else ""
+
     def _reject_without_text(self, item: client.StoredObject) -> None:
         """Rejects an object that was deleted or has no text; the earlier text stays in force."""
         with self._lock:
--- /dev/null
+++ b/bergamotridge/store/restorations.py
@@ -0,0 +1,104 @@
+"""Restorations of the platform's store from an earlier copy, as far as this node knows of them.
+
+The store's epoch rises with each restoration. What was written between the copy and the restoration
+is then lost, although the store had confirmed it.
+"""
+
+import threading
+from collections.abc import Callable
+
+import attrs
+import logbook
+
+_log = logbook.Logger(__name__)
+
+FROM_STORE = "store"
+FROM_PEER = "peer"
+
+
+@attrs.frozen
+class Restoration:
+    """One restoration of the store.
+
+    Attributes:
+        epoch: Epoch that began with it.
+        noticed_at: Boot time in seconds at which it was noticed, by this node or by a peer that
+            told this node of it.
+        source: `FROM_STORE` or `FROM_PEER`.
+    """
+
+    epoch: int
+    noticed_at: float
+    source: str = FROM_STORE
+
+
+class Restorations:
+    """The store's latest known epoch, and its latest known restoration; thread-safe."""
+
+    def __init__(self) -> None:
+        """Starts without a known epoch."""
+        self._lock = threading.Lock()
+        self._epoch: int | None = None
+        self._latest: Restoration | None = None
+        self._listeners: list[Callable[[Restoration], None]] = []
+
+    @property
+    def epoch(self) -> int:
+        """Highest epoch known, 0 before the first."""
+        return self._epoch or 0
+
+    @property
+    def latest(self) -> Restoration | None:
+        """The latest restoration known, None if there is none."""
+        return self._latest
+
+    def add_listener(self, callback: Callable[[Restoration], None]) -> None:
+        """Registers a callback for restorations; it runs in the thread that notices them."""
+        self._listeners.append(callback)
+
+    def observe(self, epoch: int, now: float) -> bool:
+        """Records the epoch of an answer of the store.
+
+        Args:
+            epoch: Epoch in which the store answered.
+            now: Boot time in seconds.
+
+        Returns:
+            False if a later epoch is known, so that the answer is out of date.
+        """
+        with self._lock:
+            known = self._epoch
+            if known is not None and epoch <= known:
+                return epoch == known
+            self._epoch = epoch
+            if known is None:
+                return True
+            restoration = self._latest = Restoration(epoch, now)
+        self._notify(restoration, known)
+        return True
+
+    def learn(self, epoch: int, age_s: float, now: float) -> None:
+        """Records a restoration that a peer told of, if it is later than those known.
+
+        Args:
+            epoch: Epoch that began with the restoration.
+            age_s: Seconds since it was noticed.
+            now: Boot time in seconds.
+        """
+        with self._lock:
+            known = self.epoch
+            if epoch < known or (self._latest is not None and epoch <= self._latest.epoch):
+                return
+            self._epoch = epoch
+            restoration = self._latest = Restoration(epoch, now - age_s, FROM_PEER)
+        self._notify(restoration, known)
+
+    def _notify(self, restoration: Restoration, epoch_before: int) -> None:
+        _log.warning(
+            "the platform's store was restored from a copy: epoch {} after {}, told by {}",
+            restoration.epoch,
+            epoch_before,
+            restoration.source,
+        )
+        for callback in self._listeners:
+            callback(restoration)
--- a/tests/test_operators/test_node_status.py
+++ b/tests/test_operators/test_node_status.py
@@ -7,7 +7,7 @@
 
 from bergamotridge.nodes import membership, record
 from bergamotridge.operators import decoding, node_status, operator_text, status
-from bergamotridge.store import freshness
+from bergamotridge.store import freshness, restorations
 from bergamotridge.upstreams import gate
 from bergamotridge.util import clock
 
@@ -20,7 +20,8 @@
 
 
 def read_status():
-    known_freshness = freshness.Freshness()
+    known_freshness, known_restorations = freshness.Freshness(), restorations.Restorations()
+    known_restorations.observe(3, clock.boot_time())
     known_freshness.confirm("configuration", clock.boot_time() - REPLICA_AGE_S)
     own = record.UpstreamRecord("h1", 1, 1, "fd1", "r", "s", record.State.READY, 4, 0.0, "", "", "")
     store = types.SimpleNamespace(
@@ -37,6 +38,7 @@
         lambda: {"limited": 0.5, "free": 0.5},
         lambda: {"limited": 3.0, "free": float("inf")},
         known_freshness,
+        known_restorations,
     )
     return reader.read()
 
@@ -56,6 +58,10 @@
     assert read_status().load.rate_limit == 43.5
 
 
+def test_status_shows_the_epoch_of_the_store():
+    assert read_status().store_epoch == 3
+
+
 def test_status_with_an_unlimited_team_can_be_decoded():
     sent = read_status()
     assert decoding.decode_status(status.encode(sent)) == sent
--- a/tests/test_platform/test_metadata_store.py
+++ b/tests/test_platform/test_metadata_store.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.store import client, configuration
+from bergamotridge.store import client, configuration, restorations
 
 
 class ScriptedTransport:
@@ -18,8 +18,9 @@
 
     def perform(self, method, path, body=None, timeout_s=None):
         self.requests.append((method, path, orjson.loads(body) if body else None, timeout_s))
-        status, table = self._replies.pop(0)
-        return client.Reply(status, orjson.dumps(table))
+        status, table, *epoch = self._replies.pop(0)
+        headers = {"store-era": str(*epoch)} if epoch else {}
+        return client.Reply(status, orjson.dumps(table), headers)
 
 
 def object_json(name, revision, spec):
@@ -102,6 +103,26 @@
     assert raised.value.version == 12
 
 
+def test_a_rise_of_the_stores_epoch_is_recorded_as_a_restoration():
+    from hosting import metadata_store
+
+    known = restorations.Restorations()
+    transport = ScriptedTransport((200, object_json("t", 8, {}), 2), (503, {}, 3))
+    store = metadata_store.MetadataStore(transport, known)
+    store.get("quota", "t")
+    assert (known.epoch, known.latest) == (2, None)
+    with pytest.raises(errors.PlatformUnavailableError):
+        store.get("quota", "t")
+    assert known.latest.epoch == 3
+
+
+@pytest.mark.parametrize("epoch", ["x", "-1", "1.5", ""])
+def test_an_epoch_that_is_not_a_number_makes_the_answer_unreadable(make_store, epoch):
+    store, _ = make_store((200, object_json("t", 8, {}), epoch))
+    with pytest.raises(errors.PlatformUnavailableError):
+        store.get("quota", "t")
+
+
 def test_all_pages_of_a_listing_are_read(make_store):
     store, transport = make_store(
         (200, {"items": [object_json("a", 1, 1)], "more": True, "as_of": 3}),
