Let the stand-in of the platform come back from an earlier copy

Conditional writes and watches may name the epoch of their version, so that a version that was given out twice can't be taken for the other (409 and 410). The test of the stand-in covers this.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,9 +1,10 @@
 """Stand-in for the hosting platform: its object store API over HTTP, with fault injection.
 
 Run ``python -m standins.platform --address 127.0.0.1:9000``. The object API is described in
-docs/internals.md. Two more requests control the stand-in and also work during an injected outage:
+docs/internals.md. Three more requests control the stand-in and also work during an injected outage:
 
 * ``POST /faults`` takes a JSON object with any of the fields of `Faults` and returns all of them.
+* ``POST /restore`` takes ``{"version": N}`` and brings the objects back as of that version.
 * ``GET /statistics`` returns the number of writes, reads and watches; a watch counts once
   however long it waits.
 """
@@ -17,7 +18,9 @@
 
 from standins import serving, store
 
+EPOCH_HEADER = "Store-Epoch"
 MAX_VALUE_BYTES = 1_048_576
+NO_VERSION = -1  # Matches no object.
 
 
 @attrs.define
@@ -120,8 +123,12 @@
                 self.answer_json(404, {"error": "no such path"})
 
     def do_POST(self) -> None:  # noqa: N802
-        """Changes the injected faults."""
+        """Changes the injected faults, or restores the store."""
         body = self.read_body()
+        if self.route == ["restore"]:
+            self.platform.store.restore(int(json.loads(body)["version"]))
+            self.answer_json(200, {"epoch": self.platform.store.epoch})
+            return
         if self.route != ["faults"]:
             self.answer_json(404, {"error": "no such path"})
             return
@@ -132,6 +139,12 @@
             return
         self.answer_json(200, attrs.asdict(faults))
 
+    def answer_json(self, status: int, value: object) -> None:
+        """Sends a JSON response that names the epoch of the store."""
+        epoch = str(self.platform.store.epoch)
+        headers = {"Content-Type": "application/json", EPOCH_HEADER: epoch}
+        self.answer(status, json.dumps(value).encode(), headers)
+
     def _count_and_run(self, name: str, request) -> None:
         self.platform.count(name)
         time.sleep(self.platform.faults.delay_ms / 1000)
@@ -158,10 +171,20 @@
 
     def _watch(self, kind: str) -> None:
         since, wait_s = int(self.query.get("since", "0")), float(self.query.get("wait_s", "0"))
-        platform = self.platform
-        listing = platform.store.watch(kind, since, wait_s, lambda: platform.faults.outage)
+        platform, epoch = self.platform, int(self.query.get("epoch", self.platform.store.epoch))
+
+        def is_gone() -> bool:
+            return platform.store.epoch != epoch or since > platform.store.version
+
+        listing = None
+        if not is_gone():
+            listing = platform.store.watch(
+                kind, since, wait_s, lambda: platform.faults.outage or is_gone()
+            )
         if platform.faults.outage:
             self._answer_outage()
+        elif listing is None or platform.store.epoch != epoch:
+            self.answer_json(410, {"version": platform.store.version})
         else:
             self._answer_listing(listing)
 
@@ -183,6 +206,9 @@
     def _parse_version(self) -> int:
         if "version" not in self.query:
             raise ValueError("the query has no version; add version=N, 0 for a new object")
+        epoch = self.platform.store.epoch
+        if int(self.query.get("epoch", epoch)) != epoch:
+            return NO_VERSION
         return int(self.query["version"])
 
     def _answer_write(self, write) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -56,6 +56,12 @@
         self._version = 0
         self._change_log: list[Item] = []
         self._past_view: _View | None = None
+        self._epoch = 0
+
+    @property
+    def epoch(self) -> int:
+        """Number of restorations from a copy."""
+        return self._epoch
 
     @property
     def version(self) -> int:
@@ -71,6 +77,16 @@
                 self._past_view = _View({(item.kind, item.name): item for item in past}, version)
             self._changed.notify_all()
 
+    def restore(self, version: int) -> None:
+        """Brings back the objects and the counter as of `version`; all later changes are lost."""
+        with self._changed:
+            self._change_log = [item for item in self._change_log if item.version <= version]
+            self._items = {(item.kind, item.name): item for item in self._change_log}
+            self._version = version
+            self._past_view = None
+            self._epoch += 1
+            self._changed.notify_all()
+
     def wake_watches(self) -> None:
         """Wakes all watches so that they evaluate their `is_interrupted` again."""
         with self._changed:
--- a/tests/test_standins/test_platform.py
+++ b/tests/test_standins/test_platform.py
@@ -55,6 +55,32 @@
     assert send("GET", "/objects/k/a")[1]["value"] == 1
 
 
+def test_a_restored_store_gives_out_its_revisions_again_in_a_later_epoch(send):
+    for version in range(3):
+        send("PUT", f"/objects/k/a?version={version}", version)
+    assert send("POST", "/restore", {"version": 2}) == (200, {"epoch": 1})
+    assert send("GET", "/objects/k/a")[1] == {"kind": "k", "name": "a", "version": 2, "value": 1}
+    assert send("GET", "/watch/k?since=3&wait_s=0")[0] == 410
+    assert send("PUT", "/objects/k/a?version=2&epoch=0", 9)[0] == 409
+    assert send("PUT", "/objects/k/a?version=2&epoch=1", 9) == (200, {"version": 3})
+    assert send("GET", "/watch/k?since=2&wait_s=0&epoch=0")[0] == 410
+    assert send("GET", "/watch/k?since=2&wait_s=0&epoch=1")[1]["items"][0]["value"] == 9
+
+
+def test_a_watch_that_waits_ends_when_the_store_is_restored(send):
+    answers = []
+    send("PUT", "/objects/k/a?version=0", 1)
+    watch = threading.Thread(
+        target=lambda: answers.append(send("GET", "/watch/k?since=1&wait_s=20&epoch=0"))
+    )
+    watch.start()
+    while not send("GET", "/statistics")[1]["watches"]:
+        pass
+    send("POST", "/restore", {"version": 0})
+    watch.join()
+    assert answers[0][0] == 410
+
+
 def test_stale_reads_and_outage(send):
     send("PUT", "/objects/k/a?version=0", 1)
     send("POST", "/faults", {"stale_reads": True})
