--- a/bench/control_node.py
+++ b/bench/control_node.py
@@ -16,7 +16,7 @@
 
 from bergamotridge.callers import keys
 from bergamotridge.nodes import change_log, control, exchange, gossip, membership, peers, record
-from bergamotridge.store import configuration
+from bergamotridge.store import configuration, position
 
 SECRET = "fleet-secret"
 FAILURE_DOMAINS = 8
@@ -280,7 +280,7 @@
 
 def _configure(nodes: list[BenchNode], version: int, source: str) -> float:
     started_at = time.time()
-    nodes[0].store.apply_version(version, source)
+    nodes[0].store.apply_version(position.Position(0, version), source)
     return started_at
 
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -14,7 +14,7 @@
 from bench import control_node, counting_relay, platform_load
 from bergamotridge.callers import keys
 from bergamotridge.nodes import control, gossip_pb2, gossip_pb2_grpc
-from bergamotridge.store import client
+from bergamotridge.store import client, position
 
 COST_PROCESSES = 10
 COST_RECORD_COUNTS = (20, 80, 160, 315, 630)
@@ -224,10 +224,13 @@
     def __init__(self) -> None:
         self.items: list[client.StoredObject] = []
 
-    def put(self, kind: str, name: str, value: dict, version: int) -> int:
+    def put(
+        self, kind: str, name: str, value: dict, version: position.Position
+    ) -> position.Position:
         """Stores an object and returns its version."""
-        self.items.append(client.StoredObject(kind, name, len(self.items) + 1, dict(value)))
-        return len(self.items)
+        written = position.Position(0, len(self.items) + 1)
+        self.items.append(client.StoredObject(kind, name, written, dict(value)))
+        return written
 
 
 def measure_keys() -> None:
@@ -238,9 +241,12 @@
     # Encodes and decodes the keys: the strings of a real answer belong to the key ring alone, so
     # their memory counts.
     encoded = orjson.dumps([attrs.asdict(item) for item in recorder.items])
-    items = tuple(client.StoredObject(**item) for item in orjson.loads(encoded))
+    items = tuple(
+        client.StoredObject(**{**item, "version": position.Position(**item["version"])})
+        for item in orjson.loads(encoded)
+    )
     del encoded
-    ring.apply_listing(client.Listing(items, KEY_COUNT))
+    ring.apply_listing(client.Listing(items, position.Position(0, KEY_COUNT)))
     del items
     bytes_per_key = tracemalloc.get_traced_memory()[0] / KEY_COUNT
     tracemalloc.stop()
--- a/bench/platform_load.py
+++ b/bench/platform_load.py
@@ -13,7 +13,7 @@
 from bergamotridge import errors
 from bergamotridge.callers import keys
 from bergamotridge.nodes import bootstrap, record, watch_election
-from bergamotridge.store import apply, client, configuration, watch
+from bergamotridge.store import apply, client, configuration, position, watch
 from standins import platform
 
 PROCESSES = 7
@@ -178,7 +178,7 @@
         try:
             version = store.get(configuration.KIND, configuration.NAME).version
         except errors.NotFoundError:
-            version = 0
+            version = position.START
         apply.apply(store, f"[teams.team-{number}]\nrate = 1\nburst = 1\n", version)
 
 
--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -169,7 +169,9 @@
             gossip.GossipTimings(interval_s=node.peers.interval_s, links=node.peers.fanout),
             self._rng,
             self.node_metrics.count_control_bytes,
+            self.restorations,
         )
+        self.restorations.add_listener(lambda _: self.gossip.start_urgent_round())
         self._create_platform_readers(replicas, peer_chooser)
         self.thresholds = shedding.ThresholdTable()
         self.graph = call_graph.CallGraph(self.routes.dependencies_of)
@@ -462,10 +464,12 @@
         self.loop.stop()
 
     def _apply_configuration(self, accepted: configuration.Configuration) -> None:
-        self.routes.replace(accepted.text, accepted.version)
+        self.routes.replace(accepted.text, str(accepted.version))
         self._configure_gate()
         self.events.emit(
-            "configuration.accepted", version=accepted.version, change_id=accepted.change_id
+            "configuration.accepted",
+            version=str(accepted.version),
+            change_id=accepted.change_id,
         )
 
     def _configure_gate(self) -> None:
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.store import client
+from bergamotridge.store import client, position, replica
 
 KIND = "keys"
 AUTH_SCHEME = "bearer"
@@ -55,7 +55,7 @@
     team: str
     digest: str
     withdrawn: bool
-    version: int
+    version: position.Position
 
 
 class KeyRing:
@@ -72,7 +72,7 @@
         self._grants: dict[str, _StoredGrant] = {}
         self._withdrawn: set[str] = set()
         self._pending: frozenset[str] = frozenset()
-        self._version = 0
+        self._position = position.START
 
     @property
     def kind(self) -> str:
@@ -80,9 +80,9 @@
         return KIND
 
     @property
-    def version(self) -> int:
+    def version(self) -> replica.ReplicaVersion:
         """Highest version of a grant in this replica."""
-        return self._version
+        return replica.ReplicaVersion(seen=self._position)
 
     @property
     def pending(self) -> frozenset[str]:
@@ -130,16 +130,16 @@
             }
             return bool(new_ids)
 
-    def listing_since(self, since: int) -> client.Listing:
+    def listing_since(self, since: replica.ReplicaVersion) -> client.Listing:
         """Returns one page of the grants with a version above `since`, in ascending order."""
         with self._lock:
-            newer_grants = [item for item in self._grants.items() if item[1].version > since]
+            newer_grants = [item for item in self._grants.items() if item[1].version > since.seen]
         newer_grants.sort(key=lambda item: item[1].version)
         items = tuple(
             client.StoredObject(KIND, key_id, grant.version, _encode_grant(grant))
             for key_id, grant in newer_grants[:PAGE_ITEMS]
         )
-        return client.Listing(items, items[-1].version if items else since)
+        return client.Listing(items, items[-1].version if items else since.seen)
 
     def apply_listing(self, listing: client.Listing) -> bool:
         """Adds grants to this replica; returns True if any was newer than the one held here."""
@@ -158,7 +158,7 @@
         self._grants[item.name] = grant
         if grant.withdrawn:
             self._withdrawn.add(item.name)
-        self._version = max(self._version, item.version)
+        self._position = max(self._position, item.version)
         return True
 
     def _is_withdrawal_confirmed(self, key_id: str) -> bool:
@@ -182,7 +182,7 @@
     secret_text = f"{key_id}.{secrets.token_urlsafe(SECRET_BYTES)}"
     value = {"team": team, "digest": _compute_digest(fleet_secret, secret_text), "withdrawn": False}
     try:
-        platform.put(KIND, key_id, value, 0)
+        platform.put(KIND, key_id, value, position.START)
     except errors.PlatformUnavailableError:
         _confirm_grant(platform, key_id, value)
     return GrantedKey(key_id, secret_text)
@@ -221,7 +221,7 @@
     try:
         platform.get(KIND, key_id)
     except errors.NotFoundError:
-        platform.put(KIND, key_id, value, 0)
+        platform.put(KIND, key_id, value, position.START)
 
 
 def _make_key_error(message: str) -> errors.CallError:
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -92,7 +92,7 @@
     error_text: str = ""
     runs_at_most_once: bool = False
     target_s: float = 0.0
-    configuration: int = 0
+    configuration: str = ""
 
 
 @attrs.frozen
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -11,7 +11,7 @@
 from bergamotridge.callers import lending_bucket
 from bergamotridge.nodes import quota_pb2
 from bergamotridge.operators import operator_text
-from bergamotridge.store import holding, objects, quota
+from bergamotridge.store import holding, objects, position, quota
 
 MAX_ADJUST_ATTEMPTS = 4
 MILLIS_PER_S = 1000
@@ -245,11 +245,11 @@
 
     def _read_group(
         self, group: str, *, eventual: bool = False
-    ) -> tuple[dict[str, quota.Quota], int]:
+    ) -> tuple[dict[str, quota.Quota], position.Position]:
         try:
             stored = self._client.get(quota.KIND, group, eventual=eventual)
-        except errors.NotFoundError:
-            return {}, 0
+        except errors.NotFoundError as error:
+            return {}, error.version
         return quota.decode_group(stored.value), stored.version
 
     def _decide_updates(
@@ -257,7 +257,7 @@
         states: Mapping[str, _TeamState],
         plans: Sequence[TeamPlan],
         quotas: Mapping[str, quota.Quota],
-        version: int,
+        version: position.Position,
     ) -> dict[str, holding.QuotaUpdate]:
         """Returns the updates that are due, by team."""
         now = self._clock()
@@ -285,7 +285,7 @@
     def _send_updates(
         self,
         group: str,
-        version_read: int,
+        version_read: position.Position,
         states: Mapping[str, _TeamState],
         quotas: Mapping[str, quota.Quota],
         updates: Mapping[str, holding.QuotaUpdate],
--- a/bergamotridge/commands/apply.py
+++ b/bergamotridge/commands/apply.py
@@ -8,22 +8,21 @@
 from bergamotridge import errors
 from bergamotridge.commands import objects
 from bergamotridge.operators import operator_text
-from bergamotridge.store import apply, client, configuration
+from bergamotridge.store import apply, client, configuration, position
 from bergamotridge.util import text_files
 
-LATEST_VERSION = -1
+LATEST_VERSION = "-1"
 
 
 def define_flags(values: flags.FlagValues) -> None:
     """Defines the flags of the command."""
     objects.define_flags(values)
     flags.DEFINE_string("file", None, "operator's text", flag_values=values, required=True)
-    flags.DEFINE_integer(
+    flags.DEFINE_string(
         "read_version",
         LATEST_VERSION,
         "version that the text is based on, as printed by 'show', 0 if there was none; the text is "
         "refused if another change was applied since then. -1 replaces any version",
-        lower_bound=LATEST_VERSION,
         flag_values=values,
     )
 
@@ -34,9 +33,10 @@
     source = text_files.read_file(values.file)
     operator_text.parse(source, values.file)
     platform = objects.connect(values)
-    read_version = values.read_version
-    if read_version == LATEST_VERSION:
+    if values.read_version == LATEST_VERSION:
         read_version = _read_latest_version(platform)
+    else:
+        read_version = position.parse(values.read_version)
     try:
         applied = apply.apply(platform, source, read_version)
     except errors.ConflictError:
@@ -47,11 +47,11 @@
     return 0
 
 
-def _read_latest_version(platform: client.ObjectClient) -> int:
+def _read_latest_version(platform: client.ObjectClient) -> position.Position:
     try:
         return platform.get(configuration.KIND, configuration.NAME).version
-    except errors.NotFoundError:
-        return 0
+    except errors.NotFoundError as error:
+        return error.version
 
 
 def _print_difference(platform: client.ObjectClient, path: str, source: str) -> None:
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -59,16 +59,26 @@
     """A conditional update was refused because its version is not the current version.
 
     Attributes:
-        version: The current version, 0 if the object does not exist.
+        version: The current version (a `store.position.Position`); its revision is 0 if the object
+            does not exist.
     """
 
-    def __init__(self, message: str, version: int) -> None:
+    def __init__(self, message: str, version: object) -> None:
         super().__init__(message)
         self.version = version
 
 
 class NotFoundError(PlatformError):
-    """The object does not exist on the platform."""
+    """The object does not exist on the platform.
+
+    Attributes:
+        version: Version (a `store.position.Position`) that stands for the missing object, if the
+            platform was asked for it.
+    """
+
+    def __init__(self, message: str, version: object = None) -> None:
+        super().__init__(message)
+        self.version = version
 
 
 class OperatorPortError(BergamotridgeError):
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -10,7 +10,7 @@
 
 from bergamotridge import errors
 from bergamotridge.nodes import membership, watch_election
-from bergamotridge.store import client
+from bergamotridge.store import client, position
 from bergamotridge.util import backoff
 
 KIND = "nodes"
@@ -154,7 +154,7 @@
         if self._reads_alone > self._timings.reads_before_write:
             self._write(name)
         else:
-            self._put(name, 0)
+            self._put(name, position.START)
 
     def _address_object_name(self) -> str | None:
         place = self._election.place()
@@ -171,17 +171,16 @@
         ]
 
     def _write(self, name: str) -> None:
-        version = 0
         try:
             stored = self._platform.get(KIND, name)
             if stored.value == self._own_value():
                 return
             version = stored.version
-        except errors.NotFoundError:
-            pass
+        except errors.NotFoundError as error:
+            version = error.version
         self._put(name, version)
 
-    def _put(self, name: str, version: int) -> None:
+    def _put(self, name: str, version: position.Position) -> None:
         try:
             self._platform.put(KIND, name, self._own_value(), version)
         except errors.ConflictError:
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -12,7 +12,7 @@
 import attrs
 import xxhash
 
-from bergamotridge.nodes import change_log, gossip_pb2, membership, record
+from bergamotridge.nodes import change_log, gossip_pb2, membership, record, replica_version
 from bergamotridge.store import replica
 from bergamotridge.util import hlc
 
@@ -44,7 +44,7 @@
     """
 
     kind: str
-    version: int
+    version: replica.ReplicaVersion
 
 
 @attrs.frozen
@@ -140,7 +140,8 @@
             receiver_session=session,
         )
         for local_replica in self._replicas:
-            message.versions.add(kind=local_replica.kind, version=local_replica.version)
+            item = message.versions.add(kind=local_replica.kind)
+            replica_version.write(item, local_replica.version)
         if self._clock is not None:
             message.stamp = str(self._clock.stamp(now_ms))
         with self._lock:
@@ -161,10 +162,11 @@
         own_versions = {
             local_replica.kind: local_replica.version for local_replica in self._replicas
         }
+        peer_versions = [(item.kind, replica_version.read(item)) for item in message.versions]
         stale_replicas = tuple(
-            StaleReplica(item.kind, item.version)
-            for item in message.versions
-            if item.kind in own_versions and item.version > own_versions[item.kind]
+            StaleReplica(kind, version)
+            for kind, version in peer_versions
+            if kind in own_versions and version > own_versions[kind]
         )
         return ReceiveResult(message.session, stale_replicas, message.more)
 
--- a/bergamotridge/nodes/freshness.py
+++ b/bergamotridge/nodes/freshness.py
@@ -11,6 +11,7 @@
 
 from bergamotridge import errors
 from bergamotridge.nodes import freshness_exchange, freshness_pb2, record, traffic
+from bergamotridge.store import replica
 from bergamotridge.util import clock, httpd, loop
 
 MAC_BYTES = 16
@@ -20,7 +21,7 @@
 
 _log = logbook.Logger(__name__)
 
-OnNewerReplica = Callable[[record.UpstreamRecord, str, int], None]
+OnNewerReplica = Callable[[record.UpstreamRecord, str, replica.ReplicaVersion], None]
 ListSources = Callable[[], Sequence[record.UpstreamRecord]]
 
 
--- a/bergamotridge/nodes/freshness_exchange.py
+++ b/bergamotridge/nodes/freshness_exchange.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from bergamotridge.nodes import freshness_pb2, record
+from bergamotridge.nodes import freshness_pb2, record, replica_version
 from bergamotridge.store import freshness, replica
 
 MILLIS_PER_S = 1000
@@ -27,11 +27,11 @@
         as_of: Boot time of this host in seconds as of which that replica is current.
     """
 
-    version: int
+    version: replica.ReplicaVersion
     as_of: float
 
 
-UNKNOWN_REPLICA = KnownReplica(0, freshness.NEVER)
+UNKNOWN_REPLICA = KnownReplica(replica.EMPTY, freshness.NEVER)
 
 
 @attrs.frozen(eq=False)
@@ -56,7 +56,7 @@
     """A replica of another node that has a higher version than the local one."""
 
     kind: str
-    version: int
+    version: replica.ReplicaVersion
 
 
 @attrs.frozen
@@ -118,7 +118,7 @@
     ) -> ReceivedRequest:
         """Returns the request in a message that arrived at `now` (seconds of boot time)."""
         known = {
-            item.kind: KnownReplica(item.version, now - item.age_ms / MILLIS_PER_S)
+            item.kind: KnownReplica(replica_version.read(item), now - item.age_ms / MILLIS_PER_S)
             for item in request.ages
         }
         return ReceivedRequest(request.request_id, now, request.wait_ms / MILLIS_PER_S, known)
@@ -162,10 +162,11 @@
         waited_s = min(answer.wait_ms / MILLIS_PER_S, now - sent_at)
         for item in answer.ages:
             local_replica = self._replicas.get(item.kind)
-            if local_replica is None or item.version < local_replica.version:
+            version = replica_version.read(item)
+            if local_replica is None or version < local_replica.version:
                 continue
-            if item.version > local_replica.version:
-                newer_replicas.append(NewerReplica(item.kind, item.version))
+            if version > local_replica.version:
+                newer_replicas.append(NewerReplica(item.kind, version))
                 continue
             as_of = sent_at + waited_s - item.age_ms / MILLIS_PER_S
             progressed = self._freshness.confirm(item.kind, as_of) or progressed
@@ -178,7 +179,8 @@
             as_of = self._freshness.as_of(kind)
             if as_of > freshness.NEVER:
                 age_ms = max(0, math.ceil((now - as_of) * MILLIS_PER_S))
-                message.ages.add(kind=kind, version=local_replica.version, age_ms=age_ms)
+                item = message.ages.add(kind=kind, age_ms=age_ms)
+                replica_version.write(item, local_replica.version)
 
 
 class SourceRotation:
--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -21,9 +21,12 @@
     membership,
     peers,
     record,
+    replica_version,
+    restoration_news,
     traffic,
 )
-from bergamotridge.store import client, replica
+from bergamotridge.store import client, position, replica, restorations
+from bergamotridge.util import clock
 
 _log = logbook.Logger(__name__)
 
@@ -73,6 +76,7 @@
         timings: GossipTimings,
         rng: random.Random,
         count_bytes: traffic.CountBytes = traffic.ignore_bytes,
+        known_restorations: restorations.Restorations | None = None,
     ) -> None:
         """Creates the tasks without starting them.
 
@@ -85,7 +89,10 @@
             timings: Intervals and time limits.
             rng: Source of jitter.
             count_bytes: Counts the bytes of the messages.
+            known_restorations: Restorations of the platform's store to tell the peers of, and to
+                learn from them; a new record if None.
         """
+        self._restorations = known_restorations or restorations.Restorations()
         self._members = members
         self._chooser = chooser
         self._count_bytes = count_bytes
@@ -126,22 +133,26 @@
             self._urgent_rounds += 1
             self._wake_up.notify_all()
 
-    def fetch(self, peer: record.UpstreamRecord, kind: str, version: int) -> None:
+    def fetch(
+        self, peer: record.UpstreamRecord, kind: str, version: replica.ReplicaVersion
+    ) -> None:
         """Fetches a replica from a peer that has a higher version than this node, soon."""
         self._fetches.put(_Fetch(peer.control_address, exchange.StaleReplica(kind, version)))
 
     def answer(self, message: gossip_pb2.GossipMessage) -> gossip_pb2.GossipMessage:
         """Processes a message from a peer and returns the answer."""
         now = time.monotonic()
+        restoration_news.read(message, self._restorations, clock.boot_time())
         received = self._exchange.process_message(message, now)
         self._chooser.record_answer(peers.Peer(message.control_address, message.host), now)
         self._enqueue_fetches(message.control_address, received.stale_replicas)
         reply = self._exchange.build_message(received.session, _wall_clock_ms())
+        restoration_news.write(reply, self._restorations, clock.boot_time())
         self._count_bytes("gossip", reply.ByteSize(), message.ByteSize())
         return reply
 
-    def listing_since(self, kind: str, since: int) -> client.Listing | None:
-        """Returns a replica's objects with a version above `since`, None for an unknown kind."""
+    def listing_since(self, kind: str, since: replica.ReplicaVersion) -> client.Listing | None:
+        """Returns what a replica with the version `since` lacks, None for an unknown kind."""
         local_replica = self._replicas.get(kind)
         return None if local_replica is None else local_replica.listing_since(since)
 
@@ -204,12 +215,14 @@
         self, peer: peers.Peer, message: gossip_pb2.GossipMessage
     ) -> gossip_pb2.GossipMessage | None:
         stub = gossip_pb2_grpc.GossipStub(self._channels.channel(peer.address))
+        restoration_news.write(message, self._restorations, clock.boot_time())
         try:
             reply = stub.Exchange(message, timeout=self._timings.timeout_s)
         except grpc.RpcError as error:
             _log.debug("peer {} did not answer a gossip message: {}", peer.address, error)
             return None
         self._count_bytes("gossip", message.ByteSize(), reply.ByteSize())
+        restoration_news.read(reply, self._restorations, clock.boot_time())
         return reply
 
     def _wait_for_next_message(self, seen_round: int | None, mean_s: float) -> None:
@@ -271,13 +284,15 @@
         kind = fetch.stale_replica.kind
         local_replica = self._replicas[kind]
         stub = gossip_pb2_grpc.GossipStub(self._channels.channel(fetch.address))
-        previous_version = -1
+        previous_version: replica.ReplicaVersion | None = None
         while (
             not self._stopping
-            and previous_version < local_replica.version < fetch.stale_replica.version
+            and previous_version != local_replica.version
+            and local_replica.version < fetch.stale_replica.version
         ):
             previous_version = local_replica.version
-            request = gossip_pb2.FetchRequest(kind=kind, since=previous_version)
+            request = gossip_pb2.FetchRequest(kind=kind)
+            replica_version.write(request, previous_version)
             response = stub.Fetch(request, timeout=FETCH_TIMEOUT_S)
             self._count_bytes("fetch", request.ByteSize(), response.ByteSize())
             local_replica.apply_listing(_decode_listing(kind, response))
@@ -297,7 +312,7 @@
     def Fetch(  # noqa: N802
         self, request: gossip_pb2.FetchRequest, context: grpc.ServicerContext
     ) -> gossip_pb2.FetchResponse:
-        listing = self._gossip.listing_since(request.kind, request.since)
+        listing = self._gossip.listing_since(request.kind, replica_version.read(request))
         if listing is None:
             context.abort(
                 grpc.StatusCode.NOT_FOUND,
@@ -308,21 +323,30 @@
 
 
 def _encode_listing(listing: client.Listing) -> gossip_pb2.FetchResponse:
-    response = gossip_pb2.FetchResponse(version=listing.version)
+    response = gossip_pb2.FetchResponse(
+        version=listing.version.revision, epoch=listing.version.epoch
+    )
     for item in listing.items:
-        value = b"" if item.value is None else orjson.dumps(item.value)
-        response.objects.add(name=item.name, version=item.version, value=value)
+        response.objects.add(
+            name=item.name,
+            version=item.version.revision,
+            epoch=item.version.epoch,
+            value=b"" if item.value is None else orjson.dumps(item.value),
+        )
     return response
 
 
 def _decode_listing(kind: str, response: gossip_pb2.FetchResponse) -> client.Listing:
     items = tuple(
         client.StoredObject(
-            kind, item.name, item.version, orjson.loads(item.value) if item.value else None
+            kind,
+            item.name,
+            position.Position(item.epoch, item.version),
+            orjson.loads(item.value) if item.value else None,
         )
         for item in response.objects
     )
-    return client.Listing(items, response.version)
+    return client.Listing(items, position.Position(response.epoch, response.version))
 
 
 def _wall_clock_ms() -> int:
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -34,16 +34,16 @@
 
     Attributes:
         text: The operator's text.
-        version: Version of the text on the platform.
+        version: Version of the text on the platform, as logs show it.
         team_of_key: Name of the team of each key in the text.
     """
 
-    def __init__(self, source: operator_text.OperatorText, version: int = 0) -> None:
+    def __init__(self, source: operator_text.OperatorText, version: str = "") -> None:
         """Builds the table.
 
         Args:
             source: The operator's text.
-            version: Version of the text on the platform.
+            version: Version of the text on the platform, as logs show it.
         """
         self.text = source
         self.version = version
@@ -170,12 +170,12 @@
         """True once a configuration is in force."""
         return self._table is not None
 
-    def replace(self, source: operator_text.OperatorText, version: int = 0) -> None:
+    def replace(self, source: operator_text.OperatorText, version: str = "") -> None:
         """Replaces the table with one built from `source`.
 
         Args:
             source: The new operator's text.
-            version: Version of the text on the platform.
+            version: Version of the text on the platform, as logs show it.
         """
         self._table = RouteTable(source, version)
 
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -163,6 +163,11 @@
                 "Version of the operator's text in force, 0 before the first.",
                 lambda: read_status().configuration_version,
             ),
+            (
+                "configuration_epoch",
+                "Epoch of the platform's store in which the node read that version.",
+                lambda: read_status().configuration_epoch,
+            ),
             (
                 "store_epoch",
                 "Highest epoch of the platform's store that the node knows; it rises when the store"
--- a/bergamotridge/operators/overview.py
+++ b/bergamotridge/operators/overview.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Sequence
 
 from bergamotridge.operators import fleet, status, timeline
+from bergamotridge.store import position
 
 _COLUMN_TITLES = (
     "host",
@@ -26,11 +27,15 @@
         str(node.load.running),
         str(node.load.waiting),
         f"{node.load.limit:.0f}",
-        str(node.configuration_version),
+        str(_version(node)),
         f"{node.uptime_s:.0f}",
     )
 
 
+def _version(node: status.Status) -> position.Position:
+    return position.Position(node.configuration_epoch, node.configuration_version)
+
+
 def _format_table(rows: Sequence[Sequence[str]]) -> Iterator[str]:
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
     for row in rows:
@@ -41,7 +46,7 @@
 def format_lines(survey: fleet.Survey) -> Iterator[str]:
     """Yields the table, then a warning if configuration versions differ, then the missing nodes."""
     yield from _format_table([_COLUMN_TITLES, *(_format_cells(node) for node in survey.statuses)])
-    versions = sorted({node.configuration_version for node in survey.statuses})
+    versions = sorted({_version(node) for node in survey.statuses})
     if len(versions) > 1:
         yield f"versions of the configuration differ: {', '.join(map(str, versions))}"
     yield from timeline.missing_lines(survey.missing)
--- a/bergamotridge/operators/status.py
+++ b/bergamotridge/operators/status.py
@@ -72,7 +72,9 @@
         incarnation: Start time of its process in milliseconds.
         failure_domain: Failure domain of the host.
         uptime_s: Seconds since the start of the node.
-        configuration_version: Version of the operator's text in force, 0 if there is none.
+        configuration_version: Version of the operator's text in force within its epoch of the
+            store, 0 if there is none.
+        configuration_epoch: That epoch.
         withdrawn_keys: Number of withdrawn keys in the node's key ring.
         service: Service of the local upstream, "" if none has announced itself.
         state: State of that upstream.
@@ -98,6 +100,7 @@
     teams: tuple[TeamRate, ...] = ()
     replica_ages: dict[str, float] = attrs.field(factory=dict)
     store_epoch: int = 0
+    configuration_epoch: int = 0
 
 
 def encode(status: Status) -> bytes:
--- a/bergamotridge/store/apply.py
+++ b/bergamotridge/store/apply.py
@@ -11,7 +11,7 @@
 
 from bergamotridge import errors
 from bergamotridge.operators import operator_text
-from bergamotridge.store import client, configuration
+from bergamotridge.store import client, configuration, position
 
 MAX_WRITE_ATTEMPTS = 4
 EARLIER_KEY = "earlier_change_ids"
@@ -28,18 +28,21 @@
         replaced: True if a later change has already replaced it.
     """
 
-    version: int
+    version: position.Position
     change_id: str
     replaced: bool = False
 
 
-def apply(platform: client.ObjectClient, source: str, read_version: int) -> AppliedChange:
+def apply(
+    platform: client.ObjectClient, source: str, read_version: position.Position
+) -> AppliedChange:
     """Writes the operator's text if the version that the operator read is still current.
 
     Args:
         platform: Client of the platform.
         source: The operator's text.
-        read_version: Version of the configuration that the operator edited, 0 if there was none.
+        read_version: Version of the configuration that the operator edited; one that stands for a
+            missing object if there was none.
 
     Returns:
         The version of the written text and the id of this change.
@@ -53,6 +56,8 @@
     """
     operator_text.parse(source, "text")
     current = _read_current(platform)
+    if not read_version.exists and not current.version.exists:
+        read_version = current.version
     if current.version > read_version:
         raise _conflict_error(current, current.version)
     if current.version < read_version:
@@ -63,12 +68,15 @@
     value = {
         configuration.TEXT_KEY: source,
         configuration.CHANGE_KEY: change_id,
+        configuration.ORDER_KEY: [read_version.epoch, read_version.revision],
         EARLIER_KEY: _change_ids(current)[:MAX_EARLIER_CHANGE_IDS],
     }
     return _write(platform, value, read_version)
 
 
-def _write(platform: client.ObjectClient, value: dict, read_version: int) -> AppliedChange:
+def _write(
+    platform: client.ObjectClient, value: dict, read_version: position.Position
+) -> AppliedChange:
     """Repeats the conditional update until its outcome is known or all attempts are used up.
 
     All attempts are conditional on the same version, so at most one of them takes effect.
@@ -95,7 +103,7 @@
 
 
 def _resolve_outcome(
-    stored: client.StoredObject, change_id: str, read_version: int
+    stored: client.StoredObject, change_id: str, read_version: position.Position
 ) -> AppliedChange:
     """Returns the outcome of a change, given the object as read after the write.
 
@@ -116,11 +124,13 @@
 def _read_current(platform: client.ObjectClient) -> client.StoredObject:
     try:
         return platform.get(configuration.KIND, configuration.NAME)
-    except errors.NotFoundError:
-        return client.StoredObject(configuration.KIND, configuration.NAME, 0, None)
+    except errors.NotFoundError as error:
+        return client.StoredObject(configuration.KIND, configuration.NAME, error.version, None)
 
 
-def _conflict_error(stored: client.StoredObject, version: int) -> errors.ConflictError:
+def _conflict_error(
+    stored: client.StoredObject, version: position.Position
+) -> errors.ConflictError:
     change = _change_ids(stored)[:1] if stored.version == version else []
     by_change = f" by change {change[0]}" if change else ""
     return errors.ConflictError(
--- a/bergamotridge/store/claim_objects.py
+++ b/bergamotridge/store/claim_objects.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.store import objects
+from bergamotridge.store import objects, position
 
 KIND = "claims"
 NAME_DIGEST_BYTES = 16
@@ -53,7 +53,7 @@
         """
         value = {**attrs.asdict(owner), "created_ms": created_ms}
         try:
-            self._client.put(KIND, name, value, 0)
+            self._client.put(KIND, name, value, position.START)
         except errors.ConflictError:
             return self._read_owner(name)
         return owner
--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -11,13 +11,15 @@
 import pycurl
 
 from bergamotridge import errors
-from bergamotridge.store import restorations
+from bergamotridge.store import position, restorations
 from bergamotridge.util import clock, http_client
 
 EPOCH_HEADER = "Store-Epoch"  # Rises when the store was restored from an earlier copy.
+MAX_EPOCH_DIGITS = 18  # Such numbers fit into 64 bits.
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
+_GONE = 410
 _SERVER_ERROR = 500
 _WATCH_GRACE_S = 1.0  # Added to the time limit of a watch, so that its response can arrive.
 
@@ -28,7 +30,7 @@
 
     kind: str
     name: str
-    version: int
+    version: position.Position
     value: object
 
 
@@ -37,7 +39,7 @@
     """Objects of one kind, read at one version of the whole store."""
 
     items: tuple[StoredObject, ...]
-    version: int
+    version: position.Position
 
 
 @attrs.frozen
@@ -61,7 +63,7 @@
             PlatformUnavailableError: The value is not a whole number.
         """
         value = self.headers.get(header.lower(), "0")
-        if not (value.isascii() and value.isdigit()):
+        if not (value.isascii() and value.isdigit() and len(value) <= MAX_EPOCH_DIGITS):
             raise errors.PlatformUnavailableError(
                 f"the response's header field '{header}' is not a whole number; try again"
             )
@@ -197,19 +199,19 @@
         """
         del eventual
         reply = self._request("GET", _object_path(kind, name))
-        return _decode_object(kind, _decode_json_object(reply))
+        return _decode_object(kind, _decode_json_object(reply), _epoch_of(reply))
 
     def list(self, kind: str, *, eventual: bool = False) -> Listing:
         """Returns all objects of a kind; `eventual` has no effect, as in `get`."""
         del eventual
-        return _decode_listing(
-            kind, _decode_json_object(self._request("GET", f"/objects/{_quote_segment(kind)}"))
-        )
+        return _decode_listing(kind, self._request("GET", f"/objects/{_quote_segment(kind)}"))
 
-    def put(self, kind: str, name: str, value: object, version: int) -> int:
+    def put(
+        self, kind: str, name: str, value: object, version: position.Position
+    ) -> position.Position:
         """Writes an object if its current version is `version`.
 
-        A `version` of 0 means that the object must not exist yet.
+        A `version` that stands for a missing object means that it must not exist yet.
 
         Returns:
             The new version.
@@ -218,10 +220,11 @@
             ConflictError: Another version is the current one.
             PlatformUnavailableError: The write may or may not have taken effect.
         """
-        path = f"{_object_path(kind, name)}?version={version}"
-        return _version_of(_decode_json_object(self._request("PUT", path, orjson.dumps(value))))
+        path = f"{_object_path(kind, name)}?{_condition(version)}"
+        reply = self._request("PUT", path, orjson.dumps(value))
+        return _version_of(_decode_json_object(reply), _epoch_of(reply))
 
-    def delete(self, kind: str, name: str, version: int) -> None:
+    def delete(self, kind: str, name: str, version: position.Position) -> None:
         """Deletes an object if its current version is `version`.
 
         Raises:
@@ -229,19 +232,24 @@
             ConflictError: Another version is the current one.
             PlatformUnavailableError: The deletion may or may not have taken effect.
         """
-        self._request("DELETE", f"{_object_path(kind, name)}?version={version}")
+        self._request("DELETE", f"{_object_path(kind, name)}?{_condition(version)}")
 
-    def watch(self, kind: str, since: int, wait_s: float) -> Listing:
+    def watch(self, kind: str, since: position.Position, wait_s: float) -> Listing:
         """Returns the objects of a kind whose version is above `since`.
 
         If there is none, waits up to `wait_s` seconds for the first change; the listing is empty if
-        none came.
+        none came. If the store was restored since then, all objects are returned.
         """
-        path = f"/watch/{_quote_segment(kind)}?since={since}&wait_s={wait_s:g}"
-        reply = self._request(
+        path = (
+            f"/watch/{_quote_segment(kind)}?since={since.revision}&wait_s={wait_s:g}"
+            f"&epoch={since.epoch}"
+        )
+        reply = self._perform(
             "GET", path, timeout_s=self._transport.timeout_s + wait_s + _WATCH_GRACE_S
         )
-        return _decode_listing(kind, _decode_json_object(reply))
+        if reply.status == _GONE:
+            return self.list(kind)
+        return _decode_listing(kind, _check_status("GET", path, reply))
 
     def close(self) -> None:
         """Ends requests in flight within about a second and fails all later ones."""
@@ -249,28 +257,49 @@
 
     def _request(
         self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
+    ) -> Reply:
+        return _check_status(method, path, self._perform(method, path, body, timeout_s))
+
+    def _perform(
+        self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
     ) -> Reply:
         reply = self._transport.perform(method, path, body, timeout_s)
-        self._restorations.observe(reply.epoch(EPOCH_HEADER), clock.boot_time())
-        if reply.status == _OK:
-            return reply
-        if reply.status == _NOT_FOUND:
-            raise errors.NotFoundError(
-                f"the platform has no object at {path}; check its kind and name"
-            )
-        if reply.status == _CONFLICT:
-            current = _version_of(_decode_json_object(reply))
-            raise errors.ConflictError(
-                f"{path}: the current version is {current}; read it and try again", current
-            )
-        if reply.status >= _SERVER_ERROR:
-            raise errors.PlatformUnavailableError(
-                f"{method} {path}: the platform returned status {reply.status}; try again"
-            )
-        raise errors.PlatformError(
-            f"{method} {path}: the platform refused the request with status {reply.status}; "
-            "check the platform's address"
+        self._restorations.check(_epoch_of(reply), clock.boot_time())
+        return reply
+
+
+def _check_status(method: str, path: str, reply: Reply) -> Reply:
+    """Returns a reply with status 200; raises the PlatformError of any other."""
+    if reply.status == _OK:
+        return reply
+    if reply.status == _NOT_FOUND:
+        raise errors.NotFoundError(
+            f"the platform has no object at {path}; check its kind and name",
+            position.Position(_epoch_of(reply), 0),
+        )
+    if reply.status == _CONFLICT:
+        current = _version_of(_decode_json_object(reply), _epoch_of(reply))
+        raise errors.ConflictError(
+            f"{path}: the current version is {current}; read it and try again", current
+        )
+    if reply.status >= _SERVER_ERROR:
+        raise errors.PlatformUnavailableError(
+            f"{method} {path}: the platform returned status {reply.status}; try again"
         )
+    raise errors.PlatformError(
+        f"{method} {path}: the platform refused the request with status {reply.status}; "
+        "check the platform's address"
+    )
+
+
+def _epoch_of(reply: Reply) -> int:
+    return reply.epoch(EPOCH_HEADER)
+
+
+def _condition(version: position.Position) -> str:
+    """Returns the query of a write that is conditional on a version."""
+    epoch = f"&epoch={version.epoch}" if version.exists else ""
+    return f"version={version.revision}{epoch}"
 
 
 def _quote_segment(segment: str) -> str:
@@ -296,29 +325,31 @@
     return decoded
 
 
-def _version_of(mapping: dict) -> int:
+def _version_of(mapping: dict, epoch: int) -> position.Position:
     version = mapping.get("version")
     if not isinstance(version, int):
         raise errors.PlatformUnavailableError(
             "the platform's response has no version: try again, or check the platform's address"
         )
-    return version
+    return position.Position(epoch, version)
 
 
-def _decode_object(kind: str, mapping: dict) -> StoredObject:
+def _decode_object(kind: str, mapping: dict, epoch: int) -> StoredObject:
     name = mapping.get("name")
     if not isinstance(name, str):
         raise errors.PlatformUnavailableError(
             "the platform's response has an object without a name: "
             "try again, or check the platform's address"
         )
-    return StoredObject(kind, name, _version_of(mapping), mapping.get("value"))
+    return StoredObject(kind, name, _version_of(mapping, epoch), mapping.get("value"))
 
 
-def _decode_listing(kind: str, mapping: dict) -> Listing:
+def _decode_listing(kind: str, reply: Reply) -> Listing:
+    mapping, epoch = _decode_json_object(reply), _epoch_of(reply)
     items = mapping.get("items")
     if not isinstance(items, list) or not all(isinstance(item, dict) for item in items):
         raise errors.PlatformUnavailableError(
             "the platform's response has no items: try again, or check the platform's address"
         )
-    return Listing(tuple(_decode_object(kind, item) for item in items), _version_of(mapping))
+    decoded = tuple(_decode_object(kind, item, epoch) for item in items)
+    return Listing(decoded, _version_of(mapping, epoch))
--- a/bergamotridge/store/counted.py
+++ b/bergamotridge/store/counted.py
@@ -4,7 +4,7 @@
 from typing import Protocol, TypeVar
 
 from bergamotridge import errors
-from bergamotridge.store import client, objects
+from bergamotridge.store import client, objects, position
 
 OK = "ok"
 NOT_FOUND = "not-found"
@@ -20,7 +20,7 @@
 class WatchableObjects(objects.Objects, Protocol):
     """Access to the platform's objects, with watches."""
 
-    def watch(self, kind: str, since: int, wait_s: float) -> client.Listing:
+    def watch(self, kind: str, since: position.Position, wait_s: float) -> client.Listing:
         """Waits at most `wait_s` seconds for objects of a kind with a version above `since`."""
 
     def close(self) -> None:
@@ -50,15 +50,17 @@
         operation = "list-stale" if eventual else "list"
         return self._count(kind, operation, lambda: self._inner.list(kind, eventual=eventual))
 
-    def put(self, kind: str, name: str, value: object, version: int) -> int:
+    def put(
+        self, kind: str, name: str, value: object, version: position.Position
+    ) -> position.Position:
         """Writes an object; see `objects.Objects`."""
         return self._count(kind, "put", lambda: self._inner.put(kind, name, value, version))
 
-    def delete(self, kind: str, name: str, version: int) -> None:
+    def delete(self, kind: str, name: str, version: position.Position) -> None:
         """Deletes an object; see `objects.Objects`."""
         self._count(kind, "delete", lambda: self._inner.delete(kind, name, version))
 
-    def watch(self, kind: str, since: int, wait_s: float) -> client.Listing:
+    def watch(self, kind: str, since: position.Position, wait_s: float) -> client.Listing:
         """Waits for changes of a kind; a watch that does not wait counts as a read."""
         operation = "watch" if wait_s else "read"
         return self._count(kind, operation, lambda: self._inner.watch(kind, since, wait_s))
--- a/bergamotridge/store/holding.py
+++ b/bergamotridge/store/holding.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bergamotridge.store import quota
+from bergamotridge.store import position, quota
 
 # Largest relative error of a host's clock rate that time limits allow for.
 CLOCK_DRIFT_FRACTION = 0.01
@@ -84,13 +84,13 @@
 
     Attributes:
         quota: The new value of the object.
-        version: Version of the object that the update replaces, 0 if none exists.
+        version: Version of the object that the update replaces.
         share: This host's share in the new value, or None if it has none.
         sent_at: Monotonic time of the decision in seconds; the lease runs from here.
     """
 
     quota: quota.Quota
-    version: int
+    version: position.Position
     share: quota.Share | None
     sent_at: float
 
@@ -124,7 +124,7 @@
         self._timings = timings
         self._predecessor_loans_end = now + timings.loan_s
         self._joined_without_predecessor = False
-        self._version = -1
+        self._version = position.UNREAD
         self._quota = quota.Quota()
         self._own: quota.Share | None = None
         self._lease_end = float("-inf")
@@ -159,7 +159,7 @@
             return 0
         return min(self._own.parts, self._unresolved_parts, self._max_parts_while_lowering)
 
-    def observe(self, value: quota.Quota, version: int, now: float) -> None:
+    def observe(self, value: quota.Quota, version: position.Position, now: float) -> None:
         """Stores the value of the quota object from a read; ignores a version that is not newer."""
         if version <= self._version:
             return
@@ -205,7 +205,7 @@
         )
         return self._write(live_quota.replace(share), share, now)
 
-    def confirm(self, write: QuotaUpdate, version: int, now: float) -> None:
+    def confirm(self, write: QuotaUpdate, version: position.Position, now: float) -> None:
         """Records that an update took effect and wrote `version`."""
         if self._quota.find(self._host) is None and write.share is not None:
             self._joined_without_predecessor = True
@@ -223,7 +223,7 @@
     def _write(self, value: quota.Quota, share: quota.Share | None, now: float) -> QuotaUpdate:
         if share is not None:
             self._sent_at_by_renewals[share.renewals] = now
-        return QuotaUpdate(value, max(self._version, 0), share, now)
+        return QuotaUpdate(value, max(self._version, position.START), share, now)
 
     def _update_lease_and_unresolved_write(self) -> None:
         # An object with a version above the one that the unresolved update was conditional on shows
--- a/bergamotridge/store/objects.py
+++ b/bergamotridge/store/objects.py
@@ -3,12 +3,14 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from bergamotridge.store import position
+
 
 class StoredObject(Protocol):
     """One version of an object."""
 
     name: str
-    version: int
+    version: position.Position
     value: object
 
 
@@ -35,14 +37,16 @@
     def list(self, kind: str, *, eventual: bool = False) -> Listing:
         """Returns all objects of a kind; `eventual` is as for `get`."""
 
-    def put(self, kind: str, name: str, value: object, version: int) -> int:
+    def put(
+        self, kind: str, name: str, value: object, version: position.Position
+    ) -> position.Position:
         """Writes an object if `version` is its current version, and returns the new version.
 
-        A `version` of 0 means that the object must not exist yet. Raises ConflictError if another
-        version is current.
+        A `version` that stands for a missing object means that it must not exist yet. Raises
+        ConflictError if another version is current.
         """
 
-    def delete(self, kind: str, name: str, version: int) -> None:
+    def delete(self, kind: str, name: str, version: position.Position) -> None:
         """Deletes an object if `version` is its current version.
 
         Raises ConflictError if another version is current, NotFoundError if there is no object.
--- a/bergamotridge/store/restorations.py
+++ b/bergamotridge/store/restorations.py
@@ -10,6 +10,8 @@
 import attrs
 import logbook
 
+from bergamotridge import errors
+
 _log = logbook.Logger(__name__)
 
 FROM_STORE = "store"
@@ -77,6 +79,18 @@
         self._notify(restoration, known)
         return True
 
+    def check(self, epoch: int, now: float) -> None:
+        """Records the epoch of an answer, as `observe`.
+
+        Raises:
+            PlatformUnavailableError: A later epoch is known. What the answer tells may be lost, so
+                it counts for as much as no answer.
+        """
+        if not self.observe(epoch, now):
+            raise errors.PlatformUnavailableError(
+                f"the answer is of epoch {epoch}, before the store was restored; try again"
+            )
+
     def learn(self, epoch: int, age_s: float, now: float) -> None:
         """Records a restoration that a peer told of, if it is later than those known.
 
--- a/bergamotridge/store/watch.py
+++ b/bergamotridge/store/watch.py
@@ -125,18 +125,20 @@
             return min(pause_s, self._timings.max_check_s)
         wait_s = self._timings.wait_s * self._rng.uniform(0.75, 1.0) if duty.watches else 0.0
         try:
-            listing = self._platform.watch(self._replica.kind, self._replica.version, wait_s)
+            seen = self._replica.version.seen
+            listing = self._platform.watch(self._replica.kind, seen, wait_s)
         except errors.PlatformError as error:
             return self._record_failure(error, duty)
         self._record_success()
         self._replica.apply_listing(listing)
-        if any(item.version > self._replica.version for item in listing.items):
+        seen = self._replica.version.seen
+        if any(item.version > seen for item in listing.items):
             # The replica does not know these objects, so the next watch would return them again at
             # once.
             return self._backoff.next_delay_s()
         self._backoff.reset()
         now = clock.boot_time()
-        if listing.version >= self._replica.version:
+        if listing.version >= seen:
             as_of = read_policy.as_of_response(sent_at, wait_s, bool(listing.items), now)
             self._freshness.confirm(self._replica.kind, as_of)
         return max(0.0, sent_at + self._timings.min_interval_s - now)
--- a/tests/fake_objects.py
+++ b/tests/fake_objects.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bergamotridge import errors
+from bergamotridge.store import client, position
 from standins import store
 
 
@@ -37,7 +38,7 @@
         self.reads = 0
         self.writes = 0
         self._shared = shared
-        self._delayed_writes: list[tuple[str, str, object, int]] = []
+        self._delayed_writes: list[tuple[str, str, object, position.Position]] = []
         self._found_before: dict[tuple[str, str], store.Item | None] = {}
 
     def get(self, kind, name, *, eventual=False):
@@ -47,12 +48,14 @@
             found, item = item, self._found_before.get((kind, name), item)
             self._found_before[kind, name] = found
         if item is None:
-            raise errors.NotFoundError(f"no {kind}/{name}")
-        return item
+            raise errors.NotFoundError(f"no {kind}/{name}", self._position(0))
+        return self._stored(item)
 
     def list(self, kind, *, eventual=False):
         self._count_read()
-        return self._shared.list(kind)
+        listing = self._shared.list(kind)
+        items = tuple(self._stored(item) for item in listing.items)
+        return client.Listing(items, self._position(listing.version))
 
     def put(self, kind, name, value, version):
         self.writes += 1
@@ -76,11 +79,11 @@
         if self.faults.outage:
             raise errors.PlatformUnavailableError("outage")
         try:
-            self._shared.delete(kind, name, version)
+            self._shared.delete(kind, name, version.revision)
         except KeyError as error:
             raise errors.NotFoundError(f"no {kind}/{name}") from error
         except store.VersionConflict as error:
-            raise errors.ConflictError(str(error), error.version) from error
+            raise errors.ConflictError(str(error), self._position(error.version)) from error
 
     def release(self):
         """Applies the delayed writes; those whose version is no longer current have no effect."""
@@ -98,6 +101,12 @@
 
     def _write(self, kind, name, value, version):
         try:
-            return self._shared.put(kind, name, version, value)
+            return self._position(self._shared.put(kind, name, version.revision, value))
         except store.VersionConflict as error:
-            raise errors.ConflictError(str(error), error.version) from error
+            raise errors.ConflictError(str(error), self._position(error.version)) from error
+
+    def _position(self, revision):
+        return position.Position(self._shared.epoch, revision)
+
+    def _stored(self, item):
+        return client.StoredObject(item.kind, item.name, self._position(item.version), item.value)
--- a/tests/test_history_configuration.py
+++ b/tests/test_history_configuration.py
@@ -9,7 +9,7 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.store import apply, client, configuration
+from bergamotridge.store import apply, client, configuration, position
 from tests import history_configuration as history
 
 TEXT = "[services.booking]\n"
@@ -25,7 +25,7 @@
         try:
             version = self.get(kind, name).version
         except errors.NotFoundError:
-            version = 0
+            version = position.START
         return super().put(kind, name, value, version)
 
 
@@ -38,7 +38,7 @@
     try:
         stored = store.get(configuration.KIND, configuration.NAME)
     except errors.NotFoundError:
-        stored = client.StoredObject(configuration.KIND, configuration.NAME, 0, {})
+        stored = client.StoredObject(configuration.KIND, configuration.NAME, position.START, {})
     value = stored.value.get("change_id")
     return stored, history.Operation(began, time.monotonic(), "read", value)
 
@@ -96,7 +96,7 @@
 
     def __init__(self, store):
         self._store = store
-        self._first_errors = [errors.NotFoundError("outdated copy")]
+        self._first_errors = [errors.NotFoundError("outdated copy", position.START)]
 
     def get(self, kind, name):
         if self._first_errors:
--- a/tests/test_nodes/network.py
+++ b/tests/test_nodes/network.py
@@ -7,7 +7,7 @@
 
 from bergamotridge.callers import keys
 from bergamotridge.nodes import exchange, link, membership, peers, record, watch_election
-from bergamotridge.store import client, configuration
+from bergamotridge.store import client, configuration, position
 from tests.test_nodes import fleet
 
 LINKS = 3
@@ -35,7 +35,7 @@
     exchange: exchange.Exchange
     election: watch_election.WatchElection
     links: list[link.GossipLink]
-    in_force: list[int] = attrs.field(factory=list)
+    in_force: list[position.Position] = attrs.field(factory=list)
     paused: bool = False
 
     @property
@@ -47,14 +47,14 @@
     """Objects of two kinds, versioned by one counter; reads may return an outdated state."""
 
     def __init__(self):
-        self.version = 0
+        self.version = position.START
         self.items: dict[tuple[str, str], client.StoredObject] = {}
         self.history: list[client.StoredObject] = []
         self.down = False
-        self.stale_at: int | None = None
+        self.stale_at: position.Position | None = None
 
     def write(self, kind, name, value):
-        self.version += 1
+        self.version = attrs.evolve(self.version, revision=self.version.revision + 1)
         item = client.StoredObject(kind, name, self.version, value)
         self.items[kind, name] = item
         self.history.append(item)
@@ -145,7 +145,7 @@
         available = not self.platform.down and node.host not in self.platform_blocked
         if available and (node.election.is_elected(self.now) or self.rng.random() < 0.02):
             for replica in (node.store, node.ring):
-                self._take(replica, self.platform.watch(replica.kind, replica.version))
+                self._take(replica, self.platform.watch(replica.kind, replica.version.seen))
 
     def _exchange_messages(self, node, peer_link):
         peer = peer_link.current_peer(self.now)
--- a/tests/test_nodes/test_convergence.py
+++ b/tests/test_nodes/test_convergence.py
@@ -8,6 +8,7 @@
 from bergamotridge.callers import keys
 from bergamotridge.nodes import record
 from bergamotridge.store import configuration
+from tests import positions
 from tests.test_nodes import fleet, network
 
 HOSTS = 6
@@ -126,7 +127,7 @@
         return [key for key in self.granted if self.told.get(key.key_id, set()) & running]
 
     def _configure(self):
-        version = self.platform.version + 1
+        version = self.platform.version.revision + 1
         value = {"text": TEXT.format(version), "change_id": str(version)}
         self.platform.write(configuration.KIND, configuration.NAME, value)
 
@@ -212,9 +213,9 @@
     net.step(5)
     net.boot(5, 2)
     net.step(5)
-    assert net.nodes["h5"].store.current.version == 2
+    assert net.nodes["h5"].store.current.version == positions.at(2)
     assert net.nodes["h5"].ring.pending == {key.key_id}
-    assert net.nodes["h5"].ring.version == 1
+    assert net.nodes["h5"].ring.version == positions.version(1)
 
 
 def test_a_draining_upstream_gets_no_new_calls_when_its_update_is_lost():
--- a/tests/test_nodes/test_freshness.py
+++ b/tests/test_nodes/test_freshness.py
@@ -12,7 +12,8 @@
 import pytest
 
 from bergamotridge.nodes import change_log, freshness_exchange, membership, peers, watch_election
-from bergamotridge.store import freshness, read_policy
+from bergamotridge.store import freshness, read_policy, replica
+from tests import positions
 from tests.test_nodes import fleet
 
 KIND = "configuration"
@@ -31,7 +32,7 @@
     """A replica of which only the version matters."""
 
     kind: str = KIND
-    version: int = 0
+    version: replica.ReplicaVersion = replica.EMPTY
     history: list = attrs.field(factory=list)
 
     def accept(self, version):
@@ -141,7 +142,7 @@
         self.platform_calls += 1
         self.at(wait_s + 1.0, self.fail_read, node, node.reading)
         if not node.platform_cut and not self.platform_down:
-            seen = node.replica.version
+            seen = node.replica.version.seen.revision
             self.watches[node.reading] = (node, seen, now, wait_s)
             self.at(0.002, self.answer_watch, node.reading, self.version > seen or not wait_s)
             self.at(0.002 + wait_s, self.answer_watch, node.reading, True)
@@ -157,7 +158,7 @@
         if node.reading != number:
             return
         node.reading = 0
-        node.replica.accept(version)
+        node.replica.accept(positions.version(version))
         now = self.now
         as_of = read_policy.as_of_response(sent_at, wait_s, version > seen, now)
         node.known.confirm(KIND, as_of)
@@ -278,7 +279,7 @@
         for node in self.nodes.values():
             in_touch = not node.is_disturbed and self.now - node.disturbed_at >= CONTACT_S
             if in_touch and self.now > CONTACT_S:
-                assert node.replica.version >= due_version, (self.now, node.host)
+                assert node.replica.version >= positions.version(due_version), (self.now, node.host)
 
 
 @pytest.mark.parametrize("seed", range(6))
--- a/tests/test_nodes/test_freshness_exchange.py
+++ b/tests/test_nodes/test_freshness_exchange.py
@@ -12,7 +12,8 @@
 import pytest
 
 from bergamotridge.nodes import freshness_exchange
-from bergamotridge.store import freshness
+from bergamotridge.store import freshness, replica
+from tests import positions
 
 KIND = "configuration"
 WAIT_S = 0.6
@@ -24,7 +25,7 @@
 @attrs.define(eq=False)
 class Replica:
     kind: str = KIND
-    version: int = 0
+    version: replica.ReplicaVersion = replica.EMPTY
 
 
 @attrs.define(eq=False)
@@ -115,7 +116,7 @@
         self.version += 1
 
     def read(self, process):
-        process.replica.version = self.version
+        process.replica.version = positions.version(self.version)
         process.true_as_of = self.now
         process.known.confirm(KIND, self.clock(process))
 
--- a/tests/test_nodes/test_freshness_port.py
+++ b/tests/test_nodes/test_freshness_port.py
@@ -9,11 +9,13 @@
 from bench import control_node
 from bergamotridge.nodes import freshness, freshness_exchange
 from bergamotridge.store import freshness as store_freshness
+from bergamotridge.store import replica
 from bergamotridge.util import clock
-from tests import event_loop
+from tests import event_loop, positions
 from tests.test_nodes import fleet
 
 KIND = "configuration"
+VERSION = positions.version(5)
 TIMINGS = freshness.FreshnessTimings(wait_s=0.1)
 SUSPENDED_S = 1000.0  # Time for which the machine was suspended before.
 
@@ -21,7 +23,7 @@
 @attrs.define(eq=False)
 class Replica:
     kind: str = KIND
-    version: int = 5
+    version: replica.ReplicaVersion = VERSION
 
 
 @attrs.define
--- a/tests/test_nodes/test_gossip.py
+++ b/tests/test_nodes/test_gossip.py
@@ -7,6 +7,7 @@
 
 from bergamotridge import errors
 from bergamotridge.nodes import control, gossip_pb2, gossip_pb2_grpc, record
+from tests import positions
 from tests.test_nodes import fleet
 
 TEXT = "[services.booking]\n"
@@ -15,10 +16,12 @@
 def test_membership_configuration_and_withdrawn_keys_reach_all_nodes():
     with fleet.fleet(5) as nodes:
         fleet.wait_for(lambda: all(len(node.members.members()) == 5 for node in nodes))
-        nodes[3].configuration.apply_version(7, TEXT, "change")
+        nodes[3].configuration.apply_version(positions.at(7), TEXT, "change")
         nodes[1].ring.withdraw("k1")
         nodes[2].members.announce("booking", record.State.READY, 50, 0.0, time.monotonic())
-        fleet.wait_for(lambda: all(node.configuration.version == 7 for node in nodes))
+        fleet.wait_for(
+            lambda: all(node.configuration.version == positions.text_version(7) for node in nodes)
+        )
         fleet.wait_for(lambda: all(node.ring.pending == {"k1"} for node in nodes))
         fleet.wait_for(lambda: all(node.members.candidates("booking") for node in nodes))
         nodes[2].members.announce("booking", record.State.DRAINING, 50, 0.0, time.monotonic())
@@ -28,7 +31,7 @@
 def test_a_killed_node_is_lost_and_its_restarted_process_joins():
     with fleet.fleet(4) as nodes:
         fleet.wait_for(lambda: all(len(node.members.members()) == 4 for node in nodes))
-        nodes[0].configuration.apply_version(3, TEXT)
+        nodes[0].configuration.apply_version(positions.at(3), TEXT)
         killed = nodes.pop()
         address = killed.members.own.control_address
         killed.kill()
@@ -36,7 +39,7 @@
         seed_addresses = (nodes[1].members.own.control_address,)
         nodes.append(fleet.start(3, seed_addresses, address=address, incarnation=2))
         fleet.wait_for(lambda: all(len(node.members.members()) == 4 for node in nodes))
-        fleet.wait_for(lambda: nodes[-1].configuration.version == 3)
+        fleet.wait_for(lambda: nodes[-1].configuration.version == positions.text_version(3))
 
 
 def test_a_port_in_use_and_a_wrong_secret_are_rejected():
--- a/tests/test_operators/test_node_status.py
+++ b/tests/test_operators/test_node_status.py
@@ -10,6 +10,7 @@
 from bergamotridge.store import freshness, restorations
 from bergamotridge.upstreams import gate
 from bergamotridge.util import clock
+from tests import positions
 
 NOW = 0.0
 REPLICA_AGE_S = 7.0
@@ -25,7 +26,9 @@
     known_freshness.confirm("configuration", clock.boot_time() - REPLICA_AGE_S)
     own = record.UpstreamRecord("h1", 1, 1, "fd1", "r", "s", record.State.READY, 4, 0.0, "", "", "")
     store = types.SimpleNamespace(
-        current=types.SimpleNamespace(version=7, text=operator_text.OperatorText({}, {}, TEAMS))
+        current=types.SimpleNamespace(
+            version=positions.at(7), text=operator_text.OperatorText({}, {}, TEAMS)
+        )
     )
     reader = node_status.StatusReader(
         types.SimpleNamespace(host="h1", failure_domain="fd1"),
--- a/tests/test_platform/test_metadata_store.py
+++ b/tests/test_platform/test_metadata_store.py
@@ -5,6 +5,7 @@
 
 from bergamotridge import errors
 from bergamotridge.store import client, configuration, restorations
+from tests import positions
 
 
 class ScriptedTransport:
@@ -43,7 +44,7 @@
         (200, {"items": [object_json("main", 7, {"version": "r4"})], "as_of": 9})
     )
     (item,) = store.list(configuration.KIND).items
-    assert (item.name, item.version) == (configuration.NAME, 7)
+    assert (item.name, item.version) == (configuration.NAME, positions.at(7))
     assert item.value[configuration.CHANGE_KEY] == "r4"
     assert transport.requests[0][1] == "/objects/config"
 
@@ -55,9 +56,9 @@
         (410, {"as_of": 40}),
         (200, {"items": [object_json("a", 33, 2)], "as_of": 40}),
     )
-    store.watch("quota", 0, 1.0)
-    assert store.watch("quota", 1, 1.0).items[0].version == 11
-    assert store.watch("quota", 11, 1.0).items[0].value == 2
+    store.watch("quota", positions.at(0), 1.0)
+    assert store.watch("quota", positions.at(1), 1.0).items[0].version == positions.at(11)
+    assert store.watch("quota", positions.at(11), 1.0).items[0].value == 2
     assert transport.requests[1][1] == "/objects/quota?watch=9&wait_ms=1000"
     assert transport.requests[2][1] == "/objects/quota?watch=12&wait_ms=1000"
 
@@ -66,15 +67,15 @@
     store, transport = make_store(
         (200, {"items": [], "as_of": 9}), (200, {"events": [], "as_of": 9})
     )
-    store.watch("quota", 0, 1.2)
-    store.watch("quota", 1, 1.2)
+    store.watch("quota", positions.at(0), 1.2)
+    store.watch("quota", positions.at(1), 1.2)
     assert transport.requests[1][3] <= 1.2 + 1.0
 
 
 @pytest.mark.parametrize("version", [0, 5])
 def test_a_write_sends_the_version_that_it_replaces(make_store, version):
     store, transport = make_store((200, object_json("t", 8, {})))
-    assert store.put("quota", "t", {"x": 1}, version) == 8
+    assert store.put("quota", "t", {"x": 1}, positions.at(version)) == positions.at(8)
     method, path, body, _ = transport.requests[0]
     assert (method, path) == (
         ("PUT", "/objects/quota/t") if version else ("POST", "/objects/quota")
@@ -99,8 +100,8 @@
 def test_a_conflict_error_has_the_current_version(make_store):
     store, _ = make_store((409, object_json("t", 12, {})))
     with pytest.raises(errors.ConflictError) as raised:
-        store.put("quota", "t", {}, 5)
-    assert raised.value.version == 12
+        store.put("quota", "t", {}, positions.at(5))
+    assert raised.value.version == positions.at(12)
 
 
 def test_a_rise_of_the_stores_epoch_is_recorded_as_a_restoration():
@@ -123,6 +124,48 @@
         store.get("quota", "t")
 
 
+# A watch went on in a history that was gone: its revisions had been given out again.
+def test_a_watch_lists_all_objects_when_the_store_was_restored_since(make_store):
+    store, transport = make_store(
+        (200, {"items": [object_json("a", 9, 1)], "as_of": 12}, 1),
+        (200, {"events": [{"object": object_json("b", 13, 1), "deleted": False}], "as_of": 14}, 2),
+        (200, {"items": [object_json("a", 7, 2), object_json("b", 13, 1)], "as_of": 14}, 2),
+    )
+    store.watch("quota", positions.at(0), 1.0)
+    listing = store.watch("quota", positions.at(9, epoch=1), 1.0)
+    assert [item.version for item in listing.items] == [positions.at(7, 2), positions.at(13, 2)]
+    assert [path for _, path, _, _ in transport.requests][2] == "/objects/quota"
+
+
+def test_an_answer_of_an_earlier_epoch_that_arrives_late_is_not_used(make_store):
+    store, _ = make_store(
+        (200, object_json("a", 5, "new"), 2), (200, object_json("a", 90, "old"), 1)
+    )
+    assert store.get("quota", "a").version == positions.at(5, epoch=2)
+    with pytest.raises(errors.PlatformUnavailableError):
+        store.get("quota", "a")
+
+
+def test_pages_of_two_epochs_are_no_listing(make_store):
+    store, _ = make_store(
+        (200, {"items": [object_json("a", 1, 1)], "more": True, "as_of": 3}, 1),
+        (200, {"items": [object_json("b", 2, 1)], "more": False, "as_of": 4}, 2),
+    )
+    with pytest.raises(errors.PlatformUnavailableError):
+        store.list("quota")
+
+
+@pytest.mark.parametrize(
+    ("version", "number"), [("r12", 12), ("r", 0), ("12", 2), (7, 0), ("r" + "9" * 40, 0)]
+)
+def test_the_configurations_own_number_is_its_order(make_store, version, number):
+    store, _ = make_store(
+        (200, {"items": [object_json("main", 7, {"version": version})], "as_of": 9})
+    )
+    (item,) = store.list(configuration.KIND).items
+    assert item.value[configuration.ORDER_KEY] == [0, number]
+
+
 def test_all_pages_of_a_listing_are_read(make_store):
     store, transport = make_store(
         (200, {"items": [object_json("a", 1, 1)], "more": True, "as_of": 3}),
--- a/tests/test_store/test_apply.py
+++ b/tests/test_store/test_apply.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.store import apply, client
+from bergamotridge.store import apply, client, position
 
 TEXT = "[services.booking]\n"
 
@@ -20,15 +20,15 @@
 
 
 def test_a_conflict_names_the_other_change(store):
-    first = apply.apply(store, TEXT, 0)
+    first = apply.apply(store, TEXT, position.START)
     with pytest.raises(errors.ConflictError, match=first.change_id) as caught:
-        apply.apply(store, TEXT, 0)
+        apply.apply(store, TEXT, position.START)
     assert caught.value.version == first.version
     assert apply.apply(store, TEXT, first.version).version > first.version
 
 
 def test_exactly_one_of_many_concurrent_changes_takes_effect(store):
-    first, outcomes = apply.apply(store, TEXT, 0), []
+    first, outcomes = apply.apply(store, TEXT, position.START), []
 
     def apply_and_record():
         try:
@@ -48,7 +48,7 @@
 
 def test_the_outcome_is_read_back_after_a_lost_response(server, store):
     _inject_faults(server, lose_answers=1)
-    applied = apply.apply(store, TEXT, 0)
+    applied = apply.apply(store, TEXT, position.START)
     assert store.get("configuration", "current").value["change_id"] == applied.change_id
 
 
@@ -62,17 +62,17 @@
     lossy_client = ResponseLostAfterLaterChange(
         store._transport._base_url.removeprefix("http://"), 5.0
     )
-    assert apply.apply(lossy_client, TEXT, 0).replaced
+    assert apply.apply(lossy_client, TEXT, position.START).replaced
 
 
 def test_an_outage_raises_platform_unavailable(server, store):
     _inject_faults(server, outage=True)
     with pytest.raises(errors.PlatformUnavailableError):
-        apply.apply(store, TEXT, 0)
+        apply.apply(store, TEXT, position.START)
 
 
 def test_an_invalid_text_is_not_written(store):
     with pytest.raises(errors.SettingsError):
-        apply.apply(store, "[nothing]\n", 0)
+        apply.apply(store, "[nothing]\n", position.START)
     with pytest.raises(errors.NotFoundError):
         store.get("configuration", "current")
--- a/tests/test_store/test_client.py
+++ b/tests/test_store/test_client.py
@@ -8,6 +8,7 @@
 
 from bergamotridge import errors
 from bergamotridge.store import client
+from tests import positions
 
 LOST = None  # Stands for a connection that is closed without a response.
 
@@ -56,15 +57,15 @@
         (200, item, 0), (200, listing, 0), (200, listing, 0), (200, b'{"version": 5}', 0)
     ) as (server, platform):
         stored = platform.get("k", "a/b")
-        assert (stored.version, stored.value) == (4, {"x": 1})
-        assert platform.list("k") == client.Listing((stored,), 9)
-        assert platform.watch("k", 3, 0.5).items == (stored,)
-        assert platform.put("k", "a/b", [1], 4) == 5
+        assert (stored.version, stored.value) == (positions.at(4), {"x": 1})
+        assert platform.list("k") == client.Listing((stored,), positions.at(9))
+        assert platform.watch("k", positions.at(3), 0.5).items == (stored,)
+        assert platform.put("k", "a/b", [1], positions.at(4)) == positions.at(5)
     assert server.requests == [
         ("GET", "/objects/k/a%2Fb", b""),
         ("GET", "/objects/k", b""),
-        ("GET", "/watch/k?since=3&wait_s=0.5", b""),
-        ("PUT", "/objects/k/a%2Fb?version=4", b"[1]"),
+        ("GET", "/watch/k?since=3&wait_s=0.5&epoch=0", b""),
+        ("PUT", "/objects/k/a%2Fb?version=4&epoch=0", b"[1]"),
     ]
 
 
@@ -82,10 +83,11 @@
 )
 def test_failed_responses_raise_errors(answer, error):
     with _scripted_server(answer) as (server, platform), pytest.raises(error) as caught:
-        platform.put("k", "n", 1, 3)
+        platform.put("k", "n", 1, positions.at(3))
     assert type(caught.value) is error
     assert len(server.requests) == 1
-    assert getattr(caught.value, "version", 7) == 7
+    if error is errors.ConflictError:
+        assert caught.value.version == positions.at(7)
 
 
 def test_a_write_is_sent_only_once_when_the_connection_closes():
@@ -93,5 +95,5 @@
     with _scripted_server((200, read, 0), LOST, (409, b'{"version": 5}', 0)) as (server, platform):
         platform.get("k", "n")
         with pytest.raises(errors.PlatformUnavailableError):
-            platform.put("k", "n", 2, 4)
+            platform.put("k", "n", 2, positions.at(4))
     assert [command for command, _, _ in server.requests] == ["GET", "PUT"]
--- a/tests/test_store/test_holding.py
+++ b/tests/test_store/test_holding.py
@@ -2,7 +2,8 @@
 
 import random
 
-from bergamotridge.store import holding, quota
+from bergamotridge.store import holding, position, quota
+from tests import positions
 
 HOLDERS = 4
 RATE = 200.0
@@ -19,7 +20,7 @@
     """Stores one quota object and applies the updates that several hosts decide on."""
 
     def __init__(self) -> None:
-        self.value, self.version = quota.Quota(), 0
+        self.value, self.version = quota.Quota(), position.START
         self.holdings: dict[str, holding.Holding] = {}
 
     def adjust(self, host: str, demand: float, now: float) -> None:
@@ -31,7 +32,7 @@
         host_holding.observe(self.value, self.version, now)
         write = host_holding.decide(decision_inputs(demand), now)
         if write is not None:
-            self.value, self.version = write.quota, self.version + 1
+            self.value, self.version = write.quota, positions.at(self.version.revision + 1)
             host_holding.confirm(write, self.version, now)
 
     def parts(self, host: str) -> int:
@@ -51,7 +52,7 @@
 def test_a_holder_of_all_parts_cuts_its_share_to_the_target_when_another_has_none():
     platform = Platform()
     whole_share = quota.Share("a", 1, "fd", quota.PARTS, 1, 0.0)
-    platform.value, platform.version = quota.Quota((whole_share,)), 1
+    platform.value, platform.version = quota.Quota((whole_share,)), positions.at(1)
     platform.adjust("b", 100.0, 0.0)
     assert platform.parts("b") == 0
     platform.adjust("a", 0.0, 10.0)
@@ -78,7 +79,7 @@
     for now in range(5, 200, 5):
         for host in hosts:
             platform.adjust(host, rng.uniform(10.0, 30.0), now)
-    assert platform.version == len(hosts)
+    assert platform.version == positions.at(len(hosts))
 
 
 def test_rate_moves_to_a_holder_whose_demand_exceeds_its_share():
--- a/tests/test_store/test_watch.py
+++ b/tests/test_store/test_watch.py
@@ -7,8 +7,17 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.store import apply, client, configuration, freshness, read_policy, watch
+from bergamotridge.store import (
+    apply,
+    client,
+    configuration,
+    freshness,
+    position,
+    read_policy,
+    watch,
+)
 from bergamotridge.util import clock
+from tests import positions
 
 TEXT = "[services.booking]\n"
 FAST_TIMINGS = watch.WatchTimings(
@@ -50,28 +59,29 @@
 def test_changes_arrive_before_and_after_an_outage(server, duty):
     faults = server.RequestHandlerClass.platform.change_faults
     with _running_watch(server, duty) as (store, replica, task):
-        first = apply.apply(store, TEXT, 0)
-        _wait_until(lambda: replica.version == first.version)
+        first = apply.apply(store, TEXT, position.START)
+        _wait_until(lambda: replica.version.seen == first.version)
         faults({"outage": True})
         _wait_until(lambda: task.reachable is False)
         assert replica.current.version == first.version
         faults({"outage": False})
         second = apply.apply(store, TEXT, first.version)
-        _wait_until(lambda: replica.version == second.version)
+        _wait_until(lambda: replica.version.seen == second.version)
 
 
 def test_a_stale_response_does_not_revert_the_configuration(server):
     faults = server.RequestHandlerClass.platform.change_faults
     with _running_watch(server) as (store, replica, _):
-        first = apply.apply(store, TEXT, 0)
+        first = apply.apply(store, TEXT, position.START)
         faults({"stale_reads": True})
         store.put("configuration", "current", {"text": TEXT}, first.version)
-        replica.apply_version(first.version + 1, TEXT)
+        later = positions.at(first.version.revision + 1)
+        replica.apply_version(later, TEXT)
         watches_before = server.RequestHandlerClass.platform.statistics.watches
         _wait_until(
             lambda: server.RequestHandlerClass.platform.statistics.watches > watches_before + 2
         )
-        assert replica.current.version == first.version + 1
+        assert replica.current.version == later
 
 
 class _PlatformInOutage:
@@ -110,7 +120,9 @@
     """A platform that always returns an object of a name unknown to the replica."""
 
     def watch(self, kind, since, wait_s):
-        return client.Listing((client.StoredObject(kind, "other", 9, 1),), 9)
+        return client.Listing(
+            (client.StoredObject(kind, "other", positions.at(9), 1),), positions.at(9)
+        )
 
 
 def test_a_watch_backs_off_when_the_replica_ignores_the_returned_objects():
