Keep quota shares that a restoration of the store lost

What could happen: shares written in the lost seconds are gone while their holders use them until their lease ends, so others could take the same parts, and a holder that had lowered its share took the higher one of the copy. A conditional write could succeed on a revision given out again.

Cause: the stored object was taken for the present in every epoch.

Change: the object names the epoch in which it was written. Read in a later one, all its parts are reserved; each holder takes out what it last knew to have by its next write, and raises only from parts freed since. The rest is freed when the lease of a holder that has not heard must have ended. Holders look at once when a restoration is noticed.

The fakes check conditions by the revision alone, as the platform does.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -53,7 +53,7 @@
 )
 from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream
 from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import hlc, http_client, httpd, loop, request_reader
+from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
 
 CONTROL_GRACE_S = 0.5
 # Of the longest allowed age of the configuration: how long a watch, or a request to another node,
@@ -255,6 +255,12 @@
 
     def _create_caller_parts(self) -> None:
         node = self.settings
+        timings = holding.Timings(
+            lease_s=node.quota.lease_s,
+            adjust_s=node.quota.adjust_s,
+            token_lifetime_s=node.quota.token_lifetime_s,
+            join_after_s=node.quota.join_after_s,
+        )
         self.team_rates = quota_rates.QuotaRates(
             node.host,
             self.incarnation,
@@ -264,16 +270,13 @@
             self.members.members,
             self.routes.teams,
             quota_rates.QuotaSettings(
-                holding.Timings(
-                    lease_s=node.quota.lease_s,
-                    adjust_s=node.quota.adjust_s,
-                    token_lifetime_s=node.quota.token_lifetime_s,
-                    join_after_s=node.quota.join_after_s,
-                ),
-                per_domain=node.quota.per_domain,
-                groups=node.quota.groups,
+                timings, per_domain=node.quota.per_domain, groups=node.quota.groups
+            ),
+            restored_epoch=lambda: self.restorations.recent_epoch(
+                timings.expiry_s, clock.boot_time()
             ),
         )
+        self.restorations.add_listener(lambda _: self.team_rates.handle_restoration())
         self.shutdown = shutdown.Shutdown()
         self.at_most_once_dispatcher = at_most_once.AtMostOnceDispatcher(
             node.host,
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 import logbook
@@ -82,6 +82,7 @@
         client: objects.Objects,
         timings: holding.Timings,
         clock: Callable[[], float],
+        restored_epoch: Callable[[], int | None] = lambda: None,
     ) -> None:
         """Starts without shares; this process must already have bound the host's control port.
 
@@ -93,7 +94,10 @@
             timings: Time limits of holders.
             clock: Returns monotonic time in seconds; read again after each response of the
                 platform.
+            restored_epoch: Returns the epoch of the platform's store if it began with a restoration
+                so lately that shares lost in it may still be in use, else None.
         """
+        self._restored_epoch = restored_epoch
         self._host = host
         self._incarnation = incarnation
         self._failure_domain = failure_domain
@@ -135,13 +139,21 @@
         Raises:
             PlatformError: The platform cannot be reached, or a quota object is malformed.
         """
-        stored = self._client.list(quota.KIND, eventual=True).items
-        return [
-            team
-            for item in stored
-            for team, team_quota in quota.decode_group(item.value).items()
-            if team_quota.find(self._host) is not None
-        ]
+        found = []
+        for item in self._client.list(quota.KIND, eventual=True).items:
+            stored = quota.decode_group(item.value)
+            if not self._is_lost(stored, item.version):
+                found += [
+                    team
+                    for team, team_quota in stored.quotas.items()
+                    if team_quota.find(self._host) is not None
+                ]
+        return found
+
+    def has_unwritten_shares(self) -> bool:
+        """Returns whether a share that a restoration of the platform lost has to be written."""
+        with self._lock:
+            return any(state.holding.is_unwritten for state in self._states.values())
 
     def take(self, team: str, now: float) -> bool:
         """Spends one token of this host's share; returns False if there is none."""
@@ -171,7 +183,9 @@
                 response.grants.append(self._grant_tokens(request, draw, now))
         return response
 
-    def adjust(self, group: str, plans: Sequence[TeamPlan]) -> None:
+    def adjust(
+        self, group: str, plans: Sequence[TeamPlan], known_teams: Iterable[str] = ()
+    ) -> None:
         """Reads the quotas of a group and updates this host's shares if an update is due.
 
         While this host holds all shares that it should, it first reads data that may be outdated,
@@ -181,18 +195,21 @@
         Args:
             group: Name of the platform object that stores the quotas.
             plans: What to do about each team of the group in which this host takes part.
+            known_teams: Names of the teams of the group that may have had holders before the latest
+                restoration of the platform's store; those of the plans are included.
 
         Raises:
             PlatformError: The platform cannot be reached; the shares stay usable until their lease
                 ends.
         """
         states = {plan.team.name: self._update_state(plan.team) for plan in plans}
+        known_teams = {*states, *known_teams}
         if all(states[plan.team.name].holding.share and plan.chosen for plan in plans):
-            quotas, version = self._read_group(group, eventual=True)
+            quotas, version = self._read_group(group, known_teams, eventual=True)
             if not self._decide_updates(states, plans, quotas, version):
                 return
         for _ in range(MAX_ADJUST_ATTEMPTS):
-            quotas, version = self._read_group(group)
+            quotas, version = self._read_group(group, known_teams)
             updates = self._decide_updates(states, plans, quotas, version)
             if not updates or self._send_updates(group, version, states, quotas, updates):
                 return
@@ -244,13 +261,29 @@
             return state
 
     def _read_group(
-        self, group: str, *, eventual: bool = False
-    ) -> tuple[dict[str, quota.Quota], position.Position]:
+        self, group: str, known_teams: Iterable[str], *, eventual: bool = False
+    ) -> tuple[Mapping[str, quota.Quota], position.Position]:
+        """Returns the quotas of a group; all parts are reserved if they may have been lost."""
         try:
-            stored = self._client.get(quota.KIND, group, eventual=eventual)
+            item = self._client.get(quota.KIND, group, eventual=eventual)
+            stored, version = quota.decode_group(item.value), item.version
         except errors.NotFoundError as error:
-            return {}, error.version
-        return quota.decode_group(stored.value), stored.version
+            stored, version = quota.Group(), error.version
+        if not self._is_lost(stored, version):
+            return stored.quotas, version
+        reserved = quota.reserve_all(version)
+        return dict.fromkeys({*stored.quotas, *known_teams}, reserved), version
+
+    def _is_lost(self, stored: quota.Group, version: position.Position) -> bool:
+        """Returns whether shares may be in use that an object lacks since the store was restored.
+
+        Args:
+            stored: Content of the object, an empty group if there is none.
+            version: Version of the object, whose epoch is that in which it was read.
+        """
+        if stored.epoch is None:
+            return self._restored_epoch() == version.epoch
+        return stored.epoch != version.epoch
 
     def _decide_updates(
         self,
@@ -300,16 +333,18 @@
             updates: The updates by team.
         """
         written = {**quotas, **{team: update.quota for team, update in updates.items()}}
+        value = quota.encode_group(quota.Group(written, version_read.epoch))
         try:
-            version = self._client.put(quota.KIND, group, quota.encode_group(written), version_read)
+            version = self._client.put(quota.KIND, group, value, version_read)
         except errors.ConflictError:
             return False
         except errors.PlatformUnavailableError:
-            with self._lock:
-                for team, update in updates.items():
-                    states[team].holding.record_unknown_outcome(update)
-                    states[team].apply_share(self._clock())
+            self._record_unknown_outcome(states, updates)
             raise
+        if version.epoch != version_read.epoch:
+            # Restored in between. Nobody takes the written value for one of the new epoch.
+            self._record_unknown_outcome(states, updates)
+            return False
         with self._lock:
             now = self._clock()
             for team, update in updates.items():
@@ -319,6 +354,21 @@
             "quota shares written to {}, version {}",
             group,
             version,
-            extra={"parts": {team: update.parts for team, update in updates.items()}},
+            extra={
+                "parts": {team: update.parts for team, update in updates.items()},
+                "reserved": {
+                    team: update.quota.reserved.parts
+                    for team, update in updates.items()
+                    if update.quota.reserved
+                },
+            },
         )
         return True
+
+    def _record_unknown_outcome(
+        self, states: Mapping[str, _TeamState], updates: Mapping[str, holding.QuotaUpdate]
+    ) -> None:
+        with self._lock:
+            for team, update in updates.items():
+                states[team].holding.record_unknown_outcome(update)
+                states[team].apply_share(self._clock())
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -92,6 +92,7 @@
         teams: Callable[[], Mapping[str, operator_text.Team]],
         settings: QuotaSettings | None = None,
         clock: Callable[[], float] = time.monotonic,
+        restored_epoch: Callable[[], int | None] = lambda: None,
     ) -> None:
         """Prepares the rates.
 
@@ -105,7 +106,12 @@
             teams: Returns the teams of the configuration in force.
             settings: Settings of the quota; the defaults if None.
             clock: Returns monotonic time in seconds.
+            restored_epoch: Returns the epoch of the platform's store if it began with a recent
+                restoration; see `quota_holder.QuotaHolder`.
         """
+        self._restored_epoch = restored_epoch
+        self._teams_at_restoration: frozenset[str] = frozenset()
+        self._restoration_noticed = threading.Event()
         self._host = host
         self._incarnation = incarnation
         self._failure_domain = failure_domain
@@ -152,10 +158,17 @@
             self._client,
             self._settings.timings,
             self._clock,
+            self._restored_epoch,
         )
         self._loop_executor.submit(self._run_share_loop)
         self._loop_executor.submit(self._run_draw_loop)
 
+    def handle_restoration(self) -> None:
+        """Makes the shares be written again soon, as the platform's store was restored."""
+        self._teams_at_restoration = frozenset(self._teams())
+        self._restoration_noticed.set()
+        self._shares_due.set()
+
     def return_shares(self) -> None:
         """Returns shares to the platform as far as possible in a few seconds; draws continue."""
         self._end_share_loop()
@@ -313,6 +326,9 @@
             reads_sooner = self._has_pending_share_change() and not failed
             self._shares_due.wait(min(pause_s, MAX_JOIN_PAUSE_S) if reads_sooner else pause_s)
             self._shares_due.clear()
+            if self._restoration_noticed.is_set():
+                self._restoration_noticed.clear()
+                self._leaving.wait(pauses.first_pause_s())
 
     def _wait_for_teams(self) -> None:
         """Waits for the first configuration.
@@ -328,7 +344,7 @@
         True while the teams are not loaded.
         """
         teams = self._teams()
-        if not teams:
+        if not teams or self._holder.has_unwritten_shares():
             return True
         shares = self._holder.shares(self._clock())
         for team in teams:
@@ -342,7 +358,15 @@
 
     def _adjust_shares(self, predecessor_teams: Sequence[str]) -> None:
         for group, plans in self._plan_shares(predecessor_teams, self._clock()).items():
-            self._holder.adjust(group, plans)
+            self._holder.adjust(group, plans, self._teams_known_at_restoration(group))
+
+    def _teams_known_at_restoration(self, group: str) -> Sequence[str]:
+        """Returns the teams of a group that may have had holders before the latest restoration.
+
+        A process that has started since then may not know of some, and counts all that it knows.
+        """
+        names = self._teams_at_restoration or self._teams()
+        return [name for name in names if self._choice.group_of(name) == group]
 
     def _plan_shares(
         self, predecessor_teams: Sequence[str], now: float
@@ -377,7 +401,8 @@
                 if not plans:
                     return
                 for group, group_plans in plans.items():
-                    self._holder.adjust(group, group_plans)
+                    known_teams = self._teams_known_at_restoration(group)
+                    self._holder.adjust(group, group_plans, known_teams)
                 threading.Event().wait(SHARE_RETURN_INTERVAL_S)
         except errors.PlatformError as error:
             _log.warning("quota shares not returned: {}", error)
--- a/bergamotridge/store/holding.py
+++ b/bergamotridge/store/holding.py
@@ -132,6 +132,7 @@
         self._renewals = 0
         self._sent_at_by_renewals: dict[int, float] = {}
         self._unresolved_write: QuotaUpdate | None = None
+        self._is_unwritten = False
         # Upper bounds of `usable`: until the outcome of a write is known, and while the share is
         # being lowered.
         self._unresolved_parts = quota.PARTS
@@ -159,14 +160,30 @@
             return 0
         return min(self._own.parts, self._unresolved_parts, self._max_parts_while_lowering)
 
+    @property
+    def is_unwritten(self) -> bool:
+        """True if this process's share was lost in a restoration and has to be written again."""
+        return self._is_unwritten
+
     def observe(self, value: quota.Quota, version: position.Position, now: float) -> None:
-        """Stores the value of the quota object from a read; ignores a version that is not newer."""
+        """Stores the value of the quota object from a read; ignores a version that is not newer.
+
+        If the object has reserved parts and lacks this process's share, the share was lost in a
+        restoration of the store. It stays usable and is taken out of the reserved parts.
+        """
         if version <= self._version:
             return
         self._version = version
-        self._quota = value
         share = value.find(self._host)
-        self._own = share if share and share.incarnation == self._incarnation else None
+        own = share if share and share.incarnation == self._incarnation else None
+        lost_share = self._own if own is None and now < self._lease_end else None
+        self._is_unwritten = lost_share is not None and value.reserved is not None
+        if self._is_unwritten:
+            parts = min(lost_share.parts, self._unresolved_parts)
+            value = value.take_out(attrs.evolve(lost_share, parts=parts))
+            own = value.find(self._host)
+        self._quota = value
+        self._own = own
         self._update_lease_and_unresolved_write()
         self._record_first_seen(now)
 
@@ -180,6 +197,8 @@
         self._max_parts_while_lowering = quota.PARTS
         live_quota = self._quota.without(self._expired_hosts(now))
         host_share = live_quota.find(self._host)
+        if self._is_unwritten and self._own is not None:
+            return self._renew(live_quota, self._own.parts, decision_inputs, now)
         if host_share is None and not decision_inputs.chosen:
             return self._removal_of_expired_shares(live_quota, now)
         parts = self._next_parts(live_quota, host_share, decision_inputs)
@@ -194,16 +213,7 @@
             return self._write(live_quota.without([self._host]), None, now)
         if not self._write_is_due(live_quota, parts, decision_inputs, now):
             return None
-        self._renewals += 1
-        share = quota.Share(
-            self._host,
-            self._incarnation,
-            self._failure_domain,
-            parts,
-            self._renewals,
-            round(decision_inputs.demand, 1),
-        )
-        return self._write(live_quota.replace(share), share, now)
+        return self._renew(live_quota, parts, decision_inputs, now)
 
     def confirm(self, write: QuotaUpdate, version: position.Position, now: float) -> None:
         """Records that an update took effect and wrote `version`."""
@@ -220,6 +230,21 @@
         self._unresolved_write = write
         self._unresolved_parts = min(self._unresolved_parts, write.parts)
 
+    def _renew(
+        self, live_quota: quota.Quota, parts: int, decision_inputs: DecisionInputs, now: float
+    ) -> QuotaUpdate:
+        """Returns an update that writes a share of this process."""
+        self._renewals += 1
+        share = quota.Share(
+            self._host,
+            self._incarnation,
+            self._failure_domain,
+            parts,
+            self._renewals,
+            round(decision_inputs.demand, 1),
+        )
+        return self._write(live_quota.replace(share), share, now)
+
     def _write(self, value: quota.Quota, share: quota.Share | None, now: float) -> QuotaUpdate:
         if share is not None:
             self._sent_at_by_renewals[share.renewals] = now
@@ -246,7 +271,7 @@
     def _record_first_seen(self, now: float) -> None:
         self._first_seen = {
             key: self._first_seen.get(key, now)
-            for key in ((s.host, s.incarnation, s.renewals) for s in self._quota.shares)
+            for key in ((s.host, s.incarnation, s.renewals) for s in self._quota.all_shares)
         }
 
     def _expired_hosts(self, now: float) -> list[str]:
@@ -258,7 +283,7 @@
         ]
 
     def _removal_of_expired_shares(self, live_quota: quota.Quota, now: float) -> QuotaUpdate | None:
-        if len(live_quota.shares) == len(self._quota.shares):
+        if live_quota == self._quota:
             return None
         return self._write(live_quota, None, now)
 
@@ -307,7 +332,7 @@
         own = self._own
         if own is None or now - self._renewed_at >= self._timings.renew_s:
             return True
-        if len(live_quota.shares) != len(self._quota.shares) or self._unresolved_write is not None:
+        if live_quota != self._quota or self._unresolved_write is not None:
             return True
         parts_change = abs(parts - own.parts)
         if parts < own.parts or parts_change > MIN_RAISE_FRACTION * quota.PARTS / len(
--- a/bergamotridge/store/quota.py
+++ b/bergamotridge/store/quota.py
@@ -7,17 +7,24 @@
 One platform object stores the quotas of a whole group of teams, so that the number of requests to
 the platform does not grow with the number of teams. All changes are conditional on the version of
 the object that was read.
+
+The object names the epoch of the platform's store in which it was written. If the store was
+restored since then, its shares may no longer be those in use. All parts of such a quota are
+reserved: each holder takes out the share that it knows to have, and what is left stays reserved
+for as long as a holder that has not heard of the restoration may use it.
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 import xxhash
 
 from bergamotridge import errors
+from bergamotridge.store import position
 
 KIND = "quota-groups"
+RESERVED_HOST = ""  # Stands for unknown holders in the stored form.
 PARTS = 1_000_000  # Units into which the whole rate and burst of a team are divided.
 FLOOR_FRACTION = 0.25  # Of an equal share; every holder gets at least this.
 MIN_TOKENS_PER_HOLDER = 2.0  # Tokens of burst that every share should hold.
@@ -55,14 +62,27 @@
 
 @attrs.frozen
 class Quota:
-    """All shares of one team's rate and burst."""
+    """All shares of one team's rate and burst.
+
+    Attributes:
+        shares: The shares of known holders.
+        reserved: Parts that holders may use whose shares were lost in a restoration of the store;
+            a share without a holder, whose incarnation and renewals tell one restoration from
+            another. None if there is none.
+    """
 
     shares: tuple[Share, ...] = ()
+    reserved: Share | None = None
+
+    @property
+    def all_shares(self) -> tuple[Share, ...]:
+        """The shares of known holders and the reserved one."""
+        return self.shares if self.reserved is None else (*self.shares, self.reserved)
 
     @property
     def free_parts(self) -> int:
         """Parts that belong to no share."""
-        return PARTS - sum(share.parts for share in self.shares)
+        return PARTS - sum(share.parts for share in self.all_shares)
 
     def find(self, host: str) -> Share | None:
         """Returns the share of a host, or None if it has none."""
@@ -71,11 +91,42 @@
     def without(self, hosts: Iterable[str]) -> "Quota":
         """Returns a copy of this quota without the shares of the given hosts."""
         removed = set(hosts)
-        return Quota(tuple(share for share in self.shares if share.host not in removed))
+        kept = tuple(share for share in self.shares if share.host not in removed)
+        return Quota(kept, None if RESERVED_HOST in removed else self.reserved)
 
     def replace(self, share: Share) -> "Quota":
         """Returns a copy of this quota with the share of one host added or replaced."""
-        return Quota((*self.without([share.host]).shares, share))
+        return Quota((*self.without([share.host]).shares, share), self.reserved)
+
+    def take_out(self, share: Share) -> "Quota":
+        """Returns a copy with a holder's share taken out of the reserved parts, if they suffice."""
+        reserved_parts = self.reserved.parts if self.reserved else 0
+        taken = attrs.evolve(share, parts=min(share.parts, reserved_parts))
+        rest = reserved_parts - taken.parts
+        reserved = attrs.evolve(self.reserved, parts=rest) if rest else None
+        return Quota((*self.without([share.host]).shares, taken), reserved)
+
+
+@attrs.frozen
+class Group:
+    """The stored quotas of a group of teams.
+
+    Attributes:
+        quotas: The quotas by team.
+        epoch: Epoch of the store in which they were written, None if an earlier release wrote them.
+    """
+
+    quotas: Mapping[str, Quota] = attrs.field(factory=dict)
+    epoch: int | None = None
+
+
+def reserve_all(read_at: position.Position) -> Quota:
+    """Returns a quota of which all parts are reserved.
+
+    Args:
+        read_at: Position of the object that was written before a restoration of the store.
+    """
+    return Quota((), Share(RESERVED_HOST, read_at.epoch, "", PARTS, read_at.revision, 0.0))
 
 
 def lendable_tokens(burst: float) -> float:
@@ -93,34 +144,36 @@
     return f"group-{xxhash.xxh3_64_intdigest(team.encode()) % groups}"
 
 
-def encode_group(quotas: Mapping[str, Quota]) -> dict[str, object]:
-    """Returns the JSON form of the quotas of a group, given by team.
+def encode_group(group: Group) -> dict[str, object]:
+    """Returns the JSON form of the quotas of a group.
 
     The values of each share are listed in the order of the attributes of `Share`.
     """
     return {
         "teams": {
-            team: [list(attrs.astuple(share)) for share in quota.shares]
-            for team, quota in quotas.items()
-        }
+            team: [list(attrs.astuple(share)) for share in quota.all_shares]
+            for team, quota in group.quotas.items()
+        },
+        "epoch": group.epoch,
     }
 
 
-def decode_group(value: object) -> dict[str, Quota]:
-    """Returns the quotas by team from a value that `encode_group` returned.
+def decode_group(value: object) -> Group:
+    """Returns the group of a value that `encode_group` returned.
 
     Raises:
         PlatformError: The value is malformed, or the shares of a team sum to more than the whole.
     """
     try:
         quotas = {
-            team: Quota(tuple(Share(*share) for share in shares))
+            team: _decode_quota([Share(*share) for share in shares])
             for team, shares in value["teams"].items()
         }
         valid = all(
-            quota.free_parts >= 0 and all(share.parts >= 0 for share in quota.shares)
+            quota.free_parts >= 0 and all(share.parts >= 0 for share in quota.all_shares)
             for quota in quotas.values()
         )
+        epoch = value.get("epoch")
     except (TypeError, KeyError, AttributeError) as error:
         raise errors.PlatformError(
             f"the quota object is malformed, check which process wrote it: {error}"
@@ -130,7 +183,12 @@
             "the quota object has a negative share or shares that sum to more than the whole; "
             "check which process wrote it"
         )
-    return quotas
+    return Group(quotas, epoch if isinstance(epoch, int) else None)
+
+
+def _decode_quota(shares: Sequence[Share]) -> Quota:
+    reserved = next((share for share in shares if share.host == RESERVED_HOST), None)
+    return Quota(tuple(share for share in shares if share.host != RESERVED_HOST), reserved)
 
 
 def needed_parts(demand: float, rate: float) -> int:
--- a/bergamotridge/store/restorations.py
+++ b/bergamotridge/store/restorations.py
@@ -54,6 +54,18 @@
         """The latest restoration known, None if there is none."""
         return self._latest
 
+    def recent_epoch(self, max_age_s: float, now: float) -> int | None:
+        """Returns the epoch that began with the latest restoration, None if that is long ago.
+
+        Args:
+            max_age_s: Longest time in seconds since the restoration was noticed.
+            now: Boot time in seconds.
+        """
+        latest = self._latest
+        if latest is None or now - latest.noticed_at > max_age_s:
+            return None
+        return latest.epoch
+
     def add_listener(self, callback: Callable[[Restoration], None]) -> None:
         """Registers a callback for restorations; it runs in the thread that notices them."""
         self._listeners.append(callback)
--- a/tests/fake_objects.py
+++ b/tests/fake_objects.py
@@ -30,7 +30,8 @@
 class FakeObjects:
     """One host's client of a shared store; implements `objects.Objects`.
 
-    A read that allows stale data returns what the previous such read would have found.
+    A read that allows stale data returns what the previous such read would have found. Conditions
+    of writes are checked by the revision alone, which a restored store gives out again.
     """
 
     def __init__(self, shared: store.Store) -> None:
@@ -39,17 +40,20 @@
         self.writes = 0
         self._shared = shared
         self._delayed_writes: list[tuple[str, str, object, position.Position]] = []
-        self._found_before: dict[tuple[str, str], store.Item | None] = {}
+        self._found_before: dict[tuple[str, str], client.StoredObject] = {}
 
     def get(self, kind, name, *, eventual=False):
         self._count_read()
         item = self._shared.get(kind, name)
+        found = (
+            self._stored(item) if item else client.StoredObject(kind, name, self._position(0), None)
+        )
         if eventual:
-            found, item = item, self._found_before.get((kind, name), item)
-            self._found_before[kind, name] = found
-        if item is None:
-            raise errors.NotFoundError(f"no {kind}/{name}", self._position(0))
-        return self._stored(item)
+            now_found, found = found, self._found_before.get((kind, name), found)
+            self._found_before[kind, name] = now_found
+        if not found.version.exists:
+            raise errors.NotFoundError(f"no {kind}/{name}", found.version)
+        return found
 
     def list(self, kind, *, eventual=False):
         self._count_read()
@@ -91,7 +95,7 @@
         for kind, name, value, version in delayed_writes:
             try:
                 self._write(kind, name, value, version)
-            except errors.ConflictError:
+            except (errors.ConflictError, errors.PlatformUnavailableError):
                 continue
 
     def _count_read(self):
@@ -101,9 +105,12 @@
 
     def _write(self, kind, name, value, version):
         try:
-            return self._position(self._shared.put(kind, name, version.revision, value))
+            written = self._position(self._shared.put(kind, name, version.revision, value))
         except store.VersionConflict as error:
             raise errors.ConflictError(str(error), self._position(error.version)) from error
+        if version.exists and version.epoch != written.epoch:
+            raise errors.PlatformUnavailableError("restored in between")
+        return written
 
     def _position(self, revision):
         return position.Position(self._shared.epoch, revision)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -63,6 +63,7 @@
         self.now = 1000.0
         self.team = team
         self.admitted: list[float] = []
+        self._restored_at = float("-inf")
         self._hosts_of_calls: dict[float, str] = {}
         self.store = store.Store()
         self.processes: dict[str, Process] = {}
@@ -87,11 +88,26 @@
             self._incarnations,
             client,
             self._holder_type(
-                host, self._incarnations, host[0], client, self._timings, lambda: self.now
+                host,
+                self._incarnations,
+                host[0],
+                client,
+                self._timings,
+                lambda: self.now,
+                self._recently_restored_epoch,
             ),
             quota_drawer.QuotaDrawer(host, host[0], random.Random(host)),
         )
 
+    def restore(self, lost_writes: int) -> None:
+        """Brings the platform's objects back from a copy that lacks the latest writes."""
+        self.store.restore(max(0, self.store.version - lost_writes))
+        self._restored_at = self.now
+
+    def _recently_restored_epoch(self) -> int | None:
+        is_recent = self.now - self._restored_at <= self._timings.expiry_s
+        return self.store.epoch if is_recent else None
+
     def spread(self, lost: set[str]) -> None:
         """Gives all nodes the same list of members, without the lost ones."""
         self.members = {
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -97,7 +97,9 @@
         stored = self.store.get(quota_object.KIND, group)
         if stored is None:
             return []
-        return [share.host for share in quota_object.decode_group(stored.value)[TEAM.name].shares]
+        return [
+            share.host for share in quota_object.decode_group(stored.value).quotas[TEAM.name].shares
+        ]
 
 
 def make_calls(fleet, seed):
--- a/tests/test_platform/test_metadata_store.py
+++ b/tests/test_platform/test_metadata_store.py
@@ -146,6 +146,26 @@
         store.get("quota", "a")
 
 
+# A conditional write succeeded by accident: its revision had been given out again.
+def test_a_version_from_before_a_restoration_is_no_condition_of_a_write(make_store):
+    store, transport = make_store((200, object_json("a", 5, 1), 2))
+    store.get("quota", "a")
+    for write in (
+        lambda old: store.put("quota", "a", 2, old),
+        lambda old: store.delete("quota", "a", old),
+    ):
+        with pytest.raises(errors.ConflictError):
+            write(positions.at(5, epoch=1))
+    assert len(transport.requests) == 1
+
+
+def test_a_write_with_a_restoration_in_between_has_an_unknown_outcome(make_store):
+    store, _ = make_store((200, object_json("a", 6, 2), 2), (200, object_json("b", 7, 1), 3))
+    with pytest.raises(errors.PlatformUnavailableError):
+        store.put("quota", "a", 2, positions.at(5, epoch=1))
+    assert store.put("quota", "b", 1, positions.at(0, epoch=2)) == positions.at(7, epoch=3)
+
+
 def test_pages_of_two_epochs_are_no_listing(make_store):
     store, _ = make_store(
         (200, {"items": [object_json("a", 1, 1)], "more": True, "as_of": 3}, 1),
