Write withdrawals and grants of keys again that a restored store lost

What callers saw: nothing yet; nodes that start after a restoration would accept a key whose withdrawal had been confirmed in the lost seconds, and refuse one that had been granted then.

Cause: a withdrawal that the store had shown once counted as stored for good, and a grant missing from the copy was missed by nobody.

Change: a withdrawal is pending again when a later listing shows the key as not withdrawn, so it is spread and written by the writers of withdrawals. Grants that the store of the present epoch has not listed are written again by the same few nodes, on the condition that no object exists. A withdrawal whose grant was lost is no longer given up as never granted once the grant is back.

--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -62,7 +62,9 @@
     """Replica of the platform's grants, and the set of withdrawn keys, at one node.
 
     A withdrawal is never removed. One that an operator or a peer sent before the platform stored
-    it is `pending`: it is spread by gossip until the platform's object shows it.
+    it is `pending`: it is spread by gossip until the platform's object shows it. It is pending
+    again if the platform comes back from a copy without it. A grant that the copy lacks stays
+    valid, and is `unstored` until it is written again.
     """
 
     def __init__(self, fleet_secret: str) -> None:
@@ -73,6 +75,7 @@
         self._withdrawn: set[str] = set()
         self._pending: frozenset[str] = frozenset()
         self._position = position.START
+        self._listed_epoch = 0
 
     @property
     def kind(self) -> str:
@@ -89,6 +92,28 @@
         """Ids of keys withdrawn here whose stored grant does not show the withdrawal yet."""
         return self._pending
 
+    @property
+    def unstored(self) -> frozenset[str]:
+        """Ids of granted keys that the platform lacks since it was restored from a copy."""
+        with self._lock:
+            return frozenset(
+                key_id
+                for key_id, grant in self._grants.items()
+                if grant.version.epoch < self._listed_epoch
+            )
+
+    def is_granted(self, key_id: str) -> bool:
+        """Returns whether the grant of a key is known here."""
+        return key_id in self._grants
+
+    def stored_form(self, key_id: str) -> dict:
+        """Returns the value of the platform's object for a granted key, with its withdrawal."""
+        with self._lock:
+            grant = self._grants[key_id]
+            return _encode_grant(
+                attrs.evolve(grant, withdrawn=grant.withdrawn or key_id in self._withdrawn)
+            )
+
     @property
     def withdrawn_count(self) -> int:
         """Number of withdrawn keys known at this node."""
@@ -145,8 +170,12 @@
         """Adds grants to this replica; returns True if any was newer than the one held here."""
         with self._lock:
             is_newer = [self._apply_object(item) for item in listing.items]
+            self._listed_epoch = max(self._listed_epoch, listing.version.epoch)
+            listed = {item.name for item in listing.items} & self._withdrawn
             self._pending = frozenset(
-                key_id for key_id in self._pending if not self._is_withdrawal_confirmed(key_id)
+                key_id
+                for key_id in self._pending | listed
+                if not self._is_withdrawal_confirmed(key_id)
             )
             return any(is_newer)
 
--- a/bergamotridge/callers/withdrawals.py
+++ b/bergamotridge/callers/withdrawals.py
@@ -1,4 +1,4 @@
-"""Writes withdrawals of keys that were made at nodes to the platform once it is available."""
+"""Writes withdrawals of keys, and grants that the platform lost, to the platform again."""
 
 import random
 import threading
@@ -10,13 +10,16 @@
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
-from bergamotridge.store import client
+from bergamotridge.store import client, position
 
 _log = logbook.Logger(__name__)
 
 
 class WithdrawalWriter:
-    """Writes pending withdrawals to the platform; a few nodes in each failure domain do so."""
+    """Writes pending withdrawals to the platform; a few nodes in each failure domain do so.
+
+    Grants that the platform lacks since it was restored from a copy are written again, too.
+    """
 
     def __init__(
         self,
@@ -59,7 +62,9 @@
 
         A withdrawal stays pending until the watch on the keys receives it from the platform.
         """
-        for key_id in sorted(self._ring.pending - self._never_granted):
+        for key_id in sorted(self._ring.pending):
+            if key_id in self._never_granted and not self._ring.is_granted(key_id):
+                continue
             try:
                 keys.withdraw(self._platform, key_id)
             except errors.NotFoundError:
@@ -71,10 +76,23 @@
             except errors.PlatformError:
                 return
 
+    def write_lost_grants(self) -> None:
+        """Tries to write each grant once that the platform lacks since it was restored."""
+        for key_id in sorted(self._ring.unstored):
+            try:
+                value = self._ring.stored_form(key_id)
+                self._platform.put(keys.KIND, key_id, value, position.START)
+                _log.info("key '{}' written again, which the platform had lost", key_id)
+            except errors.ConflictError:
+                continue  # Another node wrote it; the watch on the keys receives it.
+            except errors.PlatformError:
+                return
+
     def _run(self) -> None:
         while not self._stopping.wait(self._rng.uniform(0.5, 1.5) * self._interval_s):
             try:
                 if self._should_write(time.monotonic()):
+                    self.write_lost_grants()
                     self.write_pending()
             except Exception:
                 _log.exception(
