Write seed addresses again that a restored store lost

Seed addresses written in the lost seconds were gone for good: a node writes its address once for a rank and didn't look again. When the epoch of the store rises, the elected nodes now look at their object and write it where it is missing, with a line in the log.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -244,6 +244,7 @@
                 election,
                 bootstrap.BootstrapTimings(),
                 self._rng,
+                lambda: self.restorations.epoch,
             ),
         ]
         if not self.environment.keys_in_text:
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -62,6 +62,7 @@
         election: watch_election.WatchElection,
         timings: BootstrapTimings,
         rng: random.Random,
+        read_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
         """Creates the task without starting it.
 
@@ -72,7 +73,11 @@
             election: Gives the rank of this node if it is elected; each such rank has an object.
             timings: Intervals of the task.
             rng: Source of jitter.
+            read_epoch: Returns the latest known epoch of the platform's store; when it rises, the
+                store was restored from a copy and may lack this node's address.
         """
+        self._read_epoch = read_epoch
+        self._written_epoch = read_epoch()
         self._platform = platform
         self._members = members
         self._on_addresses = on_addresses
@@ -119,6 +124,11 @@
                 delay_s = self._timings.check_s
 
     def _update(self, name: str | None) -> None:
+        epoch = self._read_epoch()
+        if epoch != self._written_epoch:
+            self._written_epoch = epoch
+            self._written_name = None
+            self._has_announced = False
         if len(self._members.members()) == 1:
             self._discover_peers()
         if name != self._written_name:
@@ -182,7 +192,8 @@
 
     def _put(self, name: str, version: position.Position) -> None:
         try:
-            self._platform.put(KIND, name, self._own_value(), version)
+            written = self._platform.put(KIND, name, self._own_value(), version)
+            _log.info("seed address written to {}, version {}", name, written)
         except errors.ConflictError:
             _log.debug("another host wrote its address to object {} first", name)
 
--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -3,7 +3,7 @@
 import random
 
 from bergamotridge.nodes import bootstrap, membership, peers, watch_election
-from bergamotridge.store import client
+from bergamotridge.store import client, restorations
 from tests.test_nodes import fleet
 
 FAST = bootstrap.BootstrapTimings(
@@ -16,10 +16,13 @@
     members = membership.Membership(fleet.own_record(host, port), membership.MembershipTimings())
     rng = random.Random(port)
     chooser = peers.PeerChooser(members, (), rng)
-    platform_client = client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
+    known = restorations.Restorations()
+    platform_client = client.ObjectClient("{}:{}".format(*server.server_address), 5.0, known)
     election = watch_election.WatchElection(members, chooser, nodes_per_domain)
     return (
-        bootstrap.Bootstrap(platform_client, members, on_addresses, election, FAST, rng),
+        bootstrap.Bootstrap(
+            platform_client, members, on_addresses, election, FAST, rng, lambda: known.epoch
+        ),
         platform_client,
     )
 
@@ -48,6 +51,17 @@
         task_client.close()
 
 
+# Seed addresses written in the seconds that the platform lost were gone for good.
+def test_a_seed_address_that_a_restored_platform_lost_is_written_again(server):
+    task, task_client = _create_task(server, "h1", 1, lambda addresses: None, nodes_per_domain=1)
+    task.start()
+    fleet.wait_for(lambda: _addresses(server) == {"a.0": "127.0.0.1:1"})
+    server.RequestHandlerClass.platform.store.restore(0)
+    fleet.wait_for(lambda: _addresses(server) == {"a.0": "127.0.0.1:1"})
+    task.stop()
+    task_client.close()
+
+
 def test_of_many_nodes_that_boot_together_all_find_others_and_few_write(server):
     found = {f"h{number}": set() for number in range(HOSTS)}
     tasks = [
