Let the test of lost seed addresses fail without the fix

Now the node knows another one and reads no addresses, as in a fleet. Run with the two resets left out, the test fails; it passes with them.

--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bergamotridge.nodes import bootstrap, membership, peers, watch_election
+from bergamotridge.nodes import bootstrap, change_log, membership, peers, watch_election
 from bergamotridge.store import client, restorations
 from tests.test_nodes import fleet
 
@@ -54,9 +54,12 @@
 # Seed addresses written in the seconds that the platform lost were gone for good.
 def test_a_seed_address_that_a_restored_platform_lost_is_written_again(server):
     task, task_client = _create_task(server, "h1", 1, lambda addresses: None, nodes_per_domain=1)
+    other = change_log.RecordUpdate(fleet.own_record("h2", 2, domain="b"), 1, suspected=False)
+    task._members.merge([other], "h2", 0.0)  # A node that knows another reads no addresses.
     task.start()
     fleet.wait_for(lambda: _addresses(server) == {"a.0": "127.0.0.1:1"})
     server.RequestHandlerClass.platform.store.restore(0)
+    task_client.list("configuration")  # By its other reads the node notices the restoration.
     fleet.wait_for(lambda: _addresses(server) == {"a.0": "127.0.0.1:1"})
     task.stop()
     task_client.close()
