Keep claims of idempotency keys that a restoration of the store lost

What could happen: the object of a claim made in the lost seconds is gone, so another node could create it and run the call a second time. A process whose call had not run used its claim again without a look at the store.

Change: after a restoration no node claims a key that a caller chose for as long as a key is valid; homes write their claims again, the latest first, in a background task; what a process took for its own unrun claims is forgotten, and counts for no longer than a key is valid where it does not hear of the restoration. The refusal is the one of a store that does not answer, so callers are told that the call may have run.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -8,6 +8,7 @@
 from bergamotridge import answer, environment, errors, events, metrics, settings
 from bergamotridge.callers import (
     at_most_once,
+    claim_rewriter,
     claims,
     keys,
     quota_rates,
@@ -279,9 +280,20 @@
         )
         self.restorations.add_listener(lambda _: self.team_rates.handle_restoration())
         self.shutdown = shutdown.Shutdown()
+        node_claims = claims.Claims(
+            node.host,
+            self.incarnation,
+            self.objects,
+            restored_epoch=lambda: self.restorations.recent_epoch(
+                node_claims.reservation_s, clock.boot_time()
+            ),
+        )
+        rewriter = claim_rewriter.ClaimRewriter(node_claims, self._rng)
+        self.restorations.add_listener(lambda _: rewriter.handle_restoration())
+        self.platform_tasks.append(rewriter)
         self.at_most_once_dispatcher = at_most_once.AtMostOnceDispatcher(
             node.host,
-            claims.Claims(node.host, self.incarnation, self.objects),
+            node_claims,
             self.dispatcher,
             self.relay_client,
             self.members.members,
--- a/bergamotridge/callers/claims.py
+++ b/bergamotridge/callers/claims.py
@@ -7,6 +7,10 @@
 
 A key that a node issued contains its home. The home of a key that the caller chose is the node
 that created the object of the claim in the platform.
+
+If the platform's store was restored from a copy, objects of claims may be lost. The homes write
+theirs again, and no node claims a key that a caller chose until all claims that it can't know of
+are as old as a key is valid.
 """
 
 import itertools
@@ -18,7 +22,7 @@
 
 from bergamotridge import errors, verdict
 from bergamotridge.callers import answers, bucket, idempotency
-from bergamotridge.store import claim_objects, objects
+from bergamotridge.store import claim_objects, holding, objects
 
 CLAIMS_PER_S = 5.0  # Claim objects that one node creates in the platform.
 BURST_S = 4.0  # Burst of these creations, in seconds at the rate above.
@@ -31,6 +35,19 @@
 RETRY_AFTER_S = 1.0
 
 
+@attrs.frozen
+class _StoredClaim:
+    """The object of a claim that the platform confirmed.
+
+    Attributes:
+        attempt: Number of the create request that wrote it.
+        stored_at: Monotonic time in seconds at which that request was begun.
+    """
+
+    attempt: int
+    stored_at: float
+
+
 @attrs.define(eq=False)
 class _Entry:
     """State of one claim at its home.
@@ -38,12 +55,14 @@
     Attributes:
         route: Route of the first call.
         expires_at: Monotonic time in seconds from which the claim may be evicted.
+        stored: The object of the claim, None for keys that nodes issue and before it is confirmed.
         finished: Set when the first call has ended.
         outcome: Whether the first call ran, None until it has ended.
     """
 
     route: str
     expires_at: float = float("inf")
+    stored: _StoredClaim | None = None
     finished: threading.Event = attrs.field(factory=threading.Event)
     outcome: verdict.Verdict | None = None
 
@@ -54,11 +73,11 @@
 
     Attributes:
         attempts: Numbers of the create requests of this process that may have taken effect.
-        confirmed: True if one of them certainly took effect.
+        stored: The object that one of them certainly wrote, None if none certainly did.
     """
 
     attempts: set[int] = attrs.field(factory=set)
-    confirmed: bool = False
+    stored: _StoredClaim | None = None
 
 
 class Claim:
@@ -130,6 +149,7 @@
         capacity: int = CLAIM_CAPACITY,
         claims_per_s: float = CLAIMS_PER_S,
         answer_cache: answers.AnswerCache | None = None,
+        restored_epoch: Callable[[], int | None] = lambda: None,
     ) -> None:
         """Creates an empty set of claims.
 
@@ -143,7 +163,10 @@
             claims_per_s: Largest rate at which this node creates claim objects in the platform,
                 per second.
             answer_cache: Stores the answers for repeats; None creates a cache.
+            restored_epoch: Returns the epoch of the platform's store if it began with a restoration
+                within `reservation_s`, else None.
         """
+        self._restored_epoch = restored_epoch
         self._issuer = idempotency.KeyIssuer(host, incarnation, key_lifetime_s)
         self._host = host
         self._incarnation = incarnation
@@ -159,6 +182,42 @@
         self._answer_cache = answer_cache or answers.AnswerCache()
         self._unrun_claims: dict[_ClaimId, _UnrunClaim] = {}
 
+    @property
+    def reservation_s(self) -> float:
+        """Time in seconds after a restoration of the platform in which no chosen key is claimed."""
+        return self._lifetime_s * (1.0 + holding.CLOCK_DRIFT_FRACTION)
+
+    def handle_restoration(self) -> None:
+        """Forgets which objects of the platform certainly are this process's own."""
+        with self._lock:
+            self._unrun_claims.clear()
+
+    def write_again(self, number: int, skip: int) -> int:
+        """Writes claims again whose objects a restoration of the platform may have lost.
+
+        Args:
+            number: Largest number of objects to write.
+            skip: Number of claims to leave out, counted from the latest, as they were written.
+
+        Returns:
+            The number of claims that were written or found stored.
+
+        Raises:
+            PlatformError: The platform did not confirm a write.
+        """
+        with self._lock:
+            stored = [claim_id for claim_id, entry in self._entries.items() if entry.stored]
+            claim_ids = stored[::-1][skip : skip + number]
+            # Not registered: by these attempts a call has run, or may run.
+            owners = [
+                claim_objects.Owner(self._host, self._incarnation, next(self._attempts))
+                for _ in claim_ids
+            ]
+        for claim_id, owner in zip(claim_ids, owners, strict=True):
+            object_name = claim_objects.object_name(*claim_id)
+            self._claim_objects.create(object_name, owner, time.time_ns() // NANOS_PER_MS)
+        return len(claim_ids)
+
     def issue(self, now: float) -> str:
         """Returns a new idempotency key whose home is this node; `now` is in monotonic seconds."""
         return self._issuer.issue(now)
@@ -202,7 +261,7 @@
             self._answer_cache,
             True,
             self._lifetime_s,
-            lambda: self._release(claim_id, parsed is None),
+            lambda: self._release(claim_id),
         )
 
     def _join(self, entry: _Entry, route: str) -> Claim:
@@ -226,20 +285,21 @@
     def _claim_in_platform(self, claim_id: _ClaimId, entry: _Entry, now: float) -> None:
         """Claims a caller-chosen key in the platform; removes the entry if that fails."""
         try:
-            self._create_object(claim_id, now)
+            entry.stored = self._create_object(claim_id, now)
         except errors.CallError:
             with self._lock:
                 del self._entries[claim_id]
             entry.finished.set()
             raise
 
-    def _create_object(self, claim_id: _ClaimId, now: float) -> None:
-        """Creates the object of a claim unless this process has it; raises CallError."""
+    def _create_object(self, claim_id: _ClaimId, now: float) -> _StoredClaim:
+        """Returns the object of a claim, created unless this process has it; raises CallError."""
         with self._lock:
             unrun = self._unrun_claims.get(claim_id)
-            if unrun is not None and unrun.confirmed:
+            if unrun is not None and self._is_valid(unrun.stored, now):
                 del self._unrun_claims[claim_id]
-                return
+                return unrun.stored
+            self._check_restoration()
             if self._claim_objects is None:
                 raise _store_unavailable_error(
                     "this node has no platform to store the claim of a key that a caller chose; "
@@ -261,6 +321,7 @@
                 f"the platform did not confirm the claim: {error}; retry with the same key"
             ) from error
         with self._lock:
+            self._check_restoration()
             unrun = self._unrun_claims.pop(claim_id, None)
         # The object may stem from an earlier attempt of this process whose answer was lost. Its
         # call did not run, so the claim can be used.
@@ -270,6 +331,25 @@
         )
         if not created_here or unrun is None or stored_owner.attempt not in unrun.attempts:
             raise errors.ClaimedElsewhereError(stored_owner.host, stored_owner.incarnation)
+        return _StoredClaim(stored_owner.attempt, now)
+
+    def _is_valid(self, stored: _StoredClaim | None, now: float) -> bool:
+        """Returns whether an object counts as the claim of this process without a look at it.
+
+        Once that has ended, other nodes may have claimed the key after a restoration of the
+        platform of which this node has not heard.
+        """
+        valid_s = self._lifetime_s * (1.0 - holding.CLOCK_DRIFT_FRACTION)
+        return stored is not None and now < stored.stored_at + valid_s
+
+    def _check_restoration(self) -> None:
+        """Raises CallError if a restoration of the platform may have lost any claim."""
+        if self._restored_epoch() is not None:
+            raise _store_unavailable_error(
+                "the platform was restored from a copy and may have lost the claim of this key; "
+                f"keys that callers chose are claimed again after {self._lifetime_s:.0f} s, until "
+                "then use a key that a node issued"
+            )
 
     def _register_attempt(self, claim_id: _ClaimId) -> claim_objects.Owner:
         """Records a new create request and returns the owner to write; evicts old records."""
@@ -301,12 +381,12 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def _release(self, claim_id: _ClaimId, in_platform: bool) -> None:
+    def _release(self, claim_id: _ClaimId) -> None:
         """Removes the claim of a call that has not run; its object in the platform remains."""
         with self._lock:
-            del self._entries[claim_id]
-            if in_platform:
-                self._unrun_claims[claim_id] = _UnrunClaim(confirmed=True)
+            stored = self._entries.pop(claim_id).stored
+            if stored is not None:
+                self._unrun_claims[claim_id] = _UnrunClaim({stored.attempt}, stored)
 
 
 def _store_unavailable_error(message: str) -> errors.CallError:
--- a/tests/fake_objects.py
+++ b/tests/fake_objects.py
@@ -34,8 +34,11 @@
     of writes are checked by the revision alone, which a restored store gives out again.
     """
 
-    def __init__(self, shared: store.Store) -> None:
+    def __init__(
+        self, shared: store.Store, observe_epoch: Callable[[int], object] = lambda epoch: None
+    ) -> None:
         self.faults = Faults()
+        self._observe_epoch = observe_epoch
         self.reads = 0
         self.writes = 0
         self._shared = shared
@@ -113,6 +116,7 @@
         return written
 
     def _position(self, revision):
+        self._observe_epoch(self._shared.epoch)
         return position.Position(self._shared.epoch, revision)
 
     def _stored(self, item):
