Tell operators the truth about a change that a restored store lost

What operators saw: 'apply' whose answer was lost reported a conflict, so that the change had not taken effect, when the store had been restored from a copy and another change had followed. Nodes may have read the change before and have it in force.

Change: an object of another epoch says nothing about the change; apply then raises PlatformRestoredError, which names the change and says to apply it again. Conflicts of writes that were refused stay conflicts.

test_apply.py: the first new test fails with apply.py as it was, which raises the conflict; the second shows that a text applied to the copy is later than all lost ones.

--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -55,6 +55,13 @@
     """The platform did not answer; a write may have taken effect or not."""
 
 
+class PlatformRestoredError(PlatformUnavailableError):
+    """The platform was restored from a copy while a write was under way.
+
+    The write may have taken effect and been lost, and parts of the fleet may have read it.
+    """
+
+
 class ConflictError(PlatformError):
     """A conditional update was refused because its version is not the current version.
 
--- a/bergamotridge/store/apply.py
+++ b/bergamotridge/store/apply.py
@@ -53,6 +53,8 @@
             message holds the id of the other change, if known.
         PlatformUnavailableError: The platform did not answer. If the write may have taken effect,
             the message holds the id of this change, to look for in the configuration.
+        PlatformRestoredError: The platform was restored from a copy before the outcome was known.
+            Nodes may have the text in force though the platform lacks it.
     """
     operator_text.parse(source, "text")
     current = _read_current(platform)
@@ -94,6 +96,8 @@
             last_error = error
         try:
             return _resolve_outcome(_read_current(platform), change_id, read_version)
+        except errors.PlatformRestoredError:
+            raise
         except errors.PlatformUnavailableError as error:
             last_error = error
     raise errors.PlatformUnavailableError(
@@ -109,11 +113,17 @@
 
     Raises:
         ConflictError: Another change was written instead.
+        PlatformRestoredError: The object is from a copy, which says nothing about the change.
         PlatformUnavailableError: The outcome is not known yet.
     """
     change_ids = _change_ids(stored)
     if change_id in change_ids:
         return AppliedChange(stored.version, change_id, replaced=change_ids[0] != change_id)
+    if stored.version.epoch != read_version.epoch:
+        raise errors.PlatformRestoredError(
+            f"the platform was restored from a copy and lacks change {change_id}, which nodes may "
+            "have in force; read the configuration and apply the change again"
+        )
     if stored.version <= read_version:
         raise errors.PlatformUnavailableError(
             "the configuration does not show the change yet; read it again"
--- a/tests/test_store/test_apply.py
+++ b/tests/test_store/test_apply.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.store import apply, client, position
+from bergamotridge.store import apply, client, configuration, position
 
 TEXT = "[services.booking]\n"
 
@@ -65,6 +65,41 @@
     assert apply.apply(lossy_client, TEXT, position.START).replaced
 
 
+# An operator was told that a change had not taken effect, though nodes had it in force: the
+# platform had lost it, and another change had followed.
+def test_a_change_lost_in_a_restoration_is_not_reported_as_refused(server, store):
+    first = apply.apply(store, TEXT, position.START)
+
+    class RestoredBeforeTheAnswer(client.ObjectClient):
+        def put(self, kind, name, value, version):
+            super().put(kind, name, value, version)
+            server.RequestHandlerClass.platform.store.restore(first.version.revision)
+            copied = store.get(kind, name)
+            apply.apply(store, TEXT, copied.version)
+            raise errors.PlatformUnavailableError("response lost")
+
+    lossy_client = RestoredBeforeTheAnswer(store._transport._base_url.removeprefix("http://"), 5.0)
+    with pytest.raises(errors.PlatformRestoredError, match="apply the change again"):
+        apply.apply(lossy_client, TEXT, first.version)
+
+
+def test_a_text_applied_to_the_copy_is_later_than_all_that_was_lost(server, store):
+    replica = configuration.ConfigurationStore()
+    first = apply.apply(store, TEXT, position.START)
+    lost = first
+    for _ in range(3):
+        lost = apply.apply(store, TEXT, lost.version)
+    replica.apply_listing(store.list(configuration.KIND))
+    server.RequestHandlerClass.platform.store.restore(first.version.revision)
+    replica.apply_listing(store.list(configuration.KIND))
+    assert replica.current.change_id == lost.change_id
+    with pytest.raises(errors.ConflictError):
+        apply.apply(store, TEXT, first.version)
+    again = apply.apply(store, TEXT, store.get(configuration.KIND, configuration.NAME).version)
+    replica.apply_listing(store.list(configuration.KIND))
+    assert replica.current.change_id == again.change_id
+
+
 def test_an_outage_raises_platform_unavailable(server, store):
     _inject_faults(server, outage=True)
     with pytest.raises(errors.PlatformUnavailableError):
