Merge the positions of a restored store with the reading of odd entries

Both change how objects of the store, of peers and of seed addresses are read. An object's epoch and revision are checked against the position of the whole answer. The tests of odd objects compare positions where they compared numbers; they check the same.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -8,6 +8,7 @@
 from bergamotridge import answer, environment, errors, events, metrics, settings
 from bergamotridge.callers import (
     at_most_once,
+    claim_rewriter,
     claims,
     keys,
     quota_rates,
@@ -54,11 +55,12 @@
     holding,
     read_policy,
     replica,
+    restorations,
     watch,
 )
 from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream
 from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import hlc, http_client, httpd, loop, request_reader
+from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
 
 CONTROL_GRACE_S = 0.5
 # Of the longest allowed age of the configuration: how long a watch, or a request to another node,
@@ -113,8 +115,10 @@
 
     def _create_platform_parts(self) -> None:
         node = self.settings
+        self.restorations = restorations.Restorations()
+        self.restorations.add_listener(self._record_restoration)
         self.objects = counted.CountedStore(
-            self.environment.create_store(node),
+            self.environment.create_store(node, self.restorations),
             self.node_metrics.count_platform_request,
             self.malformed_entries.report,
         )
@@ -184,7 +188,9 @@
             self._rng,
             self.node_metrics.count_control_bytes,
             self.malformed_entries.report,
+            self.restorations,
         )
+        self.restorations.add_listener(lambda _: self.gossip.start_urgent_round())
         self._create_platform_readers(replicas, peer_chooser)
         self.thresholds = shedding.ThresholdTable()
         self.graph = call_graph.CallGraph(self.routes.dependencies_of)
@@ -258,6 +264,7 @@
                 bootstrap.BootstrapTimings(),
                 self._rng,
                 self.malformed_entries.report,
+                lambda: self.restorations.epoch,
             ),
         ]
         if not self.environment.keys_in_text:
@@ -269,6 +276,12 @@
 
     def _create_caller_parts(self) -> None:
         node = self.settings
+        timings = holding.Timings(
+            lease_s=node.quota.lease_s,
+            adjust_s=node.quota.adjust_s,
+            token_lifetime_s=node.quota.token_lifetime_s,
+            join_after_s=node.quota.join_after_s,
+        )
         self.team_rates = quota_rates.QuotaRates(
             node.host,
             self.incarnation,
@@ -278,20 +291,28 @@
             self.members.members,
             self.routes.teams,
             quota_rates.QuotaSettings(
-                holding.Timings(
-                    lease_s=node.quota.lease_s,
-                    adjust_s=node.quota.adjust_s,
-                    token_lifetime_s=node.quota.token_lifetime_s,
-                    join_after_s=node.quota.join_after_s,
-                ),
-                per_domain=node.quota.per_domain,
-                groups=node.quota.groups,
+                timings, per_domain=node.quota.per_domain, groups=node.quota.groups
+            ),
+            restored_epoch=lambda: self.restorations.recent_epoch(
+                timings.expiry_s, clock.boot_time()
             ),
         )
+        self.restorations.add_listener(lambda _: self.team_rates.handle_restoration())
         self.shutdown = shutdown.Shutdown()
+        node_claims = claims.Claims(
+            node.host,
+            self.incarnation,
+            self.objects,
+            restored_epoch=lambda: self.restorations.recent_epoch(
+                node_claims.reservation_s, clock.boot_time()
+            ),
+        )
+        rewriter = claim_rewriter.ClaimRewriter(node_claims, self._rng)
+        self.restorations.add_listener(lambda _: rewriter.handle_restoration())
+        self.platform_tasks.append(rewriter)
         self.at_most_once_dispatcher = at_most_once.AtMostOnceDispatcher(
             node.host,
-            claims.Claims(node.host, self.incarnation, self.objects),
+            node_claims,
             self.dispatcher,
             self.relay_client,
             self.members.members,
@@ -391,6 +412,7 @@
             self.team_rates.shares,
             self.team_rates.tokens,
             self.freshness,
+            self.restorations,
         )
         self.events.add_listener(self.node_metrics.count_event)
         self.operator_port = operators_port.OperatorPort(
@@ -485,10 +507,12 @@
         self.loop.stop()
 
     def _apply_configuration(self, accepted: configuration.Configuration) -> None:
-        self.routes.replace(accepted.text, accepted.version)
+        self.routes.replace(accepted.text, str(accepted.version))
         self._configure_gate()
         self.events.emit(
-            "configuration.accepted", version=accepted.version, change_id=accepted.change_id
+            "configuration.accepted",
+            version=str(accepted.version),
+            change_id=accepted.change_id,
         )
 
     def _configure_gate(self) -> None:
@@ -520,6 +544,9 @@
             incarnation_of=changed.incarnation,
         )
 
+    def _record_restoration(self, restoration: restorations.Restoration) -> None:
+        self.events.emit("store.restored", epoch=restoration.epoch, told_by=restoration.source)
+
     def _withdraw_key(self, key_id: str) -> None:
         self.keys.withdraw(key_id)
         self.events.emit("key.withdrawn", cause="operator", key_id=key_id)
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.store import client
+from bergamotridge.store import client, position, replica
 
 KIND = "keys"
 AUTH_SCHEME = "bearer"
@@ -55,14 +55,16 @@
     team: str
     digest: str
     withdrawn: bool
-    version: int
+    version: position.Position
 
 
 class KeyRing:
     """Replica of the platform's grants, and the set of withdrawn keys, at one node.
 
     A withdrawal is never removed. One that an operator or a peer sent before the platform stored
-    it is `pending`: it is spread by gossip until the platform's object shows it.
+    it is `pending`: it is spread by gossip until the platform's object shows it. It is pending
+    again if the platform comes back from a copy without it. A grant that the copy lacks stays
+    valid, and is `unstored` until it is written again.
     """
 
     def __init__(self, fleet_secret: str) -> None:
@@ -72,7 +74,8 @@
         self._grants: dict[str, _StoredGrant] = {}
         self._withdrawn: set[str] = set()
         self._pending: frozenset[str] = frozenset()
-        self._version = 0
+        self._position = position.START
+        self._listed_epoch = 0
 
     @property
     def kind(self) -> str:
@@ -80,15 +83,37 @@
         return KIND
 
     @property
-    def version(self) -> int:
+    def version(self) -> replica.ReplicaVersion:
         """Highest version of a grant in this replica."""
-        return self._version
+        return replica.ReplicaVersion(seen=self._position)
 
     @property
     def pending(self) -> frozenset[str]:
         """Ids of keys withdrawn here whose stored grant does not show the withdrawal yet."""
         return self._pending
 
+    @property
+    def unstored(self) -> frozenset[str]:
+        """Ids of granted keys that the platform lacks since it was restored from a copy."""
+        with self._lock:
+            return frozenset(
+                key_id
+                for key_id, grant in self._grants.items()
+                if grant.version.epoch < self._listed_epoch
+            )
+
+    def is_granted(self, key_id: str) -> bool:
+        """Returns whether the grant of a key is known here."""
+        return key_id in self._grants
+
+    def stored_form(self, key_id: str) -> dict:
+        """Returns the value of the platform's object for a granted key, with its withdrawal."""
+        with self._lock:
+            grant = self._grants[key_id]
+            return _encode_grant(
+                attrs.evolve(grant, withdrawn=grant.withdrawn or key_id in self._withdrawn)
+            )
+
     @property
     def withdrawn_count(self) -> int:
         """Number of withdrawn keys known at this node."""
@@ -130,23 +155,27 @@
             }
             return bool(new_ids)
 
-    def listing_since(self, since: int) -> client.Listing:
+    def listing_since(self, since: replica.ReplicaVersion) -> client.Listing:
         """Returns one page of the grants with a version above `since`, in ascending order."""
         with self._lock:
-            newer_grants = [item for item in self._grants.items() if item[1].version > since]
+            newer_grants = [item for item in self._grants.items() if item[1].version > since.seen]
         newer_grants.sort(key=lambda item: item[1].version)
         items = tuple(
             client.StoredObject(KIND, key_id, grant.version, _encode_grant(grant))
             for key_id, grant in newer_grants[:PAGE_ITEMS]
         )
-        return client.Listing(items, items[-1].version if items else since)
+        return client.Listing(items, items[-1].version if items else since.seen)
 
     def apply_listing(self, listing: client.Listing) -> bool:
         """Adds grants to this replica; returns True if any was newer than the one held here."""
         with self._lock:
             is_newer = [self._apply_object(item) for item in listing.items]
+            self._listed_epoch = max(self._listed_epoch, listing.version.epoch)
+            listed = {item.name for item in listing.items} & self._withdrawn
             self._pending = frozenset(
-                key_id for key_id in self._pending if not self._is_withdrawal_confirmed(key_id)
+                key_id
+                for key_id in self._pending | listed
+                if not self._is_withdrawal_confirmed(key_id)
             )
             return any(is_newer)
 
@@ -158,7 +187,7 @@
         self._grants[item.name] = grant
         if grant.withdrawn:
             self._withdrawn.add(item.name)
-        self._version = max(self._version, item.version)
+        self._position = max(self._position, item.version)
         return True
 
     def _is_withdrawal_confirmed(self, key_id: str) -> bool:
@@ -182,7 +211,7 @@
     secret_text = f"{key_id}.{secrets.token_urlsafe(SECRET_BYTES)}"
     value = {"team": team, "digest": _compute_digest(fleet_secret, secret_text), "withdrawn": False}
     try:
-        platform.put(KIND, key_id, value, 0)
+        platform.put(KIND, key_id, value, position.START)
     except errors.PlatformUnavailableError:
         _confirm_grant(platform, key_id, value)
     return GrantedKey(key_id, secret_text)
@@ -221,7 +250,7 @@
     try:
         platform.get(KIND, key_id)
     except errors.NotFoundError:
-        platform.put(KIND, key_id, value, 0)
+        platform.put(KIND, key_id, value, position.START)
 
 
 def _make_key_error(message: str) -> errors.CallError:
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -10,7 +10,7 @@
 
 from bergamotridge import errors, malformed
 from bergamotridge.nodes import membership, watch_election
-from bergamotridge.store import client
+from bergamotridge.store import client, position
 from bergamotridge.util import addresses, backoff, fields
 
 KIND = "nodes"
@@ -63,6 +63,7 @@
         timings: BootstrapTimings,
         rng: random.Random,
         on_malformed: malformed.OnMalformed = malformed.ignore,
+        read_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
         """Creates the task without starting it.
 
@@ -74,7 +75,11 @@
             timings: Intervals of the task.
             rng: Source of jitter.
             on_malformed: Called with a report of each object without a usable address.
+            read_epoch: Returns the latest known epoch of the platform's store; when it rises, the
+                store was restored from a copy and may lack this node's address.
         """
+        self._read_epoch = read_epoch
+        self._written_epoch = read_epoch()
         self._platform = platform
         self._on_malformed = on_malformed
         self._members = members
@@ -122,6 +127,11 @@
                 delay_s = self._timings.check_s
 
     def _update(self, name: str | None) -> None:
+        epoch = self._read_epoch()
+        if epoch != self._written_epoch:
+            self._written_epoch = epoch
+            self._written_name = None
+            self._has_announced = False
         if len(self._members.members()) == 1:
             self._discover_peers()
         if name != self._written_name:
@@ -157,7 +167,7 @@
         if self._reads_alone > self._timings.reads_before_write:
             self._write(name)
         else:
-            self._put(name, 0)
+            self._put(name, position.START)
 
     def _address_object_name(self) -> str | None:
         place = self._election.place()
@@ -180,19 +190,19 @@
         return address
 
     def _write(self, name: str) -> None:
-        version = 0
         try:
             stored = self._platform.get(KIND, name)
             if stored.value == self._own_value():
                 return
             version = stored.version
-        except errors.NotFoundError:
-            pass
+        except errors.NotFoundError as error:
+            version = error.version
         self._put(name, version)
 
-    def _put(self, name: str, version: int) -> None:
+    def _put(self, name: str, version: position.Position) -> None:
         try:
-            self._platform.put(KIND, name, self._own_value(), version)
+            written = self._platform.put(KIND, name, self._own_value(), version)
+            _log.info("seed address written to {}, version {}", name, written)
         except errors.ConflictError:
             _log.debug("another host wrote its address to object {} first", name)
 
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -171,6 +171,17 @@
                 "Version of the operator's text in force, 0 before the first.",
                 lambda: read_status().configuration_version,
             ),
+            (
+                "configuration_epoch",
+                "Epoch of the platform's store in which the node read that version.",
+                lambda: read_status().configuration_epoch,
+            ),
+            (
+                "store_epoch",
+                "Highest epoch of the platform's store that the node knows; it rises when the store"
+                " is restored from an earlier copy.",
+                lambda: read_status().store_epoch,
+            ),
             (
                 "withdrawn_keys",
                 "Withdrawn keys that the node knows of.",
--- a/bergamotridge/operators/status.py
+++ b/bergamotridge/operators/status.py
@@ -72,7 +72,9 @@
         incarnation: Start time of its process in milliseconds.
         failure_domain: Failure domain of the host.
         uptime_s: Seconds since the start of the node.
-        configuration_version: Version of the operator's text in force, 0 if there is none.
+        configuration_version: Version of the operator's text in force within its epoch of the
+            store, 0 if there is none.
+        configuration_epoch: That epoch.
         withdrawn_keys: Number of withdrawn keys in the node's key ring.
         service: Service of the local upstream, "" if none has announced itself.
         state: State of that upstream.
@@ -81,6 +83,8 @@
         teams: Rates of the teams that have a rate limit.
         replica_ages: Seconds since each replica of the platform's objects was known to be current,
             by kind.
+        store_epoch: Highest epoch of the platform's store that the node knows; it rises when the
+            store is restored from an earlier copy.
     """
 
     host: str
@@ -95,6 +99,8 @@
     members: tuple[Member, ...] = ()
     teams: tuple[TeamRate, ...] = ()
     replica_ages: dict[str, float] = attrs.field(factory=dict)
+    store_epoch: int = 0
+    configuration_epoch: int = 0
 
 
 def encode(status: Status) -> bytes:
--- a/bergamotridge/store/apply.py
+++ b/bergamotridge/store/apply.py
@@ -11,7 +11,7 @@
 
 from bergamotridge import errors
 from bergamotridge.operators import operator_text
-from bergamotridge.store import client, configuration
+from bergamotridge.store import client, configuration, position
 
 MAX_WRITE_ATTEMPTS = 4
 EARLIER_KEY = "earlier_change_ids"
@@ -28,18 +28,21 @@
         replaced: True if a later change has already replaced it.
     """
 
-    version: int
+    version: position.Position
     change_id: str
     replaced: bool = False
 
 
-def apply(platform: client.ObjectClient, source: str, read_version: int) -> AppliedChange:
+def apply(
+    platform: client.ObjectClient, source: str, read_version: position.Position
+) -> AppliedChange:
     """Writes the operator's text if the version that the operator read is still current.
 
     Args:
         platform: Client of the platform.
         source: The operator's text.
-        read_version: Version of the configuration that the operator edited, 0 if there was none.
+        read_version: Version of the configuration that the operator edited; one that stands for a
+            missing object if there was none.
 
     Returns:
         The version of the written text and the id of this change.
@@ -50,9 +53,13 @@
             message holds the id of the other change, if known.
         PlatformUnavailableError: The platform did not answer. If the write may have taken effect,
             the message holds the id of this change, to look for in the configuration.
+        PlatformRestoredError: The platform was restored from a copy before the outcome was known.
+            Nodes may have the text in force though the platform lacks it.
     """
     operator_text.parse(source, "text")
     current = _read_current(platform)
+    if not read_version.exists and not current.version.exists:
+        read_version = current.version
     if current.version > read_version:
         raise _conflict_error(current, current.version)
     if current.version < read_version:
@@ -63,12 +70,15 @@
     value = {
         configuration.TEXT_KEY: source,
         configuration.CHANGE_KEY: change_id,
+        configuration.ORDER_KEY: [read_version.epoch, read_version.revision],
         EARLIER_KEY: _change_ids(current)[:MAX_EARLIER_CHANGE_IDS],
     }
     return _write(platform, value, read_version)
 
 
-def _write(platform: client.ObjectClient, value: dict, read_version: int) -> AppliedChange:
+def _write(
+    platform: client.ObjectClient, value: dict, read_version: position.Position
+) -> AppliedChange:
     """Repeats the conditional update until its outcome is known or all attempts are used up.
 
     All attempts are conditional on the same version, so at most one of them takes effect.
@@ -86,6 +96,8 @@
             last_error = error
         try:
             return _resolve_outcome(_read_current(platform), change_id, read_version)
+        except errors.PlatformRestoredError:
+            raise
         except errors.PlatformUnavailableError as error:
             last_error = error
     raise errors.PlatformUnavailableError(
@@ -95,17 +107,23 @@
 
 
 def _resolve_outcome(
-    stored: client.StoredObject, change_id: str, read_version: int
+    stored: client.StoredObject, change_id: str, read_version: position.Position
 ) -> AppliedChange:
     """Returns the outcome of a change, given the object as read after the write.
 
     Raises:
         ConflictError: Another change was written instead.
+        PlatformRestoredError: The object is from a copy, which says nothing about the change.
         PlatformUnavailableError: The outcome is not known yet.
     """
     change_ids = _change_ids(stored)
     if change_id in change_ids:
         return AppliedChange(stored.version, change_id, replaced=change_ids[0] != change_id)
+    if stored.version.epoch != read_version.epoch:
+        raise errors.PlatformRestoredError(
+            f"the platform was restored from a copy and lacks change {change_id}, which nodes may "
+            "have in force; read the configuration and apply the change again"
+        )
     if stored.version <= read_version:
         raise errors.PlatformUnavailableError(
             "the configuration does not show the change yet; read it again"
@@ -116,11 +134,13 @@
 def _read_current(platform: client.ObjectClient) -> client.StoredObject:
     try:
         return platform.get(configuration.KIND, configuration.NAME)
-    except errors.NotFoundError:
-        return client.StoredObject(configuration.KIND, configuration.NAME, 0, None)
+    except errors.NotFoundError as error:
+        return client.StoredObject(configuration.KIND, configuration.NAME, error.version, None)
 
 
-def _conflict_error(stored: client.StoredObject, version: int) -> errors.ConflictError:
+def _conflict_error(
+    stored: client.StoredObject, version: position.Position
+) -> errors.ConflictError:
     change = _change_ids(stored)[:1] if stored.version == version else []
     by_change = f" by change {change[0]}" if change else ""
     return errors.ConflictError(
--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -4,18 +4,22 @@
 import socket
 import threading
 import urllib.parse
+from collections.abc import Mapping, Sequence
 
 import attrs
 import orjson
 import pycurl
 
 from bergamotridge import errors, malformed
-from bergamotridge.store import readable
-from bergamotridge.util import fields, http_client
+from bergamotridge.store import position, readable, restorations
+from bergamotridge.util import clock, fields, http_client
 
+EPOCH_HEADER = "Store-Epoch"  # Rises when the store was restored from an earlier copy.
+MAX_EPOCH_DIGITS = 18  # Such numbers fit into 64 bits.
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
+_GONE = 410
 _SERVER_ERROR = 500
 _WATCH_GRACE_S = 1.0  # Added to the time limit of a watch, so that its response can arrive.
 
@@ -26,7 +30,7 @@
 
     kind: str
     name: str
-    version: int
+    version: position.Position
     value: object
 
 
@@ -41,16 +45,36 @@
     """
 
     items: tuple[StoredObject, ...]
-    version: int
+    version: position.Position
     skipped: tuple[malformed.MalformedEntry, ...] = ()
 
 
 @attrs.frozen
 class Reply:
-    """The platform's response to one request."""
+    """The platform's response to one request.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        headers: Header fields, by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+    def epoch(self, header: str) -> int:
+        """Returns the store's epoch as a header field gives it, 0 if there is no such field.
+
+        Raises:
+            PlatformUnavailableError: The value is not a whole number.
+        """
+        value = self.headers.get(header.lower(), "0")
+        if not (value.isascii() and value.isdigit() and len(value) <= MAX_EPOCH_DIGITS):
+            raise errors.PlatformUnavailableError(
+                f"the response's header field '{header}' is not a whole number; try again"
+            )
+        return int(value)
 
 
 class Transport:
@@ -96,6 +120,7 @@
             )
         handle = self._thread_handle()
         body_buffer = io.BytesIO()
+        header_lines: list[bytes] = []
         handle.reset()
         handle.setopt(pycurl.URL, self._base_url + path)
         handle.setopt(pycurl.CUSTOMREQUEST, method)
@@ -110,6 +135,7 @@
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(self.timeout_s * 1000))
         handle.setopt(pycurl.TIMEOUT_MS, int((timeout_s or self.timeout_s) * 1000))
         handle.setopt(pycurl.WRITEFUNCTION, body_buffer.write)
+        handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._closed))
         if body is not None:
@@ -120,7 +146,11 @@
         except pycurl.error as error:
             message = f"{method} {path}: {error.args[-1]}"
             raise errors.PlatformUnavailableError(message) from error
-        return Reply(handle.getinfo(pycurl.RESPONSE_CODE), body_buffer.getvalue())
+        return Reply(
+            handle.getinfo(pycurl.RESPONSE_CODE),
+            body_buffer.getvalue(),
+            _parse_header_lines(header_lines),
+        )
 
     def _thread_handle(self) -> pycurl.Curl:
         handle = getattr(self._local, "handle", None)
@@ -129,6 +159,16 @@
         return handle
 
 
+def _parse_header_lines(lines: Sequence[bytes]) -> dict[str, str]:
+    """Returns the header fields by name in lower case; those of interim responses are included."""
+    fields = {}
+    for line in lines:
+        name, separator, value = line.decode("latin-1").partition(":")
+        if separator:
+            fields[name.strip().lower()] = value.strip()
+    return fields
+
+
 def _open_socket(_purpose: int, address: tuple) -> socket.socket:
     family, kind, protocol, _ = address
     sock = socket.socket(family, kind, protocol)
@@ -143,14 +183,21 @@
     response arrived within the time limit. A write that raises it may or may not have taken effect.
     """
 
-    def __init__(self, address: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float,
+        known_restorations: restorations.Restorations | None = None,
+    ) -> None:
         """Creates a client without opening a connection.
 
         Args:
             address: IP:PORT of the object API.
             timeout_s: Time limit of one request in seconds; the wait of a watch is added to it.
+            known_restorations: Receives the store's epoch of each response; a new one if None.
         """
         self._transport = Transport(address, timeout_s)
+        self._restorations = known_restorations or restorations.Restorations()
 
     def get(self, kind: str, name: str, *, eventual: bool = False) -> StoredObject:
         """Returns the current version of an object; raises NotFoundError if there is none.
@@ -159,19 +206,19 @@
         """
         del eventual
         reply = self._request("GET", _object_path(kind, name))
-        return _decode_object(kind, _decode_json_object(reply))
+        return _decode_object(kind, _decode_json_object(reply), _epoch_of(reply))
 
     def list(self, kind: str, *, eventual: bool = False) -> Listing:
         """Returns all objects of a kind; `eventual` has no effect, as in `get`."""
         del eventual
-        return _decode_listing(
-            kind, _decode_json_object(self._request("GET", f"/objects/{_quote_segment(kind)}"))
-        )
+        return _decode_listing(kind, self._request("GET", f"/objects/{_quote_segment(kind)}"))
 
-    def put(self, kind: str, name: str, value: object, version: int) -> int:
+    def put(
+        self, kind: str, name: str, value: object, version: position.Position
+    ) -> position.Position:
         """Writes an object if its current version is `version`.
 
-        A `version` of 0 means that the object must not exist yet.
+        A `version` that stands for a missing object means that it must not exist yet.
 
         Returns:
             The new version.
@@ -180,10 +227,11 @@
             ConflictError: Another version is the current one.
             PlatformUnavailableError: The write may or may not have taken effect.
         """
-        path = f"{_object_path(kind, name)}?version={version}"
-        return _version_of(_decode_json_object(self._request("PUT", path, orjson.dumps(value))))
+        path = f"{_object_path(kind, name)}?{_condition(version)}"
+        reply = self._request("PUT", path, orjson.dumps(value))
+        return _version_of(_decode_json_object(reply), _epoch_of(reply))
 
-    def delete(self, kind: str, name: str, version: int) -> None:
+    def delete(self, kind: str, name: str, version: position.Position) -> None:
         """Deletes an object if its current version is `version`.
 
         Raises:
@@ -191,19 +239,24 @@
             ConflictError: Another version is the current one.
             PlatformUnavailableError: The deletion may or may not have taken effect.
         """
-        self._request("DELETE", f"{_object_path(kind, name)}?version={version}")
+        self._request("DELETE", f"{_object_path(kind, name)}?{_condition(version)}")
 
-    def watch(self, kind: str, since: int, wait_s: float) -> Listing:
+    def watch(self, kind: str, since: position.Position, wait_s: float) -> Listing:
         """Returns the objects of a kind whose version is above `since`.
 
         If there is none, waits up to `wait_s` seconds for the first change; the listing is empty if
-        none came.
+        none came. If the store was restored since then, all objects are returned.
         """
-        path = f"/watch/{_quote_segment(kind)}?since={since}&wait_s={wait_s:g}"
-        reply = self._request(
+        path = (
+            f"/watch/{_quote_segment(kind)}?since={since.revision}&wait_s={wait_s:g}"
+            f"&epoch={since.epoch}"
+        )
+        reply = self._perform(
             "GET", path, timeout_s=self._transport.timeout_s + wait_s + _WATCH_GRACE_S
         )
-        return _decode_listing(kind, _decode_json_object(reply))
+        if reply.status == _GONE:
+            return self.list(kind)
+        return _decode_listing(kind, _check_status("GET", path, reply))
 
     def close(self) -> None:
         """Ends requests in flight within about a second and fails all later ones."""
@@ -211,27 +264,49 @@
 
     def _request(
         self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
+    ) -> Reply:
+        return _check_status(method, path, self._perform(method, path, body, timeout_s))
+
+    def _perform(
+        self, method: str, path: str, body: bytes | None = None, timeout_s: float | None = None
     ) -> Reply:
         reply = self._transport.perform(method, path, body, timeout_s)
-        if reply.status == _OK:
-            return reply
-        if reply.status == _NOT_FOUND:
-            raise errors.NotFoundError(
-                f"the platform has no object at {path}; check its kind and name"
-            )
-        if reply.status == _CONFLICT:
-            current = _version_of(_decode_json_object(reply))
-            raise errors.ConflictError(
-                f"{path}: the current version is {current}; read it and try again", current
-            )
-        if reply.status >= _SERVER_ERROR:
-            raise errors.PlatformUnavailableError(
-                f"{method} {path}: the platform returned status {reply.status}; try again"
-            )
-        raise errors.PlatformError(
-            f"{method} {path}: the platform refused the request with status {reply.status}; "
-            "check the platform's address"
+        self._restorations.check(_epoch_of(reply), clock.boot_time())
+        return reply
+
+
+def _check_status(method: str, path: str, reply: Reply) -> Reply:
+    """Returns a reply with status 200; raises the PlatformError of any other."""
+    if reply.status == _OK:
+        return reply
+    if reply.status == _NOT_FOUND:
+        raise errors.NotFoundError(
+            f"the platform has no object at {path}; check its kind and name",
+            position.Position(_epoch_of(reply), 0),
+        )
+    if reply.status == _CONFLICT:
+        current = _version_of(_decode_json_object(reply), _epoch_of(reply))
+        raise errors.ConflictError(
+            f"{path}: the current version is {current}; read it and try again", current
         )
+    if reply.status >= _SERVER_ERROR:
+        raise errors.PlatformUnavailableError(
+            f"{method} {path}: the platform returned status {reply.status}; try again"
+        )
+    raise errors.PlatformError(
+        f"{method} {path}: the platform refused the request with status {reply.status}; "
+        "check the platform's address"
+    )
+
+
+def _epoch_of(reply: Reply) -> int:
+    return reply.epoch(EPOCH_HEADER)
+
+
+def _condition(version: position.Position) -> str:
+    """Returns the query of a write that is conditional on a version."""
+    epoch = f"&epoch={version.epoch}" if version.exists else ""
+    return f"version={version.revision}{epoch}"
 
 
 def _quote_segment(segment: str) -> str:
@@ -257,41 +332,44 @@
     return decoded
 
 
-def _version_of(mapping: dict) -> int:
+def _version_of(mapping: dict, epoch: int) -> position.Position:
     version = mapping.get("version")
     if type(version) is not int or not 0 <= version <= fields.MAX_INTEGER:
         raise errors.PlatformUnavailableError(
             "the platform's response has no version: try again, or check the platform's address"
         )
-    return version
+    return position.Position(epoch, version)
 
 
-def _decode_object(kind: str, entry: object, max_version: int = fields.MAX_INTEGER) -> StoredObject:
+def _decode_object(
+    kind: str, entry: object, epoch: int, max_revision: int = fields.MAX_INTEGER
+) -> StoredObject:
     """Returns the object of an entry; raises MalformedObjectError if it cannot be read."""
     try:
         name = fields.text("name", readable.member(entry, "name"))
-        version = readable.member(entry, "version")
-        fields.whole_number("version", version, 1, max_version)
+        revision = readable.member(entry, "version")
+        fields.whole_number("version", revision, 1, max_revision)
     except errors.MalformedEntryError as error:
         raise errors.MalformedObjectError(
             f"the platform's response has an object that cannot be read: {error}"
         ) from error
     value = readable.member(entry, "value")
     readable.check_value(value)
-    return StoredObject(kind, name, version, value)
+    return StoredObject(kind, name, position.Position(epoch, revision), value)
 
 
-def _decode_listing(kind: str, mapping: dict) -> Listing:
+def _decode_listing(kind: str, reply: Reply) -> Listing:
+    mapping, epoch = _decode_json_object(reply), _epoch_of(reply)
     items = mapping.get("items")
     if not isinstance(items, list):
         raise errors.PlatformUnavailableError(
             "the platform's response has no items: try again, or check the platform's address"
         )
-    version = _version_of(mapping)
+    version = _version_of(mapping, epoch)
     read = readable.decode_each(
         kind,
         items,
-        lambda entry: _decode_object(kind, entry, version),
+        lambda entry: _decode_object(kind, entry, epoch, version.revision),
         lambda entry: readable.member(entry, "name"),
     )
     return Listing(read.items, version, read.skipped)
--- a/tests/fake_objects.py
+++ b/tests/fake_objects.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bergamotridge import errors
-from bergamotridge.store import client
+from bergamotridge.store import client, position
 from standins import store
 
 
@@ -30,31 +30,39 @@
 class FakeObjects:
     """One host's client of a shared store; implements `objects.Objects`.
 
-    A read that allows stale data returns what the previous such read would have found.
+    A read that allows stale data returns what the previous such read would have found. Conditions
+    of writes are checked by the revision alone, which a restored store gives out again.
     """
 
-    def __init__(self, shared: store.Store) -> None:
+    def __init__(
+        self, shared: store.Store, observe_epoch: Callable[[int], object] = lambda epoch: None
+    ) -> None:
         self.faults = Faults()
+        self._observe_epoch = observe_epoch
         self.reads = 0
         self.writes = 0
         self._shared = shared
-        self._delayed_writes: list[tuple[str, str, object, int]] = []
-        self._found_before: dict[tuple[str, str], store.Item | None] = {}
+        self._delayed_writes: list[tuple[str, str, object, position.Position]] = []
+        self._found_before: dict[tuple[str, str], client.StoredObject] = {}
 
     def get(self, kind, name, *, eventual=False):
         self._count_read()
         item = self._shared.get(kind, name)
+        found = (
+            self._stored(item) if item else client.StoredObject(kind, name, self._position(0), None)
+        )
         if eventual:
-            found, item = item, self._found_before.get((kind, name), item)
-            self._found_before[kind, name] = found
-        if item is None:
-            raise errors.NotFoundError(f"no {kind}/{name}")
-        return item
+            now_found, found = found, self._found_before.get((kind, name), found)
+            self._found_before[kind, name] = now_found
+        if not found.version.exists:
+            raise errors.NotFoundError(f"no {kind}/{name}", found.version)
+        return found
 
     def list(self, kind, *, eventual=False):
         self._count_read()
         listing = self._shared.list(kind)
-        return client.Listing(tuple(listing.items), listing.version)
+        items = tuple(self._stored(item) for item in listing.items)
+        return client.Listing(items, self._position(listing.version))
 
     def put(self, kind, name, value, version):
         self.writes += 1
@@ -78,11 +86,11 @@
         if self.faults.outage:
             raise errors.PlatformUnavailableError("outage")
         try:
-            self._shared.delete(kind, name, version)
+            self._shared.delete(kind, name, version.revision)
         except KeyError as error:
             raise errors.NotFoundError(f"no {kind}/{name}") from error
         except store.VersionConflict as error:
-            raise errors.ConflictError(str(error), error.version) from error
+            raise errors.ConflictError(str(error), self._position(error.version)) from error
 
     def release(self):
         """Applies the delayed writes; those whose version is no longer current have no effect."""
@@ -90,7 +98,7 @@
         for kind, name, value, version in delayed_writes:
             try:
                 self._write(kind, name, value, version)
-            except errors.ConflictError:
+            except (errors.ConflictError, errors.PlatformUnavailableError):
                 continue
 
     def _count_read(self):
@@ -100,6 +108,16 @@
 
     def _write(self, kind, name, value, version):
         try:
-            return self._shared.put(kind, name, version, value)
+            written = self._position(self._shared.put(kind, name, version.revision, value))
         except store.VersionConflict as error:
-            raise errors.ConflictError(str(error), error.version) from error
+            raise errors.ConflictError(str(error), self._position(error.version)) from error
+        if version.exists and version.epoch != written.epoch:
+            raise errors.PlatformUnavailableError("restored in between")
+        return written
+
+    def _position(self, revision):
+        self._observe_epoch(self._shared.epoch)
+        return position.Position(self._shared.epoch, revision)
+
+    def _stored(self, item):
+        return client.StoredObject(item.kind, item.name, self._position(item.version), item.value)
--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -5,8 +5,8 @@
 import pytest
 
 from bergamotridge import malformed
-from bergamotridge.nodes import bootstrap, membership, peers, watch_election
-from bergamotridge.store import client
+from bergamotridge.nodes import bootstrap, change_log, membership, peers, watch_election
+from bergamotridge.store import client, position, restorations
 from tests.test_nodes import fleet
 
 FAST = bootstrap.BootstrapTimings(
@@ -21,11 +21,19 @@
     members = membership.Membership(fleet.own_record(host, port), membership.MembershipTimings())
     rng = random.Random(port)
     chooser = peers.PeerChooser(members, (), rng)
-    platform_client = client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
+    known = restorations.Restorations()
+    platform_client = client.ObjectClient("{}:{}".format(*server.server_address), 5.0, known)
     election = watch_election.WatchElection(members, chooser, nodes_per_domain)
     return (
         bootstrap.Bootstrap(
-            platform_client, members, on_addresses, election, FAST, rng, on_malformed
+            platform_client,
+            members,
+            on_addresses,
+            election,
+            FAST,
+            rng,
+            on_malformed,
+            lambda: known.epoch,
         ),
         platform_client,
     )
@@ -55,6 +63,20 @@
         task_client.close()
 
 
+# Seed addresses written in the seconds that the platform lost were gone for good.
+def test_a_seed_address_that_a_restored_platform_lost_is_written_again(server):
+    task, task_client = _create_task(server, "h1", 1, lambda addresses: None, nodes_per_domain=1)
+    other = change_log.RecordUpdate(fleet.own_record("h2", 2, domain="b"), 1, suspected=False)
+    task._members.merge([other], "h2", 0.0)  # A node that knows another reads no addresses.
+    task.start()
+    fleet.wait_for(lambda: _addresses(server) == {"a.0": "127.0.0.1:1"})
+    server.RequestHandlerClass.platform.store.restore(0)
+    task_client.list("configuration")  # By its other reads the node notices the restoration.
+    fleet.wait_for(lambda: _addresses(server) == {"a.0": "127.0.0.1:1"})
+    task.stop()
+    task_client.close()
+
+
 def test_of_many_nodes_that_boot_together_all_find_others_and_few_write(server):
     found = {f"h{number}": set() for number in range(HOSTS)}
     tasks = [
@@ -88,8 +110,8 @@
 )
 def test_an_odd_seed_address_is_left_out_and_the_others_hold(server, odd):
     writer = client.ObjectClient("{}:{}".format(*server.server_address), 5.0)
-    writer.put("nodes", "odd", odd, 0)
-    writer.put("nodes", "a.0", {"address": "127.0.0.1:1"}, 0)
+    writer.put("nodes", "odd", odd, position.START)
+    writer.put("nodes", "a.0", {"address": "127.0.0.1:1"}, position.START)
     writer.close()
     found, reports = set(), []
     task, task_client = _create_task(server, "h2", 2, found.update, 1, reports.append)
--- a/tests/test_nodes/test_odd_fetches.py
+++ b/tests/test_nodes/test_odd_fetches.py
@@ -5,7 +5,7 @@
 
 from bergamotridge.nodes import gossip, gossip_pb2
 from bergamotridge.store import configuration
-from tests import odd_values
+from tests import odd_values, positions
 
 
 def _fetched(*objects, version=50):
@@ -24,7 +24,7 @@
     response = _fetched(("a", 7, b"1"), ("x", version, value), ("b", 50, b"1"))
     listing = gossip._decode_listing("keys", response)
     assert {"a", "b"} <= {item.name for item in listing.items}
-    assert max(item.version for item in listing.items) == 50
+    assert max(item.version for item in listing.items) == positions.at(50)
 
 
 # A configuration object without a text was kept as it was, and could not be passed on to peers if
@@ -37,6 +37,6 @@
     store = configuration.ConfigurationStore()
     value = odd_values.object_text({"text": text, "change_id": change}).encode()
     store.apply_listing(gossip._decode_listing("configuration", _fetched(("current", 5, value))))
-    gossip._encode_listing(store.listing_since(0)).SerializeToString()
-    store.apply_version(7, "[services.a]\n")
-    assert store.current.version == 7
+    gossip._encode_listing(store.listing_since(positions.version(0))).SerializeToString()
+    store.apply_version(positions.at(7), "[services.a]\n")
+    assert store.current.version == positions.at(7)
--- a/tests/test_platform/test_odd_objects.py
+++ b/tests/test_platform/test_odd_objects.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from bergamotridge import errors
-from bergamotridge.store import client, configuration
-from tests import odd_values
+from bergamotridge.store import client, configuration, position
+from tests import odd_values, positions
 
 AS_OF = 50
 
@@ -93,11 +93,11 @@
 def test_an_odd_object_fails_neither_listing_nor_watch(make_store, odd, kind):
     objects = (_object("a", 7), odd, _object("b", AS_OF))
     store = make_store(_page(*objects), _events(*objects))
-    listing = store.watch(kind, 0, 1.0)
+    listing = store.watch(kind, position.START, 1.0)
     assert (_names(listing), len(listing.skipped)) == (["a", "b"], 1)
-    watched = store.watch(kind, 7, 1.0)
+    watched = store.watch(kind, positions.at(7), 1.0)
     assert (_names(watched), len(watched.skipped)) == (["a", "b"], 3)
-    assert watched.version == AS_OF
+    assert watched.version == positions.at(AS_OF)
 
 
 @pytest.mark.parametrize("odd", ODD_OBJECTS)
@@ -128,8 +128,8 @@
 )
 def test_a_conflict_without_a_readable_version_is_still_a_conflict(make_store, answer):
     with pytest.raises(errors.ConflictError) as caught:
-        make_store(answer, status=409).put("nodes", "x", {}, 3)
-    assert caught.value.version == 0
+        make_store(answer, status=409).put("nodes", "x", {}, positions.at(3))
+    assert caught.value.version == position.START
 
 
 ENTRIES = (
@@ -146,14 +146,14 @@
 
     objects = (_object("a", 7), odd, _object("b", AS_OF))
     store = metadata_store.MetadataStore(RawTransport(_page(*objects), _events(*objects)))
-    for since in (0, 7):
+    for since in (position.START, positions.at(7)):
         try:
             listing = store.watch(kind, since, 1.0)
         except errors.PlatformUnavailableError:
             # The whole response is no JSON.
             continue
         assert {"a", "b"} <= set(_names(listing))
-        assert max(item.version for item in listing.items) == AS_OF
+        assert max(item.version for item in listing.items) == positions.at(AS_OF)
 
 
 @odd_values.SETTINGS
@@ -166,4 +166,4 @@
         with pytest.raises(errors.PlatformError):
             store.list("nodes")
         with pytest.raises(errors.PlatformError):
-            store.put("nodes", "x", {}, 3)
+            store.put("nodes", "x", {}, positions.at(3))
--- a/tests/test_store/test_counted.py
+++ b/tests/test_store/test_counted.py
@@ -5,23 +5,23 @@
 import pytest
 
 from bergamotridge import errors, malformed
-from bergamotridge.store import client, counted
+from bergamotridge.store import client, counted, position
 from standins import store
-from tests import fake_objects
+from tests import fake_objects, positions
 
 
 def test_requests_are_counted_by_kind_operation_and_result():
     counts = collections.Counter()
     fake = fake_objects.FakeObjects(store.Store())
     objects = counted.CountedStore(fake, lambda *labels: counts.update([labels]))
-    version = objects.put("quota", "a", 1, 0)
+    version = objects.put("quota", "a", 1, position.START)
     objects.get("quota", "a")
     objects.get("quota", "a", eventual=True)
     objects.list("nodes", eventual=True)
     with pytest.raises(errors.NotFoundError):
         objects.get("quota", "b")
     with pytest.raises(errors.ConflictError):
-        objects.put("quota", "a", 2, version + 1)
+        objects.put("quota", "a", 2, positions.at(version.revision + 1))
     fake.faults.outage = True
     with pytest.raises(errors.PlatformUnavailableError):
         objects.list("nodes")
--- a/tests/test_store/test_odd_objects.py
+++ b/tests/test_store/test_odd_objects.py
@@ -4,7 +4,8 @@
 import pytest
 
 from bergamotridge import errors
-from tests import odd_values
+from bergamotridge.store import position
+from tests import odd_values, positions
 from tests.test_store import test_client
 
 VERSION = 50
@@ -36,14 +37,17 @@
 def test_whatever_stands_between_two_objects_both_are_read(server_and_client, odd):
     server, platform = server_and_client
     server.responses[:] = [(200, _listing(odd), 0)] * 2
-    for read in (lambda: platform.list("nodes"), lambda: platform.watch("nodes", 1, 0.0)):
+    for read in (
+        lambda: platform.list("nodes"),
+        lambda: platform.watch("nodes", positions.at(1), 0.0),
+    ):
         try:
             listing = read()
         except errors.PlatformUnavailableError:
             # The whole response is no JSON.
             continue
         assert {"a", "b"} <= {item.name for item in listing.items}
-        assert max(item.version for item in listing.items) == VERSION
+        assert max(item.version for item in listing.items) == positions.at(VERSION)
         assert len(listing.items) + len(listing.skipped) == 3
 
 
@@ -52,7 +56,7 @@
     server, platform = server_and_client
     server.responses[:] = [(200, body, 0)]
     with pytest.raises(errors.PlatformUnavailableError):
-        platform.put("nodes", "x", 1, 0)
+        platform.put("nodes", "x", 1, position.START)
 
 
 def test_a_read_of_an_odd_object_is_an_error_of_its_own(server_and_client):
