Read quota objects whole or not at all, and outlive any of them

What could be seen: one quota object with a demand that is a text, null or 1e308, a list for a number or a share that is none ended the thread that adjusts and renews the shares of all teams on each node that read it. It ended without a line, as its executor keeps the exception. The shares went on until the end of their leases (half an hour by default); then calls of all teams were refused for their rate until the nodes were restarted. Where the object was found malformed, the groups after it were not looked at in that round, so their shares were not renewed either, and a node that had just started took over nothing as long as the object stood there.

Cause: shares were built from whatever values a list had, and the loop expected errors of the platform alone.

Change: decode_group checks the type and range of each value (a share of an unknown size must not be guessed, so the object stays all or nothing) and raises MalformedObjectError. Such a group is reported and left alone until it is mended; the other groups go on. The loops of shares and draws log whatever else fails and go on, and a draw that fails unexpectedly counts as unanswered.

Not changed: in a planned stop a malformed group still ends the return of the shares of later groups; they are free once their leases end.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -287,6 +287,7 @@
                 per_domain=node.quota.per_domain,
                 groups=node.quota.groups,
             ),
+            on_malformed=self.malformed_entries.report,
         )
         self.shutdown = shutdown.Shutdown()
         self.at_most_once_dispatcher = at_most_once.AtMostOnceDispatcher(
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -7,7 +7,7 @@
 import attrs
 import logbook
 
-from bergamotridge import errors
+from bergamotridge import errors, malformed
 from bergamotridge.callers import lending_bucket
 from bergamotridge.nodes import quota_pb2
 from bergamotridge.operators import operator_text
@@ -82,6 +82,7 @@
         client: objects.Objects,
         timings: holding.Timings,
         clock: Callable[[], float],
+        on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
         """Starts without shares; this process must already have bound the host's control port.
 
@@ -93,7 +94,9 @@
             timings: Time limits of holders.
             clock: Returns monotonic time in seconds; read again after each response of the
                 platform.
+            on_malformed: Called with a report of each quota object that cannot be read.
         """
+        self._on_malformed = on_malformed
         self._host = host
         self._incarnation = incarnation
         self._failure_domain = failure_domain
@@ -132,17 +135,26 @@
 
         Before this process has joined a quota, such a share was left by an earlier process.
 
+        Quota objects that cannot be read are left out.
+
         Raises:
-            PlatformError: The platform cannot be reached, or a quota object is malformed.
+            PlatformError: The platform cannot be reached.
         """
         stored = self._client.list(quota.KIND, eventual=True).items
         return [
             team
             for item in stored
-            for team, team_quota in quota.decode_group(item.value).items()
+            for team, team_quota in self._decode_or_skip(item).items()
             if team_quota.find(self._host) is not None
         ]
 
+    def _decode_or_skip(self, item: objects.StoredObject) -> Mapping[str, quota.Quota]:
+        try:
+            return quota.decode_group(item.value)
+        except errors.MalformedObjectError as error:
+            self._on_malformed(malformed.MalformedEntry(quota.KIND, item.name, error))
+            return {}
+
     def take(self, team: str, now: float) -> bool:
         """Spends one token of this host's share; returns False if there is none."""
         with self._lock:
@@ -183,8 +195,8 @@
             plans: What to do about each team of the group in which this host takes part.
 
         Raises:
-            PlatformError: The platform cannot be reached; the shares stay usable until their lease
-                ends.
+            PlatformError: The platform cannot be reached, or the object cannot be read; the shares
+                stay usable until their lease ends.
         """
         states = {plan.team.name: self._update_state(plan.team) for plan in plans}
         if all(states[plan.team.name].holding.share and plan.chosen for plan in plans):
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -4,7 +4,6 @@
 them: they send a request (a draw) and may spend the tokens that the holder lends for a short time.
 """
 
-import contextlib
 import math
 import random
 import threading
@@ -16,11 +15,12 @@
 import grpc
 import logbook
 
-from bergamotridge import errors
+from bergamotridge import errors, malformed
 from bergamotridge.callers import holder_choice, quota_drawer, quota_holder, rates
 from bergamotridge.nodes import holders, quota, quota_pb2, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, objects
+from bergamotridge.store import quota as quota_objects
 from bergamotridge.util import loop
 
 DRAW_THREADS = 4
@@ -92,6 +92,7 @@
         teams: Callable[[], Mapping[str, operator_text.Team]],
         settings: QuotaSettings | None = None,
         clock: Callable[[], float] = time.monotonic,
+        on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
         """Prepares the rates.
 
@@ -105,7 +106,9 @@
             teams: Returns the teams of the configuration in force.
             settings: Settings of the quota; the defaults if None.
             clock: Returns monotonic time in seconds.
+            on_malformed: Called with a report of each quota object that cannot be read.
         """
+        self._on_malformed = on_malformed
         self._host = host
         self._incarnation = incarnation
         self._failure_domain = failure_domain
@@ -152,6 +155,7 @@
             self._client,
             self._settings.timings,
             self._clock,
+            self._on_malformed,
         )
         self._loop_executor.submit(self._run_share_loop)
         self._loop_executor.submit(self._run_draw_loop)
@@ -271,14 +275,22 @@
 
     def _run_draw_loop(self) -> None:
         while not self._stopping.is_set():
-            with self._lock:
-                now = self._clock()
-                self._reconfigure_if_due(now)
-                draws = self._drawer.plan_draws(self._members_by_host(), now)
-                if not draws:
-                    self._draw_needed.wait(self._draw_pause_s(now))
-            for draw in draws:
-                self._send_executor.submit(self._send_draw, draw)
+            try:
+                self._send_next_draws()
+            except Exception:
+                _log.exception("planning draws of tokens failed unexpectedly and is retried")
+                self._stopping.wait(self._settings.draw_interval_s)
+
+    def _send_next_draws(self) -> None:
+        """Sends the draws that are due, or waits until some may be."""
+        with self._lock:
+            now = self._clock()
+            self._reconfigure_if_due(now)
+            draws = self._drawer.plan_draws(self._members_by_host(), now)
+            if not draws:
+                self._draw_needed.wait(self._draw_pause_s(now))
+        for draw in draws:
+            self._send_executor.submit(self._send_draw, draw)
 
     def _draw_pause_s(self, now: float) -> float:
         """Returns for how long nothing has to be drawn or settled unless calls ask for tokens."""
@@ -287,10 +299,14 @@
 
     def _send_draw(self, draw: quota_drawer.Draw) -> None:
         response = None
-        with contextlib.suppress(quota.UnreachableError):
+        try:
             response = self._transport.draw(
                 draw.holder.control_address, draw.request, self._settings.draw_timeout_s
             )
+        except quota.UnreachableError as error:
+            _log.debug("draw of tokens failed: {}", error)
+        except Exception:
+            _log.exception("a draw of tokens from {} failed unexpectedly", draw.holder.host)
         with self._lock:
             self._drawer.apply_response(draw, response, self._clock())
             self._wake_waiting_calls()
@@ -309,6 +325,9 @@
             except errors.PlatformError as error:
                 _log.warning("quota shares not adjusted: {}", error)
                 failed = True
+            except Exception:
+                _log.exception("adjusting the quota shares failed unexpectedly and is retried")
+                failed = True
             pause_s = pauses.next_pause_s(failed)
             reads_sooner = self._has_pending_share_change() and not failed
             self._shares_due.wait(min(pause_s, MAX_JOIN_PAUSE_S) if reads_sooner else pause_s)
@@ -342,7 +361,11 @@
 
     def _adjust_shares(self, predecessor_teams: Sequence[str]) -> None:
         for group, plans in self._plan_shares(predecessor_teams, self._clock()).items():
-            self._holder.adjust(group, plans)
+            try:
+                self._holder.adjust(group, plans)
+            except errors.MalformedObjectError as error:
+                # The teams of the other groups do not depend on it.
+                self._on_malformed(malformed.MalformedEntry(quota_objects.KIND, group, error))
 
     def _plan_shares(
         self, predecessor_teams: Sequence[str], now: float
--- a/bergamotridge/store/quota.py
+++ b/bergamotridge/store/quota.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from bergamotridge import errors
+from bergamotridge.util import excerpt, fields
 
 KIND = "quota-groups"
 PARTS = 1_000_000  # Units into which the whole rate and burst of a team are divided.
@@ -28,6 +29,7 @@
 # predecessor lent may still be spent.
 MAX_LENT_FRACTION = 0.75
 MIN_LENDABLE_TOKENS = 1.0
+MAX_DEMAND_PER_S = 1e12
 
 
 @attrs.frozen
@@ -110,27 +112,41 @@
     """Returns the quotas by team from a value that `encode_group` returned.
 
     Raises:
-        PlatformError: The value is malformed, or the shares of a team sum to more than the whole.
+        MalformedObjectError: The value is malformed, or the shares of a team sum to more than the
+            whole.
     """
     try:
-        quotas = {
-            team: Quota(tuple(Share(*share) for share in shares))
-            for team, shares in value["teams"].items()
-        }
-        valid = all(
-            quota.free_parts >= 0 and all(share.parts >= 0 for share in quota.shares)
-            for quota in quotas.values()
-        )
-    except (TypeError, KeyError, AttributeError) as error:
-        raise errors.PlatformError(
+        teams = fields.table("'teams'", fields.table("the value", value).get("teams"))
+        return {team: _decode_quota(shares) for team, shares in teams.items()}
+    except errors.MalformedEntryError as error:
+        raise errors.MalformedObjectError(
             f"the quota object is malformed, check which process wrote it: {error}"
         ) from error
-    if not valid:
-        raise errors.PlatformError(
-            "the quota object has a negative share or shares that sum to more than the whole; "
-            "check which process wrote it"
-        )
-    return quotas
+
+
+def _decode_quota(items: object) -> Quota:
+    if not isinstance(items, list):
+        raise errors.MalformedEntryError(f"the shares of a team are {excerpt.quote(items)}")
+    quota = Quota(tuple(_decode_share(item) for item in items))
+    if quota.free_parts < 0:
+        raise errors.MalformedEntryError("the shares of a team sum to more than the whole")
+    if len({share.host for share in quota.shares}) < len(quota.shares):
+        raise errors.MalformedEntryError("a host has two shares of one team")
+    return quota
+
+
+def _decode_share(item: object) -> Share:
+    if not isinstance(item, list) or len(item) != len(attrs.fields(Share)):
+        raise errors.MalformedEntryError(f"a share is {excerpt.quote(item)}")
+    host, incarnation, failure_domain, parts, renewals, demand = item
+    return Share(
+        host=fields.text("host", host),
+        incarnation=fields.whole_number("incarnation", incarnation, 0, fields.MAX_START_MS),
+        failure_domain=fields.text("failure_domain", failure_domain),
+        parts=fields.whole_number("parts", parts, 0, PARTS),
+        renewals=fields.whole_number("renewals", renewals, 0, fields.MAX_INTEGER),
+        demand=fields.number("demand", demand, 0.0, MAX_DEMAND_PER_S),
+    )
 
 
 def needed_parts(demand: float, rate: float) -> int:
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -5,8 +5,9 @@
 from concurrent import futures
 
 import attrs
+import pytest
 
-from bergamotridge import errors
+from bergamotridge import errors, malformed
 from bergamotridge.callers import quota_rates
 from bergamotridge.nodes import control, quota, record
 from bergamotridge.operators import operator_text
@@ -16,6 +17,7 @@
 from tests import event_loop, fake_objects, history_rates
 
 TEAM = operator_text.Team("utrecht", rate=150.0, burst=30)
+OTHER_TEAM = operator_text.Team("delft", rate=150.0, burst=30)  # Of another group.
 SETTINGS = quota_rates.QuotaSettings(
     timings=holding.Timings(
         lease_s=60.0, renew_s=10.0, adjust_s=0.1, token_lifetime_s=0.5, join_after_s=0.2
@@ -50,7 +52,7 @@
         for host in hosts:
             self.start(host, "127.0.0.1:0")
 
-    def start(self, host, address):
+    def start(self, host, address, *more_teams, on_malformed=malformed.ignore):
         self.incarnations += 1
         objects = fake_objects.FakeObjects(self.store)
         pool = control.ChannelPool(SECRET)
@@ -61,8 +63,9 @@
             objects,
             quota.QuotaClient(pool),
             lambda: list(self.members.values()),
-            lambda: {TEAM.name: TEAM},
+            lambda: {team.name: team for team in (TEAM, *more_teams)},
             SETTINGS,
+            on_malformed=on_malformed,
         )
         server = control.ControlServer(address, SECRET, [rates])
         self.members[host] = record.UpstreamRecord(
@@ -85,19 +88,18 @@
         self.stop(host)
         self.start(host, self.members[host].control_address)
 
-    def wait_for_holders(self, count):
+    def wait_for_holders(self, count, team=TEAM):
         for _ in range(MAX_POLLS):
-            if len(self.holders()) >= count:
+            if len(self.holders(team)) >= count:
                 return
             time.sleep(PAUSE_S)
         raise AssertionError("fewer holders than expected joined the quota in time")
 
-    def holders(self):
-        group = quota_object.group_name(TEAM.name, SETTINGS.groups)
+    def holders(self, team=TEAM):
+        group = quota_object.group_name(team.name, SETTINGS.groups)
         stored = self.store.get(quota_object.KIND, group)
-        if stored is None:
-            return []
-        return [share.host for share in quota_object.decode_group(stored.value)[TEAM.name].shares]
+        quotas = quota_object.decode_group(stored.value) if stored else {}
+        return [share.host for share in quotas.get(team.name, quota_object.Quota()).shares]
 
 
 def make_calls(fleet, seed):
@@ -174,3 +176,32 @@
     assert sum(token_counts) <= TEAM.burst
     for host in fleet.nodes:
         fleet.stop(host)
+
+
+ODD_SHARES = (
+    ["x", 1, "x", 10, 1, "much"],
+    ["x", 1, "x", 10, 1, None],
+    ["x", 1, "x", 10, [1], 1.0],
+    ["x", 1, "x", "10", 1, 1.0],
+    ["x", 1, "x", 10, 1, 1e308],
+    ["x", 1, "x", 10**18, 1, 1.0],
+    [["x"], 1, "x", 10, 1, 1.0],
+    ["x"],
+    "x",
+)
+
+
+# Such an object ended the thread that renews the shares of all teams, without a word in the log;
+# calls of all teams were refused from the end of the leases until the node was restarted.
+@pytest.mark.parametrize("odd", ODD_SHARES)
+def test_an_odd_quota_object_is_left_alone_until_it_is_mended_and_others_hold(odd):
+    fleet, reports = Fleet([]), []
+    group = quota_object.group_name(TEAM.name, SETTINGS.groups)
+    version = fleet.store.put(quota_object.KIND, group, 0, {"teams": {TEAM.name: [odd]}})
+    fleet.start("a0", "127.0.0.1:0", OTHER_TEAM, on_malformed=reports.append)
+    fleet.wait_for_holders(1, OTHER_TEAM)
+    assert fleet.store.get(quota_object.KIND, group).version == version
+    assert {(report.source, report.name) for report in reports} == {(quota_object.KIND, group)}
+    fleet.store.put(quota_object.KIND, group, version, {"teams": {}})
+    fleet.wait_for_holders(1)
+    fleet.stop("a0")
