Check the values of a key's object, and write withdrawals past an odd one

What could be seen: a key object whose digest has a letter beyond ASCII made each request that named the key fail with status 500; one whose team was nested deeply ended each round of the watch of all keys. A pending withdrawal that the platform refuses, or whose object can't be read, was the end of each round of writing, so the withdrawals after it, by id, were never written to the platform.

Change: a grant needs a printable team and a digest in hexadecimal; any other object counts as a withdrawn key, as a malformed one did before. Writing goes on after a withdrawal that can't be written, logs it once and tries it again in the next round; only a platform that does not answer ends the round. A key for a team that nodes would not accept isn't granted; the operator gets a clear error.

Tests that failed on: test_keys.py, the fuzz (its example with the digest) and the three teams; test_withdrawals.py, both cases.

--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 import threading
 from collections.abc import Iterable
@@ -10,6 +11,7 @@
 
 from bergamotridge import errors
 from bergamotridge.store import client
+from bergamotridge.util import excerpt, fields
 
 KIND = "keys"
 AUTH_SCHEME = "bearer"
@@ -18,6 +20,7 @@
 DIGEST_BYTES = 32
 PAGE_ITEMS = 1000
 MAX_WRITE_ATTEMPTS = 5
+_DIGEST_PATTERN = re.compile(f"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
 
 
 @attrs.frozen
@@ -175,9 +178,15 @@
         team: Team that the key is for.
 
     Raises:
+        UsageError: Nodes would not accept the name of the team.
         PlatformUnavailableError: The outcome is unknown. The secret text of the key was not
             disclosed, and a repeated call grants another key.
     """
+    if not fields.is_text(team):
+        raise errors.UsageError(
+            f"the team is {excerpt.quote(team)}; accepted: printable text of 1 to "
+            f"{fields.MAX_NAME_LENGTH} characters"
+        )
     key_id = secrets.token_hex(KEY_ID_BYTES)
     secret_text = f"{key_id}.{secrets.token_urlsafe(SECRET_BYTES)}"
     value = {"team": team, "digest": _compute_digest(fleet_secret, secret_text), "withdrawn": False}
@@ -193,6 +202,7 @@
 
     Raises:
         NotFoundError: No such key was ever granted.
+        MalformedObjectError: The platform's answer cannot be read.
         PlatformUnavailableError: The outcome is unknown; withdraw the key at a node directly and
             try again.
     """
@@ -209,6 +219,8 @@
             return
         except errors.ConflictError as error:
             last_error = error
+        except errors.MalformedObjectError:
+            raise
         except errors.PlatformUnavailableError as error:
             last_error = error
     raise errors.PlatformUnavailableError(
@@ -244,9 +256,11 @@
 def _decode_grant(item: client.StoredObject) -> _StoredGrant:
     """Returns the grant of a stored object; a deleted or malformed one counts as withdrawn."""
     value = item.value if isinstance(item.value, dict) else {}
-    return _StoredGrant(
-        team=str(value.get("team", "")),
-        digest=str(value.get("digest", "")),
-        withdrawn=value.get("withdrawn") is not False,
-        version=item.version,
-    )
+    team, digest = value.get("team"), value.get("digest")
+    if not fields.is_text(team) or not _is_digest(digest):
+        return _StoredGrant("", "", withdrawn=True, version=item.version)
+    return _StoredGrant(team, digest, value.get("withdrawn") is not False, item.version)
+
+
+def _is_digest(value: object) -> bool:
+    return isinstance(value, str) and _DIGEST_PATTERN.fullmatch(value) is not None
--- a/bergamotridge/callers/withdrawals.py
+++ b/bergamotridge/callers/withdrawals.py
@@ -11,6 +11,7 @@
 from bergamotridge import errors
 from bergamotridge.callers import keys
 from bergamotridge.store import client
+from bergamotridge.util import excerpt
 
 _log = logbook.Logger(__name__)
 
@@ -42,6 +43,7 @@
         self._rng = rng
         self._should_write = should_write
         self._never_granted: set[str] = set()
+        self._unwritable: set[str] = set()
         self._stopping = threading.Event()
         self._executor = futures.ThreadPoolExecutor(1, "withdrawals")
 
@@ -68,8 +70,18 @@
                     key_id,
                 )
                 self._never_granted.add(key_id)
-            except errors.PlatformError:
+            except errors.MalformedObjectError as error:
+                self._report_unwritable(key_id, error)
+            except errors.PlatformUnavailableError:
                 return
+            except errors.PlatformError as error:
+                self._report_unwritable(key_id, error)
+
+    def _report_unwritable(self, key_id: str, error: errors.PlatformError) -> None:
+        """Logs once that a withdrawal cannot be written now; it is tried again with the others."""
+        if key_id not in self._unwritable:
+            self._unwritable.add(key_id)
+            _log.warning("withdrawn key '{}' not written: {}", excerpt.shorten(key_id), error)
 
     def _run(self) -> None:
         while not self._stopping.wait(self._rng.uniform(0.5, 1.5) * self._interval_s):
--- a/tests/test_callers/test_keys.py
+++ b/tests/test_callers/test_keys.py
@@ -1,10 +1,13 @@
 """Keys are checked by keyed hash; a withdrawn key stays withdrawn in any order of updates."""
 
+import hypothesis
+import orjson
 import pytest
 
 from bergamotridge import errors
 from bergamotridge.callers import keys
 from bergamotridge.store import client
+from tests import odd_values
 
 SECRET = "fleet-secret"
 
@@ -55,6 +58,37 @@
     assert ring.pending == frozenset()
 
 
+VALID_GRANT = {"team": "ward", "digest": "0" * 64, "withdrawn": False}
+
+
+# A digest with a letter beyond ASCII raised TypeError: status 500 for each request that named the
+# key. A team that was nested deeply ended the watch of the keys.
+@odd_values.SETTINGS
+@hypothesis.given(text=odd_values.changed(VALID_GRANT) | odd_values.TEXTS)
+@hypothesis.example(text='{"team":"ward","digest":"\u00e9","withdrawn":false}')
+@hypothesis.example(text=f'{{"team":{odd_values.nested(1000)},"digest":"","withdrawn":false}}')
+def test_whatever_a_grant_holds_the_others_are_valid_and_it_lets_nobody_in(text):
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return
+    secret_text = "a.secret"
+    digest = keys._compute_digest(SECRET, secret_text)
+    valid = client.StoredObject("keys", "a", 3, {**VALID_GRANT, "digest": digest})
+    ring = keys.KeyRing(SECRET)
+    ring.apply_listing(client.Listing((client.StoredObject("keys", "x", 2, value), valid), 3))
+    assert ring.check(f"Bearer {secret_text}", 0.0) == keys.Key("a", "ward")
+    assert _is_refused(ring, "Bearer x.secret")
+    orjson.dumps([item.value for item in ring.listing_since(0).items])
+
+
+@pytest.mark.parametrize("team", ["", "a\nb", "x" * 300])
+def test_a_key_for_a_team_that_nodes_would_not_accept_is_not_granted(store, team):
+    with pytest.raises(errors.UsageError):
+        keys.grant(store, SECRET, team)
+    assert store.list("keys").items == ()
+
+
 def test_key_ring_is_replicated_in_pages(store, monkeypatch):
     monkeypatch.setattr(keys, "PAGE_ITEMS", 2)
     granted = [keys.grant(store, SECRET, "ward") for _ in range(5)]
--- a/tests/test_callers/test_withdrawals.py
+++ b/tests/test_callers/test_withdrawals.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+from bergamotridge import errors
 from bergamotridge.callers import keys, withdrawals
 from bergamotridge.store import client
 
@@ -26,3 +29,32 @@
     reads = state.statistics.reads
     writer.write_pending()
     assert state.statistics.reads == reads
+
+
+class OddKeys:
+    """A platform that cannot handle one withdrawal, and stores that of the other."""
+
+    def __init__(self, error):
+        self.error, self.withdrawn = error, []
+
+    def get(self, kind, name):
+        if name == "a":
+            raise self.error
+        value = {"team": "ward", "digest": "0" * 64, "withdrawn": False}
+        return client.StoredObject(kind, name, 1, value)
+
+    def put(self, kind, name, value, version):
+        del kind, version
+        self.withdrawn.append((name, value["withdrawn"]))
+        return 2
+
+
+# One such key, the first by name, kept all later withdrawals from the platform.
+@pytest.mark.parametrize(
+    "error", [errors.MalformedObjectError("odd"), errors.PlatformError("status 400")]
+)
+def test_a_key_that_the_platform_cannot_handle_does_not_keep_others_from_being_written(error):
+    ring, platform = keys.KeyRing(SECRET), OddKeys(error)
+    ring.withdraw_all(("a", "b"))
+    withdrawals.WithdrawalWriter(platform, ring, 1.0, random.Random(1)).write_pending()
+    assert platform.withdrawn == [("b", True)]
