Check the owner in a claim's object, and the tag of an issued key

What could be seen: a claim object whose host is a list, or whose attempt is one, raised TypeError in the call that met it; the caller got status 500 in place of the refusal with its verdict. The same for an Idempotency-Key that begins as one that the node issued and ends with letters beyond ASCII.

Change: the owner is read by type and range, else the platform's answer counts as unreadable: 503, "may have run", reason idempotency-store. The tags are compared as bytes.

--- a/bergamotridge/callers/idempotency.py
+++ b/bergamotridge/callers/idempotency.py
@@ -98,7 +98,7 @@
                 reason="idempotency-doubt",
                 verdict=verdict.Verdict.MAY_HAVE_RUN,
             )
-        if not hmac.compare_digest(self._compute_tag(key), key.tag):
+        if not hmac.compare_digest(self._compute_tag(key).encode(), key.tag.encode()):
             raise errors.CallError(
                 "this Idempotency-Key was not issued here; send a key exactly as it was issued",
                 status=BAD_REQUEST,
--- a/bergamotridge/store/claim_objects.py
+++ b/bergamotridge/store/claim_objects.py
@@ -6,6 +6,7 @@
 
 from bergamotridge import errors
 from bergamotridge.store import objects
+from bergamotridge.util import fields
 
 KIND = "claims"
 NAME_DIGEST_BYTES = 16
@@ -59,10 +60,17 @@
         return owner
 
     def _read_owner(self, name: str) -> Owner:
-        value = self._client.get(KIND, name).value
+        stored = self._client.get(KIND, name)
         try:
-            return Owner(value["host"], value["incarnation"], value["attempt"])
-        except (TypeError, KeyError) as error:
-            raise errors.PlatformError(
+            value = fields.table("the value", stored.value)
+            return Owner(
+                fields.text("host", value.get("host")),
+                fields.whole_number(
+                    "incarnation", value.get("incarnation"), 0, fields.MAX_START_MS
+                ),
+                fields.whole_number("attempt", value.get("attempt"), 0, fields.MAX_INTEGER),
+            )
+        except errors.MalformedEntryError as error:
+            raise errors.MalformedObjectError(
                 f"the claim object is malformed, check which process wrote it: {error}"
             ) from error
--- a/tests/test_callers/test_claims.py
+++ b/tests/test_callers/test_claims.py
@@ -1,11 +1,14 @@
 """Claims: the call of a key runs at most once, and refusals carry true verdicts."""
 
+import hypothesis
+import orjson
 import pytest
 
 from bergamotridge import errors, verdict
 from bergamotridge.callers import answers, claims
+from bergamotridge.store import claim_objects
 from standins import store
-from tests import fake_objects
+from tests import fake_objects, odd_values
 
 ANSWER = answers.StoredAnswer(201, (("Content-Type", "text/plain"),), b"paid")
 
@@ -113,3 +116,34 @@
 def test_a_chosen_key_without_a_platform_is_refused_for_its_true_cause():
     with pytest.raises(errors.CallError, match="no platform"):
         claims.Claims("h1", 1).begin("chosen", "utrecht", "pay", 0.0)
+
+
+# The values went on as they were: a host that is a list raised TypeError, status 500.
+@odd_values.SETTINGS
+@hypothesis.given(
+    text=odd_values.changed({"host": "h2", "incarnation": 1, "attempt": 1}) | odd_values.TEXTS
+)
+def test_whatever_a_claim_object_holds_the_call_is_refused_with_a_verdict(text):
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return
+    # Stores null as a deletion.
+    hypothesis.assume(value is not None)
+    shared = store.Store()
+    name = claim_objects.object_name("utrecht", "chosen")
+    shared.put(claim_objects.KIND, name, 0, value)
+    node_claims = claims.Claims("h1", 1, fake_objects.FakeObjects(shared))
+    with pytest.raises(errors.CallError) as caught:
+        node_claims.begin("chosen", "utrecht", "pay", 0.0)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+    assert isinstance(getattr(caught.value, "host", ""), str)
+
+
+# A comparison of texts beyond ASCII raised TypeError, status 500.
+def test_a_forged_key_with_a_foreign_tag_is_refused():
+    node_claims = claims.Claims("h1", 1)
+    forged = node_claims.issue(0.0).rpartition("~")[0] + "~\u00e9"
+    with pytest.raises(errors.CallError) as caught:
+        node_claims.begin(forged, "utrecht", "pay", 0.0)
+    assert caught.value.reason == "idempotency-forged"
