Check each value of the headers by which nodes relay calls

What could be seen: a context, report or notice of another node (of a later release, say) with values of other types or sizes failed the call with an unexpected error, status 500 and "may have run", in place of the refusal that is meant for it. Some went further: a rate limit "nan" reached the gate, an incarnation beyond 64 bits made each later call to that host fail, since the notice could not be written again, and a threshold whose age was negative was from the future: it outranked all later ones and shed the calls of that service for as long.

Cause: values were converted, not checked (float("nan"), int of a text, str of anything), some of them outside the part that catches errors.

Change: the readers check type and range by util.fields and the error stays the documented one: ContextError, None for a report. MalformedEntryError is a ValueError, as the errors of other parsers are. A threshold's age must be finite and not negative.

The older fuzz of reports got two examples and asks for finite numbers.

--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -192,11 +192,13 @@
             if service not in services:
                 continue
             try:
-                received = _TimedThreshold(
-                    load.decode_threshold(encoded), now - float(age_ms) / 1000
-                )
+                threshold, age_s = load.decode_threshold(encoded), float(age_ms) / 1000
             except ValueError:
                 continue
+            if not 0.0 <= age_s < float("inf"):
+                # One from the future would outrank all later ones.
+                continue
+            received = _TimedThreshold(threshold, now - age_s)
             thresholds = self._get_or_create(service)
             if received.observed_at > thresholds.relayed.observed_at:
                 thresholds.relayed = received
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -78,7 +78,7 @@
     """The object does not exist on the platform."""
 
 
-class MalformedEntryError(BergamotridgeError):
+class MalformedEntryError(BergamotridgeError, ValueError):
     """An entry, record or message of another process cannot be read and is skipped."""
 
     category = Category.NODE
--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -6,14 +6,17 @@
 import attrs
 import orjson
 
-from bergamotridge import answer, call, verdict
+from bergamotridge import answer, call, errors, verdict
 from bergamotridge.nodes import load
 from bergamotridge.upstreams import notice
-from bergamotridge.util import hlc, message
+from bergamotridge.util import excerpt, fields, hlc, message
 
 CONTEXT_HEADER = call.CONTEXT_HEADER.lower().encode()
 REPORT_HEADER = b"bergamotridge-report"
 NOTICE_HEADER = b"bergamotridge-upstream-notice"
+MAX_TIME_LEFT_S = 1e9
+MAX_COUNT = 1_000_000  # Of retries, and of calls above one another.
+MAX_WEIGHT = 1e300
 _RELAY_PURPOSE = b"relay"  # HMAC input that derives the relay token from the fleet secret.
 _IMPORTANCE_BY_VALUE = {importance.value: importance for importance in call.Importance}
 
@@ -51,14 +54,19 @@
     return (stamp.millis, stamp.counter) if stamp is not None else (0, 0)
 
 
-def _parse_stamp(millis: int, counter: int) -> hlc.Stamp | None:
+def _parse_stamp(millis: object, counter: object) -> hlc.Stamp | None:
     """Returns a received stamp, or None if `millis` is 0, which stands for an unknown time.
 
     The host of the stamp is not sent. It is left empty, as it only orders stamps of equal time.
     """
-    if type(millis) is not int or type(counter) is not int:
-        raise ValueError("the milliseconds and the counter of a time stamp must be integers")
-    return hlc.Stamp(millis, counter, "") if millis else None
+    stamp = hlc.received(millis, counter, "")
+    return stamp if stamp.millis else None
+
+
+def _check_texts(*values: object) -> None:
+    for value in values:
+        if not isinstance(value, str):
+            raise errors.MalformedEntryError(f"{excerpt.quote(value)} is no text")
 
 
 def relay_token(fleet_secret: str) -> str:
@@ -69,7 +77,7 @@
 def encode(token: str, relayed: RelayedCall, now: float) -> message.Header:
     """Returns the context header for a call that is sent at `now` (monotonic seconds)."""
     context = relayed.context
-    fields = [
+    values = [
         token,
         relayed.service,
         context.request_id,
@@ -87,7 +95,7 @@
         relayed.route,
         context.unattributed,
     ]
-    return CONTEXT_HEADER, orjson.dumps(fields)
+    return CONTEXT_HEADER, orjson.dumps(values)
 
 
 def decode(token: str, value: bytes | None, now: float) -> RelayedCall:
@@ -108,10 +116,15 @@
             orjson.loads(value)
         )
         weight, virtual_host, origin, retries, millis, counter, claim, route, unattributed = rest
+        _check_texts(token_text, service, request_id, team, virtual_host, origin, claim, route)
         importance = _IMPORTANCE_BY_VALUE[importance]
-        deadline = now + float(left_s)
+        deadline = now + fields.number("time left", left_s, -MAX_TIME_LEFT_S, MAX_TIME_LEFT_S)
+        fields.whole_number("depth", depth, 0, MAX_COUNT)
+        fields.whole_number("retries", retries, 0, MAX_COUNT)
+        weight = fields.number("weight", weight, 0.0, MAX_WEIGHT)
+        stamp = _parse_stamp(millis, counter)
         token_matches = hmac.compare_digest(token_text.encode(), token.encode())
-    except (ValueError, TypeError, AttributeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError) as error:
         raise ContextError(
             "malformed context header; check that both nodes run the same version"
         ) from error
@@ -126,12 +139,12 @@
         deadline,
         depth,
         bool(repeatable),
-        float(weight),
+        weight,
         virtual_host,
         origin,
         bool(unattributed),
     )
-    return RelayedCall(service, context, int(retries), _parse_stamp(millis, counter), claim, route)
+    return RelayedCall(service, context, retries, stamp, claim, route)
 
 
 def encode_notice(given: notice.UpstreamNotice | None) -> list[message.Header]:
@@ -158,7 +171,7 @@
 
 def encode_report(sent: answer.Answer) -> message.Header:
     """Returns the report header, which carries all fields of an answer that are not in others."""
-    fields = [
+    values = [
         sent.verdict,
         sent.reason,
         sent.unused,
@@ -167,7 +180,7 @@
         *_stamp_fields(sent.stamp),
         sent.retry_after_s,
     ]
-    return REPORT_HEADER, orjson.dumps(fields)
+    return REPORT_HEADER, orjson.dumps(values)
 
 
 def decode_report(response: message.Response) -> answer.Answer | None:
@@ -186,15 +199,18 @@
         verdict_text, reason, unused, report_fields, thresholds, millis, counter, retry_after_s = (
             orjson.loads(value)
         )
+        _check_texts(reason, thresholds)
+        if retry_after_s is not None:
+            fields.number("retry_after_s", retry_after_s, 0.0, MAX_TIME_LEFT_S)
         return answer.Answer(
             response,
             verdict.parse(verdict_text),
-            str(reason),
-            int(unused),
+            reason,
+            fields.whole_number("unused", unused, 0, MAX_COUNT),
             load.LoadReport.from_list(report_fields) if report_fields else None,
-            str(thresholds),
+            thresholds,
             _parse_stamp(millis, counter),
-            None if retry_after_s is None else float(retry_after_s),
+            retry_after_s,
             upstream_notice=decode_notice(notice_value),
         )
     except (ValueError, TypeError):
--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -6,8 +6,10 @@
 import attrs
 import xxhash
 
-from bergamotridge import call
+from bergamotridge import call, errors
+from bergamotridge.util import excerpt, fields
 
+MAX_CALLS = 1_000_000_000
 DECODED_CACHE_ENTRIES = 256
 
 Key = tuple[call.Importance, str]
@@ -113,15 +115,19 @@
         return [self.load, self.limit, self.in_flight, self.queued, self.threshold.encoded]
 
     @classmethod
-    def from_list(cls, fields: list) -> "LoadReport":
+    def from_list(cls, values: list) -> "LoadReport":
         """Returns the report from a list that `to_list` returned.
 
         Raises:
             ValueError: A value or the number of values is not valid.
-            TypeError: A value is of the wrong type.
+            TypeError: The values are no list.
         """
-        gate_load, limit, in_flight, queued, encoded = fields
+        gate_load, limit, in_flight, queued, encoded = values
         if not isinstance(encoded, str):
-            raise TypeError(f"threshold is {encoded!r}; send it as a text")
+            raise errors.MalformedEntryError(f"threshold is {excerpt.quote(encoded)}; send a text")
+        counts = [
+            int(fields.number(name, value, 0.0, MAX_CALLS))
+            for name, value in (("limit", limit), ("in_flight", in_flight), ("queued", queued))
+        ]
         threshold = decode_threshold(encoded)
-        return cls(float(gate_load), int(limit), int(in_flight), int(queued), threshold)
+        return cls(fields.number("load", gate_load, 0.0, MAX_CALLS), *counts, threshold)
--- a/bergamotridge/upstreams/notice.py
+++ b/bergamotridge/upstreams/notice.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+from bergamotridge import errors
+from bergamotridge.util import excerpt, fields
+
+MAX_RATE_LIMIT = 1e12  # Calls per second.
 # A rate limit that moves by less than this fraction is not reported as a change.
 REPORTED_CHANGE_FRACTION = 0.1
 
@@ -61,29 +65,36 @@
         ]
 
     @classmethod
-    def from_list(cls, fields: list) -> "UpstreamNotice":
+    def from_list(cls, values: list) -> "UpstreamNotice":
         """Returns the notice from a list that `to_list` returned.
 
         Raises:
             ValueError: A value or the number of values is not valid.
-            TypeError: A value is of the wrong type.
+            TypeError: The values are no list.
         """
-        instance, incarnation, rate_limit, leaving = fields
-        limit = None if rate_limit is None else float(rate_limit)
-        return cls(UpstreamId(str(instance), int(incarnation)), Notice(limit, bool(leaving)))
+        instance, incarnation, rate_limit, leaving = values
+        fields.text("instance", instance, min_length=0)
+        fields.whole_number("incarnation", incarnation, 0, fields.MAX_INTEGER)
+        if rate_limit is not None:
+            fields.number("rate_limit", rate_limit, 0.0, MAX_RATE_LIMIT)
+        if not isinstance(leaving, bool):
+            raise errors.MalformedEntryError(f"leaving is {excerpt.quote(leaving)}; send a bool")
+        return cls(UpstreamId(instance, incarnation), Notice(rate_limit, leaving))
 
 
 def parse_rate_limit(value: bytes | None) -> float | None:
     """Returns the rate limit in a header field, in calls per second; None without the field.
 
     Raises:
-        ValueError: The value is not a finite number of 0 or more.
+        ValueError: The value is not a number from 0 to `MAX_RATE_LIMIT`.
     """
     if value is None:
         return None
     rate_limit = float(value)
-    if not math.isfinite(rate_limit) or rate_limit < 0:
-        raise ValueError(f"rate limit {value!r} is out of range; accepted: numbers from 0")
+    if not 0 <= rate_limit <= MAX_RATE_LIMIT:
+        raise ValueError(
+            f"rate limit {excerpt.quote(value)} is out of range; accepted: numbers from 0"
+        )
     return rate_limit
 
 
--- a/bergamotridge/util/fields.py
+++ b/bergamotridge/util/fields.py
@@ -1,7 +1,5 @@
 """Checks of single values that another process sent."""
 
-import math
-
 from bergamotridge import errors
 from bergamotridge.util import excerpt
 
@@ -32,7 +30,7 @@
 
 def number(name: str, value: object, minimum: float, maximum: float) -> float:
     """Returns a value that is a number in a range; raises MalformedEntryError as `whole_number`."""
-    if type(value) in (int, float) and math.isfinite(value) and minimum <= value <= maximum:
+    if type(value) in (int, float) and minimum <= value <= maximum:
         return float(value)
     raise errors.MalformedEntryError(
         f"'{name}' is {excerpt.quote(value)}; accepted: a number from {minimum:g} to {maximum:g}"
--- a/tests/test_callers/test_shedding.py
+++ b/tests/test_callers/test_shedding.py
@@ -78,6 +78,18 @@
     assert len(admitted_numbers(table, ["depot", "booking"], 1.0)) == 400
 
 
+# One from the future outranked all later ones and shed every call for as long.
+@pytest.mark.parametrize("age_ms", ["-1000000000", "nan", "-inf", "inf", "1e999"])
+def test_a_threshold_with_an_impossible_age_sheds_nothing_and_outranks_none(age_ms):
+    table = shedding.ThresholdTable()
+    table.merge(f"depot@{age_ms}@0,0,0", ["depot"], 1.0)
+    assert len(admitted_numbers(table, ["depot"], 1.0)) == 400
+    table.merge("depot@0@0,0,0", ["depot"], 2.0)
+    assert admitted_numbers(table, ["depot"], 2.0) == set()
+    table.merge("depot@0@", ["depot"], 3.0)
+    assert len(admitted_numbers(table, ["depot"], 3.0)) == 400
+
+
 def test_an_encoded_report_is_decoded_to_the_same_report():
     report = load.LoadReport(1.25, 50, 50, 12, HALF)
     assert load.LoadReport.from_list(report.to_list()) == report
--- a/tests/test_nodes/test_context.py
+++ b/tests/test_nodes/test_context.py
@@ -1,7 +1,9 @@
 """Context and report headers: they round-trip, and others than the fleet's nodes are refused."""
 
 import json
+import math
 
+import attrs
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -10,6 +12,7 @@
 from bergamotridge.nodes import context, load
 from bergamotridge.upstreams import notice
 from bergamotridge.util import hlc, message
+from tests import odd_values
 
 TOKEN = context.relay_token("secret")
 NOW = 100.0
@@ -94,6 +97,50 @@
         context.decode_notice(value)
 
 
+VALID_CALL = json.loads(context.encode(TOKEN, make_relayed_call(), NOW)[1])
+CALLS = st.dictionaries(
+    st.integers(1, len(VALID_CALL) - 1), odd_values.TEXTS, min_size=1, max_size=3
+).map(
+    lambda odd: odd_values.list_text(
+        [odd.get(place, json.dumps(value)) for place, value in enumerate(VALID_CALL)]
+    )
+)
+
+
+# Values of other types raised errors beside the one for a bad header, or failed the call later on:
+# status 500 and "may have run". A time of 10**30 kept this node from relaying any call.
+@odd_values.SETTINGS
+@hypothesis.given(value=CALLS.map(str.encode) | odd_values.BODIES)
+def test_whatever_a_context_header_holds_it_is_refused_or_can_be_passed_on(value):
+    clock = hlc.HybridClock("h")
+    try:
+        decoded = context.decode(TOKEN, value, NOW)
+    except context.ContextError:
+        return
+    if decoded.stamp is not None:
+        clock.observe(decoded.stamp)
+    passed_on = attrs.evolve(decoded, stamp=clock.stamp(1))
+    context.decode(TOKEN, context.encode(TOKEN, passed_on, NOW)[1], NOW)
+    assert math.isfinite(decoded.context.deadline)
+
+
+@odd_values.SETTINGS
+@hypothesis.given(
+    values=st.lists(odd_values.TEXTS, min_size=3, max_size=4),
+    rate_limit=odd_values.TEXTS,
+)
+@hypothesis.example(values=['"i"', str(10**18), "false"], rate_limit='"nan"')
+@hypothesis.example(values=['"i"', '"' + "9" * 30 + '"', "false"], rate_limit="1")
+def test_whatever_a_notice_holds_it_is_refused_or_can_be_passed_on(values, rate_limit):
+    text = odd_values.list_text([*values[:2], rate_limit, *values[2:]])
+    try:
+        decoded = context.decode_notice(text.encode())
+    except context.ContextError:
+        return
+    assert context.decode_notice(context.encode_notice(decoded)[0][1]) == decoded
+    assert decoded.notice.rate_limit is None or math.isfinite(decoded.notice.rate_limit)
+
+
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda children: st.lists(children, max_size=9),
@@ -106,6 +153,8 @@
 @hypothesis.given(st.lists(JSON_VALUES, min_size=8, max_size=8) | JSON_VALUES, JSON_VALUES)
 @hypothesis.example(["run", "", 0, [0.5, 1, 1, 0, 5], "", 0, 0, None], None)
 @hypothesis.example([[], "", 0, None, "", 0, 0, None], None)
+@hypothesis.example(["run", "", 0, None, "", 0, 0, float("nan")], None)
+@hypothesis.example(["run", "", 0, ["nan", 1, 1, 0, ""], "", 0, 0, None], None)
 def test_a_malformed_report_is_none_whatever_it_holds(report, upstream_notice):
     fields = [
         (context.NOTICE_HEADER, json.dumps(upstream_notice).encode()),
@@ -113,3 +162,12 @@
     ]
     decoded = context.decode_report(message.Response(200, fields))
     assert decoded is None or isinstance(decoded.verdict, verdict.Verdict)
+    if decoded is not None:
+        assert decoded.retry_after_s is None or math.isfinite(decoded.retry_after_s)
+        assert decoded.report is None or math.isfinite(decoded.report.load)
+
+
+# The whole reason was quoted, which cannot be done for a thousand levels: the call failed.
+def test_a_report_whose_reason_is_nested_deeply_is_none():
+    report = f'["run",{odd_values.nested(1000)},0,null,"",0,0,null]'.encode()
+    assert context.decode_report(message.Response(200, [(context.REPORT_HEADER, report)])) is None
