--- a/bergamotridge/callers/dialect.py
+++ b/bergamotridge/callers/dialect.py
@@ -4,11 +4,12 @@
 from typing import Protocol
 
 from bergamotridge import answer, call, errors
-from bergamotridge.util import message
+from bergamotridge.util import excerpt, message
 
 REQUEST_ID_HEADER = call.REQUEST_ID_HEADER.lower().encode()
 TIMEOUT_HEADER = call.TIMEOUT_HEADER.lower().encode()
 REQUEST_ID_BYTES = 16
+MAX_TIMEOUT_MS = 86_400_000  # A caller that names more waits longer than any route.
 
 
 class CallerDialect(Protocol):
@@ -44,14 +45,16 @@
         header_value = request.header(TIMEOUT_HEADER)
         if header_value is None:
             return None
-        if not header_value.isdigit() or int(header_value) == 0:
+        timeout_ms = message.parse_whole_number(header_value, MAX_TIMEOUT_MS)
+        if not timeout_ms:
+            quoted = excerpt.quote(header_value.decode("latin-1"))
             raise errors.CallError(
-                f"header '{call.TIMEOUT_HEADER}' is {header_value.decode('latin-1')!r}; "
+                f"header '{call.TIMEOUT_HEADER}' is {quoted}; "
                 f"accepted: a whole number of milliseconds above zero",
                 status=400,
                 reason="timeout",
             )
-        return int(header_value) / 1000
+        return timeout_ms / 1000
 
     def is_nested_call(self, request: message.Request) -> bool:
         """Returns False, because upstreams send their calls to a separate port."""
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -37,6 +37,17 @@
     return None
 
 
+def parse_whole_number(value: bytes, maximum: int) -> int | None:
+    """Returns the whole number in a header field, at most `maximum`; None if it holds none.
+
+    A field may have thousands of digits, more than the interpreter converts.
+    """
+    if not value.isdigit():
+        return None
+    digits = value.lstrip(b"0") or b"0"
+    return maximum if len(digits) > len(str(maximum)) else min(int(digits), maximum)
+
+
 @attrs.define
 class Request:
     """A complete request; header names are in lower case.
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -6,6 +6,7 @@
 
 FIRST_FINAL_STATUS = 200
 DEFAULT_IDLE_S = 4.0
+MAX_IDLE_S = 3600
 # Fraction of the timeout in a Keep-Alive field for which an idle connection is reused.
 KEEP_ALIVE_REUSE_FRACTION = 0.5
 # Bytes of framing for each byte of a body; a chunk of one byte has five.
@@ -142,6 +143,7 @@
     """
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return KEEP_ALIVE_REUSE_FRACTION * int(seconds)
+        timeout_s = message.parse_whole_number(seconds, MAX_IDLE_S)
+        if name.lower() == b"timeout" and timeout_s is not None:
+            return KEEP_ALIVE_REUSE_FRACTION * timeout_s
     return DEFAULT_IDLE_S
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -125,6 +125,15 @@
     assert send_call(Node(), b"POST", b"/pay", *headers).status == 400
 
 
+# So many digits raised an error that is no CallError: status 500 and "may have run".
+@pytest.mark.parametrize("digits", [400, 5000])
+def test_a_timeout_of_many_digits_is_longer_than_the_routes_own(digits):
+    node = Node()
+    headers = (KEY, (b"bergamotridge-timeout-ms", b"9" * digits))
+    assert send_call(node, b"POST", b"/pay", *headers).status == 200
+    assert node.sent
+
+
 @pytest.mark.parametrize("path", [b"/prices/../pay", b"/prices/%2E%2e/pay", b"/prices/./pay"])
 def test_a_path_that_an_upstream_may_normalize_is_refused(path):
     node = Node()
--- a/tests/test_platform/test_dialects.py
+++ b/tests/test_platform/test_dialects.py
@@ -36,6 +36,38 @@
     assert fields[b"host"] == b"a.example"
 
 
+# A name beyond latin-1 raised an error with each call: status 500 and "may have run".
+def test_names_are_sent_in_utf_8(dialects):
+    context = call.CallContext(
+        "r1", "\u65e5", call.Importance.CRITICAL, 9.0, 0, False, 1.0, "a", "\u672c"
+    )
+    target = announcement.Announcement(
+        "fees", "127.0.0.1:1", record.State.READY, 1, 5, 5, 0, "i-\u9593"
+    )
+    upstream_call = dialect.UpstreamCall(context, message.Request(b"GET", b"/", []), target, "c")
+    fields = dict(dialects.PlatformUpstreamDialect().build_request(upstream_call, 1.5).headers)
+    names = (fields[b"tenant"], fields[b"caller-service"], fields[b"expect-instance"])
+    assert [name.decode() for name in names] == ["\u65e5", "\u672c", "i-\u9593"]
+
+
+# So many digits raised an error that is no CallError: status 500 and "may have run".
+@pytest.mark.parametrize(
+    ("value", "left_s"),
+    [
+        (b"1500", 1.5),
+        (b"0" * 5000 + b"1500", 1.5),
+        (b"9" * 400, 86_400.0),
+        (b"9" * 5000, 86_400.0),
+        (b"-5", None),
+        (b"x", None),
+        (b"", None),
+    ],
+)
+def test_the_time_that_a_caller_has_left_is_read_whatever_its_length(dialects, value, left_s):
+    request = message.Request(b"GET", b"/", [(b"deadline-ms", value)])
+    assert dialects.PlatformCallerDialect().time_left_s(request) == left_s
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "should_be_accepted"),
     [
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -228,6 +228,17 @@
     assert response.headers == [(b"x-end", b"2")]
 
 
+# So many digits raised an error in the parser, so a whole response counted as none.
+@pytest.mark.parametrize("digits", [400, 5000])
+def test_a_response_with_a_long_number_in_a_field_is_a_response(digits):
+    timeout = b"9" * digits
+    response_bytes = (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout=" + timeout + b"\r\n\r\nok"
+    )
+    server = ScriptedServer(response_bytes)
+    assert send_post(http_client.Pool(server.address, BODY_LIMIT)).body == b"ok"
+
+
 def test_a_connection_is_not_reused_after_a_response_to_a_partly_sent_request():
     early_response, checked = b"HTTP/1.1 413 X\r\ncontent-length: 0\r\n\r\n", threading.Event()
     with socket.create_server(("127.0.0.1", 0)) as listener:
