Read odd log lines and odd pages of nodes without a traceback

What an operator saw: `timeline` or `explain` over log files ended with a traceback at a line whose stamp is a number or with a value of a thousand levels, and over the nodes at one whose page is a number in place of an object.

Change: an event needs texts where texts are shown, a whole incarnation and values that can be shown; other lines count as lines without an event, other pages as a node that cannot be read.

--- a/bergamotridge/operators/decoding.py
+++ b/bergamotridge/operators/decoding.py
@@ -20,7 +20,7 @@
     """
     try:
         return cattrs.structure(orjson.loads(body), status.Status)
-    except (ValueError, cattrs.BaseValidationError) as error:
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
         raise errors.OperatorPortError("the status page is not in the expected form") from error
 
 
@@ -31,8 +31,13 @@
         OperatorPortError: The body is anything else.
     """
     try:
-        return [
-            _converter.structure(orjson.loads(line), events.Event) for line in body.splitlines()
-        ]
-    except (ValueError, cattrs.BaseValidationError) as error:
+        return [_converter.structure(_load(line), events.Event) for line in body.splitlines()]
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
         raise errors.OperatorPortError("the events page is not in the expected form") from error
+
+
+def _load(line: bytes) -> object:
+    """Parses JSON; raises ValueError, or TypeError for so many levels that it cannot be shown."""
+    loaded = orjson.loads(line)
+    orjson.dumps(loaded)
+    return loaded
--- a/bergamotridge/operators/log_lines.py
+++ b/bergamotridge/operators/log_lines.py
@@ -1,12 +1,12 @@
 """Reads events from the log files of nodes, for when the nodes themselves no longer run."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import orjson
 
 from bergamotridge import errors, events
 from bergamotridge.operators import event_lines, fleet
-from bergamotridge.util import hlc
+from bergamotridge.util import excerpt, fields, hlc
 
 _FIELDS_NOT_IN_DETAIL = frozenset(("event", "stamp", "cause", "request_id"))
 
@@ -57,17 +57,30 @@
         start = line.find(b"{")
         try:
             record = orjson.loads(line[start:]) if start >= 0 else {}
-            fields = record["fields"]
-            yield events.Event(
-                hlc.parse(fields["stamp"]),
-                record["host"],
-                record["incarnation"],
-                record["failure_domain"],
-                fields["event"],
-                fields.get("request_id", ""),
-                fields.get("cause", ""),
-                {key: value for key, value in fields.items() if key not in _FIELDS_NOT_IN_DETAIL},
-            )
+            yield _parse_event(record)
         except (ValueError, KeyError, TypeError):
             # The line holds no event.
             continue
+
+
+def _parse_event(record: Mapping) -> events.Event:
+    """Returns the event in a log record; raises ValueError, KeyError or TypeError without one."""
+    event_fields = record["fields"]
+    # Raises TypeError for values of so many levels that they cannot be shown.
+    orjson.dumps(event_fields)
+    return events.Event(
+        hlc.parse(_text(event_fields["stamp"])),
+        _text(record["host"]),
+        fields.whole_number("incarnation", record["incarnation"], 0, fields.MAX_INTEGER),
+        _text(record["failure_domain"]),
+        _text(event_fields["event"]),
+        _text(event_fields.get("request_id", "")),
+        _text(event_fields.get("cause", "")),
+        {key: value for key, value in event_fields.items() if key not in _FIELDS_NOT_IN_DETAIL},
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{excerpt.quote(value)} is no text")
+    return value
--- a/tests/test_operators/test_log_lines.py
+++ b/tests/test_operators/test_log_lines.py
@@ -1,11 +1,14 @@
 """Events read from log files equal the events that the nodes emitted."""
 
 import io
+import json
 
+import hypothesis
 import pytest
 
 from bergamotridge import errors, events, logs, settings
-from bergamotridge.operators import explain, log_lines
+from bergamotridge.operators import explain, fleet, log_lines, timeline
+from tests import odd_values
 
 
 @pytest.fixture
@@ -61,3 +64,47 @@
 def test_a_malformed_time_is_a_usage_error(written_log, since):
     with pytest.raises(errors.UsageError, match="since"):
         log_lines.read_history([written_log[0]], since=since)
+
+
+VALID_RECORD = {"host": "h1", "incarnation": 17, "failure_domain": "a"}
+VALID_FIELDS = {
+    "event": "attempt.failed",
+    "stamp": "7.0@h1",
+    "cause": "deadline",
+    "request_id": "r1",
+    "target": "h3",
+}
+LINES = odd_values.changed({**VALID_RECORD, "fields": VALID_FIELDS}) | odd_values.changed(
+    VALID_FIELDS
+).map(lambda text: json.dumps(VALID_RECORD)[:-1] + f',"fields":{text}}}')
+
+
+def _line_with(field, text):
+    event_fields = {name: json.dumps(value) for name, value in VALID_FIELDS.items()}
+    event_text = odd_values.object_text({**event_fields, field: text})
+    record = {name: json.dumps(value) for name, value in VALID_RECORD.items()}
+    return odd_values.object_text({**record, "fields": event_text}).encode()
+
+
+# A stamp that is a number, or a kind that is a list, ended the command with a traceback.
+@odd_values.SETTINGS
+@hypothesis.given(line=LINES.map(str.encode) | odd_values.BODIES)
+@hypothesis.example(line=_line_with("stamp", "7"))
+def test_whatever_a_line_holds_the_event_after_it_is_shown(tmp_path_factory, line):
+    valid = json.dumps({**VALID_RECORD, "fields": {**VALID_FIELDS, "stamp": "9.0@h1"}}).encode()
+    path = tmp_path_factory.getbasetemp() / "odd.log"
+    path.write_bytes(line + b"\n" + valid + b"\n")
+    history = log_lines.read_history([str(path)])
+    assert "9.0@h1" in [str(event.stamp) for event in history.events]
+    assert list(timeline.format_lines(history))
+    assert list(explain.format_lines("r1", history))
+
+
+# Hypothesis raises the limit of recursion, so this is a test of its own.
+def test_a_line_with_a_value_of_a_thousand_levels_is_left_out(tmp_path):
+    path = tmp_path / "odd.log"
+    path.write_bytes(_line_with("target", odd_values.nested(1000)))
+    history = log_lines.read_history([str(path)])
+    assert list(timeline.format_lines(history)) == list(
+        timeline.format_lines(fleet.History((), ()))
+    )
