Reject a configuration with values that its calls could not use

What could be seen: a configuration object in which `api_keys` is a text gave the team each of its letters as a key; a negative rate meant no limit; weights that are all 0 and names that are no texts came into force and failed each call of the route with status 500. In the operator's own text, a number beyond 64 bits was accepted and the status page failed from then on, and one of thousands of digits or a list of thousands of levels was no settings error but a traceback: for the operator, and in each node's watch.

--- a/bergamotridge/operators/operator_text.py
+++ b/bergamotridge/operators/operator_text.py
@@ -15,6 +15,7 @@
 }
 RESERVED_PATH_PREFIX = "/_bergamotridge"
 DEFAULT_TIMEOUT_S = 2.0
+MAX_NUMBER = 1_000_000_000_000
 HTTP_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 ROUTE_FIELDS_NOT_IN_TOML = ("name", "host", "is_prefix", "attempts", "target_s", "shares")
 TOP_LEVEL_TABLES = ("routes", "services", "teams")
@@ -166,11 +167,13 @@
     if (
         isinstance(value, bool)
         or not isinstance(value, accepted_types)
-        or not minimum <= value < float("inf")
+        or not minimum <= value <= MAX_NUMBER
     ):
         accepted_numbers = "a whole number" if integers_only else "a number"
         raise _build_error(
-            source, key, f"is {value!r}; accepted: {accepted_numbers} of at least {minimum:g}"
+            source,
+            key,
+            f"is {value!r}; accepted: {accepted_numbers} from {minimum:g} to {MAX_NUMBER:g}",
         )
     return value
 
--- a/bergamotridge/util/text_files.py
+++ b/bergamotridge/util/text_files.py
@@ -21,7 +21,8 @@
     """
     try:
         return tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # Numbers of thousands of digits raise ValueError, deeply nested lists RecursionError.
         raise errors.SettingsError(f"{source}: not valid TOML: {error}") from error
 
 
--- a/tests/test_operators/test_operator_text.py
+++ b/tests/test_operators/test_operator_text.py
@@ -31,6 +31,12 @@
     [
         ("rate = 10", "rate = -1", "teams.utrecht.rate"),
         ("burst = 5", "burst = 0", "teams.utrecht.burst"),
+        # Numbers beyond 64 bits were accepted, and the status page failed; longer ones and deep
+        # lists were no settings error: a traceback for the operator, and for the node that read it.
+        ("burst = 5", f"burst = {10**30}", "teams.utrecht.burst"),
+        ("rate = 10", "rate = 1e300", "teams.utrecht.rate"),
+        ("burst = 5", f"burst = {'9' * 5000}", "not valid TOML"),
+        ("burst = 5", f"burst = {'[' * 5000}{']' * 5000}", "not valid TOML"),
         ("burst = 5", "brust = 5", "unknown key 'teams.utrecht.brust'"),
         ("burst = 5", "brust = 5", "did you mean 'burst'?"),
         ("[services.booking]", '[services.booking]\ndepends_on = ["counter"]', "cycle"),
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -1,11 +1,14 @@
 """Parsing of the platform's configuration into the operator's text."""
 
+import hypothesis
 import orjson
 import pytest
+from hypothesis import strategies as st
 
 from bergamotridge import call, errors
 from bergamotridge.callers import text_keys
 from bergamotridge.nodes import routing
+from tests import odd_values
 
 CONFIGURATION = {
     "version": "r7",
@@ -96,3 +99,63 @@
 def test_the_error_for_a_broken_configuration_names_the_configuration(parse, broken):
     with pytest.raises(errors.SettingsError, match="test"):
         parse(broken)
+
+
+REPLACED = "replaced"
+VALID_RULE = CONFIGURATION["listeners"][0]["rules"][0]
+PARTS = {
+    "tenants": CONFIGURATION["tenants"][0],
+    "clusters": CONFIGURATION["clusters"][0],
+    "action": VALID_RULE["action"],
+    "weighted_clusters": VALID_RULE["action"]["weighted_clusters"][0],
+    "rule": VALID_RULE,
+    "limits": CONFIGURATION["limits"],
+}
+
+
+def _with_part(part, text):
+    """Returns the text of the configuration with one of its parts replaced by a JSON text."""
+    action = {**VALID_RULE["action"], "weighted_clusters": [REPLACED]}
+    rules_by_part = {
+        "rule": REPLACED,
+        "action": {**VALID_RULE, "action": REPLACED},
+        "weighted_clusters": {**VALID_RULE, "action": action},
+    }
+    rules = [rules_by_part.get(part, VALID_RULE)]
+    table = {**CONFIGURATION, "listeners": [{"host": "a.example", "rules": rules}]}
+    if part == "limits":
+        table[part] = REPLACED
+    elif part in table:
+        table[part] = [*table[part], REPLACED]
+    return orjson.dumps(table).decode().replace(f'"{REPLACED}"', text)
+
+
+CHANGED = st.sampled_from(sorted(PARTS)).flatmap(
+    lambda part: odd_values.changed(PARTS[part]).map(lambda text: _with_part(part, text))
+)
+
+
+# A text as the keys of a team gave it each letter for a key, a negative rate no limit; weights that
+# are all 0, and names that are none, failed each call later on.
+@odd_values.SETTINGS
+@hypothesis.given(source=CHANGED | odd_values.TEXTS)
+@hypothesis.example(source=_with_part("tenants", '{"name":"x","api_keys":"k1"}'))
+@hypothesis.example(source=_with_part("tenants", '{"name":"x","rate_per_s":-5}'))
+@hypothesis.example(source=_with_part("weighted_clusters", '{"service":"slots","weight":0}'))
+@hypothesis.example(source=_with_part("limits", f'{{"idle_timeout":{odd_values.nested(200)}}}'))
+def test_whatever_a_configuration_holds_it_is_rejected_or_can_be_used(source):
+    from hosting import configuration
+
+    try:
+        text = configuration.parse(source, "test")
+    except errors.SettingsError as error:
+        assert len(str(error)) < 1000
+        return
+    routing.RouteTable(text)
+    for route in text.routes.values():
+        assert 0.0 <= route.timeout_s < float("inf")
+        assert not route.shares or sum(share.weight for share in route.shares) > 0.0
+    for team in text.teams.values():
+        team.name.encode()
+        assert team.rate > 0.0 and all(len(key) > 1 for key in team.keys)
+    orjson.dumps([text.limits.header_bytes, [team.burst for team in text.teams.values()]])
