Test a fleet of processes beside odd objects and announcements

The platform stand-in got the fault odd_items for it, since it can't store an object without a name.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -31,6 +31,7 @@
         stale_reads: Reads and watches return the objects as they were when this was set.
         stale_version: Reads and watches return the objects as of this version, None for the
             current ones.
+        odd_items: JSON values that stand in each listing and watch besides the objects.
     """
 
     outage: bool = False
@@ -38,6 +39,7 @@
     lose_answers: int = 0
     stale_reads: bool = False
     stale_version: int | None = None
+    odd_items: list[object] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -154,7 +156,9 @@
             self.answer_json(200, attrs.asdict(item))
 
     def _answer_listing(self, listing: store.Listing) -> None:
-        self.answer_json(200, attrs.asdict(listing))
+        table = attrs.asdict(listing)
+        table["items"] += self.platform.faults.odd_items
+        self.answer_json(200, table)
 
     def _watch(self, kind: str) -> None:
         since, wait_s = int(self.query.get("since", "0")), float(self.query.get("wait_s", "0"))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -221,7 +221,7 @@
     def restore(self) -> None:
         """Clears all faults, restarts ended processes and waits until the fleet is ready again."""
         self.fleet.inject_platform_faults(
-            outage=False, delay_ms=0, lose_answers=0, stale_reads=False
+            outage=False, delay_ms=0, lose_answers=0, stale_reads=False, odd_items=[]
         )
         for member in self.fleet.members.values():
             for process in (member.node, member.upstream):
