Leave a replica out of a datagram when its age does not fit

What could be seen: a node that had not been brought up to date for 50 days (a fleet whose platform is gone for so long, or a kind that nothing confirms) could build neither a request nor an answer about freshness any more, as the age did not fit into its field: a traceback for each try, and the kinds that were current went untold, too.

Change: such a replica is left out, as one whose age is unknown.

--- a/bergamotridge/nodes/freshness_exchange.py
+++ b/bergamotridge/nodes/freshness_exchange.py
@@ -16,6 +16,7 @@
 
 MILLIS_PER_S = 1000
 REQUEST_ID_BITS = 63
+MAX_AGE_MS = 2**32 - 1  # About 50 days, the longest that a message holds.
 
 
 @attrs.frozen
@@ -142,7 +143,7 @@
         """Returns the answer to a request that has waited until `now` (seconds of boot time)."""
         waited_ms = int((now - request.received_at) * MILLIS_PER_S)
         answer = freshness_pb2.FreshnessMessage(
-            request_id=request.request_id, is_answer=True, wait_ms=waited_ms
+            request_id=request.request_id, is_answer=True, wait_ms=min(waited_ms, MAX_AGE_MS)
         )
         self._add_ages(answer, now)
         return answer
@@ -183,7 +184,8 @@
             as_of = self._freshness.as_of(kind)
             if as_of > freshness.NEVER:
                 age_ms = max(0, math.ceil((now - as_of) * MILLIS_PER_S))
-                message.ages.add(kind=kind, version=local_replica.version, age_ms=age_ms)
+                if age_ms <= MAX_AGE_MS:
+                    message.ages.add(kind=kind, version=local_replica.version, age_ms=age_ms)
 
 
 class SourceRotation:
--- a/tests/test_nodes/test_freshness_exchange.py
+++ b/tests/test_nodes/test_freshness_exchange.py
@@ -9,10 +9,13 @@
 import random
 
 import attrs
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
-from bergamotridge.nodes import freshness_exchange
+from bergamotridge.nodes import freshness_exchange, freshness_pb2
 from bergamotridge.store import freshness
+from tests import odd_values
 
 KIND = "configuration"
 WAIT_S = 0.6
@@ -199,3 +202,44 @@
     with pytest.raises(AssertionError):
         for seed in range(40):
             run_model(seed, clock_stops=True)
+
+
+# The age did not fit into the message: no request and no answer could be built any more.
+def test_a_replica_that_is_too_old_for_a_message_is_left_out():
+    known = freshness.Freshness()
+    exchange = freshness_exchange.FreshnessExchange(known, [Replica()], 0.05, random.Random(1))
+    known.confirm(KIND, 100.0)
+    now = 100.0 + 2**32 / 1000 + 1.0
+    request = exchange.build_request(WAIT_S, now)
+    assert list(request.ages) == []
+    received = exchange.receive_request(request, 100.0)
+    assert list(exchange.build_answer(received, now).ages) == []
+    known.confirm(KIND, now - 1.0)
+    assert [item.age_ms for item in exchange.build_request(WAIT_S, now).ages] == [1000]
+
+
+# Datagrams carry a code of the fleet, so the values are those of another release at worst.
+@odd_values.SETTINGS
+@hypothesis.given(
+    version=st.sampled_from((0, 5, 2**63, 2**64 - 1)),
+    age_ms=st.sampled_from((0, 1, 2**32 - 1)),
+    wait_ms=st.sampled_from((0, 2**32 - 1)),
+    kind=st.sampled_from((KIND, "", "x" * 300)),
+)
+def test_whatever_an_answer_says_a_replica_is_no_more_current_than_its_request(
+    version, age_ms, wait_ms, kind
+):
+    known = freshness.Freshness()
+    exchange = freshness_exchange.FreshnessExchange(
+        known, [Replica(version=5)], 0.05, random.Random(1)
+    )
+    request = exchange.build_request(WAIT_S, 100.0)
+    answer = freshness_pb2.FreshnessMessage(
+        request_id=request.request_id, is_answer=True, wait_ms=wait_ms
+    )
+    answer.ages.add(kind=kind, version=version, age_ms=age_ms)
+    exchange.build_answer(exchange.receive_request(answer, 100.0), 100.5).SerializeToString()
+    exchange.apply_answer(answer, 100.5)
+    assert known.as_of(KIND) <= 100.5
+    if version != 5 or kind != KIND:
+        assert known.as_of(KIND) == freshness.NEVER
