--- a/tests/test_platform/test_announcements.py
+++ b/tests/test_platform/test_announcements.py
@@ -6,7 +6,7 @@
 
 from bergamotridge import malformed
 from bergamotridge.callers import keys
-from bergamotridge.nodes import exchange, membership, record
+from bergamotridge.nodes import exchange, gossip_pb2, membership, record
 from bergamotridge.util import cancellation, message
 from tests import event_loop, odd_values
 from tests.test_nodes import fleet
@@ -138,13 +138,17 @@
 
     members = membership.Membership(fleet.own_record("h", 1), membership.MembershipTimings())
     gossip_exchange = exchange.Exchange(members, (), keys.KeyRing("s"), 1)
+    session = 5
+    gossip_exchange.process_message(gossip_pb2.GossipMessage(host="p", session=session), 0.0)
 
     taken = []
 
     def announce(item, now):
         taken.append(item)
         members.announce(item.service, item.state, item.slots, item.load, now)
-        gossip_exchange.build_message(0, 1).SerializeToString()
+        sent = gossip_exchange.build_message(session, 1)
+        assert sent.records
+        sent.SerializeToString()
 
     handler = announcements.AnnouncementHandler("slots", announce)
     assert _post(handler, "Heartbeat", VALID_FIELDS) == 200
