--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -296,6 +296,7 @@
             restored_epoch=lambda: self.restorations.recent_epoch(
                 timings.expiry_s, clock.boot_time()
             ),
+            on_malformed=self.malformed_entries.report,
         )
         self.restorations.add_listener(lambda _: self.team_rates.handle_restoration())
         self.shutdown = shutdown.Shutdown()
--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -7,7 +7,7 @@
 import attrs
 import logbook
 
-from bergamotridge import errors
+from bergamotridge import errors, malformed
 from bergamotridge.callers import lending_bucket
 from bergamotridge.nodes import quota_pb2
 from bergamotridge.operators import operator_text
@@ -83,6 +83,7 @@
         timings: holding.Timings,
         clock: Callable[[], float],
         restored_epoch: Callable[[], int | None] = lambda: None,
+        on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
         """Starts without shares; this process must already have bound the host's control port.
 
@@ -96,8 +97,10 @@
                 platform.
             restored_epoch: Returns the epoch of the platform's store if it began with a restoration
                 so lately that shares lost in it may still be in use, else None.
+            on_malformed: Called with a report of each quota object that cannot be read.
         """
         self._restored_epoch = restored_epoch
+        self._on_malformed = on_malformed
         self._host = host
         self._incarnation = incarnation
         self._failure_domain = failure_domain
@@ -136,19 +139,31 @@
 
         Before this process has joined a quota, such a share was left by an earlier process.
 
+        Quota objects that cannot be read are left out.
+
         Raises:
-            PlatformError: The platform cannot be reached, or a quota object is malformed.
+            PlatformError: The platform cannot be reached.
         """
-        found = []
-        for item in self._client.list(quota.KIND, eventual=True).items:
+        return [
+            team
+            for item in self._client.list(quota.KIND, eventual=True).items
+            for team in self._find_own_teams(item)
+        ]
+
+    def _find_own_teams(self, item: objects.StoredObject) -> list[str]:
+        """Returns the teams of a stored group of which this host has a share."""
+        try:
             stored = quota.decode_group(item.value)
-            if not self._is_lost(stored, item.version):
-                found += [
-                    team
-                    for team, team_quota in stored.quotas.items()
-                    if team_quota.find(self._host) is not None
-                ]
-        return found
+        except errors.MalformedObjectError as error:
+            self._on_malformed(malformed.MalformedEntry(quota.KIND, item.name, error))
+            return []
+        if self._is_lost(stored, item.version):
+            return []
+        return [
+            team
+            for team, team_quota in stored.quotas.items()
+            if team_quota.find(self._host) is not None
+        ]
 
     def has_unwritten_shares(self) -> bool:
         """Returns whether a share that a restoration of the platform lost has to be written."""
@@ -199,8 +214,8 @@
                 restoration of the platform's store; those of the plans are included.
 
         Raises:
-            PlatformError: The platform cannot be reached; the shares stay usable until their lease
-                ends.
+            PlatformError: The platform cannot be reached, or the object cannot be read; the shares
+                stay usable until their lease ends.
         """
         states = {plan.team.name: self._update_state(plan.team) for plan in plans}
         known_teams = {*states, *known_teams}
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -95,7 +95,7 @@
         self.version = version
 
 
-class MalformedEntryError(BergamotridgeError):
+class MalformedEntryError(BergamotridgeError, ValueError):
     """An entry, record or message of another process cannot be read and is skipped."""
 
     category = Category.NODE
--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -26,12 +26,21 @@
 
 @attrs.frozen
 class StoredObject:
-    """One version of an object; `value` is None when a watch reports it as deleted."""
+    """One version of an object.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Name within the kind.
+        version: Version of the last change.
+        value: JSON value; None if a watch reports the object as deleted, or if it has a fault.
+        fault: Why the value cannot be used by any reader, "" if there is no such reason.
+    """
 
     kind: str
     name: str
     version: position.Position
     value: object
+    fault: str = ""
 
 
 @attrs.frozen
@@ -41,12 +50,12 @@
     Attributes:
         items: The objects that could be read.
         version: The version of the store.
-        skipped: Reports of the objects that could not be read.
+        reports: Reports of what could not be read; such an object is left out, or has a fault.
     """
 
     items: tuple[StoredObject, ...]
     version: position.Position
-    skipped: tuple[malformed.MalformedEntry, ...] = ()
+    reports: tuple[malformed.MalformedEntry, ...] = ()
 
 
 @attrs.frozen
@@ -354,8 +363,9 @@
             f"the platform's response has an object that cannot be read: {error}"
         ) from error
     value = readable.member(entry, "value")
-    readable.check_value(value)
-    return StoredObject(kind, name, position.Position(epoch, revision), value)
+    fault = readable.find_fault(value)
+    version = position.Position(epoch, revision)
+    return StoredObject(kind, name, version, None if fault else value, fault)
 
 
 def _decode_listing(kind: str, reply: Reply) -> Listing:
@@ -372,4 +382,4 @@
         lambda entry: _decode_object(kind, entry, epoch, version.revision),
         lambda entry: readable.member(entry, "name"),
     )
-    return Listing(read.items, version, read.skipped)
+    return Listing(read.items, version, read.reports)
--- a/bergamotridge/store/quota.py
+++ b/bergamotridge/store/quota.py
@@ -15,13 +15,14 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 import attrs
 import xxhash
 
 from bergamotridge import errors
 from bergamotridge.store import position
+from bergamotridge.util import excerpt, fields
 
 KIND = "quota-groups"
 RESERVED_HOST = ""  # Stands for unknown holders in the stored form.
@@ -35,6 +36,7 @@
 # predecessor lent may still be spent.
 MAX_LENT_FRACTION = 0.75
 MIN_LENDABLE_TOKENS = 1.0
+MAX_DEMAND_PER_S = 1e12
 
 
 @attrs.frozen
@@ -162,33 +164,49 @@
     """Returns the group of a value that `encode_group` returned.
 
     Raises:
-        PlatformError: The value is malformed, or the shares of a team sum to more than the whole.
+        MalformedObjectError: The value is malformed, or the shares of a team sum to more than the
+            whole.
     """
     try:
-        quotas = {
-            team: _decode_quota([Share(*share) for share in shares])
-            for team, shares in value["teams"].items()
-        }
-        valid = all(
-            quota.free_parts >= 0 and all(share.parts >= 0 for share in quota.all_shares)
-            for quota in quotas.values()
-        )
-        epoch = value.get("epoch")
-    except (TypeError, KeyError, AttributeError) as error:
-        raise errors.PlatformError(
+        table = fields.table("the value", value)
+        teams = fields.table("'teams'", table.get("teams"))
+        quotas = {team: _decode_quota(shares) for team, shares in teams.items()}
+        epoch = table.get("epoch")
+        if epoch is not None:
+            fields.whole_number("epoch", epoch, 0, fields.MAX_INTEGER)
+    except errors.MalformedEntryError as error:
+        raise errors.MalformedObjectError(
             f"the quota object is malformed, check which process wrote it: {error}"
         ) from error
-    if not valid:
-        raise errors.PlatformError(
-            "the quota object has a negative share or shares that sum to more than the whole; "
-            "check which process wrote it"
-        )
-    return Group(quotas, epoch if isinstance(epoch, int) else None)
+    return Group(quotas, epoch)
 
 
-def _decode_quota(shares: Sequence[Share]) -> Quota:
+def _decode_quota(items: object) -> Quota:
+    if not isinstance(items, list):
+        raise errors.MalformedEntryError(f"the shares of a team are {excerpt.quote(items)}")
+    shares = [_decode_share(item) for item in items]
+    if len({share.host for share in shares}) < len(shares):
+        raise errors.MalformedEntryError("a host has two shares of one team")
     reserved = next((share for share in shares if share.host == RESERVED_HOST), None)
-    return Quota(tuple(share for share in shares if share.host != RESERVED_HOST), reserved)
+    quota = Quota(tuple(share for share in shares if share.host != RESERVED_HOST), reserved)
+    if quota.free_parts < 0:
+        raise errors.MalformedEntryError("the shares of a team sum to more than the whole")
+    return quota
+
+
+def _decode_share(item: object) -> Share:
+    if not isinstance(item, list) or len(item) != len(attrs.fields(Share)):
+        raise errors.MalformedEntryError(f"a share is {excerpt.quote(item)}")
+    host, incarnation, failure_domain, parts, renewals, demand = item
+    min_length = int(host != RESERVED_HOST)
+    return Share(
+        host=fields.text("host", host, min_length=min_length),
+        incarnation=fields.whole_number("incarnation", incarnation, 0, fields.MAX_START_MS),
+        failure_domain=fields.text("failure_domain", failure_domain, min_length=min_length),
+        parts=fields.whole_number("parts", parts, 0, PARTS),
+        renewals=fields.whole_number("renewals", renewals, 0, fields.MAX_INTEGER),
+        demand=fields.number("demand", demand, 0.0, MAX_DEMAND_PER_S),
+    )
 
 
 def needed_parts(demand: float, rate: float) -> int:
