Don't take back a share that its holder gave up after a restoration

What could happen: a holder that gave up its share while parts were still reserved found its share missing and took it out of the reserved parts once more, parts that a holder which had not heard might use: more than the whole was in use.

Cause: a missing share beside reserved parts counted as lost, whoever had removed it.

Change: it counts as lost only if the object was never read with it since the restoration of these reserved parts.

--- a/bergamotridge/store/holding.py
+++ b/bergamotridge/store/holding.py
@@ -133,6 +133,8 @@
         self._sent_at_by_renewals: dict[int, float] = {}
         self._unresolved_write: QuotaUpdate | None = None
         self._is_unwritten = False
+        # The restoration in whose reserved parts this process's share was not, when last read.
+        self._written_since: tuple[int, int] | None = None
         # Upper bounds of `usable`: until the outcome of a write is known, and while the share is
         # being lowered.
         self._unresolved_parts = quota.PARTS
@@ -168,16 +170,23 @@
     def observe(self, value: quota.Quota, version: position.Position, now: float) -> None:
         """Stores the value of the quota object from a read; ignores a version that is not newer.
 
-        If the object has reserved parts and lacks this process's share, the share was lost in a
-        restoration of the store. It stays usable and is taken out of the reserved parts.
+        If the object lacks this process's share, and has the reserved parts of a restoration since
+        which it was never read with that share, the restoration lost the share. It stays usable and
+        is taken out of the reserved parts.
         """
         if version <= self._version:
             return
         self._version = version
         share = value.find(self._host)
         own = share if share and share.incarnation == self._incarnation else None
+        restoration = value.restoration
+        if own is not None:
+            self._written_since = restoration
         lost_share = self._own if own is None and now < self._lease_end else None
-        self._is_unwritten = lost_share is not None and value.reserved is not None
+        self._is_unwritten = lost_share is not None and restoration not in (
+            None,
+            self._written_since,
+        )
         if self._is_unwritten:
             parts = min(lost_share.parts, self._unresolved_parts)
             value = value.take_out(attrs.evolve(lost_share, parts=parts))
--- a/bergamotridge/store/quota.py
+++ b/bergamotridge/store/quota.py
@@ -79,6 +79,11 @@
         """The shares of known holders and the reserved one."""
         return self.shares if self.reserved is None else (*self.shares, self.reserved)
 
+    @property
+    def restoration(self) -> tuple[int, int] | None:
+        """What tells the restoration of the reserved parts from others, None without such parts."""
+        return (self.reserved.incarnation, self.reserved.renewals) if self.reserved else None
+
     @property
     def free_parts(self) -> int:
         """Parts that belong to no share."""
--- a/tests/test_callers/test_quota_restored.py
+++ b/tests/test_callers/test_quota_restored.py
@@ -68,6 +68,18 @@
     assert stored.epoch == 1
 
 
+# A share that its holder had given up counted as lost and was taken out of the reserved parts.
+def test_a_share_given_up_after_a_restoration_is_not_taken_back():
+    fleet = _fleet()
+    leaving, other = _holders(fleet)[:2]
+    fleet.start(other)  # Its share stays reserved.
+    fleet.restore(fleet.store.version)
+    _work(fleet, 2, [leaving])
+    for _ in range(2):
+        fleet.adjust(leaving, leaving=True)
+    assert not fleet.processes[leaving].holder.held_teams()
+
+
 def test_parts_of_a_holder_that_has_not_heard_are_not_taken_before_its_lease_ends():
     fleet = _fleet()
     unaware = _holders(fleet)[0]
