Let a process that has just started learn of a restoration before it claims

Change: nodes tell each other the highest epoch they know. A process that finds another epoch than a peer, or had a peer's before its first answer, knows that the store was restored in between. It claims keys that callers chose only once a peer has told it, or after five seconds without peers.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -284,9 +284,7 @@
             node.host,
             self.incarnation,
             self.objects,
-            restored_epoch=lambda: self.restorations.recent_epoch(
-                node_claims.reservation_s, clock.boot_time()
-            ),
+            may_have_lost=lambda: self._may_have_lost_claims(node_claims.reservation_s),
         )
         rewriter = claim_rewriter.ClaimRewriter(node_claims, self._rng)
         self.restorations.add_listener(lambda _: rewriter.handle_restoration())
@@ -520,6 +518,11 @@
     def _record_restoration(self, restoration: restorations.Restoration) -> None:
         self.events.emit("store.restored", epoch=restoration.epoch, told_by=restoration.source)
 
+    def _may_have_lost_claims(self, reservation_s: float) -> bool:
+        now = clock.boot_time()
+        is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
+        return is_restored or not self.restorations.is_informed(now)
+
     def _withdraw_key(self, key_id: str) -> None:
         self.keys.withdraw(key_id)
         self.events.emit("key.withdrawn", cause="operator", key_id=key_id)
--- a/bergamotridge/callers/claims.py
+++ b/bergamotridge/callers/claims.py
@@ -149,7 +149,7 @@
         capacity: int = CLAIM_CAPACITY,
         claims_per_s: float = CLAIMS_PER_S,
         answer_cache: answers.AnswerCache | None = None,
-        restored_epoch: Callable[[], int | None] = lambda: None,
+        may_have_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates an empty set of claims.
 
@@ -163,10 +163,10 @@
             claims_per_s: Largest rate at which this node creates claim objects in the platform,
                 per second.
             answer_cache: Stores the answers for repeats; None creates a cache.
-            restored_epoch: Returns the epoch of the platform's store if it began with a restoration
-                within `reservation_s`, else None.
+            may_have_lost: Returns whether the platform's store may have lost claims which still
+                count: it was restored within `reservation_s`, or this process may not know.
         """
-        self._restored_epoch = restored_epoch
+        self._may_have_lost = may_have_lost
         self._issuer = idempotency.KeyIssuer(host, incarnation, key_lifetime_s)
         self._host = host
         self._incarnation = incarnation
@@ -344,11 +344,11 @@
 
     def _check_restoration(self) -> None:
         """Raises CallError if a restoration of the platform may have lost any claim."""
-        if self._restored_epoch() is not None:
+        if self._may_have_lost():
             raise _store_unavailable_error(
-                "the platform was restored from a copy and may have lost the claim of this key; "
-                f"keys that callers chose are claimed again after {self._lifetime_s:.0f} s, until "
-                "then use a key that a node issued"
+                "the platform may have been restored from a copy that lacks the claim of this key; "
+                f"keys that callers chose are claimed again at the latest {self._lifetime_s:.0f} s "
+                "after that; until then use a key that a node issued"
             )
 
     def _register_attempt(self, claim_id: _ClaimId) -> claim_objects.Owner:
--- a/bergamotridge/store/restorations.py
+++ b/bergamotridge/store/restorations.py
@@ -16,6 +16,7 @@
 
 FROM_STORE = "store"
 FROM_PEER = "peer"
+ALONE_AFTER_S = 5.0
 
 
 @attrs.frozen
@@ -42,6 +43,8 @@
         self._lock = threading.Lock()
         self._epoch: int | None = None
         self._latest: Restoration | None = None
+        self._has_heard_peer = False
+        self._first_answer_at: float | None = None
         self._listeners: list[Callable[[Restoration], None]] = []
 
     @property
@@ -49,6 +52,11 @@
         """Highest epoch known, 0 before the first."""
         return self._epoch or 0
 
+    @property
+    def is_known(self) -> bool:
+        """True once an epoch is known."""
+        return self._epoch is not None
+
     @property
     def latest(self) -> Restoration | None:
         """The latest restoration known, None if there is none."""
@@ -81,6 +89,8 @@
             False if a later epoch is known, so that the answer is out of date.
         """
         with self._lock:
+            if self._first_answer_at is None:
+                self._first_answer_at = now
             known = self._epoch
             if known is not None and epoch <= known:
                 return epoch == known
@@ -119,6 +129,38 @@
             restoration = self._latest = Restoration(epoch, now - age_s, FROM_PEER)
         self._notify(restoration, known)
 
+    def hear_epoch(self, epoch: int, now: float) -> None:
+        """Records the highest epoch that a peer knows, and the restoration that it may show.
+
+        If it differs from the epoch that this node knows, the later one began with a restoration.
+
+        Args:
+            epoch: The peer's epoch.
+            now: Boot time in seconds.
+        """
+        with self._lock:
+            self._has_heard_peer = True
+            known = self._epoch
+            if known is None:
+                self._epoch = epoch
+            latest_epoch = self._latest.epoch if self._latest else None
+            if known in (None, epoch) or max(epoch, known) == latest_epoch:
+                return
+            self._epoch = max(epoch, known)
+            restoration = self._latest = Restoration(self._epoch, now, FROM_PEER)
+        self._notify(restoration, min(epoch, known))
+
+    def is_informed(self, now: float) -> bool:
+        """Returns whether this process would know of a restoration right before its start.
+
+        It has heard of the epoch from a peer, or no peer has spoken to it for `ALONE_AFTER_S` after
+        the first answer of the store; `now` is boot time in seconds.
+        """
+        with self._lock:
+            first_at = self._first_answer_at
+            is_alone = first_at is not None and now - first_at >= ALONE_AFTER_S
+            return self._has_heard_peer or is_alone
+
     def _notify(self, restoration: Restoration, epoch_before: int) -> None:
         _log.warning(
             "the platform's store was restored from a copy: epoch {} after {}, told by {}",
--- a/tests/test_callers/test_claims_restored.py
+++ b/tests/test_callers/test_claims_restored.py
@@ -41,7 +41,7 @@
             self.clients[host],
             key_lifetime_s=LIFETIME_S,
             capacity=2,
-            restored_epoch=lambda: known.recent_epoch(node.reservation_s, self.now),
+            may_have_lost=lambda: known.recent_epoch(node.reservation_s, self.now) is not None,
         )
         known.add_listener(lambda _: node.handle_restoration())
 
@@ -96,7 +96,7 @@
         1,
         client,
         key_lifetime_s=LIFETIME_S,
-        restored_epoch=lambda: known.recent_epoch(node.reservation_s, clock[0]),
+        may_have_lost=lambda: known.recent_epoch(node.reservation_s, clock[0]) is not None,
     )
     known.add_listener(lambda _: node.handle_restoration())
     return node
