Give the watch test of unusable objects a position

Left over from the merge of the odd entries: a number stood where a position is meant. The test failed with AttributeError and passes now; it checks the same.

--- a/tests/test_store/test_watch.py
+++ b/tests/test_store/test_watch.py
@@ -171,7 +171,7 @@
             server.RequestHandlerClass.platform.change_faults({"odd_items": [{"name": "x"}]})
         started_at = clock.boot_time()
         _wait_until(lambda: known.as_of(configuration.KIND) > started_at)
-        version = apply.apply(store, TEXT, 0).version
+        version = apply.apply(store, TEXT, position.START).version
         _wait_until(lambda: replica.version.seen == version)
 
 
