Match the end of a run to the latest start of its number

An upstream that is restarted numbers its runs from 1 again and appends to the same record. parse_runs took the last end of a number for all runs of that number, so a run of the first process got the outcome of a later one: an answer could be reported as one without its run, and the other way round. It now goes through the lines in order of time. The new test failed on the old code.

--- a/standins/history.py
+++ b/standins/history.py
@@ -75,26 +75,33 @@
 
 
 def parse_runs(lines: Iterable[dict]) -> list[Run]:
-    """Returns the runs in the lines of run records, in order of their start."""
-    lines = list(lines)
-    ends = {(line["address"], line["run"]): line for line in lines if line["event"] == "end"}
-    collected = []
-    for line in lines:
+    """Returns the runs in the lines of run records, in order of their start.
+
+    An upstream that was restarted numbers its runs from 1 again, so an end belongs to the latest
+    start of its number.
+    """
+    collected: list[Run] = []
+    index_by_number: dict[tuple[str, int], int] = {}
+    for line in sorted(lines, key=lambda line: line["time"]):
         if line["event"] == "start":
-            end = ends.get((line["address"], line["run"]), {})
-            collected.append(
-                Run(
-                    tag=line["tag"],
-                    service=line["service"],
-                    address=line["address"],
-                    method=line["method"],
-                    path=line["path"],
-                    start=line["time"],
-                    key_seen=line["key_seen"],
-                    outcome=end.get("outcome", ""),
-                )
-            )
-    return sorted(collected, key=lambda run: run.start)
+            index_by_number[line["address"], line["run"]] = len(collected)
+            collected.append(_start_run(line))
+        elif line["event"] == "end":
+            index = index_by_number[line["address"], line["run"]]
+            collected[index] = attrs.evolve(collected[index], outcome=line["outcome"])
+    return collected
+
+
+def _start_run(line: dict) -> Run:
+    return Run(
+        tag=line["tag"],
+        service=line["service"],
+        address=line["address"],
+        method=line["method"],
+        path=line["path"],
+        start=line["time"],
+        key_seen=line["key_seen"],
+    )
 
 
 def runs_by_tag(history: Iterable[Run]) -> dict[str, list[Run]]:
--- a/tests/test_standins/test_history.py
+++ b/tests/test_standins/test_history.py
@@ -16,6 +16,21 @@
     return run.method == "GET"
 
 
+# The end of a run was taken for that of the same number before the upstream was restarted.
+def test_runs_of_a_restarted_upstream_keep_their_own_ends():
+    start = {"event": "start", "service": "depot", "address": "a", "run": 1, "key_seen": False}
+    call = {"method": "POST", "path": "/payments"}
+    end = {"event": "end", "address": "a", "run": 1}
+    lines = [
+        {**start, **call, "tag": "t1", "time": 1.0},
+        {**end, "outcome": "ok", "time": 2.0},
+        {**start, **call, "tag": "t2", "time": 3.0},
+        {**end, "outcome": "failed", "time": 4.0},
+    ]
+    outcomes = {run.tag: run.outcome for run in history.parse_runs(lines)}
+    assert outcomes == {"t1": "ok", "t2": "failed"}
+
+
 def test_second_run_of_a_non_repeatable_call():
     distinct_runs = [
         attrs.evolve(RUN, service="booking"),
