Let the network stand-in delay, silence one way and reset single links

A link now takes a delay and the loss of one direction, both until the fault is taken back, and a reset of all its open connections.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -139,7 +139,7 @@
         self._text = text
         self._processes: list[processes.Process] = []
         self.platform_address = self._ports.allocate()
-        self._platform_link = self._ports.allocate()
+        self.platform_link = self._ports.allocate()
         self._network_control = self._ports.allocate()
         self.members: dict[str, Member] = {}
 
@@ -250,6 +250,16 @@
         request = {"failure_domains": failure_domains}
         client.send_request(self._network_control, "POST", "/cut", json.dumps(request))
 
+    def inject_link_faults(self, listen: str, **faults: object) -> None:
+        """Replaces the faults of one link of the network; see standins.relay.LinkFaults."""
+        request = json.dumps({"listen": listen, **faults})
+        client.send_request(self._network_control, "POST", "/link", request)
+
+    def reset_link(self, listen: str) -> None:
+        """Resets all open connections of one link of the network."""
+        request = json.dumps({"listen": listen})
+        client.send_request(self._network_control, "POST", "/reset", request)
+
     def register_processes(self) -> None:
         """Registers each node's process id and failure domain with the network.
 
@@ -333,7 +343,7 @@
         )
 
     def _start_network(self, addresses: dict[str, Addresses]) -> None:
-        links = [f"--link={self._platform_link}={self.platform_address}="]
+        links = [f"--link={self.platform_link}={self.platform_address}="]
         for host in self._hosts:
             own = addresses[host.name]
             links += [
@@ -364,7 +374,7 @@
         del ports["server"]
         yield from (f'{port} = "{address}"' for port, address in ports.items())
         yield "[platform]"
-        yield f'address = "{self._platform_link if self._network else self.platform_address}"'
+        yield f'address = "{self.platform_link if self._network else self.platform_address}"'
         yield "[peers]"
         other_addresses = [
             address for address in bootstrap_addresses if address != addresses.advertised_control
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -9,17 +9,24 @@
 * ``POST /cut`` with JSON ``{"failure_domains": ["east"]}`` partitions these failure domains
   from all others and from the platform; an empty list ends the partition. During a partition
   connections stay open and carry no data, as in a network that drops all packets.
+* ``POST /link`` with JSON ``{"listen": "127.0.0.1:7000", "delay_ms": 100}`` sets the faults of one
+  link, any of the fields of `LinkFaults`; those that are not named end.
+* ``POST /reset`` with JSON ``{"listen": "127.0.0.1:7000"}`` resets all open connections of a link.
 """
 
 import json
 import socket
+import struct
 import threading
+import time
 
+import attrs
 from absl import app, flags
 
 from standins import serving, sources
 
 RECEIVE_CHUNK_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # Value of SO_LINGER.
 
 
 def _parse_address(address: str) -> tuple[str, int]:
@@ -27,6 +34,21 @@
     return host, int(port)
 
 
+@attrs.frozen
+class LinkFaults:
+    """Faults of one link.
+
+    Attributes:
+        delay_ms: Milliseconds by which each piece of data is delayed.
+        requests_lost: True if connections stay open but carry no data to the target.
+        answers_lost: The same for data from the target.
+    """
+
+    delay_ms: float = 0.0
+    requests_lost: bool = False
+    answers_lost: bool = False
+
+
 class Network:
     """Holds the set of failure domains that are cut off."""
 
@@ -65,11 +87,28 @@
         self._target_domain = domain
         self._network = network
         self._known = known
+        self._changed = threading.Condition()
+        self._faults = LinkFaults()
+        self._open: set[socket.socket] = set()
+        self._reset: set[socket.socket] = set()
         self._listener = socket.create_server(
             _parse_address(listen), backlog=serving.LISTEN_BACKLOG
         )
         threading.Thread(target=self._accept, name=f"link {listen}", daemon=True).start()
 
+    def inject(self, faults: LinkFaults) -> None:
+        """Replaces the faults of this link."""
+        with self._changed:
+            self._faults = faults
+            self._changed.notify_all()
+
+    def reset(self) -> None:
+        """Resets all open connections, on both sides."""
+        with self._changed:
+            self._reset |= self._open
+            for connection in self._open:
+                _prepare_reset(connection)
+
     def _accept(self) -> None:
         while True:
             client, client_address = self._listener.accept()
@@ -84,27 +123,53 @@
         except OSError:
             client.close()
             return
+        with self._changed:
+            self._open |= {client, server}
         for connection in (client, server):
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         response_thread = threading.Thread(
-            target=self._copy_bytes, args=(server, client, source), daemon=True
+            target=self._copy_bytes, args=(server, client, source, "answers_lost"), daemon=True
         )
         response_thread.start()
-        self._copy_bytes(client, server, source)
+        self._copy_bytes(client, server, source, "requests_lost")
         response_thread.join()
+        with self._changed:
+            self._open -= {client, server}
+            self._reset -= {client, server}
         client.close()
         server.close()
 
-    def _copy_bytes(self, origin: socket.socket, sink: socket.socket, source: str) -> None:
+    def _copy_bytes(
+        self, origin: socket.socket, sink: socket.socket, source: str, loss: str
+    ) -> None:
+        """Copies until the end of the data; `loss` is the field of the fault that holds it up."""
         try:
             while data := origin.recv(RECEIVE_CHUNK_BYTES):
-                self._network.wait_until_reachable(source, self._target_domain)
+                self._wait_until_passing(source, loss)
                 sink.sendall(data)
         except OSError:
             pass
+        self._wait_until_passing(source, loss)
+        with self._changed:
+            is_reset = origin in self._reset
+        if not is_reset:
+            for connection in (origin, sink):
+                _shut_down(connection)
+
+    def _wait_until_passing(self, source: str, loss: str) -> None:
         self._network.wait_until_reachable(source, self._target_domain)
-        for connection in (origin, sink):
-            _shut_down(connection)
+        time.sleep(self._faults.delay_ms / 1000)
+        with self._changed:
+            self._changed.wait_for(lambda: not getattr(self._faults, loss))
+
+
+def _prepare_reset(connection: socket.socket) -> None:
+    """Ends the wait of the thread that reads a connection, and makes its close send a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        connection.shutdown(socket.SHUT_RD)
+    except OSError:
+        return
 
 
 def _shut_down(connection: socket.socket) -> None:
@@ -119,15 +184,24 @@
 
     network: Network
     known: sources.ProcessDomains
+    links: dict[str, Link]
 
     def do_POST(self) -> None:  # noqa: N802
-        """Registers processes (``/sources``) or sets the cut failure domains (any other path)."""
+        """Registers processes or changes the faults."""
         request = json.loads(self.read_body())
-        if self.path == "/sources":
-            for pid, failure_domain in request.items():
-                self.known.register(int(pid), failure_domain)
-        else:
-            self.network.cut(request["failure_domains"])
+        match self.path:
+            case "/sources":
+                for pid, failure_domain in request.items():
+                    self.known.register(int(pid), failure_domain)
+            case "/cut":
+                self.network.cut(request["failure_domains"])
+            case "/link":
+                self.links[request.pop("listen")].inject(LinkFaults(**request))
+            case "/reset":
+                self.links[request["listen"]].reset()
+            case _:
+                self.answer_json(404, {"error": "no such path"})
+                return
         self.answer_json(200, {})
 
 
@@ -140,10 +214,12 @@
 def main(_: list[str]) -> None:
     """Relays until SIGTERM."""
     network, known = Network(), sources.ProcessDomains()
+    links = {}
     for link in flags.FLAGS.link:
         listen, target, failure_domain = link.split("=")
-        Link(listen, target, failure_domain, network, known)
-    handler = type("BoundHandler", (Handler,), {"network": network, "known": known})
+        links[listen] = Link(listen, target, failure_domain, network, known)
+    fields = {"network": network, "known": known, "links": links}
+    handler = type("BoundHandler", (Handler,), fields)
     serving.Server(flags.FLAGS.control, handler).start()
     serving.wait_for_stop_signal()
 
