Let the platform stand-in keep its objects over a restart

A soak kills and restarts the platform, which the users run as a service that keeps what it has acknowledged. The stand-in lost everything, so such a run would have shown faults of the stand-in.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -118,7 +118,16 @@
 
 
 class Fleet:
-    """Starts and ends all processes of a fleet; use it as a context manager."""
+    """Starts and ends all processes of a fleet; use it as a context manager.
+
+    Attributes:
+        members: The hosts by name.
+        platform: The process of the platform stand-in, which keeps its objects over a restart.
+        platform_address: IP:PORT of the platform.
+        platform_link: IP:PORT at which nodes reach the platform through the network.
+    """
+
+    platform: processes.Process
 
     def __init__(
         self, directory: pathlib.Path, hosts: Iterable[Host], text: str, *, network: bool = False
@@ -319,7 +328,13 @@
         return f"--secret_file={path}"
 
     def _start(self) -> None:
-        self.launch("platform", "standins.platform", f"--address={self.platform_address}")
+        journal = self._directory / "platform.journal"
+        self.platform = self.launch(
+            "platform",
+            "standins.platform",
+            f"--address={self.platform_address}",
+            f"--journal={journal}",
+        )
         processes.wait_until(lambda: _is_responding(self.platform_address), "the platform responds")
         self.apply(self._text)
         addresses = {host.name: self._allocate_addresses() for host in self._hosts}
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import os
 import threading
 import time
 
@@ -52,8 +53,8 @@
 class Platform:
     """The object store, the injected faults and the request counts."""
 
-    def __init__(self) -> None:
-        self.store = store.Store()
+    def __init__(self, objects: store.Store | None = None) -> None:
+        self.store = objects or store.Store()
         self.faults = Faults()
         self.statistics = Statistics()
         self._lock = threading.Lock()
@@ -199,9 +200,14 @@
                 self.answer_json(200, {"version": version})
 
 
-def start(address: str) -> serving.Server:
-    """Starts a platform that listens on `address`, in threads of this process."""
-    handler = type("BoundHandler", (Handler,), {"platform": Platform()})
+def start(address: str, objects: store.Store | None = None) -> serving.Server:
+    """Starts a platform that listens on `address`, in threads of this process.
+
+    Args:
+        address: IP:PORT to listen on.
+        objects: The objects that it serves; if None, there are none at first.
+    """
+    handler = type("BoundHandler", (Handler,), {"platform": Platform(objects)})
     server = serving.Server(address, handler)
     server.start()
     return server
@@ -210,13 +216,23 @@
 def define_flags() -> None:
     """Defines the flags of the command line."""
     flags.DEFINE_string("address", "127.0.0.1:9000", "IP:PORT to listen on")
+    flags.DEFINE_string(
+        "journal", os.devnull, "file from which all objects are read, and that keeps all changes"
+    )
 
 
 def main(_: list[str]) -> None:
     """Serves until SIGTERM."""
-    server = start(flags.FLAGS.address)
-    serving.wait_for_stop_signal()
-    server.server_close()
+    with open(flags.FLAGS.journal, "a+", buffering=1, encoding="utf-8") as journal:
+        journal.seek(0)
+        text = journal.read()
+        changes = store.read_journal(text)
+        if text:
+            # The text is ASCII, one byte for each character.
+            journal.truncate(text.rfind("\n") + 1)
+        server = start(flags.FLAGS.address, store.Store(changes, journal))
+        serving.wait_for_stop_signal()
+        server.server_close()
 
 
 if __name__ == "__main__":
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,10 @@
 """In-memory object store of the platform stand-in: versions, conditional writes and watches."""
 
+import json
 import threading
 import time
+import typing
+from collections.abc import Iterable
 
 import attrs
 
@@ -47,15 +50,33 @@
     version: int
 
 
+def read_journal(text: str) -> list[Item]:
+    """Returns the changes in a journal, in the order of their versions.
+
+    The last line may be incomplete, if its process was killed; that change was not acknowledged.
+    """
+    complete_lines, _, _ = text.rpartition("\n")
+    return [Item(**json.loads(line)) for line in complete_lines.splitlines()]
+
+
 class Store:
     """All objects, guarded by one lock; each change wakes the waiting watches."""
 
-    def __init__(self) -> None:
+    def __init__(self, changes: Iterable[Item] = (), journal: typing.TextIO | None = None) -> None:
+        """Creates a store with the objects of an earlier process.
+
+        Args:
+            changes: Changes of the earlier process, in the order of their versions.
+            journal: File to which each change is appended before it is acknowledged, line by line.
+        """
         self._changed = threading.Condition()
         self._items: dict[tuple[str, str], Item] = {}
         self._version = 0
         self._change_log: list[Item] = []
         self._past_view: _View | None = None
+        for item in changes:
+            self._keep(item)
+        self._journal = journal
 
     @property
     def version(self) -> int:
@@ -140,9 +161,14 @@
         current = self._current_version(kind, name)
         if current != version:
             raise VersionConflict(current)
-        self._version += 1
-        item = Item(kind, name, self._version, value)
-        self._items[kind, name] = item
-        self._change_log.append(item)
+        item = Item(kind, name, self._version + 1, value)
+        if self._journal is not None:
+            self._journal.write(json.dumps(attrs.asdict(item)) + "\n")
+        self._keep(item)
         self._changed.notify_all()
         return self._version
+
+    def _keep(self, item: Item) -> None:
+        self._version = item.version
+        self._items[item.kind, item.name] = item
+        self._change_log.append(item)
--- a/tests/test_standins/test_platform.py
+++ b/tests/test_standins/test_platform.py
@@ -1,12 +1,13 @@
 """The platform stand-in implements the object API correctly, also with injected faults."""
 
 import http.client
+import io
 import json
 import threading
 
 import pytest
 
-from standins import platform
+from standins import platform, store
 
 
 @pytest.fixture
@@ -67,3 +68,14 @@
     send("POST", "/faults", {"stale_version": None})
     assert send("GET", "/objects/k/a")[1]["value"] == 2
     assert send("GET", "/statistics")[1] == {"writes": 2, "reads": 4, "watches": 0}
+
+
+def test_journal_brings_back_all_objects_and_versions():
+    journal = io.StringIO()
+    objects = store.Store(journal=journal)
+    objects.put("keys", "a", 0, {"team": "x"})
+    objects.put("keys", "b", 0, 1)
+    objects.delete("keys", "b", 2)
+    restored = store.Store(store.read_journal(journal.getvalue() + '{"kind": "cut'))
+    assert restored.list("keys", since=0) == objects.list("keys", since=0)
+    assert restored.put("keys", "a", 1, 2) == 4
