Let processes of the network stand-in be registered while it relays

A connection that arrived while a restarted node was registered failed with 'dictionary changed size during iteration', and its thread left it open and silent: a fault that nobody had injected. Each registration now makes a new map.

--- a/standins/sources.py
+++ b/standins/sources.py
@@ -54,7 +54,8 @@
 
     def register(self, pid: int, failure_domain: str) -> None:
         """Registers the failure domain in which a process runs, replacing an earlier one."""
-        self._domain_by_pid[pid] = failure_domain
+        # A new map, as connections iterate over the present one in other threads.
+        self._domain_by_pid = {**self._domain_by_pid, pid: failure_domain}
 
     def find_domain(self, port: int, listening_port: int) -> str:
         """Returns the failure domain of the process connected from `port`, "" if unknown."""
