Add a fault soak that draws processes' signals and faults from a seed

Callers keep their connections until the process is gone; a request that was read and dropped is told from one that was not read by whether the kernel reset the connection.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: test demo bench format lint proto
+.PHONY: test demo bench soak format lint proto
 
 .venv/.ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv .venv
@@ -26,5 +26,11 @@
 bench: .venv/.ready
 	$(BIN)/python -m bench.run
 
+# make soak SEED=1 SEEDS=50; its flags are in soak/run.py.
+SEED ?= 1
+SEEDS ?= 5
+soak: .venv/.ready
+	$(BIN)/python -m soak.run --seed=$(SEED) --seeds=$(SEEDS)
+
 proto: .venv/.ready
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. bergamotridge/nodes/*.proto
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,82 @@
+"""Runs the soak on one or several seeds; the exit code is 0 only if all promises held."""
+
+import contextlib
+import pathlib
+import shutil
+import sys
+
+from absl import app, flags
+
+from soak import draw, plan, seeds, session
+from standins import processes
+
+EXIT_FAILED = 1
+S_PER_MINUTE = 60.0
+
+
+def _run_seed(case: seeds.Case, directory: pathlib.Path) -> bool:
+    """Runs one seed and returns True if all promises held; else its logs are kept."""
+    drawn = draw.draw_plan(case.seed, case.minutes * S_PER_MINUTE, case.hosts)
+    directory.mkdir(parents=True)
+    (directory / "plan").write_text("\n".join(plan.format_plan(drawn)) + "\n", encoding="utf-8")
+    with (
+        (directory / "events").open("w", encoding="utf-8") as events,
+        contextlib.redirect_stdout(events),
+    ):
+        report = session.run_plan(drawn, directory)
+    print(report.to_line(), flush=True)
+    for line in report.findings:
+        print(f"  {line}", flush=True)
+    for line in report.notes:
+        print(f"  note: {line}", flush=True)
+    if report.findings or report.notes or flags.FLAGS.keep:
+        print(f"  logs in {directory}", flush=True)
+    else:
+        shutil.rmtree(directory)
+    return not report.findings
+
+
+def define_flags() -> None:
+    """Defines the flags of the command line."""
+    flags.DEFINE_integer("seed", 1, "first seed")
+    flags.DEFINE_integer("seeds", 1, "number of seeds, one after another", lower_bound=1)
+    flags.DEFINE_float("minutes", 0.5, "time in which faults begin, for each seed")
+    flags.DEFINE_integer("hosts", 8, "hosts of the fleet, 3 or more", lower_bound=3)
+    flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
+    flags.DEFINE_bool("failed", False, "run the seeds that once failed, in soak/failed_seeds.txt")
+    flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
+    flags.DEFINE_string("directory", "out/soak", "directory that keeps the logs of failed seeds")
+
+
+def main(_: list[str]) -> int:
+    """Runs all seeds and returns the exit code."""
+    values = flags.FLAGS
+    cases = (
+        seeds.read_failed()
+        if values.failed
+        else [
+            seeds.Case(values.seed + number, values.minutes, values.hosts)
+            for number in range(values.seeds)
+        ]
+    )
+    if values.plan:
+        for case in cases:
+            drawn = draw.draw_plan(case.seed, case.minutes * S_PER_MINUTE, case.hosts)
+            print("\n".join(plan.format_plan(drawn)))
+        return 0
+    broken = 0
+    for case in cases:
+        directory = pathlib.Path(values.directory) / f"seed-{case.seed}"
+        shutil.rmtree(directory, ignore_errors=True)
+        try:
+            broken += not _run_seed(case, directory)
+        except processes.NotReadyError as error:
+            print(f"seed {case.seed}: the fleet did not start: {error}", file=sys.stderr)
+            broken += 1
+    print(f"{len(cases)} seeds, {broken} with findings")
+    return EXIT_FAILED if broken else 0
+
+
+if __name__ == "__main__":
+    define_flags()
+    app.run(main)
--- a/standins/load.py
+++ b/standins/load.py
@@ -99,6 +99,7 @@
         body: ``ok``; ``crossed`` if the response belongs to another request; ``cut`` if it is
             incomplete; ``none`` if there is no response or its status is not 200.
         request_id: Id that the node assigned to the request, or "".
+        error: Why there was no complete response, or "".
     """
 
     tag: str
@@ -114,6 +115,7 @@
     verdict: str
     body: str
     request_id: str
+    error: str = ""
 
 
 @attrs.frozen(order=True)
@@ -217,23 +219,23 @@
         while messages_left:
             messages_left, done, failed = self._multi.info_read()
             for curl in done:
-                self._finish_transfer(curl, True)
-            for curl, _, _ in failed:
-                self._finish_transfer(curl, False)
+                self._finish_transfer(curl, "")
+            for curl, _, message in failed:
+                self._finish_transfer(curl, message)
 
-    def _finish_transfer(self, curl: pycurl.Curl, is_complete: bool) -> None:
+    def _finish_transfer(self, curl: pycurl.Curl, error: str) -> None:
         transfer = self._transfers.pop(curl)
-        status = curl.getinfo(pycurl.RESPONSE_CODE) if is_complete else 0
+        status = 0 if error else curl.getinfo(pycurl.RESPONSE_CODE)
         self._multi.remove_handle(curl)
         self._idle_handles.append(curl)
-        attempt = self._build_attempt(transfer, status, is_complete)
+        attempt = self._build_attempt(transfer, status, error)
         self._sink.write(json.dumps(attrs.asdict(attempt)) + "\n")
         arrival = transfer.arrival
         if status != 200 and arrival.number <= arrival.stream.retries:
             retry = attrs.evolve(arrival, due=attempt.end, number=arrival.number + 1)
             heapq.heappush(self._scheduled, retry)
 
-    def _build_attempt(self, transfer: _Transfer, status: int, is_complete: bool) -> Attempt:
+    def _build_attempt(self, transfer: _Transfer, status: int, error: str) -> Attempt:
         arrival, stream = transfer.arrival, transfer.arrival.stream
         return Attempt(
             tag=arrival.tag,
@@ -247,8 +249,9 @@
             end=time.monotonic(),
             status=status,
             verdict=transfer.headers.get(VERDICT_HEADER, ""),
-            body=_classify_body(transfer, status, is_complete),
+            body=_classify_body(transfer, status, is_complete=not error),
             request_id=transfer.headers.get(REQUEST_ID_HEADER, ""),
+            error=error,
         )
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -103,6 +103,10 @@
         """Resumes the process with SIGCONT."""
         self._popen.send_signal(signal.SIGCONT)
 
+    def reload(self) -> None:
+        """Sends SIGHUP."""
+        self._popen.send_signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         """Requests a graceful stop with SIGTERM; does not wait for the exit."""
         self._stop_requested = True
