End the fleet of a soak that is ended by SIGTERM

A soak that was ended by SIGTERM left its processes behind; it now leaves by the same way as after an interrupt, on which a fleet ends all its processes by their ids.

--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 import contextlib
 import pathlib
 import shutil
+import signal
 import sys
 
 from absl import app, flags
@@ -51,6 +52,8 @@
 def main(_: list[str]) -> int:
     """Runs all seeds and returns the exit code."""
     values = flags.FLAGS
+    # The fleet is stopped on the way out, as after an interrupt.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
     cases = (
         seeds.read_failed()
         if values.failed
