Don't call an unknown key invalid before a node has received the keys

Callers don't repeat a request after 401. A node without a configuration already answers 503; an unknown key now gets 503, with the reason 'keys', until the replica of the keys was known to be current once. Missing, malformed and withdrawn keys are refused with 401 as before.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -110,7 +110,8 @@
         self.routes = routing.CurrentRoutes()
         self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
         self.configuration.add_listener(self._apply_configuration)
-        self.keys = keys.KeyRing(node.fleet_secret)
+        self.freshness = freshness.Freshness()
+        self.keys = keys.KeyRing(node.fleet_secret, lambda: self.freshness.was_current(keys.KIND))
 
     def _create_upstream_parts(self) -> None:
         limits = self.settings.limits
@@ -197,7 +198,6 @@
         """Creates the parts that keep the replicas current with few reads of the platform."""
         node, max_age_s = self.settings, self.settings.platform.max_age_s
         election = watch_election.WatchElection(self.members, peer_chooser, node.platform.elected)
-        self.freshness = freshness.Freshness()
         self.freshness_port = nodes_freshness.FreshnessPort(
             node.addresses.control,
             node.fleet_secret,
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -4,7 +4,7 @@
 import hmac
 import secrets
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -18,6 +18,7 @@
 DIGEST_BYTES = 32
 PAGE_ITEMS = 1000
 MAX_WRITE_ATTEMPTS = 5
+RETRY_AFTER_S = 1  # Told to callers while this node has not received the keys yet.
 
 
 @attrs.frozen
@@ -65,9 +66,16 @@
     it is `pending`: it is spread by gossip until the platform's object shows it.
     """
 
-    def __init__(self, fleet_secret: str) -> None:
-        """Starts empty; `fleet_secret` is the key of the stored keyed hashes."""
+    def __init__(self, fleet_secret: str, was_complete: Callable[[], bool] = lambda: True) -> None:
+        """Starts empty.
+
+        Args:
+            fleet_secret: The key of the stored keyed hashes.
+            was_complete: Returns True once this replica is known to have held all grants at some
+                time since the start of the process; before that, an unknown key may be valid.
+        """
         self._fleet_secret = fleet_secret
+        self._was_complete = was_complete
         self._lock = threading.Lock()
         self._grants: dict[str, _StoredGrant] = {}
         self._withdrawn: set[str] = set()
@@ -103,11 +111,20 @@
 
         Raises:
             CallError: Status 401 with reason ``"key"``: the key is missing, malformed, unknown or
-                withdrawn.
+                withdrawn. Status 503 with reason ``"keys"``: the key is unknown, and this node has
+                not received all keys yet.
         """
         scheme, _, secret_text = (authorization or "").partition(" ")
         key_id, _, _ = secret_text.partition(".")
-        grant = self._grants.get(key_id) if scheme.lower() == AUTH_SCHEME else None
+        has_key = scheme.lower() == AUTH_SCHEME and bool(key_id)
+        grant = self._grants.get(key_id) if has_key else None
+        if grant is None and has_key and key_id not in self._withdrawn and not self._was_complete():
+            raise errors.CallError(
+                "this node has not received the keys yet; try again later",
+                status=503,
+                reason="keys",
+                retry_after_s=RETRY_AFTER_S,
+            )
         if grant is None or not _has_matching_digest(grant, self._fleet_secret, secret_text):
             raise _make_key_error(
                 "the request has no valid key; send one as 'Authorization: Bearer KEY'"
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -88,6 +88,10 @@
         "the call carried no key, or one that is unknown or withdrawn",
         "grant a key with 'bergamotridge keys grant'",
     ),
+    "keys": Reason(
+        "the call carried an unknown key, and the node has not received all keys yet",
+        "wait a few seconds; if it persists, check that the platform or a peer can be reached",
+    ),
     "no-upstream": Reason(
         "no ready upstream of the service is known",
         "see 'bergamotridge status' for upstreams that are starting, draining or lost",
--- a/bergamotridge/store/freshness.py
+++ b/bergamotridge/store/freshness.py
@@ -28,6 +28,10 @@
         with self._lock:
             return self._as_of.get(kind, NEVER)
 
+    def was_current(self, kind: str) -> bool:
+        """Returns True if the replica of a kind was ever known to be current."""
+        return self.as_of(kind) > NEVER
+
     def ages(self, now: float) -> dict[str, float]:
         """Returns the age in seconds of each replica that was ever known to be current, by kind."""
         with self._lock:
