Check calls that are repeated only at the end of a soak

Nothing was wrong with the nodes. Calls with an Idempotency-Key are now left out of the checks while callers send calls; the check at the end has all attempts.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -82,7 +82,7 @@
 
 
 def find_violations(evidence: Evidence) -> list[Violation]:
-    """Checks all promises; a violation found before the end of a run is one at its end too."""
+    """Checks all promises."""
     attempts, runs = evidence.attempts, evidence.runs
     node_disturbances = evidence.node_disturbances()
     found = {
--- a/soak/session.py
+++ b/soak/session.py
@@ -140,7 +140,7 @@
 
         def check_until_finished() -> None:
             while not finished.wait(CHECK_INTERVAL_S):
-                self._check()
+                self._check(self._running_evidence())
 
         thread = threading.Thread(target=check_until_finished, name="checks", daemon=True)
         thread.start()
@@ -150,9 +150,9 @@
             finished.set()
             thread.join()
 
-    def _check(self) -> None:
-        """Checks all promises on what was seen so far, and prints what is new."""
-        found = [str(item) for item in checks.find_violations(self._evidence())]
+    def _check(self, evidence: checks.Evidence) -> None:
+        """Checks all promises and prints what is new."""
+        found = [str(item) for item in checks.find_violations(evidence)]
         for finding in [*found, *self._supervisor.findings]:
             self._add_finding(finding)
 
@@ -161,6 +161,20 @@
             self._findings.add(finding)
             print(f"{time.monotonic():.2f} FINDING {finding}", flush=True)
 
+    def _running_evidence(self) -> checks.Evidence:
+        """Returns the evidence for checks while callers still send calls.
+
+        Calls that are repeated are left out: what the record has of one may be without the attempt
+        that explains its run.
+        """
+        evidence = self._evidence()
+        attempts = [
+            attempt
+            for attempt in evidence.attempts
+            if not attempt.route.endswith(callers.KEYED_SUFFIX)
+        ]
+        return attrs.evolve(evidence, attempts=attempts)
+
     def _evidence(self) -> checks.Evidence:
         # Attempts are read before runs, and probes before changes: what an answer needs was
         # recorded before it.
@@ -212,8 +226,8 @@
         processes.wait_until(is_served, f"{host} serves {path}")
 
     def _report(self) -> Report:
-        self._check()
         evidence = self._evidence()
+        self._check(evidence)
         return Report(
             seed=self._plan.seed,
             findings=tuple(sorted(self._findings)),
