Ignore signals once a node has stopped, so that they don't set its exit code

The interpreter restores the default action of signals with a handler at its end, which takes some hundred milliseconds on a busy machine; ignored signals stay ignored. A supervisor that repeats SIGTERM, or a SIGHUP for all nodes that meets one at its end, made a planned stop look like a failure.

The test sends signals until the process is gone; both variants failed before (exit codes -15 and -1).

--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -14,6 +14,7 @@
 
 SWITCH_INTERVAL_S = 0.0005
 GC_THRESHOLD_ALLOCATIONS = 20_000
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 _log = logbook.Logger(__name__)
 
@@ -72,7 +73,7 @@
     incarnation = time.time_ns() // 1_000_000
     logs.setup(node, incarnation)
     received_signals: queue.SimpleQueue[int] = queue.SimpleQueue()
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in SIGNALS:
         signal.signal(number, lambda number, _: received_signals.put(number))
     node_application = application.Application(node, incarnation, node_environment)
     node_application.events.add_listener(logs.EventWriter())
@@ -88,4 +89,7 @@
             log_changed_settings(node, read)
     node_application.stop()
     _log.info("node on host '{}' stopped", node.host)
+    # The interpreter restores the default actions at its end, but leaves ignored signals ignored.
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     return 0
--- a/tests/test_process/test_kill.py
+++ b/tests/test_process/test_kill.py
@@ -61,6 +61,16 @@
     assert rig.find_violations(attempts_future.result()) == []
 
 
+# A repeated SIGTERM, or a SIGHUP, ended the process by the signal if it came at the very end.
+@pytest.mark.parametrize("repeat", ["terminate", "reload"])
+def test_signals_until_the_end_of_a_planned_stop_leave_its_exit_code(rig, repeat):
+    node = rig.fleet.members["front-2"].node
+    node.terminate()
+    while node.running:
+        getattr(node, repeat)()
+    assert node.exit_code == 0
+
+
 @pytest.mark.parametrize("stopped", ["front-1", "back"])
 def test_graceful_node_shutdown_lets_the_running_call_finish(rig, stopped):
     tag, reply_future, member = start_slow_payment(rig, LONGER_THAN_STOP_NOTICE_MS)
