Drop the response to a caller that has reset its connection without an error

No caller was affected, but such lines are not sampled, and on-call has only logs and metrics. The response, and the refusal of invalid input, are now dropped if the transport is closing. The new test failed before.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -207,8 +207,8 @@
 
         Closing at once would reset the connection, and the client might never read the response.
         """
-        self._transport.write(response)
         if not self._transport.is_closing():
+            self._transport.write(response)
             self._transport.write_eof()
             self._event_loop.call_later(LINGER_S, self._transport.abort)
 
@@ -235,6 +235,9 @@
         except Exception:
             logger.exception("the handler of the server '{}' failed", server.name)
             response = message.Response(500, [(b"bergamotridge-verdict", b"may-have-run")])
+        if self._transport.is_closing():
+            self.token = None
+            return False
         keep_alive = request.keep_alive and not server.closing
         self._transport.write(
             message.encode_response(response, keep_alive=keep_alive, head=request.method == b"HEAD")
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -4,8 +4,10 @@
 import concurrent.futures
 import contextlib
 import socket
+import struct
 import threading
 
+import logbook
 import pytest
 
 from bergamotridge import errors
@@ -121,6 +123,31 @@
     server.stop(1)
 
 
+# Each call whose caller reset the connection was logged as an error with a traceback.
+def test_a_response_to_a_caller_that_reset_its_connection_is_dropped_without_an_error():
+    running, cancelled = threading.Event(), threading.Event()
+
+    async def wait_for_cancellation(_request, token):
+        running.set()
+        while not token.cancelled:
+            await asyncio.sleep(0.01)
+        # The transport of a connection that was reset is closed in the next iterations.
+        await asyncio.sleep(0.1)
+        cancelled.set()
+        return message.Response(200)
+
+    server, address = start_server(wait_for_cancellation)
+    with logbook.TestHandler().applicationbound() as log:
+        connection = socket.create_connection(httpd.split_address(address))
+        connection.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert running.wait(10)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+        assert cancelled.wait(10)
+        server.stop(1)
+    assert log.formatted_records == []
+
+
 def test_a_connection_with_an_incomplete_request_is_closed():
     server, address = start_server(echo, idle_s=0.05)
     with socket.create_connection(httpd.split_address(address), timeout=30) as sock:
