Start the load of a soak once all hosts know its keys

All keys are now known at all hosts before the load starts, so that a later refusal of a valid key is a finding.

--- a/soak/session.py
+++ b/soak/session.py
@@ -1,6 +1,7 @@
 """One run of the soak: starts a fleet, carries out a plan, checks and reports."""
 
 import contextlib
+import itertools
 import pathlib
 import random
 import threading
@@ -14,6 +15,7 @@
     checks,
     disturbances,
     injector,
+    observations,
     operators,
     plan,
     probes,
@@ -85,6 +87,7 @@
 
     def run(self) -> Report:
         """Carries out the plan and returns the report."""
+        self._await_keys()
         self._supervisor.start()
         sender = self._start_callers()
         self._prober.start()
@@ -111,6 +114,19 @@
                 member.upstream, disturbances.Part.UPSTREAM, name, addresses.server
             )
 
+    def _await_keys(self) -> None:
+        """Waits until every host knows all keys."""
+        for host in self._fleet.members:
+            for granted in itertools.chain.from_iterable(self._keys.values()):
+                processes.wait_until(
+                    lambda host=host, granted=granted: self._is_known(host, granted),
+                    f"{host} knows all keys",
+                )
+
+    def _is_known(self, host: str, granted: fleet.Key) -> bool:
+        reply = self._fleet.call(host, "GET", RECOVERED_ROUTES[-1], key=granted.secret)
+        return reply.status != observations.STATUS_UNAUTHORIZED
+
     def _start_callers(self) -> processes.Process:
         addresses = {host: self._fleet.addresses(host).callers for host in self._fleet.members}
         assignments = [
