Let some callers of the soak come through links that have faults of their own

One caller in five now uses a link to its host that is delayed, silent in one direction or reset. What is lost on such a link says nothing about the node, so the check of requests that were read covers the other callers only.

--- a/soak/answers.py
+++ b/soak/answers.py
@@ -12,6 +12,11 @@
 HASTY_TIMEOUT_S = 1.0  # A caller that gives up sooner takes the risk that it gets no answer.
 # Time without unplanned faults before a call, after which they no longer affect it.
 CALM_BEFORE_S = 5.0
+PARTS_OF_CALLS = (
+    disturbances.Part.NODE,
+    disturbances.Part.UPSTREAM,
+    disturbances.Part.NETWORK,
+)
 
 
 def find_incomplete(attempts: Sequence[load.Attempt]) -> list[load.Attempt]:
@@ -37,7 +42,8 @@
         attempts: Attempts as callers saw them.
         runs: Runs of upstreams.
         node_disturbances: Disturbances of the node process of each host.
-        hosts: Host of each address that callers call.
+        hosts: Host of each address that callers call without a link; calls at other addresses are
+            left out.
     """
     runs_of_tag = history.runs_by_tag(runs)
     excuses = {host: _find_excuses(entries) for host, entries in node_disturbances.items()}
@@ -45,6 +51,7 @@
         attempt
         for attempt in attempts
         if attempt.error
+        and attempt.target in hosts
         and not _gave_up_soon(attempt)
         and _was_read(attempt, runs_of_tag.get(attempt.tag, ()))
         and not any(
@@ -63,7 +70,7 @@
     allowed, and so is a call that has used the time limit of its route. Calls with an
     Idempotency-Key also depend on the platform, and are left out.
     """
-    data_faults = [entry for entry in log if entry.part is not disturbances.Part.PLATFORM]
+    data_faults = [entry for entry in log if entry.part in PARTS_OF_CALLS]
     return [
         attempt
         for attempt in attempts
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,12 @@
 
 IN_FORCE_BOUND_S = 5.0
 DRAIN_BOUND_S = 2.0
+# Of the news of a change to a node.
+PARTS_ON_THE_WAY = (
+    disturbances.Part.NODE,
+    disturbances.Part.PLATFORM,
+    disturbances.Part.NETWORK,
+)
 
 
 @attrs.frozen
@@ -23,6 +29,7 @@
         withdrawals: All withdrawals, by the end of the key.
         log: All disturbances in order of their start.
         addresses: Addresses of each host.
+        caller_links: Address of the link at which some callers call each host.
     """
 
     attempts: Sequence[load.Attempt]
@@ -32,6 +39,7 @@
     withdrawals: Mapping[str, operators.Change]
     log: Sequence[disturbances.Disturbance]
     addresses: Mapping[str, fleet.Addresses]
+    caller_links: Mapping[str, str] = attrs.field(factory=dict)
 
     def node_disturbances(self) -> dict[str, list[disturbances.Disturbance]]:
         """Returns the disturbances of each host's node process."""
@@ -50,15 +58,20 @@
             host: [
                 entry
                 for entry in self.log
-                if entry.part is not disturbances.Part.UPSTREAM and entry.host in ("", host)
+                if entry.part in PARTS_ON_THE_WAY and entry.host in ("", host)
             ]
             for host in self.addresses
         }
 
-    def hosts_by_caller_address(self) -> dict[str, str]:
-        """Returns the host of each address that callers call."""
+    def hosts_called_directly(self) -> dict[str, str]:
+        """Returns the host of each address at which callers call without a link."""
         return {addresses.callers: host for host, addresses in self.addresses.items()}
 
+    def hosts_called(self) -> dict[str, str]:
+        """Returns the host of each address that callers call."""
+        linked = {address: host for host, address in self.caller_links.items()}
+        return {**self.hosts_called_directly(), **linked}
+
 
 @attrs.frozen
 class Violation:
@@ -100,7 +113,7 @@
             attempts, evidence.withdrawals
         ),
         "a request that was read is answered": answers.find_lost(
-            attempts, runs, node_disturbances, evidence.hosts_by_caller_address()
+            attempts, runs, node_disturbances, evidence.hosts_called_directly()
         ),
         "a planned stop fails no call": answers.find_failed_in_calm(attempts, evidence.log),
         "a team keeps to its rate and burst": [
@@ -156,7 +169,7 @@
         evidence.attempts,
         evidence.runs,
         evidence.withdrawals,
-        evidence.hosts_by_caller_address(),
+        evidence.hosts_called(),
     )
     bound_s = IN_FORCE_BOUND_S
     return {
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -16,6 +16,7 @@
     UPSTREAM = "upstream"
     PLATFORM = "platform"
     NETWORK = "network"
+    CALLERS = "callers"
 
 
 class Cause(enum.StrEnum):
--- a/soak/draw.py
+++ b/soak/draw.py
@@ -18,6 +18,8 @@
 NOTICE_S = (0.3, 0.8, 1.5)
 DRAIN_S = (6.0, 8.0)
 PATIENT_TIMEOUT_S = 15.0
+LINKED_SHARE = 0.2  # Of the callers.
+LINKED_TIMEOUT_S = 4.0
 HASTY_TIMEOUT_S = 0.3
 PAUSES_S = (0.3, 0.8, 2.0, 6.0)
 CALLS = (
@@ -83,12 +85,15 @@
                 team=team,
                 pause_s=LOW_RATE_CALLERS / (LOW_RATE_DEMAND * rate),
                 retries=0,
+                linked=False,
             )
 
 
 def _draw_caller(rng: random.Random, name: str, host: str) -> plan.Caller:
     method, path = rng.choice(CALLS)
     keys = KEYS_PER_TEAM - 1
+    linked = rng.random() < LINKED_SHARE
+    patient_s = LINKED_TIMEOUT_S if linked else PATIENT_TIMEOUT_S
     return plan.Caller(
         name=name,
         host=host,
@@ -97,8 +102,9 @@
         method=method,
         path=path,
         pause_s=rng.choice(PAUSES_S),
-        timeout_s=HASTY_TIMEOUT_S if rng.random() < 0.1 else PATIENT_TIMEOUT_S,
+        timeout_s=HASTY_TIMEOUT_S if rng.random() < 0.1 else patient_s,
         retries=2 if method == "POST" and rng.random() < 0.3 else 0,
+        linked=linked,
     )
 
 
@@ -120,6 +126,7 @@
             self._platform_fault: 3,
             self._changes: 4,
             self._withdrawal: 3,
+            self._caller_link_fault: 2,
         }
         if network:
             self._scenarios |= {self._cut: 3, self._link_fault: 6}
@@ -237,9 +244,19 @@
         domain = self._rng.choice(self._domains)
         yield plan.Event(at_s, plan.Kind.CUT, domain, self._between(1.0, 8.0))
 
+    def _caller_link_fault(self, at_s: float) -> Iterator[plan.Event]:
+        kinds = (plan.Kind.CALLER_LINK_FAULT, plan.Kind.CALLER_LINK_RESET)
+        yield from self._faults_of_link(at_s, self._host(), *kinds)
+
     def _link_fault(self, at_s: float) -> Iterator[plan.Event]:
         """Faults of the links to one host, or to the platform if the target is ""."""
         target = self._rng.choice((*self._hosts, ""))
+        kinds = (plan.Kind.LINK_FAULT, plan.Kind.LINK_RESET)
+        yield from self._faults_of_link(at_s, target, *kinds)
+
+    def _faults_of_link(
+        self, at_s: float, target: str, fault_kind: plan.Kind, reset_kind: plan.Kind
+    ) -> Iterator[plan.Event]:
         fault, value = self._rng.choice(
             (
                 ("delay_ms", self._between(50, 1500)),
@@ -250,7 +267,7 @@
         )
         if fault == "reset":
             for number in range(self._rng.randint(1, 4)):
-                yield plan.Event(at_s + 0.3 * number, plan.Kind.LINK_RESET, target)
+                yield plan.Event(at_s + 0.3 * number, reset_kind, target)
         else:
             for_s = self._between(1.0, 6.0)
-            yield plan.Event(at_s, plan.Kind.LINK_FAULT, target, for_s, fault, value)
+            yield plan.Event(at_s, fault_kind, target, for_s, fault, value)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from soak import disturbances, operators, plan, supervisor
+from soak import caller_links, disturbances, operators, plan, supervisor
 from standins import fleet
 
 EVENT_THREADS = 16
@@ -56,11 +56,13 @@
         supervising: supervisor.Supervisor,
         log: disturbances.DisturbanceLog,
         operator: operators.Operator,
+        links: caller_links.CallerLinks,
     ) -> None:
         self._fleet = running
         self._supervisor = supervising
         self._log = log
         self._operator = operator
+        self._caller_links = links
         self._steps: list[_Step] = []
         self._numbers = itertools.count()
         self._lock = threading.Lock()
@@ -117,6 +119,8 @@
                 return lambda: self._cut(event)
             case plan.Kind.LINK_FAULT | plan.Kind.LINK_RESET:
                 return lambda: self._fault_links(event)
+            case plan.Kind.CALLER_LINK_FAULT | plan.Kind.CALLER_LINK_RESET:
+                return lambda: self._fault_caller_link(event)
             case plan.Kind.CHANGE:
                 return self._operator.change
             case plan.Kind.RACING_CHANGES:
@@ -210,6 +214,18 @@
             lambda: [self._fleet.inject_link_faults(link) for link in links],
         )
 
+    def _fault_caller_link(self, event: plan.Event) -> object:
+        host, links = event.target, self._caller_links
+        if event.kind is plan.Kind.CALLER_LINK_RESET:
+            return _try(lambda: links.reset(host))
+        return self._begin_fault(
+            event,
+            disturbances.Part.CALLERS,
+            host,
+            lambda: links.inject(host, **{event.fault: event.value}),
+            lambda: links.inject(host),
+        )
+
     def _links(self, host: str) -> list[str]:
         if not host:
             return [self._fleet.platform_link]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -101,6 +101,8 @@
     CUT = "cut"
     LINK_FAULT = "link-fault"
     LINK_RESET = "link-reset"
+    CALLER_LINK_FAULT = "caller-link-fault"
+    CALLER_LINK_RESET = "caller-link-reset"
     CHANGE = "change"
     RACING_CHANGES = "racing-changes"
     WITHDRAW = "withdraw"
@@ -143,6 +145,7 @@
         timeout_s: Time after which it gives up a call and closes the connection, in seconds.
         retries: Times that it repeats a call without a good answer at another host. If above 0,
             its calls carry an Idempotency-Key.
+        linked: True if it calls its host through a link that can have faults.
     """
 
     name: str
@@ -154,6 +157,7 @@
     pause_s: float
     timeout_s: float
     retries: int = 0
+    linked: bool = False
 
 
 @attrs.frozen
--- a/soak/session.py
+++ b/soak/session.py
@@ -11,6 +11,7 @@
 import attrs
 
 from soak import (
+    caller_links,
     callers,
     checks,
     disturbances,
@@ -82,7 +83,10 @@
         self._operator = operators.Operator(running, self._keys["large"], directory)
         addresses = {host: running.addresses(host).callers for host in running.members}
         self._prober = probes.Prober(addresses, self._operator)
-        self._injector = injector.Injector(running, self._supervisor, self._log, self._operator)
+        self._caller_links = caller_links.CallerLinks(running)
+        self._injector = injector.Injector(
+            running, self._supervisor, self._log, self._operator, self._caller_links
+        )
         self._findings: set[str] = set()
 
     def run(self) -> Report:
@@ -134,7 +138,7 @@
                 caller=caller,
                 seed=self._plan.seed,
                 key=self._keys[caller.team][caller.key % len(self._keys[caller.team])].secret,
-                address=addresses[caller.host],
+                address=(self._caller_links.addresses if caller.linked else addresses)[caller.host],
                 other_addresses=tuple(addresses.values()),
             )
             for caller in self._plan.callers
@@ -204,6 +208,7 @@
             withdrawals=dict(self._operator.withdrawals),
             log=self._log.all(),
             addresses={host: self._fleet.addresses(host) for host in self._fleet.members},
+            caller_links=self._caller_links.addresses,
         )
 
     def _read_attempts(self) -> Sequence[load.Attempt]:
--- a/tests/test_soak/test_checks.py
+++ b/tests/test_soak/test_checks.py
@@ -32,6 +32,10 @@
     assert find_lost(ATTEMPT, STOP) == []
 
 
+def test_request_dropped_behind_a_link_is_not_held_against_the_node():
+    assert find_lost(attrs.evolve(LOST, target="link:1"), STOP) == []
+
+
 def test_request_dropped_by_a_killed_node_is_allowed():
     assert find_lost(LOST, disturbance(disturbances.Cause.KILL, 10.2, 10.4)) == []
     assert find_lost(LOST, disturbance(disturbances.Cause.KILL, 11.2, 11.4)) == [LOST]
