Mend what the soak took for findings: early signals, lost notices, loaded machines

- Stand-ins listened before they handled SIGTERM, so that one sent right after a restart ended them with the signal; serving.StopSignal now comes first.
- The time limit of a planned stop is that of each process, 10 s above what it may take to drain.

The report prints three findings of each kind; the file of events has all.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -268,12 +268,12 @@
 
 def main(_: list[str]) -> None:
     """Runs the callers until SIGTERM."""
-    stopping = threading.Event()
+    stop_signal, stopping = serving.StopSignal(), threading.Event()
     assignments = read_assignments(flags.FLAGS.callers)
     with open(flags.FLAGS.record, "a", buffering=1, encoding="utf-8") as sink:
         runner = threading.Thread(target=run_callers, args=(assignments, Record(sink), stopping))
         runner.start()
-        serving.wait_for_stop_signal()
+        stop_signal.wait()
         stopping.set()
         runner.join()
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -14,7 +14,7 @@
 from standins import fleet
 
 EVENT_THREADS = 16
-END_RETRY_S = 0.2
+END_RETRY_S = 0.5
 NO_PLATFORM_FAULTS = {"outage": False, "delay_ms": 0, "lose_answers": 0, "stale_reads": False}
 NO_UPSTREAM_FAULTS = {
     "service_ms": plan.SERVICE_MS,
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -1,6 +1,7 @@
 """Operators who change the text and withdraw keys while traffic runs, and what they were told."""
 
 import concurrent.futures
+import contextlib
 import http.client
 import json
 import pathlib
@@ -15,6 +16,8 @@
 from standins import client, fleet, load
 
 FIRST_GENERATION = 1
+STORE_TIMEOUT_S = 15.0
+STORE_POLL_INTERVAL_S = 0.2
 
 
 @attrs.frozen
@@ -75,7 +78,7 @@
         """Applies the texts of the next two generations at once, both based on the same version."""
         with self._apply_lock:
             try:
-                version = self._stored_version()
+                version = self._read_object("configuration/current")["version"]
             except (OSError, http.client.HTTPException) as error:
                 return f"not begun: {error!r}"
             generations = (self._begin_generation(), self._begin_generation())
@@ -87,18 +90,33 @@
             return ", ".join(future.result() for future in applying)
 
     def withdraw(self, key: int, host: str) -> str:
-        """Withdraws a key by its index, at the platform or at the node of one host."""
+        """Withdraws a key by its index, at the platform or at the node of one host.
+
+        What only nodes know is lost if all of them are replaced in an outage, so a withdrawal at a
+        node counts as accepted once the platform has stored it.
+        """
         withdrawn = self._keys[key]
+        name = withdrawn.secret[-load.RECORDED_KEY_CHARS :]
         began = time.monotonic()
-        outcome = "accepted"
-        accepted: float | None = None
+        self.withdrawals[name] = Change(began, None)
         try:
             self._fleet.withdraw(withdrawn, *([host] if host else []))
-            accepted = time.monotonic()
         except subprocess.SubprocessError as error:
-            outcome = f"failed: {error!r}"
-        self.withdrawals[withdrawn.secret[-load.RECORDED_KEY_CHARS :]] = Change(began, accepted)
-        return outcome
+            return f"failed: {error!r}"
+        if host and not self._await_stored_withdrawal(withdrawn):
+            return "known to nodes only"
+        self.withdrawals[name] = Change(began, time.monotonic())
+        return "accepted"
+
+    def _await_stored_withdrawal(self, withdrawn: fleet.Key) -> bool:
+        """Waits for a withdrawal in the platform; returns False if it does not come in time."""
+        deadline = time.monotonic() + STORE_TIMEOUT_S
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                if self._read_object(f"keys/{withdrawn.key_id}")["value"]["withdrawn"]:
+                    return True
+            time.sleep(STORE_POLL_INTERVAL_S)
+        return False
 
     def _begin_generation(self) -> int:
         with self._lock:
@@ -118,9 +136,9 @@
         self.generations[generation] = Change(began, time.monotonic())
         return f"generation {generation} accepted"
 
-    def _stored_version(self) -> int:
-        path = "/objects/configuration/current"
-        reply = client.send_request(self._fleet.platform_address, "GET", path)
+    def _read_object(self, name: str) -> dict:
+        """Reads an object of the platform; raises OSError if it does not return it."""
+        reply = client.send_request(self._fleet.platform_address, "GET", f"/objects/{name}")
         if reply.status != http.client.OK:
             raise OSError(f"status {reply.status}")
-        return json.loads(reply.body)["version"]
+        return json.loads(reply.body)
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import sys
+from collections.abc import Sequence
 
 from absl import app, flags
 
@@ -13,6 +14,7 @@
 
 EXIT_FAILED = 1
 S_PER_MINUTE = 60.0
+LINES_PRINTED = 3  # Of each kind; the file of events has all findings.
 
 
 def _run_seed(case: seeds.Case, directory: pathlib.Path) -> bool:
@@ -26,10 +28,8 @@
     ):
         report = session.run_plan(drawn, directory)
     print(report.to_line(), flush=True)
-    for line in report.findings:
-        print(f"  {line}", flush=True)
-    for line in report.notes:
-        print(f"  note: {line}", flush=True)
+    _print_lines(report.findings)
+    _print_lines([f"note: {line}" for line in report.notes])
     if report.findings or report.notes or flags.FLAGS.keep:
         print(f"  logs in {directory}", flush=True)
     else:
@@ -37,6 +37,18 @@
     return not report.findings
 
 
+def _print_lines(lines: Sequence[str]) -> None:
+    """Prints lines, of those with the same beginning only the first few."""
+    by_beginning: dict[str, list[str]] = {}
+    for line in lines:
+        by_beginning.setdefault(line.partition(":")[0], []).append(line)
+    for beginning, similar in by_beginning.items():
+        for line in similar[:LINES_PRINTED]:
+            print(f"  {line}", flush=True)
+        if len(similar) > LINES_PRINTED:
+            print(f"  {beginning}: {len(similar) - LINES_PRINTED} more", flush=True)
+
+
 def define_flags() -> None:
     """Defines the flags of the command line."""
     flags.DEFINE_integer("seed", 1, "first seed")
--- a/soak/session.py
+++ b/soak/session.py
@@ -22,13 +22,12 @@
     probes,
     supervisor,
 )
-from standins import fleet, history, load, processes
+from standins import fleet, history, load, processes, upstream
 
 CHECK_INTERVAL_S = 10.0
 CALM_S = 3.0  # Load after the service has come back.
 CALLERS_END_TIMEOUT_S = 40.0
 STOP_SLACK_S = 10.0  # Beyond `limits.drain_s`, for the end of a process.
-UPSTREAM_STOP_S = 20.0
 RECOVERED_ROUTES = ("/reads/1", "/rows", "/items")
 
 
@@ -73,7 +72,6 @@
         self._supervisor = supervisor.Supervisor(
             self._supervised(),
             self._log,
-            max(drawn.drain_s, UPSTREAM_STOP_S) + STOP_SLACK_S,
             running.register_processes if drawn.network else lambda: None,
         )
         self._keys = {
@@ -107,15 +105,27 @@
 
     def _supervised(self) -> Iterator[supervisor.Supervised]:
         yield supervisor.Supervised(
-            self._fleet.platform, disturbances.Part.PLATFORM, "", self._fleet.platform_address
+            self._fleet.platform,
+            disturbances.Part.PLATFORM,
+            "",
+            self._fleet.platform_address,
+            STOP_SLACK_S,
         )
         for name, member in self._fleet.members.items():
             addresses = member.addresses
             yield supervisor.Supervised(
-                member.node, disturbances.Part.NODE, name, addresses.callers
+                member.node,
+                disturbances.Part.NODE,
+                name,
+                addresses.callers,
+                self._plan.drain_s + STOP_SLACK_S,
             )
             yield supervisor.Supervised(
-                member.upstream, disturbances.Part.UPSTREAM, name, addresses.server
+                member.upstream,
+                disturbances.Part.UPSTREAM,
+                name,
+                addresses.server,
+                upstream.DRAIN_TIMEOUT_S + STOP_SLACK_S,
             )
 
     def _await_keys(self) -> None:
--- a/soak/supervisor.py
+++ b/soak/supervisor.py
@@ -31,6 +31,8 @@
         part: What it is.
         host: Its host, "" for the platform.
         address: Where it listens once it has started.
+        stop_limit_s: Time from SIGTERM to its end, without pauses, after which a stop counts as
+            hanging and the process is killed, in seconds.
         listening: True from when it listened until it ends.
         stopped_at: Monotonic time in seconds of the first SIGTERM, None without one.
         killed: True if SIGKILL was sent.
@@ -44,6 +46,7 @@
     part: disturbances.Part
     host: str
     address: str
+    stop_limit_s: float
     listening: bool = True
     stopped_at: float | None = None
     killed: bool = False
@@ -74,7 +77,6 @@
         self,
         supervised: Iterable[Supervised],
         log: disturbances.DisturbanceLog,
-        stop_limit_s: float,
         on_restart: Callable[[], None],
     ) -> None:
         """Prepares the supervision.
@@ -82,14 +84,11 @@
         Args:
             supervised: The processes, all of which listen.
             log: Receives the disturbances.
-            stop_limit_s: Time from SIGTERM to the end of a process, without pauses, after which
-                the stop counts as hanging and the process is killed, in seconds.
             on_restart: Called after a process was started again.
         """
         self.findings: list[str] = []
         self._supervised = {item.name: item for item in supervised}
         self._log = log
-        self._stop_limit_s = stop_limit_s
         self._on_restart = on_restart
         self._lock = threading.RLock()
         self._closing = threading.Event()
@@ -192,7 +191,7 @@
             item.stopped_at = now
 
     def _check_stop_time(self, item: Supervised, now: float) -> None:
-        if item.resume_at is None and now > item.stopped_at + self._stop_limit_s:
+        if item.resume_at is None and now > item.stopped_at + item.stop_limit_s:
             self.findings.append(
                 f"{item.name} still runs {now - item.stopped_at:.1f} s after SIGTERM"
             )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -223,6 +223,7 @@
 
 def main(_: list[str]) -> None:
     """Serves until SIGTERM."""
+    stop_signal = serving.StopSignal()
     with open(flags.FLAGS.journal, "a+", buffering=1, encoding="utf-8") as journal:
         journal.seek(0)
         text = journal.read()
@@ -231,7 +232,7 @@
             # The text is ASCII, one byte for each character.
             journal.truncate(text.rfind("\n") + 1)
         server = start(flags.FLAGS.address, store.Store(changes, journal))
-        serving.wait_for_stop_signal()
+        stop_signal.wait()
         server.server_close()
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -213,6 +213,7 @@
 
 def main(_: list[str]) -> None:
     """Relays until SIGTERM."""
+    stop_signal = serving.StopSignal()
     network, known = Network(), sources.ProcessDomains()
     links = {}
     for link in flags.FLAGS.link:
@@ -221,7 +222,7 @@
     fields = {"network": network, "known": known, "links": links}
     handler = type("BoundHandler", (Handler,), fields)
     serving.Server(flags.FLAGS.control, handler).start()
-    serving.wait_for_stop_signal()
+    stop_signal.wait()
 
 
 if __name__ == "__main__":
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -88,9 +88,15 @@
         ).start()
 
 
-def wait_for_stop_signal() -> None:
-    """Blocks until the process receives SIGTERM or SIGINT."""
-    stop = threading.Event()
-    for signal_number in STOP_SIGNALS:
-        signal.signal(signal_number, lambda *_: stop.set())
-    stop.wait()
+class StopSignal:
+    """SIGTERM and SIGINT, which no longer end the process once this object exists."""
+
+    def __init__(self) -> None:
+        """Installs the handlers; must be called in the main thread, before a port is opened."""
+        self._received = threading.Event()
+        for signal_number in STOP_SIGNALS:
+            signal.signal(signal_number, lambda *_: self._received.set())
+
+    def wait(self) -> None:
+        """Blocks until one of the signals is received."""
+        self._received.wait()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -370,6 +370,7 @@
 
 def main(_: list[str]) -> None:
     """Serves until SIGTERM, then drains."""
+    stop_signal = serving.StopSignal()
     flag_values = flags.FLAGS
     settings = Settings(
         service=flag_values.service,
@@ -386,7 +387,7 @@
             settings, flag_values.node, Control(flag_values.service_ms), record, flag_values.seed
         )
         server = start(upstream)
-        serving.wait_for_stop_signal()
+        stop_signal.wait()
         upstream.drain()
         server.server_close()
 
