Look up who opened a connection only during a cut of the network stand-in

Each connection made the stand-in read the kernel's table of all sockets, 60 ms a time with the 11,500 sockets of the machine at the time, so that it could not take more than some 16 connections a second. The source is needed only to tell the sides of a cut apart, so it is now looked up at the first use in a cut, once for each connection.

An attempt that is being written is now left out of what is read of a record, and an error in the checks of a running soak ends the soak instead of the checks.

--- a/soak/session.py
+++ b/soak/session.py
@@ -1,5 +1,6 @@
 """One run of the soak: starts a fleet, carries out a plan, checks and reports."""
 
+import concurrent.futures
 import contextlib
 import itertools
 import pathlib
@@ -165,20 +166,20 @@
 
     @contextlib.contextmanager
     def _checking(self) -> Iterator[None]:
-        """Checks the promises every `CHECK_INTERVAL_S` seconds in a thread."""
+        """Checks the promises every `CHECK_INTERVAL_S` seconds in a thread; raises its errors."""
         finished = threading.Event()
 
         def check_until_finished() -> None:
             while not finished.wait(CHECK_INTERVAL_S):
                 self._check(self._running_evidence())
 
-        thread = threading.Thread(target=check_until_finished, name="checks", daemon=True)
-        thread.start()
-        try:
-            yield
-        finally:
-            finished.set()
-            thread.join()
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            checking = pool.submit(check_until_finished)
+            try:
+                yield
+            finally:
+                finished.set()
+            checking.result()
 
     def _check(self, evidence: checks.Evidence) -> None:
         """Checks all promises and prints what is new."""
--- a/standins/load.py
+++ b/standins/load.py
@@ -270,9 +270,10 @@
 
 
 def read_record(path: str) -> list[Attempt]:
-    """Reads the attempts from a record."""
-    lines = pathlib.Path(path).read_text(encoding="utf-8").splitlines()
-    return [cattrs.structure(json.loads(line), Attempt) for line in lines]
+    """Reads the attempts from a record; an incomplete last line is left out."""
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    complete_lines, _, _ = text.rpartition("\n")
+    return [cattrs.structure(json.loads(line), Attempt) for line in complete_lines.splitlines()]
 
 
 def define_flags() -> None:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -14,11 +14,13 @@
 * ``POST /reset`` with JSON ``{"listen": "127.0.0.1:7000"}`` resets all open connections of a link.
 """
 
+import functools
 import json
 import socket
 import struct
 import threading
 import time
+from collections.abc import Callable
 
 import attrs
 from absl import app, flags
@@ -62,11 +64,18 @@
             self._cut = frozenset(failure_domains)
             self._changed.notify_all()
 
-    def wait_until_reachable(self, source: str, target: str) -> None:
-        """Waits until no cut separates the two failure domains.
+    def wait_until_reachable(self, find_source: Callable[[], str], target: str) -> None:
+        """Waits until no cut separates the failure domains of the source and the target.
 
-        An empty `source` stands for an unknown process, whose connections wait during any cut.
+        Args:
+            find_source: Returns the failure domain of the source; called only during a cut, since
+                it reads the kernel's table of all sockets. An empty one stands for an unknown
+                process, whose connections wait during any cut.
+            target: Failure domain of the target.
         """
+        if not self._cut:
+            return
+        source = find_source()
         with self._changed:
             while self._is_blocked(source, target):
                 self._changed.wait()
@@ -116,7 +125,8 @@
             threading.Thread(target=self._relay_connection, args=arguments, daemon=True).start()
 
     def _relay_connection(self, client: socket.socket, port: int) -> None:
-        source = self._known.find_domain(port, self._listener.getsockname()[1])
+        listening_port = self._listener.getsockname()[1]
+        source = functools.cache(lambda: self._known.find_domain(port, listening_port))
         self._network.wait_until_reachable(source, self._target_domain)
         try:
             server = socket.create_connection(self._target)
@@ -140,7 +150,7 @@
         server.close()
 
     def _copy_bytes(
-        self, origin: socket.socket, sink: socket.socket, source: str, loss: str
+        self, origin: socket.socket, sink: socket.socket, source: Callable[[], str], loss: str
     ) -> None:
         """Copies until the end of the data; `loss` is the field of the fault that holds it up."""
         try:
@@ -156,7 +166,7 @@
             for connection in (origin, sink):
                 _shut_down(connection)
 
-    def _wait_until_passing(self, source: str, loss: str) -> None:
+    def _wait_until_passing(self, source: Callable[[], str], loss: str) -> None:
         self._network.wait_until_reachable(source, self._target_domain)
         time.sleep(self._faults.delay_ms / 1000)
         with self._changed:
