--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -88,6 +88,10 @@
         "the call carried no key, or one that is unknown or withdrawn",
         "grant a key with 'bergamotridge keys grant'",
     ),
+    "keys": Reason(
+        "the call carried an unknown key, and the node has not received all keys yet",
+        "wait a few seconds; if it persists, check that the platform or a peer can be reached",
+    ),
     "node-stopped": Reason(
         "the node was stopped before the call ended, and closed the connection",
         "look for the time of its 'node.stopping': raise 'limits.drain_s' and the time until the "
