Remember by its process, not by its host, who sent a membership update

A node that was started anew could lack hosts for as long as no other node told it of them, and send them no calls. Cause: an update is not sent back to the node that it came from, which was remembered as a host name. A process that had just been started on that host was taken for the one that had sent the update, so the peer left the update out, also after differing checksums had made it send everything again. Change: the source of an update is the session of the process that sent it. No message changes.

--- a/bench/control_node.py
+++ b/bench/control_node.py
@@ -214,7 +214,7 @@
             for number, host in enumerate(layout.ghosts)
         ]
         updates = [change_log.RecordUpdate(item, 1, False) for item in self._records]
-        members.merge(updates, "", time.monotonic())
+        members.merge(updates, change_log.LOCAL_SESSION, time.monotonic())
 
     def run(self) -> None:
         """Changes the loads of random ghosts at the interval of the layout, without end."""
@@ -233,7 +233,7 @@
             for item in self._records
         ]
         updates = [change_log.RecordUpdate(item, 1, False) for item in self._records]
-        self._members.merge(updates, "", time.monotonic())
+        self._members.merge(updates, change_log.LOCAL_SESSION, time.monotonic())
 
     def _change(self, number: int) -> None:
         old = self._records[number]
@@ -242,7 +242,7 @@
         load_change = change_log.BriefUpdate(
             new.host, new.incarnation, new.version, 1, new.load, False
         )
-        self._members.merge([load_change], "", time.monotonic())
+        self._members.merge([load_change], change_log.LOCAL_SESSION, time.monotonic())
 
 
 def serve(pipe: multiprocessing.connection.Connection, layout: Layout) -> None:
--- a/bergamotridge/nodes/change_log.py
+++ b/bergamotridge/nodes/change_log.py
@@ -7,6 +7,8 @@
 
 from bergamotridge.nodes import record
 
+LOCAL_SESSION = 0  # Source of what this process found out itself.
+
 
 @attrs.frozen
 class BriefUpdate:
@@ -60,7 +62,7 @@
     Attributes:
         record: The latest record of the host.
         detail_version: As in `BriefUpdate`.
-        source: Host from which the latest update came.
+        source: Session of the process from which the latest update came.
         sequence: Sequence number of the latest change.
         detail_sequence: Sequence number of the latest change of something other than the load.
         suspected_at: Monotonic time in seconds at which this node learned of the latest suspicion,
@@ -71,7 +73,7 @@
 
     record: record.UpstreamRecord
     detail_version: int
-    source: str
+    source: int
     sequence: int = 0
     detail_sequence: int = 0
     suspected_at: float | None = None
@@ -144,12 +146,13 @@
         """Deletes the entry of a suspected host, which adds nothing to the checksum."""
         del self._entries[host]
 
-    def delta(self, since: int, receiver: str, limit: int) -> Delta:
+    def delta(self, since: int, receiver: int, limit: int) -> Delta:
         """Returns the updates after a sequence number that a receiver needs.
 
         Args:
             since: Sequence number up to which the receiver has the log.
-            receiver: Host that the updates are for; those that it sent itself are left out.
+            receiver: Session of the process that the updates are for; those that it sent itself are
+                left out, but not those that an earlier process on its host sent.
             limit: Maximum number of updates.
         """
         unseen = []
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -174,7 +174,9 @@
             # The receiver may have all updates already; the checksum in its answer shows it.
             message.sequence_from = message.sequence_to = self._members.sequence
         else:
-            delta = self._members.delta(cursor.confirmed_sequence, cursor.host, self._max_updates)
+            delta = self._members.delta(
+                cursor.confirmed_sequence, message.receiver_session, self._max_updates
+            )
             message.acknowledged = cursor.received_sequence
             message.sequence_from = cursor.confirmed_sequence
             message.sequence_to = delta.sequence
@@ -221,7 +223,7 @@
     ) -> None:
         updates = [_decode_record(item) for item in message.records]
         updates += [_decode_brief(item) for item in message.briefs]
-        complete = self._members.merge(updates, message.host, now)
+        complete = self._members.merge(updates, message.session, now)
         if not complete:
             cursor.received_sequence = 0
         elif message.sequence_from <= cursor.received_sequence:
--- a/bergamotridge/nodes/membership.py
+++ b/bergamotridge/nodes/membership.py
@@ -65,7 +65,9 @@
         self._listeners: list[Callable[[record.UpstreamRecord, Change], None]] = []
         self._announced_at: float | None = None
         self._load_published_at = float("-inf")
-        self._store(change_log.Entry(own, own.version, own.host), details_changed=True)
+        self._store(
+            change_log.Entry(own, own.version, change_log.LOCAL_SESSION), details_changed=True
+        )
 
     @property
     def own(self) -> record.UpstreamRecord:
@@ -161,19 +163,19 @@
         with self._lock:
             entry = self._log.get(host)
             if entry is not None and host != self._host and not entry.suspected:
-                self._suspect(entry, self._host, now)
+                self._suspect(entry, change_log.LOCAL_SESSION, now)
 
     def merge(
         self,
         updates: Iterable[change_log.RecordUpdate | change_log.BriefUpdate],
-        source: str,
+        source: int,
         now: float,
     ) -> bool:
         """Merges updates from a peer.
 
         Args:
             updates: Whole records and briefs in any order; outdated ones are ignored.
-            source: Host that sent them; the updates are not sent back to it.
+            source: Session of the process that sent them; they are not sent back to it.
             now: Monotonic time in seconds.
 
         Returns:
@@ -188,13 +190,10 @@
                     complete = self._merge_brief(item, source, now) and complete
             return complete
 
-    def delta(self, since: int, receiver: str, limit: int) -> change_log.Delta:
+    def delta(self, since: int, receiver: int, limit: int) -> change_log.Delta:
         """Returns the updates after a sequence number that a receiver needs.
 
-        Args:
-            since: Sequence number up to which the receiver has the log.
-            receiver: Host that the updates are for; those that it sent itself are left out.
-            limit: Maximum number of updates.
+        See `change_log.ChangeLog.delta`.
         """
         with self._lock:
             return self._log.delta(since, receiver, limit)
@@ -231,7 +230,7 @@
             self._size = None
             self._notify_listeners(entry, Change.FORGOTTEN)
 
-    def _merge_record(self, item: change_log.RecordUpdate, source: str, now: float) -> None:
+    def _merge_record(self, item: change_log.RecordUpdate, source: int, now: float) -> None:
         host = item.record.host
         entry = self._log.get(host)
         if host == self._host:
@@ -249,7 +248,7 @@
             entry.record, entry.detail_version = item.record, item.detail_version
             self._store_update(entry, item.suspected, source, now, details_changed=details_changed)
 
-    def _merge_brief(self, item: change_log.BriefUpdate, source: str, now: float) -> bool:
+    def _merge_brief(self, item: change_log.BriefUpdate, source: int, now: float) -> bool:
         entry = self._log.get(item.host)
         if item.host == self._host:
             self._refute((item.incarnation, item.version), item.suspected, now)
@@ -267,7 +266,7 @@
         self,
         entry: change_log.Entry,
         suspected: bool,
-        source: str,
+        source: int,
         now: float,
         *,
         details_changed: bool,
@@ -284,7 +283,7 @@
             self._notify_listeners(entry, Change.CHANGED)
 
     def _suspect(
-        self, entry: change_log.Entry, source: str, now: float, *, details_changed: bool = False
+        self, entry: change_log.Entry, source: int, now: float, *, details_changed: bool = False
     ) -> None:
         entry.source, entry.suspected_at, entry.lost = source, now, False
         self._store(entry, details_changed=details_changed)
--- a/tests/test_nodes/test_exchange.py
+++ b/tests/test_nodes/test_exchange.py
@@ -20,7 +20,7 @@
         records = [fleet.own_record(f"h{n}", n + 10) for n in range(count)]
         records = [attrs.evolve(item, version=version) for item in records]
         updates = [change_log.RecordUpdate(item, version, suspected=False) for item in records]
-        self.members.merge(updates, "", 0.0)
+        self.members.merge(updates, change_log.LOCAL_SESSION, 0.0)
 
     def hosts(self):
         return {item.host for item in self.members.members()}
--- a/tests/test_nodes/test_freshness.py
+++ b/tests/test_nodes/test_freshness.py
@@ -95,7 +95,7 @@
         for own in records:
             members = membership.Membership(own, membership.MembershipTimings())
             updates = [change_log.RecordUpdate(item, 1, suspected=False) for item in records]
-            members.merge(updates, "source", 0.0)
+            members.merge(updates, change_log.LOCAL_SESSION, 0.0)
             chooser = peers.PeerChooser(members, (), self.rng)
             election = watch_election.WatchElection(members, chooser, 2)
             node = Node(own.host, own.failure_domain, election)
--- a/tests/test_nodes/test_peers.py
+++ b/tests/test_nodes/test_peers.py
@@ -14,7 +14,7 @@
         for n in range(size)
     ]
     updates = [change_log.RecordUpdate(item, item.version, suspected=False) for item in records]
-    members.merge(updates, "h0", 0.0)
+    members.merge(updates, change_log.LOCAL_SESSION, 0.0)
     return members, peers.PeerChooser(members, seed_addresses, random.Random(5))
 
 
--- a/tests/test_nodes/test_watch_election.py
+++ b/tests/test_nodes/test_watch_election.py
@@ -35,7 +35,7 @@
         for item in records
         if item.host != own.host
     ]
-    members.merge(updates, "source", 0.0)
+    members.merge(updates, change_log.LOCAL_SESSION, 0.0)
     chooser = peers.PeerChooser(members, (), random.Random(1))
     return watch_election.WatchElection(members, chooser, ELECTED), chooser
 
