Count the time for which a machine was suspended in quota leases and token lifetimes

A team could get more than its rate and burst: a node that had been suspended spent tokens that its holder had counted as spent and created anew, and a holder used its share past its lease. The new test of the rates failed before: 1.6 tokens were left after a suspension as long as the lease, with the platform silent. Change: the quota reads the clock that goes on, and so does the port for the tokens that it takes and gives back. QuotaRates no longer takes a clock, as nobody gave one.

--- a/bench/quota_slopes.py
+++ b/bench/quota_slopes.py
@@ -18,7 +18,7 @@
 from bergamotridge.nodes import control, quota, quota_pb2, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding
-from bergamotridge.util import loop
+from bergamotridge.util import clock, loop
 from standins import store
 from tests import fake_objects
 
@@ -117,7 +117,7 @@
         started = time.monotonic()
         for rates in nodes:
             try:
-                LOOP.run(rates.take(TEAM_NAME, time.monotonic()))
+                LOOP.run(rates.take(TEAM_NAME, clock.boot_time()))
             except errors.CallError:
                 refused += 1
         time.sleep(max(0.0, 1.0 / CALLS_PER_S - (time.monotonic() - started)))
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -12,7 +12,7 @@
 from bergamotridge.callers import dialect as caller_dialect
 from bergamotridge.nodes import call_graph, dispatch, routing
 from bergamotridge.operators import operator_text
-from bergamotridge.util import cancellation, message
+from bergamotridge.util import cancellation, clock, message
 
 IDEMPOTENCY_HEADER = b"idempotency-key"
 ISSUE_KEY_PATH = b"/_bergamotridge/idempotency-key"
@@ -42,13 +42,13 @@
         target: The route that the call matched, and all services that it can reach.
         service: Service that the call goes to.
         context: Context that is passed on with the call.
-        admitted_at: Monotonic time of admission in seconds.
+        token_taken_at: Time of `clock.boot_time` in seconds at which its team's token was spent.
     """
 
     target: routing.Target
     service: str
     context: call.CallContext
-    admitted_at: float
+    token_taken_at: float
 
 
 @attrs.frozen
@@ -206,7 +206,9 @@
             progress.error_text = str(error)
             result = answer.from_error(error)
         if result.verdict is verdict.Verdict.NOT_RUN and admitted.context.team:
-            self.team_rates.give_back(admitted.context.team, time.monotonic(), admitted.admitted_at)
+            self.team_rates.give_back(
+                admitted.context.team, clock.boot_time(), admitted.token_taken_at
+            )
         return result
 
     def _issue_idempotency_key(
@@ -256,8 +258,9 @@
             self.node_shutdown.check(progress.request_id, deadline)
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
             self.tree_shedding.check(progress.request_id, importance, service, now)
+        token_taken_at = clock.boot_time()
         if team:
-            await self.team_rates.take(team, now)
+            await self.team_rates.take(team, token_taken_at)
         context = call.CallContext(
             request_id=progress.request_id,
             team=team,
@@ -270,7 +273,7 @@
             origin=self.origin,
             unattributed=is_nested_call,
         )
-        return AdmittedCall(target, service, context, now)
+        return AdmittedCall(target, service, context, token_taken_at)
 
     def _choose_service(self, route: operator_text.Route) -> str:
         """Returns the route's service, or one of several at random by their weights."""
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -8,7 +8,6 @@
 import math
 import random
 import threading
-import time
 from collections.abc import Callable, Mapping, Sequence
 from concurrent import futures
 
@@ -21,7 +20,7 @@
 from bergamotridge.nodes import holders, quota, quota_pb2, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, objects
-from bergamotridge.util import loop
+from bergamotridge.util import clock, loop
 
 DRAW_THREADS = 4
 MAX_BACKOFF_S = 4.0
@@ -91,7 +90,6 @@
         members: Callable[[], Sequence[record.UpstreamRecord]],
         teams: Callable[[], Mapping[str, operator_text.Team]],
         settings: QuotaSettings | None = None,
-        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Prepares the rates.
 
@@ -104,7 +102,6 @@
             members: Returns the records of all known hosts, this one included.
             teams: Returns the teams of the configuration in force.
             settings: Settings of the quota; the defaults if None.
-            clock: Returns monotonic time in seconds.
         """
         self._host = host
         self._incarnation = incarnation
@@ -114,7 +111,8 @@
         self._members = members
         self._teams = teams
         self._settings = settings or QuotaSettings()
-        self._clock = clock
+        # Leases and the lifetimes of tokens go on while this machine is suspended.
+        self._clock = clock.boot_time
         self._rng = random.Random(f"{host} {incarnation}")
         self._holder: quota_holder.QuotaHolder | None = None
         self._lock = threading.Lock()
--- a/bergamotridge/callers/rates.py
+++ b/bergamotridge/callers/rates.py
@@ -20,7 +20,7 @@
 
         Args:
             team: Name of the team in the operator's text.
-            now: Monotonic time in seconds.
+            now: Time of `clock.boot_time` in seconds.
 
         Raises:
             CallError: No token is left; the verdict is NOT_RUN and `retry_after_s` is set.
@@ -31,7 +31,7 @@
 
         Args:
             team: Name of the team.
-            now: Monotonic time in seconds.
+            now: Time of `clock.boot_time` in seconds.
             taken_at: The `now` with which `take` was called.
         """
 
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -12,6 +12,7 @@
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding
 from bergamotridge.store import quota as quota_object
+from bergamotridge.util import clock
 from standins import store
 from tests import event_loop, fake_objects, history_rates
 
@@ -105,16 +106,16 @@
     spans = []
     for _ in range(CALLS_PER_WORKER):
         node = fleet.nodes[rng.choice(sorted(fleet.nodes))]
-        start = time.monotonic()
+        start = clock.boot_time()
         try:
             event_loop.run(node.rates.take(TEAM.name, start))
         except errors.CallError as error:
             assert error.reason == "rate"
         else:
             if rng.random() < 0.1:
-                node.rates.give_back(TEAM.name, time.monotonic(), start)
+                node.rates.give_back(TEAM.name, clock.boot_time(), start)
             else:
-                spans.append((start, time.monotonic()))
+                spans.append((start, clock.boot_time()))
         time.sleep(PAUSE_S)
     return spans
 
@@ -174,3 +175,22 @@
     assert sum(token_counts) <= TEAM.burst
     for host in fleet.nodes:
         fleet.stop(host)
+
+
+# Neither the lease of a share nor the lifetime of a token passed while a machine was suspended.
+def test_a_share_is_not_used_after_a_suspension_that_outlasted_its_lease(monkeypatch):
+    suspended_s = [0.0]
+    monkeypatch.setattr(clock, "boot_time", lambda: time.monotonic() + suspended_s[0])
+    fleet = Fleet(["a0"])
+    node = fleet.nodes["a0"]
+    for _ in range(MAX_POLLS):
+        if node.rates.tokens().get(TEAM.name, 0.0) >= 1.0:
+            break
+        time.sleep(PAUSE_S)
+    tokens_before = node.rates.tokens()[TEAM.name]
+    node.objects.faults.outage = True
+    suspended_s[0] = SETTINGS.timings.lease_s
+    tokens_after = node.rates.tokens()
+    fleet.stop("a0")
+    assert tokens_before >= 1.0
+    assert tokens_after == {TEAM.name: 0.0}
