Let only the answer to a later call take back what a node knows of another host's upstream

A node forgot that an upstream leaves, or names a limit, so the node beside that upstream, started anew at that moment, was not told and sent it calls again. An answer without a notice removed the notice of its host, also if it was made before the notice and took longer on its way. Change: such an answer counts only if its call was sent after the notice was heard. The notices of other hosts are kept by a module of their own. Evidence: the new test of the dispatcher with two answers that overtake each other failed before. Result: tests of upstreams, dispatch, imports and pages pass.

--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -8,7 +8,7 @@
 
 from bergamotridge import answer, call, errors, events, verdict
 from bergamotridge.nodes import budget, choice, context, dependency_thresholds, record, relay
-from bergamotridge.upstreams import local_upstream, notice, outcome
+from bergamotridge.upstreams import known_notices, local_upstream, outcome
 from bergamotridge.util import cancellation, message
 
 SERVICE_UNAVAILABLE = 503
@@ -73,9 +73,7 @@
         self._budget = retry_budget
         self._dependency_thresholds = service_thresholds
         self._log = log
-        # Notices of the upstreams on other hosts, by host. A node that is started anew has lost
-        # what its upstream said, and gets it back from the nodes that call it.
-        self._notices: dict[str, notice.UpstreamNotice] = {}
+        self._notices = known_notices.KnownNotices()
 
     async def send(
         self, outgoing: OutgoingCall, allowance: call.Allowance, token: cancellation.Token
@@ -131,10 +129,10 @@
                 outgoing.context,
                 granted,
                 stamp,
-                upstream_notice=self._notices.get(target.host),
+                upstream_notice=self._notices.notice_of(target.host),
             )
             reply = await self._client.send(target.relay_address, relayed, outgoing.request, token)
-            self._record_notice(target.host, reply)
+            self._record_notice(target.host, reply, started_at)
         reply.host = target.host
         allowance.give_back(reply.unused, granted)
         ended_at = time.monotonic()
@@ -143,13 +141,13 @@
         self._record_attempt(target, outgoing.service, reply, ended_at - started_at, ended_at)
         return reply
 
-    def _record_notice(self, host: str, reply: answer.Answer) -> None:
-        """Keeps or discards the notice of the upstream on another host, as its node reports it."""
-        if reply.upstream_notice is not None:
-            self._notices[host] = reply.upstream_notice
-        elif reply.verdict is verdict.Verdict.RUN:
-            # The node has an answer of the upstream, so it knows that there is no notice.
-            self._notices.pop(host, None)
+    def _record_notice(self, host: str, reply: answer.Answer, sent_at: float) -> None:
+        """Takes in what the answer of another node says of its upstream.
+
+        Only a node that has an answer of the upstream knows that there is no notice.
+        """
+        if reply.upstream_notice is not None or reply.verdict is verdict.Verdict.RUN:
+            self._notices.record(host, reply.upstream_notice, sent_at, time.monotonic())
 
     def _log_failed_attempt(
         self,
