Don't let hosts that start together read the quota objects in step

What callers saw: nothing. Each start of a fleet cost calls to the platform for writes that conflicted. Cause: while a host has yet to join a quota it looked at fixed intervals of 1 s, counted from the moment at which it learned of its role, which is the same for all hosts that learn of each other by urgent gossip. So their writes conflicted, were decided again at once, and conflicted again. Change: the pause has a jitter of half of it; its mean is as before.

--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -32,7 +32,7 @@
 SHARE_RETURN_INTERVAL_S = 0.1
 MAX_FIRST_PAUSE_S = 0.4  # Spreads the first reads of hosts that start at the same time.
 TEAMS_POLL_INTERVAL_S = 0.05
-MAX_JOIN_PAUSE_S = 1.0  # Between two reads while this host has yet to join or leave a quota.
+MEAN_JOIN_PAUSE_S = 1.0  # Between two reads while this host has yet to join or leave a quota.
 _log = logbook.Logger("quota")
 
 
@@ -73,6 +73,13 @@
         self._pause_s = min(MAX_BACKOFF_S, 2.0 * self._pause_s) if failed else self._interval_s
         return self._pause_s * (0.5 + self._rng.random())
 
+    def next_join_pause_s(self) -> float:
+        """Returns the pause before the next read while a share is to be taken or given up.
+
+        Hosts that learn of a change together would else read in step, and their writes conflict.
+        """
+        return MEAN_JOIN_PAUSE_S * self._rng.uniform(0.5, 1.5)
+
 
 class QuotaRates:
     """Team rates of one node of a fleet.
@@ -309,7 +316,7 @@
                 failed = True
             pause_s = pauses.next_pause_s(failed)
             reads_sooner = self._has_pending_share_change() and not failed
-            self._shares_due.wait(min(pause_s, MAX_JOIN_PAUSE_S) if reads_sooner else pause_s)
+            self._shares_due.wait(pauses.next_join_pause_s() if reads_sooner else pause_s)
             self._shares_due.clear()
 
     def _wait_for_teams(self) -> None:
