Read current addresses before a node that knows no other writes its own

What callers saw: nothing. A fleet that boots together for the first time wrote up to one address a node, with three calls to the platform each, where a few suffice. Cause: a node that found no address in four reads wrote its own. These reads may be some seconds old, so they did not show what other nodes had written meanwhile, and one node after the other wrote. Change: such a node reads the current addresses first. Two or more that it had not seen keep it from writing; one alone doesn't, so that the first writer finds another node and a lost one does no harm.

--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -15,6 +15,8 @@
 
 KIND = "nodes"
 ADDRESS_KEY = "address"
+# New addresses, of which one may be that of an ended node, that keep a node from writing its own.
+MIN_ADDRESSES = 2
 MAX_FIRST_DELAY_S = 0.2  # Spreads the first reads of hosts that boot together.
 
 _log = logbook.Logger(__name__)
@@ -134,13 +136,15 @@
         """
         addresses = self._read(eventual=True)
         self._reads_alone += 1
-        should_write = self._reads_alone > self._timings.reads_before_write or (
-            self._is_first_writer and not addresses
-        )
+        should_write = self._is_first_writer and not addresses
+        if self._reads_alone > self._timings.reads_before_write and not self._has_announced:
+            # Hosts that booted together may have written theirs since what the first read returned.
+            outdated, addresses = addresses, self._read(eventual=False)
+            should_write = len(addresses) < MIN_ADDRESSES or set(addresses) <= set(outdated)
         if should_write and not self._has_announced:
             self._has_announced = True
             self._announce()
-            addresses = self._read(eventual=False)
+            addresses = list(dict.fromkeys([*addresses, *self._read(eventual=False)]))
         self._on_addresses(addresses)
 
     def _announce(self) -> None:
--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -1,7 +1,11 @@
 """Seed addresses: written by the elected nodes, read by a node that knows no other."""
 
+import heapq
 import random
 
+import pytest
+
+from bergamotridge import errors
 from bergamotridge.nodes import bootstrap, membership, peers, watch_election
 from bergamotridge.store import client
 from tests.test_nodes import fleet
@@ -61,3 +65,58 @@
     for task, task_client in tasks:
         task.stop()
         task_client.close()
+
+
+class OutdatedReads:
+    """Objects of the platform in virtual time, whose eventual reads are `lag_s` seconds old."""
+
+    def __init__(self, lag_s):
+        self.now = 0.0
+        self.lag_s = lag_s
+        self.written = {}
+        self.writes = self.reads = 0
+
+    def list(self, kind, *, eventual=False):
+        self.reads += not eventual
+        as_of = self.now - (self.lag_s if eventual else 0.0)
+        found = [item for item, written_at in self.written.values() if written_at <= as_of]
+        return client.Listing(tuple(found), len(self.written))
+
+    def get(self, kind, name, *, eventual=False):
+        self.reads += 1
+        if name not in self.written:
+            raise errors.NotFoundError(name)
+        return self.written[name][0]
+
+    def put(self, kind, name, value, version):
+        self.writes += 1
+        current = self.written[name][0].version if name in self.written else 0
+        if version != current:
+            raise errors.ConflictError(name, current)
+        self.written[name] = client.StoredObject(kind, name, current + 1, value), self.now
+        return current + 1
+
+
+# Nodes that had booted together wrote their addresses one after the other, as the reads by which
+# they looked for others were some seconds old.
+@pytest.mark.parametrize("seed", range(8))
+def test_few_of_the_nodes_that_boot_together_write_though_reads_are_outdated(seed):
+    platform, rng = OutdatedReads(lag_s=2.0), random.Random(seed)
+    found = {f"h{number}": set() for number in range(HOSTS)}
+    due = []
+    for number, (host, addresses) in enumerate(found.items(), 1):
+        members = membership.Membership(
+            fleet.own_record(host, number), membership.MembershipTimings()
+        )
+        chooser = peers.PeerChooser(members, (), rng)
+        election = watch_election.WatchElection(members, chooser, 2)
+        timings = bootstrap.BootstrapTimings()
+        task = bootstrap.Bootstrap(platform, members, addresses.update, election, timings, rng)
+        heapq.heappush(due, (rng.uniform(0.0, 0.2), host, task))
+    while due:
+        platform.now, host, task = heapq.heappop(due)
+        task._update(None)
+        if not found[host]:
+            heapq.heappush(due, (platform.now + rng.uniform(0.2, 0.6), host, task))
+    assert platform.writes < HOSTS / 2
+    assert platform.reads + platform.writes <= 2 * HOSTS
