--- a/tests/test_callers/test_quota_draw_restarts.py
+++ b/tests/test_callers/test_quota_draw_restarts.py
@@ -4,7 +4,6 @@
 addresses, machines are suspended, and draws and their answers are lost, late or out of order.
 """
 
-import heapq
 import itertools
 import random
 
@@ -16,7 +15,7 @@
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, quota
 from standins import store
-from tests import fake_objects, history_rates
+from tests import fake_objects, history_rates, simulation
 
 TEAM = operator_text.Team("utrecht", rate=16.0, burst=64)
 TIMINGS = holding.Timings(token_lifetime_s=1.5, join_after_s=0.0)
@@ -52,7 +51,7 @@
     ended_draws: set[float] = attrs.field(factory=set)
 
 
-class Model:
+class Model(simulation.Simulation):
     """The processes, the network between them, and the calls that were admitted.
 
     Attributes:
@@ -60,6 +59,7 @@
     """
 
     def __init__(self, seed, clock_stops=False):
+        super().__init__()
         self.rng = random.Random(seed)
         restarts, suspensions = self.rng.choice(RESTARTS_AND_SUSPENSIONS)
         self.choices = [
@@ -70,16 +70,13 @@
             *40 * [self.call],
         ]
         self.clock_stops = clock_stops
-        self.now = 1000.0
-        self.events = []
-        self.numbers = itertools.count()
         self.incarnations = itertools.count(1)
         self.store = store.Store()
         self.admitted = []
         self.processes = {}
         for host in (HOLDER, *DRAWERS):
             self.start(host)
-        self.run(5.0)
+        self.run_for(5.0)
 
     def start(self, host):
         process = self.processes[host] = Process(host)
@@ -107,16 +104,6 @@
     def clock(self, process):
         return self.now - (process.suspended_s if self.clock_stops else 0.0)
 
-    def at(self, delay_s, function, *arguments):
-        heapq.heappush(self.events, (self.now + delay_s, next(self.numbers), function, arguments))
-
-    def run(self, duration_s):
-        end = self.now + duration_s
-        while self.events and self.events[0][0] <= end:
-            self.now, _, function, arguments = heapq.heappop(self.events)
-            function(*arguments)
-        self.now = end
-
     def run_unless_suspended(self, process, function, *arguments):
         """Calls a function, once the process is no longer suspended, unless it has ended."""
         if self.processes[process.host] is not process:
@@ -135,7 +122,7 @@
         process = self.processes[self.rng.choice((HOLDER, *DRAWERS))]
         if self.now >= process.suspended_until:
             self.rng.choice(self.choices)(process)
-        self.run(self.rng.choice(STEPS_S))
+        self.run_for(self.rng.choice(STEPS_S))
 
     def restart(self, process):
         self.start(process.host)
@@ -183,7 +170,7 @@
 
     def rest(self, _):
         """Time passes without calls, in which the bucket fills; then all tokens are spent."""
-        self.run(self.rng.uniform(0.5, 2.0) * TEAM.burst / TEAM.rate)
+        self.run_for(self.rng.uniform(0.5, 2.0) * TEAM.burst / TEAM.rate)
         self.drain(None)
 
     def drain(self, _):
@@ -233,7 +220,7 @@
 def test_a_settlement_for_an_earlier_process_takes_no_tokens_back():
     model = Model(0)
     model.start(HOLDER)
-    model.run(TEAM.burst / TEAM.rate + TIMINGS.loan_s)
+    model.run_for(TEAM.burst / TEAM.rate + TIMINGS.loan_s)
     holder = model.processes[HOLDER].holder
     wanted = quota_pb2.TeamDraw(team=TEAM.name, wanted=8)
     drawn = holder.answer_draw(quota_pb2.DrawRequest(host="a1", draws=[wanted]), model.now)
--- a/tests/test_callers/test_quota_many_teams.py
+++ b/tests/test_callers/test_quota_many_teams.py
@@ -4,8 +4,6 @@
 """
 
 import collections
-import heapq
-import itertools
 import random
 
 import attrs
@@ -16,7 +14,7 @@
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, quota
 from standins import store
-from tests import fake_objects, history_rates
+from tests import fake_objects, history_rates, simulation
 
 DOMAINS = "abcdef"
 HOSTS_PER_DOMAIN = 20
@@ -57,14 +55,12 @@
     deadline: float
 
 
-class Fleet:
-    """All nodes, and a queue of events: reads of the platform, calls, messages between nodes."""
+class Fleet(simulation.Simulation):
+    """All nodes, and what happens: reads of the platform, calls, messages between nodes."""
 
     def __init__(self, seed):
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
-        self.events = []
-        self.numbers = itertools.count()
         self.teams = make_teams(self.rng)
         self.admitted = collections.defaultdict(list)
         self.refused = collections.Counter()
@@ -103,16 +99,6 @@
         drawer.configure(self.teams, self.chosen, self.now)
         return Process(host, holder, drawer)
 
-    def at(self, delay_s, function, *arguments):
-        heapq.heappush(self.events, (self.now + delay_s, next(self.numbers), function, arguments))
-
-    def run(self, duration_s):
-        end = self.now + duration_s
-        while self.events and self.events[0][0] <= end:
-            self.now, _, function, arguments = heapq.heappop(self.events)
-            function(*arguments)
-        self.now = end
-
     def send_calls(self, duration_s, fraction, hosts):
         """Sends the calls of all teams evenly over time, each to a random one of `hosts`."""
         for name, team in self.teams.items():
@@ -194,12 +180,12 @@
 def steady_fleet(request):
     """A fleet whose teams call steadily, first at all nodes, then in one failure domain."""
     fleet = Fleet(request.param)
-    fleet.run(START_S)
+    fleet.run_for(START_S)
     for hosts in (fleet.hosts, fleet.hosts[:HOSTS_PER_DOMAIN]):
         fleet.send_calls(LOOK_S + MEASURED_S, STEADY_FRACTION, hosts)
-        fleet.run(LOOK_S)
+        fleet.run_for(LOOK_S)
         fleet.refused.clear()
-        fleet.run(MEASURED_S)
+        fleet.run_for(MEASURED_S)
         fleet.refused_when_steady += fleet.refused
     return fleet
 
@@ -214,9 +200,9 @@
 # short and moved shares without end.
 def test_holders_know_the_demand_of_nodes_that_call_rarely():
     fleet = Fleet(1)
-    fleet.run(START_S)
+    fleet.run_for(START_S)
     fleet.send_calls(40.0, STEADY_FRACTION, fleet.hosts)
-    fleet.run(40.0)
+    fleet.run_for(40.0)
     # Nodes report their calls to holders in their own failure domain only.
     large = [team for team in fleet.teams.values() if len(fleet.chosen[team.name]) == len(DOMAINS)]
     known = sum(fleet.demand(team.name) for team in large)
@@ -225,7 +211,7 @@
 
 def test_no_share_goes_twice_and_no_team_gets_more_than_rate_and_burst(steady_fleet):
     steady_fleet.send_calls(5.0, 3.0, steady_fleet.hosts)
-    steady_fleet.run(6.0)
+    steady_fleet.run_for(6.0)
     assert 0.9 < steady_fleet.most_held_parts <= 1.0 + history_rates.ROUNDING
     for name, team in steady_fleet.teams.items():
         excess = history_rates.worst_excess(steady_fleet.admitted[name], team.rate, team.burst)
