Suspect a host at whose address another one answers

A host that had ended without a word stayed a member for good once another host had taken over its address: calls for its service went to the other one and were refused, and as a chosen holder it kept its part of the quotas from being taken over. Cause: a link took whatever answered at its peer's address for the peer. Change: an answer of another host is processed, but counts as no answer of the peer. Looked for beside it: relayed calls name their service and are refused by a node of another, and the upstream is sent its id; draws at another host are answered from its own shares, which expire there; what another host says of its replicas holds for anyone.

--- a/bergamotridge/nodes/link.py
+++ b/bergamotridge/nodes/link.py
@@ -55,11 +55,18 @@
         return self._exchange.build_message(self._session, now_ms)
 
     def process_answer(self, reply: gossip_pb2.GossipMessage, now: float) -> exchange.ReceiveResult:
-        """Processes the peer's answer; `more` of the result is also true at first contact."""
+        """Processes the peer's answer; `more` of the result is also true at first contact.
+
+        The answer of another host, which has taken over the peer's address, counts as none.
+        """
         received = self._exchange.process_message(reply, now)
-        self._chooser.record_answer(self._peer, now)
         first_contact = self._session != received.session
-        self._session, self._failures = received.session, 0
+        self._session = received.session
+        if self._peer.host not in ("", reply.host):
+            self.record_failure(now)
+            return received
+        self._chooser.record_answer(self._peer, now)
+        self._failures = 0
         return exchange.ReceiveResult(
             received.session, received.stale_replicas, received.more or first_contact
         )
