Write an elected node's address without reading first whether one is stored

What callers saw: nothing. Each elected node of a fleet made two calls to the platform where one does. Cause: the address under a rank was read, mostly to find that there is none, and then written. The new test failed before (one read). Change: the write says that the object must not exist; where it does, it is read and replaced as before. Result: tests of bootstrap and convergence pass.

--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -124,7 +124,7 @@
         if len(self._members.members()) == 1:
             self._discover_peers()
         if name != self._written_name:
-            if name is not None:
+            if name is not None and not self._put(name, 0):
                 self._write(name)
             self._written_name = name
 
@@ -185,11 +185,14 @@
             pass
         self._put(name, version)
 
-    def _put(self, name: str, version: int) -> None:
+    def _put(self, name: str, version: int) -> bool:
+        """Writes the own address; returns False if the object has another version."""
         try:
             self._platform.put(KIND, name, self._own_value(), version)
         except errors.ConflictError:
-            _log.debug("another host wrote its address to object {} first", name)
+            _log.debug("object {} has the address of another host", name)
+            return False
+        return True
 
     def _own_value(self) -> dict[str, str]:
         own = self._members.own
--- a/tests/test_nodes/test_bootstrap.py
+++ b/tests/test_nodes/test_bootstrap.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bergamotridge import errors
-from bergamotridge.nodes import bootstrap, membership, peers, watch_election
+from bergamotridge.nodes import bootstrap, change_log, membership, peers, watch_election
 from bergamotridge.store import client
 from tests.test_nodes import fleet
 
@@ -120,3 +120,28 @@
             heapq.heappush(due, (platform.now + rng.uniform(0.2, 0.6), host, task))
     assert platform.writes < HOSTS / 2
     assert platform.reads + platform.writes <= 2 * HOSTS
+
+
+def make_elected_task(platform):
+    """Returns the task of a node that knows another one."""
+    members = membership.Membership(fleet.own_record("h1", 1), membership.MembershipTimings())
+    other = change_log.RecordUpdate(fleet.own_record("h2", 2), 1, suspected=False)
+    members.merge([other], change_log.LOCAL_SESSION, 0.0)
+    chooser = peers.PeerChooser(members, (), random.Random(1))
+    election = watch_election.WatchElection(members, chooser, 1)
+    timings = bootstrap.BootstrapTimings()
+    return bootstrap.Bootstrap(platform, members, list, election, timings, random.Random(1))
+
+
+# Each elected node of a fleet that booted for the first time read that no address was stored.
+def test_an_address_is_written_with_one_request_where_none_is_stored():
+    platform = OutdatedReads(lag_s=0.0)
+    make_elected_task(platform)._update("a.0")
+    assert (platform.writes, platform.reads) == (1, 0)
+
+
+def test_the_address_of_another_node_is_replaced():
+    platform = OutdatedReads(lag_s=0.0)
+    platform.put(bootstrap.KIND, "a.0", {"host": "h9", "address": "127.0.0.1:9"}, 0)
+    make_elected_task(platform)._update("a.0")
+    assert platform.get(bootstrap.KIND, "a.0").value["address"] == "127.0.0.1:1"
