--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -491,7 +491,7 @@
         self.caller_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.relay_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.upstream_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.team_rates.stop(drain_deadline)
+        self.team_rates.stop(max(0.0, drain_deadline - time.monotonic()))
         for task in self.platform_tasks:
             task.stop()
         self.freshness_port.stop()
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -7,7 +7,6 @@
 import math
 import random
 import threading
-import time
 from collections.abc import Callable, Mapping, Sequence
 from concurrent import futures
 
@@ -21,7 +20,7 @@
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, objects
 from bergamotridge.store import quota as quota_objects
-from bergamotridge.util import loop
+from bergamotridge.util import clock, loop
 
 DRAW_THREADS = 4
 MAX_BACKOFF_S = 4.0
@@ -33,7 +32,7 @@
 SHARE_RETURN_INTERVAL_S = 0.1
 MAX_FIRST_PAUSE_S = 0.4  # Spreads the first reads of hosts that start at the same time.
 TEAMS_POLL_INTERVAL_S = 0.05
-MAX_JOIN_PAUSE_S = 1.0  # Between two reads while this host has yet to join or leave a quota.
+MEAN_JOIN_PAUSE_S = 1.0  # Between two reads while this host has yet to join or leave a quota.
 _log = logbook.Logger("quota")
 
 
@@ -74,6 +73,13 @@
         self._pause_s = min(MAX_BACKOFF_S, 2.0 * self._pause_s) if failed else self._interval_s
         return self._pause_s * (0.5 + self._rng.random())
 
+    def next_join_pause_s(self) -> float:
+        """Returns the pause before the next read while a share is to be taken or given up.
+
+        Hosts that learn of a change together would else read in step, and their writes conflict.
+        """
+        return MEAN_JOIN_PAUSE_S * self._rng.uniform(0.5, 1.5)
+
 
 class QuotaRates:
     """Team rates of one node of a fleet.
@@ -91,7 +97,6 @@
         members: Callable[[], Sequence[record.UpstreamRecord]],
         teams: Callable[[], Mapping[str, operator_text.Team]],
         settings: QuotaSettings | None = None,
-        clock: Callable[[], float] = time.monotonic,
         restored_epoch: Callable[[], int | None] = lambda: None,
         on_malformed: malformed.OnMalformed = malformed.ignore,
     ) -> None:
@@ -106,7 +111,6 @@
             members: Returns the records of all known hosts, this one included.
             teams: Returns the teams of the configuration in force.
             settings: Settings of the quota; the defaults if None.
-            clock: Returns monotonic time in seconds.
             restored_epoch: Returns the epoch of the platform's store if it began with a recent
                 restoration; see `quota_holder.QuotaHolder`.
             on_malformed: Called with a report of each quota object that cannot be read.
@@ -123,7 +127,8 @@
         self._members = members
         self._teams = teams
         self._settings = settings or QuotaSettings()
-        self._clock = clock
+        # Leases and the lifetimes of tokens go on while this machine is suspended.
+        self._clock = clock.boot_time
         self._rng = random.Random(f"{host} {incarnation}")
         self._holder: quota_holder.QuotaHolder | None = None
         self._lock = threading.Lock()
@@ -182,14 +187,14 @@
         self._end_share_loop()
         self._loop_executor.submit(self._return_shares)
 
-    def stop(self, deadline: float = float("inf")) -> None:
+    def stop(self, limit_s: float = float("inf")) -> None:
         """Returns drawn tokens and shares as far as possible in a few seconds.
 
         Args:
-            deadline: Monotonic time in seconds after which no request to the platform begins.
+            limit_s: Time in seconds after which no request to the platform begins.
         """
         self._end_share_loop()
-        self._return_deadline = deadline
+        self._return_deadline = self._clock() + limit_s
         self._stopping.set()
         with self._lock:
             self._drawer.return_all()
@@ -352,7 +357,7 @@
                 failed = True
             pause_s = pauses.next_pause_s(failed)
             reads_sooner = self._has_pending_share_change() and not failed
-            self._shares_due.wait(min(pause_s, MAX_JOIN_PAUSE_S) if reads_sooner else pause_s)
+            self._shares_due.wait(pauses.next_join_pause_s() if reads_sooner else pause_s)
             self._shares_due.clear()
             if self._restoration_noticed.is_set():
                 self._restoration_noticed.clear()
--- a/bergamotridge/nodes/bootstrap.py
+++ b/bergamotridge/nodes/bootstrap.py
@@ -15,6 +15,8 @@
 
 KIND = "nodes"
 ADDRESS_KEY = "address"
+# New addresses, of which one may be that of an ended node, that keep a node from writing its own.
+MIN_ADDRESSES = 2
 MAX_FIRST_DELAY_S = 0.2  # Spreads the first reads of hosts that boot together.
 
 _log = logbook.Logger(__name__)
@@ -135,7 +137,7 @@
         if len(self._members.members()) == 1:
             self._discover_peers()
         if name != self._written_name:
-            if name is not None:
+            if name is not None and not self._put(name, position.START):
                 self._write(name)
             self._written_name = name
 
@@ -147,13 +149,15 @@
         """
         found = self._read(eventual=True)
         self._reads_alone += 1
-        should_write = self._reads_alone > self._timings.reads_before_write or (
-            self._is_first_writer and not found
-        )
+        should_write = self._is_first_writer and not found
+        if self._reads_alone > self._timings.reads_before_write and not self._has_announced:
+            # Hosts that booted together may have written theirs since what the first read returned.
+            outdated, found = found, self._read(eventual=False)
+            should_write = len(found) < MIN_ADDRESSES or set(found) <= set(outdated)
         if should_write and not self._has_announced:
             self._has_announced = True
             self._announce()
-            found = self._read(eventual=False)
+            found = list(dict.fromkeys([*found, *self._read(eventual=False)]))
         self._on_addresses(found)
 
     def _announce(self) -> None:
@@ -199,12 +203,15 @@
             version = error.version
         self._put(name, version)
 
-    def _put(self, name: str, version: position.Position) -> None:
+    def _put(self, name: str, version: position.Position) -> bool:
+        """Writes the own address; returns False if the object has another version."""
         try:
             written = self._platform.put(KIND, name, self._own_value(), version)
             _log.info("seed address written to {}, version {}", name, written)
         except errors.ConflictError:
-            _log.debug("another host wrote its address to object {} first", name)
+            _log.debug("object {} has the address of another host", name)
+            return False
+        return True
 
     def _own_value(self) -> dict[str, str]:
         own = self._members.own
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -191,7 +191,9 @@
             # The receiver may have all updates already; the checksum in its answer shows it.
             message.sequence_from = message.sequence_to = self._members.sequence
         else:
-            delta = self._members.delta(cursor.confirmed_sequence, cursor.host, self._max_updates)
+            delta = self._members.delta(
+                cursor.confirmed_sequence, message.receiver_session, self._max_updates
+            )
             message.acknowledged = cursor.received_sequence
             message.sequence_from = cursor.confirmed_sequence
             message.sequence_to = delta.sequence
@@ -237,7 +239,7 @@
         self, cursor: _Cursor, message: gossip_pb2.GossipMessage, now: float
     ) -> None:
         updates = self._read_updates(message)
-        complete = self._members.merge(updates, message.host, now)
+        complete = self._members.merge(updates, message.session, now)
         if not complete:
             cursor.received_sequence = 0
         elif message.sequence_from <= cursor.received_sequence:
--- a/tests/test_callers/test_quota_many_teams.py
+++ b/tests/test_callers/test_quota_many_teams.py
@@ -4,8 +4,6 @@
 """
 
 import collections
-import heapq
-import itertools
 import random
 
 import attrs
@@ -16,7 +14,7 @@
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, quota
 from standins import store
-from tests import fake_objects, history_rates
+from tests import fake_objects, history_rates, simulation
 
 DOMAINS = "abcdef"
 HOSTS_PER_DOMAIN = 20
@@ -28,6 +26,7 @@
 START_S = 20.0  # Until all holders have their shares and these are full.
 LOOK_S = 1.5 * TIMINGS.adjust_s  # The longest time between two reads of the quota objects.
 MEASURED_S = 15.0
+CHECK_S = 0.25  # Between two checks of the shares that all processes use.
 # Of the rate. Closer to it single calls are refused, as the burst is divided into whole tokens.
 STEADY_FRACTION = 0.9
 
@@ -56,14 +55,12 @@
     deadline: float
 
 
-class Fleet:
-    """All nodes, and a queue of events: reads of the platform, calls, messages between nodes."""
+class Fleet(simulation.Simulation):
+    """All nodes, and what happens: reads of the platform, calls, messages between nodes."""
 
     def __init__(self, seed):
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
-        self.events = []
-        self.numbers = itertools.count()
         self.teams = make_teams(self.rng)
         self.admitted = collections.defaultdict(list)
         self.refused = collections.Counter()
@@ -74,9 +71,11 @@
         self.chosen = self._choose_holders()
         self.waiting = {host: [] for host in self.hosts}
         self.processes = {host: self._start(host) for host in self.hosts}
+        self.most_held_parts = 0.0
         for host in self.hosts:
             pauses = quota_rates.ReadPauses(TIMINGS.adjust_s, self.rng)
             self.at(pauses.first_pause_s(), self._adjust, host, pauses)
+        self.at(CHECK_S, self._check_parts)
 
     def _record(self, host):
         return record.UpstreamRecord(
@@ -100,16 +99,6 @@
         drawer.configure(self.teams, self.chosen, self.now)
         return Process(host, holder, drawer)
 
-    def at(self, delay_s, function, *arguments):
-        heapq.heappush(self.events, (self.now + delay_s, next(self.numbers), function, arguments))
-
-    def run(self, duration_s):
-        end = self.now + duration_s
-        while self.events and self.events[0][0] <= end:
-            self.now, _, function, arguments = heapq.heappop(self.events)
-            function(*arguments)
-        self.now = end
-
     def send_calls(self, duration_s, fraction, hosts):
         """Sends the calls of all teams evenly over time, each to a random one of `hosts`."""
         for name, team in self.teams.items():
@@ -131,6 +120,13 @@
             self.processes[host].holder.adjust(group, group_plans)
         self.at(pauses.next_pause_s(False), self._adjust, host, pauses)
 
+    def _check_parts(self):
+        held = collections.Counter()
+        for process in self.processes.values():
+            held.update(process.holder.shares(self.now))
+        self.most_held_parts = max(self.most_held_parts, *held.values(), 0.0)
+        self.at(CHECK_S, self._check_parts)
+
     def _call(self, team, host):
         process = self.processes[host]
         if process.holder.take(team, self.now):
@@ -179,22 +175,17 @@
         states = [process.holder._states.get(team) for process in self.processes.values()]
         return sum(state.lending.demand(self.now) for state in states if state is not None)
 
-    def held_parts(self, team):
-        return sum(
-            process.holder.shares(self.now).get(team, 0.0) for process in self.processes.values()
-        )
-
 
 @pytest.fixture(scope="module", params=range(3))
 def steady_fleet(request):
     """A fleet whose teams call steadily, first at all nodes, then in one failure domain."""
     fleet = Fleet(request.param)
-    fleet.run(START_S)
+    fleet.run_for(START_S)
     for hosts in (fleet.hosts, fleet.hosts[:HOSTS_PER_DOMAIN]):
         fleet.send_calls(LOOK_S + MEASURED_S, STEADY_FRACTION, hosts)
-        fleet.run(LOOK_S)
+        fleet.run_for(LOOK_S)
         fleet.refused.clear()
-        fleet.run(MEASURED_S)
+        fleet.run_for(MEASURED_S)
         fleet.refused_when_steady += fleet.refused
     return fleet
 
@@ -209,9 +200,9 @@
 # short and moved shares without end.
 def test_holders_know_the_demand_of_nodes_that_call_rarely():
     fleet = Fleet(1)
-    fleet.run(START_S)
+    fleet.run_for(START_S)
     fleet.send_calls(40.0, STEADY_FRACTION, fleet.hosts)
-    fleet.run(40.0)
+    fleet.run_for(40.0)
     # Nodes report their calls to holders in their own failure domain only.
     large = [team for team in fleet.teams.values() if len(fleet.chosen[team.name]) == len(DOMAINS)]
     known = sum(fleet.demand(team.name) for team in large)
@@ -220,8 +211,8 @@
 
 def test_no_share_goes_twice_and_no_team_gets_more_than_rate_and_burst(steady_fleet):
     steady_fleet.send_calls(5.0, 3.0, steady_fleet.hosts)
-    steady_fleet.run(6.0)
+    steady_fleet.run_for(6.0)
+    assert 0.9 < steady_fleet.most_held_parts <= 1.0 + history_rates.ROUNDING
     for name, team in steady_fleet.teams.items():
-        assert steady_fleet.held_parts(name) <= 1.0 + history_rates.ROUNDING
         excess = history_rates.worst_excess(steady_fleet.admitted[name], team.rate, team.burst)
         assert excess <= history_rates.ROUNDING
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -13,6 +13,7 @@
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding
 from bergamotridge.store import quota as quota_object
+from bergamotridge.util import clock
 from standins import store
 from tests import event_loop, fake_objects, history_rates
 
@@ -107,16 +108,16 @@
     spans = []
     for _ in range(CALLS_PER_WORKER):
         node = fleet.nodes[rng.choice(sorted(fleet.nodes))]
-        start = time.monotonic()
+        start = clock.boot_time()
         try:
             event_loop.run(node.rates.take(TEAM.name, start))
         except errors.CallError as error:
             assert error.reason == "rate"
         else:
             if rng.random() < 0.1:
-                node.rates.give_back(TEAM.name, time.monotonic(), start)
+                node.rates.give_back(TEAM.name, clock.boot_time(), start)
             else:
-                spans.append((start, time.monotonic()))
+                spans.append((start, clock.boot_time()))
         time.sleep(PAUSE_S)
     return spans
 
@@ -135,6 +136,16 @@
     assert fleet.holders() == []
 
 
+# Nodes that had started together read the quota objects within milliseconds of each other, once a
+# second, and almost half of their writes conflicted.
+def test_hosts_that_start_together_do_not_read_in_step_until_they_have_joined():
+    pauses = [quota_rates.ReadPauses(5.0, random.Random(seed)) for seed in range(16)]
+    times = sorted(sum(item.next_join_pause_s() for _ in range(3)) for item in pauses)
+    assert times[-1] <= 3 * 1.5 * quota_rates.MEAN_JOIN_PAUSE_S
+    assert times[-1] - times[0] > 0.5
+    assert max(sum(at <= other < at + 0.05 for other in times) for at in times) <= 4
+
+
 def test_quota_is_not_read_before_the_teams_are_known():
     fleet, teams, team_counts = Fleet([]), {}, []
 
@@ -205,3 +216,22 @@
     fleet.store.put(quota_object.KIND, group, version, {"teams": {}})
     fleet.wait_for_holders(1)
     fleet.stop("a0")
+
+
+# Neither the lease of a share nor the lifetime of a token passed while a machine was suspended.
+def test_a_share_is_not_used_after_a_suspension_that_outlasted_its_lease(monkeypatch):
+    suspended_s = [0.0]
+    monkeypatch.setattr(clock, "boot_time", lambda: time.monotonic() + suspended_s[0])
+    fleet = Fleet(["a0"])
+    node = fleet.nodes["a0"]
+    for _ in range(MAX_POLLS):
+        if node.rates.tokens().get(TEAM.name, 0.0) >= 1.0:
+            break
+        time.sleep(PAUSE_S)
+    tokens_before = node.rates.tokens()[TEAM.name]
+    node.objects.faults.outage = True
+    suspended_s[0] = SETTINGS.timings.lease_s
+    tokens_after = node.rates.tokens()
+    fleet.stop("a0")
+    assert tokens_before >= 1.0
+    assert tokens_after == {TEAM.name: 0.0}
