Don't call a repeat with a key not run before its route is known

A node that has no configuration, or not the route of a call yet, refused a repeat with an Idempotency-Key as not run while the first call with the key was running elsewhere.

Cause: the port notes that a call may run at most once only after the route is matched, and both faults are raised before. Until the route is known, the key alone decides now.

--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -233,6 +233,8 @@
 
     async def _admit(self, progress: _Progress, request: message.Request) -> AdmittedCall:
         now = time.monotonic()
+        # Until the route is known, an earlier call with the key may have run.
+        progress.runs_at_most_once = request.header(IDEMPOTENCY_HEADER) is not None
         table = self.routes.routes()
         progress.configuration = table.version
         host = (request.header(b"host") or b"").decode("latin-1")
@@ -240,9 +242,7 @@
         route = target.route
         progress.service = service = self._choose_service(route)
         progress.target_s = route.target_s
-        progress.runs_at_most_once = (
-            not route.repeatable and request.header(IDEMPOTENCY_HEADER) is not None
-        )
+        progress.runs_at_most_once = progress.runs_at_most_once and not route.repeatable
         team = progress.team = self._authenticate_team(route, request, now)
         team_settings = table.text.teams.get(team)
         importance = route.importance
