Let the upstream stand-in crash on one request

It is a flag and not a fault of POST /control, as an upstream that a supervisor starts again must still crash.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,6 +29,7 @@
         slots: Number of calls that the upstream runs at once.
         service_ms: Service time of a call without its calls to dependencies, in milliseconds.
         calls: Calls to dependencies, in the form of the flag --calls of standins.upstream.
+        crash_on: Path with query whose call ends the upstream's process, "" for none.
         settings: Further TOML tables, appended to the node's settings file.
     """
 
@@ -38,6 +39,7 @@
     slots: int = 50
     service_ms: float = 2.0
     calls: tuple[str, ...] = ()
+    crash_on: str = ""
     settings: str = ""
 
 
@@ -112,6 +114,7 @@
             f"--node={self.addresses.upstream}",
             f"--slots={host.slots}",
             f"--service_ms={host.service_ms}",
+            f"--crash_on={host.crash_on}",
             f"--record={self.record_path}",
             *(f"--calls={text}" for text in host.calls),
         ]
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -31,6 +31,7 @@
 POLL_INTERVAL_S = 0.02
 ENDLESS_BODY_BYTES = 10**15
 ENDLESS_PIECE = b"a" * 65_536
+CRASH_EXIT_CODE = 70
 
 
 @attrs.define
@@ -76,6 +77,8 @@
         cold_start_s: Seconds after the start in which the service time falls to its normal value.
         body_bytes: Size of a response body in bytes.
         rules: Calls to dependencies.
+        crash_on: Path with query whose call ends the process without an answer, after the service
+            time; "" for none.
     """
 
     service: str
@@ -85,6 +88,7 @@
     cold_start_s: float = 0.0
     body_bytes: int = 500
     rules: tuple[dependencies.Rule, ...] = ()
+    crash_on: str = ""
 
 
 class Upstream:
@@ -288,6 +292,8 @@
             raise dependencies.ClientDisconnectedError
         if now + work_s > deadline:
             raise dependencies.DeadlineExceededError
+        if self.path == self.upstream.settings.crash_on:
+            os._exit(CRASH_EXIT_CODE)
         for call in self._dependency_calls():
             answer = self.upstream.client.call(
                 call, self.headers.get(dependencies.CALL_HEADER, ""), tag, deadline, self.connection
@@ -364,6 +370,7 @@
         "calls to dependencies: 'POST /a > GET /b, POST /c', or 'GET /b' for all requests",
     )
     flags.DEFINE_integer("body_bytes", 500, "size of a response body in bytes")
+    flags.DEFINE_string("crash_on", "", "path with query whose call ends the process")
     flags.DEFINE_string("record", "", "file to which the run record is also written")
     flags.DEFINE_integer("seed", 1, "seed of the random choice of shed calls")
 
@@ -379,6 +386,7 @@
         cold_start_s=flag_values.cold_start_s,
         body_bytes=flag_values.body_bytes,
         rules=tuple(dependencies.parse_rules(flag_values.calls)),
+        crash_on=flag_values.crash_on,
     )
     with open(flag_values.record or os.devnull, "a", buffering=1, encoding="utf-8") as sink:
         record = run_record.RunRecord(settings.service, settings.address, sink)
