Tell the crash of the upstream in logs and metrics, with the calls that ran

On-call saw single calls that failed with 'upstream-failed', the same as after one connection that was cut, and had to find by hand which path they had in common.

The node beside the upstream probes its address when a call loses its connection. If it is refused, and the upstream had not said that it leaves, the process has crashed, and all calls that lost their connection ran under it. Ruled out: counting lost connections (one call may be alone at the upstream) and waiting for missed heartbeats (seconds later). A connection that is cut, a reset of all of them, a planned stop and a node that restarts leave an upstream that listens or has said that it leaves.

New: the line upstream.crashed, a line upstream.crashed-under for at most twenty of the calls with path, route, team, id, fingerprint and how many upstreams have crashed under requests like it (so far those of this node), the metric bergamotridge_upstream_crashes_total, the reason upstream-crashed in place of upstream-failed. The like of a request is its fingerprint: service, method, host name, path with query, body; keyed by the fleet secret.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -28,6 +28,7 @@
     dependency_thresholds,
     dispatch,
     exchange,
+    fingerprint,
     freshness_exchange,
     gossip,
     membership,
@@ -36,10 +37,17 @@
     record,
     relay,
     routing,
+    suspects,
     watch_election,
 )
 from bergamotridge.nodes import freshness as nodes_freshness
-from bergamotridge.operators import node_metrics, node_status, readiness, upstream_observer
+from bergamotridge.operators import (
+    crash_observer,
+    node_metrics,
+    node_status,
+    readiness,
+    upstream_observer,
+)
 from bergamotridge.operators import port as operators_port
 from bergamotridge.store import (
     configuration,
@@ -50,7 +58,7 @@
     replica,
     watch,
 )
-from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream
+from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream, quarantine
 from bergamotridge.upstreams import port as upstreams_port
 from bergamotridge.util import hlc, http_client, httpd, loop, request_reader
 
@@ -122,6 +130,13 @@
         )
         self.gate = gate.Gate(1, limits.queue)
         self.live_calls = live_calls.LiveCalls()
+        self.suspects = suspects.SuspectTable()
+        self.quarantine = quarantine.Quarantine(
+            self.settings.host,
+            fingerprint.Fingerprinter(self.settings.fleet_secret),
+            self.suspects,
+            crash_observer.CrashObserver(self.events, self.node_metrics, self.routes.name_route),
+        )
         self.upstream = local_upstream.LocalUpstream(
             self.gate,
             self.live_calls,
@@ -129,6 +144,7 @@
             self.environment.upstream_dialect,
             upstream_observer.UpstreamObserver(self.events, self.node_metrics),
             self._publish_announcement,
+            self.quarantine,
         )
 
     def _create_node_parts(self) -> None:
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -28,7 +28,7 @@
 
 # Reasons of failures on a host whose gate sheds nothing because its upstream gets or ends no calls.
 # Its threshold says nothing of the room that the service has elsewhere.
-_IDLE_GATE_REASONS = _ABSENT_UPSTREAM_REASONS | {"upstream-failed"}
+_IDLE_GATE_REASONS = _ABSENT_UPSTREAM_REASONS | {"upstream-failed", "upstream-crashed"}
 
 
 class UpstreamDirectory(Protocol):
--- a/bergamotridge/nodes/routing.py
+++ b/bergamotridge/nodes/routing.py
@@ -205,3 +205,10 @@
         """Returns the teams by name, or none before the first configuration."""
         table = self._table
         return table.text.teams if table else {}
+
+    def name_route(self, method: str, path: str, host: str) -> str:
+        """Returns the name of the route that a call matches, "" if there is none."""
+        try:
+            return self.routes().match(method, path, host).route.name
+        except errors.CallError:
+            return ""
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -18,6 +18,8 @@
     "member.suspected": "A host has been silent for longer than expected.",
     "node.started": "The node has opened its ports.",
     "node.stopping": "The node has begun a graceful shutdown.",
+    "upstream.crashed": "The local upstream ended with calls under way and without leaving.",
+    "upstream.crashed-under": "A call ran at the local upstream when it crashed; a few per crash.",
     "upstream.leaving": "The local upstream says in an answer that it is about to stop.",
     "upstream.limited": "The local upstream names a limit on its calls per second, or another one.",
     "upstream.unlimited": "The local upstream no longer names a limit on its calls per second.",
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -74,6 +74,10 @@
         self._upstream_calls = registry.counter(
             f"{METRIC_PREFIX}upstream_calls_total", "Calls that were sent to the local upstream."
         ).labelled()
+        self._crashes = registry.counter(
+            f"{METRIC_PREFIX}upstream_crashes_total",
+            "Crashes of the local upstream with calls under way.",
+        ).labelled()
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._register_gauges(registry)
@@ -119,6 +123,10 @@
         """Counts a call that is sent to the local upstream."""
         self._upstream_calls.add()
 
+    def count_crash(self) -> None:
+        """Counts a crash of the local upstream."""
+        self._crashes.add()
+
     def count_control_bytes(self, message: str, sent: int, received: int) -> None:
         """Counts the bytes of one control message and its answer, by name of the message."""
         self._control_bytes.add(sent, message=message, direction="sent")
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -117,6 +117,11 @@
         "the header 'Bergamotridge-Timeout-Ms' is not a whole number above zero",
         "correct the header in the caller",
     ),
+    "upstream-crashed": Reason(
+        "the upstream's process ended while it ran the call",
+        "see the lines 'upstream.crashed-under' of this request: how many upstreams have crashed "
+        "under requests like it; look at the upstream's own log and core dump",
+    ),
     "upstream-failed": Reason(
         "the upstream closed the connection or sent no complete answer",
         "look at the upstream's own logs",
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -11,7 +11,7 @@
 from bergamotridge import answer, call, errors, verdict
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import announcement as announcements
-from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome
+from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome, quarantine
 from bergamotridge.util import cancellation, http_client, message
 
 # An upstream that names another rate limit in each answer must not flood the log.
@@ -58,6 +58,7 @@
         upstream_dialect: dialect.UpstreamDialect | None = None,
         observer: Observer | None = None,
         on_leaving: OnLeaving = _ignore_leaving,
+        crash_quarantine: quarantine.Quarantine | None = None,
     ) -> None:
         """Creates the object without an upstream, which is known from its first announcement.
 
@@ -69,6 +70,8 @@
             observer: Is told of calls sent and of changed notices, if not None.
             on_leaving: Called with the announcement, now draining, and the monotonic time when an
                 answer says that the upstream leaves.
+            crash_quarantine: Is told of lost connections, and holds back requests under which
+                upstreams crash; if None, crashes are failures like others.
         """
         self._gate = admission_gate
         self._live_calls = calls
@@ -76,6 +79,7 @@
         self._dialect = upstream_dialect or dialect.DefaultDialect()
         self._observer = observer or _NoObserver()
         self._on_leaving = on_leaving
+        self._quarantine = crash_quarantine
         self._notices = notice.NoticeTracker()
         self._reported_notice = notice.NO_NOTICE
         self._reported_at = float("-inf")
@@ -198,7 +202,8 @@
             pool = self._pools.pool_for(upstream_call.announcement.address)
             response = await pool.send(request, time_left_s, token, check=self._dialect.find_fault)
         except http_client.TransferError as error:
-            return _answer_failure(error, unused_retries, token.cancelled)
+            crashed = not token.cancelled and await self._has_crashed(upstream_call, error)
+            return _answer_failure(error, unused_retries, token.cancelled, crashed)
         self._record_notice(upstream_call, response, sent_at, time.monotonic())
         call_result = self._dialect.interpret_response(response)
         dialect.remove_internal_headers(response)
@@ -207,6 +212,19 @@
             call_result.outcome,
         )
 
+    async def _has_crashed(
+        self, upstream_call: dialect.UpstreamCall, failure: http_client.TransferError
+    ) -> bool:
+        """Returns whether a call failed since the upstream has crashed while it ran."""
+        current = self._announcement
+        if self._quarantine is None or not failure.connection_lost:
+            return False
+        if current.upstream_id != upstream_call.announcement.upstream_id:
+            return False
+        return await self._quarantine.record_lost_connection(
+            current, upstream_call.context, upstream_call.request
+        )
+
     def _record_notice(
         self,
         upstream_call: dialect.UpstreamCall,
@@ -262,13 +280,15 @@
 
 
 def _answer_failure(
-    failure: http_client.TransferError, unused_retries: int, cancelled: bool
+    failure: http_client.TransferError, unused_retries: int, cancelled: bool, crashed: bool
 ) -> tuple[answer.Answer, outcome.Outcome]:
     """Returns answer and outcome of a call whose transfer to the upstream failed."""
     if cancelled:
         call_outcome, status, reason = outcome.Outcome.CANCELLED, 502, "cancelled"
     elif failure.timed_out:
         call_outcome, status, reason = outcome.Outcome.TIMED_OUT, 504, "deadline"
+    elif crashed:
+        call_outcome, status, reason = outcome.Outcome.FAILED, 502, "upstream-crashed"
     else:
         call_outcome, status, reason = outcome.Outcome.FAILED, 502, "upstream-failed"
     if failure.verdict is verdict.Verdict.NOT_RUN:
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -30,12 +30,21 @@
     Attributes:
         verdict: NOT_RUN if no byte of the request was sent, else MAY_HAVE_RUN.
         timed_out: True if the transfer ended because of its time limit.
+        connection_lost: True if the connection ended after the request was sent.
     """
 
-    def __init__(self, text: str, outcome: verdict.Verdict, *, timed_out: bool = False) -> None:
+    def __init__(
+        self,
+        text: str,
+        outcome: verdict.Verdict,
+        *,
+        timed_out: bool = False,
+        connection_lost: bool = False,
+    ) -> None:
         super().__init__(text)
         self.verdict = outcome
         self.timed_out = timed_out
+        self.connection_lost = connection_lost
 
 
 class _TimeLimitError(TimeoutError):
@@ -253,7 +262,9 @@
         except (OSError, httptools.HttpParserError, response_reader.ResponseTooLargeError) as error:
             connection.abort()
             text = f"{type(error).__name__}: {error}"
-            raise TransferError(text, verdict.Verdict.MAY_HAVE_RUN) from error
+            raise TransferError(
+                text, verdict.Verdict.MAY_HAVE_RUN, connection_lost=isinstance(error, OSError)
+            ) from error
         except BaseException:
             connection.abort()
             raise
