Hold back a request under which upstreams crash

Cause: nothing remembered what ran when an upstream crashed, so the next such request, and each retry of it, went to the next upstream.

Now every request that ran at an upstream when it crashed is a suspect, by its fingerprint. A suspect runs only as a trial: its arbiter, one node of the service chosen by rendezvous hashing, grants one at a time over the fleet, after a short pause. A run that completes clears it. Three crashes without one hold requests like it back for 30 s, doubled with each further crash; they are refused as not run, with the reason crashes-upstreams and the time left in Retry-After. Calls of a strong suspect that already run elsewhere are cancelled before they crash their upstream too.

The innocent: a popular request runs everywhere, so a crash is only doubtful evidence against what had completed there in the last seconds, and doubtful evidence alone holds nothing back.

The nodes beside the upstreams of a service tell each other of a crash before its calls are answered, so that no retry overtakes the news; what one missed reaches it in rounds, in answers and with requests for trials. Tables and messages are bounded.

The host name is now part of a call's context only where its route depends on it, as the context's description already said: by the address of the entry node the same request had four fingerprints.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -37,7 +37,7 @@
     record,
     relay,
     routing,
-    suspects,
+    suspect_sharing,
     watch_election,
 )
 from bergamotridge.nodes import freshness as nodes_freshness
@@ -105,6 +105,7 @@
         self.metrics = metrics.Metrics()
         self.node_metrics = node_metrics.NodeMetrics(self.metrics, lambda: self.status.read())
         self._create_platform_parts()
+        self._create_member_parts()
         self._create_upstream_parts()
         self._create_node_parts()
         self._create_caller_parts()
@@ -120,6 +121,33 @@
         self.configuration.add_listener(self._apply_configuration)
         self.keys = keys.KeyRing(node.fleet_secret)
 
+    def _create_member_parts(self) -> None:
+        """Creates what this node knows of other hosts, and of the crashes of their upstreams."""
+        node = self.settings
+        own_record = record.UpstreamRecord(
+            host=node.host,
+            incarnation=self.incarnation,
+            version=1,
+            failure_domain=node.failure_domain,
+            region=node.region,
+            service=self.environment.service,
+            state=record.State.STARTING,
+            slots=0,
+            load=0.0,
+            relay_address=node.addresses.relay_for_nodes,
+            control_address=node.addresses.control_for_nodes,
+            operators_address=node.addresses.operators,
+        )
+        self.members = membership.Membership(
+            own_record, membership.MembershipTimings(heartbeat_s=node.limits.heartbeat_s)
+        )
+        self.members.add_listener(self._record_member_change)
+        self.channels = control.ChannelPool(node.fleet_secret)
+        self.suspects = suspect_sharing.SuspectSharing(
+            self.members, self.channels, self._rng, self.node_metrics.count_control_bytes
+        )
+        self.members.add_listener(self.suspects.notice_member)
+
     def _create_upstream_parts(self) -> None:
         limits = self.settings.limits
         self.pools = http_client.Pools(
@@ -130,7 +158,6 @@
         )
         self.gate = gate.Gate(1, limits.queue)
         self.live_calls = live_calls.LiveCalls()
-        self.suspects = suspects.SuspectTable()
         self.quarantine = quarantine.Quarantine(
             self.settings.host,
             fingerprint.Fingerprinter(self.settings.fleet_secret),
@@ -149,25 +176,6 @@
 
     def _create_node_parts(self) -> None:
         node = self.settings
-        own_record = record.UpstreamRecord(
-            host=node.host,
-            incarnation=self.incarnation,
-            version=1,
-            failure_domain=node.failure_domain,
-            region=node.region,
-            service=self.environment.service,
-            state=record.State.STARTING,
-            slots=0,
-            load=0.0,
-            relay_address=node.addresses.relay_for_nodes,
-            control_address=node.addresses.control_for_nodes,
-            operators_address=node.addresses.operators,
-        )
-        self.members = membership.Membership(
-            own_record, membership.MembershipTimings(heartbeat_s=node.limits.heartbeat_s)
-        )
-        self.members.add_listener(self._record_member_change)
-        self.channels = control.ChannelPool(node.fleet_secret)
         keys_in_text = self.environment.keys_in_text
         replicas = (self.configuration,) if keys_in_text else (self.configuration, self.keys)
         peer_chooser = peers.PeerChooser(self.members, node.peers.first, self._rng)
@@ -411,7 +419,7 @@
         """
         node = self.settings
         self.control = control.ControlServer(
-            node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates)
+            node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates, self.suspects)
         )
         started = []
         try:
@@ -463,6 +471,7 @@
             task.stop()
         self.freshness_port.stop()
         self.gossip.stop()
+        self.suspects.stop()
         self.control.stop(CONTROL_GRACE_S)
         self.channels.close()
         self.objects.close()
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -266,7 +266,7 @@
             depth=int(is_nested_call),
             repeatable=route.repeatable,
             weight=team_settings.weight if team_settings else 1.0,
-            virtual_host=host,
+            virtual_host=host if route.host else "",
             origin=self.origin,
             unattributed=is_nested_call,
         )
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -18,6 +18,8 @@
     "shed": outcome.Outcome.SHED,
     "cancelled": outcome.Outcome.CANCELLED,
     "deadline": outcome.Outcome.TIMED_OUT,
+    "crash-suspect": outcome.Outcome.SHED,
+    "crashes-upstreams": outcome.Outcome.SHED,
     "draining": outcome.Outcome.REFUSED,
     "no-upstream": outcome.Outcome.REFUSED,
 }
@@ -30,6 +32,9 @@
 # Its threshold says nothing of the room that the service has elsewhere.
 _IDLE_GATE_REASONS = _ABSENT_UPSTREAM_REASONS | {"upstream-failed", "upstream-crashed"}
 
+# Reasons of refusals that hold for all upstreams of the service.
+_FLEET_WIDE_REASONS = frozenset(("crash-suspect", "crashes-upstreams"))
+
 
 class UpstreamDirectory(Protocol):
     """Lists the upstreams of each service."""
@@ -196,7 +201,7 @@
         allowance: call.Allowance,
         token: cancellation.Token,
     ) -> bool:
-        if not last.reason or token.cancelled:
+        if not last.reason or token.cancelled or last.reason in _FLEET_WIDE_REASONS:
             return False
         may_repeat = outgoing.context.repeatable or last.verdict is verdict.Verdict.NOT_RUN
         now = time.monotonic()
--- a/bergamotridge/nodes/suspects.py
+++ b/bergamotridge/nodes/suspects.py
@@ -4,6 +4,10 @@
 suspect is cleared by a run that completes after the crash. One under which `CRASHES_TO_HOLD`
 upstreams have crashed without such a run is held back for a time that doubles with each further
 crash.
+
+A popular request runs at most upstreams all the time. When several crash together, as with their
+failure domain, it ran at each of them. So a crash is doubtful evidence against requests that have
+completed at the upstream shortly before, and doubtful evidence alone holds no request back.
 """
 
 from collections.abc import Iterable, Sequence
@@ -11,6 +15,7 @@
 import attrs
 
 CRASHES_TO_HOLD = 3
+STRONG_FIRM_CRASHES = 2  # From then on, calls that already run are cancelled.
 FIRST_HOLD_S = 30.0
 MAX_HOLD_S = 600.0
 # Longer than the longest hold: a suspect that is tried again must still be one.
@@ -26,10 +31,12 @@
     Attributes:
         crash_id: The same on all nodes, another for each crash.
         crashed_at: Monotonic time in seconds.
+        doubtful: True if requests like the one that ran had completed there shortly before.
     """
 
     crash_id: int
     crashed_at: float
+    doubtful: bool = False
 
 
 @attrs.frozen
@@ -57,16 +64,23 @@
     """How far requests with one fingerprint are suspected.
 
     Attributes:
-        crashes: Number of upstreams that have crashed under them since a run completed.
+        crashes: Number of upstreams that have crashed under them since a run completed; doubtful
+            evidence counts for less than `CRASHES_TO_HOLD`.
+        firm_crashes: Those of them that are not doubtful.
         last_crash_at: Monotonic time of the last of these crashes in seconds.
         held_until: Monotonic time in seconds until which such requests are held back, -inf if they
             are not.
     """
 
     crashes: int = 0
+    firm_crashes: int = 0
     last_crash_at: float = float("-inf")
     held_until: float = float("-inf")
 
+    def is_strong(self, now: float) -> bool:
+        """Returns whether the next run would probably crash another upstream."""
+        return now < self.held_until or self.firm_crashes >= STRONG_FIRM_CRASHES
+
 
 NOT_SUSPECTED = Suspicion()
 
@@ -106,14 +120,12 @@
             return NOT_SUSPECTED
         if now - evidence.last_crash_at > FORGET_S:
             return NOT_SUSPECTED
-        crashes, last_crash_at = len(evidence.crashes), evidence.crashes[-1].crashed_at
-        hold_s = _hold_s(crashes)
+        doubtful = sum(crash.doubtful for crash in evidence.crashes)
+        firm = len(evidence.crashes) - doubtful
+        crashes = firm + min(doubtful, CRASHES_TO_HOLD - 1)
+        last_crash_at, hold_s = evidence.crashes[-1].crashed_at, _hold_s(crashes)
         held_until = last_crash_at + hold_s if hold_s else float("-inf")
-        return Suspicion(crashes, last_crash_at, held_until)
-
-    def add_crash(self, crash: Crash, fingerprints: Iterable[int], now: float) -> None:
-        """Adds a crash to all requests that ran at the upstream."""
-        self.merge((Evidence(fingerprint, (crash,)) for fingerprint in fingerprints), now)
+        return Suspicion(crashes, firm, last_crash_at, held_until)
 
     def clear(self, fingerprint: int, crash_ids: Iterable[int]) -> None:
         """Clears crashes of a fingerprint, as a run that began after them has completed."""
@@ -143,11 +155,16 @@
         """Returns the number of fingerprints that are held back at monotonic time `now`."""
         return sum(now < self.suspicion(item, now).held_until for item in self._evidence)
 
+    def forget_expired(self, now: float) -> None:
+        """Forgets suspects whose last crash is more than `FORGET_S` ago."""
+        self._evidence = {
+            fingerprint: evidence
+            for fingerprint, evidence in self._evidence.items()
+            if now - evidence.last_crash_at <= FORGET_S
+        }
+
     def _evict(self, now: float) -> None:
-        """Forgets expired suspects, then the weakest beyond the capacity."""
-        for evidence in list(self._evidence.values()):
-            if now - evidence.last_crash_at > FORGET_S:
-                del self._evidence[evidence.fingerprint]
+        self.forget_expired(now)
         self._evidence = {item.fingerprint: item for item in self.strongest(self._capacity)}
 
 
--- a/bergamotridge/operators/crash_observer.py
+++ b/bergamotridge/operators/crash_observer.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Callable, Sequence
 
-from bergamotridge import events
-from bergamotridge.nodes import fingerprint
+from bergamotridge import errors, events
+from bergamotridge.nodes import fingerprint as fingerprints
+from bergamotridge.nodes import suspects
 from bergamotridge.operators import node_metrics
 from bergamotridge.upstreams import notice, quarantine
 
 # Hundreds of calls may run when an upstream crashes; the most suspected ones get a line.
 MAX_CALLS_LOGGED = 20
+MIN_CRASHES_LOGGED = 2  # Trials of weaker suspects are counted only.
 
 # Takes method, path and host name; returns the name of the route, "" if none matches.
 NameRoute = Callable[[str, str, str], str]
@@ -49,6 +51,52 @@
             path=lost.path,
             route=self._name_route(lost.method, lost.path, lost.virtual_host),
             team=lost.team,
-            fingerprint=fingerprint.format_fingerprint(lost.fingerprint),
+            fingerprint=fingerprints.format_fingerprint(lost.fingerprint),
             crashes=item.suspicion.crashes,
+            follows=_describe_consequence(item.suspicion),
         )
+
+    def record_refusal(self, request_id: str, fingerprint: int, refusal: errors.CallError) -> None:
+        """Counts and logs that a suspect was refused."""
+        self._metrics.count_suspect_call(refusal.reason)
+        self._log.emit(
+            "call.held-back",
+            request_id,
+            refusal.reason,
+            fingerprint=fingerprints.format_fingerprint(fingerprint),
+            retry_after_s=round(refusal.retry_after_s, 3),
+        )
+
+    def record_trial_start(self, run: quarantine.Run) -> None:
+        """Counts a trial, and logs that of a strong suspect."""
+        self._metrics.count_suspect_call("trial")
+        self._log_trial("suspect.tried", run)
+
+    def record_trial_end(self, run: quarantine.Run) -> None:
+        """Logs the end of the trial of a strong suspect."""
+        self._log_trial("suspect.cleared" if run.completed else "suspect.not-cleared", run)
+
+    def record_revocation(self, run: quarantine.Run) -> None:
+        """Counts and logs that a running suspect is cancelled."""
+        self._metrics.count_suspect_call("revoked")
+        self._log.emit(
+            "call.revoked",
+            run.context.request_id,
+            fingerprint=fingerprints.format_fingerprint(run.fingerprint),
+        )
+
+    def _log_trial(self, kind: str, run: quarantine.Run) -> None:
+        if run.suspicion.crashes < MIN_CRASHES_LOGGED:
+            return
+        self._log.emit(
+            kind,
+            run.context.request_id,
+            fingerprint=fingerprints.format_fingerprint(run.fingerprint),
+            crashes=run.suspicion.crashes,
+        )
+
+
+def _describe_consequence(suspicion: suspects.Suspicion) -> str:
+    if suspicion.crashes >= suspects.CRASHES_TO_HOLD:
+        return "requests like it are held back"
+    return "requests like it run one at a time until one completes"
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -78,6 +78,11 @@
             f"{METRIC_PREFIX}upstream_crashes_total",
             "Crashes of the local upstream with calls under way.",
         ).labelled()
+        self._suspect_calls = registry.counter(
+            f"{METRIC_PREFIX}suspect_calls_total",
+            "Calls for the local upstream under whose like upstreams have crashed, by decision: "
+            "trial, revoked while it ran, or the reason for which they were held back.",
+        )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._register_gauges(registry)
@@ -127,6 +132,10 @@
         """Counts a crash of the local upstream."""
         self._crashes.add()
 
+    def count_suspect_call(self, decision: str) -> None:
+        """Counts a call under whose like upstreams have crashed, by what was decided."""
+        self._suspect_calls.add(decision=decision)
+
     def count_control_bytes(self, message: str, sent: int, received: int) -> None:
         """Counts the bytes of one control message and its answer, by name of the message."""
         self._control_bytes.add(sent, message=message, direction="sent")
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -51,6 +51,17 @@
         "the maximum number of connections in the settings is already open",
         "let callers keep fewer connections open, or raise the maximum in 'limits'",
     ),
+    "crash-suspect": Reason(
+        "an upstream has crashed while a request like this one ran, and others like it are tried "
+        "first",
+        "nothing, if a retry succeeds; else see 'upstream.crashed-under' with the fingerprint of "
+        "its line 'call.held-back'",
+    ),
+    "crashes-upstreams": Reason(
+        "several upstreams have crashed while requests like this one ran, so it is held back",
+        "find the crashes by the fingerprint of its line 'call.held-back' in the lines "
+        "'upstream.crashed-under', mend the upstream; one request at a time is then tried again",
+    ),
     "deadline": Reason(
         "the time limit of the call expired, or would have expired before its end",
         "look at the load of the services that it depends on; raise the route's 'timeout_s' only "
--- a/bergamotridge/upstreams/crash_detector.py
+++ b/bergamotridge/upstreams/crash_detector.py
@@ -9,7 +9,7 @@
 from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.upstreams import notice
 
-GATHER_S = 0.01  # For the other connections of an upstream that crashes to be lost as well.
+GATHER_S = 0.005  # For the other connections of an upstream that crashes to be lost as well.
 # A process that ends may still take connections for a moment.
 SECOND_PROBE_AFTER_S = 0.03
 PROBE_TIMEOUT_S = 0.3
@@ -26,6 +26,7 @@
         virtual_host: Host name that the caller addressed, "" if routes do not depend on it.
         path: Path without the query.
         fingerprint: Fingerprint of the call.
+        is_trial: True if it ran as a trial.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     virtual_host: str
     path: str
     fingerprint: int
+    is_trial: bool = False
 
 
 @attrs.frozen
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -70,8 +70,7 @@
             observer: Is told of calls sent and of changed notices, if not None.
             on_leaving: Called with the announcement, now draining, and the monotonic time when an
                 answer says that the upstream leaves.
-            crash_quarantine: Is told of lost connections, and holds back requests under which
-                upstreams crash; if None, crashes are failures like others.
+            crash_quarantine: Holds back requests under which upstreams crash; none are if None.
         """
         self._gate = admission_gate
         self._live_calls = calls
@@ -79,7 +78,7 @@
         self._dialect = upstream_dialect or dialect.DefaultDialect()
         self._observer = observer or _NoObserver()
         self._on_leaving = on_leaving
-        self._quarantine = crash_quarantine
+        self._quarantine = crash_quarantine or quarantine.Quarantine()
         self._notices = notice.NoticeTracker()
         self._reported_notice = notice.NO_NOTICE
         self._reported_at = float("-inf")
@@ -155,34 +154,44 @@
         announcement = self._announcement
         if announcement is None or announcement.service != service:
             return answer.from_error(_no_upstream_error(service), retries)
+        run = self._quarantine.create_run(service, context, request, token)
         try:
-            ticket = await self._gate.enter(context, time.monotonic(), token)
+            if announcement.state is record.State.READY:
+                await self._quarantine.admit(run)
+            result = await self._enter_and_send(run, retries)
         except errors.CallError as error:
             return answer.from_error(error, retries)
-        call_outcome = outcome.Outcome.FAILED
+        finally:
+            self._quarantine.finish(run)
+        return result
+
+    async def _enter_and_send(self, run: quarantine.Run, retries: int) -> answer.Answer:
+        """Sends a call to the upstream once the gate admits it; raises CallError if refused."""
+        ticket = await self._gate.enter(run.context, time.monotonic(), run.token)
+        call_outcome = outcome.Outcome.REFUSED
         try:
-            result, call_outcome = await self._send(context, request, retries, token)
+            self._quarantine.start(run)
+            call_outcome = outcome.Outcome.FAILED
+            result, call_outcome = await self._send(run, retries)
+            run.completed = result.verdict is verdict.Verdict.RUN
         finally:
             ticket.finish(call_outcome, time.monotonic())
         return result
 
     async def _send(
-        self,
-        context: call.CallContext,
-        request: message.Request,
-        retries: int,
-        token: cancellation.Token,
+        self, run: quarantine.Run, retries: int
     ) -> tuple[answer.Answer, outcome.Outcome]:
         announcement = self._announcement
         if not self._dialect.sends_call_id:
-            return await self._transfer(
-                dialect.UpstreamCall(context, request, announcement), retries, token
-            )
-        call_token = cancellation.Token(token)
-        live_call = self._live_calls.open(announcement.service, context, retries, call_token)
-        upstream_call = dialect.UpstreamCall(context, request, announcement, live_call.call_id)
+            upstream_call = dialect.UpstreamCall(run.context, run.request, announcement)
+            return await self._transfer(run, upstream_call, retries, run.token)
+        call_token = cancellation.Token(run.token)
+        live_call = self._live_calls.open(announcement.service, run.context, retries, call_token)
+        upstream_call = dialect.UpstreamCall(
+            run.context, run.request, announcement, live_call.call_id
+        )
         try:
-            result, call_outcome = await self._transfer(upstream_call, retries, call_token)
+            result, call_outcome = await self._transfer(run, upstream_call, retries, call_token)
         finally:
             unused_retries = self._live_calls.close(live_call)
             # Calls to dependencies that still run are cancelled: nothing waits for their answers.
@@ -192,7 +201,11 @@
         return result, call_outcome
 
     async def _transfer(
-        self, upstream_call: dialect.UpstreamCall, unused_retries: int, token: cancellation.Token
+        self,
+        run: quarantine.Run,
+        upstream_call: dialect.UpstreamCall,
+        unused_retries: int,
+        token: cancellation.Token,
     ) -> tuple[answer.Answer, outcome.Outcome]:
         sent_at = time.monotonic()
         time_left_s = upstream_call.context.deadline - sent_at
@@ -202,8 +215,13 @@
             pool = self._pools.pool_for(upstream_call.announcement.address)
             response = await pool.send(request, time_left_s, token, check=self._dialect.find_fault)
         except http_client.TransferError as error:
-            crashed = not token.cancelled and await self._has_crashed(upstream_call, error)
-            return _answer_failure(error, unused_retries, token.cancelled, crashed)
+            if run.revoked:
+                failure = _Failure(outcome.Outcome.CANCELLED, 502, quarantine.SUSPECT_REASON)
+            elif not token.cancelled and await self._has_crashed(run, upstream_call, error):
+                failure = _Failure(outcome.Outcome.FAILED, 502, "upstream-crashed")
+            else:
+                failure = _classify_failure(error, token.cancelled)
+            return _answer_failure(error, failure, unused_retries)
         self._record_notice(upstream_call, response, sent_at, time.monotonic())
         call_result = self._dialect.interpret_response(response)
         dialect.remove_internal_headers(response)
@@ -213,17 +231,18 @@
         )
 
     async def _has_crashed(
-        self, upstream_call: dialect.UpstreamCall, failure: http_client.TransferError
+        self,
+        run: quarantine.Run,
+        upstream_call: dialect.UpstreamCall,
+        failure: http_client.TransferError,
     ) -> bool:
         """Returns whether a call failed since the upstream has crashed while it ran."""
         current = self._announcement
-        if self._quarantine is None or not failure.connection_lost:
+        if not failure.connection_lost:
             return False
         if current.upstream_id != upstream_call.announcement.upstream_id:
             return False
-        return await self._quarantine.record_lost_connection(
-            current, upstream_call.context, upstream_call.request
-        )
+        return await self._quarantine.record_lost_connection(run, current)
 
     def _record_notice(
         self,
@@ -279,28 +298,35 @@
             self._observer.record_notice(current, request_id)
 
 
+@attrs.frozen
+class _Failure:
+    """How a call whose transfer to the upstream failed is answered if it may have run."""
+
+    outcome: outcome.Outcome
+    status: int
+    reason: str
+
+
+def _classify_failure(error: http_client.TransferError, cancelled: bool) -> _Failure:
+    if cancelled:
+        return _Failure(outcome.Outcome.CANCELLED, 502, "cancelled")
+    if error.timed_out:
+        return _Failure(outcome.Outcome.TIMED_OUT, 504, "deadline")
+    return _Failure(outcome.Outcome.FAILED, 502, "upstream-failed")
+
+
 def _answer_failure(
-    failure: http_client.TransferError, unused_retries: int, cancelled: bool, crashed: bool
+    error: http_client.TransferError, failure: _Failure, unused_retries: int
 ) -> tuple[answer.Answer, outcome.Outcome]:
     """Returns answer and outcome of a call whose transfer to the upstream failed."""
-    if cancelled:
-        call_outcome, status, reason = outcome.Outcome.CANCELLED, 502, "cancelled"
-    elif failure.timed_out:
-        call_outcome, status, reason = outcome.Outcome.TIMED_OUT, 504, "deadline"
-    elif crashed:
-        call_outcome, status, reason = outcome.Outcome.FAILED, 502, "upstream-crashed"
-    else:
-        call_outcome, status, reason = outcome.Outcome.FAILED, 502, "upstream-failed"
-    if failure.verdict is verdict.Verdict.NOT_RUN:
-        status = 503
-    error = errors.CallError(
-        f"the upstream did not send a complete answer: {failure}; see the upstream's log",
-        status=status,
-        reason=reason,
-        verdict=failure.verdict,
+    refusal = errors.CallError(
+        f"the upstream did not send a complete answer: {error}; see the upstream's log",
+        status=503 if error.verdict is verdict.Verdict.NOT_RUN else failure.status,
+        reason=failure.reason,
+        verdict=error.verdict,
         retry_after_s=1,
     )
-    return answer.from_error(error, unused_retries), call_outcome
+    return answer.from_error(refusal, unused_retries), failure.outcome
 
 
 def _no_upstream_error(service: str) -> errors.CallError:
--- a/bergamotridge/upstreams/quarantine.py
+++ b/bergamotridge/upstreams/quarantine.py
@@ -1,17 +1,35 @@
-"""Quarantine: remembers which requests ran at the local upstream when it crashed."""
+"""Quarantine: keeps requests under which upstreams crash away from the local upstream."""
 
+import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 import attrs
 import xxhash
 
-from bergamotridge import call
-from bergamotridge.nodes import fingerprint, suspects
+from bergamotridge import call, errors
+from bergamotridge.nodes import fingerprint, suspect_sharing, suspects, trials
+from bergamotridge.upstreams import (
+    admission,
+    crash_detector,
+    notice,
+    recent_completions,
+    suspect_lanes,
+)
 from bergamotridge.upstreams import announcement as announcements
-from bergamotridge.upstreams import crash_detector, notice
-from bergamotridge.util import message
+from bergamotridge.util import cancellation, message
+
+MAX_WAIT_S = 0.6  # For other trials; longer than the pause after a crash and one short run.
+MAX_WAIT_FRACTION = 0.5  # Of the time left until the deadline of the call.
+MAX_WAITING_CALLS = 64
+POLL_INTERVAL_S = 0.03
+
+# Takes the start of the upstream that has crashed.
+OnCrash = Callable[[notice.UpstreamId], None]
+
+HELD_REASON = "crashes-upstreams"
+SUSPECT_REASON = "crash-suspect"
 
 
 @attrs.frozen
@@ -27,12 +45,76 @@
     suspicion: suspects.Suspicion
 
 
+@attrs.define(eq=False)
+class Run:
+    """A call on its way to the local upstream.
+
+    Attributes:
+        fingerprint: Fingerprint of its request.
+        context: Context of the call.
+        request: Request of the call.
+        token: Cancelled when the call is cancelled or revoked.
+        trial: Answer of the arbiter if the call is a trial, else None.
+        suspicion: How far requests like it were suspected when it was admitted.
+        sent: True from when it is sent to the upstream.
+        completed: True if the upstream answered it.
+        revoked: True if it was cancelled since upstreams crash under requests like it.
+    """
+
+    fingerprint: int
+    context: call.CallContext
+    request: message.Request
+    token: cancellation.Token
+    trial: suspect_sharing.TrialAnswer | None = None
+    suspicion: suspects.Suspicion = suspects.NOT_SUSPECTED
+    sent: bool = False
+    completed: bool = False
+    revoked: bool = False
+
+
+class Sharing(Protocol):
+    """What the nodes beside the upstreams of a service know of suspects."""
+
+    @property
+    def has_suspects(self) -> bool:
+        """True if any request may be a suspect."""
+
+    def add_listener(self, on_strong_suspects: Callable[[Sequence[int]], None]) -> None:
+        """Registers a callback for fingerprints whose running calls should be cancelled."""
+
+    def suspicion(self, fingerprint: int) -> suspects.Suspicion:
+        """Returns how far a fingerprint is suspected."""
+
+    async def record_crash(self, evidence: Iterable[suspects.Evidence]) -> None:
+        """Records a crash under the requests that ran, and tells the other nodes."""
+
+    async def request_trial(
+        self, fingerprint: int, lifetime_s: float
+    ) -> suspect_sharing.TrialAnswer:
+        """Asks whether a request may run."""
+
+    def finish_trial(self, trial: suspect_sharing.TrialAnswer, completed: bool) -> None:
+        """Tells that a trial has ended, and whether the request completed."""
+
+
 class Observer(Protocol):
-    """Is told of crashes, for events and metrics."""
+    """Is told of crashes and suspects, for events and metrics."""
 
     def record_crash(self, upstream: notice.UpstreamId, calls: Sequence[SuspectCall]) -> None:
         """Records a crash and the calls that ran, those most suspected first."""
 
+    def record_refusal(self, request_id: str, fingerprint: int, refusal: errors.CallError) -> None:
+        """Records that a suspect was refused."""
+
+    def record_trial_start(self, run: Run) -> None:
+        """Records that a suspect is run."""
+
+    def record_trial_end(self, run: Run) -> None:
+        """Records that the run of a suspect has ended."""
+
+    def record_revocation(self, run: Run) -> None:
+        """Records that a running suspect is cancelled."""
+
 
 class NoObserver:
     """Ignores everything."""
@@ -40,68 +122,285 @@
     def record_crash(self, upstream: notice.UpstreamId, calls: Sequence[SuspectCall]) -> None:
         """Ignores a crash."""
 
+    def record_refusal(self, request_id: str, fingerprint: int, refusal: errors.CallError) -> None:
+        """Ignores a refusal."""
+
+    def record_trial_start(self, run: Run) -> None:
+        """Ignores a trial."""
+
+    def record_trial_end(self, run: Run) -> None:
+        """Ignores a trial."""
+
+    def record_revocation(self, run: Run) -> None:
+        """Ignores a revocation."""
+
+
+class NoSharing:
+    """Suspects nothing, whatever crashes."""
+
+    has_suspects = False
+
+    def add_listener(self, on_strong_suspects: Callable[[Sequence[int]], None]) -> None:
+        """Ignores the listener."""
+
+    def suspicion(self, fingerprint: int) -> suspects.Suspicion:
+        """Suspects nothing."""
+        del fingerprint
+        return suspects.NOT_SUSPECTED
+
+    async def record_crash(self, evidence: Iterable[suspects.Evidence]) -> None:
+        """Ignores a crash."""
+
+    async def request_trial(
+        self, fingerprint: int, lifetime_s: float
+    ) -> suspect_sharing.TrialAnswer:
+        """Lets the request run."""
+        del lifetime_s
+        return suspect_sharing.TrialAnswer(fingerprint, trials.FREE)
+
+    def finish_trial(self, trial: suspect_sharing.TrialAnswer, completed: bool) -> None:
+        """Ignores the end of a trial."""
+
 
 class Quarantine:
-    """Keeps requests under which upstreams crashed away from the local upstream.
+    """Decides when a suspect runs at the local upstream, and reports crashes under calls.
 
-    Belongs to one event loop.
+    A suspect runs only as a trial, which its arbiter grants to one call at a time over the fleet.
+    Until then it waits for a short time. One that is held back, or that waits for too long, is
+    refused. Belongs to one event loop.
     """
 
     def __init__(
         self,
-        host: str,
-        fingerprinter: fingerprint.Fingerprinter,
-        table: suspects.SuspectTable,
+        host: str = "",
+        fingerprinter: fingerprint.Fingerprinter | None = None,
+        sharing: Sharing | None = None,
         observer: Observer | None = None,
     ) -> None:
         """Creates a quarantine.
 
         Args:
             host: Name of this host.
-            fingerprinter: Computes the fingerprints of requests.
-            table: What this node knows of suspects.
-            observer: Is told of crashes, if not None.
+            fingerprinter: Computes the fingerprints of requests; one without a secret if None.
+            sharing: What the nodes know of suspects; nothing is ever suspected if None.
+            observer: Is told of crashes and suspects, if not None.
         """
         self._host = host
-        self._fingerprinter = fingerprinter
-        self._table = table
+        self._fingerprinter = fingerprinter or fingerprint.Fingerprinter("")
+        self._sharing = sharing or NoSharing()
         self._observer = observer or NoObserver()
         self._detector = crash_detector.CrashDetector(self._report_crash)
+        self._lanes = suspect_lanes.SuspectLanes()
+        self._completions = recent_completions.RecentCompletions()
+        self._running: dict[int, list[Run]] = {}
+        self._waiting = 0
+        self._event_loop: asyncio.AbstractEventLoop | None = None
+        self._on_crash: OnCrash = _ignore_crash
+        self._sharing.add_listener(self._schedule_revocation)
 
-    async def record_lost_connection(
+    def set_crash_listener(self, on_crash: OnCrash) -> None:
+        """Registers a callback for each crash of the local upstream, called before others know."""
+        self._on_crash = on_crash
+
+    def create_run(
         self,
-        current: announcements.Announcement,
+        service: str,
         context: call.CallContext,
         request: message.Request,
-    ) -> bool:
-        """Returns whether the upstream has crashed while it ran a call that lost its connection.
+        token: cancellation.Token,
+    ) -> Run:
+        """Returns the run of a call, which must be passed to `finish` when it has ended.
 
         Args:
-            current: Latest announcement of the upstream.
+            service: Service that the call is for.
             context: Context of the call.
             request: Request of the call.
+            token: Cancelled when the call is cancelled.
+        """
+        key = self._fingerprinter.compute(service, context.virtual_host, request)
+        return Run(key, context, request, cancellation.Token(token))
+
+    async def admit(self, run: Run) -> None:
+        """Waits until a call may run, as a trial if it is a suspect.
+
+        Raises:
+            CallError: The call is refused; the verdict is NOT_RUN.
+        """
+        if not self._sharing.has_suspects or not self._sharing.suspicion(run.fingerprint).crashes:
+            return
+        try:
+            await self._wait_for_trial(run)
+        except errors.CallError as error:
+            self._observer.record_refusal(run.context.request_id, run.fingerprint, error)
+            raise
+
+    def start(self, run: Run) -> None:
+        """Records that a call is sent to the upstream.
+
+        Raises:
+            CallError: The call has become a suspect since it was admitted; the verdict is NOT_RUN.
         """
+        if run.trial is None and self._sharing.has_suspects:
+            suspicion = self._sharing.suspicion(run.fingerprint)
+            if suspicion.crashes:
+                _check_held(suspicion, time.monotonic())
+                raise _build_suspect_refusal(run.context.request_id)
+        run.sent = True
+        self._event_loop = asyncio.get_running_loop()
+        self._running.setdefault(run.fingerprint, []).append(run)
+
+    def finish(self, run: Run) -> None:
+        """Ends a run, whether it was sent or not."""
+        run.token.close()
+        if run.sent:
+            self._remove(run)
+        if run.completed:
+            self._completions.add(run.fingerprint, time.monotonic())
+        if run.trial is not None:
+            self._lanes.leave(run.fingerprint)
+            self._sharing.finish_trial(run.trial, run.completed)
+            self._observer.record_trial_end(run)
+
+    def _remove(self, run: Run) -> None:
+        running = self._running[run.fingerprint]
+        running.remove(run)
+        if not running:
+            del self._running[run.fingerprint]
+
+    def _schedule_revocation(self, fingerprints: Sequence[int]) -> None:
+        """Revokes running calls soon; may be called from any thread."""
+        if self._event_loop is not None:
+            self._event_loop.call_soon_threadsafe(self._revoke, fingerprints)
+
+    def _revoke(self, fingerprints: Sequence[int]) -> None:
+        """Cancels calls before the upstream crashes under them."""
+        now = time.monotonic()
+        for item in fingerprints:
+            is_held = now < self._sharing.suspicion(item).held_until
+            for run in list(self._running.get(item, ())):
+                if is_held or (run.context.repeatable and run.trial is None):
+                    run.revoked = True
+                    self._observer.record_revocation(run)
+                    run.token.cancel()
+
+    async def _wait_for_trial(self, run: Run) -> None:
+        if self._waiting >= MAX_WAITING_CALLS:
+            raise _build_suspect_refusal(run.context.request_id)
+        self._waiting += 1
+        try:
+            await self._poll(run)
+        finally:
+            self._waiting -= 1
+
+    async def _poll(self, run: Run) -> None:
+        """Asks for a trial until one is granted, the call is no suspect, or time is up."""
+        key, now = run.fingerprint, time.monotonic()
+        give_up_at = now + min(MAX_WAIT_S, MAX_WAIT_FRACTION * run.context.time_left(now))
+        while True:
+            suspicion = self._sharing.suspicion(key)
+            if not suspicion.crashes:
+                return
+            _check_held(suspicion, time.monotonic())
+            pause_s = POLL_INTERVAL_S
+            if self._lanes.try_enter(key, suspicion.crashes):
+                answer = await self._ask(run)
+                decision = answer.decision
+                if decision.ruling is trials.Ruling.TRIAL:
+                    run.trial, run.suspicion = answer, suspicion
+                    self._observer.record_trial_start(run)
+                    return
+                if decision.ruling is trials.Ruling.FREE:
+                    return
+                if decision.ruling is trials.Ruling.HELD:
+                    raise _build_held_refusal(decision.wait_s)
+                pause_s = max(pause_s, decision.wait_s)
+            is_tried_elsewhere = suspicion.crashes >= suspects.CRASHES_TO_HOLD
+            is_late = time.monotonic() + pause_s > give_up_at
+            if run.token.cancelled or is_tried_elsewhere or is_late:
+                raise _build_suspect_refusal(run.context.request_id)
+            await asyncio.sleep(pause_s)
+
+    async def _ask(self, run: Run) -> suspect_sharing.TrialAnswer:
+        """Asks the arbiter, and leaves the lane unless it grants a trial."""
+        is_granted = False
+        try:
+            time_left_s = run.context.time_left(time.monotonic())
+            granted = await self._sharing.request_trial(run.fingerprint, time_left_s)
+            is_granted = granted.decision.ruling is trials.Ruling.TRIAL
+        finally:
+            if not is_granted:
+                self._lanes.leave(run.fingerprint)
+        return granted
+
+    async def record_lost_connection(self, run: Run, current: announcements.Announcement) -> bool:
+        """Returns whether the upstream has crashed while it ran a call that lost its connection.
+
+        Args:
+            run: The call.
+            current: Latest announcement of the upstream.
+        """
+        context = run.context
         lost = crash_detector.LostCall(
             context.request_id,
             context.team,
-            request.method.decode("latin-1"),
+            run.request.method.decode("latin-1"),
             context.virtual_host,
-            request.path,
-            self._fingerprinter.compute(current.service, context.virtual_host, request),
+            run.request.path,
+            run.fingerprint,
+            run.trial is not None,
         )
         return await self._detector.has_crashed(current, lost)
 
     async def _report_crash(self, found: crash_detector.UpstreamCrash) -> None:
-        now = time.monotonic()
-        crash = suspects.Crash(_crash_id(self._host, found.upstream), now)
-        self._table.add_crash(crash, {item.fingerprint for item in found.calls}, now)
+        self._on_crash(found.upstream)
+        await self._sharing.record_crash(self._build_evidence(found, time.monotonic()))
         calls = [
-            SuspectCall(item, self._table.suspicion(item.fingerprint, now)) for item in found.calls
+            SuspectCall(item, self._sharing.suspicion(item.fingerprint)) for item in found.calls
         ]
         calls.sort(key=lambda item: item.suspicion.crashes, reverse=True)
         self._observer.record_crash(found.upstream, calls)
 
+    def _build_evidence(
+        self, found: crash_detector.UpstreamCrash, now: float
+    ) -> list[suspects.Evidence]:
+        crash_id = _crash_id(self._host, found.upstream)
+        tried = {item.fingerprint for item in found.calls if item.is_trial}
+        evidence = []
+        for key in {item.fingerprint for item in found.calls}:
+            doubtful = key not in tried and self._completions.has(key, now)
+            evidence.append(suspects.Evidence(key, (suspects.Crash(crash_id, now, doubtful),)))
+        return evidence
+
+
+def _ignore_crash(upstream: notice.UpstreamId) -> None:
+    del upstream
+
 
 def _crash_id(host: str, upstream: notice.UpstreamId) -> int:
     identity = f"{host}\n{upstream.instance}\n{upstream.incarnation}"
     return xxhash.xxh3_64_intdigest(identity.encode())
+
+
+def _check_held(suspicion: suspects.Suspicion, now: float) -> None:
+    """Raises CallError with the verdict NOT_RUN if a suspect is held back."""
+    if now < suspicion.held_until:
+        raise _build_held_refusal(suspicion.held_until - now)
+
+
+def _build_held_refusal(retry_after_s: float) -> errors.CallError:
+    return errors.CallError(
+        f"{suspects.CRASHES_TO_HOLD} or more upstreams have crashed under requests like this one, "
+        "so it is held back; retry when the upstreams have been mended",
+        status=503,
+        reason=HELD_REASON,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _build_suspect_refusal(request_id: str) -> errors.CallError:
+    return admission.build_refusal(
+        SUSPECT_REASON,
+        "an upstream has crashed under a request like this one, and others like it are tried "
+        "first; retry later",
+        request_id,
+    )
