--- a/bergamotridge/operators/crash_observer.py
+++ b/bergamotridge/operators/crash_observer.py
@@ -70,11 +70,17 @@
     def record_trial_start(self, run: quarantine.Run) -> None:
         """Counts a trial, and logs that of a strong suspect."""
         self._metrics.count_suspect_call("trial")
-        self._log_trial("suspect.tried", run)
+        if run.suspicion.crashes >= MIN_CRASHES_LOGGED:
+            self._log.emit("suspect.tried", run.context.request_id, **_trial_detail(run))
 
     def record_trial_end(self, run: quarantine.Run) -> None:
         """Logs the end of the trial of a strong suspect."""
-        self._log_trial("suspect.cleared" if run.completed else "suspect.not-cleared", run)
+        if run.suspicion.crashes >= MIN_CRASHES_LOGGED:
+            self._log.emit(
+                "suspect.cleared" if run.completed else "suspect.not-cleared",
+                run.context.request_id,
+                **_trial_detail(run),
+            )
 
     def record_revocation(self, run: quarantine.Run) -> None:
         """Counts and logs that a running suspect is cancelled."""
@@ -85,15 +91,12 @@
             fingerprint=fingerprints.format_fingerprint(run.fingerprint),
         )
 
-    def _log_trial(self, kind: str, run: quarantine.Run) -> None:
-        if run.suspicion.crashes < MIN_CRASHES_LOGGED:
-            return
-        self._log.emit(
-            kind,
-            run.context.request_id,
-            fingerprint=fingerprints.format_fingerprint(run.fingerprint),
-            crashes=run.suspicion.crashes,
-        )
+
+def _trial_detail(run: quarantine.Run) -> dict[str, object]:
+    return {
+        "fingerprint": fingerprints.format_fingerprint(run.fingerprint),
+        "crashes": run.suspicion.crashes,
+    }
 
 
 def _describe_consequence(suspicion: suspects.Suspicion) -> str:
