Take an upstream that has crashed out of service at once

The node beside an upstream that has crashed now counts it as lost and tells so by gossip, until it is started anew; a heartbeat of the crashed process that comes late doesn't bring it back for 5 s, and after that one counts, in case that the process lives after all. When the upstream is ready again, that goes out by an urgent round. Waiting for three missed heartbeats, as before, takes longer than upstreams that a supervisor starts again are down.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -503,8 +503,13 @@
         self._publish_announcement(self.upstream.announcement, now)
 
     def _publish_announcement(self, current: announcement.Announcement, now: float) -> None:
-        if not self._stopping:
-            self.members.announce(current.service, current.state, current.slots, current.load, now)
+        if self._stopping:
+            return
+        was_lost = self.members.own.state is record.State.LOST
+        self.members.announce(current.service, current.state, current.slots, current.load, now)
+        if was_lost and current.state is record.State.READY:
+            # Calls may wait for it at the other nodes.
+            self.gossip.start_urgent_round()
 
     def _record_member_change(
         self, changed: record.UpstreamRecord, change: membership.Change
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -14,6 +14,9 @@
 from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome, quarantine
 from bergamotridge.util import cancellation, http_client, message
 
+# Heartbeats that an upstream sent before it crashed may arrive as late as this.
+LATE_HEARTBEAT_S = 5.0
+
 # An upstream that names another rate limit in each answer must not flood the log.
 REPORT_INTERVAL_S = 1.0
 
@@ -30,10 +33,10 @@
         """Records that the answer to a request changed what the upstream says about itself."""
 
 
-OnLeaving = Callable[[announcements.Announcement, float], None]
+OnStateChange = Callable[[announcements.Announcement, float], None]
 
 
-def _ignore_leaving(announcement: announcements.Announcement, now: float) -> None:
+def _ignore_state_change(announcement: announcements.Announcement, now: float) -> None:
     del announcement, now
 
 
@@ -57,7 +60,7 @@
         pools: http_client.Pools,
         upstream_dialect: dialect.UpstreamDialect | None = None,
         observer: Observer | None = None,
-        on_leaving: OnLeaving = _ignore_leaving,
+        on_state_change: OnStateChange = _ignore_state_change,
         crash_quarantine: quarantine.Quarantine | None = None,
     ) -> None:
         """Creates the object without an upstream, which is known from its first announcement.
@@ -68,8 +71,8 @@
             pools: Connection pools by address.
             upstream_dialect: Header fields between node and upstream; bergamotridge's own if None.
             observer: Is told of calls sent and of changed notices, if not None.
-            on_leaving: Called with the announcement, now draining, and the monotonic time when an
-                answer says that the upstream leaves.
+            on_state_change: Called with the announcement, in its new state, and the monotonic time
+                when an answer says that the upstream leaves, or when it has crashed.
             crash_quarantine: Holds back requests under which upstreams crash; none are if None.
         """
         self._gate = admission_gate
@@ -77,8 +80,11 @@
         self._pools = pools
         self._dialect = upstream_dialect or dialect.DefaultDialect()
         self._observer = observer or _NoObserver()
-        self._on_leaving = on_leaving
+        self._on_state_change = on_state_change
         self._quarantine = crash_quarantine or quarantine.Quarantine()
+        self._quarantine.set_crash_listener(self._record_crash)
+        self._crashed: notice.UpstreamId | None = None
+        self._crashed_at = float("-inf")
         self._notices = notice.NoticeTracker()
         self._reported_notice = notice.NO_NOTICE
         self._reported_at = float("-inf")
@@ -107,9 +113,14 @@
         return True
 
     def _store_announcement(self, received: announcements.Announcement, now: float) -> None:
-        """Stores an announcement; an upstream that leaves is draining whatever it announces."""
+        """Stores an announcement; an upstream that leaves is draining whatever it announces.
+
+        One that has crashed is lost, whatever it had announced before.
+        """
         if self._notices.current.leaving:
             received = attrs.evolve(received, state=record.State.DRAINING)
+        if received.upstream_id == self._crashed and now < self._crashed_at + LATE_HEARTBEAT_S:
+            received = attrs.evolve(received, state=record.State.LOST)
         self._announcement = received
         self._gate.apply_announcement(
             received.state,
@@ -120,6 +131,17 @@
             exact_slots=received.cold_s is not None,
         )
 
+    def _record_crash(self, upstream: notice.UpstreamId) -> None:
+        """Refuses calls and tells other nodes, until the upstream is started anew."""
+        now = time.monotonic()
+        with self._lock:
+            current = self._announcement
+            if current is None or current.upstream_id != upstream:
+                return
+            self._crashed, self._crashed_at = upstream, now
+            self._store_announcement(current, now)
+        self._on_state_change(self._announcement, now)
+
     @property
     def rate_limit(self) -> float | None:
         """Calls per second that the upstream says it takes, None if it names no limit."""
@@ -293,7 +315,7 @@
             if changed:
                 self._reported_notice, self._reported_at = current, now
         if begins_to_leave:
-            self._on_leaving(self._announcement, now)
+            self._on_state_change(self._announcement, now)
         if changed:
             self._observer.record_notice(current, request_id)
 
