Spare the last upstreams and the popular requests from trials

Now a strong suspect runs with no other suspect beside it at the same upstream, and only what ran so is firm evidence against a request that had completed there lately. Such a request is first held back for 3 s in place of 30. A trial of a request with firm evidence against it waits while it would risk the last upstream, or after two crashes half of them, 5 s at most.

--- a/bergamotridge/nodes/suspect_sharing.py
+++ b/bergamotridge/nodes/suspect_sharing.py
@@ -246,8 +246,11 @@
             self._arbiter.finish(message.fingerprint, message.trial_id, message.completed)
 
     def _decide(self, fingerprint: int, lifetime_s: float) -> trials.Decision:
+        hosts = [self._members.own, *self._peers()]
+        ready = sum(item.state is record.State.READY for item in hosts)
+        capacity = trials.Capacity(ready, len(hosts))
         with self._lock:
-            return self._arbiter.request(fingerprint, lifetime_s, self._clock())
+            return self._arbiter.request(fingerprint, lifetime_s, capacity, self._clock())
 
     def _crash_ids(self, fingerprint: int) -> tuple[int, ...]:
         with self._lock:
--- a/bergamotridge/nodes/suspects.py
+++ b/bergamotridge/nodes/suspects.py
@@ -7,7 +7,8 @@
 
 A popular request runs at most upstreams all the time. When several crash together, as with their
 failure domain, it ran at each of them. So a crash is doubtful evidence against requests that have
-completed at the upstream shortly before, and doubtful evidence alone holds no request back.
+completed at the upstream shortly before, unless they ran with no other suspect. Doubtful evidence
+alone holds no request back, and one against which there is any is held back for a shorter time.
 """
 
 from collections.abc import Iterable, Sequence
@@ -17,11 +18,13 @@
 CRASHES_TO_HOLD = 3
 STRONG_FIRM_CRASHES = 2  # From then on, calls that already run are cancelled.
 FIRST_HOLD_S = 30.0
+FIRST_HOLD_IN_DOUBT_S = 3.0
 MAX_HOLD_S = 600.0
 # Longer than the longest hold: a suspect that is tried again must still be one.
 FORGET_S = 1800.0
 MAX_SUSPECTS = 4096
 MAX_CRASHES_PER_SUSPECT = 8
+MAX_DOUBTFUL_CRASHES_COUNTED = CRASHES_TO_HOLD - 1
 
 
 @attrs.frozen
@@ -31,7 +34,8 @@
     Attributes:
         crash_id: The same on all nodes, another for each crash.
         crashed_at: Monotonic time in seconds.
-        doubtful: True if requests like the one that ran had completed there shortly before.
+        doubtful: True if requests like the one that ran had completed there shortly before, and it
+            did not run with no other suspect.
     """
 
     crash_id: int
@@ -85,11 +89,12 @@
 NOT_SUSPECTED = Suspicion()
 
 
-def _hold_s(crashes: int) -> float:
+def _hold_s(crashes: int, in_doubt: bool) -> float:
     """Returns for how many seconds after the last crash a request is held back."""
     if crashes < CRASHES_TO_HOLD:
         return 0.0
-    return min(MAX_HOLD_S, FIRST_HOLD_S * 2 ** (crashes - CRASHES_TO_HOLD))
+    first_s = FIRST_HOLD_IN_DOUBT_S if in_doubt else FIRST_HOLD_S
+    return min(MAX_HOLD_S, first_s * 2 ** (crashes - CRASHES_TO_HOLD))
 
 
 def _latest(crashes: Iterable[Crash]) -> tuple[Crash, ...]:
@@ -122,8 +127,8 @@
             return NOT_SUSPECTED
         doubtful = sum(crash.doubtful for crash in evidence.crashes)
         firm = len(evidence.crashes) - doubtful
-        crashes = firm + min(doubtful, CRASHES_TO_HOLD - 1)
-        last_crash_at, hold_s = evidence.crashes[-1].crashed_at, _hold_s(crashes)
+        crashes = firm + min(doubtful, MAX_DOUBTFUL_CRASHES_COUNTED)
+        last_crash_at, hold_s = evidence.crashes[-1].crashed_at, _hold_s(crashes, doubtful > 0)
         held_until = last_crash_at + hold_s if hold_s else float("-inf")
         return Suspicion(crashes, firm, last_crash_at, held_until)
 
--- a/bergamotridge/nodes/trials.py
+++ b/bergamotridge/nodes/trials.py
@@ -15,6 +15,9 @@
 # After a crash, requests that began elsewhere before it was known can still crash other upstreams.
 PAUSE_AFTER_CRASH_S = 0.3
 BUSY_RETRY_S = 0.1
+# A trial may crash one more upstream. It waits for those that have crashed, but not forever.
+MAX_SPARE_WAIT_S = 5.0
+SPARE_RETRY_S = 0.5
 MAX_LIFETIME_S = 30.0
 TRIAL_ID_BITS = 63
 
@@ -59,6 +62,30 @@
     crash_ids: frozenset[int]
 
 
+@attrs.frozen
+class Capacity:
+    """The upstreams of a service.
+
+    Attributes:
+        ready: Number of those that take calls.
+        total: Number of all.
+    """
+
+    ready: int
+    total: int
+
+    def allows_trial(self, firm_crashes: int) -> bool:
+        """Returns whether enough upstreams remain if a trial crashes one more.
+
+        Args:
+            firm_crashes: Number of crashes that are firm evidence against the request. The last
+                upstream is spared from it after one, half of them after several.
+        """
+        if firm_crashes > 1:
+            return 2 * self.ready > self.total
+        return not firm_crashes or self.ready > 1 or self.total == 1
+
+
 FREE = Decision(Ruling.FREE)
 
 
@@ -79,12 +106,15 @@
         self._rng = rng
         self._trials: dict[int, _Trial] = {}
 
-    def request(self, fingerprint: int, lifetime_s: float, now: float) -> Decision:
+    def request(
+        self, fingerprint: int, lifetime_s: float, capacity: Capacity, now: float
+    ) -> Decision:
         """Decides whether a request may run.
 
         Args:
             fingerprint: Fingerprint of the request.
             lifetime_s: Seconds for which it may run at most.
+            capacity: Upstreams of the service.
             now: Monotonic time in seconds.
         """
         suspicion = self._table.suspicion(fingerprint, now)
@@ -95,6 +125,9 @@
         may_start_at = max(suspicion.last_crash_at, self._started_at) + PAUSE_AFTER_CRASH_S
         if now < may_start_at:
             return Decision(Ruling.WAIT, may_start_at - now)
+        spares = capacity.allows_trial(suspicion.firm_crashes)
+        if not spares and now < suspicion.last_crash_at + MAX_SPARE_WAIT_S:
+            return Decision(Ruling.WAIT, SPARE_RETRY_S)
         running = self._trials.get(fingerprint)
         if running is not None and now < running.expires_at:
             return Decision(Ruling.WAIT, BUSY_RETRY_S)
--- a/bergamotridge/upstreams/crash_detector.py
+++ b/bergamotridge/upstreams/crash_detector.py
@@ -26,7 +26,7 @@
         virtual_host: Host name that the caller addressed, "" if routes do not depend on it.
         path: Path without the query.
         fingerprint: Fingerprint of the call.
-        is_trial: True if it ran as a trial.
+        ran_alone: True if it ran as a trial with no other suspect.
     """
 
     request_id: str
@@ -35,7 +35,7 @@
     virtual_host: str
     path: str
     fingerprint: int
-    is_trial: bool = False
+    ran_alone: bool = False
 
 
 @attrs.frozen
--- a/bergamotridge/upstreams/quarantine.py
+++ b/bergamotridge/upstreams/quarantine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
 
 import attrs
@@ -176,6 +176,8 @@
         fingerprinter: fingerprint.Fingerprinter | None = None,
         sharing: Sharing | None = None,
         observer: Observer | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        listening: Callable[[str], Awaitable[bool]] = crash_detector.is_listening,
     ) -> None:
         """Creates a quarantine.
 
@@ -184,12 +186,15 @@
             fingerprinter: Computes the fingerprints of requests; one without a secret if None.
             sharing: What the nodes know of suspects; nothing is ever suspected if None.
             observer: Is told of crashes and suspects, if not None.
+            clock: Returns the monotonic time in seconds.
+            listening: Returns whether an address takes connections.
         """
         self._host = host
         self._fingerprinter = fingerprinter or fingerprint.Fingerprinter("")
         self._sharing = sharing or NoSharing()
         self._observer = observer or NoObserver()
-        self._detector = crash_detector.CrashDetector(self._report_crash)
+        self._clock = clock
+        self._detector = crash_detector.CrashDetector(self._report_crash, listening)
         self._lanes = suspect_lanes.SuspectLanes()
         self._completions = recent_completions.RecentCompletions()
         self._running: dict[int, list[Run]] = {}
@@ -243,7 +248,7 @@
         if run.trial is None and self._sharing.has_suspects:
             suspicion = self._sharing.suspicion(run.fingerprint)
             if suspicion.crashes:
-                _check_held(suspicion, time.monotonic())
+                _check_held(suspicion, self._clock())
                 raise _build_suspect_refusal(run.context.request_id)
         run.sent = True
         self._event_loop = asyncio.get_running_loop()
@@ -255,7 +260,7 @@
         if run.sent:
             self._remove(run)
         if run.completed:
-            self._completions.add(run.fingerprint, time.monotonic())
+            self._completions.add(run.fingerprint, self._clock())
         if run.trial is not None:
             self._lanes.leave(run.fingerprint)
             self._sharing.finish_trial(run.trial, run.completed)
@@ -274,7 +279,7 @@
 
     def _revoke(self, fingerprints: Sequence[int]) -> None:
         """Cancels calls before the upstream crashes under them."""
-        now = time.monotonic()
+        now = self._clock()
         for item in fingerprints:
             is_held = now < self._sharing.suspicion(item).held_until
             for run in list(self._running.get(item, ())):
@@ -294,13 +299,13 @@
 
     async def _poll(self, run: Run) -> None:
         """Asks for a trial until one is granted, the call is no suspect, or time is up."""
-        key, now = run.fingerprint, time.monotonic()
+        key, now = run.fingerprint, self._clock()
         give_up_at = now + min(MAX_WAIT_S, MAX_WAIT_FRACTION * run.context.time_left(now))
         while True:
             suspicion = self._sharing.suspicion(key)
             if not suspicion.crashes:
                 return
-            _check_held(suspicion, time.monotonic())
+            _check_held(suspicion, self._clock())
             pause_s = POLL_INTERVAL_S
             if self._lanes.try_enter(key, suspicion.crashes):
                 answer = await self._ask(run)
@@ -315,7 +320,7 @@
                     raise _build_held_refusal(decision.wait_s)
                 pause_s = max(pause_s, decision.wait_s)
             is_tried_elsewhere = suspicion.crashes >= suspects.CRASHES_TO_HOLD
-            is_late = time.monotonic() + pause_s > give_up_at
+            is_late = self._clock() + pause_s > give_up_at
             if run.token.cancelled or is_tried_elsewhere or is_late:
                 raise _build_suspect_refusal(run.context.request_id)
             await asyncio.sleep(pause_s)
@@ -324,7 +329,7 @@
         """Asks the arbiter, and leaves the lane unless it grants a trial."""
         is_granted = False
         try:
-            time_left_s = run.context.time_left(time.monotonic())
+            time_left_s = run.context.time_left(self._clock())
             granted = await self._sharing.request_trial(run.fingerprint, time_left_s)
             is_granted = granted.decision.ruling is trials.Ruling.TRIAL
         finally:
@@ -347,13 +352,13 @@
             context.virtual_host,
             run.request.path,
             run.fingerprint,
-            run.trial is not None,
+            run.trial is not None and run.suspicion.crashes > 1,
         )
         return await self._detector.has_crashed(current, lost)
 
     async def _report_crash(self, found: crash_detector.UpstreamCrash) -> None:
         self._on_crash(found.upstream)
-        await self._sharing.record_crash(self._build_evidence(found, time.monotonic()))
+        await self._sharing.record_crash(self._build_evidence(found, self._clock()))
         calls = [
             SuspectCall(item, self._sharing.suspicion(item.fingerprint)) for item in found.calls
         ]
@@ -364,10 +369,10 @@
         self, found: crash_detector.UpstreamCrash, now: float
     ) -> list[suspects.Evidence]:
         crash_id = _crash_id(self._host, found.upstream)
-        tried = {item.fingerprint for item in found.calls if item.is_trial}
+        alone = {item.fingerprint for item in found.calls if item.ran_alone}
         evidence = []
         for key in {item.fingerprint for item in found.calls}:
-            doubtful = key not in tried and self._completions.has(key, now)
+            doubtful = key not in alone and self._completions.has(key, now)
             evidence.append(suspects.Evidence(key, (suspects.Crash(crash_id, now, doubtful),)))
         return evidence
 
--- a/bergamotridge/upstreams/suspect_lanes.py
+++ b/bergamotridge/upstreams/suspect_lanes.py
@@ -1,11 +1,11 @@
 """Limits how many suspects run at one upstream at the same time; single-threaded.
 
 If the upstream crashes, all that ran are suspected more. The fewer suspects run together, the fewer
-innocent ones come near to being held back.
+innocent ones come near to being held back. One under which several upstreams have crashed runs with
+no other suspect beside it.
 """
 
-SUSPECTS_AT_ONCE = 16  # Those under which one upstream has crashed.
-STRONG_SUSPECTS_AT_ONCE = 1  # Those under which several have crashed.
+SUSPECTS_AT_ONCE = 16
 
 
 class SuspectLanes:
@@ -24,13 +24,11 @@
         inside = self._crashes_by_fingerprint
         if fingerprint in inside:
             return False
-        if crashes > 1:
-            has_room = sum(item > 1 for item in inside.values()) < STRONG_SUSPECTS_AT_ONCE
-        else:
-            has_room = sum(item <= 1 for item in inside.values()) < SUSPECTS_AT_ONCE
-        if has_room:
-            inside[fingerprint] = crashes
-        return has_room
+        has_strong = any(item > 1 for item in inside.values())
+        if has_strong or len(inside) >= (1 if crashes > 1 else SUSPECTS_AT_ONCE):
+            return False
+        inside[fingerprint] = crashes
+        return True
 
     def leave(self, fingerprint: int) -> None:
         """Makes room for another suspect."""
