Count calls that were abandoned before the upstream crashed

The same hole was open for callers that leave early: a request whose callers give up before it crashes the upstream was never suspected, and if nothing else ran, the crash went unnoticed.

Calls that were sent and then cancelled, revoked or timed out now count as running at that start of the upstream for 5 s, 256 at most. A refused connection is investigated like a lost one, and reported if such calls are known; if not, nothing changes, as the upstream may not have begun to listen.

--- a/bergamotridge/upstreams/crash_detector.py
+++ b/bergamotridge/upstreams/crash_detector.py
@@ -1,6 +1,8 @@
 """Tells the crash of the upstream on this host from connections that are lost one by one."""
 
 import asyncio
+import collections
+import time
 from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
@@ -13,11 +15,14 @@
 # A process that ends may still take connections for a moment.
 SECOND_PROBE_AFTER_S = 0.03
 PROBE_TIMEOUT_S = 0.3
+# An upstream may go on with a call after the connection was closed on it.
+ABANDONED_S = 5.0
+MAX_ABANDONED_CALLS = 256
 
 
 @attrs.frozen
 class LostCall:
-    """A call whose connection to the upstream was lost while it ran.
+    """A call that ran at the upstream and will have no answer.
 
     Attributes:
         request_id: Id of the request that the call is a part of.
@@ -44,7 +49,7 @@
 
     Attributes:
         upstream: The start of the process.
-        calls: Calls that ran.
+        calls: Calls that ran, or may have gone on after the connection was closed on them.
     """
 
     upstream: notice.UpstreamId
@@ -74,6 +79,15 @@
     verdict: "asyncio.Task[bool] | None" = None
 
 
+@attrs.frozen
+class _AbandonedCall:
+    """A call on which the node closed the connection before there was an answer."""
+
+    upstream: notice.UpstreamId
+    call: LostCall
+    abandoned_at: float
+
+
 class CrashDetector:
     """Probes the upstream when a call loses its connection; belongs to one event loop.
 
@@ -84,6 +98,7 @@
         self,
         report: Callable[[UpstreamCrash], Awaitable[None]],
         listening: Callable[[str], Awaitable[bool]] = is_listening,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Creates a detector.
 
@@ -91,17 +106,29 @@
             report: Awaited with each crash, before the calls that ran are answered. A crash may be
                 reported in parts, each with other calls.
             listening: Returns whether an address takes connections.
+            clock: Returns the monotonic time in seconds.
         """
         self._report = report
         self._listening = listening
+        self._clock = clock
+        self._abandoned: collections.deque[_AbandonedCall] = collections.deque(
+            maxlen=MAX_ABANDONED_CALLS
+        )
         self._loss: _Loss | None = None
 
-    async def has_crashed(self, current: announcements.Announcement, lost_call: LostCall) -> bool:
-        """Returns whether the upstream has crashed while a call ran.
+    def record_abandoned(self, upstream: notice.UpstreamId, call: LostCall) -> None:
+        """Records that the connection was closed on a call, which may go on at the upstream."""
+        self._abandoned.append(_AbandonedCall(upstream, call, self._clock()))
+
+    async def has_crashed(
+        self, current: announcements.Announcement, lost_call: LostCall | None
+    ) -> bool:
+        """Returns whether the upstream has crashed.
 
         Args:
-            current: Latest announcement of the upstream that the call was sent to.
-            lost_call: The call.
+            current: Latest announcement of the upstream.
+            lost_call: Call that ran there and lost its connection; None if a connection was
+                refused.
         """
         if current.state is record.State.DRAINING or current.last:
             return False
@@ -109,7 +136,8 @@
         if loss is None or loss.upstream != current.upstream_id:
             loss = self._loss = _Loss(current.upstream_id)
             loss.verdict = asyncio.ensure_future(self._investigate(loss, current.address))
-        loss.calls.append(lost_call)
+        if lost_call is not None:
+            loss.calls.append(lost_call)
         return await asyncio.shield(loss.verdict)
 
     async def _investigate(self, loss: _Loss, address: str) -> bool:
@@ -122,5 +150,17 @@
             # Calls that are lost from now on are investigated anew.
             self._loss = None
         if not listening:
-            await self._report(UpstreamCrash(loss.upstream, loss.calls))
+            calls = [*loss.calls, *self._take_abandoned(loss.upstream)]
+            await self._report(UpstreamCrash(loss.upstream, calls))
         return not listening
+
+    def _take_abandoned(self, upstream: notice.UpstreamId) -> list[LostCall]:
+        """Returns the calls that may have run at an upstream when it crashed, and forgets them."""
+        since = self._clock() - ABANDONED_S
+        taken = [
+            item.call
+            for item in self._abandoned
+            if item.upstream == upstream and item.abandoned_at >= since
+        ]
+        self._abandoned.clear()
+        return taken
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -50,6 +50,22 @@
         pass
 
 
+@attrs.frozen
+class _Failure:
+    """How a call whose transfer to the upstream failed is answered if it may have run."""
+
+    outcome: outcome.Outcome
+    status: int
+    reason: str
+
+
+_REVOKED = _Failure(outcome.Outcome.CANCELLED, 502, quarantine.SUSPECT_REASON)
+_CANCELLED = _Failure(outcome.Outcome.CANCELLED, 502, "cancelled")
+_TIMED_OUT = _Failure(outcome.Outcome.TIMED_OUT, 504, "deadline")
+_CRASHED = _Failure(outcome.Outcome.FAILED, 502, "upstream-crashed")
+_FAILED = _Failure(outcome.Outcome.FAILED, 502, "upstream-failed")
+
+
 class LocalUpstream:
     """Runs calls at the upstream on this host, within the limit and queue of its gate."""
 
@@ -237,12 +253,8 @@
             pool = self._pools.pool_for(upstream_call.announcement.address)
             response = await pool.send(request, time_left_s, token, check=self._dialect.find_fault)
         except http_client.TransferError as error:
-            if run.revoked:
-                failure = _Failure(outcome.Outcome.CANCELLED, 502, quarantine.SUSPECT_REASON)
-            elif not token.cancelled and await self._has_crashed(run, upstream_call, error):
-                failure = _Failure(outcome.Outcome.FAILED, 502, "upstream-crashed")
-            else:
-                failure = _classify_failure(error, token.cancelled)
+            upstream = upstream_call.announcement.upstream_id
+            failure = await self._classify_failure(run, upstream, error, token.cancelled)
             return _answer_failure(error, failure, unused_retries)
         self._record_notice(upstream_call, response, sent_at, time.monotonic())
         call_result = self._dialect.interpret_response(response)
@@ -252,19 +264,42 @@
             call_result.outcome,
         )
 
+    async def _classify_failure(
+        self,
+        run: quarantine.Run,
+        upstream: notice.UpstreamId,
+        error: http_client.TransferError,
+        cancelled: bool,
+    ) -> _Failure:
+        """Returns how a call is answered whose transfer failed, and reports a crash behind it."""
+        was_sent = error.verdict is not verdict.Verdict.NOT_RUN
+        if was_sent and (cancelled or error.timed_out):
+            self._quarantine.record_abandoned(run, upstream)
+        if run.revoked:
+            return _REVOKED
+        if cancelled:
+            return _CANCELLED
+        if error.timed_out:
+            return _TIMED_OUT
+        if await self._has_crashed(run, upstream, error) and was_sent:
+            return _CRASHED
+        return _FAILED
+
     async def _has_crashed(
         self,
         run: quarantine.Run,
-        upstream_call: dialect.UpstreamCall,
-        failure: http_client.TransferError,
+        upstream: notice.UpstreamId,
+        error: http_client.TransferError,
     ) -> bool:
-        """Returns whether a call failed since the upstream has crashed while it ran."""
+        """Returns whether the upstream has crashed that a call was sent to."""
         current = self._announcement
-        if not failure.connection_lost:
-            return False
-        if current.upstream_id != upstream_call.announcement.upstream_id:
+        if current.upstream_id != upstream:
             return False
-        return await self._quarantine.record_lost_connection(run, current)
+        if error.connection_lost:
+            return await self._quarantine.record_lost_connection(run, current)
+        if error.connection_refused:
+            return await self._quarantine.record_refused_connection(current)
+        return False
 
     def _record_notice(
         self,
@@ -320,23 +355,6 @@
             self._observer.record_notice(current, request_id)
 
 
-@attrs.frozen
-class _Failure:
-    """How a call whose transfer to the upstream failed is answered if it may have run."""
-
-    outcome: outcome.Outcome
-    status: int
-    reason: str
-
-
-def _classify_failure(error: http_client.TransferError, cancelled: bool) -> _Failure:
-    if cancelled:
-        return _Failure(outcome.Outcome.CANCELLED, 502, "cancelled")
-    if error.timed_out:
-        return _Failure(outcome.Outcome.TIMED_OUT, 504, "deadline")
-    return _Failure(outcome.Outcome.FAILED, 502, "upstream-failed")
-
-
 def _answer_failure(
     error: http_client.TransferError, failure: _Failure, unused_retries: int
 ) -> tuple[answer.Answer, outcome.Outcome]:
--- a/bergamotridge/upstreams/quarantine.py
+++ b/bergamotridge/upstreams/quarantine.py
@@ -194,7 +194,7 @@
         self._sharing = sharing or NoSharing()
         self._observer = observer or NoObserver()
         self._clock = clock
-        self._detector = crash_detector.CrashDetector(self._report_crash, listening)
+        self._detector = crash_detector.CrashDetector(self._report_crash, listening, clock)
         self._lanes = suspect_lanes.SuspectLanes()
         self._completions = recent_completions.RecentCompletions()
         self._running: dict[int, list[Run]] = {}
@@ -283,7 +283,8 @@
         for item in fingerprints:
             is_held = now < self._sharing.suspicion(item).held_until
             for run in list(self._running.get(item, ())):
-                if is_held or (run.context.repeatable and run.trial is None):
+                may_cancel = is_held or (run.context.repeatable and run.trial is None)
+                if may_cancel and not run.revoked:
                     run.revoked = True
                     self._observer.record_revocation(run)
                     run.token.cancel()
@@ -337,6 +338,15 @@
                 self._lanes.leave(run.fingerprint)
         return granted
 
+    def record_abandoned(self, run: Run, upstream: notice.UpstreamId) -> None:
+        """Records that the connection was closed on a call that had been sent.
+
+        Args:
+            run: The call.
+            upstream: Start of the upstream that it was sent to.
+        """
+        self._detector.record_abandoned(upstream, _lost_call(run))
+
     async def record_lost_connection(self, run: Run, current: announcements.Announcement) -> bool:
         """Returns whether the upstream has crashed while it ran a call that lost its connection.
 
@@ -344,19 +354,16 @@
             run: The call.
             current: Latest announcement of the upstream.
         """
-        context = run.context
-        lost = crash_detector.LostCall(
-            context.request_id,
-            context.team,
-            run.request.method.decode("latin-1"),
-            context.virtual_host,
-            run.request.path,
-            run.fingerprint,
-            run.trial is not None and run.suspicion.crashes > 1,
-        )
-        return await self._detector.has_crashed(current, lost)
+        return await self._detector.has_crashed(current, _lost_call(run))
+
+    async def record_refused_connection(self, current: announcements.Announcement) -> bool:
+        """Returns whether the upstream, which takes no connection, has crashed."""
+        return await self._detector.has_crashed(current, None)
 
     async def _report_crash(self, found: crash_detector.UpstreamCrash) -> None:
+        if not found.calls:
+            # An upstream that takes no connection may also not have begun to listen.
+            return
         self._on_crash(found.upstream)
         await self._sharing.record_crash(self._build_evidence(found, self._clock()))
         calls = [
@@ -377,6 +384,19 @@
         return evidence
 
 
+def _lost_call(run: Run) -> crash_detector.LostCall:
+    context = run.context
+    return crash_detector.LostCall(
+        context.request_id,
+        context.team,
+        run.request.method.decode("latin-1"),
+        context.virtual_host,
+        run.request.path,
+        run.fingerprint,
+        run.trial is not None and run.suspicion.crashes > 1,
+    )
+
+
 def _ignore_crash(upstream: notice.UpstreamId) -> None:
     del upstream
 
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -31,6 +31,7 @@
         verdict: NOT_RUN if no byte of the request was sent, else MAY_HAVE_RUN.
         timed_out: True if the transfer ended because of its time limit.
         connection_lost: True if the connection ended after the request was sent.
+        connection_refused: True if no connection could be opened as nothing listens.
     """
 
     def __init__(
@@ -40,11 +41,13 @@
         *,
         timed_out: bool = False,
         connection_lost: bool = False,
+        connection_refused: bool = False,
     ) -> None:
         super().__init__(text)
         self.verdict = outcome
         self.timed_out = timed_out
         self.connection_lost = connection_lost
+        self.connection_refused = connection_refused
 
 
 class _TimeLimitError(TimeoutError):
@@ -316,7 +319,11 @@
         except OSError as error:
             sock.close()
             text = f"cannot connect: {type(error).__name__}: {error}"
-            raise TransferError(text, verdict.Verdict.NOT_RUN) from error
+            raise TransferError(
+                text,
+                verdict.Verdict.NOT_RUN,
+                connection_refused=isinstance(error, ConnectionRefusedError),
+            ) from error
         except BaseException:
             sock.close()
             raise
--- a/tests/test_upstreams/test_crash_detector.py
+++ b/tests/test_upstreams/test_crash_detector.py
@@ -87,6 +87,40 @@
     assert reported[0].upstream == reported[1].upstream
 
 
+@attrs.define
+class Clock:
+    now: float = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+# An upstream crashed under a call on which the node had closed the connection; nothing counted it.
+@pytest.mark.parametrize(
+    ("upstream", "age_s", "reported"),
+    [
+        (READY.upstream_id, 1.0, [lost_call(1)]),
+        (READY.upstream_id, 2 * crash_detector.ABANDONED_S, []),
+        (attrs.evolve(READY, incarnation=2).upstream_id, 1.0, []),
+    ],
+    ids=["now", "long-ago", "other-start"],
+)
+def test_a_call_that_was_abandoned_before_the_crash_is_reported_with_it(upstream, age_s, reported):
+    crashes, clock = [], Clock()
+
+    async def report(crash):
+        crashes.append(crash)
+
+    async def refuse():
+        detector = crash_detector.CrashDetector(report, Probes([False]).listening, clock)
+        detector.record_abandoned(upstream, lost_call(1))
+        clock.now = age_s
+        assert await detector.has_crashed(READY, None)
+
+    event_loop.run(refuse())
+    assert [crash.calls for crash in crashes] == [reported]
+
+
 def test_a_refused_connection_shows_that_nothing_listens():
     async def probe():
         server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
