--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,7 +29,7 @@
         slots: Number of calls that the upstream runs at once.
         service_ms: Service time of a call without its calls to dependencies, in milliseconds.
         calls: Calls to dependencies, in the form of the flag --calls of standins.upstream.
-        crash_on: Path with query whose call ends the upstream's process, "" for none.
+        crash_on: Query of the calls that end the upstream's process, "" for none.
         settings: Further TOML tables, appended to the node's settings file.
     """
 
@@ -274,17 +274,21 @@
         key: str = "",
         tag: str = "",
         idempotency_key: str = "",
+        body: str = "",
         timeout_s: float = 20.0,
     ) -> client.Reply:
-        """Calls the node on host `name` as a caller; raises as `client.send_request` does."""
+        """Calls the node on host `name` as a caller; raises as `client.send_request` does.
+
+        The body is the tag, if none is given.
+        """
         headers = {"Request-Tag": tag}
         if key:
             headers["Authorization"] = f"Bearer {key}"
         if idempotency_key:
             headers["Idempotency-Key"] = idempotency_key
-        body = None if method in ("GET", "DELETE") else tag
+        sent_body = None if method in ("GET", "DELETE") else body or tag
         address = self.members[name].addresses.callers
-        return client.send_request(address, method, path, body, headers, timeout_s)
+        return client.send_request(address, method, path, sent_body, headers, timeout_s)
 
     def records(self) -> list[dict]:
         """Returns the lines of all upstreams' run records, in order of time."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -77,8 +77,8 @@
         cold_start_s: Seconds after the start in which the service time falls to its normal value.
         body_bytes: Size of a response body in bytes.
         rules: Calls to dependencies.
-        crash_on: Path with query whose call ends the process without an answer, after the service
-            time; "" for none.
+        crash_on: Query of the calls that end the process without an answer, after the service time;
+            "" for none.
     """
 
     service: str
@@ -292,7 +292,8 @@
             raise dependencies.ClientDisconnectedError
         if now + work_s > deadline:
             raise dependencies.DeadlineExceededError
-        if self.path == self.upstream.settings.crash_on:
+        query = self.path.partition("?")[2]
+        if query and query == self.upstream.settings.crash_on:
             os._exit(CRASH_EXIT_CODE)
         for call in self._dependency_calls():
             answer = self.upstream.client.call(
@@ -370,7 +371,7 @@
         "calls to dependencies: 'POST /a > GET /b, POST /c', or 'GET /b' for all requests",
     )
     flags.DEFINE_integer("body_bytes", 500, "size of a response body in bytes")
-    flags.DEFINE_string("crash_on", "", "path with query whose call ends the process")
+    flags.DEFINE_string("crash_on", "", "query of the calls that end the process")
     flags.DEFINE_string("record", "", "file to which the run record is also written")
     flags.DEFINE_integer("seed", 1, "seed of the random choice of shed calls")
 
