--- a/bergamotridge/operators/crash_observer.py
+++ b/bergamotridge/operators/crash_observer.py
@@ -8,8 +8,10 @@
 from bergamotridge.operators import node_metrics
 from bergamotridge.upstreams import notice, quarantine
 
-# Hundreds of calls may run when an upstream crashes; the most suspected ones get a line.
+# Hundreds of calls may run when an upstream crashes. The most suspected ones get a line each; the
+# fingerprints of the others stand in the line of the crash.
 MAX_CALLS_LOGGED = 20
+MAX_FINGERPRINTS_LOGGED = 256
 MIN_CRASHES_LOGGED = 2  # Trials of weaker suspects are counted only.
 
 # Takes method, path and host name; returns the name of the route, "" if none matches.
@@ -38,6 +40,10 @@
             incarnation_of=upstream.incarnation,
             calls=len(calls),
             calls_logged=min(len(calls), MAX_CALLS_LOGGED),
+            fingerprints=[
+                fingerprints.format_fingerprint(item.lost.fingerprint)
+                for item in calls[:MAX_FINGERPRINTS_LOGGED]
+            ],
         )
         for item in calls[:MAX_CALLS_LOGGED]:
             self._log_call(upstream, item)
