Pass over nodes of a version without trials when asking for one

Versions may be mixed while nodes are replaced. A node of the version before answers UNIMPLEMENTED; two such arbiters in a row and a suspect, innocent or not, would have been refused until it is forgotten after half an hour. Such nodes are now passed over, and only arbiters that don't answer count against the two that are tried. The test fails without the change.

--- a/bergamotridge/nodes/suspect_sharing.py
+++ b/bergamotridge/nodes/suspect_sharing.py
@@ -34,7 +34,7 @@
 MAX_NODES_TOLD = 48  # Others hear of it in rounds.
 MAX_EVIDENCE_PER_ROUND = 256
 NODES_ASKED_AT_START = 3
-MAX_ARBITERS_TRIED = 2
+MAX_ARBITERS_UNANSWERED = 2
 UNREACHABLE_RETRY_S = 0.2
 THREADS = 4
 
@@ -43,6 +43,10 @@
 _log = logbook.Logger(__name__)
 
 
+class _NoArbiterError(Exception):
+    """The node runs a version that grants no trials."""
+
+
 class Members(Protocol):
     """Hosts of the fleet."""
 
@@ -184,16 +188,22 @@
             The decision; WAIT if no arbiter answers.
         """
         own = self._members.own
-        hosts = trials.arbiters(fingerprint, [*self._peers(), own])
-        for arbiter in hosts[:MAX_ARBITERS_TRIED]:
+        unanswered = 0
+        for arbiter in trials.arbiters(fingerprint, [*self._peers(), own]):
             if arbiter.host == own.host:
                 return TrialAnswer(fingerprint, self._decide(fingerprint, lifetime_s))
             address = arbiter.control_address
-            decision = await asyncio.get_running_loop().run_in_executor(
-                self._executor, self._request_trial, address, fingerprint, lifetime_s
-            )
+            try:
+                decision = await asyncio.get_running_loop().run_in_executor(
+                    self._executor, self._request_trial, address, fingerprint, lifetime_s
+                )
+            except _NoArbiterError:
+                continue
             if decision is not None:
                 return TrialAnswer(fingerprint, decision, address, self._crash_ids(fingerprint))
+            unanswered += 1
+            if unanswered == MAX_ARBITERS_UNANSWERED:
+                break
         return TrialAnswer(fingerprint, _UNREACHABLE)
 
     def finish_trial(self, trial: TrialAnswer, completed: bool) -> None:
@@ -272,7 +282,11 @@
     def _request_trial(
         self, address: str, fingerprint: int, lifetime_s: float
     ) -> trials.Decision | None:
-        """Asks an arbiter on another host; returns None if it does not answer."""
+        """Asks an arbiter on another host; returns None if it does not answer.
+
+        Raises:
+            _NoArbiterError: Its node runs a version that grants no trials.
+        """
         now = self._clock()
         with self._lock:
             evidence = self._table.evidence(fingerprint)
@@ -285,6 +299,8 @@
         except (grpc.RpcError, ValueError) as error:
             # gRPC raises ValueError for a call on a channel that was closed.
             _log.debug("the arbiter at {} did not answer: {}", address, error)
+            if isinstance(error, grpc.Call) and error.code() is grpc.StatusCode.UNIMPLEMENTED:
+                raise _NoArbiterError from error
             return None
         self._count_bytes("suspects", message.ByteSize(), reply.ByteSize())
         now = self._clock()
--- a/tests/test_nodes/test_suspect_sharing.py
+++ b/tests/test_nodes/test_suspect_sharing.py
@@ -161,6 +161,21 @@
     assert set(answers) <= {trials.Ruling.TRIAL, trials.Ruling.WAIT}
 
 
+# After an upgrade of some nodes, no request that was suspected would have run for half an hour.
+def test_nodes_of_a_version_without_trials_are_no_arbiters(fleet):
+    tell(fleet[0], 1)
+    old = control.ControlServer("127.0.0.1:0", SECRET, ())
+    old.start()
+    try:
+        for number in range(10, 20):
+            address = f"127.0.0.1:{old.port}"
+            fleet[0].sharing._members.records.append(build_record(number, address))
+        answers = [request(node).decision.ruling for node in fleet]
+    finally:
+        old.stop(0)
+    assert answers == [trials.Ruling.TRIAL, trials.Ruling.WAIT, trials.Ruling.WAIT]
+
+
 def test_fingerprints_whose_calls_should_be_cancelled_are_passed_on(fleet):
     strong = []
     fleet[1].sharing.add_listener(strong.extend)
