--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -29,6 +29,7 @@
     dependency_thresholds,
     dispatch,
     exchange,
+    fingerprint,
     freshness_exchange,
     gossip,
     membership,
@@ -37,10 +38,12 @@
     record,
     relay,
     routing,
+    suspect_sharing,
     watch_election,
 )
 from bergamotridge.nodes import freshness as nodes_freshness
 from bergamotridge.operators import (
+    crash_observer,
     malformed_entries,
     node_metrics,
     node_status,
@@ -58,7 +61,7 @@
     restorations,
     watch,
 )
-from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream
+from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream, quarantine
 from bergamotridge.upstreams import port as upstreams_port
 from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
 
@@ -108,6 +111,7 @@
             self.events, self.node_metrics.count_malformed_entry
         )
         self._create_platform_parts()
+        self._create_member_parts()
         self._create_upstream_parts()
         self._create_node_parts()
         self._create_caller_parts()
@@ -128,6 +132,33 @@
         self.freshness = freshness.Freshness()
         self.keys = keys.KeyRing(node.fleet_secret, lambda: self.freshness.was_current(keys.KIND))
 
+    def _create_member_parts(self) -> None:
+        """Creates what this node knows of other hosts, and of the crashes of their upstreams."""
+        node = self.settings
+        own_record = record.UpstreamRecord(
+            host=node.host,
+            incarnation=self.incarnation,
+            version=1,
+            failure_domain=node.failure_domain,
+            region=node.region,
+            service=self.environment.service,
+            state=record.State.STARTING,
+            slots=0,
+            load=0.0,
+            relay_address=node.addresses.relay_for_nodes,
+            control_address=node.addresses.control_for_nodes,
+            operators_address=node.addresses.operators,
+        )
+        self.members = membership.Membership(
+            own_record, membership.MembershipTimings(heartbeat_s=node.limits.heartbeat_s)
+        )
+        self.members.add_listener(self._record_member_change)
+        self.channels = control.ChannelPool(node.fleet_secret)
+        self.suspects = suspect_sharing.SuspectSharing(
+            self.members, self.channels, self._rng, self.node_metrics.count_control_bytes
+        )
+        self.members.add_listener(self.suspects.notice_member)
+
     def _create_upstream_parts(self) -> None:
         limits = self.settings.limits
         self.pools = http_client.Pools(
@@ -138,6 +169,12 @@
         )
         self.gate = gate.Gate(1, limits.queue)
         self.live_calls = live_calls.LiveCalls()
+        self.quarantine = quarantine.Quarantine(
+            self.settings.host,
+            fingerprint.Fingerprinter(self.settings.fleet_secret),
+            self.suspects,
+            crash_observer.CrashObserver(self.events, self.node_metrics, self.routes.name_route),
+        )
         self.upstream = local_upstream.LocalUpstream(
             self.gate,
             self.live_calls,
@@ -145,29 +182,11 @@
             self.environment.upstream_dialect,
             upstream_observer.UpstreamObserver(self.events, self.node_metrics),
             self._publish_announcement,
+            self.quarantine,
         )
 
     def _create_node_parts(self) -> None:
         node = self.settings
-        own_record = record.UpstreamRecord(
-            host=node.host,
-            incarnation=self.incarnation,
-            version=1,
-            failure_domain=node.failure_domain,
-            region=node.region,
-            service=self.environment.service,
-            state=record.State.STARTING,
-            slots=0,
-            load=0.0,
-            relay_address=node.addresses.relay_for_nodes,
-            control_address=node.addresses.control_for_nodes,
-            operators_address=node.addresses.operators,
-        )
-        self.members = membership.Membership(
-            own_record, membership.MembershipTimings(heartbeat_s=node.limits.heartbeat_s)
-        )
-        self.members.add_listener(self._record_member_change)
-        self.channels = control.ChannelPool(node.fleet_secret)
         keys_in_text = self.environment.keys_in_text
         replicas = (self.configuration,) if keys_in_text else (self.configuration, self.keys)
         peer_chooser = peers.PeerChooser(self.members, node.peers.first, self._rng)
@@ -441,7 +460,7 @@
         """
         node = self.settings
         self.control = control.ControlServer(
-            node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates)
+            node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates, self.suspects)
         )
         started = []
         try:
@@ -496,6 +515,7 @@
             task.stop()
         self.freshness_port.stop()
         self.gossip.stop()
+        self.suspects.stop()
         self.control.stop(CONTROL_GRACE_S)
         self.channels.close()
         self.objects.close()
@@ -529,8 +549,13 @@
         self._publish_announcement(self.upstream.announcement, now)
 
     def _publish_announcement(self, current: announcement.Announcement, now: float) -> None:
-        if not self._stopping:
-            self.members.announce(current.service, current.state, current.slots, current.load, now)
+        if self._stopping:
+            return
+        was_lost = self.members.own.state is record.State.LOST
+        self.members.announce(current.service, current.state, current.slots, current.load, now)
+        if was_lost and current.state is record.State.READY:
+            # Calls may wait for it at the other nodes.
+            self.gossip.start_urgent_round()
 
     def _record_member_change(
         self, changed: record.UpstreamRecord, change: membership.Change
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -11,9 +11,12 @@
 from bergamotridge import answer, call, errors, verdict
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import announcement as announcements
-from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome
+from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome, quarantine
 from bergamotridge.util import cancellation, http_client, message
 
+# Heartbeats that an upstream sent before it crashed may arrive as late as this.
+LATE_HEARTBEAT_S = 5.0
+
 # An upstream that names another rate limit in each answer must not flood the log.
 REPORT_INTERVAL_S = 1.0
 
@@ -30,10 +33,10 @@
         """Records that the answer to a request changed what the upstream says about itself."""
 
 
-OnLeaving = Callable[[announcements.Announcement, float], None]
+OnStateChange = Callable[[announcements.Announcement, float], None]
 
 
-def _ignore_leaving(announcement: announcements.Announcement, now: float) -> None:
+def _ignore_state_change(announcement: announcements.Announcement, now: float) -> None:
     del announcement, now
 
 
@@ -47,6 +50,22 @@
         pass
 
 
+@attrs.frozen
+class _Failure:
+    """How a call whose transfer to the upstream failed is answered if it may have run."""
+
+    outcome: outcome.Outcome
+    status: int
+    reason: str
+
+
+_REVOKED = _Failure(outcome.Outcome.CANCELLED, 502, quarantine.SUSPECT_REASON)
+_CANCELLED = _Failure(outcome.Outcome.CANCELLED, 502, "cancelled")
+_TIMED_OUT = _Failure(outcome.Outcome.TIMED_OUT, 504, "deadline")
+_CRASHED = _Failure(outcome.Outcome.FAILED, 502, "upstream-crashed")
+_FAILED = _Failure(outcome.Outcome.FAILED, 502, "upstream-failed")
+
+
 class LocalUpstream:
     """Runs calls at the upstream on this host, within the limit and queue of its gate."""
 
@@ -57,7 +76,8 @@
         pools: http_client.Pools,
         upstream_dialect: dialect.UpstreamDialect | None = None,
         observer: Observer | None = None,
-        on_leaving: OnLeaving = _ignore_leaving,
+        on_state_change: OnStateChange = _ignore_state_change,
+        crash_quarantine: quarantine.Quarantine | None = None,
     ) -> None:
         """Creates the object without an upstream, which is known from its first announcement.
 
@@ -67,15 +87,20 @@
             pools: Connection pools by address.
             upstream_dialect: Header fields between node and upstream; bergamotridge's own if None.
             observer: Is told of calls sent and of changed notices, if not None.
-            on_leaving: Called with the announcement, now draining, and the monotonic time when an
-                answer says that the upstream leaves.
+            on_state_change: Called with the announcement, in its new state, and the monotonic time
+                when an answer says that the upstream leaves, or when it has crashed.
+            crash_quarantine: Holds back requests under which upstreams crash; none are if None.
         """
         self._gate = admission_gate
         self._live_calls = calls
         self._pools = pools
         self._dialect = upstream_dialect or dialect.DefaultDialect()
         self._observer = observer or _NoObserver()
-        self._on_leaving = on_leaving
+        self._on_state_change = on_state_change
+        self._quarantine = crash_quarantine or quarantine.Quarantine()
+        self._quarantine.set_crash_listener(self._record_crash)
+        self._crashed: notice.UpstreamId | None = None
+        self._crashed_at = float("-inf")
         self._notices = notice.NoticeTracker()
         self._reported_notice = notice.NO_NOTICE
         self._reported_at = float("-inf")
@@ -104,9 +129,14 @@
         return True
 
     def _store_announcement(self, received: announcements.Announcement, now: float) -> None:
-        """Stores an announcement; an upstream that leaves is draining whatever it announces."""
+        """Stores an announcement; an upstream that leaves is draining whatever it announces.
+
+        One that has crashed is lost, whatever it had announced before.
+        """
         if self._notices.current.leaving:
             received = attrs.evolve(received, state=record.State.DRAINING)
+        if received.upstream_id == self._crashed and now < self._crashed_at + LATE_HEARTBEAT_S:
+            received = attrs.evolve(received, state=record.State.LOST)
         self._announcement = received
         self._gate.apply_announcement(
             received.state,
@@ -117,6 +147,17 @@
             exact_slots=received.cold_s is not None,
         )
 
+    def _record_crash(self, upstream: notice.UpstreamId) -> None:
+        """Refuses calls and tells other nodes, until the upstream is started anew."""
+        now = time.monotonic()
+        with self._lock:
+            current = self._announcement
+            if current is None or current.upstream_id != upstream:
+                return
+            self._crashed, self._crashed_at = upstream, now
+            self._store_announcement(current, now)
+        self._on_state_change(self._announcement, now)
+
     @property
     def rate_limit(self) -> float | None:
         """Calls per second that the upstream says it takes, None if it names no limit."""
@@ -151,34 +192,44 @@
         announcement = self._announcement
         if announcement is None or announcement.service != service:
             return answer.from_error(_no_upstream_error(service), retries)
+        run = self._quarantine.create_run(service, context, request, token)
         try:
-            ticket = await self._gate.enter(context, time.monotonic(), token)
+            if announcement.state is record.State.READY:
+                await self._quarantine.admit(run)
+            result = await self._enter_and_send(run, retries)
         except errors.CallError as error:
             return answer.from_error(error, retries)
-        call_outcome = outcome.Outcome.FAILED
+        finally:
+            self._quarantine.finish(run)
+        return result
+
+    async def _enter_and_send(self, run: quarantine.Run, retries: int) -> answer.Answer:
+        """Sends a call to the upstream once the gate admits it; raises CallError if refused."""
+        ticket = await self._gate.enter(run.context, time.monotonic(), run.token)
+        call_outcome = outcome.Outcome.REFUSED
         try:
-            result, call_outcome = await self._send(context, request, retries, token)
+            self._quarantine.start(run)
+            call_outcome = outcome.Outcome.FAILED
+            result, call_outcome = await self._send(run, retries)
+            run.completed = result.verdict is verdict.Verdict.RUN
         finally:
             ticket.finish(call_outcome, time.monotonic())
         return result
 
     async def _send(
-        self,
-        context: call.CallContext,
-        request: message.Request,
-        retries: int,
-        token: cancellation.Token,
+        self, run: quarantine.Run, retries: int
     ) -> tuple[answer.Answer, outcome.Outcome]:
         announcement = self._announcement
         if not self._dialect.sends_call_id:
-            return await self._transfer(
-                dialect.UpstreamCall(context, request, announcement), retries, token
-            )
-        call_token = cancellation.Token(token)
-        live_call = self._live_calls.open(announcement.service, context, retries, call_token)
-        upstream_call = dialect.UpstreamCall(context, request, announcement, live_call.call_id)
+            upstream_call = dialect.UpstreamCall(run.context, run.request, announcement)
+            return await self._transfer(run, upstream_call, retries, run.token)
+        call_token = cancellation.Token(run.token)
+        live_call = self._live_calls.open(announcement.service, run.context, retries, call_token)
+        upstream_call = dialect.UpstreamCall(
+            run.context, run.request, announcement, live_call.call_id
+        )
         try:
-            result, call_outcome = await self._transfer(upstream_call, retries, call_token)
+            result, call_outcome = await self._transfer(run, upstream_call, retries, call_token)
         finally:
             unused_retries = self._live_calls.close(live_call)
             # Calls to dependencies that still run are cancelled: nothing waits for their answers.
@@ -188,7 +239,11 @@
         return result, call_outcome
 
     async def _transfer(
-        self, upstream_call: dialect.UpstreamCall, unused_retries: int, token: cancellation.Token
+        self,
+        run: quarantine.Run,
+        upstream_call: dialect.UpstreamCall,
+        unused_retries: int,
+        token: cancellation.Token,
     ) -> tuple[answer.Answer, outcome.Outcome]:
         sent_at = time.monotonic()
         time_left_s = upstream_call.context.deadline - sent_at
@@ -198,7 +253,9 @@
             pool = self._pools.pool_for(upstream_call.announcement.address)
             response = await pool.send(request, time_left_s, token, check=self._dialect.find_fault)
         except http_client.TransferError as error:
-            return _answer_failure(error, unused_retries, token.cancelled)
+            upstream = upstream_call.announcement.upstream_id
+            failure = await self._classify_failure(run, upstream, error, token.cancelled)
+            return _answer_failure(error, failure, unused_retries)
         self._record_notice(upstream_call, response, sent_at, time.monotonic())
         call_result = self._dialect.interpret_response(response)
         dialect.remove_internal_headers(response)
@@ -207,6 +264,43 @@
             call_result.outcome,
         )
 
+    async def _classify_failure(
+        self,
+        run: quarantine.Run,
+        upstream: notice.UpstreamId,
+        error: http_client.TransferError,
+        cancelled: bool,
+    ) -> _Failure:
+        """Returns how a call is answered whose transfer failed, and reports a crash behind it."""
+        was_sent = error.verdict is not verdict.Verdict.NOT_RUN
+        if was_sent and (cancelled or error.timed_out):
+            self._quarantine.record_abandoned(run, upstream)
+        if run.revoked:
+            return _REVOKED
+        if cancelled:
+            return _CANCELLED
+        if error.timed_out:
+            return _TIMED_OUT
+        if await self._has_crashed(run, upstream, error) and was_sent:
+            return _CRASHED
+        return _FAILED
+
+    async def _has_crashed(
+        self,
+        run: quarantine.Run,
+        upstream: notice.UpstreamId,
+        error: http_client.TransferError,
+    ) -> bool:
+        """Returns whether the upstream has crashed that a call was sent to."""
+        current = self._announcement
+        if current.upstream_id != upstream:
+            return False
+        if error.connection_lost:
+            return await self._quarantine.record_lost_connection(run, current)
+        if error.connection_refused:
+            return await self._quarantine.record_refused_connection(current)
+        return False
+
     def _record_notice(
         self,
         upstream_call: dialect.UpstreamCall,
@@ -256,31 +350,23 @@
             if changed:
                 self._reported_notice, self._reported_at = current, now
         if begins_to_leave:
-            self._on_leaving(self._announcement, now)
+            self._on_state_change(self._announcement, now)
         if changed:
             self._observer.record_notice(current, request_id)
 
 
 def _answer_failure(
-    failure: http_client.TransferError, unused_retries: int, cancelled: bool
+    error: http_client.TransferError, failure: _Failure, unused_retries: int
 ) -> tuple[answer.Answer, outcome.Outcome]:
     """Returns answer and outcome of a call whose transfer to the upstream failed."""
-    if cancelled:
-        call_outcome, status, reason = outcome.Outcome.CANCELLED, 502, "cancelled"
-    elif failure.timed_out:
-        call_outcome, status, reason = outcome.Outcome.TIMED_OUT, 504, "deadline"
-    else:
-        call_outcome, status, reason = outcome.Outcome.FAILED, 502, "upstream-failed"
-    if failure.verdict is verdict.Verdict.NOT_RUN:
-        status = 503
-    error = errors.CallError(
-        f"the upstream did not send a complete answer: {failure}; see the upstream's log",
-        status=status,
-        reason=reason,
-        verdict=failure.verdict,
+    refusal = errors.CallError(
+        f"the upstream did not send a complete answer: {error}; see the upstream's log",
+        status=503 if error.verdict is verdict.Verdict.NOT_RUN else failure.status,
+        reason=failure.reason,
+        verdict=error.verdict,
         retry_after_s=1,
     )
-    return answer.from_error(error, unused_retries), call_outcome
+    return answer.from_error(refusal, unused_retries), failure.outcome
 
 
 def _no_upstream_error(service: str) -> errors.CallError:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,6 +29,7 @@
         slots: Number of calls that the upstream runs at once.
         service_ms: Service time of a call without its calls to dependencies, in milliseconds.
         calls: Calls to dependencies, in the form of the flag --calls of standins.upstream.
+        crash_on: Query of the calls that end the upstream's process, "" for none.
         settings: Further TOML tables, appended to the node's settings file.
     """
 
@@ -38,6 +39,7 @@
     slots: int = 50
     service_ms: float = 2.0
     calls: tuple[str, ...] = ()
+    crash_on: str = ""
     settings: str = ""
 
 
@@ -112,6 +114,7 @@
             f"--node={self.addresses.upstream}",
             f"--slots={host.slots}",
             f"--service_ms={host.service_ms}",
+            f"--crash_on={host.crash_on}",
             f"--record={self.record_path}",
             *(f"--calls={text}" for text in host.calls),
         ]
@@ -290,17 +293,21 @@
         key: str = "",
         tag: str = "",
         idempotency_key: str = "",
+        body: str = "",
         timeout_s: float = 20.0,
     ) -> client.Reply:
-        """Calls the node on host `name` as a caller; raises as `client.send_request` does."""
+        """Calls the node on host `name` as a caller; raises as `client.send_request` does.
+
+        The body is the tag, if none is given.
+        """
         headers = {"Request-Tag": tag}
         if key:
             headers["Authorization"] = f"Bearer {key}"
         if idempotency_key:
             headers["Idempotency-Key"] = idempotency_key
-        body = None if method in ("GET", "DELETE") else tag
+        sent_body = None if method in ("GET", "DELETE") else body or tag
         address = self.members[name].addresses.callers
-        return client.send_request(address, method, path, body, headers, timeout_s)
+        return client.send_request(address, method, path, sent_body, headers, timeout_s)
 
     def records(self) -> list[dict]:
         """Returns the lines of all upstreams' run records, in order of time."""
