--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,7 @@
-"""Clients send bodies that the operator's limits allow, and a node exceeds its memory."""
+"""A lower limit of a tenant, and an outage of the store from 2.3 s after its confirmation."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -10,60 +9,75 @@
 
 import fleet as fleets  # noqa: E402
 
-MEMORY_KB = 300 * 1024  # `limits.memory_mb` of the settings.
-TIMES, MACHINES = 3, 2
-CLIENTS = 6  # That send at the same time to one machine.
-LARGE_BYTES, SMALL_BYTES = 60 << 20, 64 << 10  # `max_body_bytes` is 64 << 20.
-RESTART_AFTER_S = 0.5
+HOW = "silent"
+OUTAGE_S = 4.5  # The longest outage of the whole store in the site files.
+OUTAGE_AFTER_S = 2.3  # Later than `config_apply`, at which all machines were in touch.
+OLD_RATE, NEW_RATE, BURST = 80, 5, 10
+TENANTS = [f"tenant{number}" for number in range(6)]
+SENT_PER_S = 60.0  # By each tenant, over all machines.
+WATCHED_S = 16.0
 
 
-async def scenario(fleet: fleets.Fleet, trouble: bool) -> str:
-    """Returns what broke the rule on processes that end by themselves, "" if it held."""
-    routes = [("book.example", "/book/", "desk", "unsafe", True)]
-    await fleet.start(["desk"] * 3, fleets.make_config("r3", routes, ["desk"]))
-    size = LARGE_BYTES if trouble else SMALL_BYTES
-    ends = await asyncio.gather(*(press(fleet, node, size) for node in fleet.nodes[:MACHINES]))
-    print(f"ends for memory, by machine: {ends}")
-    return "Fault: processes went over their memory" if min(ends) >= TIMES else ""
+def make_config(version: str, rate: int) -> dict:
+    """Returns the configuration with the same limit for each tenant."""
+    tenants = [
+        {"name": name, "api_keys": [f"key-of-{name}"], "rate_per_s": rate, "burst": BURST}
+        for name in TENANTS
+    ]
+    routes = [("look.example", "/look/", "desk", "safe", False)]
+    return fleets.make_config(version, routes, ["desk"], tenants)
 
 
-async def press(fleet: fleets.Fleet, node: fleets.Node, size: int) -> int:
-    """Sends large bodies to a node several times; returns how often it went over its memory."""
-    ends = 0
-    for _ in range(TIMES):
-        client = fleets.Client(fleet.record, node)
-        sends = [
-            asyncio.create_task(
-                client.send("book.example", "/book/1", method="POST", body=bytes(size))
+async def scenario(fleet: fleets.Fleet, trouble: bool) -> str:
+    """Returns what broke QUOTA, "" if it held."""
+    await fleet.start(["desk"] * 4, make_config("r3", OLD_RATE))
+    clients = [fleets.Client(fleet.record, node) for node in fleet.nodes]
+    loads = [
+        asyncio.create_task(
+            client.send_steadily(
+                SENT_PER_S / len(clients), "look.example", "/look/1", key=f"key-of-{tenant}"
             )
-            for _ in range(CLIENTS)
-        ]
-        peak_kb, killed = 0, False
-        while not killed and not all(item.done() for item in sends):
-            peak_kb = max(peak_kb, resident_kb(node))
-            if peak_kb > MEMORY_KB:
-                fleet.record.add("over its memory", node=node.name, resident_kb=peak_kb)
-                node.send(signal.SIGKILL)  # What the platform does to it.
-                node.process.wait()
-                killed = True
-            await asyncio.sleep(0.01)
-        await asyncio.gather(*sends)
-        fleet.record.add("peak", node=node.name, resident_kb=peak_kb)
-        print(f"{node.name}: {peak_kb} kB at most, {MEMORY_KB} kB allowed")
-        if killed:
-            ends += 1
-            await asyncio.sleep(RESTART_AFTER_S)
-            node.start()
-            await node.wait_ready()
-            await asyncio.sleep(fleets.CONTACT_S)
-    return ends
+        )
+        for client in clients
+        for tenant in TENANTS
+    ]
+    await asyncio.sleep(8.0)
+    fleet.store.write("config", "main", make_config("r7", NEW_RATE))
+    confirmed_at = fleet.record.add("config confirmed", version="r7")
+    await asyncio.sleep(OUTAGE_AFTER_S)
+    if trouble:
+        fleet.record.add("store down", how=HOW)
+        fleet.store.trouble = HOW
+    await asyncio.sleep(OUTAGE_S)
+    fleet.store.trouble = ""
+    fleet.record.add("store up")
+    await asyncio.sleep(WATCHED_S - OUTAGE_S - OUTAGE_AFTER_S)
+    for load in loads:
+        load.cancel()
+    return judge(fleet.record.rows, confirmed_at)
 
 
-def resident_kb(node: fleets.Node) -> int:
-    """Returns the resident memory of a node's process."""
-    text = pathlib.Path(f"/proc/{node.process.pid}/status").read_text(encoding="ascii")
-    return next(int(line.split()[1]) for line in text.splitlines() if line.startswith("VmRSS"))
+def judge(rows: list[dict], confirmed_at: float) -> str:
+    """Checks each window that begins one window after `config_apply` past the confirmation."""
+    window_s = fleets.QUOTA_WINDOW_S
+    binds_at = confirmed_at + fleets.CONFIG_APPLY_S + window_s
+    bound = (NEW_RATE * window_s + BURST) * 1.1 + 20
+    sent_at = {row["id"]: row["at"] for row in rows if row["what"] == "sent"}
+    worst = (0, "", 0.0)
+    for tenant in TENANTS:
+        runs = [
+            (sent_at[row["id"]], row["at"])
+            for row in rows
+            if row["what"] == "run" and row["tenant"] == tenant
+        ]
+        for start, _ in runs:
+            if start >= binds_at:
+                count = sum(start <= sent and at <= start + window_s for sent, at in runs)
+                worst = max(worst, (count, tenant, start - confirmed_at))
+    count, tenant, after_s = worst
+    print(f"most in a window: {count} of {tenant}, from {after_s:.2f} s on; allowed: {bound:g}")
+    return "" if count <= bound else f"QUOTA: {count} requests in a window, {bound:g} allowed"
 
 
 if __name__ == "__main__":
-    fleets.run_case(str(HERE), ("noord", "oost", "zuid"), scenario)
+    fleets.run_case(str(HERE), ("noord", "oost", "zuid", "west"), scenario)
