--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -567,6 +567,8 @@
 def run_case(folder: str, zones, scenario) -> None:
     """Runs `scenario(fleet, trouble)`, which returns what broke the rule, "" if it held; exits."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the nodes, too, if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         fleet = Fleet(pathlib.Path(folder), zones)
 
@@ -578,7 +580,7 @@
                 fleet.stop()
 
         broken = asyncio.run(run())
-    except (CaseError, OSError, TimeoutError) as error:
+    except Exception as error:  # Whatever stops the stand-ins says nothing of the rule.
         print(f"the case could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print(f"BROKEN: {broken}" if broken else "the rule held")
