Refuse late calls on open routes in a planned stop

Cause: CallerPort._admit skipped the check of the stop for calls that an upstream may have sent, and on the hosting platform every call without a key counts as one; their deadline was cut to the end of the stop nevertheless. On related paths the deadline was not cut: calls of the upstream by its own port, and calls relayed to the home of their key.

Change: each call of the callers' port is checked; both other paths end their calls before the stop.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -361,6 +361,7 @@
             self._apply_announcement,
             self.routes,
             self.events,
+            self.shutdown.limit,
             self.malformed_entries.report,
         )
         relay_port = relay.RelayPort(
--- a/bergamotridge/callers/at_most_once.py
+++ b/bergamotridge/callers/at_most_once.py
@@ -144,7 +144,9 @@
     ) -> answer.Answer:
         """Runs or joins a call that another node relayed here; returns errors as answers."""
         del token
-        outgoing = dispatch.OutgoingCall(relayed.service, relayed.context, request)
+        limited = self._shutdown.limit(relayed.context.deadline)
+        call_context = attrs.evolve(relayed.context, deadline=limited)
+        outgoing = dispatch.OutgoingCall(relayed.service, call_context, request)
         claimed = ClaimedCall(relayed.claim, relayed.route, outgoing)
         allowance = call.Allowance(relayed.retries)
         try:
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -254,10 +254,10 @@
             importance = team_settings.importance
         progress.importance = _IMPORTANCE_NAMES[importance]
         deadline = now + self._time_limit_s(route, request)
+        self.node_shutdown.check(progress.request_id, deadline, now)
         if is_nested_call:
             self.call_graph.record_call(self.origin, service)
         else:
-            self.node_shutdown.check(progress.request_id, deadline, now)
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
             self.tree_shedding.check(progress.request_id, importance, service, now)
         token_taken_at = clock.boot_time()
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -40,6 +40,8 @@
         on_announcement: Callback, run with each announcement and the monotonic time in seconds.
         routes: Provider of the current route table.
         log: Event log for failed calls to dependencies.
+        limit_deadline: Returns the deadline, in monotonic seconds, of a call that is taken now and
+            may otherwise run until the argument; earlier in a planned stop of the node.
         on_malformed: Callback, run with a report of each announcement that cannot be read.
     """
 
@@ -48,6 +50,7 @@
     on_announcement: Callable[[announcements.Announcement, float], None]
     routes: Routes
     log: events.EventLog
+    limit_deadline: Callable[[float], float]
     on_malformed: malformed.OnMalformed = malformed.ignore
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
@@ -104,9 +107,10 @@
         target = self.routes.routes().match(request.method.decode("ascii"), request.path)
         self._check_dependency(parent, target)
         now = time.monotonic()
+        deadline = min(parent.context.deadline, now + target.route.timeout_s)
         context = attrs.evolve(
             parent.context,
-            deadline=min(parent.context.deadline, now + target.route.timeout_s),
+            deadline=self.limit_deadline(deadline),
             depth=parent.context.depth + 1,
             repeatable=target.route.repeatable,
         )
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -181,3 +181,15 @@
     stop.begin(now + 3.0, closes_at)
     send_call(node, b"GET", path, *headers, node_shutdown=stop, dialect=NestedCallDialect())
     assert node.sent[0].context.deadline <= closes_at - shutdown.MARGIN_S
+
+
+# Calls without a key, taken for those of upstreams, were sent on late in a stop, and broken off.
+@pytest.mark.parametrize("headers", [(), (KEY,)])
+def test_a_stopping_node_sends_no_call_on_that_could_be_broken_off(headers):
+    node, stop = Node(), shutdown.Shutdown()
+    now = time.monotonic()
+    stop.begin(now, now + 0.5)
+    dialect = NestedCallDialect()
+    response = send_call(node, b"GET", b"/prices/1", *headers, node_shutdown=stop, dialect=dialect)
+    assert (response.status, response.header(b"bergamotridge-verdict")) == (503, b"not-run")
+    assert not node.sent
--- a/tests/test_upstreams/test_port.py
+++ b/tests/test_upstreams/test_port.py
@@ -40,6 +40,7 @@
         self.calls = live_calls.LiveCalls()
         self.sent = []
         self.announced = []
+        self.closes_at = float("inf")
         routes = routing.CurrentRoutes()
         routes.replace(operator_text.parse(OPERATORS_TEXT, "test"))
         self.port = port.UpstreamPort(
@@ -48,6 +49,7 @@
             lambda announcement, now: self.announced.append(announcement),
             routes,
             events.EventLog("h", 1, "fd"),
+            lambda deadline: min(deadline, self.closes_at),
         )
         context = call.CallContext(
             "r", "a", call.Importance.CRITICAL, time.monotonic() + 50, 2, False
@@ -67,6 +69,14 @@
         return event_loop.run(self.port.handle(request, cancellation.Token())).status
 
 
+# A stopping node let calls of its upstream run until it closed their connections.
+def test_a_call_to_a_dependency_ends_before_a_stopping_node_closes_its_connection():
+    node = FakeNode()
+    node.closes_at = time.monotonic() + 5.0
+    assert node.send_request(b"GET", b"/back", call_id=node.parent.call_id) == 200
+    assert node.sent[0][0].context.deadline == node.closes_at
+
+
 def test_a_call_to_a_dependency_inherits_request_team_deadline_and_allowance():
     node = FakeNode()
     assert node.send_request(b"GET", b"/back", call_id=node.parent.call_id) == 200
