Use a team's rate in force for held shares, also while the store is away

Cause: QuotaHolder kept a copy of each team beside its share, renewed only by the round that reads the store; a round that had begun before the change brought the old rate back. Change: a holder asks for the team in the configuration in force whenever it spends, lends or counts tokens.

--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -53,6 +53,12 @@
 
     applied_share: tuple[int, float] = (-1, 0.0)
 
+    def configure(self, team: operator_text.Team) -> None:
+        """Sets the team's rate and burst; they take effect when the share is next applied."""
+        if team is not self.team:
+            self.team = team
+            self.applied_share = (-1, 0.0)
+
     def apply_share_if_changed(self, now: float) -> None:
         """Resizes the bucket to the share usable now unless it already has that size."""
         if (self.holding.usable(now), self.holding.predecessor_loans_end) != self.applied_share:
@@ -84,6 +90,7 @@
         clock: Callable[[], float],
         restored_epoch: Callable[[], int | None] = lambda: None,
         on_malformed: malformed.OnMalformed = malformed.ignore,
+        teams: Callable[[], Mapping[str, operator_text.Team]] = dict,
     ) -> None:
         """Starts without shares; this process must already have bound the host's control port.
 
@@ -98,7 +105,10 @@
             restored_epoch: Returns the epoch of the platform's store if it began with a restoration
                 so lately that shares lost in it may still be in use, else None.
             on_malformed: Called with a report of each quota object that cannot be read.
+            teams: Returns the teams of the configuration in force. A share that is held is used
+                with their rates and bursts at once, whatever the platform answers.
         """
+        self._teams = teams
         self._restored_epoch = restored_epoch
         self._on_malformed = on_malformed
         self._host = host
@@ -128,8 +138,8 @@
     def tokens(self, now: float) -> dict[str, float]:
         """Returns the tokens that calls at this host could spend now, by team."""
         with self._lock:
-            for state in self._states.values():
-                state.apply_share(now)
+            for team in self._states:
+                self._configured_state(team).apply_share(now)
             return {
                 team: state.lending.available_tokens(now) for team, state in self._states.items()
             }
@@ -173,7 +183,7 @@
     def take(self, team: str, now: float) -> bool:
         """Spends one token of this host's share; returns False if there is none."""
         with self._lock:
-            state = self._states.get(team)
+            state = self._configured_state(team)
             if state is None:
                 return False
             state.apply_share_if_changed(now)
@@ -182,7 +192,7 @@
     def give_back(self, team: str, now: float, taken_at: float) -> None:
         """Undoes a `take` of this host's share."""
         with self._lock:
-            state = self._states.get(team)
+            state = self._configured_state(team)
             if state is not None:
                 state.apply_share(now)
                 state.lending.give_back(now, taken_at)
@@ -233,7 +243,7 @@
         self, request: quota_pb2.DrawRequest, draw: quota_pb2.TeamDraw, now: float
     ) -> quota_pb2.Grant:
         """Returns the grant for one team; settlements for an earlier process here are ignored."""
-        state = self._states.get(draw.team)
+        state = self._configured_state(draw.team)
         if state is None or state.holding.share is None:
             return quota_pb2.Grant(team=draw.team, retry_after_ms=NOT_HOLDER_RETRY_MS)
         state.apply_share(now)
@@ -254,8 +264,19 @@
             retry_after_ms=math.ceil(retry_after_s * MILLIS_PER_S),
         )
 
+    def _configured_state(self, name: str) -> _TeamState | None:
+        """Returns the state of a team with the rate and burst of the configuration in force."""
+        state = self._states.get(name)
+        if state is not None:
+            state.configure(self._teams().get(name, state.team))
+        return state
+
     def _update_state(self, team: operator_text.Team) -> _TeamState:
-        """Returns the state of a team, created if missing, with its rate and burst updated."""
+        """Returns the state of a team, created if missing, with its rate and burst updated.
+
+        The configuration in force takes precedence over the team's values in the plan, which may
+        have been made before a change.
+        """
         now = self._clock()
         with self._lock:
             state = self._states.get(team.name)
@@ -271,8 +292,7 @@
                     now, self._timings.loan_s, self._timings.max_immediate_loan_s
                 )
                 state = self._states[team.name] = _TeamState(team, team_holding, bucket)
-            state.team = team
-            state.applied_share = (-1, 0.0)
+            state.configure(self._teams().get(team.name, team))
             return state
 
     def _read_group(
@@ -312,7 +332,7 @@
         updates = {}
         with self._lock:
             for plan in plans:
-                state = states[plan.team.name]
+                state = self._configured_state(plan.team.name)
                 state.holding.observe(quotas.get(plan.team.name, quota.Quota()), version, now)
                 state.apply_share(now)
                 decision_inputs = holding.DecisionInputs(
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -169,6 +169,7 @@
             self._clock,
             self._restored_epoch,
             self._on_malformed,
+            self._teams,
         )
         self._loop_executor.submit(self._run_share_loop)
         self._loop_executor.submit(self._run_draw_loop)
