Keep confirmed leaves of upstreams apart from the latest report

The other way round, a late deregistration of an earlier start took the next start out for good.

Cause: a deregistration counted only against the last report that the process had had, and the number of its start was not read.

--- a/tests/test_platform/test_announcements.py
+++ b/tests/test_platform/test_announcements.py
@@ -111,6 +111,25 @@
     assert len(report.reason) <= malformed.MAX_REASON_LENGTH
 
 
+# A node that was started again forgot what it confirmed, and took a late report for a new one.
+@pytest.mark.parametrize("body", [b"", {"born": 1000}, b"[" * 1000, {"born": "1000"}])
+def test_a_late_heartbeat_after_a_deregistration_of_an_unknown_instance_changes_nothing(
+    handler, body
+):
+    assert _post(handler, "Deregister", body) == 200
+    assert _post(handler, "Heartbeat", VALID_FIELDS) == 200
+    assert handler.received == []
+
+
+# A deregistration that came late took the next start under the same id out for good.
+def test_a_deregistration_of_an_earlier_start_changes_nothing(handler):
+    _post(handler, "Heartbeat", VALID_FIELDS)
+    _post(handler, "Heartbeat", {**VALID_FIELDS, "seq": 1, "born": 2000})
+    assert _post(handler, "Deregister", {"born": 1000}) == 200
+    _post(handler, "Heartbeat", {**VALID_FIELDS, "seq": 2, "born": 2000})
+    assert [item.state for item in handler.received] == [record.State.READY] * 3
+
+
 def test_deregistration_of_another_instance_changes_nothing(handler):
     _post(handler, "Heartbeat", VALID_FIELDS)
     assert _post(handler, "Deregister", instance="i-0") == 200
