--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -550,6 +550,8 @@
         self._publish_announcement(self.upstream.announcement, now)
 
     def _publish_announcement(self, current: announcement.Announcement, now: float) -> None:
+        if current.state is record.State.DRAINING:
+            self.members.record_leave(current.instance, current.incarnation, now)
         if self._stopping:
             return
         was_lost = self.members.own.state is record.State.LOST
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -7,8 +7,16 @@
 import attrs
 
 from bergamotridge import answer, call, errors, events, verdict
-from bergamotridge.nodes import budget, choice, context, dependency_thresholds, record, relay
-from bergamotridge.upstreams import known_notices, local_upstream, outcome
+from bergamotridge.nodes import (
+    budget,
+    choice,
+    context,
+    dependency_thresholds,
+    leaves,
+    record,
+    relay,
+)
+from bergamotridge.upstreams import known_notices, local_upstream, notice, outcome
 from bergamotridge.util import cancellation, message
 
 SERVICE_UNAVAILABLE = 503
@@ -42,6 +50,9 @@
     def candidates(self, service: str) -> Sequence[record.UpstreamRecord]:
         """Returns the ready upstreams of a service."""
 
+    def forgotten_leave(self, host: str, now: float) -> leaves.Leave | None:
+        """Returns the leave of an upstream that the node of a host may have forgotten."""
+
 
 @attrs.frozen
 class OutgoingCall:
@@ -134,7 +145,7 @@
                 outgoing.context,
                 granted,
                 stamp,
-                upstream_notice=self._notices.notice_of(target.host),
+                upstream_notice=self._notice_for(target.host, started_at),
             )
             reply = await self._client.send(target.relay_address, relayed, outgoing.request, token)
             self._record_notice(target.host, reply, started_at)
@@ -146,6 +157,15 @@
         self._record_attempt(target, outgoing.service, reply, ended_at - started_at, ended_at)
         return reply
 
+    def _notice_for(self, host: str, now: float) -> notice.UpstreamNotice | None:
+        """Returns what this node knows of the upstream on a host that its node may not know."""
+        known = self._notices.notice_of(host)
+        leave = self._directory.forgotten_leave(host, now)
+        if leave is None or (known and known.upstream.incarnation > leave.incarnation):
+            return known
+        upstream = notice.UpstreamId(leave.instance, leave.incarnation)
+        return notice.UpstreamNotice(upstream, notice.Notice(leaving=True))
+
     def _record_notice(self, host: str, reply: answer.Answer, sent_at: float) -> None:
         """Takes in what the answer of another node says of its upstream.
 
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -307,6 +307,8 @@
         relay_address=item.relay_address,
         control_address=item.control_address,
         operators_address=item.operators_address,
+        left_instance=item.left_instance,
+        left_incarnation=item.left_incarnation,
     )
     record.check(decoded)
     record.check_order(item.incarnation, item.detail_version)
--- a/bergamotridge/nodes/membership.py
+++ b/bergamotridge/nodes/membership.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from bergamotridge.nodes import change_log, record
+from bergamotridge.nodes import change_log, leaves, record
 from bergamotridge.util import fields
 
 MISSED_HEARTBEATS_UNTIL_LOST = 3
@@ -63,6 +63,7 @@
         self._log = change_log.ChangeLog()
         self._ready_by_service: dict[str, tuple[record.UpstreamRecord, ...]] | None = None
         self._size: int | None = None
+        self._forgotten_leaves = leaves.ForgottenLeaves()
         self._listeners: list[Callable[[record.UpstreamRecord, Change], None]] = []
         self._announced_at: float | None = None
         self._load_published_at = float("-inf")
@@ -119,6 +120,16 @@
             index = self._build_ready_by_service()
         return index.get(service, ())
 
+    def forgotten_leave(self, host: str, now: float) -> leaves.Leave | None:
+        """Returns the leave of an upstream that the process on a host may not know of.
+
+        Args:
+            host: Name of the host.
+            now: Monotonic time in seconds.
+        """
+        with self._lock:
+            return self._forgotten_leaves.of(host, now)
+
     def announce(
         self, service: str, state: record.State, slots: int, load: float, now: float
     ) -> None:
@@ -139,6 +150,21 @@
             elif self._load_needs_publishing(load, now):
                 self._publish(now, load=load)
 
+    def record_leave(self, instance: str, incarnation: int, now: float) -> None:
+        """Publishes which upstream on this host has said that it leaves.
+
+        Other nodes keep that for a process that follows this one.
+
+        Args:
+            instance: Id of the upstream, "" if it has none.
+            incarnation: Number of its start.
+            now: Monotonic time in seconds.
+        """
+        with self._lock:
+            own = self.own
+            if (own.left_instance, own.left_incarnation) != (instance, incarnation):
+                self._publish(now, left_instance=instance, left_incarnation=incarnation)
+
     def publish_lost(self, now: float) -> None:
         """Publishes the state LOST for this host, so that it gets no more calls.
 
@@ -246,6 +272,7 @@
         elif (*item.record.order, item.suspected) > entry.precedence:
             known = (entry.record.incarnation, entry.detail_version)
             details_changed = known != (item.record.incarnation, item.detail_version)
+            self._forgotten_leaves.record(entry.record, item.record, now)
             entry.record, entry.detail_version = item.record, item.detail_version
             self._store_update(entry, item.suspected, source, now, details_changed=details_changed)
 
--- a/bergamotridge/nodes/record.py
+++ b/bergamotridge/nodes/record.py
@@ -43,6 +43,8 @@
         relay_address: IP:PORT for relayed calls.
         control_address: IP:PORT for control messages.
         operators_address: IP:PORT for requests of operators.
+        left_instance: Id of the upstream that said last that it leaves, "" if it has no id.
+        left_incarnation: Number of the start of that upstream, 0 if none has said so.
     """
 
     host: str
@@ -57,6 +59,8 @@
     relay_address: str
     control_address: str
     operators_address: str = ""
+    left_instance: str = ""
+    left_incarnation: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -83,6 +87,8 @@
     addresses.parse(item.control_address)
     if item.operators_address:
         addresses.parse(item.operators_address)
+    fields.text("left_instance", item.left_instance, min_length=0)
+    fields.whole_number("left_incarnation", item.left_incarnation, 0, fields.MAX_INTEGER)
 
 
 def check_order(incarnation: int, version: int) -> None:
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -49,6 +49,9 @@
     def candidates(self, service):
         return [make_record(host) for host in HOSTS]
 
+    def forgotten_leave(self, host, now):
+        return None
+
     def choose(self, candidates, excluded, now, may_probe):
         return next((item for item in candidates if item.host not in excluded), None)
 
--- a/tests/test_nodes/test_dispatch_notices.py
+++ b/tests/test_nodes/test_dispatch_notices.py
@@ -4,7 +4,7 @@
 import time
 
 from bergamotridge import answer, call, verdict
-from bergamotridge.nodes import dispatch, record
+from bergamotridge.nodes import dispatch, leaves, record
 from bergamotridge.upstreams import notice
 from bergamotridge.util import cancellation, message
 from tests import event_loop
@@ -70,3 +70,22 @@
 
 def test_a_notice_that_comes_late_is_kept():
     assert event_loop.run(notice_sent_after([(1, None), (0, LEAVING)])) == LEAVING
+
+
+# A node that was started anew took a late report of an upstream whose leave it had confirmed.
+def test_a_leave_that_a_node_may_have_forgotten_goes_along_with_calls_to_it():
+    fleet = HeldAnswers()
+    fleet.forgotten_leave = lambda host, now: leaves.Leave("i-1", 1000)
+    dispatcher = test_dispatch.make_dispatcher(fleet)
+
+    async def send_call(given):
+        sending = dispatcher.send(make_call(), call.Allowance(0), cancellation.Token())
+        task = asyncio.get_running_loop().create_task(sending)
+        await asyncio.sleep(0)
+        fleet.answers[-1].set_result(given)
+        await task
+        return fleet.relayed[-1].upstream_notice
+
+    next_start = notice.UpstreamNotice(notice.UpstreamId("i-2", 2000), notice.Notice(9.0))
+    assert event_loop.run(send_call(next_start)) == LEAVING
+    assert event_loop.run(send_call(next_start)) == next_start
