Give the simulation of crashing requests one history a seed

Cause: the model kept the running calls in a set of futures, whose order is that of their addresses, so a crash ended them in another order in each process. Change: a dict, in the order of the calls. The checks are unchanged. Over how many seeds the check fails is being measured.

--- a/tests/test_upstreams/crashing_fleet.py
+++ b/tests/test_upstreams/crashing_fleet.py
@@ -108,7 +108,7 @@
         )
         self.incarnation = 1
         self.is_up = True
-        self.running = set()
+        self.running = {}  # Futures in the order of their calls, so that a seed gives one history.
 
     def announcement(self):
         return announcement.Announcement(
@@ -141,13 +141,13 @@
     async def _work(self, run):
         self.fleet.sent(run.request.target)
         current, future = self.announcement(), self.fleet.loop.create_future()
-        self.running.add(future)
+        self.running[future] = None
         run.token.on_cancel(lambda: future.done() or future.set_result("revoked"))
         work_s = self.fleet.rng.uniform(MIN_WORK_S, MAX_WORK_S)
         timer = self.fleet.loop.call_later(work_s, self._end_run, run, future)
         result = await future
         timer.cancel()
-        self.running.discard(future)
+        self.running.pop(future, None)
         if result == "lost" and await self.quarantine.record_lost_connection(run, current):
             return "upstream-crashed"
         run.completed = result == "ok"
