Keep signals from the first line of the program on

A stop that came later in the start counted from its end, beyond the grace time.

Cause: the handlers were installed after the imports, and the times of a stop counted from when the main thread came to it. Change: process_signals keeps signals before the rest is imported, with the time of the first stop; all times count from it, and a node that is asked to stop before it serves doesn't begin.

Evidence: on the two tests that send a signal at each import ended with -1 and -15; they pass. The process tests of kills and late requests, of commands and of the docs pass (94). The users' three LOST were not reproduced.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -489,13 +489,18 @@
             task.start()
         self.events.emit("node.started", incarnation=self.incarnation)
 
-    def stop(self) -> None:
-        """Shuts down gracefully: running calls may finish until the drain time has passed."""
+    def stop(self, requested_at: float) -> None:
+        """Shuts down gracefully: running calls may finish until the drain time has passed.
+
+        Args:
+            requested_at: Monotonic time in seconds from which the times of the stop count; earlier
+                than now if the stop was asked for while the node was being started.
+        """
         self._stopping = True
-        self.events.emit("node.stopping")
         limits, now = self.settings.limits, time.monotonic()
-        drain_deadline = now + limits.drain_s
-        notice_deadline = now + min(limits.notice_s, limits.drain_s)
+        self.events.emit("node.stopping", requested_s_ago=round(now - requested_at, 3))
+        drain_deadline = requested_at + limits.drain_s
+        notice_deadline = requested_at + min(limits.notice_s, limits.drain_s)
         # The times are fixed before anything that can take long.
         self.shutdown.begin(notice_deadline, drain_deadline)
         self.members.publish_lost(now)
@@ -506,7 +511,7 @@
         self.gossip.start_urgent_round()
         self.team_rates.start_return()
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
-        after_s = round(time.monotonic() - now, 3)
+        after_s = round(time.monotonic() - requested_at, 3)
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
         self.caller_server.stop(max(0.0, drain_deadline - time.monotonic()))
         self.relay_server.stop(max(0.0, drain_deadline - time.monotonic()))
--- a/bergamotridge/commands/node.py
+++ b/bergamotridge/commands/node.py
@@ -2,7 +2,7 @@
 
 from absl import flags
 
-from bergamotridge import settings
+from bergamotridge import process_signals, settings
 
 
 def define_flags(values: flags.FlagValues) -> None:
@@ -15,10 +15,11 @@
 def run(values: flags.FlagValues, arguments: list[str]) -> int:
     """Runs the node until it receives a signal to stop, and returns its exit code."""
     del arguments
+    signals = process_signals.ReceivedSignals()
     # Imported here so that --help does not import the servers.
     from bergamotridge import daemon
 
     def read() -> settings.NodeSettings:
         return settings.load(values.settings)
 
-    return daemon.run(read(), read=read)
+    return daemon.run(read(), signals, read=read)
--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -1,7 +1,6 @@
 """Runs a node as a process: signals, logging, garbage collection, start and stop."""
 
 import gc
-import queue
 import signal
 import sys
 import time
@@ -10,11 +9,10 @@
 import attrs
 import logbook
 
-from bergamotridge import application, environment, errors, logs, settings
+from bergamotridge import application, environment, errors, logs, process_signals, settings
 
 SWITCH_INTERVAL_S = 0.0005
 GC_THRESHOLD_ALLOCATIONS = 20_000
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 _log = logbook.Logger(__name__)
 
@@ -59,6 +57,7 @@
 
 def run(
     node: settings.NodeSettings,
+    signals: process_signals.ReceivedSignals,
     node_environment: environment.Environment | None = None,
     read: Callable[[], settings.NodeSettings] | None = None,
 ) -> int:
@@ -66,17 +65,32 @@
 
     Args:
         node: Checked settings.
+        signals: Signals that came since the start of the process, and those to come.
         node_environment: Parts that a platform adapter replaces; `Environment()` if None.
         read: Reads the settings file again on SIGHUP; if None, SIGHUP is ignored.
+
+    Raises:
+        AddressInUseError: Another process listens on a port of the node.
     """
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
     logs.setup(node, incarnation)
-    received_signals: queue.SimpleQueue[int] = queue.SimpleQueue()
-    for number in SIGNALS:
-        signal.signal(number, lambda number, _: received_signals.put(number))
     node_application = application.Application(node, incarnation, node_environment)
     node_application.events.add_listener(logs.EventWriter())
+    if signals.stop_requested_at is None:
+        _serve(node, node_application, signals, read)
+    _log.info("node on host '{}' stopped", node.host)
+    signals.ignore_further()
+    return 0
+
+
+def _serve(
+    node: settings.NodeSettings,
+    node_application: application.Application,
+    signals: process_signals.ReceivedSignals,
+    read: Callable[[], settings.NodeSettings] | None,
+) -> None:
+    """Starts the node, and stops it when a signal asks for it."""
     node_application.start()
     # Objects that exist after the start live as long as the process; freezing them keeps the
     # garbage collector from traversing them in each collection.
@@ -84,12 +98,7 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     _log.info("node on host '{}' started", node.host)
-    while received_signals.get() == signal.SIGHUP:
-        if read is not None:
+    while signals.wait() == signal.SIGHUP:
+        if read is not None and signals.stop_requested_at is None:
             log_changed_settings(node, read)
-    node_application.stop()
-    _log.info("node on host '{}' stopped", node.host)
-    # The interpreter restores the default actions at its end, but leaves ignored signals ignored.
-    for number in SIGNALS:
-        signal.signal(number, signal.SIG_IGN)
-    return 0
+    node_application.stop(signals.stop_requested_at)
--- /dev/null
+++ b/tests/test_platform/test_process_start.py
@@ -0,0 +1,167 @@
+"""Signals and faults around the start of the program, with its real command and settings."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import sysconfig
+import time
+import tomllib
+
+import pytest
+
+from standins import processes
+from tests import source
+
+SERVING_LINE = "started"
+INTERNAL_PORTS = 2
+# Moments after a process began to keep signals, up to some time after it serves, in seconds.
+SIGNAL_TIMES_S = tuple(0.1 * step for step in range(10))
+# Starts the program and sends it a signal at each import of one of its modules but the first.
+SIGNALLED_START = """
+import os, runpy, sys
+
+number, script = int(sys.argv[1]), sys.argv[2]
+FIRST = ("bergamotridge", "bergamotridge.process_signals")
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name.partition(".")[0] in ("bergamotridge", "hosting") and name not in FIRST:
+            os.kill(os.getpid(), number)
+
+sys.meta_path.insert(0, Finder())
+sys.path.insert(0, os.path.dirname(script))
+runpy.run_path(script, run_name="__main__")
+"""
+BOUNDS = (
+    "grace=1s,drain=200ms,config_apply=2000ms,retry_budget_ratio=0.2,retry_budget_slack=48,"
+    "budget_window=10s,quota_window=5s,quota_overshoot=0.1,quota_slack=20"
+)
+
+
+def reserve_ports(count):
+    """Returns ports that were free a moment ago; the first two follow each other."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+            for item in sockets:
+                item.bind(("127.0.0.1", 0))
+            ports = [item.getsockname()[1] for item in sockets]
+            with contextlib.suppress(OSError), socket.socket() as second:
+                second.bind(("127.0.0.1", ports[0] + 1))
+                return ports
+
+
+class Program:
+    """A node that runs on the settings of a machine, as the deploy file starts it."""
+
+    def __init__(self, folder):
+        self.ports = reserve_ports(7)
+        self._settings = folder / "node.conf"
+        self._log = folder / "node.log"
+        internal, callers, relay, ready, control, upstream, store = self.ports
+        self._settings.write_text(
+            "node_id=sidecar-1\nzone=a\nregion=r\nip=127.0.0.1\nservice=slots\nheartbeat=1500ms\n"
+            f"internal_ports={internal},{internal + INTERNAL_PORTS}\n"
+            f"listen.outbound=127.0.0.1:{callers}\nlisten.inbound=127.0.0.1:{relay}\n"
+            f"listen.ready=127.0.0.1:{ready}\nlisten.control=127.0.0.1:{control}\n"
+            f"app_addr=127.0.0.1:{upstream}\nplatform.address=127.0.0.1:{store}\nbounds={BOUNDS}\n",
+            encoding="utf-8",
+        )
+
+    def start(self, signal_at_imports=None):
+        deploy = tomllib.loads((source.ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+        _, *arguments = deploy["roles"]["node"]["run"].split()
+        if signal_at_imports is not None:
+            number = str(int(signal_at_imports))
+            arguments = [*arguments[:-1], "-c", SIGNALLED_START, number, arguments[-1]]
+        with self._log.open("wb") as log:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=source.ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": sysconfig.get_path("purelib"),
+                    "BERGAMOTRIDGE_CONFIG": str(self._settings),
+                },
+            )
+
+    def write_settings(self, content):
+        self._settings.write_bytes(content)
+
+    def log(self):
+        return self._log.read_text(encoding="utf-8")
+
+    def wait_for_line(self, text, process):
+        def is_logged():
+            assert process.poll() is None, f"the process ended with {process.returncode}"
+            return text in self.log()
+
+        processes.wait_until(is_logged, f"the node logs '{text}'")
+
+    def wait_for_handlers(self, process):
+        """Waits until the process keeps SIGHUP, which the interpreter does not at its own start."""
+        bit = 1 << (signal.SIGHUP - 1)
+
+        def keeps_signal():
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+            caught = next(line for line in status.splitlines() if line.startswith("SigCgt"))
+            return int(caught.split()[1], 16) & bit
+
+        processes.wait_until(keeps_signal, "the process keeps SIGHUP")
+
+
+@pytest.fixture
+def program(tmp_path):
+    return Program(tmp_path)
+
+
+def end(process):
+    """Asks a process to stop and returns its exit code."""
+    process.terminate()
+    try:
+        return process.wait(60)
+    finally:
+        process.kill()
+        process.wait()
+
+
+# A settings reload within the first third of a second of a node ended its process.
+def test_no_reload_during_the_imports_of_the_program_ends_it(program):
+    process = program.start(signal_at_imports=signal.SIGHUP)
+    program.wait_for_line(SERVING_LINE, process)
+    assert end(process) == 0
+
+
+# A stop during the imports ended the process by the signal, without a line.
+def test_a_stop_during_the_imports_of_the_program_ends_it_in_order_before_it_serves(program):
+    process = program.start(signal_at_imports=signal.SIGTERM)
+    assert process.wait(60) == 0
+    assert "stopped" in program.log() and SERVING_LINE not in program.log()
+
+
+def test_no_reload_at_any_moment_of_the_start_ends_the_process(program):
+    for delay_s in SIGNAL_TIMES_S:
+        process = program.start()
+        program.wait_for_handlers(process)
+        time.sleep(delay_s)
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
+        program.wait_for_line(SERVING_LINE, process)
+        assert process.poll() is None, delay_s
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.parametrize("delay_s", SIGNAL_TIMES_S[::3])
+def test_a_stop_at_any_moment_of_the_start_ends_the_process_in_order(program, delay_s):
+    process = program.start()
+    program.wait_for_handlers(process)
+    time.sleep(delay_s)
+    assert end(process) == 0
+    assert "stopped" in program.log()
