End a node whose datagram port is in use

Cause: the port was opened after the part of Application.start that is undone on a failure.

Evidence: test_a_port_in_use_ends_the_process... failed for both kinds of port on (the stream port by its traceback only) and passes.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -471,6 +471,7 @@
                 self.caller_server,
                 self.operator_port,
                 *([self.ready_server] if self.ready_server else []),
+                self.freshness_port,
             ):
                 part.start()
                 started.append(part)
@@ -480,7 +481,6 @@
             self.control.stop(0)
             raise
         self.control.start()
-        self.freshness_port.start()
         self.gossip.start()
         # Quota shares that this host held may be taken over only by the process that has bound the
         # host's ports.
--- a/tests/test_platform/test_process_start.py
+++ b/tests/test_platform/test_process_start.py
@@ -165,3 +165,20 @@
     time.sleep(delay_s)
     assert end(process) == 0
     assert "stopped" in program.log()
+
+
+# The start failed halfway, and the process stayed without answering signals.
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_a_port_in_use_ends_the_process_with_an_error_that_names_the_address(program, kind):
+    with socket.socket(socket.AF_INET, kind) as taken:
+        taken.bind(("127.0.0.1", program.ports[0]))
+        if kind == socket.SOCK_STREAM:
+            taken.listen()
+        process = program.start()
+        try:
+            assert process.wait(60) == 1
+        finally:
+            process.kill()
+            process.wait()
+    assert f"127.0.0.1:{program.ports[0]}" in program.log()
+    assert "Traceback" not in program.log()
