--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -49,6 +49,10 @@
     except errors.SettingsError as error:
         _log.error("settings not reloaded, the node keeps the settings it started with: {}", error)
         return
+    except Exception:
+        # The process must not end by what the file holds.
+        _log.exception("settings not reloaded, the node keeps the settings it started with")
+        return
     if changed:
         _log.warning("settings changed, restart the node to apply them: {}", changed)
     else:
--- a/tests/test_platform/test_process_start.py
+++ b/tests/test_platform/test_process_start.py
@@ -182,3 +182,13 @@
             process.wait()
     assert f"127.0.0.1:{program.ports[0]}" in program.log()
     assert "Traceback" not in program.log()
+
+
+# The process no longer answered signals after it had read settings that are not UTF-8.
+def test_settings_that_cannot_be_read_are_logged_and_the_node_goes_on(program):
+    process = program.start()
+    program.wait_for_line(SERVING_LINE, process)
+    program.write_settings(b"node_id=\xff\xfe\n")
+    process.send_signal(signal.SIGHUP)
+    program.wait_for_line("settings not reloaded", process)
+    assert end(process) == 0
