--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -16,6 +16,9 @@
 
 EPOCH_HEADER = "Store-Epoch"  # Rises when the store was restored from an earlier copy.
 MAX_EPOCH_DIGITS = 18  # Such numbers fit into 64 bits.
+# A reply may come without end. A list of all objects of a kind fits, and so does any one object.
+MAX_REPLY_BODY_BYTES = 16_777_216
+MAX_REPLY_HEAD_BYTES = 65_536
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -86,6 +89,34 @@
         return int(value)
 
 
+class _ReplyBuffer:
+    """A response that is being read; one that exceeds its limits ends the request.
+
+    Attributes:
+        body: The body so far.
+        header_lines: The lines of the head so far.
+    """
+
+    def __init__(self) -> None:
+        self.body = io.BytesIO()
+        self.header_lines: list[bytes] = []
+        self._head_bytes = 0
+
+    def write_body(self, data: bytes) -> int | None:
+        """Appends a piece of the body; a number other than its length ends the request."""
+        if self.body.tell() + len(data) > MAX_REPLY_BODY_BYTES:
+            return 0
+        return self.body.write(data)
+
+    def write_header(self, line: bytes) -> int | None:
+        """Appends a line of the head; a number other than its length ends the request."""
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_REPLY_HEAD_BYTES:
+            return 0
+        self.header_lines.append(line)
+        return None
+
+
 class Transport:
     """Sends single HTTP requests to the platform; safe to share between threads.
 
@@ -128,8 +159,7 @@
                 "the client of the platform is closed; create a new one"
             )
         handle = self._thread_handle()
-        body_buffer = io.BytesIO()
-        header_lines: list[bytes] = []
+        reply = _ReplyBuffer()
         handle.reset()
         handle.setopt(pycurl.URL, self._base_url + path)
         handle.setopt(pycurl.CUSTOMREQUEST, method)
@@ -143,8 +173,8 @@
         handle.setopt(pycurl.FRESH_CONNECT, int(method != "GET"))
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(self.timeout_s * 1000))
         handle.setopt(pycurl.TIMEOUT_MS, int((timeout_s or self.timeout_s) * 1000))
-        handle.setopt(pycurl.WRITEFUNCTION, body_buffer.write)
-        handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+        handle.setopt(pycurl.WRITEFUNCTION, reply.write_body)
+        handle.setopt(pycurl.HEADERFUNCTION, reply.write_header)
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self._closed))
         if body is not None:
@@ -157,8 +187,8 @@
             raise errors.PlatformUnavailableError(message) from error
         return Reply(
             handle.getinfo(pycurl.RESPONSE_CODE),
-            body_buffer.getvalue(),
-            _parse_header_lines(header_lines),
+            reply.body.getvalue(),
+            _parse_header_lines(reply.header_lines),
         )
 
     def _thread_handle(self) -> pycurl.Curl:
--- a/tests/test_util/test_endless_answers.py
+++ b/tests/test_util/test_endless_answers.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from bergamotridge import verdict
+from bergamotridge import errors, verdict
+from bergamotridge.store import client
 from bergamotridge.util import http_client, message
 from tests import event_loop
 
@@ -83,3 +84,28 @@
     assert max(held) <= ANSWERS_BYTES and held[-1] == 0
     assert sum(error.memory_exceeded for error in failures) >= FLOODS // 2
     assert {error.verdict for error in failures} == {verdict.Verdict.MAY_HAVE_RUN}
+
+
+# A reply of the platform was kept whole, however long it was, until the time limit of the request.
+@pytest.mark.parametrize("part", ["body", "head"])
+def test_a_reply_of_the_platform_without_end_ends_the_request(part):
+    sent = []
+
+    async def flood(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEADS["until close"][: -2 if part == "head" else None])
+            while not writer.is_closing():
+                writer.write(b"x-more: 1\r\n" * 1000 if part == "head" else PIECE)
+                await writer.drain()
+                sent.append(1)
+        writer.close()
+
+    async def run():
+        async with serving(flood) as address:
+            transport = client.Transport(address, 30.0)
+            await asyncio.to_thread(transport.perform, "GET", "/objects/configuration")
+
+    with pytest.raises(errors.PlatformUnavailableError) as caught:
+        event_loop.run(run())
+    assert "timed out" not in str(caught.value).lower()
