Take signals in a thread of their own

Cause: the kernel hands a signal to another thread while the main one still has an earlier one before it. Python runs handlers in the main thread only, and nothing wakes it from its wait, so a SIGTERM right after a SIGHUP is not taken until the next one. Change: signals are blocked in all threads and taken by sigwait in a thread that waits for nothing else.

--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -84,7 +84,6 @@
     if signals.stop_requested_at is None:
         _serve(node, node_application, signals, read)
     _log.info("node on host '{}' stopped", node.host)
-    signals.ignore_further()
     return 0
 
 
--- a/bergamotridge/process_signals.py
+++ b/bergamotridge/process_signals.py
@@ -5,28 +5,35 @@
 
 import queue
 import signal
+import threading
 import time
-from types import FrameType
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
 
 class ReceivedSignals:
-    """Keeps the signals that come to the process, in their order."""
+    """Keeps the signals that come to the process, in their order.
+
+    They are blocked in all threads and taken by one that waits for nothing else. A Python handler
+    runs in the main thread when that thread next runs Python code. It may run late, or not at all:
+    the kernel hands a signal to another thread if the main one still has an earlier signal before
+    it, and then nothing wakes the main thread from what it waits for.
+    """
 
     def __init__(self) -> None:
-        """Takes over the signals; to be called in the main thread."""
+        """Takes over the signals; to be called in the main thread before others are started."""
         self._numbers: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._stop_requested_at: float | None = None
-        for number in SIGNALS:
-            signal.signal(number, self._keep)
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        threading.Thread(target=self._receive, name="signals", daemon=True).start()
 
-    def _keep(self, number: int, frame: FrameType | None) -> None:
-        del frame
-        if number in STOP_SIGNALS and self._stop_requested_at is None:
-            self._stop_requested_at = time.monotonic()
-        self._numbers.put(number)
+    def _receive(self) -> None:
+        while True:
+            number = signal.sigwait(SIGNALS)
+            if number in STOP_SIGNALS and self._stop_requested_at is None:
+                self._stop_requested_at = time.monotonic()
+            self._numbers.put(number)
 
     @property
     def stop_requested_at(self) -> float | None:
@@ -36,11 +43,3 @@
     def wait(self) -> int:
         """Returns the number of the next signal, as soon as it has come."""
         return self._numbers.get()
-
-    def ignore_further(self) -> None:
-        """Lets no signal end the process any more.
-
-        The interpreter restores the default actions at its end, but leaves ignored signals ignored.
-        """
-        for number in SIGNALS:
-            signal.signal(number, signal.SIG_IGN)
--- a/tests/test_platform/test_process_start.py
+++ b/tests/test_platform/test_process_start.py
@@ -110,8 +110,8 @@
 
         def keeps_signal():
             status = pathlib.Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
-            caught = next(line for line in status.splitlines() if line.startswith("SigCgt"))
-            return int(caught.split()[1], 16) & bit
+            blocked = next(line for line in status.splitlines() if line.startswith("SigBlk"))
+            return int(blocked.split()[1], 16) & bit
 
         processes.wait_until(keeps_signal, "the process keeps SIGHUP")
 
