--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -405,6 +405,7 @@
                 503, f"too many connections to the port '{name}', try again later", "connections"
             ),
             bounds=self._request_bounds if name == "callers" else None,
+            on_turned_away=functools.partial(self.node_metrics.count_turned_away, name),
             event_loop=self.loop,
         )
 
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -87,6 +87,12 @@
             "Calls for the local upstream under whose like upstreams have crashed, by decision: "
             "trial, revoked while it ran, or the reason for which they were held back.",
         )
+        self._turned_away = registry.counter(
+            f"{METRIC_PREFIX}connections_turned_away_total",
+            "Connections refused, or closed before a call was taken from them, by port and "
+            "cause: full, idle or head (as the port had all connections that it may have), or "
+            "input-STATUS (as what came could not be read, or not in time).",
+        )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._register_gauges(registry)
@@ -124,6 +130,10 @@
             cell = self._event_cells[key] = self._events.labelled(kind=event.kind, cause=cause)
         cell.add()
 
+    def count_turned_away(self, port: str, cause: str) -> None:
+        """Counts one connection that a port has turned away."""
+        self._turned_away.add(port=port, cause=cause)
+
     def count_platform_request(self, kind: str, operation: str, result: str) -> None:
         """Counts one request to the platform; see `store.counted`."""
         self._platform_requests.add(kind=kind, operation=operation, result=result)
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -7,7 +7,7 @@
 import httptools
 import logbook
 
-from bergamotridge.util import cancellation, loop, message, request_reader
+from bergamotridge.util import cancellation, connection_table, loop, message, request_reader
 
 logger = logbook.Logger(__name__)
 
@@ -27,12 +27,13 @@
     refusal: bytes
     closing: bool
     on_arrival: Callable[[], None]
+    connections: connection_table.ConnectionTable
 
     def admit(self, connection: "Connection") -> bool:
         """Registers a new connection; returns False if the server is full."""
 
-    def remove(self, connection: "Connection") -> None:
-        """Removes a connection that has ended."""
+    def report_turned_away(self, cause: str) -> None:
+        """Counts a connection that is closed without an answer of the handler."""
 
 
 class Connection(asyncio.Protocol):
@@ -76,6 +77,7 @@
         self._server.on_arrival()
         if self._input_ended:
             return
+        self._server.connections.mark_busy(self)
         reader = self._reader
         try:
             reader.feed(data)
@@ -115,7 +117,7 @@
         self._end_input()
         if self._write_waiter is not None:
             loop.complete_future(self._write_waiter)
-        self._server.remove(self)
+        self._server.connections.remove(self)
 
     def pause_writing(self) -> None:
         """Makes the task wait until the client has taken the response."""
@@ -169,6 +171,7 @@
         """Refuses invalid or late input with `status`, after the earlier requests are answered."""
         self._clear_input_timers()
         self._refusal_status = status
+        self._server.report_turned_away(f"input-{status}")
         self._end_input()
 
     def _end_input(self) -> None:
@@ -246,6 +249,8 @@
             await self._wait_until_written()
         self.token = None
         self.idle_since = self._event_loop.time()
+        if keep_alive and not self._reader.has_input:
+            server.connections.mark_idle(self, self.idle_since)
         return keep_alive
 
     async def _wait_until_written(self) -> None:
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server on an event loop: one task for each keep-alive connection."""
 
 import asyncio
+import collections
 import contextlib
 import socket
 from collections.abc import Callable
@@ -8,7 +9,14 @@
 import logbook
 
 from bergamotridge import errors
-from bergamotridge.util import addresses, http_connection, loop, message, request_reader
+from bergamotridge.util import (
+    addresses,
+    connection_table,
+    http_connection,
+    loop,
+    message,
+    request_reader,
+)
 
 LISTEN_BACKLOG = 1024
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -19,6 +27,7 @@
 HEADER_BYTES = 65_536
 HEADER_TIMEOUT_S = 10.0
 IDLE_S = 75.0
+REPORT_INTERVAL_S = 1.0  # A flood of connections must not flood the log.
 
 Handler = http_connection.Handler
 
@@ -30,6 +39,10 @@
     return addresses.parse(address, min_port=addresses.ANY_PORT).pair
 
 
+def _ignore_cause(cause: str) -> None:
+    del cause
+
+
 class Server:
     """Listens on one address and passes each complete request to a handler.
 
@@ -43,6 +56,7 @@
         refusal: Serialized response to a connection above the limit.
         closing: True once each response closes its connection.
         on_arrival: Called for each piece of a request that arrives.
+        connections: The open connections.
     """
 
     def __init__(
@@ -56,6 +70,7 @@
         refusal: message.Response,
         idle_s: float = IDLE_S,
         bounds: Callable[[], request_reader.RequestLimits] | None = None,
+        on_turned_away: Callable[[str], None] = _ignore_cause,
         event_loop: loop.Loop,
     ) -> None:
         """Creates the server; it does not listen before `start`.
@@ -69,6 +84,8 @@
             refusal: Response to a connection above `connections`.
             idle_s: Seconds without data from the client after which a connection is closed.
             bounds: Returns the limits now in force; replaces `body_limit` and `idle_s`.
+            on_turned_away: Called with the cause for each connection that is closed or refused as
+                the server is full, or as its input is refused.
             event_loop: The event loop that runs the server; `start` and `stop` are called from
                 other threads.
         """
@@ -84,7 +101,10 @@
         self._address = address
         self._max_connections = connections
         self._event_loop_thread = event_loop
-        self._connections: set[http_connection.Connection] = set()
+        self.connections = connection_table.ConnectionTable(connections)
+        self._on_turned_away = on_turned_away
+        self._turned_away: collections.Counter[str] = collections.Counter()
+        self._reported_at = float("-inf")
         self._asyncio_server: asyncio.Server | None = None
         self._idle_check: asyncio.Task | None = None
 
@@ -139,14 +159,14 @@
         if self._idle_check is not None:
             self._idle_check.cancel()
         await self._cancel_running_calls()
-        for connection in list(self._connections):
+        for connection in self.connections:
             connection.close()
         # Aborted connections are removed in the next iteration of the loop.
         await asyncio.sleep(0)
 
     async def _cancel_running_calls(self) -> None:
         """Cancels the running calls and waits until they are answered, `CANCEL_GRACE_S` at most."""
-        running = [item for item in self._connections if item.token is not None]
+        running = [item for item in self.connections if item.token is not None]
         if not running:
             return
         _log.warning("the server '{}' stops and cuts off {} running calls", self.name, len(running))
@@ -154,7 +174,7 @@
             connection.token.cancel()
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + CANCEL_GRACE_S
-        while event_loop.time() < deadline and not self._connections.isdisjoint(running):
+        while event_loop.time() < deadline and any(item in running for item in self.connections):
             await asyncio.sleep(CANCEL_CHECK_INTERVAL_S)
 
     def _stop_accepting(self) -> None:
@@ -166,32 +186,40 @@
         """Returns whether no call runs and all connections were idle for `STOP_IDLE_S` seconds."""
         return all(
             connection.token is None and now - connection.idle_since >= STOP_IDLE_S
-            for connection in self._connections
+            for connection in self.connections
         )
 
     def admit(self, connection: http_connection.Connection) -> bool:
         """Registers a new connection; returns False if the server is full.
 
-        A full server first evicts the connection with the oldest incomplete head.
+        A full server first makes room as `connection_table.ConnectionTable` describes.
         """
-        if len(self._connections) >= self._max_connections and not self._evict_oldest_head():
+        decision = self.connections.admit(connection, asyncio.get_running_loop().time())
+        if decision.turned_away is None:
+            return True
+        self.report_turned_away(decision.cause.value)
+        if decision.turned_away is connection:
             return False
-        self._connections.add(connection)
+        decision.turned_away.evict()
         return True
 
-    def remove(self, connection: http_connection.Connection) -> None:
-        """Removes a connection that has ended."""
-        self._connections.discard(connection)
-
-    def _evict_oldest_head(self) -> bool:
-        """Closes the connection with the oldest incomplete head; returns False if there is none."""
-        waiting = [item for item in self._connections if item.head_started_at is not None]
-        if not waiting:
-            return False
-        oldest = min(waiting, key=lambda item: item.head_started_at)
-        self._connections.discard(oldest)
-        oldest.evict()
-        return True
+    def report_turned_away(self, cause: str) -> None:
+        """Counts a connection that was closed for `cause`, and logs a bounded number of them."""
+        self._on_turned_away(cause)
+        self._turned_away[cause] += 1
+        now = asyncio.get_running_loop().time()
+        if now - self._reported_at < REPORT_INTERVAL_S:
+            return
+        self._reported_at = now
+        _log.warning(
+            "the port '{}' has turned connections away, by cause: {}; open: {} of {}, idle: {}",
+            self.name,
+            dict(self._turned_away),
+            len(self.connections),
+            self._max_connections,
+            self.connections.idle_count,
+        )
+        self._turned_away.clear()
 
     async def _close_idle_connections(self) -> None:
         """Closes idle connections periodically, until cancelled."""
@@ -201,6 +229,6 @@
                 bounds = self.bounds()
                 await asyncio.sleep(min(IDLE_CHECK_INTERVAL_S, bounds.idle_s))
                 idle_before = event_loop.time() - bounds.idle_s
-                for connection in list(self._connections):
+                for connection in self.connections:
                     if connection.is_idle_since(idle_before):
                         connection.evict()
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -74,6 +74,11 @@
         self._body_size = 0
         self._request_size = 0
 
+    @property
+    def has_input(self) -> bool:
+        """True while a request is waiting, or a part of one has been read."""
+        return bool(self.requests) or self.in_head or self.in_body
+
     def feed(self, data: bytes) -> None:
         """Parses the next bytes of the connection.
 
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -12,6 +12,7 @@
 
 from bergamotridge import errors
 from bergamotridge.util import http_client, http_connection, httpd, message, request_reader
+from standins import processes
 from tests import event_loop
 
 
@@ -256,3 +257,38 @@
         assert statuses[-1] == 200
         event_loop.call(pool.close)
     server.stop(0)
+
+
+def is_served(pool):
+    """Returns whether a call by a pool gets 200; a server that is full may close its connection."""
+    try:
+        return send(pool, post_request(b"x"), 5).status == 200
+    except http_client.TransferError:
+        return False
+
+
+# Kept connections without a request filled the port, and each new caller was refused.
+def test_kept_connections_give_way_to_new_callers_and_a_running_call_does_not():
+    release, causes = asyncio.Event(), []
+
+    async def wait(request, _token):
+        if request.body == b"wait":
+            await release.wait()
+        return message.Response(200, [], request.body)
+
+    server, address = start_server(wait, connections=3, on_turned_away=causes.append)
+    pools = [http_client.Pool(address, 1000) for _ in range(5)]
+    with concurrent.futures.ThreadPoolExecutor(1) as executor, contextlib.ExitStack() as stack:
+        stack.callback(event_loop.call, release.set)
+        running = executor.submit(send, pools[0], post_request(b"wait"), 60)
+        for _ in range(2):
+            kept = socket.create_connection(httpd.split_address(address))
+            stack.enter_context(kept)
+        for pool in pools[1:]:
+            processes.wait_until(lambda pool=pool: is_served(pool), "a new caller is served")
+        event_loop.call(release.set)
+        assert running.result().body == b"wait"
+    assert causes.count("idle") >= 3
+    for pool in pools:
+        event_loop.call(pool.close)
+    server.stop(0)
