Wait for all keys before a process test begins

test_call_without_a_valid_key_runs_only_on_an_open_route got (503, 'not-run') once where it wants 401 (KNOWN-RED.txt).

Cause: a node that was just started serves keys that it knows, and answers 503 with reason "keys" to any other until it has received all; the rig waited for the first only. The product does what it says; that it was this in the failed run is not shown, as its reason was not kept. Change: the rig waits for a 401 at each host. The other listed test now prints statuses.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,6 +12,7 @@
 from standins import client, fleet, history, load, processes
 
 LARGE_TEAM_RATE_PER_S = 2000.0
+UNKNOWN_KEY = "unknown.key"
 TEXT = """
 [services.front]
 depends_on = ["back"]
@@ -233,6 +234,14 @@
         for member in self.fleet.members.values():
             processes.wait_until(lambda member=member: self._clear_faults(member), member.host.name)
         self.fleet.wait_ready()
+        # Until a node has received all keys, it serves known ones and answers 503 to any other.
+        for host in self.fleet.members:
+            processes.wait_until(
+                lambda host=host: (
+                    self.call(host, "GET", "/reads/1", self.tag(), key=UNKNOWN_KEY).status == 401
+                ),
+                f"{host} has received all keys",
+            )
         # A quota holder that was lost or replaced grants a team's tokens only after some time.
         for host in self.fleet.members:
             self.call_until_served(host)
--- a/tests/test_process/test_upstream_notices.py
+++ b/tests/test_process/test_upstream_notices.py
@@ -1,5 +1,6 @@
 """Upstreams that say in their answers how many calls they take, or that they are leaving."""
 
+import collections
 import time
 
 import pytest
@@ -41,7 +42,7 @@
     runs = [run for run in rig.runs() if run.address == limited.addresses.server]
     assert most_calls_in_window(runs, named_at + CONTACT_S) <= MAX_CALLS_IN_WINDOW
     # The other upstream has room for all of them.
-    assert all(attempt.status == 200 for attempt in attempts)
+    assert collections.Counter(attempt.status for attempt in attempts) == {200: len(attempts)}
 
 
 # An upstream said in its answers that it leaves, but not yet in its heartbeats, and got more calls.
