Report connections that a node ends with a request read and unanswered

Such an end is now counted with the cause 'unanswered' by port in connections_turned_away_total, and is part of the port's bounded line. No decision changes. test_httpd_stop fails before (no cause is reported).

--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -90,8 +90,9 @@
         self._turned_away = registry.counter(
             f"{METRIC_PREFIX}connections_turned_away_total",
             "Connections refused, or closed before a call was taken from them, by port and "
-            "cause: full, idle or head (as the port had all connections that it may have), or "
-            "input-STATUS (as what came could not be read, or not in time).",
+            "cause: full, idle or head (as the port had all connections that it may have), "
+            "input-STATUS (as what came could not be read, or not in time), or unanswered (the "
+            "node ended it though a request had been read from it).",
         )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -13,6 +13,7 @@
 
 MAX_PIPELINED_REQUESTS = 16
 LINGER_S = 1.0
+UNANSWERED = "unanswered"  # Cause of an end that leaves requests without an answer.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[message.Request, cancellation.Token], Awaitable[message.Response]]
@@ -138,6 +139,7 @@
 
     def close(self) -> None:
         """Closes the connection at once; a response that is being sent is cut off."""
+        self._report_unanswered()
         self._end_input()
         if self._transport is not None:
             self._transport.abort()
@@ -182,6 +184,11 @@
             self.token.cancel()
         self._wake_request_waiter()
 
+    def _report_unanswered(self) -> None:
+        """Reports that this side ends the connection although requests were read from it."""
+        if self.token is not None or self._reader.requests:
+            self._server.report_turned_away(UNANSWERED)
+
     def _wake_request_waiter(self) -> None:
         waiter = self._request_waiter
         if waiter is not None:
@@ -199,7 +206,8 @@
                     self._refusal_status, [(b"bergamotridge-verdict", b"not-run")]
                 )
                 self._send_last_response(message.encode_response(response, keep_alive=False))
-            else:
+            elif not self._transport.is_closing():
+                self._report_unanswered()
                 self._transport.close()
         except Exception:
             logger.exception("a connection of the server '{}' failed", self._server.name)
