Answer requests that were read behind another one before a stop ends their connection

What callers saw: in a planned stop, a request sent behind another one on a connection (pipelined) ended without an answer, though the node had read it long before. Cause: once a server stops, each answer closed its connection, whatever else had been read from it; at the end of a stop, the calls that ran were cancelled and answered, and those behind them dropped. Class: the end of a connection was decided from the request being answered alone. Change: while anything that was read from a connection waits, its answers keep it open; the last one closes it. At the end of a stop each connection takes no further input and ends once all that was read from it is answered. Input that follows an answer that closes is left unread. The two tests failed before: [(200, one)] and [(503, one)] without the second answer.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -137,6 +137,16 @@
         )
         return between_requests and self.idle_since < time
 
+    def finish(self) -> None:
+        """Takes no further input, and closes the connection once all that was read is answered.
+
+        The running call and those that wait behind it are cancelled.
+        """
+        if self._input_ended:
+            return
+        self._transport.pause_reading()
+        self._end_input()
+
     def close(self) -> None:
         """Closes the connection at once; a response that is being sent is cut off."""
         self._report_unanswered()
@@ -231,7 +241,7 @@
                 return None
             self._request_waiter = self._event_loop.create_future()
             await self._request_waiter
-        if len(requests) == MAX_PIPELINED_REQUESTS:
+        if len(requests) == MAX_PIPELINED_REQUESTS and not self._input_ended:
             self._transport.resume_reading()
         return requests.popleft()
 
@@ -249,7 +259,10 @@
         if self._transport.is_closing():
             self.token = None
             return False
-        keep_alive = request.keep_alive and not server.closing
+        keep_alive = request.keep_alive and (not server.closing or self._reader.has_input)
+        if not keep_alive:
+            # What is still unread is not taken, so that the client may send it again.
+            self._transport.pause_reading()
         self._transport.write(
             message.encode_response(response, keep_alive=keep_alive, head=request.method == b"HEAD")
         )
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -158,23 +158,22 @@
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._idle_check is not None:
             self._idle_check.cancel()
-        await self._cancel_running_calls()
+        await self._finish_connections()
         for connection in self.connections:
             connection.close()
         # Aborted connections are removed in the next iteration of the loop.
         await asyncio.sleep(0)
 
-    async def _cancel_running_calls(self) -> None:
-        """Cancels the running calls and waits until they are answered, `CANCEL_GRACE_S` at most."""
-        running = [item for item in self.connections if item.token is not None]
-        if not running:
-            return
-        _log.warning("the server '{}' stops and cuts off {} running calls", self.name, len(running))
-        for connection in running:
-            connection.token.cancel()
+    async def _finish_connections(self) -> None:
+        """Ends all connections once what they wait for is answered, within `CANCEL_GRACE_S`."""
+        running = sum(item.token is not None for item in self.connections)
+        if running:
+            _log.warning("the server '{}' stops and cuts off {} running calls", self.name, running)
+        for connection in self.connections:
+            connection.finish()
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + CANCEL_GRACE_S
-        while event_loop.time() < deadline and any(item in running for item in self.connections):
+        while self.connections and event_loop.time() < deadline:
             await asyncio.sleep(CANCEL_CHECK_INTERVAL_S)
 
     def _stop_accepting(self) -> None:
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -1,8 +1,10 @@
 """A planned stop of the HTTP server answers each request that it has read."""
 
 import asyncio
+import concurrent.futures
 import contextlib
 import socket
+import threading
 
 from bergamotridge.util import http_connection, message
 from standins import processes
@@ -15,11 +17,78 @@
 SECOND = b"POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\ntwo"
 
 
+class SlowServer:
+    """A server whose handler echoes the body once `may_finish` is set."""
+
+    def __init__(self, **options):
+        self.entered, self.may_finish = threading.Event(), threading.Event()
+        self.handled = []
+        self.server, self.address = start_server(self._echo, **options)
+
+    async def _echo(self, request, token):
+        self.handled.append(request.body)
+        self.entered.set()
+        while not (self.may_finish.is_set() or token.cancelled):
+            await asyncio.sleep(PAUSE_S)
+        status = 503 if token.cancelled else 200
+        return message.Response(status, [], request.body)
+
+
 def connect(address):
     host, port = address.split(":")
     return contextlib.closing(socket.create_connection((host, int(port)), timeout=STOP_S))
 
 
+def read_all(client):
+    """Returns what the server sends until it closes the connection."""
+    pieces = []
+    while piece := client.recv(65536):
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def split(answers):
+    """Returns status and body of each answer."""
+    parts = (item.partition(b"\r\n\r\n") for item in answers.split(b"HTTP/1.1 ")[1:])
+    return [(int(head[:3]), body) for head, _, body in parts]
+
+
+def wait_until_read(server, count=1):
+    """Waits until the server has read `count` connections' requests, or parts of them."""
+    processes.wait_until(
+        lambda: sum(item._reader.has_input for item in server.connections) >= count,
+        "requests are read",
+    )
+
+
+# Requests behind another one on a connection ended without an answer in a planned stop.
+def test_requests_read_behind_another_one_are_answered_in_a_stop():
+    slow = SlowServer()
+    with connect(slow.address) as client, concurrent.futures.ThreadPoolExecutor(1) as executor:
+        client.sendall(FIRST + SECOND)
+        slow.entered.wait(STOP_S)
+        wait_until_read(slow.server)
+        stopping = executor.submit(slow.server.stop, STOP_S)
+        processes.wait_until(lambda: slow.server.closing, "the server stops")
+        slow.may_finish.set()
+        answers = read_all(client)
+        stopping.result(STOP_S)
+    assert split(answers) == [(200, b"one"), (200, b"two")]
+    assert b"connection: close" not in answers.partition(b"one")[0].lower()
+    assert b"connection: close" in answers.partition(b"one")[2].lower()
+
+
+# At the end of its time a stop cut off what waited behind the call that it cancelled.
+def test_requests_read_behind_a_cancelled_one_are_refused_at_the_end_of_a_stop():
+    slow = SlowServer()
+    with connect(slow.address) as client:
+        client.sendall(FIRST + SECOND)
+        slow.entered.wait(STOP_S)
+        wait_until_read(slow.server)
+        slow.server.stop(0.2)
+        assert split(read_all(client)) == [(503, b"one"), (503, b"two")]
+
+
 # No line and no metric told of requests that the server dropped with their connection.
 def test_an_end_that_leaves_a_request_without_an_answer_is_reported():
     causes = []
