Don't take a connection for idle in a stop while a request is on its way in

What callers saw: a booking whose body came in pieces with pauses over half a second was cut off without a word in a planned stop, with seconds of its time and of the stop left. Cause: a stopping server ends when all its connections are quiet, and quiet meant that no call ran and no byte came for half a second; a head or body that was read in part didn't count. Change: such a connection is in use until its request is complete, and is refused as not run (503) if it isn't at the end of the stop; header and body time limits still hold. Both tests failed before: no answer at all in either.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -130,6 +130,12 @@
         if self._write_waiter is not None:
             loop.complete_future(self._write_waiter)
 
+    @property
+    def is_in_use(self) -> bool:
+        """True while a request is answered, waits, or has been read in part."""
+        takes_part = self._reader.has_input and not self._input_ended
+        return self.token is not None or bool(self._reader.requests) or takes_part
+
     def is_idle_since(self, time: float) -> bool:
         """Returns whether no request was read or answered since a time of the loop."""
         between_requests = (
@@ -140,12 +146,18 @@
     def finish(self) -> None:
         """Takes no further input, and closes the connection once all that was read is answered.
 
-        The running call and those that wait behind it are cancelled.
+        The running call and those that wait behind it are cancelled. A request that was read in
+        part is refused.
         """
         if self._input_ended:
             return
         self._transport.pause_reading()
-        self._end_input()
+        if self.token is not None:
+            self.token.cancel()
+        if self._reader.in_head or self._reader.in_body:
+            self._refuse_input(503)
+        else:
+            self._end_input()
 
     def close(self) -> None:
         """Closes the connection at once; a response that is being sent is cut off."""
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -182,9 +182,9 @@
             self._asyncio_server = None
 
     def _is_quiet(self, now: float) -> bool:
-        """Returns whether no call runs and all connections were idle for `STOP_IDLE_S` seconds."""
+        """Returns whether no connection is in use and all were idle for `STOP_IDLE_S` seconds."""
         return all(
-            connection.token is None and now - connection.idle_since >= STOP_IDLE_S
+            not connection.is_in_use and now - connection.idle_since >= STOP_IDLE_S
             for connection in self.connections
         )
 
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -5,8 +5,9 @@
 import contextlib
 import socket
 import threading
+import time
 
-from bergamotridge.util import http_connection, message
+from bergamotridge.util import http_connection, httpd, message
 from standins import processes
 from tests import event_loop
 from tests.test_util.test_httpd import start_server
@@ -89,6 +90,34 @@
         assert split(read_all(client)) == [(503, b"one"), (503, b"two")]
 
 
+# A stop took a connection for idle while the body of a request was on its way.
+def test_a_request_whose_body_pauses_is_answered_in_a_stop():
+    slow = SlowServer()
+    slow.may_finish.set()
+    with connect(slow.address) as client, concurrent.futures.ThreadPoolExecutor(1) as executor:
+        client.sendall(FIRST[:-1])
+        wait_until_read(slow.server)
+        stopping = executor.submit(slow.server.stop, STOP_S)
+        time.sleep(4 * httpd.STOP_IDLE_S)
+        client.sendall(FIRST[-1:])
+        answers = read_all(client)
+        stopping.result(STOP_S)
+    assert split(answers) == [(200, b"one")]
+
+
+# What was read in part was cut off without a word at the end of a stop.
+def test_a_request_that_is_not_complete_at_the_end_of_a_stop_is_refused_as_not_run():
+    slow = SlowServer()
+    with connect(slow.address) as client:
+        client.sendall(FIRST[:-1])
+        wait_until_read(slow.server)
+        slow.server.stop(0.2)
+        answers = read_all(client)
+    assert split(answers)[0][0] == 503
+    assert b"bergamotridge-verdict: not-run" in answers.lower()
+    assert slow.handled == []
+
+
 # No line and no metric told of requests that the server dropped with their connection.
 def test_an_end_that_leaves_a_request_without_an_answer_is_reported():
     causes = []
