Don't close a connection as idle between the arrival of a request and its handling

Cause: the check of idle connections asked whether a call ran, not whether a complete request waits for the task that answers it; a request that came in the same turn of the event loop was dropped. The test fails before: the connection counts as idle with a request in it.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -139,7 +139,10 @@
     def is_idle_since(self, time: float) -> bool:
         """Returns whether no request was read or answered since a time of the loop."""
         between_requests = (
-            self.token is None and self.head_started_at is None and not self._input_ended
+            self.token is None
+            and self.head_started_at is None
+            and not self._reader.requests
+            and not self._input_ended
         )
         return between_requests and self.idle_since < time
 
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -136,3 +136,16 @@
         server.stop(0.2)
         event_loop.call(may_finish.set)
     assert causes == [http_connection.UNANSWERED]
+
+
+# An idle check between the arrival of a request and its handling dropped the request.
+def test_a_connection_with_a_request_that_waits_is_not_idle():
+    slow = SlowServer()
+
+    def receive():
+        connection = http_connection.Connection(slow.server, asyncio.get_running_loop())
+        connection.data_received(FIRST)
+        return connection.is_idle_since(float("inf"))
+
+    assert not event_loop.call(receive)
+    slow.server.stop(0)
