Tell a time limit that passes while connecting as one

Cause: the connection attempt waits for the lower of 0.3 s and the time limit of the transfer, and told both as a host that can't be reached; the gate then learnt a failure where the caller's time was over. Change: an attempt that had no more than the transfer's time limit has timed out.

--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -367,6 +367,7 @@
             raise TransferError(
                 text,
                 verdict.Verdict.NOT_RUN,
+                timed_out=isinstance(error, TimeoutError) and timeout_s <= CONNECT_TIMEOUT_S,
                 connection_refused=isinstance(error, ConnectionRefusedError),
             ) from error
         except BaseException:
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -196,6 +196,23 @@
             assert caught.value.timed_out
 
 
+# A time limit that passed while connecting was told as a host that can't be reached.
+@pytest.mark.parametrize("timeout_s, timed_out", [(0.05, True), (30, False)])
+def test_a_transfer_whose_time_limit_passes_while_connecting_has_timed_out(timeout_s, timed_out):
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        # Connections beyond the backlog are not accepted, nor refused.
+        for _ in range(4):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        pool = http_client.Pool(f"127.0.0.1:{listener.getsockname()[1]}", BODY_LIMIT)
+        with pytest.raises(http_client.TransferError) as caught:
+            send_post(pool, timeout_s=timeout_s)
+    assert caught.value.timed_out == timed_out
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
 def test_the_target_is_sent_without_normalization():
     server = ScriptedServer(OK_RESPONSE)
     pool = http_client.Pool(server.address, BODY_LIMIT)
