Count the time of a request that waits behind another one on its connection

Cause: a call's time limits counted from when it was handled; a request behind another one on its connection was given once more what it had waited for the earlier answer, also beyond the time that its caller waits. Change: a received request carries the time of its last byte, from which its limits count. Both tests failed before: requests had no such time.

--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -139,7 +139,7 @@
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Returns the response to one call; a handler for `httpd.Server`."""
-        started = time.monotonic()
+        started = _received_at(request, time.monotonic())
         progress = _Progress(self.dialect.request_id(request))
         try:
             result = await self._answer(progress, request, token)
@@ -253,7 +253,7 @@
         elif team_settings is not None and team_settings.importance is not None:
             importance = team_settings.importance
         progress.importance = _IMPORTANCE_NAMES[importance]
-        deadline = now + self._time_limit_s(route, request)
+        deadline = _received_at(request, now) + self._time_limit_s(route, request)
         self.node_shutdown.check(progress.request_id, deadline, now)
         if is_nested_call:
             self.call_graph.record_call(self.origin, service)
@@ -314,3 +314,11 @@
             return await self.dispatcher.send(outgoing, allowance, token)
         claimed = at_most_once.ClaimedCall(idempotency_key.decode("latin-1"), route.name, outgoing)
         return await self.at_most_once.send(claimed, allowance, token)
+
+
+def _received_at(request: message.Request, now: float) -> float:
+    """Returns the time from which the time limits of a call count, `now` if it isn't known.
+
+    A caller's time runs while earlier requests on its connection are answered.
+    """
+    return now if request.received_at is None else request.received_at
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -1,6 +1,8 @@
 """One connection of the HTTP server: reads requests in order and writes their responses."""
 
 import asyncio
+import itertools
+import time
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -80,6 +82,7 @@
             return
         self._server.connections.mark_busy(self)
         reader = self._reader
+        waiting = len(reader.requests)
         try:
             reader.feed(data)
         except (httptools.HttpParserError, request_reader.BadRequestError) as error:
@@ -91,6 +94,9 @@
                 cause.status if isinstance(cause, request_reader.BadRequestError) else 400
             )
             return
+        now = time.monotonic()
+        for request in itertools.islice(reader.requests, waiting, None):
+            request.received_at = now
         if reader.expects_continue:
             reader.expects_continue = False
             self._transport.write(CONTINUE_RESPONSE)
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -58,6 +58,8 @@
         headers: Header fields in the order in which they were received.
         body: Whole body, after any transfer encoding was removed.
         keep_alive: True if the client wants to reuse the connection.
+        received_at: Monotonic time in seconds at which its last byte was read, None if it was not
+            received by a server.
     """
 
     method: bytes
@@ -65,6 +67,7 @@
     headers: list[Header]
     body: bytes = b""
     keep_alive: bool = True
+    received_at: float | None = None
     _values_by_name: dict[bytes, bytes] | None = attrs.field(default=None, init=False, eq=False)
 
     def header(self, name: bytes) -> bytes | None:
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -74,6 +74,7 @@
     *headers: message.Header,
     node_shutdown: shutdown.Shutdown | None = None,
     dialect: caller_dialect.CallerDialect | None = None,
+    received_at: float | None = None,
 ) -> message.Response:
     """Returns the response of a caller port whose other parts are `node`."""
     routes = routing.CurrentRoutes()
@@ -94,7 +95,7 @@
         node_shutdown=node_shutdown or shutdown.Shutdown(),
         dialect=dialect or caller_dialect.DefaultDialect(),
     )
-    request = message.Request(method, path, list(headers))
+    request = message.Request(method, path, list(headers), received_at=received_at)
     return event_loop.run(caller_port.handle(request, cancellation.Token()))
 
 
@@ -193,3 +194,11 @@
     response = send_call(node, b"GET", b"/prices/1", *headers, node_shutdown=stop, dialect=dialect)
     assert (response.status, response.header(b"bergamotridge-verdict")) == (503, b"not-run")
     assert not node.sent
+
+
+# The time that a call waited behind another one on its connection was given to it once more.
+def test_the_time_of_a_call_counts_from_its_arrival():
+    node, received_at = Node(), time.monotonic() - 1.0
+    headers = (KEY, (b"bergamotridge-timeout-ms", b"1500"))
+    assert send_call(node, b"POST", b"/pay", *headers, received_at=received_at).status == 200
+    assert node.sent[0].context.deadline == received_at + 1.5
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import threading
+import time
 
 import logbook
 import pytest
@@ -292,3 +293,22 @@
     for pool in pools:
         event_loop.call(pool.close)
     server.stop(0)
+
+
+# A request was taken to arrive when it was handled, however long it had waited behind another.
+def test_a_request_has_the_time_of_its_arrival():
+    server, _address = start_server(echo)
+
+    def receive(*pieces):
+        connection = http_connection.Connection(server, asyncio.get_running_loop())
+        times = []
+        for piece in pieces:
+            times.append(time.monotonic())
+            connection.data_received(piece)
+        return times, [request.received_at for request in connection._reader.requests]
+
+    whole = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\none"
+    times, received_at = event_loop.call(lambda: receive(whole + whole, whole[:-1], whole[-1:]))
+    assert times[0] <= received_at[0] == received_at[1] <= times[1]
+    assert times[2] <= received_at[2]
+    server.stop(0)
