Read requests that offer an upgrade with their whole body

Callers saw: a request with `Upgrade` (h2c, websocket, any name) and `Connection: upgrade` ran at the upstream without its body and was answered with 200; the connection was closed after it.

Cause: llhttp ends a message at a head that offers an upgrade, whatever its length, and httptools raises HttpParserUpgrade after the message was reported as complete. The reader queued that message and ignored the bytes behind it.

Change: such a message isn't queued. Its head goes to a new parser without the `Upgrade` field, and the bytes behind the head after it, so that body and pipelined requests are read as ever. A request without an offer takes the same path as before. `HTTP2-Settings` is not forwarded, even if `Connection` doesn't name it.

The new test failed in all nine cases before; it replaces test_an_upgrade_request_is_answered_without_an_upgrade, which relied on the end of the connection and sent no body, and covers its GET.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -252,7 +252,7 @@
         """Waits for the next request and returns it, or None when no further one will be taken."""
         requests = self._reader.requests
         while not requests:
-            if self._input_ended or self._reader.upgrade_requested:
+            if self._input_ended:
                 return None
             self._request_waiter = self._event_loop.create_future()
             await self._request_waiter
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-# Fields that are not forwarded: the hop-by-hop fields, and content-length, expect and host, which
-# also belong to one connection.
+# Fields that are not forwarded: the hop-by-hop fields, and content-length, expect, host and
+# http2-settings, which also belong to one connection.
 UNFORWARDED_FIELDS = frozenset(
     (
         b"connection",
@@ -19,6 +19,7 @@
         b"content-length",
         b"expect",
         b"host",
+        b"http2-settings",
     )
 )
 
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -53,7 +53,6 @@
         in_head: True while a head has begun and is not complete.
         in_body: True while a head is complete and its body is not.
         expects_continue: True if the client waits for ``100 Continue`` before it sends the body.
-        upgrade_requested: True once a request asked for an upgrade; no later request is served.
     """
 
     def __init__(self, bounds: RequestLimits) -> None:
@@ -63,7 +62,7 @@
         self.in_head = False
         self.in_body = False
         self.expects_continue = False
-        self.upgrade_requested = False
+        self._upgrade_offered = False
         self._head_bytes_fed = 0
         self._reset_request()
 
@@ -90,10 +89,9 @@
         """
         # An upper bound: the pieces of data may also hold bytes before or after the head.
         self._head_bytes_fed = len(data) + (self._head_bytes_fed if self.in_head else 0)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.upgrade_requested = True
+        rest = data
+        while rest:
+            rest = self._parse(rest)
         if self.in_head and self._head_bytes_fed > self.bounds.header_bytes:
             raise BadRequestError(431 if self._headers else 414)
         self._request_size += len(data)
@@ -101,6 +99,30 @@
         if not self.requests and not self.in_head and self._request_size > max_size:
             raise BadRequestError(413)
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parses bytes up to the end of the next head that offers an upgrade, and returns the rest.
+
+        The parser ends a message at a head that offers an upgrade, whatever its length. No upgrade
+        is accepted, so that the head is parsed again without the offer.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            self._upgrade_offered = False
+            head = self._encode_head_without_offer()
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.feed_data(head)
+            return data[offer.args[0] :]
+        return b""
+
+    def _encode_head_without_offer(self) -> bytes:
+        parser = self.parser
+        version = parser.get_http_version().encode()
+        parts = [b"%s %s HTTP/%s\r\n" % (parser.get_method(), self._target, version)]
+        parts += [b"%s: %s\r\n" % field for field in self._headers if field[0] != b"upgrade"]
+        parts.append(b"\r\n")
+        return b"".join(parts)
+
     def on_message_begin(self) -> None:
         """Resets the state for the next request."""
         self._reset_request()
@@ -133,6 +155,7 @@
         if b"expect" in names:
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
+        self._upgrade_offered = self.parser.should_upgrade()
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
@@ -142,7 +165,9 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Appends the complete request to `requests`."""
+        """Appends the complete request to `requests`; one that offers an upgrade is read again."""
+        if self._upgrade_offered:
+            return
         self.in_body = False
         parser = self.parser
         self.expects_continue = False
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -239,10 +239,29 @@
     server.stop(0)
 
 
-def test_an_upgrade_request_is_answered_without_an_upgrade():
+# A request that offered an upgrade was handled without its body, and its connection was closed.
+@pytest.mark.parametrize(
+    "offer",
+    [
+        b"connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABkAAQ\r\n",
+        b"UPGRADE: H2C\r\nConnection: keep-alive, uPGRADE\r\n",
+        b"upgrade: websocket, h2c/1\r\nconnection: x\r\nconnection: upgrade\r\n",
+    ],
+)
+@pytest.mark.parametrize("piece_size", [1, 7, 1000])
+def test_an_offer_of_an_upgrade_changes_nothing_in_how_a_request_is_read(offer, piece_size):
     server, address = start_server(echo)
-    head = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"
-    assert _send_and_read(address, head).startswith(b"HTTP/1.1 200 ")
+    offered = b"POST / HTTP/1.1\r\n" + offer + b"host: a\r\n"
+    sent = offered + b"content-length: 2\r\n\r\nab"
+    sent += offered + b"transfer-encoding: chunked\r\n\r\n2\r\ncd\r\n0\r\n\r\n"
+    sent += b"GET / HTTP/1.1\r\n" + offer + b"host: a\r\n\r\n"
+    sent += b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1\r\n\r\ne"
+    pieces = [sent[i : i + piece_size] for i in range(0, len(sent), piece_size)]
+    received = b"".join(
+        message.encode_response(message.Response(200, [], body), keep_alive=body != b"e")
+        for body in (b"ab", b"cd", b"", b"e")
+    )
+    assert _send_and_read(address, *pieces) == received
     server.stop(0)
 
 
