--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -395,7 +395,7 @@
     def _create_server(
         self, body_bytes: int, name: str, address: str, handler: httpd.Handler, connections: int
     ) -> httpd.Server:
-        return httpd.Server(
+        server = httpd.Server(
             address,
             handler,
             connections=connections,
@@ -408,6 +408,8 @@
             on_turned_away=functools.partial(self.node_metrics.count_turned_away, name),
             event_loop=self.loop,
         )
+        self.node_metrics.watch_port(name, server.connections)
+        return server
 
     def _request_bounds(self) -> request_reader.RequestLimits:
         """Returns the limits on callers' requests; those in the operator's text take precedence."""
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -9,6 +9,7 @@
 
 from bergamotridge import events, metrics, verdict
 from bergamotridge.operators import event_kinds, status
+from bergamotridge.util import connection_table
 
 METRIC_PREFIX = "bergamotridge_"
 _STATM_PATH = "/proc/self/statm"
@@ -96,6 +97,7 @@
         )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
+        self._ports: dict[str, connection_table.ConnectionTable] = {}
         self._register_gauges(registry)
 
     def count_answer(
@@ -135,6 +137,10 @@
         """Counts one connection that a port has turned away."""
         self._turned_away.add(port=port, cause=cause)
 
+    def watch_port(self, port: str, connections: connection_table.ConnectionTable) -> None:
+        """Reports the connections of a port from now on."""
+        self._ports[port] = connections
+
     def count_platform_request(self, kind: str, operation: str, result: str) -> None:
         """Counts one request to the platform; see `store.counted`."""
         self._platform_requests.add(kind=kind, operation=operation, result=result)
@@ -245,6 +251,16 @@
             "Part of a team's rate that this node holds, in calls per second.",
             self._held_rate_samples,
         )
+        registry.gauges(
+            f"{METRIC_PREFIX}connections",
+            "Open connections, by port and state: busy with a request or a part of one, or idle.",
+            self._connection_samples,
+        )
+        registry.gauges(
+            f"{METRIC_PREFIX}connections_limit",
+            "Maximum number of open connections, by port.",
+            self._connection_limit_samples,
+        )
 
     def _replica_age_samples(self) -> Iterable[metrics.Sample]:
         return [
@@ -266,3 +282,13 @@
             metrics.Sample(team.held_rate, {"team": team.team})
             for team in self._read_status().teams
         ]
+
+    def _connection_samples(self) -> Iterable[metrics.Sample]:
+        return [
+            metrics.Sample(count, {"port": port, "state": state})
+            for port, table in self._ports.items()
+            for state, count in (("busy", table.busy_count), ("idle", table.idle_count))
+        ]
+
+    def _connection_limit_samples(self) -> Iterable[metrics.Sample]:
+        return [metrics.Sample(table.limit, {"port": port}) for port, table in self._ports.items()]
--- a/bergamotridge/util/connection_table.py
+++ b/bergamotridge/util/connection_table.py
@@ -68,6 +68,16 @@
         """Iterates over a copy of the open connections."""
         return iter([*self._busy, *self._idle])
 
+    @property
+    def limit(self) -> int:
+        """Maximum number of open connections."""
+        return self._limit
+
+    @property
+    def busy_count(self) -> int:
+        """Number of connections with a request or a part of one."""
+        return len(self._busy)
+
     @property
     def idle_count(self) -> int:
         """Number of connections without a request or a part of one."""
--- a/tests/test_operators/test_node_metrics.py
+++ b/tests/test_operators/test_node_metrics.py
@@ -2,6 +2,7 @@
 
 from bergamotridge import events, metrics, verdict
 from bergamotridge.operators import node_metrics, status
+from bergamotridge.util import connection_table
 
 STATUS = status.Status(
     "h1",
@@ -32,3 +33,19 @@
     lines = registry.render().body.decode().splitlines()
     varying = ("cpu_seconds", "resident_memory_bytes")
     assert [line for line in lines if not any(name in line for name in varying)] == snapshot
+
+
+# Connections filled a port, and no metric told how many were open, idle, or allowed.
+def test_the_connections_of_a_port_are_told_by_state():
+    registry = metrics.Metrics()
+    node = node_metrics.NodeMetrics(registry, lambda: STATUS)
+    table = connection_table.ConnectionTable(8)
+    node.watch_port("callers", table)
+    connections = [object() for _ in range(5)]
+    for number, connection in enumerate(connections):
+        table.admit(connection, float(number))
+    table.mark_busy(connections[0])
+    text = registry.render().body.decode()
+    assert 'bergamotridge_connections{port="callers",state="busy"} 1' in text
+    assert 'bergamotridge_connections{port="callers",state="idle"} 4' in text
+    assert 'bergamotridge_connections_limit{port="callers"} 8' in text
