End a call cleanly whose upstream switches to another protocol

Callers saw: a 101 with `Upgrade` and `Connection: upgrade` ended in HttpParserUpgrade, which is no HttpParserError and was handled nowhere; a 101 without them was an error that didn't tell its cause.

Cause: the class: the parser ends a message by rules of its own. For a 101 it stops parsing.

Errors of callbacks keep their text. A 101 behind a complete response is excess data, as anything else there.

--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -4,6 +4,7 @@
 
 from bergamotridge.util import message
 
+SWITCHED_STATUS = 101
 FIRST_FINAL_STATUS = 200
 DEFAULT_IDLE_S = 4.0
 MAX_IDLE_S = 3600
@@ -18,6 +19,9 @@
     """The head or the body of a response exceeds its size limit."""
 
 
+_CALLBACK_ERRORS = (httptools.HttpParserError, ResponseTooLargeError)
+
+
 class ResponseReader:
     """Collects one final response; its `on_...` methods are the callbacks of the httptools parser.
 
@@ -86,10 +90,12 @@
             self._connection_fields = {option.strip().lower() for option in value.split(b",")}
 
     def on_headers_complete(self) -> None:
-        """Stores the status."""
+        """Stores the status; no upgrade was offered, so that a server must not switch."""
         if self.complete:
             return
         self.status = self.parser.get_status_code()
+        if self.status == SWITCHED_STATUS:
+            raise httptools.HttpParserError("the server switched to another protocol")
         if self._answers_head and self.status >= FIRST_FINAL_STATUS:
             self.complete = True
 
@@ -120,16 +126,18 @@
         """Parses received bytes; data after a complete response only sets `has_excess_data`.
 
         Raises:
-            ResponseTooLargeError: Heads, interim responses and framing exceed their limit. They
-                may come without end, in a field that is never complete too.
-            httptools.HttpParserError: The bytes are not valid HTTP, or the body is too large.
+            ResponseTooLargeError: The body, or heads, interim responses and framing, exceed
+                their limit. They may come without end, in a field that is never complete too.
+            httptools.HttpParserError: The bytes are not a valid response.
         """
         self._received_size += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
-                raise
+                # httptools raises its own error from the exception of a callback.
+                cause = error.__context__
+                raise (cause if isinstance(cause, _CALLBACK_ERRORS) else error) from None
             self.has_excess_data = True
         overhead = self._received_size - self.body_size
         max_overhead = self._head_limit + MAX_CHUNK_OVERHEAD_FACTOR * self.body_size
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -77,6 +77,19 @@
     assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
+# A server that switched protocols ended the call in an exception that nothing handled.
+@pytest.mark.parametrize("fields", [b"", b"upgrade: h2c\r\nconnection: upgrade\r\n"])
+@pytest.mark.parametrize("rest", [b"", OK_RESPONSE])
+def test_a_switch_of_protocols_is_an_error(fields, rest):
+    switch = b"HTTP/1.1 101 Switching Protocols\r\n" + fields + b"\r\n"
+    pool = http_client.Pool(ScriptedServer(switch + rest).address, BODY_LIMIT)
+    with pytest.raises(http_client.TransferError, match="switched") as caught:
+        send_post(pool)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+    pool = http_client.Pool(ScriptedServer(OK_RESPONSE + switch, OK_RESPONSE).address, BODY_LIMIT)
+    assert [send_post(pool).body for _ in range(2)] == [b"ok", b"ok"]
+
+
 def test_a_failed_connect_has_the_verdict_not_run():
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
