Don't answer what follows a request that ends its connection

Callers saw: bytes that came in one piece with a request with `Connection: close`, or of HTTP/1.0, and behind it were answered with a 400 after that request's answer, though no further request may be read from the connection; the 400 was also counted as bad input.

Cause: the parser refuses data behind such a message, and its error was taken for a bad request.

Change: the reader ignores what comes behind the last request of a connection, in the same piece or a later one.

Evidence: the new test failed in the cases of one piece before (HTTP/1.1 with close, and HTTP/1.0).

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -63,6 +63,7 @@
         self.in_body = False
         self.expects_continue = False
         self._upgrade_offered = False
+        self._is_ended = False
         self._head_bytes_fed = 0
         self._reset_request()
 
@@ -79,7 +80,7 @@
         return bool(self.requests) or self.in_head or self.in_body
 
     def feed(self, data: bytes) -> None:
-        """Parses the next bytes of the connection.
+        """Parses the next bytes of the connection; those behind a last request are ignored.
 
         Raises:
             BadRequestError: The head, or the framing of the body, is too large. It may come
@@ -90,7 +91,7 @@
         # An upper bound: the pieces of data may also hold bytes before or after the head.
         self._head_bytes_fed = len(data) + (self._head_bytes_fed if self.in_head else 0)
         rest = data
-        while rest:
+        while rest and not self._is_ended:
             rest = self._parse(rest)
         if self.in_head and self._head_bytes_fed > self.bounds.header_bytes:
             raise BadRequestError(431 if self._headers else 414)
@@ -113,6 +114,9 @@
             self.parser = httptools.HttpRequestParser(self)
             self.parser.feed_data(head)
             return data[offer.args[0] :]
+        except httptools.HttpParserError:
+            if not self._is_ended:
+                raise
         return b""
 
     def _encode_head_without_offer(self) -> bytes:
@@ -171,12 +175,10 @@
         self.in_body = False
         parser = self.parser
         self.expects_continue = False
+        keep_alive = parser.should_keep_alive()
+        self._is_ended = not keep_alive
         self.requests.append(
             message.Request(
-                parser.get_method(),
-                self._target,
-                self._headers,
-                b"".join(self._body),
-                parser.should_keep_alive(),
+                parser.get_method(), self._target, self._headers, b"".join(self._body), keep_alive
             )
         )
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -265,6 +265,19 @@
     server.stop(0)
 
 
+# Behind a request that ends its connection, further bytes were answered with a 400 of their own.
+@pytest.mark.parametrize("pieces", [1, 2])
+@pytest.mark.parametrize("start", [b"HTTP/1.1\r\nconnection: close", b"HTTP/1.0"])
+def test_what_follows_a_request_that_ends_its_connection_is_not_answered(pieces, start):
+    server, address = start_server(echo)
+    last = b"POST / " + start + b"\r\nhost: a\r\ncontent-length: 1\r\n\r\na"
+    behind = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+    received = _send_and_read(address, *([last + behind] if pieces == 1 else [last, behind]))
+    answer = message.Response(200, [], b"a")
+    assert received == message.encode_response(answer, keep_alive=False)
+    server.stop(0)
+
+
 def test_the_oldest_incomplete_head_is_evicted_when_the_server_is_full():
     server, address = start_server(echo, connections=1, bounds=lambda: BOUNDS)
     with socket.create_connection(httpd.split_address(address), timeout=30) as slow:
