--- /dev/null
+++ b/bergamotridge/util/client_connection.py
@@ -0,0 +1,143 @@
+"""One connection of the HTTP client: sends a request and reads the bytes of its response."""
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+
+from bergamotridge.util import answer_memory, cancellation, response_reader
+
+
+class TimeLimitError(TimeoutError):
+    """The time limit of the transfer has passed; other TimeoutErrors come from the network."""
+
+
+class MemoryExceededError(Exception):
+    """The response was given up, as all responses being read held too much memory."""
+
+
+class Connection(asyncio.Protocol):
+    """One client connection; carries one transfer at a time.
+
+    Attributes:
+        address: IP:PORT of the server.
+        reader: Parses the responses.
+        idle_until: Time of the loop in seconds until which the idle connection may be reused.
+        ended: True once either side has closed the connection.
+    """
+
+    def __init__(
+        self,
+        event_loop: asyncio.AbstractEventLoop,
+        address: str,
+        reader: response_reader.ResponseReader,
+        memory: answer_memory.AnswerMemory,
+        close_delimited: bool,
+        on_arrival: Callable[[], None],
+    ) -> None:
+        self.address = address
+        self.reader = reader
+        self._memory = memory
+        self.idle_until = 0.0
+        self.ended = False
+        self._event_loop = event_loop
+        self._close_delimited = close_delimited
+        self._on_arrival = on_arrival
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes; ends the transfer once its response is complete."""
+        self._on_arrival()
+        reader = self.reader
+        if self._waiter is None:
+            # No transfer is running, so these bytes belong to no request.
+            self.abort()
+            return
+        try:
+            reader.feed(data)
+        except (httptools.HttpParserError, response_reader.ResponseTooLargeError) as error:
+            self._fail_transfer(error)
+            return
+        if reader.complete:
+            self._complete_transfer()
+        else:
+            self._memory.hold(self, reader.body_size)
+
+    def give_up(self) -> None:
+        """Drops the response that is being read, and closes the connection."""
+        self._fail_transfer(
+            MemoryExceededError("all responses being read together exceed their memory")
+        )
+        self.reader.drop()
+        self.abort()
+
+    def eof_received(self) -> None:
+        """Notes the end of the connection, which may also be the end of a response."""
+        self.ended = True
+        reader = self.reader
+        if self._close_delimited and reader.status and not reader.framed:
+            self._complete_transfer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails the running transfer."""
+        self.ended = True
+        self._fail_transfer(
+            exc or ConnectionError("the connection closed before the response was complete")
+        )
+
+    @property
+    def is_open_and_flushed(self) -> bool:
+        """True if the connection is open and all of the request has been sent."""
+        return not self.ended and not self._transport.get_write_buffer_size()
+
+    def abort(self) -> None:
+        """Closes the connection at once; a running transfer fails."""
+        self.ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def transfer(
+        self, data: bytes, deadline: float, token: cancellation.Token | None
+    ) -> None:
+        """Sends a request and reads its complete response into `reader`.
+
+        Args:
+            data: The serialized request.
+            deadline: Time limit, as time of the loop in seconds.
+            token: Aborts the connection when cancelled.
+
+        Raises:
+            TimeLimitError: The response was not complete at the deadline.
+            OSError: The connection failed.
+            httptools.HttpParserError: The response is not valid HTTP.
+            response_reader.ResponseTooLargeError: The response exceeds a limit.
+            MemoryExceededError: All responses being read exceed the memory for them.
+        """
+        waiter = self._waiter = self._event_loop.create_future()
+        timer = self._event_loop.call_at(deadline, self._fail_with_timeout)
+        registration = token.on_cancel(self.abort) if token is not None else -1
+        try:
+            self._transport.write(data)
+            await waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
+            self._memory.release(self)
+            if token is not None:
+                token.remove(registration)
+
+    def _complete_transfer(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _fail_transfer(self, error: Exception) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(error)
+
+    def _fail_with_timeout(self) -> None:
+        self._fail_transfer(TimeLimitError("no complete response within the time limit"))
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -14,6 +14,7 @@
     addresses,
     answer_memory,
     cancellation,
+    client_connection,
     loop,
     message,
     response_reader,
@@ -62,137 +63,6 @@
         self.memory_exceeded = memory_exceeded
 
 
-class _TimeLimitError(TimeoutError):
-    """The time limit of the transfer has passed; other TimeoutErrors come from the network."""
-
-
-class _MemoryExceededError(Exception):
-    """The response was given up, as all responses being read held too much memory."""
-
-
-class _Connection(asyncio.Protocol):
-    """One client connection; carries one transfer at a time.
-
-    Attributes:
-        address: IP:PORT of the server.
-        reader: Parses the responses.
-        idle_until: Time of the loop in seconds until which the idle connection may be reused.
-        ended: True once either side has closed the connection.
-    """
-
-    def __init__(
-        self,
-        event_loop: asyncio.AbstractEventLoop,
-        address: str,
-        reader: response_reader.ResponseReader,
-        memory: answer_memory.AnswerMemory,
-        close_delimited: bool,
-        on_arrival: Callable[[], None],
-    ) -> None:
-        self.address = address
-        self.reader = reader
-        self._memory = memory
-        self.idle_until = 0.0
-        self.ended = False
-        self._event_loop = event_loop
-        self._close_delimited = close_delimited
-        self._on_arrival = on_arrival
-        self._transport: asyncio.Transport | None = None
-        self._waiter: asyncio.Future | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self._transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self._on_arrival()
-        reader = self.reader
-        if self._waiter is None:
-            # No transfer is running, so these bytes belong to no request.
-            self.abort()
-            return
-        try:
-            reader.feed(data)
-        except (httptools.HttpParserError, response_reader.ResponseTooLargeError) as error:
-            self._fail_transfer(error)
-            return
-        if reader.complete:
-            self._complete_transfer()
-        else:
-            self._memory.hold(self, reader.body_size)
-
-    def give_up(self) -> None:
-        """Drops the response that is being read, and closes the connection."""
-        self._fail_transfer(
-            _MemoryExceededError("all responses being read together exceed their memory")
-        )
-        self.reader.drop()
-        self.abort()
-
-    def eof_received(self) -> None:
-        self.ended = True
-        reader = self.reader
-        if self._close_delimited and reader.status and not reader.framed:
-            self._complete_transfer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = True
-        self._fail_transfer(
-            exc or ConnectionError("the connection closed before the response was complete")
-        )
-
-    @property
-    def is_open_and_flushed(self) -> bool:
-        """True if the connection is open and all of the request has been sent."""
-        return not self.ended and not self._transport.get_write_buffer_size()
-
-    def abort(self) -> None:
-        """Closes the connection at once; a running transfer fails."""
-        self.ended = True
-        if self._transport is not None:
-            self._transport.abort()
-
-    async def transfer(
-        self, data: bytes, deadline: float, token: cancellation.Token | None
-    ) -> None:
-        """Sends a request and reads its complete response into `reader`.
-
-        Args:
-            data: The serialized request.
-            deadline: Time limit, as time of the loop in seconds.
-            token: Aborts the connection when cancelled.
-
-        Raises:
-            _TimeLimitError: The response was not complete at the deadline.
-            OSError: The connection failed.
-            httptools.HttpParserError: The response is not valid HTTP.
-            response_reader.ResponseTooLargeError: The response exceeds a limit.
-            _MemoryExceededError: All responses being read exceed the memory for them.
-        """
-        waiter = self._waiter = self._event_loop.create_future()
-        timer = self._event_loop.call_at(deadline, self._fail_with_timeout)
-        registration = token.on_cancel(self.abort) if token is not None else -1
-        try:
-            self._transport.write(data)
-            await waiter
-        finally:
-            timer.cancel()
-            self._waiter = None
-            self._memory.release(self)
-            if token is not None:
-                token.remove(registration)
-
-    def _complete_transfer(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    def _fail_transfer(self, error: Exception) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(error)
-
-    def _fail_with_timeout(self) -> None:
-        self._fail_transfer(_TimeLimitError("no complete response within the time limit"))
-
-
 def encode_request(request: message.Request, address: str) -> bytes:
     """Serializes a request for HTTP/1.1; without a Host field, Host is set to `address`."""
     fields = request.headers
@@ -215,6 +85,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def _check_usable(
+    connection: client_connection.Connection, token: cancellation.Token | None
+) -> None:
+    """Raises TransferError if a request must not be sent on a connection any more."""
+    if connection.ended:
+        raise TransferError(
+            "the server closed the connection before the request was sent",
+            verdict.Verdict.NOT_RUN,
+        )
+    if token is not None and token.cancelled:
+        connection.abort()
+        raise TransferError(
+            "nothing was sent: the call was cancelled while connecting", verdict.Verdict.NOT_RUN
+        )
+
+
 @attrs.define
 class Pool:
     """Keep-alive connections to one address; concurrent transfers use separate connections.
@@ -239,7 +125,9 @@
     memory: answer_memory.AnswerMemory = attrs.field(
         factory=lambda: answer_memory.AnswerMemory(ANSWERS_BYTES)
     )
-    _idle: collections.deque[_Connection] = attrs.field(factory=collections.deque, init=False)
+    _idle: collections.deque[client_connection.Connection] = attrs.field(
+        factory=collections.deque, init=False
+    )
 
     async def send(
         self,
@@ -269,61 +157,78 @@
         reused = connection is not None
         if connection is None:
             connection = await self._connect(event_loop, timeout_s)
-        if connection.ended:
-            raise TransferError(
-                "the server closed the connection before the request was sent",
-                verdict.Verdict.NOT_RUN,
-            )
-        if token is not None and token.cancelled:
+        _check_usable(connection, token)
+        try:
+            response = await self._transfer(connection, request, now + timeout_s, token)
+            fault = self._find_framing_fault(connection.reader, request, response)
+            if not fault and check is not None:
+                fault = check(request, response, reused)
+        except BaseException:
             connection.abort()
-            raise TransferError(
-                "nothing was sent: the call was cancelled while connecting", verdict.Verdict.NOT_RUN
-            )
-        is_head = request.method == b"HEAD"
-        reader = connection.reader
-        reader.prepare_next(head=is_head)
-        deadline = now + timeout_s
-        fault = ""
+            raise
+        if fault:
+            connection.abort()
+            raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
+        self._keep_or_close(connection, request, response, event_loop.time())
+        return response
+
+    async def _transfer(
+        self,
+        connection: client_connection.Connection,
+        request: message.Request,
+        deadline: float,
+        token: cancellation.Token | None,
+    ) -> message.Response:
+        """Sends a request on a connection and returns its response; raises TransferError."""
+        connection.reader.prepare_next(head=request.method == b"HEAD")
         try:
             await connection.transfer(encode_request(request, self.address), deadline, token)
-            response = reader.response()
-            framed = reader.framed or response.bodiless
-            if not framed and not self.close_delimited and not is_head:
-                fault = "the response has neither Content-Length nor Transfer-Encoding"
-            elif check is not None:
-                fault = check(request, response, reused)
         except TimeoutError as error:
-            connection.abort()
             raise TransferError(
                 str(error) or "the connection timed out",
                 verdict.Verdict.MAY_HAVE_RUN,
-                timed_out=isinstance(error, _TimeLimitError),
+                timed_out=isinstance(error, client_connection.TimeLimitError),
             ) from error
-        except _MemoryExceededError as error:
+        except client_connection.MemoryExceededError as error:
             raise TransferError(
                 str(error), verdict.Verdict.MAY_HAVE_RUN, memory_exceeded=True
             ) from error
         except (OSError, httptools.HttpParserError, response_reader.ResponseTooLargeError) as error:
-            connection.abort()
             text = f"{type(error).__name__}: {error}"
             raise TransferError(
                 text, verdict.Verdict.MAY_HAVE_RUN, connection_lost=isinstance(error, OSError)
             ) from error
-        except BaseException:
-            connection.abort()
-            raise
-        if fault:
-            connection.abort()
-            raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
-        reusable = framed and reader.keep_alive and not reader.has_excess_data and not is_head
-        if reusable and connection.is_open_and_flushed:
-            connection.idle_until = event_loop.time() + reader.idle_s
+        return connection.reader.response()
+
+    def _find_framing_fault(
+        self,
+        reader: response_reader.ResponseReader,
+        request: message.Request,
+        response: message.Response,
+    ) -> str:
+        """Returns why the end of a response is not known, "" if it is."""
+        if reader.framed or response.bodiless or self.close_delimited or request.method == b"HEAD":
+            return ""
+        return "the response has neither Content-Length nor Transfer-Encoding"
+
+    def _keep_or_close(
+        self,
+        connection: client_connection.Connection,
+        request: message.Request,
+        response: message.Response,
+        now: float,
+    ) -> None:
+        """Keeps the connection for another transfer if the response has left it usable."""
+        reader = connection.reader
+        framed = reader.framed or response.bodiless
+        is_clean = framed and not reader.has_excess_data and request.method != b"HEAD"
+        if is_clean and reader.keep_alive and connection.is_open_and_flushed:
+            connection.idle_until = now + reader.idle_s
             self._idle.append(connection)
         else:
             connection.abort()
-        return response
 
-    def _take_idle_connection(self, now: float) -> _Connection | None:
+    def _take_idle_connection(self, now: float) -> client_connection.Connection | None:
         """Returns an idle connection that the server should still keep open, or None."""
         idle = self._idle
         # The most recently used connection is taken first, so unneeded ones collect on the left.
@@ -338,7 +243,7 @@
 
     async def _connect(
         self, event_loop: asyncio.AbstractEventLoop, timeout_s: float
-    ) -> _Connection:
+    ) -> client_connection.Connection:
         """Opens a connection; raises TransferError with the verdict NOT_RUN if this fails."""
         try:
             address = addresses.parse(self.address)
@@ -351,7 +256,7 @@
             connecting = event_loop.sock_connect(sock, address.pair)
             await asyncio.wait_for(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
             _, connection = await event_loop.create_connection(
-                lambda: _Connection(
+                lambda: client_connection.Connection(
                     event_loop,
                     self.address,
                     response_reader.ResponseReader(self.head_limit, self.body_limit),
