Don't take fields behind a chunked body for fields of the head

Callers saw: trailer fields of a request were handled and forwarded as if they were in its head, also those that the head was checked for (a second Host); those of a response were passed on, and a `Connection` among them dropped fields of the head.

Cause: the parser reports both with the same callback.

Change: the readers drop fields that come after the head; they still count towards the limits.

Evidence: both new tests failed before.

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -131,6 +131,7 @@
         """Resets the state for the next request."""
         self._reset_request()
         self.in_head = True
+        self.in_body = False
 
     def on_url(self, url: bytes) -> None:
         """Appends a piece of the target."""
@@ -139,8 +140,9 @@
             raise BadRequestError(414)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field."""
-        self._headers.append((name.lower(), value))
+        """Stores a header field; one behind the body is not forwarded and has no effect."""
+        if not self.in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Checks the head: size, method, Host and Expect."""
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -75,10 +75,15 @@
             self.has_excess_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field, or applies it if it concerns this connection only."""
+        """Stores a header field, or applies it if it concerns this connection only.
+
+        A field behind the body is counted, but not forwarded, and has no effect.
+        """
         if self.complete:
             return
         self._header_size += len(name) + len(value)
+        if self.status:
+            return
         name = name.lower()
         if name not in message.UNFORWARDED_FIELDS:
             self._headers.append((name, value))
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -77,6 +77,14 @@
     assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
+# Fields behind a chunked body were taken for fields of the head.
+def test_a_field_behind_the_body_is_no_field_of_the_response():
+    head = b"HTTP/1.1 200 OK\r\nx-a: b\r\ntransfer-encoding: chunked\r\n\r\n"
+    body = b"2\r\nok\r\n0\r\nx-a: c\r\nconnection: x-a\r\nx-d: e\r\n\r\n"
+    response = send_post(http_client.Pool(ScriptedServer(head + body).address, BODY_LIMIT))
+    assert (response.headers, response.body) == ([(b"x-a", b"b")], b"ok")
+
+
 # A server that switched protocols ended the call in an exception that nothing handled.
 @pytest.mark.parametrize("fields", [b"", b"upgrade: h2c\r\nconnection: upgrade\r\n"])
 @pytest.mark.parametrize("rest", [b"", OK_RESPONSE])
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -265,6 +265,18 @@
     server.stop(0)
 
 
+# Fields behind a chunked body were handled as if they were in the head, a second Host too.
+def test_a_field_behind_the_body_is_no_field_of_the_request():
+    async def name_fields(request, _token):
+        return message.Response(200, [], b",".join(name for name, _ in request.headers))
+
+    server, address = start_server(name_fields)
+    head = b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+    received = _send_and_read(address, head + b"1\r\na\r\n0\r\nhost: b\r\nx-a: b\r\n\r\n")
+    assert received.endswith(b"\r\n\r\nhost,connection,transfer-encoding")
+    server.stop(0)
+
+
 # Behind a request that ends its connection, further bytes were answered with a 400 of their own.
 @pytest.mark.parametrize("pieces", [1, 2])
 @pytest.mark.parametrize("start", [b"HTTP/1.1\r\nconnection: close", b"HTTP/1.0"])
