Drop the fields that any of several Connection fields names

Callers saw: fields that concern one connection were forwarded, to upstreams or callers, if a message had several `Connection` fields: in requests those of the first one counted, in responses those of the last one. An offer of an upgrade after a `Connection: keep-alive` went on in part.

Cause: one value was looked at; RFC 9110 (5.3) has several fields of a name mean one list.

Change: the names of all of them count.

--- a/bergamotridge/headers.py
+++ b/bergamotridge/headers.py
@@ -8,11 +8,9 @@
 
 
 def _declared_hop_by_hop(headers: list[message.Header]) -> set[bytes]:
-    """Returns the field names that a Connection header declares hop-by-hop."""
-    value = message.find_header(headers, b"connection")
-    if value is None:
-        return set()
-    return {name.strip().lower() for name in value.split(b",")}
+    """Returns the field names that the Connection headers declare hop-by-hop."""
+    values = [value for name, value in headers if name == b"connection"]
+    return {option.strip().lower() for value in values for option in value.split(b",")}
 
 
 def _remove_fields(
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -52,7 +52,7 @@
         self.body_size = 0
         self._body: list[bytes] = []
         self._headers: list[message.Header] = []
-        self._connection_fields: set[bytes] | None = None
+        self._connection_fields: set[bytes] = set()
         self.framed = False
         self.complete = False
         self.status = 0
@@ -92,7 +92,7 @@
         elif name == b"keep-alive":
             self.idle_s = _parse_reusable_idle_s(value)
         elif name == b"connection" and value.lower() not in message.CONNECTION_OPTIONS:
-            self._connection_fields = {option.strip().lower() for option in value.split(b",")}
+            self._connection_fields |= {option.strip().lower() for option in value.split(b",")}
 
     def on_headers_complete(self) -> None:
         """Stores the status; no upgrade was offered, so that a server must not switch."""
@@ -118,7 +118,7 @@
         """Completes the response, or discards an interim one."""
         if self.status < FIRST_FINAL_STATUS:
             self._headers = []
-            self._connection_fields = None
+            self._connection_fields = set()
             self.framed = False
             # Until the head of the final response is complete, the connection must not end.
             self.status = 0
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -77,6 +77,15 @@
     assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
+# With two Connection fields, the fields that only the first one named were passed on.
+def test_fields_that_any_connection_field_of_a_response_names_are_removed():
+    named = b"connection: x-a\r\nconnection: x-b\r\nx-a: 1\r\nx-b: 2\r\nx-c: 3\r\n"
+    start, _, rest = OK_RESPONSE.partition(b"\r\n")
+    server = ScriptedServer(start + b"\r\n" + named + rest)
+    response = send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert response.headers == [(b"x-c", b"3")]
+
+
 # Fields behind a chunked body were taken for fields of the head.
 def test_a_field_behind_the_body_is_no_field_of_the_response():
     head = b"HTTP/1.1 200 OK\r\nx-a: b\r\ntransfer-encoding: chunked\r\n\r\n"
