Don't believe a report that an upstream may have sent before a forgotten leave

Cause: the confirmation was known to one process only, and the process after it believed the first report that came. Change: a process doesn't believe that an upstream is ready which started before it, until the upstream itself answers a health check on this host (GET of the service's health_path, 200 with Instance-Id; one a process, 1 s at most), or at least three reports have come in the rhythm of heartbeats over 5 s, the longest time by which a report is late. Leaves are believed at once. The report is acknowledged without waiting.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -61,7 +61,15 @@
     restorations,
     watch,
 )
-from bergamotridge.upstreams import announcement, gate, live_calls, local_upstream, quarantine
+from bergamotridge.upstreams import (
+    announcement,
+    gate,
+    live_calls,
+    local_upstream,
+    quarantine,
+    report_check,
+    report_proof,
+)
 from bergamotridge.upstreams import port as upstreams_port
 from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
 
@@ -176,15 +184,27 @@
             self.suspects,
             crash_observer.CrashObserver(self.events, self.node_metrics, self.routes.name_route),
         )
+        observer = upstream_observer.UpstreamObserver(self.events, self.node_metrics)
         self.upstream = local_upstream.LocalUpstream(
             self.gate,
             self.live_calls,
             self.pools,
             self.environment.upstream_dialect,
-            upstream_observer.UpstreamObserver(self.events, self.node_metrics),
+            observer,
             self._publish_announcement,
             self.quarantine,
         )
+        self.report_check = report_check.ReportCheck(
+            report_proof.ReportProof(self.incarnation, self.settings.limits.heartbeat_s),
+            self._health_path,
+            self.environment.read_instance,
+            self._apply_announcement,
+            observer,
+            self.pools,
+            self.loop,
+            time.monotonic,
+        )
+        self.configuration.add_listener(lambda _: self.report_check.handle_configuration())
 
     def _create_node_parts(self) -> None:
         node = self.settings
@@ -375,7 +395,7 @@
         create_server = functools.partial(self._create_server, node.limits.body_bytes)
         limits, addresses = node.limits, node.addresses
         upstream_handler = self.environment.make_upstream_handler(
-            upstream_port.handle, self._apply_announcement, self.malformed_entries.report
+            upstream_port.handle, self.report_check.receive, self.malformed_entries.report
         )
         self.upstream_server = create_server(
             "upstream", addresses.upstream, upstream_handler, limits.upstream_connections
@@ -548,6 +568,11 @@
         if service is not None:
             self.gate.configure(service.slots, service.connections)
 
+    def _health_path(self, service: str) -> str:
+        current = self.configuration.current
+        known = current.text.services.get(service) if current else None
+        return known.health_path if known else ""
+
     def _apply_announcement(self, received: announcement.Announcement, now: float) -> None:
         is_new_service = self.upstream.service != received.service
         if not self.upstream.apply_announcement(received, now):
--- a/bergamotridge/environment.py
+++ b/bergamotridge/environment.py
@@ -8,7 +8,7 @@
 from bergamotridge.callers import dialect as callers_dialect
 from bergamotridge.operators import operator_text
 from bergamotridge.store import client, counted, restorations
-from bergamotridge.upstreams import announcement
+from bergamotridge.upstreams import announcement, report_check
 from bergamotridge.upstreams import dialect as upstreams_dialect
 from bergamotridge.util import httpd
 
@@ -43,6 +43,8 @@
             keys then.
         caller_dialect: Header fields used between callers and nodes.
         upstream_dialect: Header fields used between a node and its upstream.
+        read_instance: Returns the id of the upstream that made a response to a health check, "" if
+            the response doesn't say.
         make_upstream_handler: Returns the handler of the port for the upstream; takes the default
             handler, the function that applies announcements of the upstream, and the one that takes
             reports of those that cannot be read.
@@ -60,6 +62,7 @@
     upstream_dialect: upstreams_dialect.UpstreamDialect = attrs.field(
         factory=upstreams_dialect.DefaultDialect
     )
+    read_instance: report_check.ReadInstance = report_check.read_no_instance
     make_upstream_handler: Callable[
         [httpd.Handler, OnAnnouncement, malformed.OnMalformed], httpd.Handler
     ] = _use_default_handler
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -32,6 +32,11 @@
     "upstream.crashed-under": "A call ran at the local upstream when it crashed; a few per crash.",
     "upstream.leaving": "The local upstream says in an answer that it is about to stop.",
     "upstream.limited": "The local upstream names a limit on its calls per second, or another one.",
+    "upstream.report-held": (
+        "A report says that the local upstream is ready, and may be from before it left."
+    ),
+    "upstream.report-probed": "The node asked the upstream for proof; the cause is the result.",
+    "upstream.report-proven": "The local upstream is alive, and the reports held back count.",
     "upstream.unlimited": "The local upstream no longer names a limit on its calls per second.",
 }
 
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -78,6 +78,11 @@
         self._upstream_calls = registry.counter(
             f"{METRIC_PREFIX}upstream_calls_total", "Calls that were sent to the local upstream."
         ).labelled()
+        self._held_upstreams = registry.counter(
+            f"{METRIC_PREFIX}upstream_reports_held_total",
+            "Starts of the local upstream whose reports were held back, as they may have been sent "
+            "before it left.",
+        ).labelled()
         self._crashes = registry.counter(
             f"{METRIC_PREFIX}upstream_crashes_total",
             "Crashes of the local upstream with calls under way.",
@@ -147,6 +152,10 @@
         """Counts an entry that was skipped; see `malformed.MalformedEntry`."""
         self._malformed_entries.add(source=source)
 
+    def count_held_upstream(self) -> None:
+        """Counts a start of the upstream whose reports are held back."""
+        self._held_upstreams.add()
+
     def count_crash(self) -> None:
         """Counts a crash of the local upstream."""
         self._crashes.add()
--- a/bergamotridge/operators/operator_text.py
+++ b/bergamotridge/operators/operator_text.py
@@ -30,12 +30,15 @@
         depends_on: Names of the services that its upstreams may call.
         slots: Calls that one upstream can run concurrently.
         connections: Connections that may be open to one upstream.
+        health_path: Path on which an upstream answers whether it is alive and not leaving, "" if
+            there is none.
     """
 
     name: str
     depends_on: tuple[str, ...] = ()
     slots: int = 50
     connections: int = 400
+    health_path: str = ""
 
 
 @attrs.frozen
--- a/bergamotridge/operators/upstream_observer.py
+++ b/bergamotridge/operators/upstream_observer.py
@@ -2,7 +2,7 @@
 
 from bergamotridge import events
 from bergamotridge.operators import node_metrics
-from bergamotridge.upstreams import notice
+from bergamotridge.upstreams import announcement, notice
 
 
 class UpstreamObserver:
@@ -39,3 +39,24 @@
                 rate_limit=received.rate_limit,
                 rate_limit_before=last.rate_limit,
             )
+
+    def record_held(self, received: announcement.Announcement) -> None:
+        """Logs that a report is not believed yet, and counts the start that it names."""
+        self._metrics.count_held_upstream()
+        self._log.emit("upstream.report-held", **_describe(received))
+
+    def record_probe(self, asked: announcement.Announcement, result: str) -> None:
+        """Logs the result of a health check."""
+        self._log.emit("upstream.report-probed", cause=result, **_describe(asked))
+
+    def record_proof(self, received: announcement.Announcement) -> None:
+        """Logs that reports that were held back are believed."""
+        self._log.emit("upstream.report-proven", **_describe(received))
+
+
+def _describe(received: announcement.Announcement) -> dict[str, object]:
+    return {
+        "instance": received.instance,
+        "incarnation_of": received.incarnation,
+        "sequence": received.sequence,
+    }
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -56,6 +56,16 @@
     return lambda table: configuration.parse(orjson.dumps(table).decode(), "test")
 
 
+@pytest.mark.parametrize(
+    ("value", "path"),
+    [("/health", "/health"), *((odd, "") for odd in (None, 5, "", "x", "/a b", "/a\r\nb: c"))],
+)
+def test_a_health_path_that_cannot_be_sent_is_none(parse, value, path):
+    clusters = [{"name": "slots", "health_path": value}, {"name": "fees"}]
+    text = parse({**CONFIGURATION, "clusters": clusters})
+    assert [text.services[name].health_path for name in ("slots", "fees")] == [path, ""]
+
+
 def test_the_longest_matching_path_prefix_of_the_host_selects_the_route(parse):
     table = routing.RouteTable(parse(CONFIGURATION))
     long = table.match("POST", "/x/y/1", "a.example").route
