Soak the nodes as the platform starts them

The soak of the fleet has no calls of upstreams through the node beside them more than two levels deep, no bodies or heads that come slowly, no slow readers, no requests sent one behind the other and no starts beside a process that still stops. python -m soak.machines starts nodes with the deploy file's command on a machine's settings and draws these.

--- /dev/null
+++ b/soak/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of the nodes as the platform starts them; see docs/soak.md."""
--- /dev/null
+++ b/soak/machines/__main__.py
@@ -0,0 +1,111 @@
+"""Runs the soak of machines on one or several seeds; the exit code is 0 only if all rules held."""
+
+import asyncio
+import collections
+import pathlib
+import shutil
+import signal
+import sys
+
+from absl import app, flags
+
+from soak.machines import checks, client, draw, fleet, record
+
+S_PER_MINUTE = 60.0
+BEFORE_S, AFTER_S = 4.0, 1.0
+LOG_LINES = 12
+EXIT_FAILED = 1
+
+
+def run_plan(plan: draw.Plan, folder: pathlib.Path) -> tuple[record.Record, list[checks.Finding]]:
+    """Carries out a plan; logs and records are written to `folder`."""
+    folder.mkdir(parents=True, exist_ok=True)
+    running = fleet.Fleet(plan, folder)
+    asyncio.run(running.run())
+    found = checks.find_broken(running.rows)
+    (folder / "plan").write_text("\n".join(plan.to_lines()) + "\n", encoding="utf-8")
+    (folder / "record").write_text("\n".join(running.rows.to_lines()) + "\n", encoding="utf-8")
+    return running.rows, found
+
+
+def describe(rows: record.Record, finding: checks.Finding, folder: pathlib.Path) -> list[str]:
+    """Returns the time line around a finding, and the last lines of its node's log until then."""
+    events = [
+        f"    {item.at:8.3f} {item.what} {item.machine} {item.detail}"
+        for item in rows.happenings
+        if finding.at - BEFORE_S <= item.at <= finding.at + AFTER_S
+        and item.machine in (0, finding.machine)
+    ]
+    log = (folder / f"node-{finding.machine}.log").read_text(encoding="utf-8", errors="replace")
+    words = finding.text.split(" ")
+    lines = [line for line in log.splitlines() if words[0] in line] or [
+        line for line in log.splitlines() if "Traceback" in line or '"error' in line.lower()
+    ]
+    return [*events, *(f"    log: {line[:300]}" for line in lines[-LOG_LINES:])]
+
+
+def count(rows: record.Record) -> str:
+    """Returns what was seen, as one line."""
+    ends = collections.Counter(item.end for item in rows.attempts)
+    statuses = collections.Counter(item.status for item in rows.attempts if item.end == "answer")
+    steps = collections.Counter(
+        item.what for item in rows.happenings if item.what.startswith(("step", "SIG"))
+    )
+    unread = checks.count_unread(rows)
+    return (
+        f"{len(rows.attempts)} requests {dict(ends)}, statuses {dict(statuses)},"
+        f" {unread} reset unread, {dict(steps)}"
+    )
+
+
+def define_flags() -> None:
+    """Defines the flags of the command line."""
+    flags.DEFINE_integer("seed", 1, "first seed")
+    flags.DEFINE_integer("seeds", 1, "number of seeds, one after another", lower_bound=1)
+    flags.DEFINE_float("minutes", 0.5, "time in which scenarios begin, for each seed", 0.05, 2.0)
+    flags.DEFINE_integer("hosts", 8, "machines of the fleet", lower_bound=4, upper_bound=16)
+    flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
+    flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
+    flags.DEFINE_string("directory", "out/soak-machines", "directory of logs of failed seeds")
+
+
+def _run_seed(plan: draw.Plan, folder: pathlib.Path) -> bool:
+    shutil.rmtree(folder, ignore_errors=True)
+    rows, found = run_plan(plan, folder)
+    print(f"seed {plan.seed}: {len(found)} findings; {count(rows)}", flush=True)
+    by_rule = collections.Counter()
+    report = []
+    for finding in found:
+        by_rule[finding.rule] += 1
+        report += [finding.to_line(), *describe(rows, finding, folder)]
+        if by_rule[finding.rule] <= 3:
+            print(f"  {finding.to_line()}", flush=True)
+    (folder / "findings").write_text("\n".join(report) + "\n", encoding="utf-8")
+    if found or flags.FLAGS.keep:
+        print(f"  {dict(by_rule)}, logs in {folder}", flush=True)
+    else:
+        shutil.rmtree(folder)
+    return not found
+
+
+def main(_: list[str]) -> int:
+    """Runs all seeds and returns the exit code."""
+    values = flags.FLAGS
+    # The fleet is stopped on the way out, as after an interrupt.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
+    broken = 0
+    for seed in range(values.seed, values.seed + values.seeds):
+        duration_s = values.minutes * S_PER_MINUTE
+        plan = draw.draw_plan(seed, duration_s, values.hosts, len(client.STYLES))
+        if values.plan:
+            print(f"seed {seed}", *plan.to_lines(), sep="\n")
+            continue
+        broken += not _run_seed(plan, pathlib.Path(values.directory) / f"seed-{seed}")
+    if not values.plan:
+        print(f"{values.seeds} seeds, {broken} with findings")
+    return EXIT_FAILED if broken else 0
+
+
+if __name__ == "__main__":
+    define_flags()
+    app.run(main)
--- /dev/null
+++ b/soak/machines/checks.py
@@ -0,0 +1,167 @@
+"""Checks the rules on what the stand-ins saw; a finding names its rule and its time."""
+
+import collections
+import itertools
+
+import attrs
+
+from soak.machines import record
+
+GRACE_S, DRAIN_S, CONTACT_S, LOST_SLACK_S = 6.0, 2.0, 3.0, 0.2
+START_S = 1.0  # A signal ends a process whose interpreter still starts.
+REFUSALS = (408, 421, 429, 503)
+DISTURBANCES = ("SIGTERM", "SIGKILL", "node starts", "node exits")
+
+
+@attrs.frozen
+class Finding:
+    """A broken rule: when, on which machine, and what was seen."""
+
+    rule: str
+    at: float
+    machine: int
+    text: str
+
+    def to_line(self) -> str:
+        """Returns it as one line."""
+        return f"{self.rule} at {self.at:.3f} on machine {self.machine}: {self.text}"
+
+
+def find_broken(rows: record.Record) -> list[Finding]:
+    """Returns what broke a rule, in the order of time."""
+    runs = collections.defaultdict(list)
+    for run in rows.runs:
+        runs[run.id].append(run)
+    found = [
+        *_find_lost(rows, runs),
+        *_find_untrue(rows, runs),
+        *_find_late_runs(rows),
+        *_find_exits(rows),
+    ]
+    return sorted(found, key=lambda finding: finding.at)
+
+
+def count_unread(rows: record.Record) -> int:
+    """Returns how many whole requests were reset unread, with no kill of their node around."""
+    return sum(
+        item.end == "reset" and item.sent is not None and item.alone and not _is_killed(rows, item)
+        for item in rows.attempts
+    )
+
+
+def _times(rows: record.Record, machine: int, whats: tuple[str, ...]) -> list[float]:
+    return [item.at for item in rows.happenings if item.machine == machine and item.what in whats]
+
+
+def _is_killed(rows: record.Record, attempt: record.Attempt) -> bool:
+    """Returns True if a process of the machine was killed, or ended by itself, meanwhile."""
+    ends = [
+        item.at
+        for item in rows.happenings
+        if item.machine == attempt.machine
+        and (item.what == "SIGKILL" or (item.what == "node exits" and "by itself" in item.detail))
+    ]
+    begin = attempt.connected or attempt.began
+    return any(begin - 0.1 <= at <= attempt.ended + 0.1 for at in ends)
+
+
+def _find_lost(rows: record.Record, runs) -> list[Finding]:
+    """LOST: a request that was read, or ran, has no whole answer."""
+    broken_off = [
+        item.at for item in rows.happenings if item.what in ("SIGKILL", "server ends", "node exits")
+    ]
+    found = []
+    for item in rows.attempts:
+        if item.end not in ("closed", "reset") or item.sent is None or _is_killed(rows, item):
+            continue
+        at_server = runs.get(item.id, [])
+        was_read = item.end == "closed" and item.ended > item.sent + LOST_SLACK_S
+        if not (was_read or at_server):
+            continue
+        if at_server and any(at_server[0].at <= at <= item.ended + 0.1 for at in broken_off):
+            continue  # The server, or a node on the way, may have broken off its answer.
+        stops = [at for at in _times(rows, item.machine, ("SIGTERM",)) if at <= item.ended]
+        since = f"{item.ended - stops[-1]:.2f} s after SIGTERM" if stops else "no SIGTERM before"
+        text = (
+            f"{item.id} {item.by}, {item.method} {item.path}: connection lasted"
+            f" {item.ended - item.connected:.2f}, ended ({item.end}) {item.ended - item.sent:.2f}"
+            f" after the last byte, {since}; {len(at_server)} runs, {item.got} bytes came"
+        )
+        found.append(Finding("LOST", item.ended, item.machine, text))
+    return found
+
+
+def _find_untrue(rows: record.Record, runs) -> list[Finding]:
+    """TWICE, REFUSED, MIXED, UNASKED and ROUTE."""
+    found = []
+    attempts = {item.id: item for item in rows.attempts}
+    for item in rows.attempts:
+        at_server = runs.get(item.id, [])
+        broken = []
+        if not item.safe and len(at_server) > 1:
+            broken.append("TWICE")
+        if not item.safe and at_server and item.status in REFUSALS and not item.sealed:
+            broken.append("REFUSED")
+        if item.status == 200 and not (item.whole and item.sealed):
+            broken.append("MIXED")
+        if item.status == 200 and not any(run.status in (200, -1) for run in at_server):
+            broken.append("MIXED")
+        what = f"{item.id} {item.by}, {item.method} {item.path}: {item.status}, {at_server}"
+        found += [Finding(rule, item.ended or item.began, item.machine, what) for rule in broken]
+    for run in rows.runs:
+        item = attempts.get(run.id)
+        if (
+            item is None
+            or (run.method, run.path, run.digest) != (item.method, item.path, item.digest)
+            or run.caller_service != item.service
+        ):
+            found.append(Finding("UNASKED", run.at, run.machine, f"{run}, sent: {item}"))
+        if run.host != f"{run.service}.test":
+            found.append(Finding("ROUTE", run.at, run.machine, f"{run}"))
+    return found
+
+
+def _find_late_runs(rows: record.Record) -> list[Finding]:
+    """DRAIN: a request runs later than `drain` after a confirmed leave; excuse: not in touch."""
+    left = {item.detail: item for item in rows.happenings if item.what == "leave confirmed"}
+    store = _store_troubles(rows)
+    attempts = {item.id: item for item in rows.attempts}
+    found = []
+    for run in rows.runs:
+        leave, item = left.get(run.server), attempts.get(run.id)
+        if leave is None or item is None or run.at <= leave.at + DRAIN_S:
+            continue
+        disturbed = _times(rows, item.machine, DISTURBANCES)
+        if any(item.began - CONTACT_S <= at <= run.at for at in disturbed):
+            continue
+        own = item.machine == leave.machine
+        if not own and any(
+            a - CONTACT_S <= run.at and item.began <= b + CONTACT_S for a, b in store
+        ):
+            continue
+        text = f"{run.id} runs at {run.server} {run.at - leave.at:.2f} s after its leave"
+        found.append(Finding("DRAIN", run.at, item.machine, text))
+    return found
+
+
+def _store_troubles(rows: record.Record) -> list[tuple[float, float]]:
+    begins = [item.at for item in rows.happenings if item.what == "step store"]
+    ends = [item.at for item in rows.happenings if item.what == "store works again"]
+    return list(itertools.zip_longest(begins, ends, fillvalue=float("inf")))
+
+
+def _find_exits(rows: record.Record) -> list[Finding]:
+    """FAULT: a process ends by itself, with a status, or must be killed after `grace`."""
+    started = {item.detail: item.at for item in rows.happenings if item.what == "node starts"}
+    found = []
+    for item in rows.happenings:
+        if item.what == "grace is over":
+            found.append(Finding("FAULT", item.at, item.machine, f"pid {item.detail}: no end"))
+        if item.what != "node exits":
+            continue
+        pid, code, cause = item.detail.split(" ", 2)
+        early = code == "-15" and item.at < started[pid] + START_S
+        if cause == "by itself" or (cause == "stopped" and code != "0" and not early):
+            text = f"pid {pid} ended {item.at - started[pid]:.2f} s after its start: {code} {cause}"
+            found.append(Finding("FAULT", item.at, item.machine, text))
+    return found
--- /dev/null
+++ b/soak/machines/fleet.py
@@ -0,0 +1,268 @@
+"""Carries out a plan on a fleet of machines."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import socket
+
+from soak.machines import client, draw, machine, record, server, store
+
+READY_S = 40.0
+SETTLE_S = 6.0
+LAST_ANSWERS_S = 10.0
+EARLY_SIGNAL_S = 0.5  # The interpreter takes as long to start; see KNOWN-RED.txt on SIGHUP.
+
+
+class NotReadyError(Exception):
+    """The fleet didn't come up."""
+
+
+def find_network(seed: int) -> str:
+    """Returns the first three numbers of loopback addresses whose ports are free."""
+    rng = random.Random(f"network {seed}")
+    for _ in range(50):
+        prefix = f"127.{rng.randrange(10, 250)}.{rng.randrange(10, 250)}"
+        try:
+            for last, port in ((1, machine.OUTBOUND_PORT), (200, store.PORT)):
+                socket.create_server((f"{prefix}.{last}", port)).close()
+        except OSError:
+            continue
+        return prefix
+    raise NotReadyError("no free loopback addresses")
+
+
+def make_configuration(version: int) -> dict:
+    """Returns a configuration; versions differ in a route that nobody uses and in time-outs."""
+    rules = [
+        {
+            "name": name,
+            "kind": kind,
+            "target_latency": f"{1500 + version % 7 * 10}ms",
+            "priority": 1,
+            "public": True,
+            "match": {"path_prefix": prefix},
+            "action": {"timeout": "7000ms", "max_attempts": 2},
+        }
+        for name, kind, prefix in (
+            ("s", "safe", "/s/"),
+            ("u", "unsafe", "/u/"),
+            (f"n{version}", "safe", f"/n{version}/"),
+        )
+    ]
+    return {
+        "version": f"r{version}",
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+        "tenants": [],
+        "listeners": [
+            {
+                "host": f"{name}.test",
+                "rules": [
+                    rule
+                    | {"name": f"{name}-{rule['name']}"}
+                    | {"action": rule["action"] | {"service": name}}
+                    for rule in rules
+                ],
+            }
+            for name in draw.SERVICES
+        ],
+        "clusters": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_connections": 448,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in draw.SERVICES
+        ],
+    }
+
+
+class Fleet:
+    """The machines, the store, the clients and the scenarios that are under way."""
+
+    def __init__(self, plan: draw.Plan, folder: pathlib.Path) -> None:
+        self.rows = record.Record()
+        self._plan, self._folder = plan, folder
+        self._store = store.Store(self.rows)
+        self._machines: list[machine.Machine] = []
+        self._tasks: list[asyncio.Task] = []
+        self._version = 1
+
+    async def run(self) -> None:
+        """Carries out the plan and ends all processes."""
+        try:
+            await self._start()
+            await self._play()
+            await self._stop_all()
+        finally:
+            for item in self._machines:
+                if item.process is not None and item.process.popen.returncode is None:
+                    item.send(item.process, signal.SIGKILL)
+                    await item.process.popen.wait()
+
+    async def _start(self) -> None:
+        network = find_network(self._plan.seed)
+        address = await self._store.start(f"{network}.200")
+        self._store.write("config", "main", make_configuration(1))
+        for number in range(1, self._plan.machines + 1):
+            item = machine.Machine(self.rows, number, network, self._folder, address)
+            item.service = draw.SERVICES[number % len(draw.SERVICES)]
+            self._machines.append(item)
+            await self._start_machine(item)
+        deadline = self.rows.now() + READY_S
+        for item in self._machines:
+            while not await item.is_ready():
+                if self.rows.now() > deadline:
+                    raise NotReadyError(f"machine {item.number} is not ready")
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _start_machine(self, item: machine.Machine) -> None:
+        item.write_settings()
+        await item.start()
+        await self._start_server(item)
+
+    async def _start_server(self, item: machine.Machine) -> None:
+        item.server = server.Server(self.rows, item, draw.SERVICES)
+        await item.server.start()
+
+    async def _play(self) -> None:
+        begin = self.rows.now()
+        until = begin + self._plan.duration_s
+        self.rows.happen("traffic begins")
+        for index, (number, style) in enumerate(self._plan.clients):
+            self._send(self._machines[number - 1], style, f"{self._plan.seed} {index}", until)
+        for step in self._plan.steps:
+            await asyncio.sleep(max(0.0, begin + step.at - self.rows.now()))
+            self.rows.happen(f"step {step.kind}", step.machine, f"{step.values}")
+            self._tasks.append(asyncio.create_task(self._carry_out(step)))
+        await asyncio.sleep(max(0.0, until - self.rows.now()))
+        await asyncio.gather(*self._tasks)
+
+    def _send(self, item: machine.Machine, style: int, seed: str, until: float) -> None:
+        sending = client.send_steadily(
+            self.rows, item, client.STYLES[style], seed, draw.SERVICES, until
+        )
+        self._tasks.append(asyncio.create_task(sending))
+
+    async def _stop_all(self) -> None:
+        self.rows.happen("the end: all nodes are told to stop")
+        for item in self._machines:
+            item.send(item.process, signal.SIGTERM)
+        await asyncio.gather(*(item.end(item.process) for item in self._machines))
+        for item in self._machines:
+            if not item.server.ended:
+                item.server.end()
+
+    async def _carry_out(self, step: draw.Step) -> None:
+        item, values = self._machines[step.machine - 1], step.values
+        if step.kind in ("stop", "rolling"):
+            count = values.get("count", 1)
+            chosen = (self._machines[step.machine - 1 :] + self._machines)[:count]
+            stops = []
+            for member in chosen:
+                stops.append(asyncio.create_task(self._stop(member, values)))
+                await asyncio.sleep(values.get("gap", 0.0))
+            await asyncio.gather(*stops)
+        elif step.kind == "kill":
+            await self._kill([item], values["pause"])
+        elif step.kind == "kill all":
+            await self._kill(self._machines, values["pause"])
+        elif step.kind == "reload":
+            for gap in values["gaps"]:
+                await asyncio.sleep(gap)
+                self._signal(item, item.process, signal.SIGHUP)
+        elif step.kind == "leave":
+            await self._leave(item, values)
+        elif step.kind == "configure":
+            for _ in range(values["count"]):
+                self._version += 3
+                self._store.write("config", "main", make_configuration(self._version))
+                self.rows.happen("configuration", 0, f"r{self._version}")
+                await asyncio.sleep(values["gap"])
+        else:
+            self._store.trouble = values["trouble"]
+            await asyncio.sleep(values["for"])
+            self._store.trouble = ""
+            self.rows.happen("store works again")
+
+    def _signal(self, item: machine.Machine, process: machine.Process, number) -> None:
+        if self.rows.now() > process.started + EARLY_SIGNAL_S:
+            item.send(process, number)
+
+    async def _stop(self, item: machine.Machine, values: dict) -> None:
+        """Stops a node as planned, with clients that come at that time, and starts the next."""
+        if item.replaces or item.process.popen.returncode is not None:
+            return
+        item.replaces = True
+        process, begin = item.process, self.rows.now() + values["lead"]
+        for index, (at, style) in enumerate(values["burst"]):
+            seed = f"{self._plan.seed} {item.number} {index}"
+            self._tasks.append(asyncio.create_task(self._burst(item, style, seed, at, begin + 3)))
+        await asyncio.sleep(values["lead"])
+        item.send(process, signal.SIGTERM)
+        ends = asyncio.create_task(item.end(process))
+        signals = asyncio.create_task(self._signal_series(item, process, values["also"]))
+        if values["overlap"] is not None:
+            await asyncio.sleep(values["overlap"])
+        else:
+            await ends
+            await asyncio.sleep(values["pause"])
+        await item.start()
+        await asyncio.gather(ends, signals)
+
+    async def _burst(self, item, style: int, seed: str, at: float, until: float) -> None:
+        await asyncio.sleep(at)
+        await client.send_steadily(
+            self.rows, item, client.STYLES[style], seed, draw.SERVICES, until
+        )
+
+    async def _signal_series(self, item, process, also) -> None:
+        begin = self.rows.now()
+        for at, name in also:
+            await asyncio.sleep(max(0.0, begin + at - self.rows.now()))
+            item.send(process, signal.Signals[name])
+
+    async def _kill(self, items: list[machine.Machine], pause_s: float) -> None:
+        chosen = [item for item in items if not item.replaces]
+        for item in chosen:
+            item.replaces = True
+            item.send(item.process, signal.SIGKILL)
+        for item in chosen:
+            await item.process.popen.wait()
+        await asyncio.sleep(pause_s)
+        for item in chosen:
+            await item.start()
+
+    async def _leave(self, item: machine.Machine, values: dict) -> None:
+        """A server leaves; its address goes to a server of a drawn service, with a new node."""
+        if item.replaces or item.server.ended:
+            return
+        item.replaces = True
+        process, leaving = item.process, item.server
+        left = asyncio.create_task(leaving.leave(values["late"], values["more"], values["says"]))
+        if values["node"] == "killed early":
+            await asyncio.sleep(values["early"])
+            item.send(process, signal.SIGKILL)
+            await process.popen.wait()
+            process = await item.start()
+            item.replaces = True
+        await left
+        if values["node"] != "stays":
+            item.send(process, signal.SIGTERM)
+            await item.end(process)
+        await asyncio.sleep(values["pause"])
+        if values["node"] == "stays":
+            item.replaces = False
+        else:
+            item.service = values["service"]
+            item.write_settings()
+            await item.start()
+        await self._start_server(item)
--- /dev/null
+++ b/soak/machines/record.py
@@ -0,0 +1,101 @@
+"""What stand-ins saw in one run: attempts of clients, runs at servers, and what happened around."""
+
+import itertools
+import time
+
+import attrs
+
+
+@attrs.define
+class Attempt:
+    """One request as its client saw it; times in seconds since the start, None before they are.
+
+    Attributes:
+        by: Kind of the client, or the calling server.
+        machine: Number of the machine on which the request began.
+        sent: When the last byte was sent.
+        status: Status of the answer, 0 without a whole answer.
+        end: ``answer``, ``closed``, ``reset``, ``timeout``, ``refused`` (no connection),
+            ``gave up`` (the calling server ended).
+        got: Bytes of the answer that came.
+        alone: False if other requests were sent on the connection before its answer.
+    """
+
+    id: str
+    by: str
+    machine: int
+    service: str
+    method: str
+    path: str
+    digest: str
+    safe: bool
+    connected: float | None = None
+    began: float | None = None
+    sent: float | None = None
+    ended: float | None = None
+    status: int = 0
+    end: str = ""
+    got: int = 0
+    whole: bool = False
+    sealed: bool = False
+    alone: bool = True
+    text: str = ""
+
+
+@attrs.define
+class Run:
+    """One request as a server saw it; `status` is 0 until it is answered, -1 if it was cut."""
+
+    id: str
+    server: str
+    machine: int
+    at: float
+    method: str
+    path: str
+    digest: str
+    caller_service: str
+    service: str = ""
+    host: str = ""
+    ended: float | None = None
+    status: int = 0
+
+
+@attrs.frozen
+class Happening:
+    """What was done to a machine, or happened on it; machine 0 is the store or the fleet."""
+
+    at: float
+    what: str
+    machine: int = 0
+    detail: str = ""
+
+
+class Record:
+    """Everything seen in one run."""
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.runs: list[Run] = []
+        self.happenings: list[Happening] = []
+        self._numbers = itertools.count(1)
+        self._start = time.monotonic()
+
+    def now(self) -> float:
+        """Returns the time since the start in seconds."""
+        return round(time.monotonic() - self._start, 4)
+
+    def next_id(self) -> str:
+        """Returns an id for a request that no other request has."""
+        return f"{next(self._numbers):08x}{time.monotonic_ns() & 0xFFFFFFFF:08x}"
+
+    def happen(self, what: str, machine: int = 0, detail: str = "") -> float:
+        """Adds a happening and returns its time."""
+        self.happenings.append(Happening(self.now(), what, machine, detail))
+        return self.happenings[-1].at
+
+    def to_lines(self) -> list[str]:
+        """Returns everything in the order of its time."""
+        rows = [(item.began or item.ended or 0.0, f"attempt {item}") for item in self.attempts]
+        rows += [(item.at, f"run {item}") for item in self.runs]
+        rows += [(item.at, f"{item}") for item in self.happenings]
+        return [f"{at:9.4f} {text}" for at, text in sorted(rows)]
--- /dev/null
+++ b/soak/machines/server.py
@@ -0,0 +1,193 @@
+"""An application server: reports to the node beside it, runs requests and calls other services."""
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+
+from soak.machines import client, record, wire
+
+PORT, CONTROL_PORT = 8547, 8540
+HEARTBEAT_S = 1.5
+REPORT_S = 1.0
+SLOTS = 58
+TRICKLE_PIECES = 6
+TRICKLE_PAUSE_S = 0.15
+
+
+class Server:
+    """One incarnation of a server."""
+
+    def __init__(self, rows: record.Record, machine, services) -> None:
+        self.id = f"i-{machine.number}-{random.getrandbits(32):08x}"
+        self.ended = False
+        self._rows, self._machine, self._services = rows, machine, services
+        self._service = machine.service
+        self._state, self._seq, self._running = "ready", 0, 0
+        self._born = int(time.time() * 1000)
+        self._tasks: set[asyncio.Task] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._beats: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Listens and begins to report."""
+        self._server = await asyncio.start_server(
+            self._serve, self._machine.ip, PORT, backlog=400, reuse_address=True
+        )
+        self._beats = asyncio.create_task(self._beat())
+        self._rows.happen("server starts", self._machine.number, self.id)
+
+    def end(self) -> None:
+        """Ends as a process does: its connections end with it."""
+        self.ended = True
+        self._rows.happen("server ends", self._machine.number, self.id)
+        self._beats.cancel()
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def leave(self, late_s: float, more_s: float, says_draining: bool) -> None:
+        """Leaves as planned; a report of before arrives `late_s` after the confirmation."""
+        late = self._report()
+        self._beats.cancel()
+        self._state = "draining"
+        first = ("Heartbeat", self._report()) if says_draining else ("Deregister", b"")
+        for _ in range(5):
+            status = await self._say(*first)
+            if 200 <= status < 300:
+                self._rows.happen("leave confirmed", self._machine.number, self.id)
+                break
+        if late_s:
+            await asyncio.sleep(late_s)
+            await self._say("Heartbeat", late)
+        await asyncio.sleep(max(2.5 + more_s - late_s, 0.0))
+        if says_draining:
+            await self._say("Deregister", b"")
+        self.end()
+
+    def _report(self) -> bytes:
+        self._seq += 1
+        table = {
+            "service": self._service,
+            "address": f"{self._machine.ip}:{PORT}",
+            "zone": self._machine.zone,
+            "version": "v1",
+            "slots": SLOTS,
+            "state": self._state,
+            "cold_remaining": "0ms",
+            "seq": self._seq,
+            "born": self._born,
+        }
+        return json.dumps(table).encode()
+
+    async def _say(self, call: str, body: bytes) -> int:
+        with contextlib.suppress(OSError, TimeoutError, wire.EndedError):
+            async with asyncio.timeout(REPORT_S):
+                address = f"{self._machine.ip}:{CONTROL_PORT}"
+                reader, writer = await wire.connect(address)
+                try:
+                    fields = {"Host": "control", "Content-Type": "application/json"}
+                    start = f"POST /Instances.{call}/{self.id} HTTP/1.1"
+                    writer.write(wire.encode(start, fields, body))
+                    return (await wire.read_head(reader)).status
+                finally:
+                    writer.close()
+        await asyncio.sleep(0.2)
+        return 0
+
+    async def _beat(self) -> None:
+        while True:
+            await self._say("Heartbeat", self._report())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _serve(self, reader, writer) -> None:
+        self._tasks.add(task := asyncio.current_task())
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (wire.EndedError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader, writer) -> bool:
+        """Returns False if the connection is to end."""
+        message = await wire.read_head(reader)
+        await wire.read_body(reader, message)
+        method, path, _ = message.start.split(" ")
+        fields = message.fields
+        request_id = fields.get("request-id", "")
+        if path == "/health":
+            writer.write(wire.encode("HTTP/1.1 200 OK", {"Instance-Id": self.id}))
+            return True
+        if fields.get("expect-instance", self.id) != self.id:
+            writer.write(wire.encode("HTTP/1.1 421 X", {"Instance-Id": self.id}))
+            return True
+        if self._running >= SLOTS:
+            refused = {"Request-Id": request_id, "Not-Executed": "full"}
+            writer.write(wire.encode("HTTP/1.1 503 Full", refused))
+            return True
+        run = record.Run(
+            request_id, self.id, self._machine.number, self._rows.now(), method, path,
+            wire.digest(message.body), fields.get("caller-service", ""), self._service,
+            fields.get("host", ""), status=-1,
+        )  # fmt: skip
+        self._rows.runs.append(run)
+        self._running += 1
+        try:
+            return await self._run(run, fields, writer)
+        finally:
+            self._running -= 1
+            run.ended = self._rows.now()
+
+    async def _run(self, run: record.Run, fields: dict, writer) -> bool:
+        _, _, work_ms, size, mode, depth = run.path.split("/")
+        left_s = int(fields.get("deadline-ms", 10_000)) / 1000
+        await asyncio.sleep(min(int(work_ms) / 1000, left_s))
+        good = int(depth) == 0 or await self._call(int(depth) - 1)
+        status = 504 if int(work_ms) / 1000 > left_s else 200 if good else 500
+        answer = {"Request-Id": run.id, "Response-Seal": f"s.{self.id}.{run.id}"}
+        body = wire.content(run.id, int(size)) if status == 200 else b"failed"
+        await self._send_answer(writer, f"HTTP/1.1 {status} X", answer, body, mode)
+        run.status = status
+        return mode != "close"
+
+    async def _call(self, depth: int) -> bool:
+        """Makes a call of its own through the node beside it."""
+        style = client.Style("server", kept=False)
+        connection = client.Connection(self._rows, self._machine.outbound, style)
+        if not await connection.open_up():
+            return False
+        job = client.Job(random.choice(self._services), "s", 15, 500, "length", depth)
+        try:
+            attempts = await connection.exchange(
+                [job], f"server {self.id}", self._machine.number, self._machine.service
+            )
+        finally:
+            connection.close()
+        return attempts[0].status == 200
+
+    async def _send_answer(self, writer, start: str, fields: dict, body: bytes, mode: str) -> None:
+        if mode in ("length", "trickle"):
+            whole = wire.encode(start, fields, body)
+        else:
+            more = (
+                {"Transfer-Encoding": "chunked"} if mode == "chunked" else {"Connection": "close"}
+            )
+            whole = wire.encode(start, fields | more, length=False)
+            if mode == "close":
+                whole += body
+            else:
+                whole += (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+        step = len(whole) // TRICKLE_PIECES + 1 if mode == "trickle" else len(whole)
+        for begin in range(0, len(whole), step):
+            writer.write(whole[begin : begin + step])
+            await writer.drain()
+            if mode == "trickle":
+                await asyncio.sleep(TRICKLE_PAUSE_S)
