Refuse bodies of requests in a transfer coding that is not undone

Callers saw: a body sent as `gzip, chunked` ran at the upstream in its coding, as the chunks are undone but gzip isn't, and the field that names both isn't forwarded. One of HTTP/1.0, which has no transfer codings (RFC 9112, 6.1: the framing is faulty), was read as chunks.

Cause: the parser reads every list that ends in `chunked`.

--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -38,6 +38,15 @@
     return None
 
 
+def is_chunked_only(values: list[bytes]) -> bool:
+    """Returns whether the Transfer-Encoding fields name the coding ``chunked`` once and no other.
+
+    Other codings are not undone, so that a body in them would be passed on changed.
+    """
+    names = [name.strip().lower() for value in values for name in value.split(b",")]
+    return [name for name in names if name] == [b"chunked"]
+
+
 def parse_whole_number(value: bytes, maximum: int) -> int | None:
     """Returns the whole number in a header field, at most `maximum`; None if it holds none.
 
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -158,11 +158,19 @@
         names = [name for name, _ in headers]
         if names.count(b"host") != 1 and self.parser.get_http_version() == "1.1":
             raise BadRequestError(400)
+        if b"transfer-encoding" in names:
+            self._check_transfer_encoding()
         if b"expect" in names:
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
         self._upgrade_offered = self.parser.should_upgrade()
 
+    def _check_transfer_encoding(self) -> None:
+        """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
+        values = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if not message.is_chunked_only(values) or self.parser.get_http_version() == "1.0":
+            raise BadRequestError(400)
+
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
         self._body_size += len(body)
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -213,6 +213,23 @@
     server.stop(0)
 
 
+# The body was forwarded in its coding, but without the field that names it.
+@pytest.mark.parametrize(
+    ("version", "coding"),
+    [
+        (b"1.1", b"gzip, chunked"),
+        (b"1.1", b"gzip\r\ntransfer-encoding: chunked"),
+        (b"1.0", b"chunked"),
+    ],
+)
+def test_a_body_in_a_coding_that_is_not_undone_is_refused(version, coding):
+    server, address = start_server(echo)
+    head = b"POST / HTTP/%s\r\nhost: a\r\ntransfer-encoding: %s\r\n\r\n" % (version, coding)
+    received = _send_and_read(address, head + b"1\r\na\r\n0\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 400 ")
+    server.stop(0)
+
+
 # A caller that sent its body one byte at a time kept its connection without end.
 def test_a_body_of_single_bytes_is_refused_once_its_time_is_over():
     server, address = start_server(echo, bounds=lambda: BOUNDS)
