Refuse responses in a transfer coding that is not undone

Callers saw: a body that an upstream sent as `gzip, chunked` was passed on as gzip without a field that says so; one in two layers of chunks with the inner layer; one in another coding last ended the call only with the connection.

Change: any coding but a single `chunked` of HTTP/1.1 is an error of the response, may-have-run.

Evidence: the new test failed in all four cases before; three were passed on with 200.

--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -53,6 +53,7 @@
         self._body: list[bytes] = []
         self._headers: list[message.Header] = []
         self._connection_fields: set[bytes] = set()
+        self._transfer_encodings: list[bytes] = []
         self.framed = False
         self.complete = False
         self.status = 0
@@ -89,6 +90,8 @@
             self._headers.append((name, value))
         elif name in _LENGTH_FIELDS:
             self.framed = True
+            if name == b"transfer-encoding":
+                self._transfer_encodings.append(value)
         elif name == b"keep-alive":
             self.idle_s = _parse_reusable_idle_s(value)
         elif name == b"connection" and value.lower() not in message.CONNECTION_OPTIONS:
@@ -101,6 +104,11 @@
         self.status = self.parser.get_status_code()
         if self.status == SWITCHED_STATUS:
             raise httptools.HttpParserError("the server switched to another protocol")
+        encodings = self._transfer_encodings
+        if encodings and not (
+            message.is_chunked_only(encodings) and self.parser.get_http_version() == "1.1"
+        ):
+            raise httptools.HttpParserError("the transfer encoding is not supported")
         if self._answers_head and self.status >= FIRST_FINAL_STATUS:
             self.complete = True
 
@@ -119,6 +127,7 @@
         if self.status < FIRST_FINAL_STATUS:
             self._headers = []
             self._connection_fields = set()
+            self._transfer_encodings = []
             self.framed = False
             # Until the head of the final response is complete, the connection must not end.
             self.status = 0
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -86,6 +86,24 @@
     assert response.headers == [(b"x-c", b"3")]
 
 
+# The body was passed on in its coding, but without the field that names it, or without its end.
+@pytest.mark.parametrize(
+    ("version", "coding"),
+    [
+        (b"1.1", b"gzip, chunked"),
+        (b"1.1", b"chunked\r\ntransfer-encoding: chunked"),
+        (b"1.1", b"chunked, gzip"),
+        (b"1.0", b"chunked"),
+    ],
+)
+def test_a_response_in_a_coding_that_is_not_undone_is_an_error(version, coding):
+    head = b"HTTP/%s 200 OK\r\ntransfer-encoding: %s\r\n\r\n" % (version, coding)
+    server = ScriptedServer(head + b"2\r\nok\r\n0\r\n\r\n")
+    with pytest.raises(http_client.TransferError, match="encoding is not supported") as caught:
+        send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
 # Fields behind a chunked body were taken for fields of the head.
 def test_a_field_behind_the_body_is_no_field_of_the_response():
     head = b"HTTP/1.1 200 OK\r\nx-a: b\r\ntransfer-encoding: chunked\r\n\r\n"
