Don't read a final response as the body of an interim one

Callers saw: nothing wrong that was found in a run; with an upstream that sends an interim response other than 100, 102 and 103 with a length, or one with a status below 100, its length was taken from the final response behind it, and what followed was answered to the caller.

Cause: the parser knows only some statuses as interim ones that have no body, whatever they say.

Change: such a response is an error, may-have-run. A status below 100 is none.

Evidence: the new test failed in both cases before: the bytes behind the final response were returned.

--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -4,7 +4,10 @@
 
 from bergamotridge.util import message
 
+MIN_STATUS = 100
 SWITCHED_STATUS = 101
+# Of these the parser knows that their length fields mean nothing, as those of all interim ones.
+KNOWN_INTERIM_STATUSES = frozenset((100, 102, 103))
 FIRST_FINAL_STATUS = 200
 DEFAULT_IDLE_S = 4.0
 MAX_IDLE_S = 3600
@@ -98,19 +101,29 @@
             self._connection_fields |= {option.strip().lower() for option in value.split(b",")}
 
     def on_headers_complete(self) -> None:
-        """Stores the status; no upgrade was offered, so that a server must not switch."""
+        """Stores the status."""
         if self.complete:
             return
         self.status = self.parser.get_status_code()
+        self._check_head()
+        if self._answers_head and self.status >= FIRST_FINAL_STATUS:
+            self.complete = True
+
+    def _check_head(self) -> None:
+        """Raises an error for heads behind which the body, or the next head, might be misread."""
+        if self.status < MIN_STATUS:
+            raise httptools.HttpParserError("the status is not valid")
         if self.status == SWITCHED_STATUS:
+            # No upgrade was offered.
             raise httptools.HttpParserError("the server switched to another protocol")
+        is_interim = self.status < FIRST_FINAL_STATUS
+        if is_interim and self.framed and self.status not in KNOWN_INTERIM_STATUSES:
+            raise httptools.HttpParserError("an interim response has a length")
         encodings = self._transfer_encodings
         if encodings and not (
             message.is_chunked_only(encodings) and self.parser.get_http_version() == "1.1"
         ):
             raise httptools.HttpParserError("the transfer encoding is not supported")
-        if self._answers_head and self.status >= FIRST_FINAL_STATUS:
-            self.complete = True
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -104,6 +104,18 @@
     assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
+# An interim response took the head of the final one for its body.
+@pytest.mark.parametrize(
+    ("status", "text"), [(104, "interim response has a length"), (99, "status is not valid")]
+)
+def test_an_interim_response_with_a_length_takes_nothing_of_the_final_one(status, text):
+    interim = b"HTTP/1.1 %03d Interim\r\ncontent-length: %d\r\n\r\n" % (status, len(OK_RESPONSE))
+    server = ScriptedServer(interim + OK_RESPONSE + OK_RESPONSE.replace(b"ok", b"no"))
+    with pytest.raises(http_client.TransferError, match=text) as caught:
+        send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
 # Fields behind a chunked body were taken for fields of the head.
 def test_a_field_behind_the_body_is_no_field_of_the_response():
     head = b"HTTP/1.1 200 OK\r\nx-a: b\r\ntransfer-encoding: chunked\r\n\r\n"
