Refuse requests of other versions of HTTP, and two hosts in HTTP/1.0

Callers saw: a request line without a version, or of HTTP/2.0, and one of HTTP/1.0 with two Host fields were handled as any other; where such a message ends is told by other rules, or by none.

Cause: only requests of HTTP/1.1 were checked for their hosts, and no version was refused.

Change: versions other than 1.0 and 1.1, and two hosts in any, are refused with 400.

Evidence: the three new cases of the test failed before (answered with 200).

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -10,6 +10,7 @@
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
 MAX_CHUNK_SIZE_FACTOR = 8
+_VERSIONS = frozenset(("1.0", "1.1"))
 
 
 @attrs.frozen
@@ -145,7 +146,7 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Checks the head: size, method, Host and Expect."""
+        """Checks the head: size, method, version, Host, transfer encoding and Expect."""
         self.in_head = False
         self.in_body = True
         headers = self._headers
@@ -155,8 +156,10 @@
                 raise BadRequestError(431)
         if self.parser.get_method() == b"CONNECT":
             raise BadRequestError(405)
+        version = self.parser.get_http_version()
         names = [name for name, _ in headers]
-        if names.count(b"host") != 1 and self.parser.get_http_version() == "1.1":
+        hosts = names.count(b"host")
+        if version not in _VERSIONS or hosts > 1 or (version == "1.1" and not hosts):
             raise BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
