Take blanks behind a field's value for no part of it

Callers saw: a client that sent `Expect: 100-continue` with a blank behind it got no 100 and waited; a value of an upstream with blanks behind it, such as an echoed id, was compared and passed on with them.

Cause: the parser drops blanks before a value only (RFC 9110, 5.5: neither belongs to it).

Change: both readers drop them.

Evidence: the new test and the new case of the older one failed before.

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -143,7 +143,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field; one behind the body is not forwarded and has no effect."""
         if not self.in_body:
-            self._headers.append((name.lower(), value))
+            self._headers.append((name.lower(), value.rstrip(message.BLANKS)))
 
     def on_headers_complete(self) -> None:
         """Checks the head: size, method, version, Host, transfer encoding and Expect."""
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -88,7 +88,7 @@
         self._header_size += len(name) + len(value)
         if self.status:
             return
-        name = name.lower()
+        name, value = name.lower(), value.rstrip(message.BLANKS)
         if name not in message.UNFORWARDED_FIELDS:
             self._headers.append((name, value))
         elif name in _LENGTH_FIELDS:
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -104,6 +104,14 @@
     assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
+# A blank behind a value was passed on with it, and an echoed id with one didn't match.
+def test_blanks_around_a_value_are_no_part_of_it():
+    start, _, rest = OK_RESPONSE.partition(b"\r\n")
+    server = ScriptedServer(start + b"\r\nrequest-id: \t 7 \t \r\nx-a: \r\n" + rest)
+    response = send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert response.headers == [(b"request-id", b"7"), (b"x-a", b"")]
+
+
 # An interim response took the head of the final one for its body.
 @pytest.mark.parametrize(
     ("status", "text"), [(104, "interim response has a length"), (99, "status is not valid")]
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -248,9 +248,12 @@
     server.stop(0)
 
 
-def test_an_expect_header_is_answered_with_100_continue():
+# With a blank behind it, the field was ignored, and the client waited for the response.
+@pytest.mark.parametrize("blanks", [b"", b" \t"])
+def test_an_expect_header_is_answered_with_100_continue(blanks):
     server, address = start_server(echo)
-    head = b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+    expect = b"expect: 100-continue" + blanks
+    head = b"POST / HTTP/1.1\r\nhost: a\r\n" + expect + b"\r\ncontent-length: 2\r\n\r\n"
     with socket.create_connection(httpd.split_address(address), timeout=30) as sock:
         sock.sendall(head)
         assert sock.recv(1000) == http_connection.CONTINUE_RESPONSE
