Refuse responses of other versions of HTTP

Callers saw: a response of HTTP/2.0 in the form of HTTP/1.1, for which no rule tells its end, was passed on as any other.

Cause: the parser reads versions 0.9 and 2.0 too, and no version was refused.

Change: versions other than 1.0 and 1.1 are an error of the response, may-have-run.

Evidence: the new case of the test failed before.

--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -26,6 +26,7 @@
 FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 CONNECTION_OPTIONS = frozenset((b"close", b"keep-alive"))
 BODILESS_STATUSES = frozenset((204, 304))
+VERSIONS = frozenset(("1.0", "1.1"))
 BLANKS = b" \t"  # Around a field's value; the parser leaves those behind it.
 Header = tuple[bytes, bytes]
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -10,7 +10,6 @@
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
 MAX_CHUNK_SIZE_FACTOR = 8
-_VERSIONS = frozenset(("1.0", "1.1"))
 
 
 @attrs.frozen
@@ -159,7 +158,7 @@
         version = self.parser.get_http_version()
         names = [name for name, _ in headers]
         hosts = names.count(b"host")
-        if version not in _VERSIONS or hosts > 1 or (version == "1.1" and not hosts):
+        if version not in message.VERSIONS or hosts > 1 or (version == "1.1" and not hosts):
             raise BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -119,10 +119,11 @@
         is_interim = self.status < FIRST_FINAL_STATUS
         if is_interim and self.framed and self.status not in KNOWN_INTERIM_STATUSES:
             raise httptools.HttpParserError("an interim response has a length")
+        version = self.parser.get_http_version()
+        if version not in message.VERSIONS:
+            raise httptools.HttpParserError("the version of HTTP is not supported")
         encodings = self._transfer_encodings
-        if encodings and not (
-            message.is_chunked_only(encodings) and self.parser.get_http_version() == "1.1"
-        ):
+        if encodings and (version == "1.0" or not message.is_chunked_only(encodings)):
             raise httptools.HttpParserError("the transfer encoding is not supported")
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -66,9 +66,10 @@
         b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
         b"HTTP/1.1 200 OK\r\n\r\nok",
+        OK_RESPONSE.replace(b"1.1", b"2.0"),
         b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000,
     ],
-    ids=["cut", "chunk missing", "no length", "too large"],
+    ids=["cut", "chunk missing", "no length", "other version", "too large"],
 )
 def test_an_incomplete_or_too_large_response_is_an_error(invalid_response):
     pool = http_client.Pool(ScriptedServer(invalid_response).address, BODY_LIMIT)
