--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -26,6 +26,8 @@
 FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 CONNECTION_OPTIONS = frozenset((b"close", b"keep-alive"))
 BODILESS_STATUSES = frozenset((204, 304))
+VERSIONS = frozenset(("1.0", "1.1"))
+BLANKS = b" \t"  # Around a field's value; the parser leaves those behind it.
 Header = tuple[bytes, bytes]
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -38,6 +40,15 @@
     return None
 
 
+def is_chunked_only(values: list[bytes]) -> bool:
+    """Returns whether the Transfer-Encoding fields name the coding ``chunked`` once and no other.
+
+    Other codings are not undone, so that a body in them would be passed on changed.
+    """
+    names = [name.strip().lower() for value in values for name in value.split(b",")]
+    return [name for name in names if name] == [b"chunked"]
+
+
 def parse_whole_number(value: bytes, maximum: int) -> int | None:
     """Returns the whole number in a header field, at most `maximum`; None if it holds none.
 
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -142,10 +142,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field; one behind the body is not forwarded and has no effect."""
         if not self.in_body:
-            self._headers.append((name.lower(), value))
+            self._headers.append((name.lower(), value.rstrip(message.BLANKS)))
 
     def on_headers_complete(self) -> None:
-        """Checks the head: size, method, Host and Expect."""
+        """Checks the head: size, method, version, Host, transfer encoding and Expect."""
         self.in_head = False
         self.in_body = True
         headers = self._headers
@@ -155,14 +155,24 @@
                 raise BadRequestError(431)
         if self.parser.get_method() == b"CONNECT":
             raise BadRequestError(405)
+        version = self.parser.get_http_version()
         names = [name for name, _ in headers]
-        if names.count(b"host") != 1 and self.parser.get_http_version() == "1.1":
+        hosts = names.count(b"host")
+        if version not in message.VERSIONS or hosts > 1 or (version == "1.1" and not hosts):
             raise BadRequestError(400)
+        if b"transfer-encoding" in names:
+            self._check_transfer_encoding()
         if b"expect" in names:
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
         self._upgrade_offered = self.parser.should_upgrade()
 
+    def _check_transfer_encoding(self) -> None:
+        """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
+        values = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if not message.is_chunked_only(values) or self.parser.get_http_version() == "1.0":
+            raise BadRequestError(400)
+
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
         self._body_size += len(body)
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -4,7 +4,10 @@
 
 from bergamotridge.util import message
 
+MIN_STATUS = 100
 SWITCHED_STATUS = 101
+# Of these the parser knows that their length fields mean nothing, as those of all interim ones.
+KNOWN_INTERIM_STATUSES = frozenset((100, 102, 103))
 FIRST_FINAL_STATUS = 200
 DEFAULT_IDLE_S = 4.0
 MAX_IDLE_S = 3600
@@ -53,6 +56,7 @@
         self._body: list[bytes] = []
         self._headers: list[message.Header] = []
         self._connection_fields: set[bytes] = set()
+        self._transfer_encodings: list[bytes] = []
         self.framed = False
         self.complete = False
         self.status = 0
@@ -84,26 +88,44 @@
         self._header_size += len(name) + len(value)
         if self.status:
             return
-        name = name.lower()
+        name, value = name.lower(), value.rstrip(message.BLANKS)
         if name not in message.UNFORWARDED_FIELDS:
             self._headers.append((name, value))
         elif name in _LENGTH_FIELDS:
             self.framed = True
+            if name == b"transfer-encoding":
+                self._transfer_encodings.append(value)
         elif name == b"keep-alive":
             self.idle_s = _parse_reusable_idle_s(value)
         elif name == b"connection" and value.lower() not in message.CONNECTION_OPTIONS:
             self._connection_fields |= {option.strip().lower() for option in value.split(b",")}
 
     def on_headers_complete(self) -> None:
-        """Stores the status; no upgrade was offered, so that a server must not switch."""
+        """Stores the status."""
         if self.complete:
             return
         self.status = self.parser.get_status_code()
-        if self.status == SWITCHED_STATUS:
-            raise httptools.HttpParserError("the server switched to another protocol")
+        self._check_head()
         if self._answers_head and self.status >= FIRST_FINAL_STATUS:
             self.complete = True
 
+    def _check_head(self) -> None:
+        """Raises an error for heads behind which the body, or the next head, might be misread."""
+        if self.status < MIN_STATUS:
+            raise httptools.HttpParserError("the status is not valid")
+        if self.status == SWITCHED_STATUS:
+            # No upgrade was offered.
+            raise httptools.HttpParserError("the server switched to another protocol")
+        is_interim = self.status < FIRST_FINAL_STATUS
+        if is_interim and self.framed and self.status not in KNOWN_INTERIM_STATUSES:
+            raise httptools.HttpParserError("an interim response has a length")
+        version = self.parser.get_http_version()
+        if version not in message.VERSIONS:
+            raise httptools.HttpParserError("the version of HTTP is not supported")
+        encodings = self._transfer_encodings
+        if encodings and (version == "1.0" or not message.is_chunked_only(encodings)):
+            raise httptools.HttpParserError("the transfer encoding is not supported")
+
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
         if self.complete:
@@ -119,6 +141,7 @@
         if self.status < FIRST_FINAL_STATUS:
             self._headers = []
             self._connection_fields = set()
+            self._transfer_encodings = []
             self.framed = False
             # Until the head of the final response is complete, the connection must not end.
             self.status = 0
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -66,9 +66,10 @@
         b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
         b"HTTP/1.1 200 OK\r\n\r\nok",
+        OK_RESPONSE.replace(b"1.1", b"2.0"),
         b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000,
     ],
-    ids=["cut", "chunk missing", "no length", "too large"],
+    ids=["cut", "chunk missing", "no length", "other version", "too large"],
 )
 def test_an_incomplete_or_too_large_response_is_an_error(invalid_response):
     pool = http_client.Pool(ScriptedServer(invalid_response).address, BODY_LIMIT)
@@ -86,6 +87,44 @@
     assert response.headers == [(b"x-c", b"3")]
 
 
+# The body was passed on in its coding, but without the field that names it, or without its end.
+@pytest.mark.parametrize(
+    ("version", "coding"),
+    [
+        (b"1.1", b"gzip, chunked"),
+        (b"1.1", b"chunked\r\ntransfer-encoding: chunked"),
+        (b"1.1", b"chunked, gzip"),
+        (b"1.0", b"chunked"),
+    ],
+)
+def test_a_response_in_a_coding_that_is_not_undone_is_an_error(version, coding):
+    head = b"HTTP/%s 200 OK\r\ntransfer-encoding: %s\r\n\r\n" % (version, coding)
+    server = ScriptedServer(head + b"2\r\nok\r\n0\r\n\r\n")
+    with pytest.raises(http_client.TransferError, match="encoding is not supported") as caught:
+        send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+# A blank behind a value was passed on with it, and an echoed id with one didn't match.
+def test_blanks_around_a_value_are_no_part_of_it():
+    start, _, rest = OK_RESPONSE.partition(b"\r\n")
+    server = ScriptedServer(start + b"\r\nrequest-id: \t 7 \t \r\nx-a: \r\n" + rest)
+    response = send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert response.headers == [(b"request-id", b"7"), (b"x-a", b"")]
+
+
+# An interim response took the head of the final one for its body.
+@pytest.mark.parametrize(
+    ("status", "text"), [(104, "interim response has a length"), (99, "status is not valid")]
+)
+def test_an_interim_response_with_a_length_takes_nothing_of_the_final_one(status, text):
+    interim = b"HTTP/1.1 %03d Interim\r\ncontent-length: %d\r\n\r\n" % (status, len(OK_RESPONSE))
+    server = ScriptedServer(interim + OK_RESPONSE + OK_RESPONSE.replace(b"ok", b"no"))
+    with pytest.raises(http_client.TransferError, match=text) as caught:
+        send_post(http_client.Pool(server.address, BODY_LIMIT))
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
 # Fields behind a chunked body were taken for fields of the head.
 def test_a_field_behind_the_body_is_no_field_of_the_response():
     head = b"HTTP/1.1 200 OK\r\nx-a: b\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -200,6 +200,9 @@
         (b"GET / HTTP/1.1\r\nhost: a\r\n" + b"x: aaaaaaaaaa\r\n" * 300 + b"\r\n", 431),
         (b"GET / HTTP/1.1\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        (b"GET / HTTP/1.0\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        (b"GET / HTTP/2.0\r\nhost: a\r\n\r\n", 400),
+        (b"GET /\r\n\r\n", 400),
         (b"CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n", 405),
         (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\n\r\n" + b"a" * 101, 413),
         (b"GET / HTTP/1.1\r\nhost: a\r\n", 408),
@@ -214,6 +217,23 @@
     server.stop(0)
 
 
+# The body was forwarded in its coding, but without the field that names it.
+@pytest.mark.parametrize(
+    ("version", "coding"),
+    [
+        (b"1.1", b"gzip, chunked"),
+        (b"1.1", b"gzip\r\ntransfer-encoding: chunked"),
+        (b"1.0", b"chunked"),
+    ],
+)
+def test_a_body_in_a_coding_that_is_not_undone_is_refused(version, coding):
+    server, address = start_server(echo)
+    head = b"POST / HTTP/%s\r\nhost: a\r\ntransfer-encoding: %s\r\n\r\n" % (version, coding)
+    received = _send_and_read(address, head + b"1\r\na\r\n0\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 400 ")
+    server.stop(0)
+
+
 # A caller that sent its body one byte at a time kept its connection without end.
 def test_a_body_of_single_bytes_is_refused_once_its_time_is_over():
     server, address = start_server(echo, bounds=lambda: BOUNDS)
@@ -229,9 +249,12 @@
     server.stop(0)
 
 
-def test_an_expect_header_is_answered_with_100_continue():
+# With a blank behind it, the field was ignored, and the client waited for the response.
+@pytest.mark.parametrize("blanks", [b"", b" \t"])
+def test_an_expect_header_is_answered_with_100_continue(blanks):
     server, address = start_server(echo)
-    head = b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+    expect = b"expect: 100-continue" + blanks
+    head = b"POST / HTTP/1.1\r\nhost: a\r\n" + expect + b"\r\ncontent-length: 2\r\n\r\n"
     with socket.create_connection(httpd.split_address(address), timeout=30) as sock:
         sock.sendall(head)
         assert sock.recv(1000) == http_connection.CONTINUE_RESPONSE
