Don't let reports that come together undo a leave without the number of its start

What callers would have seen: a server deregisters without 'born' at a node that has had no report of it; reports that a partition had held up come more than 5 s later in one moment, and calls reach a server that has left. Cause: three reports later than 5 s count as a sign that the sender is alive, however close they are. Change: those that come within 0.25 s of the one that counted last don't count. Evidence: the new test fails before. The model draws upstreams of both ages now.

--- a/bergamotridge/upstreams/departures.py
+++ b/bergamotridge/upstreams/departures.py
@@ -9,6 +9,8 @@
 LATE_ANNOUNCEMENT_S = 5.0
 # Announcements after that time which show that a deregistration was not of their sender.
 ANNOUNCEMENTS_UNTIL_ALIVE = 3
+# Announcements that a partition held up arrive together and count once.
+ANNOUNCEMENT_PAUSE_S = 0.25
 MAX_DEPARTURES = 64
 
 
@@ -35,7 +37,8 @@
             or, where this is not known, the Unix time in milliseconds of its arrival.
         certain: Whether the start that left is known.
         last_sequence: Highest sequence number announced later than `LATE_ANNOUNCEMENT_S` after it.
-        announced: Number of such announcements.
+        announced: Number of such announcements that did not come together with the one before.
+        announced_at: Monotonic time in seconds of the last one that counts.
     """
 
     at: float
@@ -43,6 +46,7 @@
     certain: bool
     last_sequence: int = -1
     announced: int = 0
+    announced_at: float = float("-inf")
 
     def covers(self, received: announcements.Announcement, now: float) -> bool:
         """Returns whether the sender of an announcement has left, as far as is known."""
@@ -51,8 +55,9 @@
         if self.certain:
             return True
         sequence = received.sequence or 0
-        if now - self.at >= LATE_ANNOUNCEMENT_S and sequence > self.last_sequence:
-            self.last_sequence = sequence
+        counts_from = max(self.at + LATE_ANNOUNCEMENT_S, self.announced_at + ANNOUNCEMENT_PAUSE_S)
+        if now >= counts_from and sequence > self.last_sequence:
+            self.last_sequence, self.announced_at = sequence, now
             self.announced += 1
         return self.announced < ANNOUNCEMENTS_UNTIL_ALIVE
 
--- a/tests/test_upstreams/test_departures.py
+++ b/tests/test_upstreams/test_departures.py
@@ -122,6 +122,15 @@
     assert first_ready <= 0.6 + LATE_S + 4 * HEARTBEAT_S
 
 
+# Reports that a partition held up came together, and undid a leave without the number of its start.
+def test_announcements_that_come_together_do_not_undo_an_unclear_deregistration():
+    process = Process()
+    process.receive(departures.Deregistration("i-1"), 0.0)
+    for sequence in range(50):
+        process.receive(announce(START_MS - 1, sequence), LATE_S + 1.0 + 0.001 * sequence)
+    assert process.ready_start is None
+
+
 def test_only_the_latest_departures_are_kept():
     process = Process()
     for index in range(3 * departures.MAX_DEPARTURES):
--- a/tests/test_upstreams/test_report_proof.py
+++ b/tests/test_upstreams/test_report_proof.py
@@ -13,7 +13,7 @@
 HEARTBEAT_S = 1.5
 LATE_S = departures.LATE_ANNOUNCEMENT_S
 PROBE_S = 0.2
-AGE_MS = 60_000  # Of the upstream when a history begins.
+AGES_MS = (0, 60_000)  # Of the upstream when a history begins.
 # Until an upstream that lives is served without a health check: reports may be lost.
 PROOF_LIMIT_S = LATE_S + 3 * HEARTBEAT_S
 SEEDS = 300
@@ -96,6 +96,7 @@
     """One process of the node, without network."""
 
     started_at: float
+    age_ms: int
     known: departures.Departures = attrs.field(factory=departures.Departures)
     proof: report_proof.ReportProof = attrs.field()
     applied: announcements.Announcement | None = None
@@ -104,12 +105,12 @@
 
     @proof.default
     def _create_proof(self):
-        started_ms = START_MS + AGE_MS + int(self.started_at * 1000)
+        started_ms = START_MS + self.age_ms + int(self.started_at * 1000)
         return report_proof.ReportProof(started_ms, HEARTBEAT_S)
 
     def receive(self, message, now):
         if isinstance(message, departures.Deregistration):
-            received = self.known.deregister(message, now, START_MS + AGE_MS + int(now * 1000))
+            received = self.known.deregister(message, now, START_MS + self.age_ms + int(now * 1000))
         else:
             received = message if self.known.accept(message, now) else None
         if received is None:
@@ -165,7 +166,8 @@
         return self._deliver(leaves_at)
 
     def _deliver(self, leaves_at):
-        self.process, down_until, states = Process(0.5), 0.5, []
+        age_ms = self.rng.choice(AGES_MS)
+        self.process, down_until, states = Process(0.5, age_ms), 0.5, []
         for now, message in self.messages:
             ends_at = self.process.probe_ends_at
             if ends_at is not None and ends_at <= now:
@@ -179,7 +181,7 @@
             kills = 0.25 if self.leaves else 0.25 * (now < 15.0)
             if now >= down_until and self.rng.random() < kills:
                 down_until = now + self.rng.uniform(0.3, 2.0)
-                self.process = Process(down_until)
+                self.process = Process(down_until, age_ms)
         return states
 
 
