Tell other nodes and the platform of a withdrawn key before confirming it

What callers saw: an operator withdrew a key at one node ("is withdrawn; told 1 of 1"), the node was killed right after its answer and started again, and all nodes served the key for good.

Cause: the node answered while only the memory of its own process held the withdrawal. Gossip took it along up to 0.25 s plus an exchange later.

Change: the node refuses the key at once, then sends its id to up to 4 other nodes at a time, in failure domains that know least first, within an ordinary gossip message (the receiver withdraws the key before it replies, so its reply is the confirmation; releases may be mixed), and has the platform store it. It answers once 3 nodes in 2 failure domains and the platform have confirmed, or all have answered, or 2 s have passed, with the names of those that know. The command prints "told N nodes in M failure domains; stored by the platform: no" and ends with exit code 3 and a warning if one process only knows of it. nodes.confirmation decides, without network and with time as an argument.

The platform is waited for also when enough nodes know, as only it survives the loss of all; a silent one costs the operator the 2 s.

Evidence: the new process test (platform away, kill at the answer) failed on: GET /rows at the restarted node still answered 200 after 60 s.

The texts "told 1 of 3" and "told 1 of 1" in tests are replaced by the new message; both nodes' counts and the platform's state are compared now.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -16,6 +16,7 @@
     shutdown,
     text_keys,
     tree_shedding,
+    withdrawal_confirmer,
     withdrawals,
 )
 from bergamotridge.callers import port as callers_port
@@ -24,6 +25,7 @@
     budget,
     call_graph,
     choice,
+    confirmation,
     context,
     control,
     dependency_thresholds,
@@ -613,9 +615,11 @@
         is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
         return is_restored or not self.restorations.is_informed(now)
 
-    def _withdraw_key(self, key_id: str) -> None:
-        self.keys.withdraw(key_id)
+    def _withdraw_key(self, key_id: str) -> confirmation.Knowledge:
         self.events.emit("key.withdrawn", cause="operator", key_id=key_id)
+        return withdrawal_confirmer.WithdrawalConfirmer(
+            self.keys, self.members, self.gossip.tell_withdrawn, self.objects, self._rng
+        ).withdraw(key_id)
 
     def _current_stamp(self) -> hlc.Stamp:
         return self.events.clock.stamp(time.time_ns() // 1_000_000)
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -243,9 +243,16 @@
     return GrantedKey(key_id, secret_text)
 
 
-def withdraw(platform: client.ObjectClient, key_id: str) -> None:
+def withdraw(
+    platform: client.ObjectClient, key_id: str, max_attempts: int = MAX_WRITE_ATTEMPTS
+) -> None:
     """Withdraws a key in the platform, irrevocably; idempotent.
 
+    Args:
+        platform: Client of the platform's object store.
+        key_id: Id of the key.
+        max_attempts: How often it is tried.
+
     Raises:
         NotFoundError: No such key was ever granted.
         MalformedObjectError: The platform's answer cannot be read.
@@ -253,7 +260,7 @@
             try again.
     """
     last_error: errors.PlatformError | None = None
-    for _ in range(MAX_WRITE_ATTEMPTS):
+    for _ in range(max_attempts):
         try:
             stored = platform.get(KIND, key_id)
             current = _decode_grant(stored)
--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -13,6 +13,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
+EXIT_KNOWN_TO_ONE_PROCESS = 3
 HELP_WORDS = ("--help", "-help", "-h")
 
 
--- a/bergamotridge/nodes/exchange.py
+++ b/bergamotridge/nodes/exchange.py
@@ -156,6 +156,16 @@
             self._add_updates(message, self._cursors.get(session))
         return message
 
+    def build_withdrawal(self, host: str, key_id: str, now_ms: int) -> gossip_pb2.GossipMessage:
+        """Returns a message for a host that holds the id of a withdrawn key in any case.
+
+        A process that has answered it has withdrawn the key.
+        """
+        message = self.build_message(self.session_of(host), now_ms)
+        if key_id not in message.withdrawn:
+            message.withdrawn.append(key_id)
+        return message
+
     def process_message(self, message: gossip_pb2.GossipMessage, now: float) -> ReceiveResult:
         """Processes a message from a peer; `now` is monotonic time in seconds."""
         self._observe_stamp(message)
--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -143,6 +143,20 @@
         """Fetches a replica from a peer that has a higher version than this node, soon."""
         self._fetches.put(_Fetch(peer.control_address, exchange.StaleReplica(kind, version)))
 
+    def tell_withdrawn(self, peer: record.UpstreamRecord, key_id: str) -> bool:
+        """Sends a message with the id of a withdrawn key to a peer, outside the intervals.
+
+        Returns:
+            True if the process on the peer's host has answered, and so refuses the key.
+        """
+        message = self._exchange.build_withdrawal(peer.host, key_id, _wall_clock_ms())
+        reply = self._send(peers.Peer(peer.control_address, peer.host), message)
+        if reply is None:
+            return False
+        received = self._exchange.process_message(reply, time.monotonic())
+        self._enqueue_fetches(peer.control_address, received.stale_replicas)
+        return reply.host == peer.host
+
     def answer(self, message: gossip_pb2.GossipMessage) -> gossip_pb2.GossipMessage:
         """Processes a message from a peer and returns the answer."""
         now = time.monotonic()
--- a/bergamotridge/operators/client.py
+++ b/bergamotridge/operators/client.py
@@ -5,6 +5,7 @@
 import orjson
 
 from bergamotridge import errors, events
+from bergamotridge.nodes import confirmation
 from bergamotridge.operators import decoding, pages, signature, status
 from bergamotridge.util import http_client, message
 
@@ -42,12 +43,21 @@
         query = urllib.parse.urlencode({"request_id": request_id, "since": since})
         return decoding.decode_events(self._request(b"GET", f"{pages.EVENTS_PATH}?{query}"))
 
-    def withdraw(self, key_id: str, fleet_secret: str) -> None:
-        """Withdraws a key through this node; the request is signed with the fleet secret."""
+    def withdraw(self, key_id: str, fleet_secret: str) -> confirmation.Knowledge:
+        """Withdraws a key through this node; the request is signed with the fleet secret.
+
+        Returns:
+            Who knows of the withdrawal. A node of an earlier release does not tell of others.
+        """
         body = orjson.dumps({"key_id": key_id})
         signed = signature.sign(fleet_secret, pages.WITHDRAW_PATH, body)
         header = (signature.HEADER.lower().encode(), signed.encode())
-        self._request(b"POST", pages.WITHDRAW_PATH, [header], body)
+        timeout_s = self._timeout_s + confirmation.WITHIN_S
+        answer = self._request(b"POST", pages.WITHDRAW_PATH, [header], body, timeout_s)
+        knowledge = decoding.decode_knowledge(answer)
+        if knowledge.known_by:
+            return knowledge
+        return confirmation.Knowledge((confirmation.Place(self._address, ""),))
 
     def _request(
         self,
@@ -55,11 +65,12 @@
         target: str,
         headers: list[message.Header] | None = None,
         body: bytes = b"",
+        timeout_s: float | None = None,
     ) -> bytes:
         request = message.Request(method, target.encode(), headers or [], body)
         try:
             response = http_client.send_once(
-                self._address, request, self._timeout_s, MAX_ANSWER_BYTES
+                self._address, request, timeout_s or self._timeout_s, MAX_ANSWER_BYTES
             )
         except http_client.TransferError as error:
             raise errors.OperatorPortError(f"node at '{self._address}': {error}") from error
--- a/bergamotridge/operators/decoding.py
+++ b/bergamotridge/operators/decoding.py
@@ -4,6 +4,7 @@
 import orjson
 
 from bergamotridge import errors, events
+from bergamotridge.nodes import confirmation
 from bergamotridge.operators import status
 from bergamotridge.util import hlc
 
@@ -24,6 +25,21 @@
         raise errors.OperatorPortError("the status page is not in the expected form") from error
 
 
+def decode_knowledge(body: bytes) -> confirmation.Knowledge:
+    """Returns who knows of a change, as a node answers an operator who made it.
+
+    Raises:
+        OperatorPortError: The body is anything else.
+    """
+    try:
+        fields = orjson.loads(body)
+        if not isinstance(fields, dict):
+            raise TypeError("not an object")
+        return cattrs.structure(fields, confirmation.Knowledge)
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        raise errors.OperatorPortError("the answer is not in the expected form") from error
+
+
 def decode_events(body: bytes) -> list[events.Event]:
     """Returns the events that `event_lines.encode` serialized.
 
--- a/bergamotridge/operators/pages.py
+++ b/bergamotridge/operators/pages.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 
+import attrs
 import orjson
 import werkzeug
 from werkzeug import exceptions
 
 from bergamotridge import errors, events, metrics
+from bergamotridge.nodes import confirmation
 from bergamotridge.operators import event_lines, page_server, signature, status
 
 METRICS_PATH = "/metrics"
@@ -57,16 +59,20 @@
     return page_server.Page("GET", EVENTS_PATH, answer)
 
 
-def withdraw_page(fleet_secret: str, withdraw: Callable[[str], None]) -> page_server.Page:
+def withdraw_page(
+    fleet_secret: str, withdraw: Callable[[str], confirmation.Knowledge]
+) -> page_server.Page:
     """Returns `POST /keys/withdraw` with body `{"key_id": ID}`, signed with the fleet secret.
 
+    The answer is the JSON form of `confirmation.Knowledge`: who knows of the withdrawal.
+
     Anyone who intercepted a signed request can replay it; that does no harm, since a withdrawal is
     idempotent.
 
     Args:
         fleet_secret: Secret that the operators share with the nodes.
-        withdraw: Withdraws a key id on this node and propagates the withdrawal; raises
-            NotFoundError if there is no such key.
+        withdraw: Withdraws a key id on this node, waits until others know of it, and returns who
+            does; raises NotFoundError if there is no such key.
     """
 
     def answer(request: werkzeug.Request) -> werkzeug.Response:
@@ -80,10 +86,11 @@
             return werkzeug.Response(message, 403)
         key_id = _parse_key_id(body)
         try:
-            withdraw(key_id)
+            knowledge = withdraw(key_id)
         except errors.NotFoundError as error:
             return werkzeug.Response(f"{error}\n", 404)
-        return werkzeug.Response(orjson.dumps({"key_id": key_id}), content_type=JSON_CONTENT_TYPE)
+        told = orjson.dumps({"key_id": key_id, **attrs.asdict(knowledge)})
+        return werkzeug.Response(told, content_type=JSON_CONTENT_TYPE)
 
     return page_server.Page("POST", WITHDRAW_PATH, answer)
 
--- a/tests/test_commands/test_changes.py
+++ b/tests/test_commands/test_changes.py
@@ -4,10 +4,14 @@
 
 from bergamotridge import __main__
 from bergamotridge.commands import registry
+from bergamotridge.nodes import confirmation
 from bergamotridge.operators import pages, port
 
 TEXT = "[services.booking]\n[teams.delft]\nrate = 10\nburst = 5\n"
 SECRET = "fleet secret"
+PLACES = tuple(
+    confirmation.Place(host, domain) for host, domain in (("h1", "a"), ("h2", "b"), ("h3", "a"))
+)
 
 
 @pytest.fixture
@@ -35,13 +39,24 @@
 
 
 @pytest.fixture
-def node_address(withdrawn):
-    operator_port = port.OperatorPort(
-        "127.0.0.1:0", lambda: (pages.withdraw_page(SECRET, withdrawn.append),)
-    )
-    operator_port.start()
-    yield operator_port.address
-    operator_port.stop()
+def start_node(withdrawn):
+    ports = []
+
+    def start(*places, **fields):
+        def withdraw(key_id):
+            withdrawn.append(key_id)
+            return confirmation.Knowledge(places, **fields)
+
+        node_port = port.OperatorPort(
+            "127.0.0.1:0", lambda: (pages.withdraw_page(SECRET, withdraw),)
+        )
+        node_port.start()
+        ports.append(node_port)
+        return node_port.address
+
+    yield start
+    for node_port in ports:
+        node_port.stop()
 
 
 @pytest.fixture
@@ -105,17 +120,43 @@
     assert "did you mean 'delft'?" in capsys.readouterr().err
 
 
-def test_key_is_withdrawn_through_a_node_during_a_platform_outage(
-    command, server, node_address, withdrawn, secret_file, capsys
+def test_key_is_withdrawn_through_nodes_during_a_platform_outage(
+    command, server, start_node, withdrawn, secret_file, capsys
 ):
     start_outage(server)
     words = ("keys withdraw", "--key_id=k1", "--platform_timeout_s=1")
     assert command(*words) == registry.EXIT_FAILED
     assert "nobody confirmed" in capsys.readouterr().err
-    node_flags = (f"--nodes=127.0.0.1:1,{node_address}", f"--secret_file={secret_file}")
+    addresses = ["127.0.0.1:1", start_node(*PLACES[:2], cause="timeout"), start_node(*PLACES[1:])]
+    node_flags = (f"--nodes={','.join(addresses)}", f"--secret_file={secret_file}")
     assert command(*words, *node_flags) == registry.EXIT_OK
-    assert "told 1 of 3" in capsys.readouterr().out
-    assert withdrawn == ["k1"]
+    printed = capsys.readouterr()
+    assert "told 3 nodes in 2 failure domains; stored by the platform: no\n" in printed.out
+    assert "127.0.0.1:1" in printed.err
+    assert "not known to be stored by the platform: timeout" in printed.err
+    assert withdrawn == ["k1", "k1"]
+
+
+# "is withdrawn; told 1 of 1" was said of a withdrawal that ended with the process of one node.
+@pytest.mark.parametrize("stored", [False, True])
+def test_a_withdrawal_that_only_one_process_knows_of_is_told_apart(
+    start_node, secret_file, capsys, stored
+):
+    address = start_node(PLACES[0], stored=stored)
+    words = ["keys", "withdraw", "--key_id=k1", f"--nodes={address}"]
+    status = __main__.run([*words, f"--secret_file={secret_file}"])
+    assert status == (registry.EXIT_OK if stored else registry.EXIT_KNOWN_TO_ONE_PROCESS)
+    printed = capsys.readouterr()
+    assert f"stored by the platform: {'yes' if stored else 'no'}\n" in printed.out
+    assert ("only the node of host 'h1' knows" in printed.err) is not stored
+
+
+def test_a_node_of_the_release_before_counts_as_one_process(start_node, secret_file, capsys):
+    address = start_node()
+    words = ["keys", "withdraw", "--key_id=k1", f"--nodes={address}"]
+    status = __main__.run([*words, f"--secret_file={secret_file}"])
+    assert status == registry.EXIT_KNOWN_TO_ONE_PROCESS
+    assert f"only the node of host '{address}' knows" in capsys.readouterr().err
 
 
 def test_keys_withdraw_refuses_an_unknown_key(command, capsys):
--- a/tests/test_docs/test_tutorial.py
+++ b/tests/test_docs/test_tutorial.py
@@ -77,7 +77,7 @@
         "was refused for 'rate'",
         "member.joined",
         "bergamotridge_answers_total",
-        "told 1 of 1",
+        "told 2 nodes in 2 failure domains; stored by the platform: yes",
     ):
         assert expected in output
     assert re.search(r"^desk-1 +domain-1 +desk +ready", output, re.MULTILINE)
--- a/tests/test_nodes/test_gossip.py
+++ b/tests/test_nodes/test_gossip.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import grpc
 import pytest
 
@@ -28,6 +29,19 @@
         fleet.wait_for(lambda: not any(node.members.candidates("booking") for node in nodes))
 
 
+def test_a_peer_that_was_told_of_a_withdrawn_key_refuses_it_before_the_call_returns():
+    with fleet.fleet(3) as nodes:
+        fleet.wait_for(lambda: all(len(node.members.members()) == 3 for node in nodes))
+        told, killed = nodes[1], nodes.pop()
+        nodes[0].ring.withdraw("k1")
+        assert nodes[0].gossip.tell_withdrawn(told.members.own, "k1")
+        assert told.ring.pending == {"k1"}
+        killed.kill()
+        assert not nodes[0].gossip.tell_withdrawn(killed.members.own, "k1")
+        moved = attrs.evolve(killed.members.own, control_address=told.members.own.control_address)
+        assert not nodes[0].gossip.tell_withdrawn(moved, "k1")
+
+
 def test_a_killed_node_is_lost_and_its_restarted_process_joins():
     with fleet.fleet(4) as nodes:
         fleet.wait_for(lambda: all(len(node.members.members()) == 4 for node in nodes))
--- a/tests/test_operators/test_decoding.py
+++ b/tests/test_operators/test_decoding.py
@@ -50,6 +50,8 @@
 def test_a_page_that_is_none_is_an_error_of_the_operators_port(body):
     with pytest.raises(errors.OperatorPortError):
         decoding.decode_status(body)
+    with pytest.raises(errors.OperatorPortError):
+        decoding.decode_knowledge(body)
 
 
 def test_an_event_with_a_value_of_a_thousand_levels_is_an_error_of_the_operators_port():
--- a/tests/test_operators/test_port.py
+++ b/tests/test_operators/test_port.py
@@ -9,11 +9,13 @@
 import pytest
 
 from bergamotridge import errors, events, metrics
+from bergamotridge.nodes import confirmation
 from bergamotridge.operators import client, page_server, pages, port, status
 from bergamotridge.util import http_client, message
 
 SECRET = "fleet secret"
 TIMEOUT_S = 10
+KNOWLEDGE = confirmation.Knowledge((confirmation.Place("h1", "amsterdam"),), cause="outage")
 STATUS = status.Status(
     "h1",
     17,
@@ -35,6 +37,7 @@
         if key_id == "unknown":
             raise errors.NotFoundError("no key 'unknown'")
         self.withdrawn.append(key_id)
+        return KNOWLEDGE
 
 
 @pytest.fixture
@@ -83,7 +86,7 @@
         operator_client.withdraw("k1", "wrong secret")
     assert send_request(node, b"POST", b"/keys/withdraw", body=b'{"key_id": "k1"}').status == 403
     assert node.withdrawn == []
-    operator_client.withdraw("k1", SECRET)
+    assert operator_client.withdraw("k1", SECRET) == KNOWLEDGE
     assert node.withdrawn == ["k1"]
     with pytest.raises(errors.OperatorPortError, match="no key 'unknown'"):
         operator_client.withdraw("unknown", SECRET)
--- a/tests/test_process/test_keys.py
+++ b/tests/test_process/test_keys.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from standins import processes
+from bergamotridge.operators import client
+from standins import fleet, processes
+
+COMMAND_TIMEOUT_S = 10.0
 
 
 def get_call_status(connection, rig, key):
@@ -52,3 +55,18 @@
     rig.fleet.inject_platform_faults(outage=False)
     rig.fleet.wait_ready()
     rig.call_until("front-2", "GET", "/rows", lambda reply: reply.status == 401, key=key.secret)
+
+
+# A node confirmed a withdrawal that only its memory held: after a kill all served the key for good.
+def test_a_confirmed_withdrawal_outlives_a_kill_at_once_of_the_node_that_confirmed_it(rig):
+    key = rig.fleet.grant("large")
+    for host in rig.fleet.members:
+        rig.call_until(host, "GET", "/rows", lambda reply: reply.status == 200, key=key.secret)
+    rig.fleet.inject_platform_faults(outage=True)
+    asked = rig.fleet.members["front-1"]
+    operator_client = client.OperatorClient(asked.addresses.operators, COMMAND_TIMEOUT_S)
+    operator_client.withdraw(key.key_id, fleet.FLEET_SECRET)
+    asked.node.kill()
+    asked.node.start()
+    for host in rig.fleet.members:
+        rig.call_until(host, "GET", "/rows", lambda reply: reply.status == 401, key=key.secret)
