Don't confirm withdrawals at nodes whose keys are part of the operator's text

What operators saw: POST /keys/withdraw at a node on the users' platform was answered with 200, and the key stayed in force.

Cause: such nodes check keys against the text (callers.text_keys) and never look at the set of withdrawn keys, which the page changed and gossip spread.

Change: the page answers 404 and says that a text without the key is needed.

The new process test failed before: the withdrawal was confirmed.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -616,6 +616,11 @@
         return is_restored or not self.restorations.is_informed(now)
 
     def _withdraw_key(self, key_id: str) -> confirmation.Knowledge:
+        if self.environment.keys_in_text:
+            raise errors.NotFoundError(
+                f"key '{key_id}' can't be withdrawn at a node: keys are part of the operator's "
+                f"text here; put a text without the key into force"
+            )
         self.events.emit("key.withdrawn", cause="operator", key_id=key_id)
         return withdrawal_confirmer.WithdrawalConfirmer(
             self.keys, self.members, self.gossip.tell_withdrawn, self.objects, self._rng
