Wait in a start for ports that the process before still holds in its stop

Cause: a start tried each port once and took one in use for a mistake in the settings. Change: all ports are bound before any part is created, all or none, and nothing is accepted before; while one is in use they are all freed and tried again each 0.1 s, for the drain time and 6 s more. The port that a stop frees last is tried first. The wait is logged once, and so is its end; SIGHUP and SIGTERM are taken in it (status 0). Then the error is as before, with the setting by name. An address that can't be bound for another reason ends the process at once. The control port is still bound without port reuse, and the datagram port decides between two that start together. The operators' port on an IPv6 wildcard address now follows the system's default for IPv4, as the other ports do. The test of a port that is never freed is unchanged and passes. test_process_start.Program keeps a log for each start, and its grace time is an argument.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Sequence
 
-from bergamotridge import answer, environment, errors, events, metrics, settings
+from bergamotridge import answer, environment, errors, events, metrics, ports, settings
 from bergamotridge.callers import (
     at_most_once,
     claim_rewriter,
@@ -455,41 +455,50 @@
         """Returns True while load balancers should send new calls to this node."""
         return self.routes.is_configured and not self._stopping
 
-    def start(self) -> None:
+    def start(self, bound: ports.BoundPorts) -> None:
         """Opens all ports and starts all tasks.
 
+        Args:
+            bound: All ports of this node.
+
         Raises:
-            AddressInUseError: Another process listens on a port; parts already started are stopped.
+            AddressUnavailableError: Another process has begun to listen on a port since they were
+                bound; parts already started are stopped.
         """
+        self._open_ports(bound)
+        self.control.start()
+        self.gossip.start()
+        # Quota shares that this host held may be taken over only by the process that has bound the
+        # host's ports.
+        self.team_rates.start()
+        for task in self.platform_tasks:
+            task.start()
+        self.events.emit("node.started", incarnation=self.incarnation)
+
+    def _open_ports(self, bound: ports.BoundPorts) -> None:
         node = self.settings
+        # gRPC binds its port itself.
+        bound.take("control").close()
         self.control = control.ControlServer(
             node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates, self.suspects)
         )
         started = []
         try:
-            for part in (
-                self.relay_server,
-                self.upstream_server,
-                self.caller_server,
-                self.operator_port,
-                *([self.ready_server] if self.ready_server else []),
-                self.freshness_port,
+            for name, part in (
+                ("relay", self.relay_server),
+                ("upstream", self.upstream_server),
+                ("callers", self.caller_server),
+                ("operators", self.operator_port),
+                *([("ready", self.ready_server)] if self.ready_server else []),
+                (ports.DATAGRAMS, self.freshness_port),
             ):
-                part.start()
+                part.start(bound.take(name))
                 started.append(part)
-        except errors.AddressInUseError:
+        except errors.AddressUnavailableError:
             for part in started:
                 part.stop(0) if isinstance(part, httpd.Server) else part.stop()
             self.control.stop(0)
             raise
-        self.control.start()
-        self.gossip.start()
-        # Quota shares that this host held may be taken over only by the process that has bound the
-        # host's ports.
-        self.team_rates.start()
-        for task in self.platform_tasks:
-            task.start()
-        self.events.emit("node.started", incarnation=self.incarnation)
 
     def stop(self, requested_at: float) -> None:
         """Shuts down gracefully: running calls may finish until the drain time has passed.
--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -1,5 +1,6 @@
 """Runs a node as a process: signals, logging, garbage collection, start and stop."""
 
+import contextlib
 import gc
 import signal
 import sys
@@ -9,7 +10,16 @@
 import attrs
 import logbook
 
-from bergamotridge import application, environment, errors, logs, process_signals, settings
+from bergamotridge import (
+    application,
+    environment,
+    errors,
+    logs,
+    port_wait,
+    ports,
+    process_signals,
+    settings,
+)
 
 SWITCH_INTERVAL_S = 0.0005
 GC_THRESHOLD_ALLOCATIONS = 20_000
@@ -74,27 +84,57 @@
         read: Reads the settings file again on SIGHUP; if None, SIGHUP is ignored.
 
     Raises:
-        AddressInUseError: Another process listens on a port of the node.
+        AddressUnavailableError: A port of the node can't be bound, after a wait if another process
+            has it.
     """
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
     logs.setup(node, incarnation)
-    node_application = application.Application(node, incarnation, node_environment)
-    node_application.events.add_listener(logs.EventWriter())
-    if signals.stop_requested_at is None:
-        _serve(node, node_application, signals, read)
+    bound = _bind_ports(node, signals, read)
+    if bound is not None:
+        # Created once the ports are bound: a process that waits for them has no task that could act
+        # for this host.
+        node_application = application.Application(node, incarnation, node_environment)
+        node_application.events.add_listener(logs.EventWriter())
+        with contextlib.closing(bound):
+            if signals.stop_requested_at is None:
+                _serve(node, node_application, bound, signals, read)
     _log.info("node on host '{}' stopped", node.host)
     return 0
 
 
+def _bind_ports(
+    node: settings.NodeSettings,
+    signals: process_signals.ReceivedSignals,
+    read: Callable[[], settings.NodeSettings] | None,
+) -> ports.BoundPorts | None:
+    """Returns the ports of the node, which the process before it may free as late as its stop ends.
+
+    Returns None if a signal asks to stop before that.
+    """
+    wait = port_wait.PortWait(node.limits.drain_s)
+    while signals.stop_requested_at is None:
+        try:
+            bound = ports.bind(node.addresses)
+        except errors.AddressInUseError as error:
+            wait.record_failure(error, time.monotonic())
+        else:
+            wait.record_success(time.monotonic())
+            return bound
+        if signals.wait(port_wait.RETRY_INTERVAL_S) == signal.SIGHUP:
+            _reload(node, signals, read)
+    return None
+
+
 def _serve(
     node: settings.NodeSettings,
     node_application: application.Application,
+    bound: ports.BoundPorts,
     signals: process_signals.ReceivedSignals,
     read: Callable[[], settings.NodeSettings] | None,
 ) -> None:
     """Starts the node, and stops it when a signal asks for it."""
-    node_application.start()
+    node_application.start(bound)
     # Objects that exist after the start live as long as the process; freezing them keeps the
     # garbage collector from traversing them in each collection.
     gc.collect()
@@ -102,6 +142,14 @@
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     _log.info("node on host '{}' started", node.host)
     while signals.wait() == signal.SIGHUP:
-        if read is not None and signals.stop_requested_at is None:
-            log_changed_settings(node, read)
+        _reload(node, signals, read)
     node_application.stop(signals.stop_requested_at)
+
+
+def _reload(
+    node: settings.NodeSettings,
+    signals: process_signals.ReceivedSignals,
+    read: Callable[[], settings.NodeSettings] | None,
+) -> None:
+    if read is not None and signals.stop_requested_at is None:
+        log_changed_settings(node, read)
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -39,12 +39,16 @@
     category = Category.SETTINGS
 
 
-class AddressInUseError(BergamotridgeError):
-    """Another process listens on an address that this process needs."""
+class AddressUnavailableError(BergamotridgeError):
+    """This process cannot listen on an address that it needs."""
 
     category = Category.SETTINGS
 
 
+class AddressInUseError(AddressUnavailableError):
+    """Another process listens on an address that this process needs."""
+
+
 class PlatformError(BergamotridgeError):
     """The platform refused a request or could not be reached."""
 
--- a/bergamotridge/nodes/freshness.py
+++ b/bergamotridge/nodes/freshness.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import hmac
+import socket
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -12,7 +13,7 @@
 from bergamotridge import errors
 from bergamotridge.nodes import freshness_exchange, freshness_pb2, record, traffic
 from bergamotridge.store import replica
-from bergamotridge.util import addresses, clock, loop
+from bergamotridge.util import addresses, clock, listening, loop
 
 MAC_BYTES = 16
 MAC_PURPOSE = b"freshness"  # Input from which the key of the codes is derived.
@@ -92,13 +93,19 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._polling: asyncio.Task | None = None
 
-    def start(self) -> None:
+    def start(self, bound: socket.socket | None = None) -> None:
         """Opens the port and starts to ask other nodes.
 
+        Args:
+            bound: Socket for datagrams bound to the address; if None, the address is bound.
+
         Raises:
-            AddressInUseError: Another process receives datagrams on the address.
+            AddressUnavailableError: The address can't be bound.
         """
-        self._loop.run(self._open())
+        endpoint = listening.Endpoint(
+            str(self._address), "datagrams", "'addresses.control'", socket.SOCK_DGRAM
+        )
+        self._loop.run(self._open(bound or endpoint.bind()))
 
     def stop(self) -> None:
         """Closes the port."""
@@ -109,15 +116,9 @@
         if self._asyncio_loop is not None:
             self._asyncio_loop.call_soon_threadsafe(self._answer_waiting_requests)
 
-    async def _open(self) -> None:
+    async def _open(self, bound: socket.socket) -> None:
         event_loop = asyncio.get_running_loop()
-        try:
-            await event_loop.create_datagram_endpoint(lambda: self, local_addr=self._address.pair)
-        except OSError as error:
-            raise errors.AddressInUseError(
-                f"cannot receive datagrams on {self._address}: {error.strerror}; free the port or "
-                "configure another address"
-            ) from error
+        await event_loop.create_datagram_endpoint(lambda: self, sock=bound)
         self._asyncio_loop = event_loop
         self._polling = event_loop.create_task(self._poll_sources())
 
--- a/bergamotridge/operators/port.py
+++ b/bergamotridge/operators/port.py
@@ -11,8 +11,7 @@
 from concurrent import futures
 from typing import TYPE_CHECKING
 
-from bergamotridge import errors
-from bergamotridge.util import addresses
+from bergamotridge.util import listening
 
 if TYPE_CHECKING:
     from bergamotridge.operators import page_server
@@ -49,9 +48,19 @@
             return self._address
         return f"{self._address.rpartition(':')[0]}:{self._listener.getsockname()[1]}"
 
-    def start(self) -> None:
-        """Binds the address and starts serving; raises AddressInUseError if it is taken."""
-        self._listener = self._create_listener()
+    def start(self, bound: socket.socket | None = None) -> None:
+        """Starts serving.
+
+        Args:
+            bound: Socket bound to the address; if None, the address is bound.
+
+        Raises:
+            AddressUnavailableError: The address can't be bound or listened on.
+        """
+        endpoint = listening.Endpoint(self._address, "operators", "'addresses.operators'")
+        listener = bound or endpoint.bind()
+        endpoint.listen(listener, LISTEN_BACKLOG)
+        self._listener = listener
         self._executor.submit(self._serve)
 
     def stop(self) -> None:
@@ -81,13 +90,3 @@
 
             self._server = page_server.PageServer(self._listener, self._create_pages())
         self._server.serve()
-
-    def _create_listener(self) -> socket.socket:
-        address = addresses.parse(self._address, min_port=addresses.ANY_PORT)
-        try:
-            return socket.create_server(address.pair, family=address.family, backlog=LISTEN_BACKLOG)
-        except OSError as error:
-            raise errors.AddressInUseError(
-                f"cannot listen for operators on '{self._address}': {error.strerror}; "
-                f"free the port or change 'addresses.operators' in the settings"
-            ) from error
--- a/bergamotridge/process_signals.py
+++ b/bergamotridge/process_signals.py
@@ -40,6 +40,13 @@
         """Monotonic time in seconds of the first signal to stop, None if none has come."""
         return self._stop_requested_at
 
-    def wait(self) -> int:
-        """Returns the number of the next signal, as soon as it has come."""
-        return self._numbers.get()
+    def wait(self, timeout_s: float | None = None) -> int | None:
+        """Returns the number of the next signal, as soon as it has come.
+
+        Args:
+            timeout_s: Seconds after which None is returned if no signal has come; None waits on.
+        """
+        try:
+            return self._numbers.get(timeout=timeout_s)
+        except queue.Empty:
+            return None
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -8,11 +8,11 @@
 
 import logbook
 
-from bergamotridge import errors
 from bergamotridge.util import (
     addresses,
     connection_table,
     http_connection,
+    listening,
     loop,
     message,
     request_reader,
@@ -98,7 +98,7 @@
         self.refusal = message.encode_response(refusal, keep_alive=False)
         self.closing = False
         self.on_arrival = event_loop.record_arrival
-        self._address = address
+        self._endpoint = listening.Endpoint(address, name)
         self._max_connections = connections
         self._event_loop_thread = event_loop
         self.connections = connection_table.ConnectionTable(connections)
@@ -108,20 +108,17 @@
         self._asyncio_server: asyncio.Server | None = None
         self._idle_check: asyncio.Task | None = None
 
-    def start(self) -> None:
-        """Binds the address and accepts connections; raises AddressInUseError if this fails."""
-        address = addresses.parse(self._address, min_port=addresses.ANY_PORT)
-        listener = socket.socket(address.family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind(address.pair)
-            listener.listen(LISTEN_BACKLOG)
-        except OSError as error:
-            listener.close()
-            raise errors.AddressInUseError(
-                f"cannot listen for {self.name} on '{self._address}': {error.strerror}; "
-                f"free the port or change the address in the settings"
-            ) from error
+    def start(self, bound: socket.socket | None = None) -> None:
+        """Accepts connections.
+
+        Args:
+            bound: Socket bound to the address; if None, the address is bound.
+
+        Raises:
+            AddressUnavailableError: The address can't be bound or listened on.
+        """
+        listener = bound or self._endpoint.bind()
+        self._endpoint.listen(listener, LISTEN_BACKLOG)
         self._event_loop_thread.run(self._listen(listener))
 
     async def _listen(self, listener: socket.socket) -> None:
--- a/tests/test_platform/test_process_start.py
+++ b/tests/test_platform/test_process_start.py
@@ -37,7 +37,7 @@
 runpy.run_path(script, run_name="__main__")
 """
 BOUNDS = (
-    "grace=1s,drain=200ms,config_apply=2000ms,retry_budget_ratio=0.2,retry_budget_slack=48,"
+    "drain=200ms,config_apply=2000ms,retry_budget_ratio=0.2,retry_budget_slack=48,"
     "budget_window=10s,quota_window=5s,quota_overshoot=0.1,quota_slack=20"
 )
 
@@ -58,17 +58,19 @@
 class Program:
     """A node that runs on the settings of a machine, as the deploy file starts it."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, grace="1s"):
         self.ports = reserve_ports(7)
+        self._folder = folder
         self._settings = folder / "node.conf"
-        self._log = folder / "node.log"
+        self._logs = []
         internal, callers, relay, ready, control, upstream, store = self.ports
         self._settings.write_text(
             "node_id=sidecar-1\nzone=a\nregion=r\nip=127.0.0.1\nservice=slots\nheartbeat=1500ms\n"
             f"internal_ports={internal},{internal + INTERNAL_PORTS}\n"
             f"listen.outbound=127.0.0.1:{callers}\nlisten.inbound=127.0.0.1:{relay}\n"
             f"listen.ready=127.0.0.1:{ready}\nlisten.control=127.0.0.1:{control}\n"
-            f"app_addr=127.0.0.1:{upstream}\nplatform.address=127.0.0.1:{store}\nbounds={BOUNDS}\n",
+            f"app_addr=127.0.0.1:{upstream}\nplatform.address=127.0.0.1:{store}\n"
+            f"bounds=grace={grace},{BOUNDS}\n",
             encoding="utf-8",
         )
 
@@ -78,7 +80,8 @@
         if signal_at_imports is not None:
             number = str(int(signal_at_imports))
             arguments = [*arguments[:-1], "-c", SIGNALLED_START, number, arguments[-1]]
-        with self._log.open("wb") as log:
+        self._logs.append(self._folder / f"node-{len(self._logs)}.log")
+        with self._logs[-1].open("wb") as log:
             return subprocess.Popen(
                 [sys.executable, *arguments],
                 cwd=source.ROOT,
@@ -94,13 +97,14 @@
     def write_settings(self, content):
         self._settings.write_bytes(content)
 
-    def log(self):
-        return self._log.read_text(encoding="utf-8")
+    def log(self, start=-1):
+        """Returns what the process of a start has logged, by default of the last one."""
+        return self._logs[start].read_text(encoding="utf-8")
 
-    def wait_for_line(self, text, process):
+    def wait_for_line(self, text, process, start=-1):
         def is_logged():
             assert process.poll() is None, f"the process ended with {process.returncode}"
-            return text in self.log()
+            return text in self.log(start)
 
         processes.wait_until(is_logged, f"the node logs '{text}'")
 
