End a node's process without waiting for other nodes or the platform

Cause: the last steps of a stop, which serve nobody, had no bound in common with its grace time. Change: gossip is stopped without a wait, the control port's grace ends with the drain time, log output is waited for 0.25 s (1 s before), and the process ends without joining its threads.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -76,6 +76,7 @@
 from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
 
 CONTROL_GRACE_S = 0.5
+MIN_CONTROL_GRACE_S = 0.05
 # Of the longest allowed age of the configuration: how long a watch, or a request to another node,
 # waits for news, and the least progress that counts as news.
 WATCH_AGE_FRACTION = 0.4
@@ -555,9 +556,11 @@
         for task in self.platform_tasks:
             task.stop()
         self.freshness_port.stop()
-        self.gossip.stop()
+        # What is left must not outlast the drain time: the process may be killed soon after it.
+        self.gossip.stop(wait=False)
         self.suspects.stop()
-        self.control.stop(CONTROL_GRACE_S)
+        time_left_s = max(MIN_CONTROL_GRACE_S, drain_deadline - time.monotonic())
+        self.control.stop(min(CONTROL_GRACE_S, time_left_s))
         self.channels.close()
         self.objects.close()
         self.operator_port.stop()
--- a/bergamotridge/commands/node.py
+++ b/bergamotridge/commands/node.py
@@ -13,7 +13,7 @@
 
 
 def run(values: flags.FlagValues, arguments: list[str]) -> int:
-    """Runs the node until it receives a signal to stop, and returns its exit code."""
+    """Runs the node until it receives a signal to stop, and ends the process."""
     del arguments
     signals = process_signals.ReceivedSignals()
     # Imported here so that --help does not import the servers.
@@ -22,4 +22,4 @@
     def read() -> settings.NodeSettings:
         return settings.load(values.settings)
 
-    return daemon.run(read(), signals, read=read)
+    daemon.end_process(daemon.run(read(), signals, read=read))
--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import gc
+import os
 import signal
 import sys
 import time
 from collections.abc import Callable
+from typing import NoReturn
 
 import attrs
 import logbook
@@ -89,7 +91,7 @@
     """
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
-    logs.setup(node, incarnation)
+    log_output = logs.setup(node, incarnation)
     bound = _bind_ports(node, signals, read)
     if bound is not None:
         # Created once the ports are bound: a process that waits for them has no task that could act
@@ -100,9 +102,21 @@
             if signals.stop_requested_at is None:
                 _serve(node, node_application, bound, signals, read)
     _log.info("node on host '{}' stopped", node.host)
+    log_output.stream.stop()
     return 0
 
 
+def end_process(exit_code: int) -> NoReturn:
+    """Ends this process at once.
+
+    The interpreter would wait for all threads first, and some may wait for an answer of the
+    platform or of another node, longer than the time after which the process is killed.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(exit_code)
+
+
 def _bind_ports(
     node: settings.NodeSettings,
     signals: process_signals.ReceivedSignals,
--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -124,12 +124,17 @@
         self._executor.submit(self._run_with_restart, self._run_fetches)
         self._executor.submit(self._run_with_restart, self._run_ticks)
 
-    def stop(self) -> None:
-        """Stops the tasks and returns when all of them have ended."""
+    def stop(self, *, wait: bool = True) -> None:
+        """Stops the tasks.
+
+        Args:
+            wait: Whether to return only when all of them have ended. A task may wait for the answer
+                of another node, for `FETCH_TIMEOUT_S` at most.
+        """
         with self._wake_up:
             self._stopping = True
             self._wake_up.notify_all()
-        self._executor.shutdown(wait=True)
+        self._executor.shutdown(wait=wait)
 
     def start_urgent_round(self) -> None:
         """Makes all links send a message before their interval is over, for an urgent update."""
@@ -182,7 +187,10 @@
         while not self._stopping:
             try:
                 task(*arguments)
-            except Exception:
+            except Exception as error:
+                if self._stopping:
+                    _log.debug("a gossip task ended in the stop of the node: {}", error)
+                    return
                 _log.exception("a gossip task failed and is restarted")
                 time.sleep(self._timings.interval_s)
 
--- a/bergamotridge/util/line_queue.py
+++ b/bergamotridge/util/line_queue.py
@@ -5,7 +5,7 @@
 import threading
 
 MAX_QUEUED_LINES = 4096
-DRAIN_TIMEOUT_S = 1.0
+DRAIN_TIMEOUT_S = 0.25
 
 
 class LineQueue:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,10 +1,23 @@
 """Log lines that a node writes when it reads its settings file again."""
 
+import subprocess
+import sys
+
 import attrs
 import logbook
 
 from bergamotridge import daemon, errors, settings
+from tests import source
+
+# A program with a thread that waits for an answer that never comes.
+WAITING_PROGRAM = """
+import threading
+from concurrent import futures
+from bergamotridge import daemon
 
+futures.ThreadPoolExecutor(1).submit(threading.Event().wait)
+daemon.end_process(7)
+"""
 NODE = settings.NodeSettings(host="h1", failure_domain="a", fleet_secret="s")
 
 
@@ -33,3 +46,9 @@
 def test_an_unchanged_file_is_logged():
     (line,) = logged_lines(lambda: NODE)
     assert "nothing changed" in line
+
+
+# A node at the end of its stop waited for other nodes or the platform until it was killed.
+def test_a_process_ends_though_a_thread_waits_for_an_answer():
+    ended = subprocess.run([sys.executable, "-c", WAITING_PROGRAM], cwd=source.ROOT, timeout=60)
+    assert ended.returncode == 7
