Let a client read the response that closes its connection, whatever it has sent behind it

What callers saw: a connection reset in place of the last response, if more bytes of the client came just after the node had closed (test_what_follows_a_request_that_ends_its_connection_is_not_answered [HTTP/1.0-2] failed once in a run beside load: ConnectionResetError; traced to the close). Cause: the connection was closed at once after its last response; bytes that come then make the kernel reset it, and the response may be lost on its way. Change: after a last response the sending side ends, and what the client still sends is read and dropped for a second, as after a refusal, unless the client took the response late.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -62,6 +62,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._body_timer: asyncio.TimerHandle | None = None
         self._write_paused = False
+        self._was_written_late = False
         self._input_ended = False
         self._refusal_status = 0
 
@@ -239,7 +240,7 @@
                 self._send_last_response(message.encode_response(response, keep_alive=False))
             elif not self._transport.is_closing():
                 self._report_unanswered()
-                self._transport.close()
+                self._end_after_last_response()
         except Exception:
             logger.exception("a connection of the server '{}' failed", self._server.name)
             self._transport.close()
@@ -251,8 +252,21 @@
         """
         if not self._transport.is_closing():
             self._transport.write(response)
-            self._transport.write_eof()
-            self._event_loop.call_later(LINGER_S, self._transport.abort)
+            self._linger()
+
+    def _end_after_last_response(self) -> None:
+        """Ends the connection; a client that has read the response late may have sent a request."""
+        if self._was_written_late:
+            self._transport.close()
+            return
+        self._input_ended = True
+        self._server.connections.remove(self)
+        self._transport.resume_reading()
+        self._linger()
+
+    def _linger(self) -> None:
+        self._transport.write_eof()
+        self._event_loop.call_later(LINGER_S, self._transport.abort)
 
     async def _next_request(self) -> message.Request | None:
         """Waits for the next request and returns it, or None when no further one will be taken."""
@@ -287,6 +301,7 @@
         self._transport.write(
             message.encode_response(response, keep_alive=keep_alive, head=request.method == b"HEAD")
         )
+        self._was_written_late = self._write_paused
         if self._write_paused:
             await self._wait_until_written()
         self.token = None
