--- a/bergamotridge/headers.py
+++ b/bergamotridge/headers.py
@@ -7,16 +7,10 @@
 _DROPPED_FOR_UPSTREAM = message.UNFORWARDED_FIELDS | {b"authorization"}
 
 
-def _declared_hop_by_hop(headers: list[message.Header]) -> set[bytes]:
-    """Returns the field names that the Connection headers declare hop-by-hop."""
-    values = [value for name, value in headers if name == b"connection"]
-    return {option.strip().lower() for value in values for option in value.split(b",")}
-
-
 def _remove_fields(
     headers: list[message.Header], dropped: frozenset[bytes]
 ) -> list[message.Header]:
-    declared = _declared_hop_by_hop(headers)
+    declared = message.connection_options(headers)
     if declared:
         dropped = dropped | declared
     return [
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -24,7 +24,6 @@
 )
 
 FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
-CONNECTION_OPTIONS = frozenset((b"close", b"keep-alive"))
 BODILESS_STATUSES = frozenset((204, 304))
 VERSIONS = frozenset(("1.0", "1.1"))
 BLANKS = b" \t"  # Around a field's value; the parser leaves those behind it.
@@ -40,6 +39,12 @@
     return None
 
 
+def connection_options(headers: list[Header]) -> set[bytes]:
+    """Returns the options in all Connection fields, in lower case; others are names of fields."""
+    values = [value for name, value in headers if name == b"connection"]
+    return {option.strip().lower() for value in values for option in value.split(b",")}
+
+
 def is_chunked_only(values: list[bytes]) -> bool:
     """Returns whether the Transfer-Encoding fields name the coding ``chunked`` once and no other.
 
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -113,6 +113,24 @@
     assert response.headers == [(b"request-id", b"7"), (b"x-a", b"")]
 
 
+# A connection was kept after a response of HTTP/1.0 that ended it.
+def test_a_connection_is_not_kept_after_a_response_that_closes_it():
+    fields = b"\r\nconnection: close\r\nconnection: keep-alive\r\n"
+    response = OK_RESPONSE.replace(b"1.1", b"1.0").replace(b"\r\n", fields, 1)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        pool = http_client.Pool(f"127.0.0.1:{listener.getsockname()[1]}", BODY_LIMIT)
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            transfer = executor.submit(send_post, pool)
+            sock, _ = listener.accept()
+            with sock:
+                sock.recv(65536)
+                sock.sendall(response)
+                assert transfer.result(30).body == b"ok"
+                sock.settimeout(5)
+                with contextlib.suppress(ConnectionResetError):
+                    assert sock.recv(1) == b""
+
+
 # An interim response took the head of the final one for its body.
 @pytest.mark.parametrize(
     ("status", "text"), [(104, "interim response has a length"), (99, "status is not valid")]
