Send no 100 Continue to clients of HTTP/1.0

Callers saw: a client of HTTP/1.0 that sent `Expect: 100-continue` got an interim response, which it doesn't know, in place of its response (RFC 9110, 10.1.1: such an expectation is ignored).

Cause: the version wasn't looked at.

Change: only in HTTP/1.1 the field is looked at.

Evidence: the new test failed before.

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -162,7 +162,7 @@
             raise BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
-        if b"expect" in names:
+        if b"expect" in names and version == "1.1":
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
         self._upgrade_offered = self.parser.should_upgrade()
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -289,6 +289,14 @@
     server.stop(0)
 
 
+# A client of HTTP/1.0, which knows no interim responses, was sent one before its response.
+def test_an_expect_header_of_http_1_0_is_ignored():
+    reader = request_reader.RequestReader(BOUNDS)
+    reader.feed(b"POST / HTTP/1.0\r\nexpect: 100-continue\r\ncontent-length: 1\r\n\r\n")
+    assert reader.in_body
+    assert not reader.expects_continue
+
+
 # Fields behind a chunked body were handled as if they were in the head, a second Host too.
 def test_a_field_behind_the_body_is_no_field_of_the_request():
     async def name_fields(request, _token):
