--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -69,6 +69,7 @@
 
     def _reset_request(self) -> None:
         self._target = b""
+        self._version = ""
         self._headers: list[message.Header] = []
         self._body: list[bytes] = []
         self._body_size = 0
@@ -120,9 +121,8 @@
         return b""
 
     def _encode_head_without_offer(self) -> bytes:
-        parser = self.parser
-        version = parser.get_http_version().encode()
-        parts = [b"%s %s HTTP/%s\r\n" % (parser.get_method(), self._target, version)]
+        first = (self.parser.get_method(), self._target, self._version.encode())
+        parts = [b"%s %s HTTP/%s\r\n" % first]
         parts += [b"%s: %s\r\n" % field for field in self._headers if field[0] != b"upgrade"]
         parts.append(b"\r\n")
         return b"".join(parts)
@@ -155,14 +155,14 @@
                 raise BadRequestError(431)
         if self.parser.get_method() == b"CONNECT":
             raise BadRequestError(405)
-        version = self.parser.get_http_version()
+        version = self._version = self.parser.get_http_version()
         names = [name for name, _ in headers]
         hosts = names.count(b"host")
         if version not in message.VERSIONS or hosts > 1 or (version == "1.1" and not hosts):
             raise BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
-        if b"expect" in names:
+        if b"expect" in names and version == "1.1":
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
         self._upgrade_offered = self.parser.should_upgrade()
@@ -170,7 +170,7 @@
     def _check_transfer_encoding(self) -> None:
         """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
         values = [value for name, value in self._headers if name == b"transfer-encoding"]
-        if not message.is_chunked_only(values) or self.parser.get_http_version() == "1.0":
+        if not message.is_chunked_only(values) or self._version == "1.0":
             raise BadRequestError(400)
 
     def on_body(self, body: bytes) -> None:
@@ -188,6 +188,9 @@
         parser = self.parser
         self.expects_continue = False
         keep_alive = parser.should_keep_alive()
+        if keep_alive and self._version == "1.0":
+            # For HTTP/1.0 the parser looks for keep-alive only.
+            keep_alive = b"close" not in message.connection_options(self._headers)
         self._is_ended = not keep_alive
         self.requests.append(
             message.Request(
