--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -37,11 +37,10 @@
         and item.machine in (0, finding.machine)
     ]
     log = (folder / f"node-{finding.machine}.log").read_text(encoding="utf-8", errors="replace")
-    words = finding.text.split(" ")
-    lines = [line for line in log.splitlines() if words[0] in line] or [
-        line for line in log.splitlines() if "Traceback" in line or '"error' in line.lower()
-    ]
-    return [*events, *(f"    log: {line[:300]}" for line in lines[-LOG_LINES:])]
+    lines = [line for line in log.splitlines() if '"member.' not in line]
+    named = [line for line in lines if finding.text.split(" ")[0] in line]
+    lines = lines[-LOG_LINES:] if finding.rule == "FAULT" else named[-LOG_LINES:]
+    return [*events, *(f"    log: {line[:300]}" for line in lines)]
 
 
 def count(rows: record.Record) -> str:
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -239,7 +239,8 @@
         if values["node"] == "stays":
             item.replaces = False
         else:
-            item.service = values["service"]
+            if any(other.service == item.service for other in self._machines if other is not item):
+                item.service = values["service"]
             item.write_settings()
             await item.start()
         await self._start_server(item)
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -108,13 +108,4 @@
 
     async def is_ready(self) -> bool:
         """Returns True if the node answers its readiness check with 200."""
-        try:
-            async with asyncio.timeout(1.0):
-                reader, writer = await wire.connect(f"{self.ip}:{READY_PORT}")
-                try:
-                    writer.write(wire.encode("GET /ready HTTP/1.1", {"Host": "ready"}))
-                    return (await wire.read_head(reader)).status == 200
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, wire.EndedError):
-            return False
+        return await wire.ask(f"{self.ip}:{READY_PORT}", "GET /ready HTTP/1.1", b"", 1.0) == 200
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -1,7 +1,6 @@
 """An application server: reports to the node beside it, runs requests and calls other services."""
 
 import asyncio
-import contextlib
 import json
 import random
 import time
@@ -10,7 +9,7 @@
 
 PORT, CONTROL_PORT = 8547, 8540
 HEARTBEAT_S = 1.5
-REPORT_S = 1.0
+REPORT_S, AGAIN_S = 1.0, 0.2
 SLOTS = 58
 TRICKLE_PIECES = 6
 TRICKLE_PAUSE_S = 0.15
@@ -84,19 +83,12 @@
         return json.dumps(table).encode()
 
     async def _say(self, call: str, body: bytes) -> int:
-        with contextlib.suppress(OSError, TimeoutError, wire.EndedError):
-            async with asyncio.timeout(REPORT_S):
-                address = f"{self._machine.ip}:{CONTROL_PORT}"
-                reader, writer = await wire.connect(address)
-                try:
-                    fields = {"Host": "control", "Content-Type": "application/json"}
-                    start = f"POST /Instances.{call}/{self.id} HTTP/1.1"
-                    writer.write(wire.encode(start, fields, body))
-                    return (await wire.read_head(reader)).status
-                finally:
-                    writer.close()
-        await asyncio.sleep(0.2)
-        return 0
+        address = f"{self._machine.ip}:{CONTROL_PORT}"
+        start = f"POST /Instances.{call}/{self.id} HTTP/1.1"
+        status = await wire.ask(address, start, body, REPORT_S)
+        if not status:
+            await asyncio.sleep(AGAIN_S)
+        return status
 
     async def _beat(self) -> None:
         while True:
@@ -174,17 +166,14 @@
         return attempts[0].status == 200
 
     async def _send_answer(self, writer, start: str, fields: dict, body: bytes, mode: str) -> None:
-        if mode in ("length", "trickle"):
-            whole = wire.encode(start, fields, body)
+        if mode == "chunked":
+            fields |= {"Transfer-Encoding": "chunked"}
+            framed = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+            whole = wire.encode(start, fields, length=False) + framed + b"0\r\n\r\n"
+        elif mode == "close":
+            whole = wire.encode(start, fields | {"Connection": "close"}, length=False) + body
         else:
-            more = (
-                {"Transfer-Encoding": "chunked"} if mode == "chunked" else {"Connection": "close"}
-            )
-            whole = wire.encode(start, fields | more, length=False)
-            if mode == "close":
-                whole += body
-            else:
-                whole += (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+            whole = wire.encode(start, fields, body)
         step = len(whole) // TRICKLE_PIECES + 1 if mode == "trickle" else len(whole)
         for begin in range(0, len(whole), step):
             writer.write(whole[begin : begin + step])
--- a/soak/machines/wire.py
+++ b/soak/machines/wire.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 as the stand-ins speak it."""
 
 import asyncio
+import contextlib
 import hashlib
 import socket
 
@@ -121,3 +122,17 @@
     except OSError:
         return "reset"
     return "reset" if info[0] == TCP_CLOSE else "closed"
+
+
+async def ask(address: str, start: str, body: bytes, wait_s: float) -> int:
+    """Sends one request on a connection of its own; returns the status, 0 without an answer."""
+    with contextlib.suppress(OSError, TimeoutError, EndedError):
+        async with asyncio.timeout(wait_s):
+            reader, writer = await connect(address)
+            try:
+                fields = {"Host": "node", "Content-Type": "application/json"}
+                writer.write(encode(start, fields, body))
+                return (await read_head(reader)).status
+            finally:
+                writer.close()
+    return 0
