Tell time-outs from resets in the soak of machines, and send pieces from one list

A time-out of a client was taken for a reset, as TimeoutError is an OSError, so that LOST could have missed nothing but counted it wrong; a connection with a request that was answered before it was sent whole is no longer used again.

--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -10,24 +10,7 @@
 DEADLINE_S = 7.0
 CONNECT_S = 1.0
 REFUSED_PAUSE_S = 0.15
-METHODS = {"s": "GET", "u": "POST"}
-
-
-@attrs.frozen
-class Job:
-    """What a request asks for: the path tells the server what to do."""
-
-    service: str
-    kind: str
-    work_ms: int = 50
-    size: int = 4000
-    mode: str = "length"
-    depth: int = 0
-
-    @property
-    def path(self) -> str:
-        """Path of the request."""
-        return f"/{self.kind}/{self.work_ms}/{self.size}/{self.mode}/{self.depth}"
+WORK_MS = (5, 30, 80, 150, 300, 800)
 
 
 @attrs.frozen
@@ -38,7 +21,7 @@
         kept: True if it keeps its connection.
         behind: Requests that are sent one behind the other.
         body: Bytes of the body, sent in `pieces` with pauses.
-        head_pause_s: Pause after each byte of the head.
+        head_pause_s: Pause before each byte of the head.
         read_pause_s: Pause after each piece that is read.
     """
 
@@ -51,7 +34,7 @@
     piece_pause_s: float = 0.0
     head_pause_s: float = 0.0
     read_pause_s: float = 0.0
-    size: int = 4000
+    size: int = 0
 
 
 STYLES = (
@@ -93,75 +76,72 @@
         if self._writer is not None:
             self._writer.close()
 
-    async def exchange(self, jobs: list[Job], by: str, machine: int, service: str):
-        """Sends requests one behind the other and reads the answers; returns the attempts."""
-        attempts = [self._make_attempt(job, by, machine, service) for job in jobs]
+    async def exchange(self, jobs, by: str, machine: int, service: str) -> list[record.Attempt]:
+        """Sends requests, pairs of service and path, one behind the other; reads the answers."""
+        attempts = [self._make_attempt(path, by, machine, service) for _, path in jobs]
         for attempt in attempts:
             attempt.alone = len(jobs) == 1
         self._rows.attempts += attempts
         answers = asyncio.create_task(self._read_answers(attempts))
         try:
             async with asyncio.timeout(DEADLINE_S + 1.0):
-                for attempt, job in zip(attempts, jobs, strict=True):
-                    await self._send(attempt, job, answers)
+                for attempt, (asked, _) in zip(attempts, jobs, strict=True):
+                    await self._send(attempt, f"{asked}.test", answers)
                 await answers
-        except (OSError, wire.EndedError, asyncio.IncompleteReadError) as error:
-            self._fail(attempts, "reset" if isinstance(error, OSError) else None, repr(error))
         except TimeoutError:
             self._fail(attempts, "timeout", "")
+        except (OSError, wire.EndedError) as error:
+            self._fail(attempts, "reset" if isinstance(error, OSError) else "", repr(error))
         except asyncio.CancelledError:
             self._fail(attempts, "gave up", "")
             raise
         finally:
             answers.cancel()
             await asyncio.gather(answers, return_exceptions=True)
+        self.open &= all(attempt.sent is not None for attempt in attempts)
         return attempts
 
-    def _make_attempt(self, job: Job, by: str, machine: int, service: str) -> record.Attempt:
-        request_id = self._rows.next_id()
-        body = wire.content(request_id, self._body_size(job))
+    def _make_attempt(self, path: str, by: str, machine: int, service: str) -> record.Attempt:
+        request_id, is_safe = self._rows.next_id(), path.startswith("/s/")
+        body = b"" if is_safe else wire.content(request_id, self._style.body)
         return record.Attempt(
-            request_id, by, machine, service, METHODS[job.kind], job.path,
-            wire.digest(body), job.kind == "s", connected=self._connected,
+            request_id, by, machine, service, "GET" if is_safe else "POST", path,
+            wire.digest(body), is_safe, connected=self._connected,
         )  # fmt: skip
 
-    def _body_size(self, job: Job) -> int:
-        return self._style.body if job.kind == "u" else 0
+    async def _send(self, attempt: record.Attempt, host: str, answers: asyncio.Task) -> None:
+        attempt.began = self._rows.now()
+        for piece, pause_s in self._cut(attempt, host):
+            if pause_s:
+                await asyncio.sleep(pause_s)
+            if answers.done():  # The node has answered early, or ended the connection.
+                return
+            self._writer.write(piece)
+            await self._writer.drain()
+        if not answers.done() and not self._writer.is_closing():
+            attempt.sent = self._rows.now()
 
-    async def _send(self, attempt: record.Attempt, job: Job, answers: asyncio.Task) -> None:
-        style, writer = self._style, self._writer
-        body = wire.content(attempt.id, self._body_size(job))
-        fields = {"Host": f"{job.service}.test", "Request-Id": attempt.id}
-        fields["Deadline-Ms"] = int(DEADLINE_S * 1000)
-        fields |= {"Transfer-Encoding": "chunked"} if style.chunked and body else {}
+    def _cut(self, attempt: record.Attempt, host: str) -> list[tuple[bytes, float]]:
+        """Returns the pieces of a request, and the pause before each."""
+        style = self._style
+        body = b"" if attempt.safe else wire.content(attempt.id, style.body)
+        fields = {"Host": host, "Request-Id": attempt.id, "Deadline-Ms": int(DEADLINE_S * 1000)}
+        is_chunked = style.chunked and bool(body)
+        fields |= {"Transfer-Encoding": "chunked"} if is_chunked else {}
         start = f"{attempt.method} {attempt.path} HTTP/1.1"
-        whole = wire.encode(start, fields, body, "Transfer-Encoding" not in fields)
-        head, attempt.began = whole[: len(whole) - len(body)], self._rows.now()
+        head = wire.encode(start, fields, body, not is_chunked).removesuffix(body)
+        step = len(body) // style.pieces or 1
+        bodies = [body[begin : begin + step] for begin in range(0, len(body), step)]
+        if is_chunked:
+            bodies = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in bodies]
+            bodies.append(b"0\r\n\r\n")
+        heads = [bytes([byte]) for byte in head] if style.head_pause_s else [head]
         if style.pieces == 1 and not style.head_pause_s:
-            writer.write(whole)
-        else:
-            for number in range(len(head) if style.head_pause_s else 1):
-                if answers.done():  # The node has answered early, or ended the connection.
-                    return
-                writer.write(head[number : number + 1] if style.head_pause_s else head)
-                await asyncio.sleep(style.head_pause_s)
-            await self._send_pieces(body, answers)
-        await writer.drain()
-        if not answers.done() and not writer.is_closing():
-            attempt.sent = self._rows.now()
-
-    async def _send_pieces(self, body: bytes, answers: asyncio.Task) -> None:
-        step = len(body) // self._style.pieces or 1
-        for begin in range(0, len(body), step):
-            await asyncio.sleep(self._style.piece_pause_s)
-            if answers.done():
-                return
-            piece = body[begin : begin + step]
-            framed = b"%x\r\n%s\r\n" % (len(piece), piece)
-            self._writer.write(framed if self._style.chunked else piece)
-            await self._writer.drain()
-        if self._style.chunked and body:
-            self._writer.write(b"0\r\n\r\n")
+            return [(head + b"".join(bodies), 0.0)]
+        return [
+            *((piece, style.head_pause_s) for piece in heads),
+            *((piece, style.piece_pause_s) for piece in bodies),
+        ]
 
     async def _read_answers(self, attempts: list[record.Attempt]) -> None:
         for attempt in attempts:
@@ -188,7 +168,7 @@
         if message.status != 200:
             attempt.text = message.body[:80].decode("latin-1")
 
-    def _fail(self, attempts: list[record.Attempt], end: str | None, text: str) -> None:
+    def _fail(self, attempts: list[record.Attempt], end: str, text: str) -> None:
         for attempt in attempts:
             if not attempt.end:
                 attempt.ended, attempt.text = self._rows.now(), text
@@ -196,16 +176,13 @@
         self.close()
 
 
-def draw_job(rng: random.Random, services, style: Style) -> Job:
-    """Draws what a request asks for."""
-    return Job(
-        rng.choice(services),
-        rng.choice("ssuuu" if style.body else "s"),
-        rng.choice((5, 30, 80, 150, 300, 800)),
-        style.size if style.size > 4000 else rng.choice((0, 300, 4000, 30000)),
-        rng.choice(("length", "length", "chunked", "close", "trickle")),
-        rng.choice((0, 0, 0, 1, 2, 3)) if style.size <= 4000 else 0,
-    )
+def draw_job(rng: random.Random, services, style: Style) -> tuple[str, str]:
+    """Draws a service and a path, which tells the server what to do."""
+    kind, work_ms = rng.choice("ssuuu" if style.body else "s"), rng.choice(WORK_MS)
+    size = style.size or rng.choice((0, 300, 4000, 30000))
+    mode = rng.choice(("length", "length", "chunked", "close", "trickle"))
+    depth = 0 if style.size else rng.choice((0, 0, 0, 1, 2, 3))
+    return rng.choice(services), f"/{kind}/{work_ms}/{size}/{mode}/{depth}"
 
 
 async def send_steadily(rows, machine, style: Style, seed: str, services, until: float) -> None:
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -156,7 +156,7 @@
         connection = client.Connection(self._rows, self._machine.outbound, style)
         if not await connection.open_up():
             return False
-        job = client.Job(random.choice(self._services), "s", 15, 500, "length", depth)
+        job = (random.choice(self._services), f"/s/15/500/length/{depth}")
         try:
             attempts = await connection.exchange(
                 [job], f"server {self.id}", self._machine.number, self._machine.service
--- a/soak/machines/wire.py
+++ b/soak/machines/wire.py
@@ -31,10 +31,10 @@
 
 
 def encode(start: str, fields: dict, body: bytes = b"", length: bool = True) -> bytes:
-    """Returns the bytes of a message."""
+    """Returns the bytes of a message; without a length only those of its head."""
     lines = [start, *(f"{key}: {value}" for key, value in fields.items())]
     lines += [f"Content-Length: {len(body)}"] if length else []
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (body if length else b"")
 
 
 def content(request_id: str, size: int) -> bytes:
