--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -39,7 +39,7 @@
     log = (folder / f"node-{finding.machine}.log").read_text(encoding="utf-8", errors="replace")
     lines = [line for line in log.splitlines() if '"member.' not in line]
     named = [line for line in lines if finding.text.split(" ")[0] in line]
-    lines = lines[-LOG_LINES:] if finding.rule == "FAULT" else named[-LOG_LINES:]
+    lines = lines[-LOG_LINES:] if finding.text.startswith("pid") else named[-LOG_LINES:]
     return [*events, *(f"    log: {line[:300]}" for line in lines)]
 
 
--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -159,12 +159,12 @@
 
 
 def _find_exits(rows: record.Record) -> list[Finding]:
-    """FAULT: a process ends by itself, with a status, or must be killed after `grace`."""
+    """FAULT: a process ends by itself, or with a status; GRACE: it must be killed after `grace`."""
     started = {item.detail: item.at for item in rows.happenings if item.what == "node starts"}
     found = []
     for item in rows.happenings:
         if item.what == "grace is over":
-            found.append(Finding("FAULT", item.at, item.machine, f"pid {item.detail}: no end"))
+            found.append(Finding("GRACE", item.at, item.machine, f"pid {item.detail}: no end"))
         if item.what != "node exits":
             continue
         pid, code, cause = item.detail.split(" ", 2)
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -127,7 +127,7 @@
         (["FAULT"], (20.0, "node exits", 3, "7 1 by itself")),
         (["FAULT"], (20.0, "node exits", 3, "7 1 stopped")),
         (["FAULT"], (20.0, "node exits", 3, "7 -15 stopped")),
-        (["FAULT"], (20.0, "grace is over", 3, "7")),
+        (["GRACE"], (20.0, "grace is over", 3, "7")),
         ([], (2.0, "node exits", 3, "7 -15 stopped")),
         ([], (20.0, "node exits", 3, "7 0 stopped")),
         ([], (20.0, "node exits", 3, "7 -9 killed")),
