Let clients of the soak of machines stay idle as long as they may

The limit for idle connections is 2 s in the soak, and clients wait up to four fifths of it, or about as long as it.

--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -10,6 +10,7 @@
 DEADLINE_S = 7.0
 CONNECT_S = 1.0
 REFUSED_PAUSE_S = 0.15
+PAUSES_S = ((0.0, 0.5), (0.5, 1.6), (1.9, 2.1))  # The limit of fleet.make_configuration is 2.
 WORK_MS = (5, 30, 80, 150, 300, 800)
 
 
@@ -201,4 +202,5 @@
         if not style.kept or not connection.open:
             connection.close()
             connection = None
-        await asyncio.sleep(rng.uniform(0.0, 0.5))
+        # At times as long as a client may, or until about the moment at which the node may close.
+        await asyncio.sleep(rng.uniform(*rng.choices(PAUSES_S, (8, 1, 1))[0]))
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -54,7 +54,7 @@
             "max_header_bytes": 16384,
             "max_body_bytes": 67108864,
             "header_timeout": "3000ms",
-            "idle_timeout": "15000ms",
+            "idle_timeout": "2000ms",
         },
         "tenants": [],
         "listeners": [
