--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -54,7 +54,7 @@
             "max_header_bytes": 16384,
             "max_body_bytes": 67108864,
             "header_timeout": "3000ms",
-            "idle_timeout": "15000ms",
+            "idle_timeout": "2000ms",
         },
         "tenants": [],
         "listeners": [
@@ -239,7 +239,8 @@
         if values["node"] == "stays":
             item.replaces = False
         else:
-            item.service = values["service"]
+            if any(other.service == item.service for other in self._machines if other is not item):
+                item.service = values["service"]
             item.write_settings()
             await item.start()
         await self._start_server(item)
