Test who is named when a key is withdrawn in a domain that is cut off

The command at a node of a cut-off failure domain named one recipient, also where that was all that knew.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -239,14 +239,20 @@
         fields = dict(line.split(": ", 1) for line in output.splitlines())
         return Key(fields["key_id"], fields["key"])
 
-    def withdraw(self, key: Key, *names: str) -> None:
-        """Withdraws a key at the platform, or directly at the nodes of the named hosts."""
+    def withdraw(self, key: Key, *names: str) -> str:
+        """Withdraws a key at the platform, or directly at the nodes of the named hosts.
+
+        Returns:
+            What the command printed.
+        """
         if names:
             addresses = ",".join(self.members[name].addresses.operators for name in names)
             where = f"--nodes={addresses}"
         else:
             where = self._platform_flag
-        self.run_command("keys", "withdraw", where, self._secret_flag, f"--key_id={key.key_id}")
+        return self.run_command(
+            "keys", "withdraw", where, self._secret_flag, f"--key_id={key.key_id}"
+        )
 
     def timeline(self) -> list[str]:
         """Returns the lines of the merged timeline of all nodes."""
--- a/tests/test_process/test_cut.py
+++ b/tests/test_process/test_cut.py
@@ -2,8 +2,11 @@
 rejoins after the cut.
 """
 
+import subprocess
+
 import pytest
 
+from bergamotridge.commands import registry
 from standins import fleet as standin_fleet
 from standins import history, processes
 from tests import fleet
@@ -80,3 +83,20 @@
             "the new version is in force in the east",
         )
         rig.call_until(host, "GET", "/rows", lambda reply: reply.status == 401, key=key.secret)
+
+
+# A node that was cut off said "told 1 of 1", and kept to itself who else knew of the withdrawal.
+def test_a_withdrawal_in_a_domain_that_is_cut_off_names_the_nodes_that_know(rig):
+    key = rig.fleet.grant("large")
+    for host in EAST_HOSTS:
+        rig.call_until(host, "GET", "/rows", lambda reply: reply.status == 200, key=key.secret)
+    rig.fleet.cut("east")
+    printed = rig.fleet.withdraw(key, "front-1")
+    assert "told 2 nodes in 1 failure domains; stored by the platform: no\n" in printed
+    for host in EAST_HOSTS:
+        assert rig.call(host, "GET", "/rows", rig.tag(), key=key.secret).status == 401
+    rig.fleet.members["back-1"].node.pause()
+    with pytest.raises(subprocess.CalledProcessError) as caught:
+        rig.fleet.withdraw(key, "front-1")
+    assert caught.value.returncode == registry.EXIT_KNOWN_TO_ONE_PROCESS
+    assert "only the node of host 'front-1' knows" in caught.value.stderr
