Test the order in which a node starts and stops its parts

Three tests, which record what the node calls on its parts: ports before tasks and quota shares, calls first in a stop and the port of readiness checks last, and ports closed again if one can't be opened.

--- /dev/null
+++ b/tests/test_application.py
@@ -0,0 +1,138 @@
+"""The order in which a node starts and stops its parts."""
+
+import time
+
+import pytest
+
+from bergamotridge import application, errors, ports, settings
+from bergamotridge.nodes import control
+from standins import processes
+
+PORT_PARTS = (
+    ("relay", "relay_server"),
+    ("upstream", "upstream_server"),
+    ("callers", "caller_server"),
+    ("operators", "operator_port"),
+    ("ready", "ready_server"),
+    (ports.DATAGRAMS, "freshness_port"),
+)
+OTHER_PARTS = ("gossip", "team_rates", "suspects", "channels", "objects", "pools")
+
+
+class RecordedPart:
+    """Records what is called on a part of the node."""
+
+    def __init__(self, name, calls):
+        self._name = name
+        self._calls = calls
+
+    def __getattr__(self, function):
+        return lambda *arguments: self._calls.append(f"{self._name}.{function}")
+
+
+class RecordedLoop(RecordedPart):
+    def call(self, function):
+        function()
+
+
+@pytest.fixture
+def calls():
+    return []
+
+
+@pytest.fixture
+def bound():
+    free = processes.Ports()
+    names = ("callers", "upstream", "relay", "control", "operators", "ready")
+    addresses = settings.Addresses(**{name: free.allocate() for name in names})
+    bound = ports.bind(addresses)
+    yield bound
+    bound.close()
+
+
+@pytest.fixture
+def node(calls, monkeypatch):
+    free = processes.Ports()
+    names = ("callers", "upstream", "relay", "control", "operators", "ready")
+    node = application.Application(
+        settings.NodeSettings(
+            host="h1",
+            failure_domain="a",
+            fleet_secret="s",
+            addresses=settings.Addresses(**{name: free.allocate() for name in names}),
+            platform=settings.Platform(address=free.allocate()),
+            limits=settings.Limits(notice_s=0.0, drain_s=0.0),
+        ),
+        1,
+    )
+    for name in (*(part for _, part in PORT_PARTS), *OTHER_PARTS):
+        monkeypatch.setattr(node, name, RecordedPart(name, calls))
+    monkeypatch.setattr(node, "platform_tasks", [RecordedPart("task", calls)])
+    real_loop = node.loop
+    monkeypatch.setattr(node, "loop", RecordedLoop("loop", calls))
+
+    def create_control_server(*arguments):
+        calls.append("control.bind")
+        return RecordedPart("control", calls)
+
+    monkeypatch.setattr(control, "ControlServer", create_control_server)
+    yield node
+    real_loop.stop()
+
+
+def test_all_ports_are_open_before_a_node_talks_to_others_and_claims_quota_shares(
+    node, bound, calls
+):
+    node.start(bound)
+    assert calls == [
+        "control.bind",
+        *(f"{part}.start" for _, part in PORT_PARTS),
+        "control.start",
+        "gossip.start",
+        "team_rates.start",
+        "task.start",
+    ]
+
+
+def test_a_stop_ends_calls_first_and_the_port_of_readiness_checks_as_the_last(node, bound, calls):
+    node.start(bound)
+    calls.clear()
+    node.stop(time.monotonic())
+    assert calls == [
+        "caller_server.close_after_answers",
+        "relay_server.close_after_answers",
+        "gossip.start_urgent_round",
+        "team_rates.start_return",
+        "caller_server.stop",
+        "relay_server.stop",
+        "upstream_server.stop",
+        "team_rates.stop",
+        "task.stop",
+        "freshness_port.stop",
+        "gossip.stop",
+        "suspects.stop",
+        "control.stop",
+        "channels.close",
+        "objects.close",
+        "operator_port.stop",
+        "ready_server.stop",
+        "pools.close",
+        "loop.stop",
+    ]
+
+
+def test_a_port_that_cannot_be_opened_closes_those_that_were(node, bound, calls, monkeypatch):
+    def fail(_):
+        raise errors.AddressInUseError("taken")
+
+    monkeypatch.setattr(node.caller_server, "start", fail, raising=False)
+    with pytest.raises(errors.AddressInUseError):
+        node.start(bound)
+    assert calls == [
+        "control.bind",
+        "relay_server.start",
+        "upstream_server.start",
+        "relay_server.stop",
+        "upstream_server.stop",
+        "control.stop",
+    ]
