--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -5,7 +5,16 @@
 import time
 from collections.abc import Sequence
 
-from bergamotridge import answer, environment, errors, events, metrics, ports, settings
+from bergamotridge import (
+    answer,
+    environment,
+    errors,
+    events,
+    metrics,
+    part_order,
+    ports,
+    settings,
+)
 from bergamotridge.callers import (
     at_most_once,
     claim_rewriter,
@@ -89,8 +98,8 @@
     """One node: creates and connects all parts; `start` and `stop` run them.
 
     To add a part, create it in the `_create_..._parts` method of the side that it communicates
-    with, pass it to the parts that use it, and start and stop it next to the other parts of that
-    side.
+    with, pass it to the parts that use it, and add it to the lists of what is started (`_ports` or
+    `_tasks`) and of what ends (`_ends`).
     """
 
     def __init__(
@@ -489,40 +498,67 @@
             AddressUnavailableError: Another process has begun to listen on a port since they were
                 bound; parts already started are stopped.
         """
-        self._open_ports(bound)
-        self.control.start()
-        self.gossip.start()
-        # Quota shares that this host held may be taken over only by the process that has bound the
-        # host's ports.
-        self.team_rates.start()
-        for task in self.platform_tasks:
-            task.start()
-        self.events.emit("node.started", incarnation=self.incarnation)
-
-    def _open_ports(self, bound: ports.BoundPorts) -> None:
         node = self.settings
         # gRPC binds its port itself.
         bound.take("control").close()
         self.control = control.ControlServer(
             node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates, self.suspects)
         )
-        started = []
         try:
-            for name, part in (
-                ("relay", self.relay_server),
-                ("upstream", self.upstream_server),
-                ("callers", self.caller_server),
-                ("operators", self.operator_port),
-                *([("ready", self.ready_server)] if self.ready_server else []),
-                (ports.DATAGRAMS, self.freshness_port),
-            ):
-                part.start(bound.take(name))
-                started.append(part)
+            part_order.open_ports(self._ports(), bound, self._ends())
         except errors.AddressUnavailableError:
-            for part in started:
-                part.stop(0) if isinstance(part, httpd.Server) else part.stop()
             self.control.stop(0)
             raise
+        for task in self._tasks():
+            task.start()
+        self.events.emit("node.started", incarnation=self.incarnation)
+
+    def _ports(self) -> dict[str, part_order.Port]:
+        """Returns the parts with a port of their own, in the order in which they open it."""
+        ready = {"ready": self.ready_server} if self.ready_server else {}
+        return {
+            "relay": self.relay_server,
+            "upstream": self.upstream_server,
+            "callers": self.caller_server,
+            "operators": self.operator_port,
+            **ready,
+            ports.DATAGRAMS: self.freshness_port,
+        }
+
+    def _tasks(self) -> Sequence[part_order.Task]:
+        """Returns the parts that start once all ports are open, in their order.
+
+        Quota shares that this host held may be taken over only by the process that has bound the
+        host's ports.
+        """
+        return (self.control, self.gossip, self.team_rates, *self.platform_tasks)
+
+    def _ends(self) -> dict[str, part_order.End]:
+        """Returns how each part ends, in the order of a stop once new calls are refused."""
+        without_limit = part_order.without_limit
+        ready_server = self.ready_server
+        ready = {"ready": lambda _: ready_server.stop(0)} if ready_server else {}
+        return {
+            "callers": self.caller_server.stop,
+            "relay": self.relay_server.stop,
+            "upstream": self.upstream_server.stop,
+            "team rates": self.team_rates.stop,
+            "platform tasks": without_limit(self._stop_platform_tasks),
+            ports.DATAGRAMS: without_limit(self.freshness_port.stop),
+            "gossip": without_limit(self.gossip.stop),
+            "suspects": without_limit(self.suspects.stop),
+            "control": lambda _: self.control.stop(CONTROL_GRACE_S),
+            "channels": without_limit(self.channels.close),
+            "objects": without_limit(self.objects.close),
+            "operators": without_limit(self.operator_port.stop),
+            **ready,
+            "pools": lambda _: self.loop.call(self.pools.close),
+            "loop": without_limit(self.loop.stop),
+        }
+
+    def _stop_platform_tasks(self) -> None:
+        for task in self.platform_tasks:
+            task.stop()
 
     def stop(self, requested_at: float) -> None:
         """Shuts down gracefully: running calls may finish until the drain time has passed.
@@ -548,23 +584,7 @@
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
         after_s = round(time.monotonic() - requested_at, 3)
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
-        self.caller_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.relay_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.upstream_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.team_rates.stop(max(0.0, drain_deadline - time.monotonic()))
-        for task in self.platform_tasks:
-            task.stop()
-        self.freshness_port.stop()
-        self.gossip.stop()
-        self.suspects.stop()
-        self.control.stop(CONTROL_GRACE_S)
-        self.channels.close()
-        self.objects.close()
-        self.operator_port.stop()
-        if self.ready_server is not None:
-            self.ready_server.stop(0)
-        self.loop.call(self.pools.close)
-        self.loop.stop()
+        part_order.end_all(self._ends().values(), drain_deadline)
 
     def _apply_configuration(self, accepted: configuration.Configuration) -> None:
         self.routes.replace(accepted.text, str(accepted.version))
--- /dev/null
+++ b/bergamotridge/part_order.py
@@ -0,0 +1,65 @@
+"""Opens and ends the parts of a node in the order of a list."""
+
+import socket
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+from bergamotridge import errors, ports
+
+# Ends a part; the argument is the time left for running calls, in seconds.
+End = Callable[[float], object]
+
+
+class Port(Protocol):
+    """A part that serves a port."""
+
+    def start(self, bound: socket.socket) -> None:
+        """Serves the port on a bound socket."""
+
+
+class Task(Protocol):
+    """A part that works by itself."""
+
+    def start(self) -> None:
+        """Begins the work."""
+
+
+def without_limit(end: Callable[[], object]) -> End:
+    """Returns the end of a part that doesn't wait for running calls."""
+    return lambda _: end()
+
+
+def open_ports(
+    by_name: Mapping[str, Port], bound: ports.BoundPorts, ends: Mapping[str, End]
+) -> None:
+    """Opens all ports in their order, or none.
+
+    Args:
+        by_name: The parts with a port, by its name.
+        bound: The bound sockets.
+        ends: How each of the parts ends.
+
+    Raises:
+        AddressUnavailableError: A port can't be opened; those that were are closed again.
+    """
+    opened = []
+    try:
+        for name, port in by_name.items():
+            port.start(bound.take(name))
+            opened.append(name)
+    except errors.AddressUnavailableError:
+        for name in opened:
+            ends[name](0.0)
+        raise
+
+
+def end_all(ends: Iterable[End], deadline: float) -> None:
+    """Ends all parts, one after the other.
+
+    Args:
+        ends: How each part ends, in order.
+        deadline: Monotonic time in seconds until which calls may run.
+    """
+    for end in ends:
+        end(max(0.0, deadline - time.monotonic()))
