--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -1,15 +1,14 @@
 """Composition root of a node: creates its parts, connects them, starts and stops them."""
 
-import functools
 import random
 import time
 from collections.abc import Sequence
 
 from bergamotridge import (
-    answer,
     environment,
     errors,
     events,
+    http_ports,
     metrics,
     part_order,
     ports,
@@ -82,7 +81,7 @@
     report_proof,
 )
 from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
+from bergamotridge.util import clock, hlc, http_client, loop
 
 CONTROL_GRACE_S = 0.5
 # Of the longest allowed age of the configuration: how long a watch, or a request to another node,
@@ -403,56 +402,24 @@
             self.dependency_thresholds,
             self.at_most_once_dispatcher,
         )
-        create_server = functools.partial(self._create_server, node.limits.body_bytes)
-        limits, addresses = node.limits, node.addresses
+        limits = node.limits
+        http = http_ports.HttpPorts(node, self.loop, self.node_metrics, self.routes.limits)
         upstream_handler = self.environment.make_upstream_handler(
             upstream_port.handle, self.report_check.receive, self.malformed_entries.report
         )
-        self.upstream_server = create_server(
-            "upstream", addresses.upstream, upstream_handler, limits.upstream_connections
+        self.upstream_server = http.create(
+            "upstream", upstream_handler, limits.upstream_connections
         )
-        self.relay_server = create_server(
-            "relay", addresses.relay, relay_port.handle, limits.relay_connections
-        )
-        self.caller_server = create_server(
-            "callers", addresses.callers, self.callers.handle, limits.caller_connections
+        self.relay_server = http.create("relay", relay_port.handle, limits.relay_connections)
+        self.caller_server = http.create(
+            http_ports.CALLERS, self.callers.handle, limits.caller_connections
         )
         self.ready_server = None
-        if addresses.ready:
-            self.ready_server = create_server(
-                "ready", addresses.ready, readiness.build_handler(self.ready), readiness.CONNECTIONS
+        if node.addresses.ready:
+            self.ready_server = http.create(
+                "ready", readiness.build_handler(self.ready), readiness.CONNECTIONS
             )
 
-    def _create_server(
-        self, body_bytes: int, name: str, address: str, handler: httpd.Handler, connections: int
-    ) -> httpd.Server:
-        server = httpd.Server(
-            address,
-            handler,
-            connections=connections,
-            body_limit=body_bytes,
-            name=name,
-            refusal=answer.fixed_refusal(
-                503, f"too many connections to the port '{name}', try again later", "connections"
-            ),
-            bounds=self._request_bounds if name == "callers" else None,
-            on_turned_away=functools.partial(self.node_metrics.count_turned_away, name),
-            event_loop=self.loop,
-        )
-        self.node_metrics.watch_port(name, server.connections)
-        return server
-
-    def _request_bounds(self) -> request_reader.RequestLimits:
-        """Returns the limits on callers' requests; those in the operator's text take precedence."""
-        text_limits = self.routes.limits()
-        return request_reader.RequestLimits(
-            text_limits.header_bytes or httpd.HEADER_BYTES,
-            text_limits.body_bytes or self.settings.limits.body_bytes,
-            text_limits.header_timeout_s or httpd.HEADER_TIMEOUT_S,
-            text_limits.idle_timeout_s or httpd.IDLE_S,
-            self.settings.limits.body_timeout_s,
-        )
-
     def _create_operator_parts(self) -> None:
         node = self.settings
         self.status = node_status.StatusReader(
--- /dev/null
+++ b/bergamotridge/http_ports.py
@@ -0,0 +1,69 @@
+"""Creates the HTTP servers of a node."""
+
+import functools
+from collections.abc import Callable
+
+from bergamotridge import answer, settings
+from bergamotridge.operators import node_metrics, operator_text
+from bergamotridge.util import httpd, loop, request_reader
+
+CALLERS = "callers"
+
+
+class HttpPorts:
+    """Creates the servers of the HTTP ports, whose names are the keys of the addresses."""
+
+    def __init__(
+        self,
+        node: settings.NodeSettings,
+        event_loop: loop.Loop,
+        metrics: node_metrics.NodeMetrics,
+        text_limits: Callable[[], operator_text.Limits],
+    ) -> None:
+        """Creates no server yet.
+
+        Args:
+            node: Settings of the node.
+            event_loop: The event loop that runs all servers.
+            metrics: Metrics of the node, which count the connections.
+            text_limits: Returns the limits in the operator's text, which apply to callers.
+        """
+        self._node = node
+        self._loop = event_loop
+        self._metrics = metrics
+        self._text_limits = text_limits
+
+    def create(self, name: str, handler: httpd.Handler, connections: int) -> httpd.Server:
+        """Returns the server of a port, which does not listen yet.
+
+        Args:
+            name: Name of the port.
+            handler: Answers each request.
+            connections: Maximum number of open connections.
+        """
+        server = httpd.Server(
+            getattr(self._node.addresses, name),
+            handler,
+            connections=connections,
+            body_limit=self._node.limits.body_bytes,
+            name=name,
+            refusal=answer.fixed_refusal(
+                503, f"too many connections to the port '{name}', try again later", "connections"
+            ),
+            bounds=self._caller_bounds if name == CALLERS else None,
+            on_turned_away=functools.partial(self._metrics.count_turned_away, name),
+            event_loop=self._loop,
+        )
+        self._metrics.watch_port(name, server.connections)
+        return server
+
+    def _caller_bounds(self) -> request_reader.RequestLimits:
+        """Returns the limits on callers' requests; those in the operator's text take precedence."""
+        text_limits, limits = self._text_limits(), self._node.limits
+        return request_reader.RequestLimits(
+            text_limits.header_bytes or httpd.HEADER_BYTES,
+            text_limits.body_bytes or limits.body_bytes,
+            text_limits.header_timeout_s or httpd.HEADER_TIMEOUT_S,
+            text_limits.idle_timeout_s or httpd.IDLE_S,
+            limits.body_timeout_s,
+        )
