--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -1,11 +1,19 @@
 """Composition root of a node: creates its parts, connects them, starts and stops them."""
 
-import functools
 import random
 import time
 from collections.abc import Sequence
 
-from bergamotridge import answer, environment, errors, events, metrics, ports, settings
+from bergamotridge import (
+    environment,
+    errors,
+    events,
+    http_ports,
+    metrics,
+    part_order,
+    ports,
+    settings,
+)
 from bergamotridge.callers import (
     at_most_once,
     claim_rewriter,
@@ -73,7 +81,7 @@
     report_proof,
 )
 from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import clock, hlc, http_client, httpd, loop, request_reader
+from bergamotridge.util import clock, hlc, http_client, loop
 
 CONTROL_GRACE_S = 0.5
 MIN_CONTROL_GRACE_S = 0.05
@@ -90,8 +98,8 @@
     """One node: creates and connects all parts; `start` and `stop` run them.
 
     To add a part, create it in the `_create_..._parts` method of the side that it communicates
-    with, pass it to the parts that use it, and start and stop it next to the other parts of that
-    side.
+    with, pass it to the parts that use it, and add it to the lists of what is started (`_ports` or
+    `_tasks`) and of what ends (`_ends`).
     """
 
     def __init__(
@@ -395,56 +403,24 @@
             self.dependency_thresholds,
             self.at_most_once_dispatcher,
         )
-        create_server = functools.partial(self._create_server, node.limits.body_bytes)
-        limits, addresses = node.limits, node.addresses
+        limits = node.limits
+        http = http_ports.HttpPorts(node, self.loop, self.node_metrics, self.routes.limits)
         upstream_handler = self.environment.make_upstream_handler(
             upstream_port.handle, self.report_check.receive, self.malformed_entries.report
         )
-        self.upstream_server = create_server(
-            "upstream", addresses.upstream, upstream_handler, limits.upstream_connections
-        )
-        self.relay_server = create_server(
-            "relay", addresses.relay, relay_port.handle, limits.relay_connections
+        self.upstream_server = http.create(
+            "upstream", upstream_handler, limits.upstream_connections
         )
-        self.caller_server = create_server(
-            "callers", addresses.callers, self.callers.handle, limits.caller_connections
+        self.relay_server = http.create("relay", relay_port.handle, limits.relay_connections)
+        self.caller_server = http.create(
+            http_ports.CALLERS, self.callers.handle, limits.caller_connections
         )
         self.ready_server = None
-        if addresses.ready:
-            self.ready_server = create_server(
-                "ready", addresses.ready, readiness.build_handler(self.ready), readiness.CONNECTIONS
+        if node.addresses.ready:
+            self.ready_server = http.create(
+                "ready", readiness.build_handler(self.ready), readiness.CONNECTIONS
             )
 
-    def _create_server(
-        self, body_bytes: int, name: str, address: str, handler: httpd.Handler, connections: int
-    ) -> httpd.Server:
-        server = httpd.Server(
-            address,
-            handler,
-            connections=connections,
-            body_limit=body_bytes,
-            name=name,
-            refusal=answer.fixed_refusal(
-                503, f"too many connections to the port '{name}', try again later", "connections"
-            ),
-            bounds=self._request_bounds if name == "callers" else None,
-            on_turned_away=functools.partial(self.node_metrics.count_turned_away, name),
-            event_loop=self.loop,
-        )
-        self.node_metrics.watch_port(name, server.connections)
-        return server
-
-    def _request_bounds(self) -> request_reader.RequestLimits:
-        """Returns the limits on callers' requests; those in the operator's text take precedence."""
-        text_limits = self.routes.limits()
-        return request_reader.RequestLimits(
-            text_limits.header_bytes or httpd.HEADER_BYTES,
-            text_limits.body_bytes or self.settings.limits.body_bytes,
-            text_limits.header_timeout_s or httpd.HEADER_TIMEOUT_S,
-            text_limits.idle_timeout_s or httpd.IDLE_S,
-            self.settings.limits.body_timeout_s,
-        )
-
     def _create_operator_parts(self) -> None:
         node = self.settings
         self.status = node_status.StatusReader(
@@ -490,40 +466,70 @@
             AddressUnavailableError: Another process has begun to listen on a port since they were
                 bound; parts already started are stopped.
         """
-        self._open_ports(bound)
-        self.control.start()
-        self.gossip.start()
-        # Quota shares that this host held may be taken over only by the process that has bound the
-        # host's ports.
-        self.team_rates.start()
-        for task in self.platform_tasks:
-            task.start()
-        self.events.emit("node.started", incarnation=self.incarnation)
-
-    def _open_ports(self, bound: ports.BoundPorts) -> None:
         node = self.settings
         # gRPC binds its port itself.
         bound.take("control").close()
         self.control = control.ControlServer(
             node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates, self.suspects)
         )
-        started = []
         try:
-            for name, part in (
-                ("relay", self.relay_server),
-                ("upstream", self.upstream_server),
-                ("callers", self.caller_server),
-                ("operators", self.operator_port),
-                *([("ready", self.ready_server)] if self.ready_server else []),
-                (ports.DATAGRAMS, self.freshness_port),
-            ):
-                part.start(bound.take(name))
-                started.append(part)
+            part_order.open_ports(self._ports(), bound, self._ends())
         except errors.AddressUnavailableError:
-            for part in started:
-                part.stop(0) if isinstance(part, httpd.Server) else part.stop()
             self.control.stop(0)
             raise
+        for task in self._tasks():
+            task.start()
+        self.events.emit("node.started", incarnation=self.incarnation)
+
+    def _ports(self) -> dict[str, part_order.Port]:
+        """Returns the parts with a port of their own, in the order in which they open it."""
+        ready = {"ready": self.ready_server} if self.ready_server else {}
+        return {
+            "relay": self.relay_server,
+            "upstream": self.upstream_server,
+            "callers": self.caller_server,
+            "operators": self.operator_port,
+            **ready,
+            ports.DATAGRAMS: self.freshness_port,
+        }
+
+    def _tasks(self) -> Sequence[part_order.Task]:
+        """Returns the parts that start once all ports are open, in their order.
+
+        Quota shares that this host held may be taken over only by the process that has bound the
+        host's ports.
+        """
+        return (self.control, self.gossip, self.team_rates, *self.platform_tasks)
+
+    def _ends(self) -> dict[str, part_order.End]:
+        """Returns how each part ends, in the order of a stop once new calls are refused."""
+        without_limit = part_order.without_limit
+        ready_server = self.ready_server
+        ready = {"ready": lambda _: ready_server.stop(0)} if ready_server else {}
+        return {
+            "callers": self.caller_server.stop,
+            "relay": self.relay_server.stop,
+            "upstream": self.upstream_server.stop,
+            "team rates": self.team_rates.stop,
+            "platform tasks": without_limit(self._stop_platform_tasks),
+            ports.DATAGRAMS: without_limit(self.freshness_port.stop),
+            # What follows must not outlast the drain time: the process may be killed soon after it.
+            "gossip": lambda _: self.gossip.stop(wait=False),
+            "suspects": without_limit(self.suspects.stop),
+            "control": lambda left_s: self.control.stop(
+                min(CONTROL_GRACE_S, max(MIN_CONTROL_GRACE_S, left_s))
+            ),
+            "channels": without_limit(self.channels.close),
+            "objects": without_limit(self.objects.close),
+            "operators": without_limit(self.operator_port.stop),
+            **ready,
+            "pools": lambda _: self.loop.call(self.pools.close),
+            "loop": without_limit(self.loop.stop),
+        }
+
+    def _stop_platform_tasks(self) -> None:
+        for task in self.platform_tasks:
+            task.stop()
 
     def stop(self, requested_at: float) -> None:
         """Shuts down gracefully: running calls may finish until the drain time has passed.
@@ -549,25 +555,7 @@
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
         after_s = round(time.monotonic() - requested_at, 3)
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
-        self.caller_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.relay_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.upstream_server.stop(max(0.0, drain_deadline - time.monotonic()))
-        self.team_rates.stop(max(0.0, drain_deadline - time.monotonic()))
-        for task in self.platform_tasks:
-            task.stop()
-        self.freshness_port.stop()
-        # What is left must not outlast the drain time: the process may be killed soon after it.
-        self.gossip.stop(wait=False)
-        self.suspects.stop()
-        time_left_s = max(MIN_CONTROL_GRACE_S, drain_deadline - time.monotonic())
-        self.control.stop(min(CONTROL_GRACE_S, time_left_s))
-        self.channels.close()
-        self.objects.close()
-        self.operator_port.stop()
-        if self.ready_server is not None:
-            self.ready_server.stop(0)
-        self.loop.call(self.pools.close)
-        self.loop.stop()
+        part_order.end_all(self._ends().values(), drain_deadline)
 
     def _apply_configuration(self, accepted: configuration.Configuration) -> None:
         self.routes.replace(accepted.text, str(accepted.version))
