Accept the connections that wait before a stop closes its listener

Cause: the listener was closed in the same turn of the event loop in which the stop began, with connections in its backlog that the process had had no time to accept; the kernel resets them. Change: the loop gets a turn to accept them first; they are answered as all others.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -145,10 +145,12 @@
         self._event_loop_thread.run(self._stop(grace_s))
 
     async def _stop(self, grace_s: float) -> None:
-        self.closing = True
-        self._stop_accepting()
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + grace_s
+        self.closing = True
+        # Closing the listener resets the connections that have not been accepted yet.
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        self._stop_accepting()
         while event_loop.time() < deadline - CANCEL_GRACE_S:
             if self._is_quiet(event_loop.time()):
                 break
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -90,6 +90,25 @@
         assert split(read_all(client)) == [(503, b"one"), (503, b"two")]
 
 
+# Connections that had not been accepted when the listener closed were reset, with their requests.
+def test_connections_that_wait_to_be_accepted_are_answered_in_a_stop():
+    slow, may_run = SlowServer(), threading.Event()
+    slow.may_finish.set()
+    with contextlib.ExitStack() as stack:
+        executor = stack.enter_context(concurrent.futures.ThreadPoolExecutor(2))
+        stack.callback(may_run.set)
+        executor.submit(event_loop.call, may_run.wait)
+        clients = [stack.enter_context(connect(slow.address)) for _ in range(8)]
+        for client in clients:
+            client.sendall(FIRST)
+        stopping = executor.submit(slow.server.stop, STOP_S)
+        processes.wait_until(stopping.running, "the stop is asked for")
+        time.sleep(httpd.STOP_CHECK_INTERVAL_S)
+        may_run.set()
+        assert [split(read_all(client)) for client in clients] == [[(200, b"one")]] * 8
+        stopping.result(STOP_S)
+
+
 # A stop took a connection for idle while the body of a request was on its way.
 def test_a_request_whose_body_pauses_is_answered_in_a_stop():
     slow = SlowServer()
