--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -107,6 +107,7 @@
         node: settings.NodeSettings,
         incarnation: int,
         node_environment: environment.Environment | None = None,
+        alone_since_ms: int | None = None,
     ) -> None:
         """Creates all parts; no port is opened before `start`.
 
@@ -114,8 +115,11 @@
             node: Checked settings.
             incarnation: Start time of the process in milliseconds.
             node_environment: Parts that a platform adapter replaces; `Environment()` if None.
+            alone_since_ms: Unix time in milliseconds since which no other process serves this host;
+                `incarnation` if None.
         """
         self.settings = node
+        self._alone_since_ms = alone_since_ms or incarnation
         self.environment = node_environment or environment.Environment()
         self.incarnation = incarnation
         self.events = events.EventLog(
@@ -206,7 +210,7 @@
             self.quarantine,
         )
         self.report_check = report_check.ReportCheck(
-            report_proof.ReportProof(self.incarnation, self.settings.limits.heartbeat_s),
+            report_proof.ReportProof(self._alone_since_ms, self.settings.limits.heartbeat_s),
             self._health_path,
             self.environment.read_instance,
             self._apply_announcement,
--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -92,11 +92,15 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
     log_output = logs.setup(node, incarnation)
-    bound = _bind_ports(node, signals, read)
+    wait = port_wait.PortWait(node.limits.drain_s)
+    bound = _bind_ports(node, wait, signals, read)
     if bound is not None:
         # Created once the ports are bound: a process that waits for them has no task that could act
         # for this host.
-        node_application = application.Application(node, incarnation, node_environment)
+        alone_since_ms = time.time_ns() // 1_000_000 if wait.has_waited else signals.began_ms
+        node_application = application.Application(
+            node, incarnation, node_environment, alone_since_ms
+        )
         node_application.events.add_listener(logs.EventWriter())
         with contextlib.closing(bound):
             if signals.stop_requested_at is None:
@@ -119,6 +123,7 @@
 
 def _bind_ports(
     node: settings.NodeSettings,
+    wait: port_wait.PortWait,
     signals: process_signals.ReceivedSignals,
     read: Callable[[], settings.NodeSettings] | None,
 ) -> ports.BoundPorts | None:
@@ -126,7 +131,6 @@
 
     Returns None if a signal asks to stop before that.
     """
-    wait = port_wait.PortWait(node.limits.drain_s)
     while signals.stop_requested_at is None:
         try:
             bound = ports.bind(node.addresses)
--- a/bergamotridge/port_wait.py
+++ b/bergamotridge/port_wait.py
@@ -24,6 +24,11 @@
         self._limit_s = drain_s + STOP_MARGIN_S
         self._began_at: float | None = None
 
+    @property
+    def has_waited(self) -> bool:
+        """Whether a try has failed."""
+        return self._began_at is not None
+
     def record_failure(self, error: errors.AddressInUseError, now: float) -> None:
         """Records a failed try; raises `error` once the time for the wait is over.
 
--- a/bergamotridge/process_signals.py
+++ b/bergamotridge/process_signals.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         """Takes over the signals; to be called in the main thread before others are started."""
+        self._began_ms = time.time_ns() // 1_000_000
         self._numbers: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._stop_requested_at: float | None = None
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
@@ -35,6 +36,11 @@
                 self._stop_requested_at = time.monotonic()
             self._numbers.put(number)
 
+    @property
+    def began_ms(self) -> int:
+        """Unix time in milliseconds at which the process began."""
+        return self._began_ms
+
     @property
     def stop_requested_at(self) -> float | None:
         """Monotonic time in seconds of the first signal to stop, None if none has come."""
