Answer what was read on every path on which a connection ends

Cause: each path that ends a connection looked at one of its facts. Change: the sending side ends first and what comes is dropped; the connection stays in its port's table, as an idle one; the end of a stop cancels all calls, whatever ended the input; the time of a head behind a call doesn't run; evictions are counted as unanswered where they are. Evidence: the five new tests of test_httpd_stop failed before, and hold now.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -62,7 +62,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._body_timer: asyncio.TimerHandle | None = None
         self._write_paused = False
-        self._was_written_late = False
+        self._is_finishing = False
         self._input_ended = False
         self._refusal_status = 0
 
@@ -159,11 +159,12 @@
         The running call and those that wait behind it are cancelled. A request that was read in
         part is refused.
         """
+        self._is_finishing = True
+        if self.token is not None:
+            self.token.cancel()
         if self._input_ended:
             return
         self._transport.pause_reading()
-        if self.token is not None:
-            self.token.cancel()
         if self._reader.in_head or self._reader.in_body:
             self._refuse_input(503)
         else:
@@ -178,11 +179,14 @@
 
     def evict(self) -> None:
         """Closes the connection once everything written has been sent."""
+        self._report_unanswered()
         self._end_input()
         self._transport.close()
 
     def _start_head_timer(self) -> None:
-        if self.head_started_at is None:
+        # Behind a request that is not answered yet, the time of a head doesn't run.
+        is_answering = self.token is not None or self._reader.requests
+        if self.head_started_at is None and not is_answering:
             bounds = self._reader.bounds
             self.head_started_at = self._event_loop.time()
             timeout_s = min(bounds.header_timeout_s, bounds.idle_s)
@@ -255,12 +259,10 @@
             self._linger()
 
     def _end_after_last_response(self) -> None:
-        """Ends the connection; a client that has read the response late may have sent a request."""
-        if self._was_written_late:
-            self._transport.close()
-            return
+        """Ends the connection; what the client has sent since is read and dropped."""
         self._input_ended = True
-        self._server.connections.remove(self)
+        # It makes room for others like any that waits for its client.
+        self._server.connections.mark_idle(self, self._event_loop.time())
         self._transport.resume_reading()
         self._linger()
 
@@ -284,7 +286,7 @@
         """Sends the response of the handler; returns whether the connection is kept open."""
         server = self._server
         token = self.token = cancellation.Token()
-        if self._input_ended and not self._refusal_status:
+        if self._is_finishing or (self._input_ended and not self._refusal_status):
             token.cancel()
         try:
             response = await server.handler(request, token)
@@ -301,13 +303,14 @@
         self._transport.write(
             message.encode_response(response, keep_alive=keep_alive, head=request.method == b"HEAD")
         )
-        self._was_written_late = self._write_paused
         if self._write_paused:
             await self._wait_until_written()
         self.token = None
         self.idle_since = self._event_loop.time()
         if keep_alive and not self._reader.has_input:
             server.connections.mark_idle(self, self.idle_since)
+        elif keep_alive and self._reader.in_head and not self._input_ended:
+            self._start_head_timer()
         return keep_alive
 
     async def _wait_until_written(self) -> None:
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -89,11 +89,15 @@
             httptools.HttpParserError: The bytes are not valid HTTP, or a callback raised
                 BadRequestError, which is then the context of this error.
         """
+        if self._is_ended:
+            return
         # An upper bound: the pieces of data may also hold bytes before or after the head.
         self._head_bytes_fed = len(data) + (self._head_bytes_fed if self.in_head else 0)
         rest = data
         while rest and not self._is_ended:
             rest = self._parse(rest)
+        if self._is_ended:
+            return
         if self.in_head and self._head_bytes_fed > self.bounds.header_bytes:
             raise BadRequestError(431 if self._headers else 414)
         self._request_size += len(data)
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from bergamotridge.util import http_connection, httpd, message
+from bergamotridge.util import http_connection, httpd, message, request_reader
 from standins import processes
 from tests import event_loop
 from tests.test_util.test_httpd import start_server
@@ -109,6 +109,73 @@
         stopping.result(STOP_S)
 
 
+# The last response was cut off if the client took it slowly and had sent its next request.
+def test_a_large_response_that_ends_its_connection_is_read_whole_whatever_follows_it():
+    body = bytes(8_000_000)
+
+    async def answer_at_length(_request, _token):
+        return message.Response(200, [], body)
+
+    server, address = start_server(answer_at_length)
+    server.close_after_answers()
+    with connect(address) as client:
+        client.sendall(FIRST)
+        received = client.recv(1000)
+        client.sendall(SECOND)
+        received += read_all(client)
+    assert split(received) == [(200, body)]
+    server.stop(0)
+
+
+# Bytes that could not be read, behind a call, kept the end of a stop from cancelling that call.
+def test_a_call_with_input_behind_it_that_was_refused_is_answered_at_the_end_of_a_stop():
+    slow = SlowServer()
+    with connect(slow.address) as client:
+        client.sendall(FIRST + b"\0\r\n")
+        slow.entered.wait(STOP_S)
+        slow.server.stop(0.2)
+        assert split(read_all(client))[0] == (503, b"one")
+
+
+# With a part of a request behind them, calls that waited were begun at the end of a stop.
+def test_calls_that_wait_before_a_part_of_a_request_are_cancelled_at_the_end_of_a_stop():
+    slow = SlowServer()
+    with connect(slow.address) as client:
+        client.sendall(FIRST + SECOND + FIRST[:-1])
+        slow.entered.wait(STOP_S)
+        wait_until_read(slow.server)
+        slow.server.stop(0.2)
+        statuses = [status for status, _ in split(read_all(client))]
+    assert statuses == [503, 503, 503]
+
+
+# A full port closed a connection with a call under way, as a part of the next head had come on it.
+def test_a_running_call_is_not_evicted_for_the_head_behind_it():
+    slow = SlowServer(connections=1)
+    with connect(slow.address) as client:
+        client.sendall(FIRST)
+        slow.entered.wait(STOP_S)
+        client.sendall(SECOND[:10])
+        wait_until_read(slow.server)
+        with connect(slow.address) as another:
+            assert split(read_all(another))[0][0] == 503
+        slow.may_finish.set()
+        client.sendall(SECOND[10:])
+        slow.server.close_after_answers()
+        assert split(read_all(client)) == [(200, b"one"), (200, b"two")]
+    slow.server.stop(0)
+
+
+# A long pipeline behind the last request of a connection was answered with a 413 of its own.
+def test_nothing_behind_a_last_request_is_read_however_long_it_is():
+    reader = request_reader.RequestReader(request_reader.RequestLimits(100, 100, 1.0, 1.0))
+    reader.feed(FIRST.replace(b"host", b"connection: close\r\nhost"))
+    assert reader.requests.popleft().body == b"one"
+    for _ in range(10):
+        reader.feed(SECOND)
+    assert not reader.requests
+
+
 # A stop took a connection for idle while the body of a request was on its way.
 def test_a_request_whose_body_pauses_is_answered_in_a_stop():
     slow = SlowServer()
