Bound the wait for the last requests on quotas in a stop by the drain time

Change: the return of tokens and shares is waited for until the drain time ends; nothing follows it that depends on it, and the process ends without joining its threads. tests/test_callers on quotas passes; no test of its own.

--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -192,7 +192,8 @@
         """Returns drawn tokens and shares as far as possible in a few seconds.
 
         Args:
-            limit_s: Time in seconds after which no request to the platform begins.
+            limit_s: Time in seconds after which no request to the platform begins; one that is
+                under way then is not waited for.
         """
         self._end_share_loop()
         self._return_deadline = self._clock() + limit_s
@@ -202,10 +203,15 @@
             draws = self._drawer.plan_draws(self._members_by_host(), self._clock())
             self._draw_needed.notify_all()
             self._wake_waiting_calls()
-        futures.wait([self._send_executor.submit(self._send_draw, draw) for draw in draws])
-        self._loop_executor.shutdown()
-        self._send_executor.shutdown()
-        self._return_shares()
+        self._wait([self._send_executor.submit(self._send_draw, draw) for draw in draws])
+        self._wait([self._loop_executor.submit(self._return_shares)])
+        self._loop_executor.shutdown(wait=False)
+        self._send_executor.shutdown(wait=False)
+
+    def _wait(self, ending: Sequence[futures.Future]) -> None:
+        """Waits for the last work of the stop, until its deadline at most."""
+        left_s = max(0.0, self._return_deadline - self._clock())
+        futures.wait(ending, None if math.isinf(left_s) else left_s)
 
     def _end_share_loop(self) -> None:
         self._leaving.set()
