--- a/soak/machines/store.py
+++ b/soak/machines/store.py
@@ -45,7 +45,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer) -> None:
-        with contextlib.suppress(wire.EndedError, ConnectionError):
+        try:
             while True:
                 message = await wire.read_head(reader)
                 await wire.read_body(reader, message)
@@ -54,7 +54,10 @@
                 body = json.dumps(table).encode()
                 writer.write(wire.encode(f"HTTP/1.1 {status} X", fields, body))
                 await writer.drain()
-        writer.close()
+        except (wire.EndedError, ConnectionError):
+            pass
+        finally:
+            writer.close()
 
     async def _answer(self, message: wire.Message) -> tuple[int, dict]:
         await asyncio.sleep(SLOW_S if self.trouble == "slow" else ANSWER_S)
