--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -35,7 +35,6 @@
     Attributes:
         reported_load: Load in the last report that came with an answer.
         reported_at: When that report came.
-        reported_limit: Calls that may run at once at the host according to that report.
         sent: Calls sent to the host since that report.
         failures: Failures since the last answer that counted as a success.
         ejections: Ejections since the host last stayed healthy for longer than `RAMP_UP_S`.
@@ -47,7 +46,6 @@
 
     reported_load: float = 0.0
     reported_at: float = float("-inf")
-    reported_limit: int = 0
     sent: int = 0
     failures: int = 0
     ejections: int = 0
@@ -179,7 +177,6 @@
         health = self._health(host)
         if report is not None:
             health.reported_load, health.reported_at, health.sent = report.load, now, 0
-            health.reported_limit = report.limit
         if result in FAILURE_OUTCOMES and not _timed_out_with_report(result, report):
             self._unhealthy[host] = health
             self._record_failure(health, now, eject_at_once=result is outcome.Outcome.UNREACHABLE)
@@ -295,10 +292,8 @@
 
     def _load_of(self, item: record.UpstreamRecord, now: float) -> float:
         health = self._health(item.host)
-        reported, limit = item.load, item.slots
-        if now - health.reported_at < REPORT_TTL_S:
-            reported, limit = health.reported_load, min(limit, health.reported_limit)
-        return reported + health.sent / max(1, limit)
+        reported = health.reported_load if now - health.reported_at < REPORT_TTL_S else item.load
+        return reported + health.sent / max(1, item.slots)
 
     def _accepts_call(self, item: record.UpstreamRecord, now: float) -> bool:
         """Returns whether `item` may be chosen; random while its traffic ramps up."""
--- a/tests/test_nodes/test_choice.py
+++ b/tests/test_nodes/test_choice.py
@@ -63,17 +63,6 @@
     assert max(picked.count(item.host) for item in HOSTS) <= 12
 
 
-# After a report of a limit below the slots, as many calls went there at once as it has slots.
-def test_calls_sent_since_a_report_count_by_the_limit_that_it_names():
-    chooser = make_chooser()
-    chooser.record_outcome(
-        "near", outcome.Outcome.OK, load.LoadReport(0.0, limit=1, in_flight=0, queued=0), 0.01, 0.0
-    )
-    picked = [chooser.choose(HOSTS, (), 0.0).host for _ in range(10)]
-    assert picked[0] == "near"
-    assert "near" not in picked[1:]
-
-
 def test_a_failing_upstream_is_ejected_then_probed_by_one_call_then_ramped_up():
     chooser = make_chooser()
     for _ in range(choice.FAILURES_TO_EJECT):
