--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -352,10 +352,11 @@
 
 # Kept connections without a request filled the port, and each new caller was refused.
 def test_kept_connections_give_way_to_new_callers_and_a_running_call_does_not():
-    release, causes = asyncio.Event(), []
+    release, entered, causes = asyncio.Event(), threading.Event(), []
 
     async def wait(request, _token):
         if request.body == b"wait":
+            entered.set()
             await release.wait()
         return message.Response(200, [], request.body)
 
@@ -364,6 +365,7 @@
     with concurrent.futures.ThreadPoolExecutor(1) as executor, contextlib.ExitStack() as stack:
         stack.callback(event_loop.call, release.set)
         running = executor.submit(send, pools[0], post_request(b"wait"), 60)
+        entered.wait(60)
         for _ in range(2):
             kept = socket.create_connection(httpd.split_address(address))
             stack.enter_context(kept)
