Read what a client has sent before a stop ends its connection

Cause: whether a connection ends was decided from what had been read, not from what had arrived. Change: a stopping server reads once more, 5 ms, before it writes the response that ends a connection. Evidence: the new test failed before. The test of the running call at a full port failed once, as it began the stop after the answers it waits for: it now begins before.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -15,6 +15,7 @@
 
 MAX_PIPELINED_REQUESTS = 16
 LINGER_S = 1.0
+CLOSE_PAUSE_S = 0.005
 UNANSWERED = "unanswered"  # Cause of an end that leaves requests without an answer.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -296,6 +297,12 @@
         if self._transport.is_closing():
             self.token = None
             return False
+        if server.closing and request.keep_alive and not self._reader.has_input:
+            # What the client has sent already is read before the connection is ended.
+            await asyncio.sleep(CLOSE_PAUSE_S)
+            if self._transport.is_closing():
+                self.token = None
+                return False
         keep_alive = request.keep_alive and (not server.closing or self._reader.has_input)
         if not keep_alive:
             # What is still unread is not taken, so that the client may send it again.
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -79,6 +79,24 @@
     assert b"connection: close" in answers.partition(b"one")[2].lower()
 
 
+# A request that the server had not read yet when it answered the one before was dropped in a stop.
+def test_a_request_that_arrives_before_the_answer_to_the_last_one_is_answered_in_a_stop():
+    handled = []
+
+    async def send_another_first(request, _token):
+        handled.append(request.body)
+        if len(handled) == 1:
+            client.sendall(SECOND)
+        return message.Response(200, [], request.body)
+
+    server, address = start_server(send_another_first)
+    server.close_after_answers()
+    with connect(address) as client:
+        client.sendall(FIRST)
+        assert split(read_all(client)) == [(200, b"one"), (200, b"two")]
+    server.stop(0)
+
+
 # At the end of its time a stop cut off what waited behind the call that it cancelled.
 def test_requests_read_behind_a_cancelled_one_are_refused_at_the_end_of_a_stop():
     slow = SlowServer()
@@ -159,9 +177,9 @@
         wait_until_read(slow.server)
         with connect(slow.address) as another:
             assert split(read_all(another))[0][0] == 503
+        slow.server.close_after_answers()
         slow.may_finish.set()
         client.sendall(SECOND[10:])
-        slow.server.close_after_answers()
         assert split(read_all(client)) == [(200, b"one"), (200, b"two")]
     slow.server.stop(0)
 
