--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import tomllib
 
 import attrs
@@ -30,6 +31,12 @@
     killed: bool = False
 
 
+def _find_libraries() -> pathlib.Path:
+    """Returns the folder of the libraries: of the deploy file's build, else of this interpreter."""
+    built = ROOT / "target/deps"
+    return built if built.is_dir() else pathlib.Path(sysconfig.get_path("purelib"))
+
+
 class Machine:
     """One machine: its node's processes, its server, and their address."""
 
@@ -64,7 +71,7 @@
         kept = {key: value for key, value in os.environ.items() if key in ("HOME", "LANG")}
         # The interpreter itself, not a script that looks for it and dies by an early signal.
         kept["PATH"] = f"{sys.base_prefix}/bin:{os.environ['PATH']}"
-        own = {"PYTHONPATH": f"{ROOT / 'target/deps'}", "BERGAMOTRIDGE_CONFIG": f"{self._settings}"}
+        own = {"PYTHONPATH": f"{_find_libraries()}", "BERGAMOTRIDGE_CONFIG": f"{self._settings}"}
         with (self._folder / f"node-{self.number}.log").open("ab") as log:
             popen = await asyncio.create_subprocess_exec(
                 *deploy["roles"]["node"]["run"].split(),
