--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -9,7 +9,7 @@
 
 from absl import app, flags
 
-from soak.machines import checks, client, draw, fleet, record
+from soak.machines import checks, client, draw, fleet, machine, record, shape
 
 S_PER_MINUTE = 60.0
 BEFORE_S, AFTER_S = 4.0, 1.0
@@ -17,10 +17,22 @@
 EXIT_FAILED = 1
 
 
-def run_plan(plan: draw.Plan, folder: pathlib.Path) -> tuple[record.Record, list[checks.Finding]]:
-    """Carries out a plan; logs and records are written to `folder`."""
+def run_plan(
+    plan: draw.Plan,
+    folder: pathlib.Path,
+    of: shape.Shape | None = None,
+    tree: pathlib.Path = machine.OWN_TREE,
+) -> tuple[record.Record, list[checks.Finding]]:
+    """Carries out a plan; logs and records are written to `folder`.
+
+    Args:
+        plan: What is done.
+        folder: Directory of logs and records.
+        of: Shape of the fleet; the one named ``any`` if None.
+        tree: Work tree of the nodes, which may be that of an earlier landing.
+    """
     folder.mkdir(parents=True, exist_ok=True)
-    running = fleet.Fleet(plan, folder)
+    running = fleet.Fleet(plan, of or shape.load("any"), folder, tree)
     asyncio.run(running.run())
     found = checks.find_broken(running.rows)
     (folder / "plan").write_text("\n".join(plan.to_lines()) + "\n", encoding="utf-8")
@@ -63,25 +75,30 @@
     flags.DEFINE_integer("seeds", 1, "number of seeds, one after another", lower_bound=1)
     flags.DEFINE_float("minutes", 0.5, "time in which scenarios begin, for each seed", 0.05, 2.0)
     flags.DEFINE_integer("hosts", 8, "machines of the fleet", lower_bound=4, upper_bound=16)
+    flags.DEFINE_string("shape", "any", "name of a shape in soak/machines/shapes, or a TOML file")
+    flags.DEFINE_string("tree", str(machine.OWN_TREE), "work tree whose nodes are started")
     flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
     flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
     flags.DEFINE_string("directory", "out/soak-machines", "directory of logs of failed seeds")
 
 
-def _run_seed(plan: draw.Plan, folder: pathlib.Path) -> bool:
+def _run_seed(plan: draw.Plan, folder: pathlib.Path, of: shape.Shape) -> bool:
     shutil.rmtree(folder, ignore_errors=True)
-    rows, found = run_plan(plan, folder)
+    tree = pathlib.Path(flags.FLAGS.tree).resolve()
+    rows, found = run_plan(plan, folder, of, tree)
     print(f"seed {plan.seed}: {len(found)} findings; {count(rows)}", flush=True)
-    by_rule = collections.Counter()
+    by_rule, by_kind = collections.Counter(), collections.Counter()
     report = []
     for finding in found:
         by_rule[finding.rule] += 1
+        by_kind[f"{finding.rule} {finding.kind}".strip()] += 1
         report += [finding.to_line(), *describe(rows, finding, folder)]
         if by_rule[finding.rule] <= 3:
             print(f"  {finding.to_line()}", flush=True)
     (folder / "findings").write_text("\n".join(report) + "\n", encoding="utf-8")
     if found or flags.FLAGS.keep:
         print(f"  {dict(by_rule)}, logs in {folder}", flush=True)
+        print(*(f"    {number} {kind}" for kind, number in sorted(by_kind.items())), sep="\n")
     else:
         shutil.rmtree(folder)
     return not found
@@ -92,14 +109,14 @@
     values = flags.FLAGS
     # The fleet is stopped on the way out, as after an interrupt.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
-    broken = 0
+    broken, of = 0, shape.load(values.shape)
     for seed in range(values.seed, values.seed + values.seeds):
         duration_s = values.minutes * S_PER_MINUTE
-        plan = draw.draw_plan(seed, duration_s, values.hosts, len(client.STYLES))
+        plan = draw.draw_plan(seed, duration_s, values.hosts, len(client.STYLES), of.clients)
         if values.plan:
             print(f"seed {seed}", *plan.to_lines(), sep="\n")
             continue
-        broken += not _run_seed(plan, pathlib.Path(values.directory) / f"seed-{seed}")
+        broken += not _run_seed(plan, pathlib.Path(values.directory) / f"seed-{seed}", of)
     if not values.plan:
         print(f"{values.seeds} seeds, {broken} with findings")
     return EXIT_FAILED if broken else 0
--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -1,5 +1,6 @@
 """Checks the rules on what the stand-ins saw; a finding names its rule and its time."""
 
+import bisect
 import collections
 import itertools
 
@@ -10,18 +11,21 @@
 GRACE_S, DRAIN_S, CONTACT_S, LOST_SLACK_S = 6.0, 2.0, 3.0, 0.2
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
 LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut a request off.
+MOMENTS_S = (0.0, 0.5, 2.0, 3.0, 6.0)  # Of a stop, to count findings by.
+AT_EXIT_S = 0.05
 REFUSALS = (408, 421, 429, 503)
 DISTURBANCES = ("SIGTERM", "SIGKILL", "node starts", "node exits")
 
 
 @attrs.frozen
 class Finding:
-    """A broken rule: when, on which machine, and what was seen."""
+    """A broken rule: when, on which machine, what was seen, and a kind to count it by."""
 
     rule: str
     at: float
     machine: int
     text: str
+    kind: str = ""
 
     def to_line(self) -> str:
         """Returns it as one line."""
@@ -82,6 +86,7 @@
         else:
             is_stopped = since_s < LAST_SIXTH * GRACE_S
             is_own = item.status in (502, 504) and not item.sealed
+            is_own &= item.began is not None and item.ended < item.began + item.timeout_s
             is_lost = is_own and is_stopped and any(_is_at_work(run, item) for run in at_server)
         if not is_lost or _is_broken_off(rows, item, {run.machine for run in at_server}):
             continue
@@ -91,10 +96,26 @@
             f" {item.ended - (item.sent or item.ended):.2f} after the last byte,"
             f" {since_s:.2f} s after SIGTERM; {len(at_server)} runs, {item.got} bytes came"
         )
-        found.append(Finding("LOST", item.ended, item.machine, text))
+        kind = _name_kind(rows, item, since_s, bool(at_server))
+        found.append(Finding("LOST", item.ended, item.machine, text, kind))
     return found
 
 
+def _name_kind(rows: record.Record, item: record.Attempt, since_s: float, ran: bool) -> str:
+    """Returns how the request ended, who sent it, and at which moment of a stop."""
+    exits = _times(rows, item.machine, ("node exits",))
+    is_exit = any(abs(at - item.ended) < AT_EXIT_S for at in exits)
+    moments = [
+        f"{low:g} to {high:g} s after SIGTERM" for low, high in itertools.pairwise(MOMENTS_S)
+    ]
+    index = bisect.bisect_right(MOMENTS_S, since_s) - 1
+    moment = moments[index] if index < len(moments) else "no stop"
+    sender = "a server's call" if item.by.startswith("server") else item.by
+    end = f"{item.end} {item.status or ''}".strip()
+    parts = [end, "ran" if ran else "did not run", sender, moment]
+    return ", ".join(parts + ["as its process ends"] * is_exit)
+
+
 def _is_at_work(run: record.Run, attempt: record.Attempt) -> bool:
     return run.ended is None or run.ended > attempt.ended or run.status == 200
 
--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -5,12 +5,12 @@
 
 import attrs
 
-from soak.machines import record, wire
+from soak.machines import record, shape, wire
 
-DEADLINE_S = 7.0
 CONNECT_S = 1.0
 REFUSED_PAUSE_S = 0.15
-PAUSES_S = ((0.0, 0.5), (0.5, 1.6), (1.9, 2.1))  # The limit of fleet.make_configuration is 2.
+PAUSES_S = ((0.0, 0.5), (0.5, 1.6), (1.9, 2.1))  # The limit of configuration.make is 2.
+LAST_ANSWER_S = 1.0  # After the deadline.
 WORK_MS = (5, 30, 80, 150, 300, 800)
 
 
@@ -50,12 +50,23 @@
 )
 
 
+@attrs.frozen
+class Job:
+    """One request to make: its kind, the service that runs it, and its path."""
+
+    kind: shape.Kind
+    service: str
+    path: str
+
+
 class Connection:
     """One connection to the node of a machine, for one request after another."""
 
-    def __init__(self, rows: record.Record, address: str, style: Style) -> None:
+    def __init__(
+        self, rows: record.Record, address: str, style: Style, team: shape.Team | None = None
+    ) -> None:
         self.open = False
-        self._rows, self._address, self._style = rows, address, style
+        self._rows, self._address, self._style, self._team = rows, address, style, team
         self._reader = self._writer = None
         self._connected = 0.0
 
@@ -77,17 +88,20 @@
         if self._writer is not None:
             self._writer.close()
 
-    async def exchange(self, jobs, by: str, machine: int, service: str) -> list[record.Attempt]:
-        """Sends requests, pairs of service and path, one behind the other; reads the answers."""
-        attempts = [self._make_attempt(path, by, machine, service) for _, path in jobs]
+    async def exchange(
+        self, jobs: list[Job], by: str, machine: int, service: str
+    ) -> list[record.Attempt]:
+        """Sends requests one behind the other; reads the answers."""
+        attempts = [self._make_attempt(job, by, machine, service) for job in jobs]
+        deadline_s = max(job.kind.deadline_ms for job in jobs) / shape.MS_PER_S
         for attempt in attempts:
             attempt.alone = len(jobs) == 1
         self._rows.attempts += attempts
         answers = asyncio.create_task(self._read_answers(attempts))
         try:
-            async with asyncio.timeout(DEADLINE_S + 1.0):
-                for attempt, (asked, _) in zip(attempts, jobs, strict=True):
-                    await self._send(attempt, f"{asked}.test", answers)
+            async with asyncio.timeout(deadline_s + LAST_ANSWER_S):
+                for attempt, job in zip(attempts, jobs, strict=True):
+                    await self._send(attempt, job, answers)
                 await answers
         except TimeoutError:
             self._fail(attempts, "timeout", "")
@@ -102,17 +116,21 @@
         self.open &= all(attempt.sent is not None for attempt in attempts)
         return attempts
 
-    def _make_attempt(self, path: str, by: str, machine: int, service: str) -> record.Attempt:
-        request_id, is_safe = self._rows.next_id(), path.startswith("/s/")
-        body = b"" if is_safe else wire.content(request_id, self._style.body)
+    def _make_attempt(self, job: Job, by: str, machine: int, service: str) -> record.Attempt:
+        request_id, is_safe = self._rows.next_id(), job.kind.safe
         return record.Attempt(
-            request_id, by, machine, service, "GET" if is_safe else "POST", path,
-            wire.digest(body), is_safe, connected=self._connected,
+            request_id, by, machine, service, "GET" if is_safe else "POST", job.path,
+            wire.digest(self._make_body(request_id, job)), is_safe, connected=self._connected,
+            timeout_s=job.kind.timeout_ms / shape.MS_PER_S,
         )  # fmt: skip
 
-    async def _send(self, attempt: record.Attempt, host: str, answers: asyncio.Task) -> None:
+    def _make_body(self, request_id: str, job: Job) -> bytes:
+        size = 0 if job.kind.safe else self._style.body or round(job.kind.request_bytes)
+        return wire.content(request_id, size)
+
+    async def _send(self, attempt: record.Attempt, job: Job, answers: asyncio.Task) -> None:
         attempt.began = self._rows.now()
-        for piece, pause_s in self._cut(attempt, host):
+        for piece, pause_s in self._cut(attempt, job):
             if pause_s:
                 await asyncio.sleep(pause_s)
             if answers.done():  # The node has answered early, or ended the connection.
@@ -122,11 +140,12 @@
         if not answers.done() and not self._writer.is_closing():
             attempt.sent = self._rows.now()
 
-    def _cut(self, attempt: record.Attempt, host: str) -> list[tuple[bytes, float]]:
+    def _cut(self, attempt: record.Attempt, job: Job) -> list[tuple[bytes, float]]:
         """Returns the pieces of a request, and the pause before each."""
-        style = self._style
-        body = b"" if attempt.safe else wire.content(attempt.id, style.body)
-        fields = {"Host": host, "Request-Id": attempt.id, "Deadline-Ms": int(DEADLINE_S * 1000)}
+        style, body = self._style, self._make_body(attempt.id, job)
+        fields = {"Host": f"{job.service}.test", "Request-Id": attempt.id}
+        fields |= {"Deadline-Ms": job.kind.deadline_ms}
+        fields |= {"Authorization": f"Bearer {self._team.key}"} if self._team else {}
         is_chunked = style.chunked and bool(body)
         fields |= {"Transfer-Encoding": "chunked"} if is_chunked else {}
         start = f"{attempt.method} {attempt.path} HTTP/1.1"
@@ -177,27 +196,35 @@
         self.close()
 
 
-def draw_job(rng: random.Random, services, style: Style) -> tuple[str, str]:
-    """Draws a service and a path, which tells the server what to do."""
-    kind, work_ms = rng.choice("ssuuu" if style.body else "s"), rng.choice(WORK_MS)
-    size = style.size or rng.choice((0, 300, 4000, 30000))
+def draw_job(rng: random.Random, of: shape.Shape, style: Style, kind: shape.Kind) -> Job:
+    """Draws a request of a kind; its path tells the server what to do."""
+    work_ms = shape.draw_around(rng, kind.work_ms) if kind.work_ms else rng.choice(WORK_MS)
+    sizes = (0, 300, 4000, 30000)
+    mean = kind.response_bytes
+    size = style.size or (shape.draw_around(rng, mean) if mean else rng.choice(sizes))
     mode = rng.choice(("length", "length", "chunked", "close", "trickle"))
-    depth = 0 if style.size else rng.choice((0, 0, 0, 1, 2, 3))
-    return rng.choice(services), f"/{kind}/{work_ms}/{size}/{mode}/{depth}"
+    is_any = not kind.service
+    depth = rng.choice((0, 0, 0, 1, 2, 3)) if is_any and not style.size else 0
+    service = rng.choice(of.services).name if is_any else kind.service
+    return Job(kind, service, f"/{kind.name}/{work_ms}/{size}/{mode}/{depth}")
 
 
-async def send_steadily(rows, machine, style: Style, seed: str, services, until: float) -> None:
+async def send_steadily(
+    rows: record.Record, machine, style: Style, seed: str, of: shape.Shape, until: float
+) -> None:
     """Sends requests until a time; a kept connection is used until its node ends it."""
     rng = random.Random(seed)
+    team = of.draw_team(rng)
     connection = None
     while rows.now() < until:
         if connection is None or not connection.open:
-            connection = Connection(rows, machine.outbound, style)
+            connection = Connection(rows, machine.outbound, style, team)
             if not await connection.open_up():
                 connection = None
                 await asyncio.sleep(REFUSED_PAUSE_S)
                 continue
-        jobs = [draw_job(rng, services, style) for _ in range(style.behind)]
+        kinds = [of.draw_kind(rng) for _ in range(style.behind)]
+        jobs = [draw_job(rng, of, style, kind) for kind in kinds]
         await connection.exchange(jobs, style.name, machine.number, machine.service)
         if not style.kept or not connection.open:
             connection.close()
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-SERVICES = ("alpha", "beta", "gamma", "delta")
 MEAN_GAP_S = 1.3
 
 
@@ -85,7 +84,7 @@
         "says": rng.random() < 0.6,
         "node": rng.choice(("stays", "stops", "killed early")),
         "early": round(rng.uniform(0.0, 1.0), 3),
-        "service": rng.choice(SERVICES),
+        "service": rng.random(),
         "pause": round(rng.uniform(2.0, 5.0), 3),
     }
 
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -6,7 +6,16 @@
 import signal
 import socket
 
-from soak.machines import client, draw, machine, record, server, store
+from soak.machines import (
+    client,
+    configuration,
+    draw,
+    machine,
+    record,
+    server,
+    shape,
+    store,
+)
 
 READY_S = 40.0
 SETTLE_S = 6.0
@@ -32,45 +41,15 @@
     raise NotReadyError("no free loopback addresses")
 
 
-def make_configuration(version: int) -> dict:
-    """Returns a configuration; versions differ in a route that nobody uses and in a goal."""
-
-    def make_rule(service: str, prefix: str, kind: str) -> dict:
-        return {
-            "name": f"{service}-{prefix}",
-            "kind": kind,
-            "target_latency": f"{1500 + version % 7 * 10}ms",
-            "priority": 1,
-            "public": True,
-            "match": {"path_prefix": f"/{prefix}/"},
-            "action": {"service": service, "timeout": "7000ms", "max_attempts": 2},
-        }
-
-    kinds = {"s": "safe", "u": "unsafe", f"n{version}": "safe"}
-    cluster = {"health_path": "/health", "max_connections": 448, "protocol": "h1", "tls": False}
-    return {
-        "version": f"r{version}",
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 67108864,
-            "header_timeout": "3000ms",
-            "idle_timeout": "2000ms",
-        },
-        "tenants": [],
-        "listeners": [
-            {"host": f"{name}.test", "rules": [make_rule(name, *item) for item in kinds.items()]}
-            for name in draw.SERVICES
-        ],
-        "clusters": [{"name": name, **cluster} for name in draw.SERVICES],
-    }
-
-
 class Fleet:
     """The machines, the store, the clients and the scenarios that are under way."""
 
-    def __init__(self, plan: draw.Plan, folder: pathlib.Path) -> None:
+    def __init__(
+        self, plan: draw.Plan, of: shape.Shape, folder: pathlib.Path, tree: pathlib.Path
+    ) -> None:
+        """Prepares a fleet of the shape `of`, with the nodes of the work tree `tree`."""
         self.rows = record.Record()
-        self._plan, self._folder = plan, folder
+        self._plan, self._shape, self._folder, self._tree = plan, of, folder, tree
         self._store = store.Store(self.rows)
         self._machines: list[machine.Machine] = []
         self._tasks: list[asyncio.Task] = []
@@ -91,10 +70,10 @@
     async def _start(self) -> None:
         network = find_network(self._plan.seed)
         address = await self._store.start(f"{network}.200")
-        self._store.write("config", "main", make_configuration(1))
+        self._store.write("config", "main", configuration.make(self._shape, 1))
         for number in range(1, self._plan.machines + 1):
-            item = machine.Machine(self.rows, number, network, self._folder, address)
-            item.service = draw.SERVICES[number % len(draw.SERVICES)]
+            item = machine.Machine(self.rows, number, network, self._folder, address, self._tree)
+            item.service = self._shape.services[number % len(self._shape.services)].name
             self._machines.append(item)
             await self._start_machine(item)
         deadline = self.rows.now() + READY_S
@@ -111,7 +90,7 @@
         await self._start_server(item)
 
     async def _start_server(self, item: machine.Machine) -> None:
-        item.server = server.Server(self.rows, item, draw.SERVICES)
+        item.server = server.Server(self.rows, item, self._shape)
         await item.server.start()
 
     async def _play(self) -> None:
@@ -129,7 +108,7 @@
 
     def _send(self, item: machine.Machine, style: int, seed: str, until: float) -> None:
         sending = client.send_steadily(
-            self.rows, item, client.STYLES[style], seed, draw.SERVICES, until
+            self.rows, item, client.STYLES[style], seed, self._shape, until
         )
         self._tasks.append(asyncio.create_task(sending))
 
@@ -169,9 +148,12 @@
                 elif self.rows.now() > item.process.started + EARLY_SIGNAL_S:
                     item.send(item.process, signal.SIGHUP)
 
+    def _draw_service(self, share: float) -> str:
+        return self._shape.services[int(share * len(self._shape.services))].name
+
     def _configure(self) -> None:
         self._version += 3
-        self._store.write("config", "main", make_configuration(self._version))
+        self._store.write("config", "main", configuration.make(self._shape, self._version))
         self.rows.happen("configuration", 0, f"r{self._version}")
 
     async def _stop(self, item: machine.Machine, values: dict) -> None:
@@ -197,9 +179,7 @@
 
     async def _burst(self, item, style: int, seed: str, at: float, until: float) -> None:
         await asyncio.sleep(at)
-        await client.send_steadily(
-            self.rows, item, client.STYLES[style], seed, draw.SERVICES, until
-        )
+        await client.send_steadily(self.rows, item, client.STYLES[style], seed, self._shape, until)
 
     async def _signal_series(self, item, process, also) -> None:
         begin = self.rows.now()
@@ -240,7 +220,7 @@
             item.replaces = False
         else:
             if any(other.service == item.service for other in self._machines if other is not item):
-                item.service = values["service"]
+                item.service = self._draw_service(values["service"])
             item.write_settings()
             await item.start()
         await self._start_server(item)
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -14,7 +14,7 @@
 
 from soak.machines import record, server, wire
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+OWN_TREE = pathlib.Path(__file__).resolve().parents[2]
 OUTBOUND_PORT, READY_PORT = 8548, 8546
 GRACE_S = 6.0
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
@@ -31,23 +31,32 @@
     killed: bool = False
 
 
-def _find_libraries() -> pathlib.Path:
+def _find_libraries(tree: pathlib.Path) -> pathlib.Path:
     """Returns the folder of the libraries: of the deploy file's build, else of this interpreter."""
-    built = ROOT / "target/deps"
+    built = tree / "target/deps"
     return built if built.is_dir() else pathlib.Path(sysconfig.get_path("purelib"))
 
 
 class Machine:
     """One machine: its node's processes, its server, and their address."""
 
-    def __init__(self, rows: record.Record, number: int, network: str, folder, store: str):
+    def __init__(
+        self,
+        rows: record.Record,
+        number: int,
+        network: str,
+        folder: pathlib.Path,
+        store: str,
+        tree: pathlib.Path = OWN_TREE,
+    ) -> None:
+        """Prepares a machine; its nodes run in the work tree `tree`."""
         self.number, self.ip, self.zone = number, f"{network}.{number}", ZONES[number % len(ZONES)]
         self.outbound = f"{self.ip}:{OUTBOUND_PORT}"
         self.service = ""
         self.server: server.Server | None = None
         self.process: Process | None = None
         self.replaces = False  # True while a scenario sees to the next start.
-        self._rows, self._folder, self._store = rows, pathlib.Path(folder), store
+        self._rows, self._folder, self._store, self._tree = rows, folder, store, tree
         self._settings = self._folder / f"node-{number}.conf"
         self._watches: set[asyncio.Task] = set()
 
@@ -67,15 +76,18 @@
 
     async def start(self) -> Process:
         """Starts a process of the node, whether or not the one before it still runs."""
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
+        deploy = tomllib.loads((self._tree / "deploy/system.toml").read_text(encoding="utf-8"))
         kept = {key: value for key, value in os.environ.items() if key in ("HOME", "LANG")}
         # The interpreter itself, not a script that looks for it and dies by an early signal.
         kept["PATH"] = f"{sys.base_prefix}/bin:{os.environ['PATH']}"
-        own = {"PYTHONPATH": f"{_find_libraries()}", "BERGAMOTRIDGE_CONFIG": f"{self._settings}"}
+        own = {
+            "PYTHONPATH": f"{_find_libraries(self._tree)}",
+            "BERGAMOTRIDGE_CONFIG": f"{self._settings}",
+        }
         with (self._folder / f"node-{self.number}.log").open("ab") as log:
             popen = await asyncio.create_subprocess_exec(
                 *deploy["roles"]["node"]["run"].split(),
-                cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=kept | own,
+                cwd=self._tree, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=kept | own,
             )  # fmt: skip
         process = Process(popen, self._rows.happen("node starts", self.number, f"{popen.pid}"))
         self.process, self.replaces = process, False
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -19,6 +19,7 @@
             ``gave up`` (the calling server ended).
         got: Bytes of the answer that came.
         alone: False if other requests were sent on the connection before its answer.
+        timeout_s: Timeout of the route.
     """
 
     id: str
@@ -39,6 +40,7 @@
     whole: bool = False
     sealed: bool = False
     alone: bool = True
+    timeout_s: float = 7.0
     text: str = ""
 
 
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -5,12 +5,11 @@
 import random
 import time
 
-from soak.machines import client, record, wire
+from soak.machines import client, record, shape, wire
 
 PORT, CONTROL_PORT = 8547, 8540
 HEARTBEAT_S = 1.5
 REPORT_S, AGAIN_S = 1.0, 0.2
-SLOTS = 58
 TRICKLE_PIECES = 6
 TRICKLE_PAUSE_S = 0.15
 
@@ -18,12 +17,14 @@
 class Server:
     """One incarnation of a server."""
 
-    def __init__(self, rows: record.Record, machine, services) -> None:
+    def __init__(self, rows: record.Record, machine, of: shape.Shape) -> None:
         self.id = f"i-{machine.number}-{random.getrandbits(32):08x}"
         self.ended = False
-        self._rows, self._machine, self._services = rows, machine, services
-        self._service = machine.service
-        self._state, self._seq, self._running = "ready", 0, 0
+        self._rows, self._machine, self._shape = rows, machine, of
+        self._service = of.service(machine.service)
+        self._slots = asyncio.Semaphore(self._service.slots)
+        self._held = 0
+        self._state, self._seq = "ready", 0
         self._born = int(time.time() * 1000)
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -70,11 +71,11 @@
     def _report(self) -> bytes:
         self._seq += 1
         table = {
-            "service": self._service,
+            "service": self._service.name,
             "address": f"{self._machine.ip}:{PORT}",
             "zone": self._machine.zone,
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self._service.slots,
             "state": self._state,
             "cold_remaining": "0ms",
             "seq": self._seq,
@@ -96,6 +97,9 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer) -> None:
+        if len(self._writers) >= self._service.connections:
+            writer.transport.abort()
+            return
         self._tasks.add(task := asyncio.current_task())
         self._writers.add(writer)
         try:
@@ -112,37 +116,66 @@
         """Returns False if the connection is to end."""
         message = await wire.read_head(reader)
         await wire.read_body(reader, message)
-        method, path, _ = message.start.split(" ")
+        _, path, _ = message.start.split(" ")
         fields = message.fields
         request_id = fields.get("request-id", "")
-        if path == "/health":
-            writer.write(wire.encode("HTTP/1.1 200 OK", {"Instance-Id": self.id}))
-            return True
         if fields.get("expect-instance", self.id) != self.id:
             writer.write(wire.encode("HTTP/1.1 421 X", {"Instance-Id": self.id}))
             return True
-        if self._running >= SLOTS:
+        left_s = int(fields.get("deadline-ms", 10_000)) / shape.MS_PER_S
+        if not await self._take_slot(left_s):
             refused = {"Request-Id": request_id, "Not-Executed": "full"}
             writer.write(wire.encode("HTTP/1.1 503 Full", refused))
             return True
+        try:
+            if path == "/health":
+                writer.write(wire.encode("HTTP/1.1 200 OK", {"Instance-Id": self.id}))
+                return True
+            return await self._run(self._record_run(message), fields, writer)
+        finally:
+            self._give_slot_back()
+
+    async def _take_slot(self, left_s: float) -> bool:
+        """Waits for a slot; returns False if the queue is full or the time is over before."""
+        if self._held >= self._service.slots + self._service.queue:
+            return False
+        self._held += 1
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._slots.acquire()
+        except TimeoutError:
+            self._held -= 1
+            return False
+        except asyncio.CancelledError:
+            self._held -= 1
+            raise
+
+    def _give_slot_back(self) -> None:
+        self._held -= 1
+        self._slots.release()
+
+    def _record_run(self, message: wire.Message) -> record.Run:
+        method, path, _ = message.start.split(" ")
+        fields = message.fields
         run = record.Run(
-            request_id, self.id, self._machine.number, self._rows.now(), method, path,
-            wire.digest(message.body), fields.get("caller-service", ""), self._service,
+            fields.get("request-id", ""), self.id, self._machine.number, self._rows.now(), method,
+            path, wire.digest(message.body), fields.get("caller-service", ""), self._service.name,
             fields.get("host", ""), status=-1,
         )  # fmt: skip
         self._rows.runs.append(run)
-        self._running += 1
+        return run
+
+    async def _run(self, run: record.Run, fields: dict, writer) -> bool:
         try:
-            return await self._run(run, fields, writer)
+            return await self._run_to_end(run, fields, writer)
         finally:
-            self._running -= 1
             run.ended = self._rows.now()
 
-    async def _run(self, run: record.Run, fields: dict, writer) -> bool:
-        _, _, work_ms, size, mode, depth = run.path.split("/")
+    async def _run_to_end(self, run: record.Run, fields: dict, writer) -> bool:
+        _, kind, work_ms, size, mode, depth = run.path.split("/")
         left_s = int(fields.get("deadline-ms", 10_000)) / 1000
         await asyncio.sleep(min(int(work_ms) / 1000, left_s))
-        good = int(depth) == 0 or await self._call(int(depth) - 1)
+        good = await self._make_calls(self._shape.kind(kind), int(depth))
         status = 504 if int(work_ms) / 1000 > left_s else 200 if good else 500
         answer = {"Request-Id": run.id, "Response-Seal": f"s.{self.id}.{run.id}"}
         body = wire.content(run.id, int(size)) if status == 200 else b"failed"
@@ -150,13 +183,28 @@
         run.status = status
         return mode != "close"
 
-    async def _call(self, depth: int) -> bool:
+    async def _make_calls(self, kind: shape.Kind, depth: int) -> bool:
+        """Makes the calls of a run, one after the other; returns False if one fails."""
+        if depth:
+            service = random.choice(self._shape.services).name
+            any_kind = self._shape.kinds[0]
+            return await self._call(any_kind, service, f"/15/500/length/{depth - 1}")
+        for call in kind.calls:
+            called = self._shape.kind(call.kind)
+            for _ in range(call.times):
+                work_ms = shape.draw_around(random, called.work_ms)
+                size = shape.draw_around(random, called.response_bytes)
+                if not await self._call(called, called.service, f"/{work_ms}/{size}/length/0"):
+                    return False
+        return True
+
+    async def _call(self, kind: shape.Kind, service: str, path: str) -> bool:
         """Makes a call of its own through the node beside it."""
         style = client.Style("server", kept=False)
         connection = client.Connection(self._rows, self._machine.outbound, style)
         if not await connection.open_up():
             return False
-        job = (random.choice(self._services), f"/s/15/500/length/{depth}")
+        job = client.Job(kind, service, f"/{kind.name}{path}")
         try:
             attempts = await connection.exchange(
                 [job], f"server {self.id}", self._machine.number, self._machine.service
