--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -32,7 +32,7 @@
         tree: Work tree of the nodes, which may be that of an earlier landing.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    running = fleet.Fleet(plan, of or shape.load("any"), folder, tree)
+    running = fleet.Fleet(plan, of or shape.load("any"), folder.resolve(), tree)
     asyncio.run(running.run())
     found = checks.find_broken(running.rows)
     (folder / "plan").write_text("\n".join(plan.to_lines()) + "\n", encoding="utf-8")
