--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -66,13 +66,20 @@
     begin = attempt.began if machines else attempt.connected
     return any(
         (item.machine == attempt.machine and "by itself" in item.detail)
-        or (item.machine == attempt.machine and item.what == "SIGKILL")
-        or (item.machine in machines and item.what in ("SIGKILL", "server ends"))
+        or (item.machine == attempt.machine and _is_kill(rows, item))
+        or (item.machine in machines and (item.what == "server ends" or _is_kill(rows, item)))
         for item in rows.happenings
         if begin - 0.1 <= item.at <= attempt.ended + 0.1
     )
 
 
+def _is_kill(rows: record.Record, item: record.Happening) -> bool:
+    """Returns True for a SIGKILL, but for those at the end of `grace`, which belong to a stop."""
+    return item.what == "SIGKILL" and not any(
+        other.what == "grace is over" and other.detail == item.detail for other in rows.happenings
+    )
+
+
 def _find_lost(rows: record.Record, runs) -> list[Finding]:
     """LOST: a request that was read, or ran, has no whole answer, or one of the node instead."""
     found = []
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -96,6 +96,16 @@
     assert find_rules(rows) == ["LOST"]
 
 
+def test_a_kill_at_the_end_of_grace_excuses_no_request_of_the_stop():
+    rows = happen(
+        make_rows(status=0, end="reset", began=9.9),
+        (4.4, "SIGTERM", 1, "7"),
+        (10.4, "grace is over", 1, "7"),
+        (10.4, "SIGKILL", 1, "7"),
+    )
+    assert find_rules(rows) == ["GRACE", "LOST"]
+
+
 @pytest.mark.parametrize(("stopped", "rules"), [(9.5, ["LOST"]), (5.4, [])])
 def test_an_answer_of_the_nodes_own_in_a_stop_is_found_until_the_last_sixth(stopped, rules):
     assert find_rules(happen(make_rows(status=502), (stopped, "SIGTERM", 1, "7"))) == rules
