Let the soak of machines choose the ways in which clients send

Cause: requests that are sent one behind the other lose so many answers on that nothing else shows; clients of the users' pages send the next request after the answer.

--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 
+import attrs
 from absl import app, flags
 
 from soak.machines import checks, client, draw, fleet, machine, record, shape
@@ -76,6 +77,7 @@
     flags.DEFINE_float("minutes", 0.5, "time in which scenarios begin, for each seed", 0.05, 2.0)
     flags.DEFINE_integer("hosts", 8, "machines of the fleet", lower_bound=4, upper_bound=16)
     flags.DEFINE_string("shape", "any", "name of a shape in soak/machines/shapes, or a TOML file")
+    flags.DEFINE_list("styles", [], "ways in which clients send, by name; all if empty")
     flags.DEFINE_string("tree", str(machine.OWN_TREE), "work tree whose nodes are started")
     flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
     flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
@@ -110,6 +112,7 @@
     # The fleet is stopped on the way out, as after an interrupt.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
     broken, of = 0, shape.load(values.shape)
+    of = attrs.evolve(of, styles=tuple(values.styles) or of.styles)
     for seed in range(values.seed, values.seed + values.seeds):
         duration_s = values.minutes * S_PER_MINUTE
         plan = draw.draw_plan(seed, duration_s, values.hosts, len(client.STYLES), of.clients)
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -106,9 +106,14 @@
         await asyncio.sleep(max(0.0, until - self.rows.now()))
         await asyncio.gather(*self._tasks)
 
+    def _choose_style(self, number: int) -> client.Style:
+        names = self._shape.styles
+        chosen = [style for style in client.STYLES if not names or style.name in names]
+        return chosen[number % len(chosen)]
+
     def _send(self, item: machine.Machine, style: int, seed: str, until: float) -> None:
         sending = client.send_steadily(
-            self.rows, item, client.STYLES[style], seed, self._shape, until
+            self.rows, item, self._choose_style(style), seed, self._shape, until
         )
         self._tasks.append(asyncio.create_task(sending))
 
@@ -179,7 +184,9 @@
 
     async def _burst(self, item, style: int, seed: str, at: float, until: float) -> None:
         await asyncio.sleep(at)
-        await client.send_steadily(self.rows, item, client.STYLES[style], seed, self._shape, until)
+        await client.send_steadily(
+            self.rows, item, self._choose_style(style), seed, self._shape, until
+        )
 
     async def _signal_series(self, item, process, also) -> None:
         begin = self.rows.now()
--- a/soak/machines/shape.py
+++ b/soak/machines/shape.py
@@ -75,13 +75,19 @@
 
 @attrs.frozen
 class Shape:
-    """All that a fleet serves; routes are open to all if there are no teams."""
+    """All that a fleet serves; routes are open to all if there are no teams.
+
+    Attributes:
+        clients: Clients on each machine.
+        styles: Names of the ways in which clients send; all if empty.
+    """
 
     services: tuple[Service, ...]
     kinds: tuple[Kind, ...]
     teams: tuple[Team, ...] = ()
     clients: int = 4
     max_attempts: int = 2
+    styles: tuple[str, ...] = ()
 
     def service(self, name: str) -> Service:
         """Returns a service by its name."""
