Give the shapes of the soak of machines teams, keys and limits

A kind may stay public (`Kind.public`), calls of servers always are. New steps: `access` withdraws or moves a key or lowers a limit, and mostly undoes that by a later configuration; `give back` stops nodes while the store is silent, busy, or carries out writes and loses its answers.

UNASKED: "A server runs a request whose `Tenant` isn't the tenant that holds the client's key, or to which the key itself was passed on." No bound on time, so no excuse for machines out of touch; a team that ever held the key passes here. QUOTA: "In some `quota_window`, more requests of a tenant are both sent and arrive at a server that runs them than (`rate_per_s` x window + `burst`) x (1 + `quota_overshoot`) + `quota_slack`, summed over all machines, in touch or not. A lower limit binds one window after all front machines have been in touch `config_apply` past its confirmation." The strict reading: the first window that keeps to the lower limit begins when all have been in touch.

--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -10,7 +10,7 @@
 import attrs
 from absl import app, flags
 
-from soak.machines import checks, client, draw, fleet, machine, record, shape
+from soak.machines import checks, client, draw, findings, fleet, machine, record, shape
 
 S_PER_MINUTE = 60.0
 BEFORE_S, AFTER_S = 4.0, 1.0
@@ -23,7 +23,7 @@
     folder: pathlib.Path,
     of: shape.Shape | None = None,
     tree: pathlib.Path = machine.OWN_TREE,
-) -> tuple[record.Record, list[checks.Finding]]:
+) -> tuple[record.Record, list[findings.Finding]]:
     """Carries out a plan; logs and records are written to `folder`.
 
     Args:
@@ -41,7 +41,7 @@
     return running.rows, found
 
 
-def describe(rows: record.Record, finding: checks.Finding, folder: pathlib.Path) -> list[str]:
+def describe(rows: record.Record, finding: findings.Finding, folder: pathlib.Path) -> list[str]:
     """Returns the time line around a finding, and the last lines of its node's log until then."""
     events = [
         f"    {item.at:8.3f} {item.what} {item.machine} {item.detail}"
--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -4,35 +4,17 @@
 import collections
 import itertools
 
-import attrs
+from soak.machines import findings, record, team_checks
 
-from soak.machines import record
-
-GRACE_S, DRAIN_S, CONTACT_S, LOST_SLACK_S = 6.0, 2.0, 3.0, 0.2
+GRACE_S, DRAIN_S, LOST_SLACK_S = 6.0, 2.0, 0.2
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
 LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut a request off.
 MOMENTS_S = (0.0, 0.5, 2.0, 3.0, 6.0)  # Of a stop, to count findings by.
 AT_EXIT_S = 0.05
 REFUSALS = (408, 421, 429, 503)
-DISTURBANCES = ("SIGTERM", "SIGKILL", "node starts", "node exits")
-
-
-@attrs.frozen
-class Finding:
-    """A broken rule: when, on which machine, what was seen, and a kind to count it by."""
-
-    rule: str
-    at: float
-    machine: int
-    text: str
-    kind: str = ""
-
-    def to_line(self) -> str:
-        """Returns it as one line."""
-        return f"{self.rule} at {self.at:.3f} on machine {self.machine}: {self.text}"
 
 
-def find_broken(rows: record.Record) -> list[Finding]:
+def find_broken(rows: record.Record) -> list[findings.Finding]:
     """Returns what broke a rule, in the order of time."""
     runs = collections.defaultdict(list)
     for run in rows.runs:
@@ -42,6 +24,7 @@
         *_find_untrue(rows, runs),
         *_find_late_runs(rows),
         *_find_exits(rows),
+        *team_checks.find_broken(rows, runs),
     ]
     return sorted(found, key=lambda finding: finding.at)
 
@@ -57,10 +40,6 @@
     )
 
 
-def _times(rows: record.Record, machine: int, whats: tuple[str, ...]) -> list[float]:
-    return [item.at for item in rows.happenings if item.machine == machine and item.what in whats]
-
-
 def _is_broken_off(rows: record.Record, attempt: record.Attempt, machines: set[int]) -> bool:
     """Returns True if the node, or a server or node on the way, was killed or ended meanwhile."""
     begin = attempt.began if machines else attempt.connected
@@ -80,12 +59,14 @@
     )
 
 
-def _find_lost(rows: record.Record, runs) -> list[Finding]:
+def _find_lost(rows: record.Record, runs) -> list[findings.Finding]:
     """LOST: a request that was read, or ran, has no whole answer, or one of the node instead."""
     found = []
     for item in filter(lambda attempt: attempt.ended is not None, rows.attempts):
         at_server = runs.get(item.id, [])
-        stops = [at for at in _times(rows, item.machine, ("SIGTERM",)) if at <= item.ended]
+        stops = [
+            at for at in findings.list_times(rows, item.machine, ("SIGTERM",)) if at <= item.ended
+        ]
         since_s = item.ended - stops[-1] if stops else float("inf")
         if item.end in ("closed", "reset") and item.sent is not None:
             was_read = item.end == "closed" and item.ended > item.sent + LOST_SLACK_S
@@ -104,13 +85,13 @@
             f" {since_s:.2f} s after SIGTERM; {len(at_server)} runs, {item.got} bytes came"
         )
         kind = _name_kind(rows, item, since_s, bool(at_server))
-        found.append(Finding("LOST", item.ended, item.machine, text, kind))
+        found.append(findings.Finding("LOST", item.ended, item.machine, text, kind))
     return found
 
 
 def _name_kind(rows: record.Record, item: record.Attempt, since_s: float, ran: bool) -> str:
     """Returns how the request ended, who sent it, and at which moment of a stop."""
-    exits = _times(rows, item.machine, ("node exits",))
+    exits = findings.list_times(rows, item.machine, ("node exits",))
     is_exit = any(abs(at - item.ended) < AT_EXIT_S for at in exits)
     moments = [
         f"{low:g} to {high:g} s after SIGTERM" for low, high in itertools.pairwise(MOMENTS_S)
@@ -127,7 +108,7 @@
     return run.ended is None or run.ended > attempt.ended or run.status == 200
 
 
-def _find_untrue(rows: record.Record, runs) -> list[Finding]:
+def _find_untrue(rows: record.Record, runs) -> list[findings.Finding]:
     """TWICE, REFUSED, MIXED, UNASKED and ROUTE."""
     found = []
     attempts = {item.id: item for item in rows.attempts}
@@ -143,7 +124,9 @@
         if item.status == 200 and not any(run.status in (200, -1) for run in at_server):
             broken.append("MIXED")
         what = f"{item.id} {item.by}, {item.method} {item.path}: {item.status}, {at_server}"
-        found += [Finding(rule, item.ended or item.began, item.machine, what) for rule in broken]
+        found += [
+            findings.Finding(rule, item.ended or item.began, item.machine, what) for rule in broken
+        ]
     for run in rows.runs:
         item = attempts.get(run.id)
         if (
@@ -151,53 +134,50 @@
             or (run.method, run.path, run.digest) != (item.method, item.path, item.digest)
             or run.caller_service != item.service
         ):
-            found.append(Finding("UNASKED", run.at, run.machine, f"{run}, sent: {item}"))
+            found.append(findings.Finding("UNASKED", run.at, run.machine, f"{run}, sent: {item}"))
         if run.host != f"{run.service}.test":
-            found.append(Finding("ROUTE", run.at, run.machine, f"{run}"))
+            found.append(findings.Finding("ROUTE", run.at, run.machine, f"{run}"))
     return found
 
 
-def _find_late_runs(rows: record.Record) -> list[Finding]:
+def _find_late_runs(rows: record.Record) -> list[findings.Finding]:
     """DRAIN: a request runs later than `drain` after a confirmed leave; excuse: not in touch."""
     left = {item.detail: item for item in rows.happenings if item.what == "leave confirmed"}
-    store = _store_troubles(rows)
+    store = findings.list_store_troubles(rows)
     attempts = {item.id: item for item in rows.attempts}
     found = []
     for run in rows.runs:
         leave, item = left.get(run.server), attempts.get(run.id)
         if leave is None or item is None or run.at <= leave.at + DRAIN_S:
             continue
-        disturbed = _times(rows, item.machine, DISTURBANCES)
-        if any(item.began - CONTACT_S <= at <= run.at for at in disturbed):
+        disturbed = findings.list_times(rows, item.machine, findings.DISTURBANCES)
+        if any(item.began - findings.CONTACT_S <= at <= run.at for at in disturbed):
             continue
         own = item.machine == leave.machine
         if not own and any(
-            a - CONTACT_S <= run.at and item.began <= b + CONTACT_S for a, b in store
+            a - findings.CONTACT_S <= run.at and item.began <= b + findings.CONTACT_S
+            for a, b in store
         ):
             continue
         text = f"{run.id} runs at {run.server} {run.at - leave.at:.2f} s after its leave"
-        found.append(Finding("DRAIN", run.at, item.machine, text))
+        found.append(findings.Finding("DRAIN", run.at, item.machine, text))
     return found
 
 
-def _store_troubles(rows: record.Record) -> list[tuple[float, float]]:
-    begins = [item.at for item in rows.happenings if item.what == "step store"]
-    ends = [item.at for item in rows.happenings if item.what == "store works again"]
-    return list(itertools.zip_longest(begins, ends, fillvalue=float("inf")))
-
-
-def _find_exits(rows: record.Record) -> list[Finding]:
+def _find_exits(rows: record.Record) -> list[findings.Finding]:
     """FAULT: a process ends by itself, or with a status; GRACE: it must be killed after `grace`."""
     started = {item.detail: item.at for item in rows.happenings if item.what == "node starts"}
     found = []
     for item in rows.happenings:
         if item.what == "grace is over":
-            found.append(Finding("GRACE", item.at, item.machine, f"pid {item.detail}: no end"))
+            found.append(
+                findings.Finding("GRACE", item.at, item.machine, f"pid {item.detail}: no end")
+            )
         if item.what != "node exits":
             continue
         pid, code, cause = item.detail.split(" ", 2)
         early = code == "-15" and item.at < started[pid] + START_S
         if cause == "by itself" or (cause == "stopped" and code != "0" and not early):
             text = f"pid {pid} ended {item.at - started[pid]:.2f} s after its start: {code} {cause}"
-            found.append(Finding("FAULT", item.at, item.machine, text))
+            found.append(findings.Finding("FAULT", item.at, item.machine, text))
     return found
--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -52,21 +52,20 @@
 
 @attrs.frozen
 class Job:
-    """One request to make: its kind, the service that runs it, and its path."""
+    """One request to make: its kind, the service that runs it, its path, and the key to send."""
 
     kind: shape.Kind
     service: str
     path: str
+    key: str = ""
 
 
 class Connection:
     """One connection to the node of a machine, for one request after another."""
 
-    def __init__(
-        self, rows: record.Record, address: str, style: Style, team: shape.Team | None = None
-    ) -> None:
+    def __init__(self, rows: record.Record, address: str, style: Style) -> None:
         self.open = False
-        self._rows, self._address, self._style, self._team = rows, address, style, team
+        self._rows, self._address, self._style = rows, address, style
         self._reader = self._writer = None
         self._connected = 0.0
 
@@ -121,7 +120,7 @@
         return record.Attempt(
             request_id, by, machine, service, "GET" if is_safe else "POST", job.path,
             wire.digest(self._make_body(request_id, job)), is_safe, connected=self._connected,
-            timeout_s=job.kind.timeout_ms / shape.MS_PER_S,
+            timeout_s=job.kind.timeout_ms / shape.MS_PER_S, key=job.key,
         )  # fmt: skip
 
     def _make_body(self, request_id: str, job: Job) -> bytes:
@@ -145,7 +144,7 @@
         style, body = self._style, self._make_body(attempt.id, job)
         fields = {"Host": f"{job.service}.test", "Request-Id": attempt.id}
         fields |= {"Deadline-Ms": job.kind.deadline_ms}
-        fields |= {"Authorization": f"Bearer {self._team.key}"} if self._team else {}
+        fields |= {"Authorization": f"Bearer {job.key}"} if job.key else {}
         is_chunked = style.chunked and bool(body)
         fields |= {"Transfer-Encoding": "chunked"} if is_chunked else {}
         start = f"{attempt.method} {attempt.path} HTTP/1.1"
@@ -196,8 +195,9 @@
         self.close()
 
 
-def draw_job(rng: random.Random, of: shape.Shape, style: Style, kind: shape.Kind) -> Job:
-    """Draws a request of a kind; its path tells the server what to do."""
+def draw_job(rng: random.Random, of: shape.Shape, style: Style, key: str) -> Job:
+    """Draws a request of a client with a key; its path tells the server what to do."""
+    kind = of.draw_kind(rng)
     work_ms = shape.draw_around(rng, kind.work_ms) if kind.work_ms else rng.choice(WORK_MS)
     sizes = (0, 300, 4000, 30000)
     mean = kind.response_bytes
@@ -206,7 +206,8 @@
     is_any = not kind.service
     depth = rng.choice((0, 0, 0, 1, 2, 3)) if is_any and not style.size else 0
     service = rng.choice(of.services).name if is_any else kind.service
-    return Job(kind, service, f"/{kind.name}/{work_ms}/{size}/{mode}/{depth}")
+    path = f"/{kind.name}/{work_ms}/{size}/{mode}/{depth}"
+    return Job(kind, service, path, "" if of.is_public(kind) else key)
 
 
 async def send_steadily(
@@ -214,17 +215,16 @@
 ) -> None:
     """Sends requests until a time; a kept connection is used until its node ends it."""
     rng = random.Random(seed)
-    team = of.draw_team(rng)
+    key = of.draw_key(rng)
     connection = None
     while rows.now() < until:
         if connection is None or not connection.open:
-            connection = Connection(rows, machine.outbound, style, team)
+            connection = Connection(rows, machine.outbound, style)
             if not await connection.open_up():
                 connection = None
                 await asyncio.sleep(REFUSED_PAUSE_S)
                 continue
-        kinds = [of.draw_kind(rng) for _ in range(style.behind)]
-        jobs = [draw_job(rng, of, style, kind) for kind in kinds]
+        jobs = [draw_job(rng, of, style, key) for _ in range(style.behind)]
         await connection.exchange(jobs, style.name, machine.number, machine.service)
         if not style.kept or not connection.open:
             connection.close()
--- a/soak/machines/configuration.py
+++ b/soak/machines/configuration.py
@@ -1,11 +1,11 @@
 """The operator's configuration for a shape."""
 
-from soak.machines import shape
+from soak.machines import access, shape
 
 HEALTH_PATH = "/health"
 
 
-def make(of: shape.Shape, version: int) -> dict:
+def make(of: shape.Shape, version: int, held: access.Access) -> dict:
     """Returns a configuration; versions differ in a route that nobody uses and in a goal."""
     services = [item.name for item in of.services]
     unused = shape.Kind(f"n{version}")
@@ -17,7 +17,7 @@
             "header_timeout": "3000ms",
             "idle_timeout": "2000ms",
         },
-        "tenants": [_make_team(team) for team in of.teams],
+        "tenants": [_make_team(team.name, held) for team in of.teams],
         "listeners": [
             {
                 "host": f"{name}.test",
@@ -33,9 +33,11 @@
     }
 
 
-def _make_team(team: shape.Team) -> dict:
-    limit = {"rate_per_s": team.rate_per_s, "burst": team.burst} if team.rate_per_s else {}
-    return {"name": team.name, "api_keys": [team.key], **limit}
+def _make_team(name: str, held: access.Access) -> dict:
+    keys = [key for key, holder in held.holders.items() if holder == name]
+    limit = held.limits[name]
+    limits = {"rate_per_s": limit.rate_per_s, "burst": limit.burst} if limit.rate_per_s else {}
+    return {"name": name, "api_keys": keys, **limits}
 
 
 def _make_service(service: shape.Service) -> dict:
@@ -55,7 +57,7 @@
         "kind": "safe" if kind.safe else "unsafe",
         "target_latency": f"{min(1500, kind.deadline_ms) - version % 7 * 10}ms",
         "priority": kind.priority,
-        "public": not of.teams or not kind.weight,
+        "public": of.is_public(kind),
         "match": {"path_prefix": f"/{kind.name}/"},
         "action": {"service": service, "timeout": timeout, "max_attempts": of.max_attempts},
     }
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from soak.machines import steps_teams
+
 MEAN_GAP_S = 1.3
 
 
@@ -102,6 +104,14 @@
     return {"gaps": [round(rng.expovariate(4.0), 3) for _ in range(rng.randint(1, 6))]}
 
 
+def _draw_access(rng: random.Random, machines: int) -> dict:
+    return steps_teams.draw_access(rng)
+
+
+def _draw_give_back(rng: random.Random, machines: int) -> dict:
+    return steps_teams.draw_give_back(rng, _draw_rolling(rng, machines))
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -111,4 +121,6 @@
     "leave": (3, _draw_leave),
     "configure": (3, _draw_series),
     "store": (2, _draw_store),
+    "access": (3, _draw_access),
+    "give back": (2, _draw_give_back),
 }
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -7,6 +7,7 @@
 import socket
 
 from soak.machines import (
+    access,
     client,
     configuration,
     draw,
@@ -14,15 +15,23 @@
     record,
     server,
     shape,
+    steps_teams,
     store,
 )
 
 READY_S = 40.0
 SETTLE_S = 6.0
+VERSION_STEP = 3
 LAST_ANSWERS_S = 10.0
 EARLY_SIGNAL_S = 0.5  # The interpreter takes as long to start; see KNOWN-RED.txt on SIGHUP.
 
 
+STEPS = {
+    "access": steps_teams.change_access,
+    "give back": steps_teams.give_back,
+}
+
+
 class NotReadyError(Exception):
     """The fleet didn't come up."""
 
@@ -49,11 +58,12 @@
     ) -> None:
         """Prepares a fleet of the shape `of`, with the nodes of the work tree `tree`."""
         self.rows = record.Record()
-        self._plan, self._shape, self._folder, self._tree = plan, of, folder, tree
+        self.shape, self.held = of, access.make(of)
+        self._plan, self._folder, self._tree = plan, folder, tree
         self._store = store.Store(self.rows)
         self._machines: list[machine.Machine] = []
         self._tasks: list[asyncio.Task] = []
-        self._version = 1
+        self._version = 0
 
     async def run(self) -> None:
         """Carries out the plan and ends all processes."""
@@ -70,10 +80,10 @@
     async def _start(self) -> None:
         network = find_network(self._plan.seed)
         address = await self._store.start(f"{network}.200")
-        self._store.write("config", "main", configuration.make(self._shape, 1))
+        self.configure()
         for number in range(1, self._plan.machines + 1):
             item = machine.Machine(self.rows, number, network, self._folder, address, self._tree)
-            item.service = self._shape.services[number % len(self._shape.services)].name
+            item.service = self.shape.services[number % len(self.shape.services)].name
             self._machines.append(item)
             await self._start_machine(item)
         deadline = self.rows.now() + READY_S
@@ -90,7 +100,7 @@
         await self._start_server(item)
 
     async def _start_server(self, item: machine.Machine) -> None:
-        item.server = server.Server(self.rows, item, self._shape)
+        item.server = server.Server(self.rows, item, self.shape)
         await item.server.start()
 
     async def _play(self) -> None:
@@ -107,13 +117,13 @@
         await asyncio.gather(*self._tasks)
 
     def _choose_style(self, number: int) -> client.Style:
-        names = self._shape.styles
+        names = self.shape.styles
         chosen = [style for style in client.STYLES if not names or style.name in names]
         return chosen[number % len(chosen)]
 
     def _send(self, item: machine.Machine, style: int, seed: str, until: float) -> None:
         sending = client.send_steadily(
-            self.rows, item, self._choose_style(style), seed, self._shape, until
+            self.rows, item, self._choose_style(style), seed, self.shape, until
         )
         self._tasks.append(asyncio.create_task(sending))
 
@@ -128,38 +138,59 @@
 
     async def _carry_out(self, step: draw.Step) -> None:
         item, values = self._machines[step.machine - 1], step.values
-        if step.kind in ("stop", "rolling"):
-            chosen = (self._machines[step.machine - 1 :] + self._machines)[: values["count"]]
-            stops = []
-            for member in chosen:
-                stops.append(asyncio.create_task(self._stop(member, values)))
-                await asyncio.sleep(values["gap"])
-            await asyncio.gather(*stops)
+        if step.kind in STEPS:
+            await STEPS[step.kind](self, step.machine, values)
+        elif step.kind in ("stop", "rolling"):
+            await self.stop_several(step.machine, values)
         elif step.kind in ("kill", "kill all"):
             chosen = [item] if step.kind == "kill" else self._machines
             await self._kill(chosen, values["pause"])
         elif step.kind == "leave":
             await self._leave(item, values)
         elif step.kind == "store":
-            self._store.trouble = values["trouble"]
-            await asyncio.sleep(values["for"])
-            self._store.trouble = ""
-            self.rows.happen("store works again")
+            await self.trouble_store(values["trouble"], values["for"])
+        elif step.kind == "reload":
+            await self.reload(step.machine, values["gaps"])
         else:
             for gap in values["gaps"]:
                 await asyncio.sleep(gap)
-                if step.kind == "configure":
-                    self._configure()
-                elif self.rows.now() > item.process.started + EARLY_SIGNAL_S:
-                    item.send(item.process, signal.SIGHUP)
+                self.configure()
+
+    async def stop_several(self, number: int, values: dict) -> None:
+        """Stops nodes as planned, from that of machine `number` on, and starts them again."""
+        stops = []
+        for item in (self._machines[number - 1 :] + self._machines)[: values["count"]]:
+            stops.append(asyncio.create_task(self._stop(item, values)))
+            await asyncio.sleep(values["gap"])
+        await asyncio.gather(*stops)
+
+    async def trouble_store(self, trouble: str, for_s: float) -> None:
+        """Troubles the store for some time."""
+        self.rows.happen("store trouble", 0, trouble)
+        self._store.trouble = trouble
+        await asyncio.sleep(for_s)
+        self._store.trouble = ""
+        self.rows.happen("store works again")
+
+    async def reload(self, number: int, gaps: list[float]) -> None:
+        """Sends SIGHUP to a node after each of the gaps."""
+        item = self._machines[number - 1]
+        for gap in gaps:
+            await asyncio.sleep(gap)
+            if self.rows.now() > item.process.started + EARLY_SIGNAL_S:
+                item.send(item.process, signal.SIGHUP)
 
     def _draw_service(self, share: float) -> str:
-        return self._shape.services[int(share * len(self._shape.services))].name
+        return self.shape.services[int(share * len(self.shape.services))].name
 
-    def _configure(self) -> None:
-        self._version += 3
-        self._store.write("config", "main", configuration.make(self._shape, self._version))
-        self.rows.happen("configuration", 0, f"r{self._version}")
+    def configure(self, held: access.Access | None = None) -> None:
+        """Writes the next configuration, with other keys and limits if they are given."""
+        self.held = held or self.held
+        self._version += VERSION_STEP
+        text = configuration.make(self.shape, self._version, self.held)
+        self._store.write("config", "main", text)
+        at = self.rows.happen("configuration", 0, f"r{self._version}")
+        self.rows.configurations.append(record.Configuration(at, self._version, self.held))
 
     async def _stop(self, item: machine.Machine, values: dict) -> None:
         """Stops a node as planned, with clients that come at that time, and starts the next."""
@@ -185,7 +216,7 @@
     async def _burst(self, item, style: int, seed: str, at: float, until: float) -> None:
         await asyncio.sleep(at)
         await client.send_steadily(
-            self.rows, item, self._choose_style(style), seed, self._shape, until
+            self.rows, item, self._choose_style(style), seed, self.shape, until
         )
 
     async def _signal_series(self, item, process, also) -> None:
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from soak.machines import access
+
 
 @attrs.define
 class Attempt:
@@ -20,6 +22,7 @@
         got: Bytes of the answer that came.
         alone: False if other requests were sent on the connection before its answer.
         timeout_s: Timeout of the route.
+        key: Key that was sent; empty on a public route.
     """
 
     id: str
@@ -42,11 +45,18 @@
     alone: bool = True
     timeout_s: float = 7.0
     text: str = ""
+    key: str = ""
 
 
 @attrs.define
 class Run:
-    """One request as a server saw it; `status` is 0 until it is answered, -1 if it was cut."""
+    """One request as a server saw it.
+
+    Attributes:
+        status: 0 until it is answered, -1 if it was cut.
+        team: Team that the node named; empty if none.
+        key: Key that came with it, which should have stayed at the node.
+    """
 
     id: str
     server: str
@@ -60,6 +70,17 @@
     host: str = ""
     ended: float | None = None
     status: int = 0
+    team: str = ""
+    key: str = ""
+
+
+@attrs.frozen
+class Configuration:
+    """A configuration with the time of its confirmation."""
+
+    at: float
+    version: int
+    held: access.Access
 
 
 @attrs.frozen
@@ -79,6 +100,7 @@
         self.attempts: list[Attempt] = []
         self.runs: list[Run] = []
         self.happenings: list[Happening] = []
+        self.configurations: list[Configuration] = []
         self._numbers = itertools.count(1)
         self._start = time.monotonic()
 
--- /dev/null
+++ b/soak/machines/scene.py
@@ -0,0 +1,24 @@
+"""What the steps of other modules ask of a fleet."""
+
+from typing import Protocol
+
+from soak.machines import access, shape
+
+
+class Scene(Protocol):
+    """The part of a fleet that steps act on."""
+
+    held: access.Access
+    shape: shape.Shape
+
+    def configure(self, held: access.Access | None = None) -> None:
+        """Writes the next configuration, with other keys and limits if they are given."""
+
+    async def trouble_store(self, trouble: str, for_s: float) -> None:
+        """Troubles the store for some time."""
+
+    async def stop_several(self, number: int, values: dict) -> None:
+        """Stops nodes as planned, from that of machine `number` on, and starts them again."""
+
+    async def reload(self, number: int, gaps: list[float]) -> None:
+        """Sends SIGHUP to a node after each of the gaps."""
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -160,7 +160,8 @@
         run = record.Run(
             fields.get("request-id", ""), self.id, self._machine.number, self._rows.now(), method,
             path, wire.digest(message.body), fields.get("caller-service", ""), self._service.name,
-            fields.get("host", ""), status=-1,
+            fields.get("host", ""), status=-1, team=fields.get("tenant", ""),
+            key=fields.get("authorization", ""),
         )  # fmt: skip
         self._rows.runs.append(run)
         return run
--- a/soak/machines/shape.py
+++ b/soak/machines/shape.py
@@ -48,6 +48,7 @@
         timeout_ms: Timeout of the route.
         deadline_ms: Time that a client waits.
         calls: What a run calls.
+        public: True if clients send it without a key.
     """
 
     name: str
@@ -61,16 +62,18 @@
     timeout_ms: int = 7000
     deadline_ms: int = 7000
     calls: tuple[Call, ...] = ()
+    public: bool = False
 
 
 @attrs.frozen
 class Team:
-    """A team with its key; a rate of 0 has no limit."""
+    """A team with its keys; a rate of 0 has no limit; `weight` is its share of the clients."""
 
     name: str
-    key: str
+    keys: tuple[str, ...]
     rate_per_s: float = 0.0
     burst: int = 0
+    weight: float = 1.0
 
 
 @attrs.frozen
@@ -101,9 +104,15 @@
         """Draws the kind of a client's request."""
         return rng.choices(self.kinds, [kind.weight for kind in self.kinds])[0]
 
-    def draw_team(self, rng: random.Random) -> Team | None:
-        """Draws the team of a client; None if the routes are open to all."""
-        return rng.choice(self.teams) if self.teams else None
+    def draw_key(self, rng: random.Random) -> str:
+        """Draws the key of a client; empty if the routes are open to all."""
+        if not self.teams:
+            return ""
+        return rng.choice(rng.choices(self.teams, [team.weight for team in self.teams])[0].keys)
+
+    def is_public(self, kind: Kind) -> bool:
+        """Returns True if requests of a kind need no key."""
+        return kind.public or not self.teams or not kind.weight
 
 
 def draw_around(rng: random.Random, mean: float) -> int:
--- a/soak/machines/store.py
+++ b/soak/machines/store.py
@@ -14,7 +14,10 @@
 
 
 class Store:
-    """All objects; `trouble` is empty, ``silent``, ``busy`` (503) or ``slow``."""
+    """All objects; `trouble` is empty, ``silent``, ``busy`` (503), ``slow`` or ``loses``.
+
+    A store that loses answers has carried out what it was asked.
+    """
 
     def __init__(self, rows: record.Record) -> None:
         self.trouble = ""
@@ -62,9 +65,7 @@
     async def _answer(self, message: wire.Message) -> tuple[int, dict]:
         await asyncio.sleep(SLOW_S if self.trouble == "slow" else ANSWER_S)
         if self.trouble == "silent":
-            while self.trouble == "silent":
-                await asyncio.sleep(ANSWER_S)
-            raise wire.EndedError("nothing further comes on this connection")
+            await self._lose_answer()
         if self.trouble == "busy":
             return 503, {}
         method, target, _ = message.start.split(" ")
@@ -72,7 +73,10 @@
         options = dict(item.split("=") for item in query.split("&") if item)
         kind, _, name = path.removeprefix("/objects/").partition("/")
         if method != "GET":
-            return self._change(method, kind, name, options, message.body)
+            answer = self._change(method, kind, name, options, message.body)
+            if self.trouble == "loses":
+                await self._lose_answer()
+            return answer
         if name:
             item = self.objects.get((kind, name))
             return (200, item) if item else (404, {})
@@ -83,6 +87,11 @@
         items = [self.objects[kind, name] for name in names]
         return 200, {"items": items, "more": False, "as_of": self._revision}
 
+    async def _lose_answer(self) -> None:
+        while self.trouble in ("silent", "loses"):
+            await asyncio.sleep(ANSWER_S)
+        raise wire.EndedError("nothing further comes on this connection")
+
     def _change(self, method, kind, name, options, body: bytes) -> tuple[int, dict]:
         value = json.loads(body) if body else {}
         name = name or value["metadata"]["name"]
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -121,7 +121,7 @@
             [],
             [
                 (8.0, "leave confirmed", 2, "i-2"),
-                (9.0, "step store", 0, ""),
+                (9.0, "store trouble", 0, ""),
                 (9.5, "store works again", 0, ""),
             ],
         ),
