Let clients press in the soak of machines

The step `press` adds clients for 2 to 5 s, until there are three times as many, and stops nodes, reloads them or writes configurations meanwhile.

--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from soak.machines import steps_teams
+from soak.machines import steps_press, steps_teams
 
 MEAN_GAP_S = 1.3
 
@@ -112,6 +112,10 @@
     return steps_teams.draw_give_back(rng, _draw_rolling(rng, machines))
 
 
+def _draw_press(rng: random.Random, machines: int) -> dict:
+    return steps_press.draw(rng, _draw_rolling(rng, machines))
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -123,4 +127,5 @@
     "store": (2, _draw_store),
     "access": (3, _draw_access),
     "give back": (2, _draw_give_back),
+    "press": (1.5, _draw_press),
 }
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -15,6 +15,7 @@
     record,
     server,
     shape,
+    steps_press,
     steps_teams,
     store,
 )
@@ -29,6 +30,7 @@
 STEPS = {
     "access": steps_teams.change_access,
     "give back": steps_teams.give_back,
+    "press": steps_press.press,
 }
 
 
@@ -180,6 +182,15 @@
             if self.rows.now() > item.process.started + EARLY_SIGNAL_S:
                 item.send(item.process, signal.SIGHUP)
 
+    async def press(self, for_s: float, times: int) -> None:
+        """Adds clients for some time, until there are `times` as many as before."""
+        until, begin = self.rows.now() + for_s, len(self._tasks)
+        added = self._plan.clients * (times - 1)
+        for index, (number, style) in enumerate(added):
+            seed = f"{self._plan.seed} press {begin} {index}"
+            self._send(self._machines[number - 1], style, seed, until)
+        await asyncio.sleep(for_s)
+
     def _draw_service(self, share: float) -> str:
         return self.shape.services[int(share * len(self.shape.services))].name
 
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -22,3 +22,6 @@
 
     async def reload(self, number: int, gaps: list[float]) -> None:
         """Sends SIGHUP to a node after each of the gaps."""
+
+    async def press(self, for_s: float, times: int) -> None:
+        """Adds clients for some time, until there are `times` as many as before."""
