Send forged Tenant and Caller-Service headers in the soak of machines

"The system sets this value regardless of what the client sent" (both headers) had no client that sent one.

--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -11,6 +11,7 @@
 REFUSED_PAUSE_S = 0.15
 PAUSES_S = ((0.0, 0.5), (0.5, 1.6), (1.9, 2.1))  # The limit of configuration.make is 2.
 LAST_ANSWER_S = 1.0  # After the deadline.
+FORGED = {"Tenant": "forged", "Caller-Service": "forged"}
 WORK_MS = (5, 30, 80, 150, 300, 800)
 
 
@@ -24,6 +25,7 @@
         body: Bytes of the body, sent in `pieces` with pauses.
         head_pause_s: Pause before each byte of the head.
         read_pause_s: Pause after each piece that is read.
+        forges: True if it sends the headers that only nodes set.
     """
 
     name: str
@@ -36,12 +38,13 @@
     head_pause_s: float = 0.0
     read_pause_s: float = 0.0
     size: int = 0
+    forges: bool = False
 
 
 STYLES = (
     Style("kept", body=1200),
-    Style("fresh", kept=False, body=300),
-    Style("behind", behind=3, body=200),
+    Style("fresh", kept=False, body=300, forges=True),
+    Style("behind", behind=3, body=200, forges=True),
     Style("pieces", body=6000, pieces=5, piece_pause_s=0.7),
     Style("chunks", body=6000, pieces=6, piece_pause_s=0.25, chunked=True),
     Style("bytewise", kept=False, head_pause_s=0.008),
@@ -145,6 +148,7 @@
         fields = {"Host": f"{job.service}.test", "Request-Id": attempt.id}
         fields |= {"Deadline-Ms": job.kind.deadline_ms}
         fields |= {"Authorization": f"Bearer {job.key}"} if job.key else {}
+        fields |= FORGED if style.forges else {}
         is_chunked = style.chunked and bool(body)
         fields |= {"Transfer-Encoding": "chunked"} if is_chunked else {}
         start = f"{attempt.method} {attempt.path} HTTP/1.1"
