Tell processes that outlive `grace` from those whose end is seen late

Cause: under the new load (`press`) the event loop of the stand-ins, which they share, is late by some tenths of a second.

Change: a thread waits for the end of each process and notes its time, and `grace` counts from the SIGTERM itself, no longer from when its waiter runs. A process that is still there then is found and killed as before.

--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import sysconfig
+import threading
 import tomllib
 
 import attrs
@@ -23,12 +24,19 @@
 
 @attrs.define(eq=False)
 class Process:
-    """One process of a node."""
+    """One process of a node.
+
+    Attributes:
+        told_at: When it got its first SIGTERM.
+        gone_at: When it ended, seen by a thread, as the event loop may be late.
+    """
 
     popen: asyncio.subprocess.Process
     started: float
     stopping: bool = False
     killed: bool = False
+    told_at: float | None = None
+    gone_at: float | None = None
 
 
 def _find_libraries(tree: pathlib.Path) -> pathlib.Path:
@@ -89,13 +97,23 @@
                 *deploy["roles"]["node"]["run"].split(),
                 cwd=self._tree, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=kept | own,
             )  # fmt: skip
+        return self.adopt(popen)
+
+    def adopt(self, popen: asyncio.subprocess.Process) -> Process:
+        """Takes a process that was just started as the machine's latest."""
         process = Process(popen, self._rows.happen("node starts", self.number, f"{popen.pid}"))
         self.process, self.replaces = process, False
+        threading.Thread(target=self._see_end, args=(process,), daemon=True).start()
         watch = asyncio.create_task(self._watch(process))
         self._watches.add(watch)
         watch.add_done_callback(self._watches.discard)
         return process
 
+    def _see_end(self, process: Process) -> None:
+        with contextlib.suppress(ChildProcessError):  # The event loop has taken its status.
+            os.waitid(os.P_PID, process.popen.pid, os.WEXITED | os.WNOWAIT)
+        process.gone_at = self._rows.now()
+
     async def _watch(self, process: Process) -> None:
         code = await process.popen.wait()
         cause = "killed" if process.killed else "stopped" if process.stopping else "by itself"
@@ -110,6 +128,8 @@
         if process.popen.returncode is not None:
             return
         process.stopping |= number == signal.SIGTERM
+        if number == signal.SIGTERM and process.told_at is None:
+            process.told_at = self._rows.now()
         process.killed |= number == signal.SIGKILL
         self._rows.happen(number.name, self.number, f"{process.popen.pid}")
         # Not by its own method, which would take the status from the one that waits.
@@ -118,11 +138,14 @@
 
     async def end(self, process: Process) -> None:
         """Waits for a process that was told to stop; ends it after `grace` as the platform does."""
+        now = self._rows.now()
+        deadline = (now if process.told_at is None else process.told_at) + GRACE_S
         try:
-            await asyncio.wait_for(process.popen.wait(), GRACE_S)
+            await asyncio.wait_for(process.popen.wait(), max(0.0, deadline - now))
         except TimeoutError:
-            self._rows.happen("grace is over", self.number, f"{process.popen.pid}")
-            self.send(process, signal.SIGKILL)
+            if process.gone_at is None or process.gone_at > deadline:
+                self._rows.happen("grace is over", self.number, f"{process.popen.pid}")
+                self.send(process, signal.SIGKILL)
             await process.popen.wait()
 
     async def is_ready(self) -> bool:
