Check that requests are answered soon after their route's timeout

What waits in a queue, or is tried again, must end with an answer. A request whose connection stays open without one was no finding so far.

CONFIG: "Some requests last longer than their route's `timeout`. Eight or more of them, and over a quarter, have no final answer from machines in touch 0.5 s after it." Left out, as their client is late itself: requests that were not sent whole, that wait behind others on their connection, or whose answer is still being read. Timeouts count from the last byte.

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -4,7 +4,7 @@
 import collections
 import itertools
 
-from soak.machines import findings, record, team_checks
+from soak.machines import findings, record, team_checks, timeout_checks
 
 GRACE_S, DRAIN_S, LOST_SLACK_S = 6.0, 2.0, 0.2
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
@@ -25,6 +25,7 @@
         *_find_late_runs(rows),
         *_find_exits(rows),
         *team_checks.find_broken(rows, runs),
+        *timeout_checks.find_broken(rows),
     ]
     return sorted(found, key=lambda finding: finding.at)
 
--- a/soak/machines/findings.py
+++ b/soak/machines/findings.py
@@ -35,3 +35,28 @@
     begins = [item.at for item in rows.happenings if item.what == "store trouble"]
     ends = [item.at for item in rows.happenings if item.what == "store works again"]
     return list(itertools.zip_longest(begins, ends, fillvalue=float("inf")))
+
+
+def is_in_touch(rows: record.Record, machine: int, begin: float, end: float) -> bool:
+    """Returns True if a machine was in touch from `begin` to `end`."""
+    since = begin - CONTACT_S
+    if any(a <= end and b >= since for a, b in list_store_troubles(rows)):
+        return False
+    disturbances = (*DISTURBANCES, "SIGSTOP", "SIGCONT")
+    before = []
+    for item in rows.happenings:
+        if item.machine != machine or item.what not in disturbances or item.at > end:
+            continue
+        if "by itself" in item.detail:  # Counts as running all the while.
+            continue
+        if item.at >= since:
+            return False
+        before.append(item)
+    return not before or not _is_last_process_gone(before)
+
+
+def _is_last_process_gone(before: list[record.Happening]) -> bool:
+    starts = [item.detail for item in before if item.what == "node starts"]
+    return bool(starts) and any(
+        item.what != "node starts" and item.detail.split(" ")[0] == starts[-1] for item in before
+    )
--- a/soak/machines/team_checks.py
+++ b/soak/machines/team_checks.py
@@ -26,31 +26,6 @@
     return rows.configurations[first : bisect.bisect_right(times, until)]
 
 
-def _is_in_touch(rows: record.Record, machine: int, begin: float, end: float) -> bool:
-    """Returns True if a machine was in touch from `begin` to `end`."""
-    since = begin - findings.CONTACT_S
-    if any(a <= end and b >= since for a, b in findings.list_store_troubles(rows)):
-        return False
-    disturbances = (*findings.DISTURBANCES, "SIGSTOP", "SIGCONT")
-    before = []
-    for item in rows.happenings:
-        if item.machine != machine or item.what not in disturbances or item.at > end:
-            continue
-        if "by itself" in item.detail:  # Counts as running all the while.
-            continue
-        if item.at >= since:
-            return False
-        before.append(item)
-    return not before or not _is_last_process_gone(before)
-
-
-def _is_last_process_gone(before: list[record.Happening]) -> bool:
-    starts = [item.detail for item in before if item.what == "node starts"]
-    return bool(starts) and any(
-        item.what != "node starts" and item.detail.split(" ")[0] == starts[-1] for item in before
-    )
-
-
 def _find_wrong_teams(rows: record.Record) -> Iterator[findings.Finding]:
     """UNASKED, ROUTE and CONFIG: a run for another team, or with a key that isn't held."""
     attempts = {item.id: item for item in rows.attempts}
@@ -72,7 +47,9 @@
             yield findings.Finding("ROUTE", run.at, run.machine, f"{text}, nobody ever held it")
         elif run.team not in ever:
             yield findings.Finding("UNASKED", run.at, run.machine, f"{text}, held by {ever}")
-        elif run.team not in holders and _is_in_touch(rows, item.machine, item.began, run.at):
+        elif run.team not in holders and findings.is_in_touch(
+            rows, item.machine, item.began, run.at
+        ):
             late_s = item.began - possible[0].at
             seen = f"{text}, held by {holders} since {late_s:.2f} s before it was sent"
             yield findings.Finding("CONFIG", run.at, item.machine, seen)
@@ -89,7 +66,7 @@
             continue
         text = f"{item.id} {item.by} {item.path} with key {item.key!r}: {item.status} {item.text}"
         found = findings.Finding("CONFIG", item.ended, item.machine, text)
-        if _is_in_touch(rows, item.machine, item.began, item.ended):
+        if findings.is_in_touch(rows, item.machine, item.began, item.ended):
             yield found
         elif not item.key or all(item.key in each.held.holders for each in rows.configurations):
             out_of_touch.append(findings.Finding("DENIED", found.at, found.machine, text))
@@ -135,7 +112,9 @@
         marks = [item.at for item in rows.happenings if item.machine in (0, machine)]
         times = [since, *(at + findings.CONTACT_S + 0.001 for at in marks if at > since - 3.1)]
         touched = (
-            at for at in sorted(times) if at >= since and _is_in_touch(rows, machine, at, at)
+            at
+            for at in sorted(times)
+            if at >= since and findings.is_in_touch(rows, machine, at, at)
         )
         latest = max(latest, next(touched, float("inf")))
     return latest
