Excuse no machine for a process that ended by itself, or a freeze of long ago

Cause: `is_in_touch` took the start after a process ended by itself for one by the platform, and a machine for gone whose latest process was ever frozen.

The three new cases failed before (3 failed) and pass now.

--- a/soak/machines/findings.py
+++ b/soak/machines/findings.py
@@ -7,7 +7,9 @@
 from soak.machines import record
 
 CONTACT_S = 3.0
-DISTURBANCES = ("SIGTERM", "SIGKILL", "node starts", "node exits")
+ENDS = ("SIGTERM", "SIGKILL", "node exits")
+DISTURBANCES = (*ENDS, "node starts")
+FREEZES = ("SIGSTOP", "SIGCONT")
 
 
 @attrs.frozen
@@ -40,23 +42,32 @@
 def is_in_touch(rows: record.Record, machine: int, begin: float, end: float) -> bool:
     """Returns True if a machine was in touch from `begin` to `end`."""
     since = begin - CONTACT_S
-    if any(a <= end and b >= since for a, b in list_store_troubles(rows)):
+    if any(first <= end and last >= since for first, last in list_store_troubles(rows)):
         return False
-    disturbances = (*DISTURBANCES, "SIGSTOP", "SIGCONT")
-    before = []
-    for item in rows.happenings:
-        if item.machine != machine or item.what not in disturbances or item.at > end:
-            continue
-        if "by itself" in item.detail:  # Counts as running all the while.
-            continue
-        if item.at >= since:
-            return False
-        before.append(item)
-    return not before or not _is_last_process_gone(before)
-
-
-def _is_last_process_gone(before: list[record.Happening]) -> bool:
-    starts = [item.detail for item in before if item.what == "node starts"]
+    of_machine = [item for item in rows.happenings if item.machine == machine and item.at <= end]
+    disturbances = _without_own_ends(of_machine)
+    is_disturbed = any(item.at >= since for item in disturbances)
+    return not is_disturbed and not _is_last_process_gone(disturbances, of_machine)
+
+
+def _without_own_ends(of_machine: list[record.Happening]) -> list[record.Happening]:
+    """Returns the disturbances; who ends by itself counts as running until it is started again."""
+    found, ends_itself = [], False
+    for item in of_machine:
+        if item.what == "node exits" and "by itself" in item.detail:
+            ends_itself = True
+        elif item.what == "node starts" and ends_itself:
+            ends_itself = False
+        elif item.what in (*DISTURBANCES, *FREEZES):
+            found.append(item)
+    return found
+
+
+def _is_last_process_gone(
+    disturbances: list[record.Happening], of_machine: list[record.Happening]
+) -> bool:
+    """Returns True if the process that was started last was told to stop, or was killed."""
+    starts = [item.detail for item in of_machine if item.what == "node starts"]
     return bool(starts) and any(
-        item.what != "node starts" and item.detail.split(" ")[0] == starts[-1] for item in before
+        item.what in ENDS and item.detail.split(" ")[0] == starts[-1] for item in disturbances
     )
--- a/tests/test_soak/test_machine_team_checks.py
+++ b/tests/test_soak/test_machine_team_checks.py
@@ -84,6 +84,12 @@
         (["CONFIG"], 5.0, [(6.9, "node starts", 1, "7")]),
         (["CONFIG"], 7.9, [(9.0, "node starts", 2, "8")]),
         ([], 5.0, [(4.0, "node starts", 1, "7"), (5.5, "SIGKILL", 1, "7")]),
+        ([], 7.9, [(9.0, "SIGSTOP", 1, "7")]),
+        (
+            ["CONFIG"],
+            5.0,
+            [(4.0, "node starts", 1, "7"), (5.5, "SIGSTOP", 1, "7"), (5.9, "SIGCONT", 1, "7")],
+        ),
     ],
 )
 def test_a_run_with_a_key_of_before_is_found(rules, changed, happenings, change):
@@ -157,3 +163,15 @@
     for index in range(50):
         add_request(rows, f"2{index}", OTHER, "haulier", 10.0 + index / 11)
     assert find_rules(rows) == []
+
+
+def test_a_process_that_ends_by_itself_counts_as_running():
+    rows = happen(
+        make_rows((7.9, HELD.withdraw(KEY))),
+        [
+            (4.0, "node starts", 1, "7"),
+            (8.5, "node exits", 1, "7 1 by itself"),
+            (8.8, "node starts", 1, "8"),
+        ],
+    )
+    assert find_rules(rows) == ["FAULT", "CONFIG"]
