Excuse by the store only until the first of overlapping troubles ends

Cause: troubles of the store that overlap were paired with their ends in order, but the first end puts the store right, so checks excused more than the trouble ("the core was stable", in RULES.md, is about the store itself).

--- a/soak/machines/findings.py
+++ b/soak/machines/findings.py
@@ -1,7 +1,5 @@
 """Findings, and when the rules excuse them because a machine was disturbed."""
 
-import itertools
-
 import attrs
 
 from soak.machines import record
@@ -33,10 +31,10 @@
 
 
 def list_store_troubles(rows: record.Record) -> list[tuple[float, float]]:
-    """Returns begin and end of each trouble of the store."""
+    """Returns begin and end of each trouble of the store; the first end ends all."""
     begins = [item.at for item in rows.happenings if item.what == "store trouble"]
     ends = [item.at for item in rows.happenings if item.what == "store works again"]
-    return list(itertools.zip_longest(begins, ends, fillvalue=float("inf")))
+    return [(begin, next((at for at in ends if at >= begin), float("inf"))) for begin in begins]
 
 
 def is_in_touch(rows: record.Record, machine: int, begin: float, end: float) -> bool:
--- a/tests/test_soak/test_machine_team_checks.py
+++ b/tests/test_soak/test_machine_team_checks.py
@@ -9,7 +9,9 @@
     {KEY: "city", OTHER: "haulier"}, {"city": access.Limit(), "haulier": access.Limit(4.0, 10)}
 )
 RESTART = [(9.0, "node starts", 1, "7")]
-SILENCE = [(9.0, "store trouble", 0, "silent"), (9.5, "store works again", 0, "")]
+WORKS = ("store works again", 0, "")
+OVERLAPPING = [(5.5, "store trouble", 0, "silent"), (6.0, "store trouble", 0, "loses")]
+SILENCE = [(9.0, "store trouble", 0, "silent"), (9.5, *WORKS)]
 
 
 def make_rows(*later, status=200, key=KEY, team="city", began=10.0, runs=1, passed=""):
@@ -85,6 +87,9 @@
         (["CONFIG"], 7.9, [(9.0, "node starts", 2, "8")]),
         ([], 5.0, [(4.0, "node starts", 1, "7"), (5.5, "SIGKILL", 1, "7")]),
         ([], 7.9, [(9.0, "SIGSTOP", 1, "7")]),
+        (["CONFIG"], 5.0, [*OVERLAPPING, (6.9, *WORKS)]),
+        ([], 5.0, [*OVERLAPPING, (7.1, *WORKS)]),
+        (["CONFIG"], 5.0, [*OVERLAPPING, (6.9, *WORKS), (9.0, *WORKS)]),
         (
             ["CONFIG"],
             5.0,
