Send requests of the soak of machines without the delay of small packets

The node had refused the first of the three 5 ms after it was sent (its log) and ended the connection after that answer; the other two were held back by the client's kernel until the first was acknowledged, as asyncio sets TCP_NODELAY only on sockets that name their protocol, and the client read the answer only 0.17 s later. So they crossed the close. Change: the stand-ins' sockets set TCP_NODELAY.

--- a/soak/machines/wire.py
+++ b/soak/machines/wire.py
@@ -105,6 +105,7 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket()
     sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     if small:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
     try:
