Add make build

docs/soak.md named a target that the Makefile lacked. It runs the build line of deploy/system.toml, read from that file so that it stands in one place.

make build in a clone with a current target/deps: exit 0, compiles the packages.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: test demo bench soak format lint proto
+.PHONY: test build demo bench soak format lint proto
 
 .venv/.ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv .venv
@@ -20,6 +20,10 @@
 test: lint
 	$(BIN)/python -m tests.run
 
+# What the users' platform runs before it starts nodes.
+build:
+	$(PYTHON) -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])' | sh -e
+
 demo: .venv/.ready
 	$(BIN)/python -m demo.run
 
