Accept what waits at a listener before a stop closes it

Cause: a planned stop closed the listener one turn of the loop after the pause that lets waiting connections be accepted. Connections that came in that turn were reset, with requests that the node had not read.

Change: the stop accepts what waits at the listener and closes it with no wait in between.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -105,6 +105,7 @@
         self._on_turned_away = on_turned_away
         self._turned_away: collections.Counter[str] = collections.Counter()
         self._reported_at = float("-inf")
+        self._listener: socket.socket | None = None
         self._asyncio_server: asyncio.Server | None = None
         self._idle_check: asyncio.Task | None = None
 
@@ -123,13 +124,15 @@
 
     async def _listen(self, listener: socket.socket) -> None:
         event_loop = asyncio.get_running_loop()
+        self._listener = listener
         self._asyncio_server = await event_loop.create_server(
-            lambda: http_connection.Connection(self, event_loop),
-            sock=listener,
-            backlog=LISTEN_BACKLOG,
+            self._create_connection, sock=listener, backlog=LISTEN_BACKLOG
         )
         self._idle_check = event_loop.create_task(self._close_idle_connections())
 
+    def _create_connection(self) -> http_connection.Connection:
+        return http_connection.Connection(self, asyncio.get_running_loop())
+
     def close_after_answers(self) -> None:
         """Makes each later response close its connection; new connections are still accepted."""
         self.closing = True
@@ -148,9 +151,8 @@
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + grace_s
         self.closing = True
-        # Closing the listener resets the connections that have not been accepted yet.
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
-        self._stop_accepting()
+        await self._stop_accepting()
         while event_loop.time() < deadline - CANCEL_GRACE_S:
             if self._is_quiet(event_loop.time()):
                 break
@@ -175,10 +177,30 @@
         while self.connections and event_loop.time() < deadline:
             await asyncio.sleep(CANCEL_CHECK_INTERVAL_S)
 
-    def _stop_accepting(self) -> None:
-        if self._asyncio_server is not None:
-            self._asyncio_server.close()
-            self._asyncio_server = None
+    async def _stop_accepting(self) -> None:
+        """Closes the listener; connections that wait there are accepted, not reset."""
+        if self._asyncio_server is None:
+            return
+        waiting = self._accept_waiting()
+        self._asyncio_server.close()
+        self._asyncio_server = None
+        event_loop = asyncio.get_running_loop()
+        for accepted in waiting:
+            await event_loop.connect_accepted_socket(self._create_connection, accepted)
+
+    def _accept_waiting(self) -> list[socket.socket]:
+        """Returns the connections that have not been accepted yet."""
+        waiting = []
+        try:
+            while len(waiting) < LISTEN_BACKLOG:
+                accepted, _ = self._listener.accept()
+                accepted.setblocking(False)
+                waiting.append(accepted)
+        except BlockingIOError:
+            pass  # No further one waits.
+        except OSError as error:
+            _log.warning("the port '{}' has stopped accepting connections: {}", self.name, error)
+        return waiting
 
     def _is_quiet(self, now: float) -> bool:
         """Returns whether no connection is in use and all were idle for `STOP_IDLE_S` seconds."""
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -127,6 +127,35 @@
         stopping.result(STOP_S)
 
 
+# Connections that came in the turn of the loop before the listener closed were reset.
+def test_connections_that_come_just_before_the_listener_closes_are_answered_in_a_stop():
+    slow, is_held, may_close = SlowServer(), threading.Event(), threading.Event()
+    slow.may_finish.set()
+
+    def hold_up():
+        is_held.set()
+        may_close.wait()
+
+    async def stop():
+        loop = asyncio.get_running_loop()
+        # Both the end of the wait before the close and what holds up are due after this pause.
+        loop.call_later(httpd.STOP_CHECK_INTERVAL_S / 2, hold_up)
+        loop.call_soon(time.sleep, 2 * httpd.STOP_CHECK_INTERVAL_S)
+        await slow.server._stop(STOP_S)
+
+    with contextlib.ExitStack() as stack:
+        executor = stack.enter_context(concurrent.futures.ThreadPoolExecutor(1))
+        stack.callback(may_close.set)
+        stopping = executor.submit(event_loop.run, stop())
+        is_held.wait()
+        clients = [stack.enter_context(connect(slow.address)) for _ in range(8)]
+        for client in clients:
+            client.sendall(FIRST)
+        may_close.set()
+        assert [split(read_all(client)) for client in clients] == [[(200, b"one")]] * 8
+        stopping.result(STOP_S)
+
+
 # The last response was cut off if the client took it slowly and had sent its next request.
 def test_a_large_response_that_ends_its_connection_is_read_whole_whatever_follows_it():
     body = bytes(8_000_000)
