Keep a connection whose client still takes the last answer

Cause: the idle time of a connection ran from the moment at which the kernel had the answer. A client that took a long answer slowly found its connection closed well within the time for which it may keep it: its next request was reset.

Change: a connection that is due to be closed as idle is kept if the other side has taken a part of the answer since it was last looked at. A client that takes nothing is closed after one more limit.

Result: the new test failed before (connection closed at the first limit) and passes now; test_httpd.py and test_httpd_stop.py: 64 passed.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -9,7 +9,14 @@
 import httptools
 import logbook
 
-from bergamotridge.util import cancellation, connection_table, loop, message, request_reader
+from bergamotridge.util import (
+    cancellation,
+    connection_table,
+    loop,
+    message,
+    request_reader,
+    send_queue,
+)
 
 logger = logbook.Logger(__name__)
 
@@ -63,6 +70,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._body_timer: asyncio.TimerHandle | None = None
         self._write_paused = False
+        self._unsent_bytes = 0
         self._is_finishing = False
         self._input_ended = False
         self._refusal_status = 0
@@ -154,6 +162,25 @@
         )
         return between_requests and self.idle_since < time
 
+    def note_progress(self, now: float) -> bool:
+        """Returns whether the client has taken a part of the last answer since the last call.
+
+        If so, the connection counts as active, as the client can't have sent another request.
+
+        Args:
+            now: Time of the loop in seconds.
+        """
+        before, self._unsent_bytes = self._unsent_bytes, self._count_unsent()
+        if self._unsent_bytes == before:
+            return False
+        self.idle_since = now
+        return True
+
+    def _count_unsent(self) -> int:
+        if self._transport.is_closing():
+            return 0
+        return send_queue.count_bytes(self._transport.get_extra_info("socket"))
+
     def finish(self) -> None:
         """Takes no further input, and closes the connection once all that was read is answered.
 
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -248,7 +248,15 @@
             while True:
                 bounds = self.bounds()
                 await asyncio.sleep(min(IDLE_CHECK_INTERVAL_S, bounds.idle_s))
-                idle_before = event_loop.time() - bounds.idle_s
-                for connection in self.connections:
-                    if connection.is_idle_since(idle_before):
-                        connection.evict()
+                self.close_idle(event_loop.time())
+
+    def close_idle(self, now: float) -> None:
+        """Closes the connections that have been idle for too long.
+
+        Args:
+            now: Time of the loop in seconds.
+        """
+        idle_before = now - self.bounds().idle_s
+        for connection in self.connections:
+            if connection.is_idle_since(idle_before) and not connection.note_progress(now):
+                connection.evict()
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -178,6 +178,37 @@
     server.stop(0)
 
 
+# The time in which a client took a long answer was counted as time without use.
+def test_a_connection_whose_client_still_takes_an_answer_is_not_idle():
+    size = 2_000_000
+
+    async def answer_at_length(_request, _token):
+        return message.Response(200, [], bytes(size))
+
+    server, address = start_server(answer_at_length)
+    now = event_loop.call(lambda: asyncio.get_running_loop().time())
+
+    def count_after_idle(periods):
+        """Lets so many limits of idle time pass, and returns how many connections are left."""
+        event_loop.call(lambda: server.close_idle(now + periods * 2 * httpd.IDLE_S))
+        return event_loop.call(lambda: len(server.connections))
+
+    with contextlib.closing(socket.socket()) as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(httpd.split_address(address))
+        client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        received = len(client.recv(1000))
+        while not server.connections.idle_count:  # Until the kernel has the rest of the answer.
+            received += len(client.recv(1000))
+        assert received < size
+        assert count_after_idle(1) == 1
+        while received < size:
+            received += len(client.recv(65536))
+        assert count_after_idle(2) == 1
+        assert count_after_idle(3) == 0
+    server.stop(0)
+
+
 def _send_and_read(address: str, *pieces: bytes) -> bytes:
     """Sends bytes and returns all bytes received until the server closes the connection."""
     with socket.create_connection(httpd.split_address(address), timeout=30) as sock:
