Tell the ends of requests without an answer apart in the soak

Cause: the soak of machines took every reset for a request that the node had not read.

Change: the kernel is asked every 0.02 s, by sock_diag, whether the node has accepted a connection and what it hasn't read. A reset later than 0.2 s after the last byte is a finding unless that shows until the end that the request wasn't read.

Test: the case of a reset without a run expected no finding; it is replaced by a stricter one, as such a reset is now LOST without a look that excuses it.

--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -10,7 +10,7 @@
 import attrs
 from absl import app, flags
 
-from soak.machines import checks, client, draw, fleet, machine, record, shape
+from soak.machines import checks, client, draw, ends, fleet, machine, record, shape
 
 S_PER_MINUTE = 60.0
 BEFORE_S, AFTER_S = 4.0, 1.0
@@ -58,15 +58,14 @@
 
 def count(rows: record.Record) -> str:
     """Returns what was seen, as one line."""
-    ends = collections.Counter(item.end for item in rows.attempts)
+    seen = collections.Counter(item.end for item in rows.attempts)
     statuses = collections.Counter(item.status for item in rows.attempts if item.end == "answer")
     steps = collections.Counter(
         item.what for item in rows.happenings if item.what.startswith(("step", "SIG"))
     )
-    unread = checks.count_unread(rows)
     return (
-        f"{len(rows.attempts)} requests {dict(ends)}, statuses {dict(statuses)},"
-        f" {unread} reset unread, {dict(steps)}"
+        f"{len(rows.attempts)} requests {dict(seen)}, statuses {dict(statuses)},"
+        f" without an answer {dict(ends.count(rows))}, {dict(steps)}"
     )
 
 
--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from soak.machines import record
+from soak.machines import ends, record
 
-GRACE_S, DRAIN_S, CONTACT_S, LOST_SLACK_S = 6.0, 2.0, 3.0, 0.2
+DRAIN_S, CONTACT_S = 2.0, 3.0
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
 LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut a request off.
 MOMENTS_S = (0.0, 0.5, 2.0, 3.0, 6.0)  # Of a stop, to count findings by.
@@ -46,17 +46,6 @@
     return sorted(found, key=lambda finding: finding.at)
 
 
-def count_unread(rows: record.Record) -> int:
-    """Returns how many whole requests were reset unread, with no kill of their node around."""
-    return sum(
-        item.end == "reset"
-        and item.sent is not None
-        and item.alone
-        and not _is_broken_off(rows, item, set())
-        for item in rows.attempts
-    )
-
-
 def _times(rows: record.Record, machine: int, whats: tuple[str, ...]) -> list[float]:
     return [item.at for item in rows.happenings if item.machine == machine and item.what in whats]
 
@@ -66,20 +55,13 @@
     begin = attempt.began if machines else attempt.connected
     return any(
         (item.machine == attempt.machine and "by itself" in item.detail)
-        or (item.machine == attempt.machine and _is_kill(rows, item))
-        or (item.machine in machines and (item.what == "server ends" or _is_kill(rows, item)))
+        or (item.machine == attempt.machine and ends.is_kill(rows, item))
+        or (item.machine in machines and (item.what == "server ends" or ends.is_kill(rows, item)))
         for item in rows.happenings
         if begin - 0.1 <= item.at <= attempt.ended + 0.1
     )
 
 
-def _is_kill(rows: record.Record, item: record.Happening) -> bool:
-    """Returns True for a SIGKILL, but for those at the end of `grace`, which belong to a stop."""
-    return item.what == "SIGKILL" and not any(
-        other.what == "grace is over" and other.detail == item.detail for other in rows.happenings
-    )
-
-
 def _find_lost(rows: record.Record, runs) -> list[Finding]:
     """LOST: a request that was read, or ran, has no whole answer, or one of the node instead."""
     found = []
@@ -88,10 +70,11 @@
         stops = [at for at in _times(rows, item.machine, ("SIGTERM",)) if at <= item.ended]
         since_s = item.ended - stops[-1] if stops else float("inf")
         if item.end in ("closed", "reset") and item.sent is not None:
-            was_read = item.end == "closed" and item.ended > item.sent + LOST_SLACK_S
-            is_lost = was_read or bool(at_server)
+            is_late = item.ended > item.sent + ends.LOST_SLACK_S
+            was_read = item.end == "closed" or not ends.is_known_unread(item)
+            is_lost = (is_late and was_read) or bool(at_server)
         else:
-            is_stopped = since_s < LAST_SIXTH * GRACE_S
+            is_stopped = since_s < LAST_SIXTH * ends.GRACE_S
             is_own = item.status in (502, 504) and not item.sealed
             is_own &= item.began is not None and item.ended < item.began + item.timeout_s
             is_lost = is_own and is_stopped and any(_is_at_work(run, item) for run in at_server)
@@ -119,6 +102,7 @@
     moment = moments[index] if index < len(moments) else "no stop"
     sender = "a server's call" if item.by.startswith("server") else item.by
     end = f"{item.end} {item.status or ''}".strip()
+    end += "" if item.end == "answer" else f" ({ends.name_end(rows, item)})"
     parts = [end, "ran" if ran else "did not run", sender, moment]
     return ", ".join(parts + ["as its process ends"] * is_exit)
 
--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -5,11 +5,12 @@
 
 import attrs
 
-from soak.machines import record, shape, wire
+from soak.machines import kernel, record, shape, wire
 
 CONNECT_S = 1.0
 REFUSED_PAUSE_S = 0.15
 PAUSES_S = ((0.0, 0.5), (0.5, 1.6), (1.9, 2.1))  # The limit of configuration.make is 2.
+LOOK_S = 0.02  # Between two looks at what the node has read.
 LAST_ANSWER_S = 1.0  # After the deadline.
 WORK_MS = (5, 30, 80, 150, 300, 800)
 
@@ -69,6 +70,7 @@
         self._rows, self._address, self._style, self._team = rows, address, style, team
         self._reader = self._writer = None
         self._connected = 0.0
+        self._written = self._answers = 0  # Bytes, and answers, on this connection.
 
     async def open_up(self) -> bool:
         """Connects; returns False if nobody listens."""
@@ -98,6 +100,7 @@
             attempt.alone = len(jobs) == 1
         self._rows.attempts += attempts
         answers = asyncio.create_task(self._read_answers(attempts))
+        looks = asyncio.create_task(self._look(attempts))
         try:
             async with asyncio.timeout(deadline_s + LAST_ANSWER_S):
                 for attempt, job in zip(attempts, jobs, strict=True):
@@ -112,7 +115,8 @@
             raise
         finally:
             answers.cancel()
-            await asyncio.gather(answers, return_exceptions=True)
+            looks.cancel()
+            await asyncio.gather(answers, looks, return_exceptions=True)
         self.open &= all(attempt.sent is not None for attempt in attempts)
         return attempts
 
@@ -121,7 +125,7 @@
         return record.Attempt(
             request_id, by, machine, service, "GET" if is_safe else "POST", job.path,
             wire.digest(self._make_body(request_id, job)), is_safe, connected=self._connected,
-            timeout_s=job.kind.timeout_ms / shape.MS_PER_S,
+            reused=self._answers > 0, timeout_s=job.kind.timeout_ms / shape.MS_PER_S,
         )  # fmt: skip
 
     def _make_body(self, request_id: str, job: Job) -> bytes:
@@ -136,10 +140,24 @@
             if answers.done():  # The node has answered early, or ended the connection.
                 return
             self._writer.write(piece)
+            self._written += len(piece)
             await self._writer.drain()
+        attempt.last_byte = self._written
         if not answers.done() and not self._writer.is_closing():
             attempt.sent = self._rows.now()
 
+    async def _look(self, attempts: list[record.Attempt]) -> None:
+        """Asks the kernel again and again what the node has read, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            pending = kernel.find_pending(self._writer)
+            now = self._rows.now()
+            for attempt in attempts if pending is not None else ():
+                attempt.looked, attempt.accepted = now, attempt.accepted or pending.accepted
+                is_taken = attempt.last_byte and self._written - pending.size >= attempt.last_byte
+                if attempt.taken is None and is_taken and pending.accepted:
+                    attempt.taken = now
+
     def _cut(self, attempt: record.Attempt, job: Job) -> list[tuple[bytes, float]]:
         """Returns the pieces of a request, and the pause before each."""
         style, body = self._style, self._make_body(attempt.id, job)
@@ -183,6 +201,7 @@
 
     def _finish(self, attempt: record.Attempt, message: wire.Message) -> None:
         attempt.ended, attempt.end, attempt.status = self._rows.now(), "answer", message.status
+        self._answers += 1
         size = int(attempt.path.split("/")[3])
         attempt.whole = message.body == wire.content(attempt.id, size)
         if message.status != 200:
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -19,6 +19,11 @@
             ``gave up`` (the calling server ended).
         got: Bytes of the answer that came.
         alone: False if other requests were sent on the connection before its answer.
+        reused: True if another request was answered on its connection before.
+        accepted: True once the node's process was seen to have accepted its connection.
+        looked: When the kernel was last asked what the node has read, see `kernel`.
+        last_byte: Place of its last byte on the connection, counted from 1.
+        taken: When the node was first seen to have read the last byte.
         timeout_s: Timeout of the route.
     """
 
@@ -40,6 +45,11 @@
     whole: bool = False
     sealed: bool = False
     alone: bool = True
+    reused: bool = False
+    accepted: bool = False
+    looked: float | None = None
+    last_byte: int = 0
+    taken: float | None = None
     timeout_s: float = 7.0
     text: str = ""
 
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -46,7 +46,11 @@
     [
         (["LOST"], {"status": 0, "end": "closed", "runs": 0}),
         (["LOST"], {"status": 0, "end": "reset"}),
-        ([], {"status": 0, "end": "reset", "runs": 0}),
+        (["LOST"], {"status": 0, "end": "reset", "runs": 0}),
+        (["LOST"], {"status": 0, "end": "reset", "runs": 0, "looked": 10.05}),
+        (["LOST"], {"status": 0, "end": "reset", "runs": 0, "looked": 10.4, "taken": 10.2}),
+        ([], {"status": 0, "end": "reset", "runs": 0, "looked": 10.4}),
+        ([], {"status": 0, "end": "reset", "runs": 0, "ended": 10.25}),
         ([], {"status": 0, "end": "closed", "runs": 0, "ended": 10.25}),
         ([], {"status": 0, "end": "closed", "runs": 0, "sent": None}),
         (["TWICE"], {"runs": 2}),
