Ask what a client has yet to take when its answer is written

Change: asked is also when the answer has been written. Only bytes that were not sent are counted: bytes that are sent and not acknowledged yet are there after any answer, and would double the limit of all clients.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -163,9 +163,10 @@
         return between_requests and self.idle_since < time
 
     def note_progress(self, now: float) -> bool:
-        """Returns whether the client has taken a part of the last answer since the last call.
+        """Returns whether the client has taken a part of the last answer since it was last asked.
 
         If so, the connection counts as active, as the client can't have sent another request.
+        Asked is also when the answer was written.
 
         Args:
             now: Time of the loop in seconds.
@@ -341,6 +342,7 @@
             await self._wait_until_written()
         self.token = None
         self.idle_since = self._event_loop.time()
+        self._unsent_bytes = self._count_unsent()
         if keep_alive and not self._reader.has_input:
             server.connections.mark_idle(self, self.idle_since)
         elif keep_alive and self._reader.in_head and not self._input_ended:
--- a/bergamotridge/util/send_queue.py
+++ b/bergamotridge/util/send_queue.py
@@ -3,7 +3,8 @@
 import fcntl
 import socket
 import struct
-import termios
+
+SIOCOUTQNSD = 0x894B  # Of Linux: counts what was not sent, without what is only unacknowledged.
 
 _COUNT = struct.Struct("=i")
 
@@ -14,6 +15,6 @@
     Returns 0 where the kernel doesn't tell.
     """
     try:
-        return _COUNT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size)))[0]
+        return _COUNT.unpack(fcntl.ioctl(sock.fileno(), SIOCOUTQNSD, bytes(_COUNT.size)))[0]
     except OSError:
         return 0
--- a/tests/test_util/test_httpd.py
+++ b/tests/test_util/test_httpd.py
@@ -179,7 +179,8 @@
 
 
 # The time in which a client took a long answer was counted as time without use.
-def test_a_connection_whose_client_still_takes_an_answer_is_not_idle():
+@pytest.mark.parametrize("looks", [[], [1], [1, 2]])
+def test_a_connection_whose_client_still_takes_an_answer_is_not_idle(looks):
     size = 2_000_000
 
     async def answer_at_length(_request, _token):
@@ -201,11 +202,25 @@
         while not server.connections.idle_count:  # Until the kernel has the rest of the answer.
             received += len(client.recv(1000))
         assert received < size
-        assert count_after_idle(1) == 1
+        for periods in looks:
+            received += len(client.recv(65536))
+            assert count_after_idle(periods) == 1
         while received < size:
             received += len(client.recv(65536))
-        assert count_after_idle(2) == 1
-        assert count_after_idle(3) == 0
+        assert count_after_idle(len(looks) + 1) == 1
+        assert count_after_idle(len(looks) + 2) == 0
+    server.stop(0)
+
+
+def test_a_connection_whose_answer_was_taken_at_once_is_idle_from_then_on():
+    server, address = start_server(echo)
+    now = event_loop.call(lambda: asyncio.get_running_loop().time())
+    with contextlib.closing(socket.create_connection(httpd.split_address(address))) as client:
+        client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        client.recv(1000)
+        processes.wait_until(lambda: server.connections.idle_count, "the answer is written")
+        event_loop.call(lambda: server.close_idle(now + 2 * httpd.IDLE_S))
+        assert client.recv(1000) == b""
     server.stop(0)
 
 
