Give servers of the soak faults while nodes around them stop

Until now all servers of the soak were sound but for their end.

Change: the step "server fault" lets a server answer before the body is read, twice, only in part, without a length and with a reset, reset its connection behind the answer, close connections with or without a word, refuse them at a bound of two, or crash and be replaced, for a share of the requests, while its node, a node that asks it, or both stop. Excused is only what RULES.md words so: LOST, "Not counted: the server broke off", for the last run of a request. A body that is read after the answer is compared too (UNASKED, "It gets other bytes where the rest of that body is due"), and bytes that are no request are UNASKED.

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from soak.machines import ends, record
+from soak.machines import ends, record, server_faults
 
 DRAIN_S, CONTACT_S = 2.0, 3.0
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
@@ -80,6 +80,8 @@
             is_lost = is_own and is_stopped and any(_is_at_work(run, item) for run in at_server)
         if not is_lost or _is_broken_off(rows, item, {run.machine for run in at_server}):
             continue
+        if at_server and at_server[-1].fault in server_faults.BREAK_OFF:
+            continue
         text = (
             f"{item.id} {item.by}, {item.method} {item.path}: connection lasted"
             f" {item.ended - item.connected:.2f}, ended ({item.end} {item.status})"
@@ -132,12 +134,18 @@
         item = attempts.get(run.id)
         if (
             item is None
-            or (run.method, run.path, run.digest) != (item.method, item.path, item.digest)
+            or (run.method, run.path) != (item.method, item.path)
+            or run.digest not in ("", item.digest)
             or run.caller_service != item.service
         ):
             found.append(Finding("UNASKED", run.at, run.machine, f"{run}, sent: {item}"))
         if run.host != f"{run.service}.test":
             found.append(Finding("ROUTE", run.at, run.machine, f"{run}"))
+    found += [
+        Finding("UNASKED", item.at, item.machine, f"{item.what}: {item.detail}")
+        for item in rows.happenings
+        if item.what == "server reads no request"
+    ]
     return found
 
 
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from soak.machines import server_faults
+
 MEAN_GAP_S = 1.3
 
 
@@ -89,6 +91,18 @@
     }
 
 
+def _draw_server_fault(rng: random.Random, machines: int) -> dict:
+    return {
+        "fault": rng.choice(server_faults.ALL),
+        "share": rng.choice((0.2, 0.5, 1.0)),
+        "after": round(rng.uniform(0.0, 2.0), 3),
+        "for": round(rng.uniform(0.5, 4.0), 3),
+        "service": rng.random(),
+        "stops": rng.choice(("own", "asking", "both")),
+        "stop": _draw_stop(rng, machines),
+    }
+
+
 def _draw_pause(rng: random.Random, machines: int) -> dict:
     return {"pause": round(rng.uniform(0.05, 1.5), 3)}
 
@@ -111,4 +125,5 @@
     "leave": (3, _draw_leave),
     "configure": (3, _draw_series),
     "store": (2, _draw_store),
+    "server fault": (4, _draw_server_fault),
 }
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -13,6 +13,7 @@
     machine,
     record,
     server,
+    server_faults,
     shape,
     store,
 )
@@ -140,6 +141,8 @@
             await self._kill(chosen, values["pause"])
         elif step.kind == "leave":
             await self._leave(item, values)
+        elif step.kind == "server fault":
+            await self._disturb_server(item, values)
         elif step.kind == "store":
             self._store.trouble = values["trouble"]
             await asyncio.sleep(values["for"])
@@ -161,6 +164,36 @@
         self._store.write("config", "main", configuration.make(self._shape, self._version))
         self.rows.happen("configuration", 0, f"r{self._version}")
 
+    def _find_server(self, item: machine.Machine, share: float) -> machine.Machine:
+        """Returns another machine whose server runs a drawn service, any other if there is none."""
+        others = [other for other in self._machines if other is not item]
+        service = self._draw_service(share)
+        return next((other for other in others if other.service == service), others[0])
+
+    async def _disturb_server(self, item: machine.Machine, values: dict) -> None:
+        """A server has a fault while its node stops, or a node that asks it."""
+        other = self._find_server(item, values["service"])
+        stopping = {"own": (item,), "asking": (other,), "both": (item, other)}[values["stops"]]
+        stops = [asyncio.create_task(self._stop(node, values["stop"])) for node in stopping]
+        await asyncio.sleep(values["after"])
+        if values["fault"] == server_faults.REPLACED:
+            await self._replace_server(item, values["for"])
+        else:
+            faults = item.server.faults
+            await server_faults.put_in_force(
+                faults, values["fault"], values["share"], values["for"]
+            )
+        await asyncio.gather(*stops)
+
+    async def _replace_server(self, item: machine.Machine, pause_s: float) -> None:
+        """A server crashes, and the next one starts at its address."""
+        if item.server.ended:
+            return
+        item.server.end()
+        await asyncio.sleep(pause_s)
+        if item.server.ended:
+            await self._start_server(item)
+
     async def _stop(self, item: machine.Machine, values: dict) -> None:
         """Stops a node as planned, with clients that come at that time, and starts the next."""
         if item.replaces or item.process.popen.returncode is not None:
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -56,7 +56,13 @@
 
 @attrs.define
 class Run:
-    """One request as a server saw it; `status` is 0 until it is answered, -1 if it was cut."""
+    """One request as a server saw it.
+
+    Attributes:
+        status: Status of the answer, 0 until it is answered, -1 if it was cut.
+        digest: Digest of the body; empty if the server had answered before it read that.
+        fault: What the server does to its answer, see `server_faults`; empty if it is sound.
+    """
 
     id: str
     server: str
@@ -70,6 +76,7 @@
     host: str = ""
     ended: float | None = None
     status: int = 0
+    fault: str = ""
 
 
 @attrs.frozen
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from soak.machines import client, record, shape, wire
+from soak.machines import client, record, server_faults, shape, wire
 
 PORT, CONTROL_PORT = 8547, 8540
 HEARTBEAT_S = 1.5
@@ -20,6 +20,7 @@
     def __init__(self, rows: record.Record, machine, of: shape.Shape) -> None:
         self.id = f"i-{machine.number}-{random.getrandbits(32):08x}"
         self.ended = False
+        self.faults = server_faults.Faults()
         self._rows, self._machine, self._shape = rows, machine, of
         self._service = of.service(machine.service)
         self._slots = asyncio.Semaphore(self._service.slots)
@@ -97,7 +98,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer) -> None:
-        if len(self._writers) >= self._service.connections:
+        if len(self._writers) >= self.faults.limit(self._service.connections):
             writer.transport.abort()
             return
         self._tasks.add(task := asyncio.current_task())
@@ -107,6 +108,8 @@
                 pass
         except (wire.EndedError, ConnectionError, asyncio.CancelledError):
             pass
+        except (ValueError, asyncio.LimitOverrunError) as error:
+            self._rows.happen("server reads no request", self._machine.number, repr(error))
         finally:
             self._tasks.discard(task)
             self._writers.discard(writer)
@@ -115,7 +118,22 @@
     async def _serve_one(self, reader, writer) -> bool:
         """Returns False if the connection is to end."""
         message = await wire.read_head(reader)
+        fault = self.faults.draw()
+        if fault != server_faults.EARLY:
+            await wire.read_body(reader, message)
+        is_kept = await self._answer(message, fault, writer)
+        if fault == server_faults.EARLY:
+            await self._read_late_body(reader, message)
+        return is_kept
+
+    async def _read_late_body(self, reader, message: wire.Message) -> None:
+        """Reads the body of a request that has been answered before."""
         await wire.read_body(reader, message)
+        for run in self._rows.runs:
+            if run.server == self.id and run.id == message.fields.get("request-id"):
+                run.digest = wire.digest(message.body)
+
+    async def _answer(self, message: wire.Message, fault: str, writer) -> bool:
         _, path, _ = message.start.split(" ")
         fields = message.fields
         request_id = fields.get("request-id", "")
@@ -131,7 +149,7 @@
             if path == "/health":
                 writer.write(wire.encode("HTTP/1.1 200 OK", {"Instance-Id": self.id}))
                 return True
-            return await self._run(self._record_run(message), fields, writer)
+            return await self._run(self._record_run(message, fault), fields, writer)
         finally:
             self._give_slot_back()
 
@@ -154,14 +172,16 @@
         self._held -= 1
         self._slots.release()
 
-    def _record_run(self, message: wire.Message) -> record.Run:
+    def _record_run(self, message: wire.Message, fault: str) -> record.Run:
         method, path, _ = message.start.split(" ")
         fields = message.fields
         run = record.Run(
             fields.get("request-id", ""), self.id, self._machine.number, self._rows.now(), method,
             path, wire.digest(message.body), fields.get("caller-service", ""), self._service.name,
-            fields.get("host", ""), status=-1,
+            fields.get("host", ""), status=-1, fault=fault,
         )  # fmt: skip
+        if fault == server_faults.EARLY:
+            run.digest = ""  # The body isn't read yet.
         self._rows.runs.append(run)
         return run
 
@@ -179,9 +199,14 @@
         status = 504 if int(work_ms) / 1000 > left_s else 200 if good else 500
         answer = {"Request-Id": run.id, "Response-Seal": f"s.{self.id}.{run.id}"}
         body = wire.content(run.id, int(size)) if status == 200 else b"failed"
-        await self._send_answer(writer, f"HTTP/1.1 {status} X", answer, body, mode)
+        start = f"HTTP/1.1 {status} X"
+        if run.fault:
+            is_kept = await server_faults.send(writer, run.fault, start, answer, body)
+        else:
+            await self._send_answer(writer, start, answer, body, mode)
+            is_kept = mode != "close"
         run.status = status
-        return mode != "close"
+        return is_kept
 
     async def _make_calls(self, kind: shape.Kind, depth: int) -> bool:
         """Makes the calls of a run, one after the other; returns False if one fails."""
