--- a/soak/machines/ends.py
+++ b/soak/machines/ends.py
@@ -11,6 +11,7 @@
 NOT_WHOLE = "not sent whole"
 LISTENER = "listener closed in a stop"
 CROSSING = "idle close that crosses"
+BEHIND_LAST = "behind an answer that closes"
 DEADLINE = "client's deadline"
 CALLER_ENDED = "calling server ended"
 OTHER = "other"
@@ -34,7 +35,9 @@
     if is_known_unread(item) and not item.accepted and _is_stopping(rows, item):
         return LISTENER
     is_at_once = item.ended <= item.sent + LOST_SLACK_S
-    if item.taken is None and item.reused and is_at_once:
+    if item.taken is None and is_at_once and item.end == "closed" and not item.alone:
+        return BEHIND_LAST
+    if item.taken is None and is_at_once and item.reused:
         return CROSSING
     return OTHER
 
