--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -77,6 +77,9 @@
     flags.DEFINE_integer("hosts", 8, "machines of the fleet", lower_bound=4, upper_bound=16)
     flags.DEFINE_string("shape", "any", "name of a shape in soak/machines/shapes, or a TOML file")
     flags.DEFINE_list("styles", [], "ways in which clients send, by name; all if empty")
+    flags.DEFINE_multi_enum(
+        "step", [], tuple(draw.KINDS), "kinds of scenarios; all if none is given"
+    )
     flags.DEFINE_string("tree", str(machine.OWN_TREE), "work tree whose nodes are started")
     flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
     flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
@@ -114,7 +117,9 @@
     of = attrs.evolve(of, styles=tuple(values.styles) or of.styles)
     for seed in range(values.seed, values.seed + values.seeds):
         duration_s = values.minutes * S_PER_MINUTE
-        plan = draw.draw_plan(seed, duration_s, values.hosts, len(client.STYLES), of.clients)
+        plan = draw.draw_plan(
+            seed, duration_s, values.hosts, len(client.STYLES), of.clients, values.step
+        )
         if values.plan:
             print(f"seed {seed}", *plan.to_lines(), sep="\n")
             continue
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -1,6 +1,7 @@
 """Draws from a seed what is done to the machines, and when."""
 
 import random
+from collections.abc import Collection
 
 import attrs
 
@@ -34,12 +35,20 @@
         return [f"{step.at:6.2f} {step.kind} {step.machine} {step.values}" for step in self.steps]
 
 
-def draw_plan(seed: int, duration_s: float, machines: int, styles: int, each: int = 4) -> Plan:
-    """Draws the plan of a seed, with `each` clients on each machine."""
+def draw_plan(
+    seed: int,
+    duration_s: float,
+    machines: int,
+    styles: int,
+    each: int = 4,
+    kinds: Collection[str] = (),
+) -> Plan:
+    """Draws the plan of a seed, with `each` clients on each machine and of these kinds or all."""
     rng = random.Random(seed)
-    steps, at, weights = [], 0.0, [weight for weight, _ in KINDS.values()]
+    chosen = kinds or tuple(KINDS)
+    steps, at, weights = [], 0.0, [KINDS[kind][0] for kind in chosen]
     while (at := at + rng.expovariate(1.0 / MEAN_GAP_S)) < duration_s:
-        kind = rng.choices(tuple(KINDS), weights)[0]
+        kind = rng.choices(tuple(chosen), weights)[0]
         machine = rng.randint(1, machines)
         steps.append(Step(round(at, 3), kind, machine, KINDS[kind][1](rng, machines)))
     clients = [(index % machines + 1, rng.randrange(styles)) for index in range(each * machines)]
@@ -103,6 +112,19 @@
     }
 
 
+def _draw_both(rng: random.Random, machines: int) -> dict:
+    """Draws stops of the node that takes requests and of one beside a server, at about one time."""
+    stops = {"asking": _draw_stop(rng, machines), "asked": _draw_stop(rng, machines)}
+    lead = rng.uniform(0.05, 1.5)
+    for values in stops.values():
+        values["lead"] = round(lead + rng.uniform(0.0, 0.5), 3)
+        if rng.random() < 0.3:  # Frozen while an answer may be on its way back.
+            at = round(rng.uniform(0.0, 4.0), 3)
+            freeze = [(at, "SIGSTOP"), (round(at + rng.uniform(0.05, 0.8), 3), "SIGCONT")]
+            values["also"] = sorted([*values["also"], *freeze])
+    return stops | {"service": rng.random()}
+
+
 def _draw_pause(rng: random.Random, machines: int) -> dict:
     return {"pause": round(rng.uniform(0.05, 1.5), 3)}
 
@@ -126,4 +148,5 @@
     "configure": (3, _draw_series),
     "store": (2, _draw_store),
     "server fault": (4, _draw_server_fault),
+    "both": (3, _draw_both),
 }
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -143,6 +143,10 @@
             await self._leave(item, values)
         elif step.kind == "server fault":
             await self._disturb_server(item, values)
+        elif step.kind == "both":
+            other = self._find_server(item, values["service"])
+            stops = (self._stop(item, values["asking"]), self._stop(other, values["asked"]))
+            await asyncio.gather(*stops)
         elif step.kind == "store":
             self._store.trouble = values["trouble"]
             await asyncio.sleep(values["for"])
--- a/tests/test_soak/test_server_faults.py
+++ b/tests/test_soak/test_server_faults.py
@@ -117,3 +117,22 @@
         if step.kind == "server fault"
     ]
     assert {step.values["fault"] for step in steps} == set(server_faults.ALL)
+
+
+def test_both_nodes_of_a_request_are_stopped_at_about_one_time_and_at_times_frozen():
+    steps = [
+        step
+        for seed in range(20)
+        for step in draw.draw_plan(seed, 60.0, 8, 8).steps
+        if step.kind == "both"
+    ]
+    leads = [abs(step.values["asking"]["lead"] - step.values["asked"]["lead"]) for step in steps]
+    assert max(leads) <= 0.5
+    for side in ("asking", "asked"):
+        signals = [name for step in steps for _, name in step.values[side]["also"]]
+        assert signals.count("SIGSTOP") == signals.count("SIGCONT") > 0
+
+
+def test_only_the_kinds_of_scenarios_that_are_named_are_drawn():
+    plan = draw.draw_plan(1, 60.0, 8, 8, kinds=("both", "store"))
+    assert {step.kind for step in plan.steps} == {"both", "store"}
