--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -10,7 +10,7 @@
 import attrs
 from absl import app, flags
 
-from soak.machines import checks, client, draw, fleet, machine, record, shape
+from soak.machines import checks, client, draw, ends, fleet, machine, record, shape
 
 S_PER_MINUTE = 60.0
 BEFORE_S, AFTER_S = 4.0, 1.0
@@ -58,15 +58,14 @@
 
 def count(rows: record.Record) -> str:
     """Returns what was seen, as one line."""
-    ends = collections.Counter(item.end for item in rows.attempts)
+    seen = collections.Counter(item.end for item in rows.attempts)
     statuses = collections.Counter(item.status for item in rows.attempts if item.end == "answer")
     steps = collections.Counter(
         item.what for item in rows.happenings if item.what.startswith(("step", "SIG"))
     )
-    unread = checks.count_unread(rows)
     return (
-        f"{len(rows.attempts)} requests {dict(ends)}, statuses {dict(statuses)},"
-        f" {unread} reset unread, {dict(steps)}"
+        f"{len(rows.attempts)} requests {dict(seen)}, statuses {dict(statuses)},"
+        f" without an answer {dict(ends.count(rows))}, {dict(steps)}"
     )
 
 
@@ -78,6 +77,9 @@
     flags.DEFINE_integer("hosts", 8, "machines of the fleet", lower_bound=4, upper_bound=16)
     flags.DEFINE_string("shape", "any", "name of a shape in soak/machines/shapes, or a TOML file")
     flags.DEFINE_list("styles", [], "ways in which clients send, by name; all if empty")
+    flags.DEFINE_multi_enum(
+        "step", [], tuple(draw.KINDS), "kinds of scenarios; all if none is given"
+    )
     flags.DEFINE_string("tree", str(machine.OWN_TREE), "work tree whose nodes are started")
     flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
     flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
@@ -115,7 +117,9 @@
     of = attrs.evolve(of, styles=tuple(values.styles) or of.styles)
     for seed in range(values.seed, values.seed + values.seeds):
         duration_s = values.minutes * S_PER_MINUTE
-        plan = draw.draw_plan(seed, duration_s, values.hosts, len(client.STYLES), of.clients)
+        plan = draw.draw_plan(
+            seed, duration_s, values.hosts, len(client.STYLES), of.clients, values.step
+        )
         if values.plan:
             print(f"seed {seed}", *plan.to_lines(), sep="\n")
             continue
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -19,6 +19,11 @@
             ``gave up`` (the calling server ended).
         got: Bytes of the answer that came.
         alone: False if other requests were sent on the connection before its answer.
+        reused: True if another request was answered on its connection before.
+        accepted: True once the node's process was seen to have accepted its connection.
+        looked: When the kernel was last asked what the node has read, see `kernel`.
+        last_byte: Place of its last byte on the connection, counted from 1.
+        taken: When the node was first seen to have read the last byte.
         timeout_s: Timeout of the route.
     """
 
@@ -40,13 +45,24 @@
     whole: bool = False
     sealed: bool = False
     alone: bool = True
+    reused: bool = False
+    accepted: bool = False
+    looked: float | None = None
+    last_byte: int = 0
+    taken: float | None = None
     timeout_s: float = 7.0
     text: str = ""
 
 
 @attrs.define
 class Run:
-    """One request as a server saw it; `status` is 0 until it is answered, -1 if it was cut."""
+    """One request as a server saw it.
+
+    Attributes:
+        status: Status of the answer, 0 until it is answered, -1 if it was cut.
+        digest: Digest of the body; empty if the server had answered before it read that.
+        fault: What the server does to its answer, see `server_faults`; empty if it is sound.
+    """
 
     id: str
     server: str
@@ -60,6 +76,7 @@
     host: str = ""
     ended: float | None = None
     status: int = 0
+    fault: str = ""
 
 
 @attrs.frozen
