--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -143,6 +143,8 @@
         try:
             await asyncio.wait_for(process.popen.wait(), max(0.0, deadline - now))
         except TimeoutError:
+            if process.popen.returncode is not None:  # It has ended, and the loop tells it late.
+                return
             if process.gone_at is None or process.gone_at > deadline:
                 self._rows.happen("grace is over", self.number, f"{process.popen.pid}")
                 self.send(process, signal.SIGKILL)
