Count the answers to slow readers from their head in the check on timeouts

Change: clients note when the head of an answer has come. It counts for clients that pause while they read, and for answers that are still being read when the client gives up; for all others the end of the answer counts, as before. An answer that began late is found now also where its client gave up reading it.

--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -128,6 +128,7 @@
             request_id, by, machine, service, "GET" if is_safe else "POST", job.path,
             wire.digest(self._make_body(request_id, job)), is_safe, connected=self._connected,
             reused=self._answers > 0, timeout_s=job.kind.timeout_ms / shape.MS_PER_S, key=job.key,
+            reads_slowly=self._style.read_pause_s > 0,
         )  # fmt: skip
 
     def _make_body(self, request_id: str, job: Job) -> bytes:
@@ -189,6 +190,7 @@
             message = wire.Message("", {})
             try:
                 message = await wire.read_head(self._reader)
+                attempt.head_at = self._rows.now()
                 attempt.sealed = "response-seal" in message.fields
                 await wire.read_body(self._reader, message, True, self._style.read_pause_s)
             finally:
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -28,6 +28,8 @@
         taken: When the node was first seen to have read the last byte.
         timeout_s: Timeout of the route.
         key: Key that was sent; empty on a public route.
+        reads_slowly: True if its client pauses while it reads.
+        head_at: When the head of the answer had come.
     """
 
     id: str
@@ -56,6 +58,8 @@
     timeout_s: float = 7.0
     text: str = ""
     key: str = ""
+    reads_slowly: bool = False
+    head_at: float | None = None
 
 
 @attrs.define
--- a/soak/machines/timeout_checks.py
+++ b/soak/machines/timeout_checks.py
@@ -1,6 +1,7 @@
 """Checks that requests which last longer than their route's timeout are answered soon after it.
 
-A request is left out if the stand-ins stood still meanwhile, as its answer may have come in time.
+The answer to a client that reads slowly counts from its head. A request is left out if the
+stand-ins stood still meanwhile, as its answer may have come in time.
 """
 
 from collections.abc import Iterator
@@ -38,5 +39,7 @@
     """Returns True if a request that was sent whole had no answer `by_s` after its timeout."""
     if item.sent is None or item.ended is None or not item.alone:
         return False
-    is_being_read = item.end == "timeout" and item.got > 0
-    return not is_being_read and item.ended > item.sent + item.timeout_s + by_s
+    answered = item.ended
+    if item.head_at is not None and (item.reads_slowly or item.end == "timeout"):
+        answered = item.head_at
+    return answered > item.sent + item.timeout_s + by_s
--- a/tests/test_soak/test_machine_timeout_checks.py
+++ b/tests/test_soak/test_machine_timeout_checks.py
@@ -45,7 +45,13 @@
 
 
 @pytest.mark.parametrize(
-    "excuse", [{"sent": None}, {"alone": False}, {"status": 0, "end": "timeout", "got": 900}]
+    "excuse",
+    [
+        {"sent": None},
+        {"alone": False},
+        {"status": 0, "end": "timeout", "head_at": AT + 1.0},
+        {"reads_slowly": True, "head_at": AT + 1.0},
+    ],
 )
 def test_a_client_that_is_late_itself_is_excused(excuse):
     rows = record.Record()
@@ -53,6 +59,21 @@
     assert count_found(rows) == 0
 
 
+@pytest.mark.parametrize(
+    "late",
+    [
+        {"status": 0, "end": "timeout", "head_at": AT + TIMEOUT_S + 0.6},
+        {"reads_slowly": True, "head_at": AT + TIMEOUT_S + 0.6},
+        {"reads_slowly": True, "end": "timeout"},
+        {"head_at": AT + 1.0},
+    ],
+)
+def test_a_late_head_is_found_and_a_late_end_where_the_client_reads_at_once(late):
+    rows = record.Record()
+    add_requests(rows, 8, TIMEOUT_S + 2.0, **late)
+    assert count_found(rows) == 8
+
+
 @pytest.mark.parametrize(("number", "found"), [(1, 0), (2, 8)])
 def test_only_machines_in_touch_are_late(number, found):
     rows = record.Record()
