Revert "Don't take an ended process of the soak for one to kill"

With a late loop it could also hide a process that did outlast its grace time, so it isn't as strict as the check was, and whether to change that check is for the lead to decide.

--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -121,8 +121,6 @@
         try:
             await asyncio.wait_for(process.popen.wait(), GRACE_S)
         except TimeoutError:
-            if process.popen.returncode is not None:  # It has ended, and the loop tells it late.
-                return
             self._rows.happen("grace is over", self.number, f"{process.popen.pid}")
             self.send(process, signal.SIGKILL)
             await process.popen.wait()
