Let more requests meet the faults of servers in the soak

A fault began up to 2 s after its step, when the node beside had often begun to refuse, and the end of one fault ended another that had begun meanwhile.

Change: a fault begins within 0.3 s of its step and lasts 1.5 to 5 s, and ends only itself.

--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -103,9 +103,9 @@
 def _draw_server_fault(rng: random.Random, machines: int) -> dict:
     return {
         "fault": rng.choice(server_faults.ALL),
-        "share": rng.choice((0.2, 0.5, 1.0)),
-        "after": round(rng.uniform(0.0, 2.0), 3),
-        "for": round(rng.uniform(0.5, 4.0), 3),
+        "share": rng.choice((0.3, 0.6, 1.0)),
+        "after": round(rng.uniform(0.0, 0.3), 3),  # A node that stops asks its server less.
+        "for": round(rng.uniform(1.5, 5.0), 3),
         "service": rng.random(),
         "stops": rng.choice(("own", "asking", "both")),
         "stop": _draw_stop(rng, machines),
--- a/soak/machines/server_faults.py
+++ b/soak/machines/server_faults.py
@@ -48,7 +48,8 @@
     """Lets a server have a fault for a time."""
     faults.kind, faults.share = kind, share
     await asyncio.sleep(for_s)
-    faults.kind = ""
+    if faults.kind == kind:  # Another may have begun meanwhile.
+        faults.kind = ""
 
 
 async def send(writer: asyncio.StreamWriter, fault: str, start: str, fields: dict, body: bytes):
--- a/tests/test_soak/test_server_faults.py
+++ b/tests/test_soak/test_server_faults.py
@@ -75,6 +75,21 @@
     assert faults.draw() == ""
 
 
+def test_the_end_of_a_fault_leaves_a_later_one_in_force():
+    faults = server_faults.Faults()
+
+    async def disturb():
+        first = asyncio.create_task(
+            server_faults.put_in_force(faults, server_faults.CUT, 1.0, 0.001)
+        )
+        await asyncio.sleep(0)
+        faults.kind = server_faults.TWICE
+        await first
+
+    asyncio.run(disturb())
+    assert faults.draw() == server_faults.TWICE
+
+
 @pytest.mark.parametrize(
     ("fault", "rules"),
     [(fault, [] if fault in server_faults.BREAK_OFF else ["LOST"]) for fault in server_faults.ALL],
