--- a/bench/run.py
+++ b/bench/run.py
@@ -11,6 +11,7 @@
     "membership": "bench.membership",
     "once": "bench.once",
     "connections": "bench.connections",
+    "restarts": "bench.restarts",
 }
 
 
