Repeat a refused health check until the next report is due

Cause: a process that follows another asks the upstream on its host for proof once for each report that it holds back. A check that is refused, as the upstream is full, or that gets no answer in time costs a whole interval of reports (1.5 s), and up to 6 s if it happens again.

Change: after 503 or no answer the check is made again every 0.25 s until the next report is due, never two at a time; a report that comes meanwhile is asked for at once, as before. What counts as proof is unchanged, and so is every test of it: an answer of the upstream itself that it is alive and not leaving. Two other ways were weighed and not taken, as they can't tell of a leave that was confirmed just before the kill: calls that the upstream makes (one that leaves makes them too) and the word of peers (it is older than the kill).

Failed before: two tests of test_report_check.py, on repetition before the next report.

--- a/bergamotridge/upstreams/report_check.py
+++ b/bergamotridge/upstreams/report_check.py
@@ -1,6 +1,7 @@
 """Asks the upstream on this host for proof that it lives, where its reports alone are none."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from concurrent import futures
 from typing import Protocol
 
@@ -10,7 +11,9 @@
 from bergamotridge.util import http_client, loop, message
 
 PROBE_TIMEOUT_S = 1.0
+REPEAT_PAUSE_S = 0.25
 OK_STATUS = 200
+BUSY_STATUS = 503
 
 OnAnnouncement = Callable[[announcements.Announcement, float], None]
 # Returns the id of the upstream that made a response to a health check, "" if it doesn't say.
@@ -39,8 +42,9 @@
 class ReportCheck:
     """Passes on the reports that count; makes a health check for one that does not; for one loop.
 
-    An upstream that is full may refuse a health check, so each report that is held back has its
-    own; there is never more than one under way.
+    An upstream that is full may refuse a health check, or leave it unanswered. So each report that
+    is held back has its own, which is repeated until the next report is due; there is never more
+    than one under way.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         pools: http_client.Pools,
         event_loop: loop.Loop,
         clock: Callable[[], float],
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         """Creates a check.
 
@@ -65,6 +70,7 @@
             pools: Connection pools by address.
             event_loop: Loop on which `receive` is called.
             clock: Returns the monotonic time in seconds.
+            sleep: Waits for a number of seconds.
         """
         self._proof = proof
         self._health_path = health_path
@@ -74,6 +80,7 @@
         self._pools = pools
         self._loop = event_loop
         self._clock = clock
+        self._sleep = sleep
         self._asked: announcements.Announcement | None = None
         self._is_asking = False
 
@@ -109,15 +116,31 @@
             self._loop.submit(self._probe(held, path)).add_done_callback(_raise_error)
 
     async def _probe(self, asked: announcements.Announcement, path: str) -> None:
+        """Asks the upstream until it answers or its next report is due."""
+        repeats_until = self._clock() + self._proof.heartbeat_s
+        while await self._ask(asked, path):
+            await self._sleep(REPEAT_PAUSE_S)
+            if self._asked is not asked:
+                return
+            if self._proof.held is not asked:
+                self._start_probe()
+                return
+            if self._clock() >= repeats_until:
+                return
+
+    async def _ask(self, asked: announcements.Announcement, path: str) -> bool:
+        """Makes one health check; returns whether another one may have a better result."""
         request = message.Request(b"GET", path.encode(), [(b"host", asked.address.encode())], b"")
-        instance = ""
+        instance, status = "", None
+        self._is_asking = True
         try:
             response = await self._pools.pool_for(asked.address).send(request, PROBE_TIMEOUT_S)
         except http_client.TransferError as error:
             result = f"no answer: {error}"
         else:
-            result = f"status {response.status}"
-            if response.status == OK_STATUS:
+            status = response.status
+            result = f"status {status}"
+            if status == OK_STATUS:
                 instance = self._read_instance(response)
                 result += f" of upstream '{instance}'" if instance else " without an id"
         finally:
@@ -127,6 +150,7 @@
         if believed is not None:
             self._apply(believed, self._clock())
             self._observer.record_proof(believed)
+        return status in (None, BUSY_STATUS)
 
 
 def _raise_error(done: futures.Future) -> None:
--- a/bergamotridge/upstreams/report_proof.py
+++ b/bergamotridge/upstreams/report_proof.py
@@ -63,6 +63,11 @@
         self._proven: notice.UpstreamId | None = None
         self._instance_alive = ""
 
+    @property
+    def heartbeat_s(self) -> float:
+        """Seconds between two reports."""
+        return self._heartbeat_s
+
     @property
     def held(self) -> announcements.Announcement | None:
         """The latest report that is held back, None if there is none."""
--- a/tests/test_upstreams/test_report_check.py
+++ b/tests/test_upstreams/test_report_check.py
@@ -6,15 +6,22 @@
 import pytest
 
 from bergamotridge import verdict
+from bergamotridge.nodes import record
 from bergamotridge.upstreams import report_check, report_proof
 from bergamotridge.util import http_client, message
 from tests import event_loop
 from tests.test_upstreams import test_report_proof
 
 AS_OLD_AS_MAY_BE_MS = test_report_proof.START_MS + report_proof.MIN_LIFE_MS
+STEP_S = 0.05
 ALIVE = message.Response(200, [(b"id", b"i-1")], b"")
 
 
+FULL = message.Response(503, [], b"")
+UNANSWERED = http_client.TransferError("no answer in time", verdict.Verdict.MAY_HAVE_RUN)
+HEARTBEAT_S = test_report_proof.HEARTBEAT_S
+
+
 @attrs.define
 class Beside:
     """Everything beside the check: configuration, upstream, loop, and what it was told."""
@@ -24,6 +31,9 @@
     targets: list = attrs.field(factory=list)
     applied: list = attrs.field(factory=list)
     told: list = attrs.field(factory=list)
+    answers: list = attrs.field(factory=list)  # Before `answer`.
+    sleepers: list = attrs.field(factory=list)
+    now: float = 7.0
 
     def make_check(self):
         proof = report_proof.ReportProof(AS_OLD_AS_MAY_BE_MS, test_report_proof.HEARTBEAT_S)
@@ -35,9 +45,24 @@
             self,
             self,
             self,
-            lambda: 7.0,
+            lambda: self.now,
+            self.sleep,
         )
 
+    async def sleep(self, pause_s):
+        until, ended = self.now + pause_s, asyncio.Event()
+        self.sleepers.append((until, ended))
+        await ended.wait()
+
+    async def advance(self, duration_s):
+        """Lets time pass in small steps."""
+        for _ in range(round(duration_s / STEP_S)):
+            self.now += STEP_S
+            for until, ended in self.sleepers:
+                if until <= self.now + STEP_S / 2:
+                    ended.set()
+            await settle()
+
     def submit(self, coroutine):
         return asyncio.ensure_future(coroutine)
 
@@ -48,9 +73,10 @@
     async def send(self, request, timeout_s):
         assert timeout_s <= 1.0
         self.targets.append(request.target)
-        if isinstance(self.answer, Exception):
-            raise self.answer
-        return self.answer
+        answer = self.answers.pop(0) if self.answers else self.answer
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
 
     def record_held(self, received):
         self.told.append("held")
@@ -62,16 +88,19 @@
         self.told.append("proven")
 
 
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
 def receive(beside, *sequences, then=lambda check: None):
     async def run():
         check = beside.make_check()
         for now, sequence in enumerate(sequences):
             check.receive(test_report_proof.announce(sequence), 0.1 * now)
-            for _ in range(5):
-                await asyncio.sleep(0)
+            await settle()
         then(check)
-        for _ in range(5):
-            await asyncio.sleep(0)
+        await settle()
 
     event_loop.run(run())
 
@@ -111,3 +140,82 @@
     receive(beside, 1, 2, then=configure)
     assert beside.targets == [b"/alive"]
     assert beside.applied == [2]
+
+
+# A live upstream was served a heartbeat later for each check that it refused, as it was full.
+def test_a_check_that_was_refused_or_unanswered_is_repeated_before_the_next_report():
+    beside = Beside(answers=[FULL, UNANSWERED, FULL])
+
+    async def run():
+        check = beside.make_check()
+        check.receive(test_report_proof.announce(1), beside.now)
+        await beside.advance(HEARTBEAT_S - STEP_S)
+
+    event_loop.run(run())
+    assert beside.applied == [1]
+    assert len(beside.targets) == 4
+    assert beside.told[-2:] == ["status 200 of upstream 'i-1'", "proven"]
+
+
+@pytest.mark.parametrize("answer", [FULL, UNANSWERED])
+def test_a_check_is_repeated_only_until_the_next_report_is_due(answer):
+    beside = Beside(answer)
+
+    async def run():
+        check = beside.make_check()
+        check.receive(test_report_proof.announce(1), beside.now)
+        await beside.advance(HEARTBEAT_S)
+        repeats = len(beside.targets)
+        await beside.advance(10 * HEARTBEAT_S)
+        assert len(beside.targets) == repeats
+
+    event_loop.run(run())
+    assert beside.applied == []
+
+
+def test_a_check_is_not_repeated_after_the_upstream_has_said_that_it_leaves():
+    beside = Beside(answers=[FULL])
+
+    async def run():
+        check = beside.make_check()
+        check.receive(test_report_proof.announce(1), beside.now)
+        await settle()
+        draining = test_report_proof.announce(2, state=record.State.DRAINING)
+        check.receive(draining, beside.now)
+        await beside.advance(HEARTBEAT_S)
+
+    event_loop.run(run())
+    assert beside.applied == [2]
+    assert len(beside.targets) == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [message.Response(200, [], b""), message.Response(200, [(b"id", b"i-2")], b"")],
+    ids=["unnamed", "another"],
+)
+def test_a_check_that_has_an_answer_is_not_repeated(answer):
+    beside = Beside(answer)
+
+    async def run():
+        check = beside.make_check()
+        check.receive(test_report_proof.announce(1), beside.now)
+        await beside.advance(2 * HEARTBEAT_S)
+
+    event_loop.run(run())
+    assert len(beside.targets) == 1
+
+
+def test_two_reports_are_not_asked_for_side_by_side():
+    beside = Beside(FULL)
+
+    async def run():
+        check = beside.make_check()
+        for sequence in range(1, 4):
+            check.receive(test_report_proof.announce(sequence), beside.now)
+            await settle()
+        before = len(beside.targets)
+        await beside.advance(report_check.REPEAT_PAUSE_S)
+        assert len(beside.targets) == before + 1
+
+    event_loop.run(run())
