--- a/bench/restarts.py
+++ b/bench/restarts.py
@@ -8,6 +8,7 @@
 import collections
 import datetime
 import json
+import math
 import pathlib
 import re
 import shutil
@@ -29,6 +30,8 @@
 HELD, PROBED, PROVEN = "upstream.report-held", "upstream.report-probed", "upstream.report-proven"
 INSTANCE = r"upstream '[^']*'"
 CHECK_EVENTS = (HELD, PROBED, PROVEN)
+STARTED, CONFIGURED = "node.started", "configuration.accepted"
+EVENTS = (*CHECK_EVENTS, STARTED, CONFIGURED)
 
 
 @attrs.define
@@ -115,24 +118,30 @@
     return None if first is None else first - start.at
 
 
-def read_checks(log: pathlib.Path) -> Iterator[tuple[float, str, str]]:
-    """Yields Unix time, kind and cause of the events on reports that wait for proof, from a log."""
+def read_events(log: pathlib.Path) -> Iterator[tuple[float, str, str]]:
+    """Yields Unix time, kind and cause of the events in `EVENTS`, from a node's log."""
     for line in log.read_text(encoding="utf-8", errors="replace").splitlines():
-        if any(f'"{kind}"' in line for kind in CHECK_EVENTS):
+        if any(f'"{kind}"' in line for kind in EVENTS):
             item = json.loads(line)
             at = datetime.datetime.fromisoformat(item["time"]).timestamp()
             yield at, item["fields"]["event"], item["fields"].get("cause", "")
 
 
-def find_proof_delays(checks: Iterable[tuple[float, str, str]]) -> list[float]:
-    """Returns the seconds from each first report that was held back to its proof."""
-    delays, held_at = [], None
-    for at, kind, _ in checks:
-        if kind == HELD:
-            held_at = at
-        elif kind == PROVEN and held_at is not None:
-            delays.append(at - held_at)
-            held_at = None
+def find_delays(
+    events: Iterable[tuple[float, str, str]], begin: str, end: str
+) -> list[float | None]:
+    """Returns the seconds from each event of a kind to the next one of another kind.
+
+    It is None where the first kind comes again before that, or nothing comes.
+    """
+    delays, begun_at = [], None
+    for at, kind, _ in [*events, (math.inf, begin, "")]:
+        if kind == end and begun_at is not None:
+            delays.append(at - begun_at)
+            begun_at = None
+        elif kind == begin:
+            delays += [None] if begun_at is not None else []
+            begun_at = at
     return delays
 
 
@@ -165,18 +174,30 @@
     )
     for text, number in refused.most_common(8):
         print(f"  {number:6} {text}")
-    _print_checks([list(read_checks(path)) for path in sorted(folder.glob("node-*.log"))])
+    _print_events([list(read_events(path)) for path in sorted(folder.glob("node-*.log"))])
 
 
-def _print_checks(logs: list[list[tuple[float, str, str]]]) -> None:
+def _print_events(logs: list[list[tuple[float, str, str]]]) -> None:
     kinds = collections.Counter(
-        (kind, re.sub(INSTANCE, "an upstream", cause)) for log in logs for _, kind, cause in log
+        (kind, re.sub(INSTANCE, "an upstream", cause))
+        for log in logs
+        for _, kind, cause in log
+        if kind in CHECK_EVENTS
     )
     print("reports that wait for proof")
     for (kind, cause), number in sorted(kinds.items()):
         print(f"  {number:6} {kind} {cause}")
-    delays = sorted(delay for log in logs for delay in find_proof_delays(log))
-    print("  seconds until proof:", *(f"{delay:.2f}" for delay in delays))
+    _print_delays("until proof", [find_delays(log, HELD, PROVEN) for log in logs])
+    # The first start of each node is that of the fleet.
+    configured = [find_delays(log, STARTED, CONFIGURED)[1:] for log in logs]
+    _print_delays("from the start to the configuration", configured)
+
+
+def _print_delays(name: str, by_node: list[list[float | None]]) -> None:
+    delays = [delay for delays in by_node for delay in delays]
+    known = sorted(delay for delay in delays if delay is not None)
+    shown = [*(f"{delay:.2f}" for delay in known), *["?"] * (len(delays) - len(known))]
+    print(f"  seconds {name}:", *shown)
 
 
 def main(arguments: list[str]) -> int:
--- a/tests/test_bench/test_restarts.py
+++ b/tests/test_bench/test_restarts.py
@@ -61,6 +61,8 @@
     ]
     text = "".join(json.dumps(line, separators=(",", ":")) + "\n" for line in lines)
     log.write_text(text + "not JSON\n", encoding="utf-8")
-    checks = list(restarts.read_checks(log))
-    assert [kind for _, kind, _ in checks] == [kind for _, kind, _ in events if "report" in kind]
-    assert restarts.find_proof_delays(checks) == pytest.approx([2.0])
+    found = list(restarts.read_events(log))
+    assert [kind for _, kind, _ in found] == [kind for _, kind, _ in events if "report" in kind]
+    delays = restarts.find_delays(found, restarts.HELD, restarts.PROVEN)
+    assert delays == [pytest.approx(2.0), None]
+    assert restarts.find_delays(found, restarts.PROVEN, restarts.HELD) == [pytest.approx(2.0)]
