Try hosts again that have stopped or are suspected

Until then they refuse everything, and can't prove their upstream, as the path of the health check is in the configuration.

Change: the link for lost hosts also tries hosts that are suspected or have published LOST, and lets go of them after one exchange. Half of its tries remain for lost hosts and seed addresses. The rate of tries is as before. Who is a member, ready or lost is decided as before.

Failed before: two tests of test_peers.py (hosts that stopped or are suspected are tried at once; lost hosts keep their part of the tries) and one of test_link.py (the link stays at no node that stops).

--- a/bergamotridge/nodes/link.py
+++ b/bergamotridge/nodes/link.py
@@ -67,9 +67,10 @@
             return received
         self._chooser.record_answer(self._peer, now)
         self._failures = 0
-        return exchange.ReceiveResult(
-            received.session, received.stale_replicas, received.more or first_contact
-        )
+        more = received.more or first_contact
+        if not more and not self._peer.is_kept:
+            self._peer = None
+        return exchange.ReceiveResult(received.session, received.stale_replicas, more)
 
     def record_failure(self, now: float) -> None:
         """Counts a message without an answer; after a few in a row the peer is given up.
--- a/bergamotridge/nodes/membership.py
+++ b/bergamotridge/nodes/membership.py
@@ -113,6 +113,21 @@
         with self._lock:
             return tuple(entry.record for entry in self._log.entries() if entry.lost)
 
+    def out_of_touch(self) -> Sequence[record.UpstreamRecord]:
+        """Returns the records of hosts that may have a new process which knows of no other.
+
+        These are the hosts that are suspected, and those that have published LOST, as a node does
+        when it stops, this one excluded. Those in `lost` are not among them.
+        """
+        with self._lock:
+            return tuple(
+                entry.record
+                for entry in self._log.entries()
+                if not entry.lost
+                and entry.record.host != self._host
+                and (entry.suspected or entry.record.state is record.State.LOST)
+            )
+
     def candidates(self, service: str) -> Sequence[record.UpstreamRecord]:
         """Returns the records of the upstreams of a service that are ready and not lost."""
         index = self._ready_by_service
--- a/bergamotridge/nodes/peers.py
+++ b/bergamotridge/nodes/peers.py
@@ -16,10 +16,17 @@
 
 @attrs.frozen
 class Peer:
-    """Address of another node's control port, and its host, "" if only the address is known."""
+    """Another node, as a link reaches it.
+
+    Attributes:
+        address: Address of its control port.
+        host: Its host, "" if only the address is known.
+        is_kept: Whether a link keeps it while it answers; else one exchange with it is enough.
+    """
 
     address: str
     host: str = ""
+    is_kept: bool = True
 
 
 class PeerChooser:
@@ -30,7 +37,8 @@
     Link 0 prefers peers in this node's failure domain, link 1 peers in its region but outside its
     failure domain; further links use any peer. If the preferred set has no free peer, a wider one
     is used. One more link tries lost hosts and seed addresses, so that two parts of the fleet
-    merge again after a network partition.
+    merge again after a network partition. It also tries hosts that are suspected or whose node has
+    stopped: the next process there knows of no other node while the platform is silent.
     """
 
     def __init__(
@@ -67,10 +75,18 @@
             return peer
 
     def choose_reconnect_peer(self) -> Peer | None:
-        """Returns a lost host or seed address to try, None if all of them are live members."""
+        """Returns a host that is out of touch or a seed address to try, None if there is none."""
         with self._lock:
             live = {item.control_address for item in self._members.members()}
-            return self._random_reconnect_peer(live)
+            # A node that stops still answers, and must not keep the link from the next host.
+            tried = [
+                Peer(item.control_address, item.host, is_kept=False)
+                for item in self._members.out_of_touch()
+            ]
+            lost = self._random_reconnect_peer(live)
+            # Many upstreams that are lost beside live nodes must not keep lost hosts from a try.
+            choices = [peer for peer in (lost, self._rng.choice(tried) if tried else None) if peer]
+            return self._rng.choice(choices) if choices else None
 
     def reconnect_interval_s(self) -> float:
         """Returns the seconds between two attempts of this node to reach a lost host.
--- a/tests/test_nodes/test_link.py
+++ b/tests/test_nodes/test_link.py
@@ -79,3 +79,25 @@
     hosts = exchange_messages(own, None, successor, 3)
     assert hosts[0] == "gone"
     assert {item.host for item in own.members.lost()} == {"gone"}
+
+
+# The link kept to a node that was stopping, while a process that had just started on another host
+# knew of no node and had no configuration.
+def test_the_link_for_lost_hosts_keeps_to_no_node_that_stops():
+    own = start("own", 1, 11)
+    stopping = {name: start(name, PORT + number, 22 + number) for number, name in enumerate("abc")}
+    for process in stopping.values():
+        process.members.publish_lost(0.0)
+        update = change_log.RecordUpdate(process.members.own, 2, suspected=False)
+        own.members.merge([update], change_log.LOCAL_SESSION, 0.0)
+    chooser = peers.PeerChooser(own.members, (), random.Random(1))
+    peer_link = link.GossipLink(None, chooser, own.exchange, 60.0, random.Random(1))
+    hosts = []
+    for step in range(30):
+        now = step / 10
+        hosts.append(peer_link.current_peer(now).host)
+        answering = stopping[hosts[-1]].exchange
+        received = answering.process_message(peer_link.build_message(0), now)
+        peer_link.process_answer(answering.build_message(received.session, 0), now)
+    assert set(hosts) == set(stopping)
+    assert all(hosts.count(name) <= 20 for name in stopping)
--- a/tests/test_nodes/test_peers.py
+++ b/tests/test_nodes/test_peers.py
@@ -3,7 +3,9 @@
 import collections
 import random
 
-from bergamotridge.nodes import change_log, membership, peers
+import attrs
+
+from bergamotridge.nodes import change_log, membership, peers, record
 from tests.test_nodes import fleet
 
 
@@ -18,6 +20,16 @@
     return members, peers.PeerChooser(members, seed_addresses, random.Random(5))
 
 
+def _lose_upstreams(members, hosts, now):
+    lost = [
+        attrs.evolve(item, version=item.version + 1, state=record.State.LOST)
+        for item in members.members()
+        if item.host in hosts
+    ]
+    updates = [change_log.RecordUpdate(item, item.version, suspected=False) for item in lost]
+    members.merge(updates, change_log.LOCAL_SESSION, now)
+
+
 def test_links_prefer_their_failure_domain_or_region_and_one_uses_any_peer():
     members, chooser = _chooser(16)
     records = {item.host: item for item in members.members()}
@@ -57,3 +69,30 @@
     for size, interval_s in ((3, 1.0), (159, 10.0)):
         _, chooser = _chooser(size)
         assert chooser.reconnect_interval_s() == interval_s
+
+
+# A node that stopped as planned was tried only by links that had chosen it by chance. The next
+# process on its host knew of no other node while the platform was silent, and had no configuration.
+def test_hosts_whose_node_has_stopped_or_is_suspected_are_tried_again_at_once():
+    members, chooser = _chooser(4)
+    assert chooser.choose_reconnect_peer() is None
+    _lose_upstreams(members, {"h1"}, 1.0)
+    assert {chooser.choose_reconnect_peer().host for _ in range(50)} == {"h1"}
+    members.suspect("h2", 1.0)
+    assert {chooser.choose_reconnect_peer().host for _ in range(50)} == {"h1", "h2"}
+
+
+def test_hosts_whose_upstream_is_lost_leave_half_of_the_tries_to_lost_hosts():
+    members, chooser = _chooser(40)
+    members.suspect("h0", 0.0)
+    members.tick(100.0)
+    _lose_upstreams(members, {f"h{number}" for number in range(1, 40)}, 101.0)
+    tried = collections.Counter(chooser.choose_reconnect_peer().host for _ in range(200))
+    assert tried["h0"] >= 50
+    assert len(tried) > 20
+
+
+def test_a_node_whose_own_upstream_is_lost_does_not_try_itself():
+    members, chooser = _chooser(0)
+    members.publish_lost(1.0)
+    assert chooser.choose_reconnect_peer() is None
