bench: read the log of a killed node

The log of a node that was killed may hold half a line, behind which that of the next process goes on; reading it raised an error. The line is read from its last beginning. test_restarts.py failed before.

--- a/bench/restarts.py
+++ b/bench/restarts.py
@@ -121,8 +121,10 @@
 def read_events(log: pathlib.Path) -> Iterator[tuple[float, str, str]]:
     """Yields Unix time, kind and cause of the events in `EVENTS`, from a node's log."""
     for line in log.read_text(encoding="utf-8", errors="replace").splitlines():
-        if any(f'"{kind}"' in line for kind in EVENTS):
-            item = json.loads(line)
+        # A node that was killed may have written half a line, and the next one goes on behind it.
+        begin = line.rfind('{"time"')
+        if begin >= 0 and any(f'"{kind}"' in line[begin:] for kind in EVENTS):
+            item = json.loads(line[begin:])
             at = datetime.datetime.fromisoformat(item["time"]).timestamp()
             yield at, item["fields"]["event"], item["fields"].get("cause", "")
 
--- a/tests/test_bench/test_restarts.py
+++ b/tests/test_bench/test_restarts.py
@@ -60,7 +60,8 @@
         for at, kind, cause in events
     ]
     text = "".join(json.dumps(line, separators=(",", ":")) + "\n" for line in lines)
-    log.write_text(text + "not JSON\n", encoding="utf-8")
+    cut = '{"time":"2026-01-01T00:00:09.5'  # By a kill.
+    log.write_text(cut + text + "not JSON\n", encoding="utf-8")
     found = list(restarts.read_events(log))
     assert [kind for _, kind, _ in found] == [kind for _, kind, _ in events if "report" in kind]
     delays = restarts.find_delays(found, restarts.HELD, restarts.PROVEN)
