Let the store package create its own parts

Change: `store.assembly` creates the client of the platform, its restorations, the configuration and the freshness, and returns them typed; `shared_parts` holds the few parts that all packages take (settings, events, loop, randomness, metrics). No change of behaviour is meant.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -1,5 +1,6 @@
 """Composition root of a node: creates its parts, connects them, starts and stops them."""
 
+import functools
 import random
 import time
 from collections.abc import Sequence
@@ -13,6 +14,7 @@
     part_order,
     ports,
     settings,
+    shared_parts,
 )
 from bergamotridge.callers import (
     at_most_once,
@@ -61,14 +63,12 @@
     upstream_observer,
 )
 from bergamotridge.operators import port as operators_port
+from bergamotridge.store import assembly as store_assembly
 from bergamotridge.store import (
     configuration,
-    counted,
-    freshness,
     holding,
     read_policy,
     replica,
-    restorations,
     watch,
 )
 from bergamotridge.upstreams import (
@@ -133,6 +133,15 @@
         self.malformed_entries = malformed_entries.MalformedEntries(
             self.events, self.node_metrics.count_malformed_entry
         )
+        self._shared = shared_parts.SharedParts(
+            node=node,
+            incarnation=incarnation,
+            log=self.events,
+            event_loop=self.loop,
+            rng=self._rng,
+            metrics=self.node_metrics,
+            on_malformed=self.malformed_entries.report,
+        )
         self._create_platform_parts()
         self._create_member_parts()
         self._create_upstream_parts()
@@ -142,17 +151,17 @@
 
     def _create_platform_parts(self) -> None:
         node = self.settings
-        self.restorations = restorations.Restorations()
-        self.restorations.add_listener(self._record_restoration)
-        self.objects = counted.CountedStore(
-            self.environment.create_store(node, self.restorations),
-            self.node_metrics.count_platform_request,
-            self.malformed_entries.report,
-        )
+        self._store = store_assembly.create(
+            self._shared,
+            functools.partial(self.environment.create_store, node),
+            self.environment.parse_text,
+        )
+        self.restorations = self._store.restorations
+        self.objects = self._store.objects
+        self.configuration = self._store.configuration
+        self.freshness = self._store.freshness
         self.routes = routing.CurrentRoutes()
-        self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
         self.configuration.add_listener(self._apply_configuration)
-        self.freshness = freshness.Freshness()
         self.keys = keys.KeyRing(node.fleet_secret, lambda: self.freshness.was_current(keys.KIND))
 
     def _create_member_parts(self) -> None:
@@ -611,9 +620,6 @@
             incarnation_of=changed.incarnation,
         )
 
-    def _record_restoration(self, restoration: restorations.Restoration) -> None:
-        self.events.emit("store.restored", epoch=restoration.epoch, told_by=restoration.source)
-
     def _may_have_lost_claims(self, reservation_s: float) -> bool:
         now = clock.boot_time()
         is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
--- /dev/null
+++ b/bergamotridge/store/assembly.py
@@ -0,0 +1,56 @@
+"""Creates the parts of a node that know the platform, and what they have read from it."""
+
+from collections.abc import Callable
+
+import attrs
+
+from bergamotridge import shared_parts
+from bergamotridge.operators import operator_text
+from bergamotridge.store import configuration, counted, freshness, restorations
+
+
+@attrs.frozen
+class StoreParts:
+    """Access to the platform's object store, and the state of the replicas of its objects.
+
+    Attributes:
+        restorations: Known restorations of the store.
+        objects: Client of the store, whose requests are counted.
+        configuration: The configuration in force.
+        freshness: The time as of which each replica is current.
+    """
+
+    restorations: restorations.Restorations
+    objects: counted.CountedStore
+    configuration: configuration.ConfigurationStore
+    freshness: freshness.Freshness
+
+
+def create(
+    shared: shared_parts.SharedParts,
+    create_client: Callable[[restorations.Restorations], counted.WatchableObjects],
+    parse_text: Callable[[str, str], operator_text.OperatorText],
+) -> StoreParts:
+    """Creates the parts; no request is sent.
+
+    Args:
+        shared: Parts that all packages use.
+        create_client: Creates the client of the store, which reports restorations.
+        parse_text: Parses the operator's text; takes the text and the name of its source.
+    """
+    known_restorations = restorations.Restorations()
+    known_restorations.add_listener(
+        lambda noticed: shared.log.emit(
+            "store.restored", epoch=noticed.epoch, told_by=noticed.source
+        )
+    )
+    return StoreParts(
+        restorations=known_restorations,
+        objects=counted.CountedStore(
+            create_client(known_restorations),
+            shared.metrics.count_platform_request,
+            shared.on_malformed,
+        ),
+        configuration=configuration.ConfigurationStore(parse_text),
+        freshness=freshness.Freshness(),
+    )
