Let the nodes package create the parts of the control state

Cause: application knew 22 modules of nodes. Change: `nodes.control_assembly` creates membership, channels, suspects, gossip, the freshness port, the election and the tasks that read the platform, and returns them typed. The routes belong to them and take each configuration as its first listener. These parts now come before those of the upstream, which use them; before, gossip and the freshness port came after. Creating them sends nothing and starts no thread, and the listeners of restorations, of members and of freshness keep their order. Of those of the configuration, the freshness port now comes before the gate; it only schedules its answers on the event loop.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -31,29 +31,20 @@
 )
 from bergamotridge.callers import port as callers_port
 from bergamotridge.nodes import (
-    bootstrap,
     budget,
     call_graph,
     choice,
     confirmation,
     context,
     control,
+    control_assembly,
     dependency_thresholds,
     dispatch,
-    exchange,
     fingerprint,
-    freshness_exchange,
-    gossip,
-    membership,
-    peers,
     quota,
     record,
     relay,
-    routing,
-    suspect_sharing,
-    watch_election,
 )
-from bergamotridge.nodes import freshness as nodes_freshness
 from bergamotridge.operators import (
     crash_observer,
     malformed_entries,
@@ -67,9 +58,6 @@
 from bergamotridge.store import (
     configuration,
     holding,
-    read_policy,
-    replica,
-    watch,
 )
 from bergamotridge.upstreams import (
     announcement,
@@ -85,12 +73,6 @@
 
 CONTROL_GRACE_S = 0.5
 MIN_CONTROL_GRACE_S = 0.05
-# Of the longest allowed age of the configuration: how long a watch, or a request to another node,
-# waits for news, and the least progress that counts as news.
-WATCH_AGE_FRACTION = 0.4
-NEWS_AGE_FRACTION = 0.05
-# Over the whole fleet, while the platform does not answer.
-PLATFORM_RETRIES_PER_S = 8.0
 WITHDRAWAL_INTERVAL_S = 1.0
 
 
@@ -143,7 +125,7 @@
             on_malformed=self.malformed_entries.report,
         )
         self._create_platform_parts()
-        self._create_member_parts()
+        self._create_control_parts()
         self._create_upstream_parts()
         self._create_node_parts()
         self._create_caller_parts()
@@ -160,36 +142,31 @@
         self.objects = self._store.objects
         self.configuration = self._store.configuration
         self.freshness = self._store.freshness
-        self.routes = routing.CurrentRoutes()
-        self.configuration.add_listener(self._apply_configuration)
         self.keys = keys.KeyRing(node.fleet_secret, lambda: self.freshness.was_current(keys.KIND))
 
-    def _create_member_parts(self) -> None:
-        """Creates what this node knows of other hosts, and of the crashes of their upstreams."""
-        node = self.settings
-        own_record = record.UpstreamRecord(
-            host=node.host,
-            incarnation=self.incarnation,
-            version=1,
-            failure_domain=node.failure_domain,
-            region=node.region,
-            service=self.environment.service,
-            state=record.State.STARTING,
-            slots=0,
-            load=0.0,
-            relay_address=node.addresses.relay_for_nodes,
-            control_address=node.addresses.control_for_nodes,
-            operators_address=node.addresses.operators,
-        )
-        self.members = membership.Membership(
-            own_record, membership.MembershipTimings(heartbeat_s=node.limits.heartbeat_s)
-        )
-        self.members.add_listener(self._record_member_change)
-        self.channels = control.ChannelPool(node.fleet_secret)
-        self.suspects = suspect_sharing.SuspectSharing(
-            self.members, self.channels, self._rng, self.node_metrics.count_control_bytes
-        )
-        self.members.add_listener(self.suspects.notice_member)
+    def _create_control_parts(self) -> None:
+        surroundings = self.environment
+        self._control = control_assembly.create(
+            self._shared, self._store, self.keys, surroundings.keys_in_text, surroundings.service
+        )
+        self.routes = self._control.routes
+        self.members = self._control.known.members
+        self.channels = self._control.known.channels
+        self.suspects = self._control.known.suspects
+        self.gossip = self._control.gossip
+        self.freshness_port = self._control.freshness_port
+        self.platform_tasks = [*self._control.tasks]
+        if not surroundings.keys_in_text:
+            self.platform_tasks.append(
+                withdrawals.WithdrawalWriter(
+                    self.objects,
+                    self.keys,
+                    WITHDRAWAL_INTERVAL_S,
+                    self._rng,
+                    self._control.election.is_elected,
+                )
+            )
+        self.configuration.add_listener(self._apply_configuration)
 
     def _create_upstream_parts(self) -> None:
         limits = self.settings.limits
@@ -232,31 +209,6 @@
 
     def _create_node_parts(self) -> None:
         node = self.settings
-        keys_in_text = self.environment.keys_in_text
-        replicas = (self.configuration,) if keys_in_text else (self.configuration, self.keys)
-        peer_chooser = peers.PeerChooser(self.members, node.peers.first, self._rng)
-        session = self._rng.getrandbits(63) | 1  # Never 0, which stands for no session.
-        self.gossip = gossip.Gossip(
-            self.members,
-            peer_chooser,
-            exchange.Exchange(
-                self.members,
-                replicas,
-                self.keys,
-                session,
-                self.events.clock,
-                on_malformed=self.malformed_entries.report,
-            ),
-            replicas,
-            self.channels,
-            gossip.GossipTimings(interval_s=node.peers.interval_s, links=node.peers.fanout),
-            self._rng,
-            self.node_metrics.count_control_bytes,
-            self.malformed_entries.report,
-            self.restorations,
-        )
-        self.restorations.add_listener(lambda _: self.gossip.start_urgent_round())
-        self._create_platform_readers(replicas, peer_chooser)
         self.thresholds = shedding.ThresholdTable()
         self.graph = call_graph.CallGraph(self.routes.dependencies_of)
         self.dependency_thresholds = dependency_thresholds.DependencyThresholds(
@@ -281,63 +233,6 @@
             self.events,
         )
 
-    def _create_platform_readers(
-        self, replicas: Sequence[replica.Replica], peer_chooser: peers.PeerChooser
-    ) -> None:
-        """Creates the parts that keep the replicas current with few reads of the platform."""
-        node, max_age_s = self.settings, self.settings.platform.max_age_s
-        election = watch_election.WatchElection(self.members, peer_chooser, node.platform.elected)
-        self.freshness_port = nodes_freshness.FreshnessPort(
-            node.addresses.control,
-            node.fleet_secret,
-            freshness_exchange.FreshnessExchange(
-                self.freshness, replicas, NEWS_AGE_FRACTION * max_age_s, self._rng
-            ),
-            election.sources,
-            self.gossip.fetch,
-            self.loop,
-            nodes_freshness.FreshnessTimings(wait_s=WATCH_AGE_FRACTION * max_age_s),
-            self.node_metrics.count_control_bytes,
-        )
-        self.freshness.add_listener(self.freshness_port.notify_progress)
-        self.configuration.add_listener(lambda _: self.freshness_port.notify_progress())
-        timings = watch.WatchTimings(
-            max_first_delay_s=node.platform.start_spread_s,
-            max_age_s=max_age_s,
-            wait_s=WATCH_AGE_FRACTION * max_age_s,
-        )
-
-        def read_duty() -> read_policy.ReadDuty:
-            retry_cap_s = self.members.size() / PLATFORM_RETRIES_PER_S
-            return read_policy.ReadDuty(election.read_age_fraction(), retry_cap_s)
-
-        def add_seed_addresses(addresses: Sequence[str]) -> None:
-            peer_chooser.add_seed_addresses(addresses)
-            self.gossip.start_urgent_round()
-
-        self.platform_tasks = [
-            *(
-                watch.Watcher(self.objects, item, self.freshness, timings, self._rng, read_duty)
-                for item in replicas
-            ),
-            bootstrap.Bootstrap(
-                self.objects,
-                self.members,
-                add_seed_addresses,
-                election,
-                bootstrap.BootstrapTimings(),
-                self._rng,
-                self.malformed_entries.report,
-                lambda: self.restorations.epoch,
-            ),
-        ]
-        if not self.environment.keys_in_text:
-            self.platform_tasks.append(
-                withdrawals.WithdrawalWriter(
-                    self.objects, self.keys, WITHDRAWAL_INTERVAL_S, self._rng, election.is_elected
-                )
-            )
-
     def _create_caller_parts(self) -> None:
         node = self.settings
         timings = holding.Timings(
@@ -571,7 +466,6 @@
         part_order.end_all(self._ends().values(), drain_deadline)
 
     def _apply_configuration(self, accepted: configuration.Configuration) -> None:
-        self.routes.replace(accepted.text, str(accepted.version))
         self._configure_gate()
         self.events.emit(
             "configuration.accepted",
@@ -609,17 +503,6 @@
             # Calls may wait for it at the other nodes.
             self.gossip.start_urgent_round()
 
-    def _record_member_change(
-        self, changed: record.UpstreamRecord, change: membership.Change
-    ) -> None:
-        self.events.emit(
-            f"member.{change.value}",
-            about=changed.host,
-            state=changed.state.value,
-            service=changed.service,
-            incarnation_of=changed.incarnation,
-        )
-
     def _may_have_lost_claims(self, reservation_s: float) -> bool:
         now = clock.boot_time()
         is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
--- a/bergamotridge/part_order.py
+++ b/bergamotridge/part_order.py
@@ -25,6 +25,13 @@
         """Begins the work."""
 
 
+class StoppableTask(Task, Protocol):
+    """A task that can be told to end."""
+
+    def stop(self) -> None:
+        """Tells the task to end."""
+
+
 def without_limit(end: Callable[[], object]) -> End:
     """Returns the end of a part that doesn't wait for running calls."""
     return lambda _: end()
