Let the upstreams package create its own parts

Cause: application knew the parts of the upstream, and decided what its announcements do. Change: `upstreams.assembly` creates the parts, and the server of the port; `upstreams.reported_state` applies announcements and publishes the state (methods of application before, moved without a change of logic, now with tests of their own). `http_ports` names the type of the function that creates a server, so that packages take it. The event configuration.accepted still comes after routes and gate have the text; of the listeners, only the one of the report check, which schedules its work on the event loop, has moved before the event.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -40,36 +40,22 @@
     control_assembly,
     dependency_thresholds,
     dispatch,
-    fingerprint,
     quota,
-    record,
     relay,
 )
 from bergamotridge.operators import (
-    crash_observer,
     malformed_entries,
     node_metrics,
     node_status,
     readiness,
-    upstream_observer,
 )
 from bergamotridge.operators import port as operators_port
 from bergamotridge.store import assembly as store_assembly
 from bergamotridge.store import (
-    configuration,
     holding,
 )
-from bergamotridge.upstreams import (
-    announcement,
-    gate,
-    live_calls,
-    local_upstream,
-    quarantine,
-    report_check,
-    report_proof,
-)
-from bergamotridge.upstreams import port as upstreams_port
-from bergamotridge.util import clock, hlc, http_client, loop
+from bergamotridge.upstreams import assembly as upstreams_assembly
+from bergamotridge.util import clock, hlc, loop
 
 CONTROL_GRACE_S = 0.5
 MIN_CONTROL_GRACE_S = 0.05
@@ -166,46 +152,23 @@
                     self._control.election.is_elected,
                 )
             )
-        self.configuration.add_listener(self._apply_configuration)
 
     def _create_upstream_parts(self) -> None:
-        limits = self.settings.limits
-        self.pools = http_client.Pools(
-            limits.body_bytes,
-            limits.head_bytes,
-            self.environment.accepts_close_delimited,
-            self.loop.record_arrival,
-            limits.answers_bytes,
-        )
-        self.gate = gate.Gate(1, limits.queue)
-        self.live_calls = live_calls.LiveCalls()
-        self.quarantine = quarantine.Quarantine(
-            self.settings.host,
-            fingerprint.Fingerprinter(self.settings.fleet_secret),
-            self.suspects,
-            crash_observer.CrashObserver(self.events, self.node_metrics, self.routes.name_route),
-        )
-        observer = upstream_observer.UpstreamObserver(self.events, self.node_metrics)
-        self.upstream = local_upstream.LocalUpstream(
-            self.gate,
-            self.live_calls,
-            self.pools,
-            self.environment.upstream_dialect,
-            observer,
-            self._publish_announcement,
-            self.quarantine,
-        )
-        self.report_check = report_check.ReportCheck(
-            report_proof.ReportProof(self._alone_since_ms, self.settings.limits.heartbeat_s),
-            self._health_path,
-            self.environment.read_instance,
-            self._apply_announcement,
-            observer,
-            self.pools,
-            self.loop,
-            time.monotonic,
+        surroundings = self.environment
+        self._upstreams = upstreams_assembly.create(
+            self._shared,
+            self.configuration,
+            self._control,
+            upstream_dialect=surroundings.upstream_dialect,
+            read_instance=surroundings.read_instance,
+            accepts_close_delimited=surroundings.accepts_close_delimited,
+            alone_since_ms=self._alone_since_ms,
+            is_stopping=lambda: self._stopping,
         )
-        self.configuration.add_listener(lambda _: self.report_check.handle_configuration())
+        store_assembly.log_accepted(self.events, self.configuration)
+        self.pools = self._upstreams.pools
+        self.gate = self._upstreams.gate
+        self.upstream = self._upstreams.upstream
 
     def _create_node_parts(self) -> None:
         node = self.settings
@@ -295,15 +258,6 @@
             origin=self.environment.service,
             node_shutdown=self.shutdown,
         )
-        upstream_port = upstreams_port.UpstreamPort(
-            self.live_calls,
-            self.dispatcher,
-            self._apply_announcement,
-            self.routes,
-            self.events,
-            self.shutdown.limit,
-            self.malformed_entries.report,
-        )
         relay_port = relay.RelayPort(
             self.upstream,
             context.relay_token(node.fleet_secret),
@@ -313,11 +267,14 @@
         )
         limits = node.limits
         http = http_ports.HttpPorts(node, self.loop, self.node_metrics, self.routes.limits)
-        upstream_handler = self.environment.make_upstream_handler(
-            upstream_port.handle, self.report_check.receive, self.malformed_entries.report
-        )
-        self.upstream_server = http.create(
-            "upstream", upstream_handler, limits.upstream_connections
+        self.upstream_server = upstreams_assembly.create_server(
+            self._shared,
+            self._upstreams,
+            self.routes,
+            self.dispatcher,
+            self.shutdown.limit,
+            self.environment.make_upstream_handler,
+            http.create,
         )
         self.relay_server = http.create("relay", relay_port.handle, limits.relay_connections)
         self.caller_server = http.create(
@@ -465,44 +422,6 @@
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
         part_order.end_all(self._ends().values(), drain_deadline)
 
-    def _apply_configuration(self, accepted: configuration.Configuration) -> None:
-        self._configure_gate()
-        self.events.emit(
-            "configuration.accepted",
-            version=str(accepted.version),
-            change_id=accepted.change_id,
-        )
-
-    def _configure_gate(self) -> None:
-        current = self.configuration.current
-        service = current.text.services.get(self.upstream.service) if current else None
-        if service is not None:
-            self.gate.configure(service.slots, service.connections)
-
-    def _health_path(self, service: str) -> str:
-        current = self.configuration.current
-        known = current.text.services.get(service) if current else None
-        return known.health_path if known else ""
-
-    def _apply_announcement(self, received: announcement.Announcement, now: float) -> None:
-        is_new_service = self.upstream.service != received.service
-        if not self.upstream.apply_announcement(received, now):
-            return
-        if is_new_service:
-            self._configure_gate()
-        self._publish_announcement(self.upstream.announcement, now)
-
-    def _publish_announcement(self, current: announcement.Announcement, now: float) -> None:
-        if current.state is record.State.DRAINING:
-            self.members.record_leave(current.instance, current.incarnation, now)
-        if self._stopping:
-            return
-        was_lost = self.members.own.state is record.State.LOST
-        self.members.announce(current.service, current.state, current.slots, current.load, now)
-        if was_lost and current.state is record.State.READY:
-            # Calls may wait for it at the other nodes.
-            self.gossip.start_urgent_round()
-
     def _may_have_lost_claims(self, reservation_s: float) -> bool:
         now = clock.boot_time()
         is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
--- a/bergamotridge/http_ports.py
+++ b/bergamotridge/http_ports.py
@@ -8,6 +8,8 @@
 from bergamotridge.util import httpd, loop, request_reader
 
 CALLERS = "callers"
+# Takes the name of a port, its handler and the maximum number of open connections.
+CreateServer = Callable[[str, httpd.Handler, int], httpd.Server]
 
 
 class HttpPorts:
--- a/bergamotridge/store/assembly.py
+++ b/bergamotridge/store/assembly.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bergamotridge import shared_parts
+from bergamotridge import events, shared_parts
 from bergamotridge.operators import operator_text
 from bergamotridge.store import configuration, counted, freshness, restorations
 
@@ -54,3 +54,16 @@
         configuration=configuration.ConfigurationStore(parse_text),
         freshness=freshness.Freshness(),
     )
+
+
+def log_accepted(log: events.EventLog, store: configuration.ConfigurationStore) -> None:
+    """Logs each configuration that comes into force, once the earlier listeners have applied it."""
+
+    def record(accepted: configuration.Configuration) -> None:
+        log.emit(
+            "configuration.accepted",
+            version=str(accepted.version),
+            change_id=accepted.change_id,
+        )
+
+    store.add_listener(record)
