Let the nodes package create the parts on the path of a call

Cause: application joined dispatcher, relay client, call graph, thresholds and the relay port itself. Change: `nodes.call_assembly` does. It is a module of its own beside `control_assembly`, as these parts need those of the upstream, which in turn need the control state.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -31,17 +31,11 @@
 )
 from bergamotridge.callers import port as callers_port
 from bergamotridge.nodes import (
-    budget,
-    call_graph,
-    choice,
+    call_assembly,
     confirmation,
-    context,
     control,
     control_assembly,
-    dependency_thresholds,
-    dispatch,
     quota,
-    relay,
 )
 from bergamotridge.operators import (
     malformed_entries,
@@ -171,29 +165,9 @@
         self.upstream = self._upstreams.upstream
 
     def _create_node_parts(self) -> None:
-        node = self.settings
         self.thresholds = shedding.ThresholdTable()
-        self.graph = call_graph.CallGraph(self.routes.dependencies_of)
-        self.dependency_thresholds = dependency_thresholds.DependencyThresholds(
-            self.thresholds, self.graph
-        )
-        self.relay_client = relay.RelayClient(
-            self.pools, context.relay_token(node.fleet_secret), self.events
-        )
-        self.dispatcher = dispatch.Dispatcher(
-            node.host,
-            self.upstream,
-            self.relay_client,
-            self.members,
-            choice.UpstreamChooser(node.host, node.failure_domain, node.region, self._rng),
-            budget.RetryBudget(
-                node.retries.ratio,
-                node.retries.slack,
-                node.retries.window_s,
-                self.members.size,
-            ),
-            self.dependency_thresholds,
-            self.events,
+        self._calls = call_assembly.create(
+            self._shared, self._control, self.upstream, self.pools, self.thresholds
         )
 
     def _create_caller_parts(self) -> None:
@@ -234,8 +208,8 @@
         self.at_most_once_dispatcher = at_most_once.AtMostOnceDispatcher(
             node.host,
             node_claims,
-            self.dispatcher,
-            self.relay_client,
+            self._calls.dispatcher,
+            self._calls.relay_client,
             self.members.members,
             self._current_stamp,
             self.shutdown,
@@ -247,10 +221,12 @@
             ),
             team_rates=self.team_rates,
             thresholds=self.thresholds,
-            tree_shedding=tree_shedding.TreeShedding(self.thresholds, self.graph.dependencies_of),
-            call_graph=self.graph,
+            tree_shedding=tree_shedding.TreeShedding(
+                self.thresholds, self._calls.graph.dependencies_of
+            ),
+            call_graph=self._calls.graph,
             at_most_once=self.at_most_once_dispatcher,
-            dispatcher=self.dispatcher,
+            dispatcher=self._calls.dispatcher,
             log=self.events,
             retries=node.limits.retries,
             record_answer=self._count_answer,
@@ -258,25 +234,20 @@
             origin=self.environment.service,
             node_shutdown=self.shutdown,
         )
-        relay_port = relay.RelayPort(
-            self.upstream,
-            context.relay_token(node.fleet_secret),
-            self.events,
-            self.dependency_thresholds,
-            self.at_most_once_dispatcher,
-        )
         limits = node.limits
         http = http_ports.HttpPorts(node, self.loop, self.node_metrics, self.routes.limits)
         self.upstream_server = upstreams_assembly.create_server(
             self._shared,
             self._upstreams,
             self.routes,
-            self.dispatcher,
+            self._calls.dispatcher,
             self.shutdown.limit,
             self.environment.make_upstream_handler,
             http.create,
         )
-        self.relay_server = http.create("relay", relay_port.handle, limits.relay_connections)
+        self.relay_server = call_assembly.create_server(
+            self._shared, self._calls, self.upstream, self.at_most_once_dispatcher, http.create
+        )
         self.caller_server = http.create(
             http_ports.CALLERS, self.callers.handle, limits.caller_connections
         )
--- /dev/null
+++ b/bergamotridge/nodes/call_assembly.py
@@ -0,0 +1,95 @@
+"""Creates the parts of a node that send calls to other nodes and take theirs."""
+
+import attrs
+
+from bergamotridge import http_ports, shared_parts
+from bergamotridge.nodes import (
+    budget,
+    call_graph,
+    choice,
+    context,
+    control_assembly,
+    dependency_thresholds,
+    dispatch,
+    relay,
+)
+from bergamotridge.upstreams import local_upstream
+from bergamotridge.util import http_client, httpd
+
+
+@attrs.frozen
+class CallParts:
+    """Parts on the path of a call between nodes.
+
+    Attributes:
+        graph: Services below each service.
+        dependency_thresholds: Thresholds of the services below a service.
+        relay_client: Sends calls to the nodes of other hosts.
+        dispatcher: Sends calls to upstreams.
+    """
+
+    graph: call_graph.CallGraph
+    dependency_thresholds: dependency_thresholds.DependencyThresholds
+    relay_client: relay.RelayClient
+    dispatcher: dispatch.Dispatcher
+
+
+def create(
+    shared: shared_parts.SharedParts,
+    control: control_assembly.ControlParts,
+    upstream: local_upstream.LocalUpstream,
+    pools: http_client.Pools,
+    table: dependency_thresholds.ThresholdTable,
+) -> CallParts:
+    """Creates the parts.
+
+    Args:
+        shared: Parts that all packages use.
+        control: What this node knows of the fleet.
+        upstream: The local upstream.
+        pools: Connection pools by address.
+        table: Holds the thresholds that this node has received.
+    """
+    node, members = shared.node, control.known.members
+    graph = call_graph.CallGraph(control.routes.dependencies_of)
+    thresholds = dependency_thresholds.DependencyThresholds(table, graph)
+    relay_client = relay.RelayClient(pools, context.relay_token(node.fleet_secret), shared.log)
+    dispatcher = dispatch.Dispatcher(
+        node.host,
+        upstream,
+        relay_client,
+        members,
+        choice.UpstreamChooser(node.host, node.failure_domain, node.region, shared.rng),
+        budget.RetryBudget(
+            node.retries.ratio, node.retries.slack, node.retries.window_s, members.size
+        ),
+        thresholds,
+        shared.log,
+    )
+    return CallParts(graph, thresholds, relay_client, dispatcher)
+
+
+def create_server(
+    shared: shared_parts.SharedParts,
+    calls: CallParts,
+    upstream: local_upstream.LocalUpstream,
+    claims: relay.ClaimRunner,
+    new_server: http_ports.CreateServer,
+) -> httpd.Server:
+    """Returns the server of the port for relayed calls.
+
+    Args:
+        shared: Parts that all packages use.
+        calls: Parts on the path of a call between nodes.
+        upstream: The local upstream.
+        claims: Runs calls whose idempotency key has this node as its home.
+        new_server: Creates a server.
+    """
+    port = relay.RelayPort(
+        upstream,
+        context.relay_token(shared.node.fleet_secret),
+        shared.log,
+        calls.dependency_thresholds,
+        claims,
+    )
+    return new_server("relay", port.handle, shared.node.limits.relay_connections)
