Let the callers package create its own parts

Cause: application joined keys, team rates, claims and the port of callers. Change: `callers.assembly` does; keys and thresholds come first, in `create_tables`, as gossip and the dispatcher bring them up to date. The withdrawal of a key for an operator, a method of application before, is `callers.operator_withdrawal`; its confirmer, which keeps no state between withdrawals, is created once.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -16,26 +16,11 @@
     settings,
     shared_parts,
 )
-from bergamotridge.callers import (
-    at_most_once,
-    claim_rewriter,
-    claims,
-    keys,
-    quota_rates,
-    shedding,
-    shutdown,
-    text_keys,
-    tree_shedding,
-    withdrawal_confirmer,
-    withdrawals,
-)
-from bergamotridge.callers import port as callers_port
+from bergamotridge.callers import assembly as callers_assembly
 from bergamotridge.nodes import (
     call_assembly,
-    confirmation,
     control,
     control_assembly,
-    quota,
 )
 from bergamotridge.operators import (
     malformed_entries,
@@ -45,15 +30,11 @@
 )
 from bergamotridge.operators import port as operators_port
 from bergamotridge.store import assembly as store_assembly
-from bergamotridge.store import (
-    holding,
-)
 from bergamotridge.upstreams import assembly as upstreams_assembly
-from bergamotridge.util import clock, hlc, loop
+from bergamotridge.util import loop
 
 CONTROL_GRACE_S = 0.5
 MIN_CONTROL_GRACE_S = 0.05
-WITHDRAWAL_INTERVAL_S = 1.0
 
 
 class Application:
@@ -122,12 +103,18 @@
         self.objects = self._store.objects
         self.configuration = self._store.configuration
         self.freshness = self._store.freshness
-        self.keys = keys.KeyRing(node.fleet_secret, lambda: self.freshness.was_current(keys.KIND))
+        self._tables = callers_assembly.create_tables(
+            node.fleet_secret, self.freshness, self.environment.keys_in_text
+        )
 
     def _create_control_parts(self) -> None:
         surroundings = self.environment
         self._control = control_assembly.create(
-            self._shared, self._store, self.keys, surroundings.keys_in_text, surroundings.service
+            self._shared,
+            self._store,
+            self._tables.keys,
+            surroundings.keys_in_text,
+            surroundings.service,
         )
         self.routes = self._control.routes
         self.members = self._control.known.members
@@ -135,17 +122,6 @@
         self.suspects = self._control.known.suspects
         self.gossip = self._control.gossip
         self.freshness_port = self._control.freshness_port
-        self.platform_tasks = [*self._control.tasks]
-        if not surroundings.keys_in_text:
-            self.platform_tasks.append(
-                withdrawals.WithdrawalWriter(
-                    self.objects,
-                    self.keys,
-                    WITHDRAWAL_INTERVAL_S,
-                    self._rng,
-                    self._control.election.is_elected,
-                )
-            )
 
     def _create_upstream_parts(self) -> None:
         surroundings = self.environment
@@ -165,91 +141,39 @@
         self.upstream = self._upstreams.upstream
 
     def _create_node_parts(self) -> None:
-        self.thresholds = shedding.ThresholdTable()
         self._calls = call_assembly.create(
-            self._shared, self._control, self.upstream, self.pools, self.thresholds
+            self._shared, self._control, self.upstream, self.pools, self._tables.thresholds
         )
 
     def _create_caller_parts(self) -> None:
-        node = self.settings
-        timings = holding.Timings(
-            lease_s=node.quota.lease_s,
-            adjust_s=node.quota.adjust_s,
-            token_lifetime_s=node.quota.token_lifetime_s,
-            join_after_s=node.quota.join_after_s,
-        )
-        self.team_rates = quota_rates.QuotaRates(
-            node.host,
-            self.incarnation,
-            node.failure_domain,
-            self.objects,
-            quota.QuotaClient(self.channels, self.node_metrics.count_control_bytes),
-            self.members.members,
-            self.routes.teams,
-            quota_rates.QuotaSettings(
-                timings, per_domain=node.quota.per_domain, groups=node.quota.groups
-            ),
-            restored_epoch=lambda: self.restorations.recent_epoch(
-                timings.expiry_s, clock.boot_time()
-            ),
-            on_malformed=self.malformed_entries.report,
-        )
-        self.restorations.add_listener(lambda _: self.team_rates.handle_restoration())
-        self.shutdown = shutdown.Shutdown()
-        node_claims = claims.Claims(
-            node.host,
-            self.incarnation,
-            self.objects,
-            may_have_lost=lambda: self._may_have_lost_claims(node_claims.reservation_s),
-        )
-        rewriter = claim_rewriter.ClaimRewriter(node_claims, self._rng)
-        self.restorations.add_listener(lambda _: rewriter.handle_restoration())
-        self.platform_tasks.append(rewriter)
-        self.at_most_once_dispatcher = at_most_once.AtMostOnceDispatcher(
-            node.host,
-            node_claims,
-            self._calls.dispatcher,
-            self._calls.relay_client,
-            self.members.members,
-            self._current_stamp,
-            self.shutdown,
-        )
-        self.callers = callers_port.CallerPort(
-            routes=self.routes,
-            key_ring=(
-                text_keys.TextKeys(self.routes) if self.environment.keys_in_text else self.keys
-            ),
-            team_rates=self.team_rates,
-            thresholds=self.thresholds,
-            tree_shedding=tree_shedding.TreeShedding(
-                self.thresholds, self._calls.graph.dependencies_of
-            ),
-            call_graph=self._calls.graph,
-            at_most_once=self.at_most_once_dispatcher,
-            dispatcher=self._calls.dispatcher,
-            log=self.events,
-            retries=node.limits.retries,
-            record_answer=self._count_answer,
-            dialect=self.environment.caller_dialect,
-            origin=self.environment.service,
-            node_shutdown=self.shutdown,
+        surroundings = self.environment
+        self._callers = callers_assembly.create(
+            self._shared,
+            self._store,
+            self._tables,
+            self._control,
+            self._calls,
+            surroundings.caller_dialect,
+            surroundings.service,
         )
-        limits = node.limits
+        self.team_rates = self._callers.team_rates
+        self.platform_tasks = [*self._control.tasks, *self._callers.tasks]
+        node = self.settings
         http = http_ports.HttpPorts(node, self.loop, self.node_metrics, self.routes.limits)
         self.upstream_server = upstreams_assembly.create_server(
             self._shared,
             self._upstreams,
             self.routes,
             self._calls.dispatcher,
-            self.shutdown.limit,
+            self._callers.shutdown.limit,
             self.environment.make_upstream_handler,
             http.create,
         )
         self.relay_server = call_assembly.create_server(
-            self._shared, self._calls, self.upstream, self.at_most_once_dispatcher, http.create
+            self._shared, self._calls, self.upstream, self._callers.at_most_once, http.create
         )
-        self.caller_server = http.create(
-            http_ports.CALLERS, self.callers.handle, limits.caller_connections
+        self.caller_server = callers_assembly.create_server(
+            self._shared, self._callers, http.create
         )
         self.ready_server = None
         if node.addresses.ready:
@@ -264,7 +188,7 @@
             self.incarnation,
             self.members,
             self.configuration,
-            self.keys,
+            self._tables.keys,
             self.gate,
             self.upstream,
             self.team_rates.shares,
@@ -285,7 +209,7 @@
             pages.metrics_page(self.metrics),
             pages.status_page(self.status.read),
             pages.events_page(self.events),
-            pages.withdraw_page(self.settings.fleet_secret, self._withdraw_key),
+            pages.withdraw_page(self.settings.fleet_secret, self._callers.withdrawal.withdraw),
         )
 
     def ready(self) -> bool:
@@ -380,7 +304,7 @@
         drain_deadline = requested_at + limits.drain_s
         notice_deadline = requested_at + min(limits.notice_s, limits.drain_s)
         # The times are fixed before anything that can take long.
-        self.shutdown.begin(notice_deadline, drain_deadline)
+        self._callers.shutdown.begin(notice_deadline, drain_deadline)
         self.members.publish_lost(now)
         self.gate.drain()
         # This node still answers while its departure spreads to other nodes and load balancers.
@@ -392,27 +316,3 @@
         after_s = round(time.monotonic() - requested_at, 3)
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
         part_order.end_all(self._ends().values(), drain_deadline)
-
-    def _may_have_lost_claims(self, reservation_s: float) -> bool:
-        now = clock.boot_time()
-        is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
-        return is_restored or not self.restorations.is_informed(now)
-
-    def _withdraw_key(self, key_id: str) -> confirmation.Knowledge:
-        if self.environment.keys_in_text:
-            raise errors.NotFoundError(
-                f"key '{key_id}' can't be withdrawn at a node: keys are part of the operator's "
-                f"text here; put a text without the key into force"
-            )
-        self.events.emit("key.withdrawn", cause="operator", key_id=key_id)
-        return withdrawal_confirmer.WithdrawalConfirmer(
-            self.keys, self.members, self.gossip.tell_withdrawn, self.objects, self._rng
-        ).withdraw(key_id)
-
-    def _current_stamp(self) -> hlc.Stamp:
-        return self.events.clock.stamp(time.time_ns() // 1_000_000)
-
-    def _count_answer(self, outcome: callers_port.AnswerSummary) -> None:
-        self.node_metrics.count_answer(
-            outcome.team, outcome.importance, outcome.reason, outcome.verdict, outcome.seconds
-        )
