Let the operators package create its own parts; application only names the packages

`operators.node_status` reads parts of all packages, so application creates it.

Measured: test_application (4, the three on the order of starts and stops unchanged, one new on the event of a configuration; it fails if the event is not logged), test_node_metrics (its new test fails without the listener), test_imports, test_http_ports, test_daemon, test_docs and test_reported_state pass.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -1,4 +1,4 @@
-"""Composition root of a node: creates its parts, connects them, starts and stops them."""
+"""Composition root of a node: has the packages create their parts, starts and stops them."""
 
 import functools
 import random
@@ -10,25 +10,15 @@
     errors,
     events,
     http_ports,
-    metrics,
     part_order,
     ports,
     settings,
     shared_parts,
 )
 from bergamotridge.callers import assembly as callers_assembly
-from bergamotridge.nodes import (
-    call_assembly,
-    control,
-    control_assembly,
-)
-from bergamotridge.operators import (
-    malformed_entries,
-    node_metrics,
-    node_status,
-    readiness,
-)
-from bergamotridge.operators import port as operators_port
+from bergamotridge.nodes import call_assembly, control, control_assembly
+from bergamotridge.operators import assembly as operators_assembly
+from bergamotridge.operators import node_status, port
 from bergamotridge.store import assembly as store_assembly
 from bergamotridge.upstreams import assembly as upstreams_assembly
 from bergamotridge.util import loop
@@ -38,11 +28,11 @@
 
 
 class Application:
-    """One node: creates and connects all parts; `start` and `stop` run them.
+    """One node: has all parts created and connected; `start` and `stop` run them.
 
-    To add a part, create it in the `_create_..._parts` method of the side that it communicates
-    with, pass it to the parts that use it, and add it to the lists of what is started (`_ports` or
-    `_tasks`) and of what ends (`_ends`).
+    To add a part, create it in the assembly module of the package of the peer that it communicates
+    with. If it is started or ends by itself, take it in `_take_parts` and add it to the lists of
+    what is started (`_ports` or `_tasks`) and of what ends (`_ends`).
     """
 
     def __init__(
@@ -62,159 +52,126 @@
                 `incarnation` if None.
         """
         self.settings = node
-        self._alone_since_ms = alone_since_ms or incarnation
         self.environment = node_environment or environment.Environment()
         self.incarnation = incarnation
         self.events = events.EventLog(
             node.host, incarnation, node.failure_domain, node.limits.events
         )
-        self._rng = random.Random()
-        self._stopping = False
         self.loop = loop.Loop("calls", node.limits.gather_s)
-        self.metrics = metrics.Metrics()
-        self.node_metrics = node_metrics.NodeMetrics(self.metrics, lambda: self.status.read())
-        self.malformed_entries = malformed_entries.MalformedEntries(
-            self.events, self.node_metrics.count_malformed_entry
+        self._stopping = False
+        self._recorders = operators_assembly.create_recorders(
+            self.events, lambda: self._status.read()
         )
         self._shared = shared_parts.SharedParts(
             node=node,
             incarnation=incarnation,
             log=self.events,
             event_loop=self.loop,
-            rng=self._rng,
-            metrics=self.node_metrics,
-            on_malformed=self.malformed_entries.report,
+            rng=random.Random(),
+            metrics=self._recorders.metrics,
+            on_malformed=self._recorders.malformed_entries.report,
         )
-        self._create_platform_parts()
-        self._create_control_parts()
-        self._create_upstream_parts()
-        self._create_node_parts()
-        self._create_caller_parts()
-        self._create_operator_parts()
+        self._create_parts(alone_since_ms or incarnation)
+        self._create_servers()
+        self._status = self._create_status()
+        self.operator_port = self._create_operator_port()
+        self._take_parts()
 
-    def _create_platform_parts(self) -> None:
-        node = self.settings
-        self._store = store_assembly.create(
-            self._shared,
-            functools.partial(self.environment.create_store, node),
-            self.environment.parse_text,
+    def _create_parts(self, alone_since_ms: int) -> None:
+        """Has each package create its parts, in the order in which they need each other."""
+        shared, surroundings = self._shared, self.environment
+        self.store = store_assembly.create(
+            shared,
+            functools.partial(surroundings.create_store, self.settings),
+            surroundings.parse_text,
         )
-        self.restorations = self._store.restorations
-        self.objects = self._store.objects
-        self.configuration = self._store.configuration
-        self.freshness = self._store.freshness
-        self._tables = callers_assembly.create_tables(
-            node.fleet_secret, self.freshness, self.environment.keys_in_text
+        self.caller_tables = callers_assembly.create_tables(
+            self.settings.fleet_secret, self.store.freshness, surroundings.keys_in_text
         )
-
-    def _create_control_parts(self) -> None:
-        surroundings = self.environment
-        self._control = control_assembly.create(
-            self._shared,
-            self._store,
-            self._tables.keys,
+        self.fleet = control_assembly.create(
+            shared,
+            self.store,
+            self.caller_tables.keys,
             surroundings.keys_in_text,
             surroundings.service,
         )
-        self.routes = self._control.routes
-        self.members = self._control.known.members
-        self.channels = self._control.known.channels
-        self.suspects = self._control.known.suspects
-        self.gossip = self._control.gossip
-        self.freshness_port = self._control.freshness_port
-
-    def _create_upstream_parts(self) -> None:
-        surroundings = self.environment
-        self._upstreams = upstreams_assembly.create(
-            self._shared,
-            self.configuration,
-            self._control,
+        self.upstreams = upstreams = upstreams_assembly.create(
+            shared,
+            self.store.configuration,
+            self.fleet,
             upstream_dialect=surroundings.upstream_dialect,
             read_instance=surroundings.read_instance,
             accepts_close_delimited=surroundings.accepts_close_delimited,
-            alone_since_ms=self._alone_since_ms,
+            alone_since_ms=alone_since_ms,
             is_stopping=lambda: self._stopping,
         )
-        store_assembly.log_accepted(self.events, self.configuration)
-        self.pools = self._upstreams.pools
-        self.gate = self._upstreams.gate
-        self.upstream = self._upstreams.upstream
-
-    def _create_node_parts(self) -> None:
-        self._calls = call_assembly.create(
-            self._shared, self._control, self.upstream, self.pools, self._tables.thresholds
+        store_assembly.log_accepted(self.events, self.store.configuration)
+        self.calls = call_assembly.create(
+            shared, self.fleet, upstreams.upstream, upstreams.pools, self.caller_tables.thresholds
         )
-
-    def _create_caller_parts(self) -> None:
-        surroundings = self.environment
-        self._callers = callers_assembly.create(
-            self._shared,
-            self._store,
-            self._tables,
-            self._control,
-            self._calls,
+        self.callers = callers_assembly.create(
+            shared,
+            self.store,
+            self.caller_tables,
+            self.fleet,
+            self.calls,
             surroundings.caller_dialect,
             surroundings.service,
         )
-        self.team_rates = self._callers.team_rates
-        self.platform_tasks = [*self._control.tasks, *self._callers.tasks]
-        node = self.settings
-        http = http_ports.HttpPorts(node, self.loop, self.node_metrics, self.routes.limits)
+
+    def _create_servers(self) -> None:
+        shared, routes = self._shared, self.fleet.routes
+        http = http_ports.HttpPorts(self.settings, self.loop, shared.metrics, routes.limits)
         self.upstream_server = upstreams_assembly.create_server(
-            self._shared,
-            self._upstreams,
-            self.routes,
-            self._calls.dispatcher,
-            self._callers.shutdown.limit,
+            shared,
+            self.upstreams,
+            routes,
+            self.calls.dispatcher,
+            self.callers.shutdown.limit,
             self.environment.make_upstream_handler,
             http.create,
         )
         self.relay_server = call_assembly.create_server(
-            self._shared, self._calls, self.upstream, self._callers.at_most_once, http.create
+            shared, self.calls, self.upstreams.upstream, self.callers.at_most_once, http.create
         )
-        self.caller_server = callers_assembly.create_server(
-            self._shared, self._callers, http.create
-        )
-        self.ready_server = None
-        if node.addresses.ready:
-            self.ready_server = http.create(
-                "ready", readiness.build_handler(self.ready), readiness.CONNECTIONS
-            )
+        self.caller_server = callers_assembly.create_server(shared, self.callers, http.create)
+        self.ready_server = operators_assembly.create_ready_server(shared, self.ready, http.create)
 
-    def _create_operator_parts(self) -> None:
-        node = self.settings
-        self.status = node_status.StatusReader(
-            node,
+    def _create_status(self) -> node_status.StatusReader:
+        return node_status.StatusReader(
+            self.settings,
             self.incarnation,
-            self.members,
-            self.configuration,
-            self._tables.keys,
-            self.gate,
-            self.upstream,
-            self.team_rates.shares,
-            self.team_rates.tokens,
-            self.freshness,
-            self.restorations,
+            self.fleet.known.members,
+            self.store.configuration,
+            self.caller_tables.keys,
+            self.upstreams.gate,
+            self.upstreams.upstream,
+            self.callers.team_rates.shares,
+            self.callers.team_rates.tokens,
+            self.store.freshness,
+            self.store.restorations,
         )
-        self.events.add_listener(self.node_metrics.count_event)
-        self.operator_port = operators_port.OperatorPort(
-            node.addresses.operators, self._create_operator_pages
-        )
-
-    def _create_operator_pages(self) -> Sequence[object]:
-        # Not imported before, as all of werkzeug comes with it.
-        from bergamotridge.operators import pages
 
-        return (
-            pages.metrics_page(self.metrics),
-            pages.status_page(self.status.read),
-            pages.events_page(self.events),
-            pages.withdraw_page(self.settings.fleet_secret, self._callers.withdrawal.withdraw),
+    def _create_operator_port(self) -> port.OperatorPort:
+        sources = operators_assembly.PageSources(
+            self._recorders.registry, self._status.read, self.callers.withdrawal.withdraw
         )
+        return operators_assembly.create_port(self._shared, sources)
+
+    def _take_parts(self) -> None:
+        """Takes the parts that are started or that end by themselves from those of the packages."""
+        self.objects = self.store.objects
+        self.channels = self.fleet.known.channels
+        self.suspects = self.fleet.known.suspects
+        self.gossip = self.fleet.gossip
+        self.freshness_port = self.fleet.freshness_port
+        self.pools = self.upstreams.pools
+        self.team_rates = self.callers.team_rates
+        self.platform_tasks = [*self.fleet.tasks, *self.callers.tasks]
 
     def ready(self) -> bool:
         """Returns True while load balancers should send new calls to this node."""
-        return self.routes.is_configured and not self._stopping
+        return self.fleet.routes.is_configured and not self._stopping
 
     def start(self, bound: ports.BoundPorts) -> None:
         """Opens all ports and starts all tasks.
@@ -271,7 +228,7 @@
             "relay": self.relay_server.stop,
             "upstream": self.upstream_server.stop,
             "team rates": self.team_rates.stop,
-            "platform tasks": without_limit(self._stop_platform_tasks),
+            "platform tasks": without_limit(lambda: part_order.stop_tasks(self.platform_tasks)),
             ports.DATAGRAMS: without_limit(self.freshness_port.stop),
             # What follows must not outlast the drain time: the process may be killed soon after it.
             "gossip": lambda _: self.gossip.stop(wait=False),
@@ -287,10 +244,6 @@
             "loop": without_limit(self.loop.stop),
         }
 
-    def _stop_platform_tasks(self) -> None:
-        for task in self.platform_tasks:
-            task.stop()
-
     def stop(self, requested_at: float) -> None:
         """Shuts down gracefully: running calls may finish until the drain time has passed.
 
@@ -304,9 +257,9 @@
         drain_deadline = requested_at + limits.drain_s
         notice_deadline = requested_at + min(limits.notice_s, limits.drain_s)
         # The times are fixed before anything that can take long.
-        self._callers.shutdown.begin(notice_deadline, drain_deadline)
-        self.members.publish_lost(now)
-        self.gate.drain()
+        self.callers.shutdown.begin(notice_deadline, drain_deadline)
+        self.fleet.known.members.publish_lost(now)
+        self.upstreams.gate.drain()
         # This node still answers while its departure spreads to other nodes and load balancers.
         self.caller_server.close_after_answers()
         self.relay_server.close_after_answers()
--- a/bergamotridge/part_order.py
+++ b/bergamotridge/part_order.py
@@ -70,3 +70,13 @@
     """
     for end in ends:
         end(max(0.0, deadline - time.monotonic()))
+
+
+def stop_tasks(tasks: Iterable[StoppableTask]) -> None:
+    """Tells all tasks to end, one after the other.
+
+    Args:
+        tasks: The tasks, in order.
+    """
+    for task in tasks:
+        task.stop()
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -5,8 +5,10 @@
 import pytest
 
 from bergamotridge import application, errors, ports, settings
-from bergamotridge.nodes import control
+from bergamotridge.nodes import control, record
+from bergamotridge.upstreams import announcement
 from standins import processes
+from tests import positions
 
 PORT_PARTS = (
     ("relay", "relay_server"),
@@ -121,6 +123,20 @@
     ]
 
 
+# Tests and operators wait for this event, and then rely on the text.
+def test_the_event_of_a_configuration_comes_once_its_routes_and_limits_apply(
+    node, calls, monkeypatch
+):
+    ready = announcement.Announcement("rooms", "127.0.0.1:9", record.State.READY, 1, 50, 100, 0.0)
+    node.upstreams.applier.apply(ready, time.monotonic())
+    monkeypatch.setattr(
+        node.upstreams.gate, "configure", lambda slots, _: calls.append(f"gate {slots}")
+    )
+    node.events.add_listener(lambda event: calls.append(f"{event.kind} {node.ready()}"))
+    node.store.configuration.apply_version(positions.at(1), "[services.rooms]\nslots = 7\n")
+    assert calls == ["gate 7", "configuration.accepted True"]
+
+
 def test_a_port_that_cannot_be_opened_closes_those_that_were(node, bound, calls, monkeypatch):
     def fail(_):
         raise errors.AddressInUseError("taken")
--- a/tests/test_operators/test_node_metrics.py
+++ b/tests/test_operators/test_node_metrics.py
@@ -1,7 +1,7 @@
 """Metrics of a node: gauges show its status; events and answers are counted."""
 
 from bergamotridge import events, metrics, verdict
-from bergamotridge.operators import node_metrics, status
+from bergamotridge.operators import assembly, node_metrics, status
 from bergamotridge.util import connection_table
 
 STATUS = status.Status(
@@ -35,6 +35,14 @@
     assert [line for line in lines if not any(name in line for name in varying)] == snapshot
 
 
+def test_a_node_counts_its_events_from_the_first_one_on():
+    log = events.EventLog("h1", 1, "utrecht")
+    recorders = assembly.create_recorders(log, lambda: STATUS)
+    log.emit("node.started")
+    lines = recorders.registry.render().body.decode().splitlines()
+    assert 'bergamotridge_events_total{cause="",kind="node.started"} 1' in lines
+
+
 # Connections filled a port, and no metric told how many were open, idle, or allowed.
 def test_the_connections_of_a_port_are_told_by_state():
     registry = metrics.Metrics()
