Take the messages with listings out of gossip

Change: `nodes.listing_message` encodes and decodes the listings that nodes fetch from each other. The functions are moved as they were, and test_odd_fetches calls them there, with the same assertions.

--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -10,15 +10,15 @@
 import attrs
 import grpc
 import logbook
-import orjson
 
-from bergamotridge import errors, malformed
+from bergamotridge import malformed
 from bergamotridge.nodes import (
     control,
     exchange,
     gossip_pb2,
     gossip_pb2_grpc,
     link,
+    listing_message,
     membership,
     peers,
     record,
@@ -26,8 +26,8 @@
     restoration_news,
     traffic,
 )
-from bergamotridge.store import client, position, readable, replica, restorations
-from bergamotridge.util import clock, fields
+from bergamotridge.store import client, replica, restorations
+from bergamotridge.util import clock
 
 _log = logbook.Logger(__name__)
 
@@ -321,7 +321,7 @@
             replica_version.write(request, previous_version)
             response = stub.Fetch(request, timeout=FETCH_TIMEOUT_S)
             self._count_bytes("fetch", request.ByteSize(), response.ByteSize())
-            listing = _decode_listing(kind, response)
+            listing = listing_message.decode(kind, response)
             for entry in listing.reports:
                 self._on_malformed(entry)
             local_replica.apply_listing(listing)
@@ -348,47 +348,7 @@
                 f"this node has no replica of kind '{request.kind}'; "
                 "fetch only kinds that its gossip messages list",
             )
-        return _encode_listing(listing)
-
-
-def _encode_listing(listing: client.Listing) -> gossip_pb2.FetchResponse:
-    response = gossip_pb2.FetchResponse(
-        version=listing.version.revision, epoch=listing.version.epoch
-    )
-    for item in listing.items:
-        response.objects.add(
-            name=item.name,
-            version=item.version.revision,
-            epoch=item.version.epoch,
-            value=b"" if item.value is None else orjson.dumps(item.value),
-        )
-    return response
-
-
-def _decode_listing(kind: str, response: gossip_pb2.FetchResponse) -> client.Listing:
-    as_of = position.Position(response.epoch, response.version)
-    read = readable.decode_each(
-        kind,
-        response.objects,
-        lambda item: _decode_object(kind, item, as_of),
-        lambda item: item.name,
-    )
-    return client.Listing(read.items, as_of, read.reports)
-
-
-def _decode_object(
-    kind: str, item: gossip_pb2.FetchedObject, as_of: position.Position
-) -> client.StoredObject:
-    try:
-        epoch = fields.whole_number("epoch", item.epoch, 0, as_of.epoch)
-        max_revision = as_of.revision if epoch == as_of.epoch else fields.MAX_INTEGER
-        revision = fields.whole_number("version", item.version, 1, max_revision)
-        value = orjson.loads(item.value) if item.value else None
-    except (errors.MalformedEntryError, orjson.JSONDecodeError) as error:
-        raise errors.MalformedObjectError(f"a peer's object cannot be read: {error}") from error
-    fault = readable.find_fault(value)
-    version = position.Position(epoch, revision)
-    return client.StoredObject(kind, item.name, version, None if fault else value, fault)
+        return listing_message.encode(listing)
 
 
 def _wall_clock_ms() -> int:
--- a/tests/test_nodes/test_odd_fetches.py
+++ b/tests/test_nodes/test_odd_fetches.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from bergamotridge.nodes import gossip, gossip_pb2
+from bergamotridge.nodes import gossip_pb2, listing_message
 from bergamotridge.store import configuration
 from tests import odd_values, positions
 
@@ -22,7 +22,7 @@
 )
 def test_whatever_stands_between_two_fetched_objects_both_are_read(value, version):
     response = _fetched(("a", 7, b"1"), ("x", version, value), ("b", 50, b"1"))
-    listing = gossip._decode_listing("keys", response)
+    listing = listing_message.decode("keys", response)
     assert {"a", "b"} <= {item.name for item in listing.items}
     assert max(item.version for item in listing.items) == positions.at(50)
 
@@ -36,7 +36,7 @@
 def test_whatever_a_configuration_object_holds_a_peer_gets_it_and_a_later_one(text, change):
     store = configuration.ConfigurationStore()
     value = odd_values.object_text({"text": text, "change_id": change}).encode()
-    store.apply_listing(gossip._decode_listing("configuration", _fetched(("current", 5, value))))
-    gossip._encode_listing(store.listing_since(positions.version(0))).SerializeToString()
+    store.apply_listing(listing_message.decode("configuration", _fetched(("current", 5, value))))
+    listing_message.encode(store.listing_since(positions.version(0))).SerializeToString()
     store.apply_version(positions.at(7), "[services.a]\n")
     assert store.current.version == positions.at(7)
