Take the plans for quota shares out of quota_rates

Cause: callers.quota_rates decided what to do about shares between its threads and requests. Change: `callers.share_plans` decides (which shares to take, keep or give up, and whether a change is pending); quota_rates reads, writes and waits.

--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -15,7 +15,7 @@
 import logbook
 
 from bergamotridge import errors, malformed
-from bergamotridge.callers import holder_choice, quota_drawer, quota_holder, rates
+from bergamotridge.callers import holder_choice, quota_drawer, quota_holder, rates, share_plans
 from bergamotridge.nodes import holders, quota, quota_pb2, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, objects
@@ -143,6 +143,7 @@
             self._settings.groups,
             self._settings.timings.join_after_s,
         )
+        self._planner = share_plans.SharePlanner(self._choice)
         self._stopping = threading.Event()
         self._leaving = threading.Event()
         self._return_deadline = float("inf")
@@ -387,17 +388,12 @@
         if not teams or self._holder.has_unwritten_shares():
             return True
         shares = self._holder.shares(self._clock())
-        for team in teams:
-            share = shares.get(team)
-            if not self._choice.is_holder(team):
-                if share is not None:
-                    return True
-            elif not share:
-                return True
-        return False
+        return self._planner.has_pending_change(teams, shares)
 
     def _adjust_shares(self, predecessor_teams: Sequence[str]) -> None:
-        for group, plans in self._plan_shares(predecessor_teams, self._clock()).items():
+        now, teams, held_teams = self._clock(), self._teams(), self._holder.held_teams()
+        planned = self._planner.plan(teams, held_teams, predecessor_teams, now)
+        for group, plans in planned.items():
             try:
                 self._holder.adjust(group, plans, self._teams_known_at_restoration(group))
             except errors.MalformedObjectError as error:
@@ -410,28 +406,7 @@
         A process that has started since then may not know of some, and counts all that it knows.
         """
         names = self._teams_at_restoration or self._teams()
-        return [name for name in names if self._choice.group_of(name) == group]
-
-    def _plan_shares(
-        self, predecessor_teams: Sequence[str], now: float
-    ) -> Mapping[str, Sequence[quota_holder.TeamPlan]]:
-        """Returns what to do about the shares of this host, by group.
-
-        A share of a team that is no longer configured is given up.
-        """
-        teams, held_teams = self._teams(), self._holder.held_teams()
-        is_settled = self._choice.is_settled
-        plans: dict[str, list[quota_holder.TeamPlan]] = {}
-        for name, team in {**held_teams, **teams}.items():
-            is_held = name in held_teams or name in predecessor_teams
-            # A share that an earlier process on this host left is taken over without waiting.
-            should_hold = (self._choice.may_join(name, now) and (is_settled or is_held)) or (
-                name in predecessor_teams and self._choice.is_holder(name)
-            )
-            if should_hold or is_held:
-                plan = quota_holder.TeamPlan(team, should_hold, self._choice.holder_count(name))
-                plans.setdefault(self._choice.group_of(name), []).append(plan)
-        return plans
+        return self._planner.of_group(names, group)
 
     def _return_shares(self) -> None:
         """Returns shares until none is held, the platform fails, or all loans have expired."""
@@ -439,7 +414,7 @@
         deadline = started_at + 2.0 * self._settings.timings.loan_s
         try:
             while self._holder is not None and self._clock() < min(deadline, self._return_deadline):
-                plans = self._plan_return()
+                plans = self._planner.plan_return(self._holder.held_teams())
                 if not plans:
                     break
                 for group, group_plans in plans.items():
@@ -450,11 +425,3 @@
         except errors.PlatformError as error:
             _log.warning("quota shares not returned: {}", error)
         _log.info("return of quota shares ended after {:.3f} s", self._clock() - started_at)
-
-    def _plan_return(self) -> Mapping[str, Sequence[quota_holder.TeamPlan]]:
-        """Returns the plans to give up all shares that are held, by group."""
-        plans: dict[str, list[quota_holder.TeamPlan]] = {}
-        for name, team in self._holder.held_teams().items():
-            plan = quota_holder.TeamPlan(team, chosen=False, holders=0)
-            plans.setdefault(self._choice.group_of(name), []).append(plan)
-        return plans
