Name the store's assembly where other assemblies use it

Cause: in callers.assembly and nodes.control_assembly, `assembly` read like the module itself. Change: the import is called store_assembly, as in application. No change of behaviour.

Measured: test_application, test_imports, test_http_ports and test_daemon pass (13).

--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -23,7 +23,8 @@
     withdrawals,
 )
 from bergamotridge.nodes import call_assembly, control_assembly, quota
-from bergamotridge.store import assembly, freshness, holding, restorations
+from bergamotridge.store import assembly as store_assembly
+from bergamotridge.store import freshness, holding, restorations
 from bergamotridge.util import clock, hlc, httpd
 
 WITHDRAWAL_INTERVAL_S = 1.0
@@ -81,7 +82,7 @@
 
 def create(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     tables: CallerTables,
     control: control_assembly.ControlParts,
     calls: call_assembly.CallParts,
@@ -155,7 +156,7 @@
 
 def _create_team_rates(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     control: control_assembly.ControlParts,
 ) -> quota_rates.QuotaRates:
     node, settings = shared.node, shared.node.quota
@@ -181,7 +182,9 @@
     return team_rates
 
 
-def _create_claims(shared: shared_parts.SharedParts, store: assembly.StoreParts) -> claims.Claims:
+def _create_claims(
+    shared: shared_parts.SharedParts, store: store_assembly.StoreParts
+) -> claims.Claims:
     node_claims = claims.Claims(
         shared.node.host,
         shared.incarnation,
@@ -195,7 +198,7 @@
 
 def _create_withdrawal(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     tables: CallerTables,
     control: control_assembly.ControlParts,
 ) -> operator_withdrawal.OperatorWithdrawal:
@@ -213,7 +216,7 @@
 
 def _create_withdrawal_writers(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     tables: CallerTables,
     control: control_assembly.ControlParts,
 ) -> Sequence[withdrawals.WithdrawalWriter]:
--- a/bergamotridge/nodes/control_assembly.py
+++ b/bergamotridge/nodes/control_assembly.py
@@ -20,7 +20,8 @@
     suspect_sharing,
     watch_election,
 )
-from bergamotridge.store import assembly, configuration, read_policy, replica, watch
+from bergamotridge.store import assembly as store_assembly
+from bergamotridge.store import configuration, read_policy, replica, watch
 
 # Of the longest allowed age of the configuration: how long a watch, or a request to another node,
 # waits for news, and the least progress that counts as news.
@@ -72,7 +73,7 @@
 
 def create(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     key_ring: KeyReplica,
     keys_in_text: bool,
     service: str,
@@ -156,7 +157,7 @@
 
 def _create_gossip(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     known: MemberParts,
     replicas: Sequence[replica.Replica],
     withdrawals: exchange.Withdrawals,
@@ -190,7 +191,7 @@
 
 def _create_freshness_port(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     replicas: Sequence[replica.Replica],
     election: watch_election.WatchElection,
     gossiping: gossip.Gossip,
@@ -215,7 +216,7 @@
 
 def _create_watchers(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     members: membership.Membership,
     replicas: Sequence[replica.Replica],
     election: watch_election.WatchElection,
@@ -239,7 +240,7 @@
 
 def _create_bootstrap(
     shared: shared_parts.SharedParts,
-    store: assembly.StoreParts,
+    store: store_assembly.StoreParts,
     members: membership.Membership,
     peer_chooser: peers.PeerChooser,
     election: watch_election.WatchElection,
