--- a/bergamotridge/part_order.py
+++ b/bergamotridge/part_order.py
@@ -25,6 +25,13 @@
         """Begins the work."""
 
 
+class StoppableTask(Task, Protocol):
+    """A task that can be told to end."""
+
+    def stop(self) -> None:
+        """Tells the task to end."""
+
+
 def without_limit(end: Callable[[], object]) -> End:
     """Returns the end of a part that doesn't wait for running calls."""
     return lambda _: end()
@@ -63,3 +70,13 @@
     """
     for end in ends:
         end(max(0.0, deadline - time.monotonic()))
+
+
+def stop_tasks(tasks: Iterable[StoppableTask]) -> None:
+    """Tells all tasks to end, one after the other.
+
+    Args:
+        tasks: The tasks, in order.
+    """
+    for task in tasks:
+        task.stop()
