Keep restorations of the store in the store, past the end of all nodes

Cause: a restoration of the platform's store was known to the memories of nodes only. If all of them ended within 600 s of it, before the homes had written their claims again, a node that started later took the copy for the whole, and a call with a key that its caller chose ran once more.

Change: an object of kind `restorations` names the epoch in which it was written, and whether the reservation after it still lasts. A copy can only hold one of an earlier epoch, so that one read shows a restoration that no running process remembers. A process reads it before its first claim of a chosen key. The object holds no time, as clocks of hosts may step: the mark is removed by a process that has known of the restoration for the whole reservation. A missing object counts as one of epoch 0, in which the store was certainly never restored; in any later epoch keys are refused for the reservation rather than run twice.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -18,6 +18,7 @@
     at_most_once,
     claim_rewriter,
     claims,
+    idempotency,
     keys,
     quota_rates,
     shedding,
@@ -68,6 +69,8 @@
     holding,
     read_policy,
     replica,
+    restoration_record,
+    restoration_recorder,
     restorations,
     watch,
 )
@@ -149,6 +152,10 @@
             self.node_metrics.count_platform_request,
             self.malformed_entries.report,
         )
+        self._reservation_s = claims.reservation_s(idempotency.KEY_LIFETIME_S)
+        self.restoration_record = restoration_record.RestorationRecord(
+            self.objects, self.restorations, self._reservation_s
+        )
         self.routes = routing.CurrentRoutes()
         self.configuration = configuration.ConfigurationStore(self.environment.parse_text)
         self.configuration.add_listener(self._apply_configuration)
@@ -322,6 +329,15 @@
                 lambda: self.restorations.epoch,
             ),
         ]
+        recorder = restoration_recorder.RestorationRecorder(
+            self.restoration_record,
+            self.restorations,
+            self._reservation_s,
+            lambda: election.is_elected(time.monotonic()),
+            self._rng,
+        )
+        self.restorations.add_listener(lambda _: recorder.handle_restoration())
+        self.platform_tasks.append(recorder)
         if not self.environment.keys_in_text:
             self.platform_tasks.append(
                 withdrawals.WithdrawalWriter(
@@ -359,7 +375,8 @@
             node.host,
             self.incarnation,
             self.objects,
-            may_have_lost=lambda: self._may_have_lost_claims(node_claims.reservation_s),
+            may_have_lost=self._may_have_lost_claims,
+            confirm_restorations=self.restoration_record.confirm,
         )
         rewriter = claim_rewriter.ClaimRewriter(node_claims, self._rng)
         self.restorations.add_listener(lambda _: rewriter.handle_restoration())
@@ -614,9 +631,9 @@
     def _record_restoration(self, restoration: restorations.Restoration) -> None:
         self.events.emit("store.restored", epoch=restoration.epoch, told_by=restoration.source)
 
-    def _may_have_lost_claims(self, reservation_s: float) -> bool:
+    def _may_have_lost_claims(self) -> bool:
         now = clock.boot_time()
-        is_restored = self.restorations.recent_epoch(reservation_s, now) is not None
+        is_restored = self.restoration_record.is_recent(now)
         return is_restored or not self.restorations.is_informed(now)
 
     def _withdraw_key(self, key_id: str) -> confirmation.Knowledge:
--- a/bergamotridge/callers/claims.py
+++ b/bergamotridge/callers/claims.py
@@ -136,6 +136,11 @@
         self._entry.finished.set()
 
 
+def reservation_s(key_lifetime_s: float) -> float:
+    """Returns the time in seconds after a restoration in which no chosen key is claimed."""
+    return key_lifetime_s * (1.0 + holding.CLOCK_DRIFT_FRACTION)
+
+
 class Claims:
     """All claims whose home is this node; thread-safe."""
 
@@ -150,6 +155,7 @@
         claims_per_s: float = CLAIMS_PER_S,
         answer_cache: answers.AnswerCache | None = None,
         may_have_lost: Callable[[], bool] = lambda: False,
+        confirm_restorations: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates an empty set of claims.
 
@@ -165,8 +171,11 @@
             answer_cache: Stores the answers for repeats; None creates a cache.
             may_have_lost: Returns whether the platform's store may have lost claims which still
                 count: it was restored within `reservation_s`, or this process may not know.
+            confirm_restorations: Makes certain that this process knows of restorations before its
+                start; raises PlatformError if it can't.
         """
         self._may_have_lost = may_have_lost
+        self._confirm_restorations = confirm_restorations
         self._issuer = idempotency.KeyIssuer(host, incarnation, key_lifetime_s)
         self._host = host
         self._incarnation = incarnation
@@ -185,7 +194,7 @@
     @property
     def reservation_s(self) -> float:
         """Time in seconds after a restoration of the platform in which no chosen key is claimed."""
-        return self._lifetime_s * (1.0 + holding.CLOCK_DRIFT_FRACTION)
+        return reservation_s(self._lifetime_s)
 
     def handle_restoration(self) -> None:
         """Forgets which objects of the platform certainly are this process's own."""
@@ -305,6 +314,9 @@
                     "this node has no platform to store the claim of a key that a caller chose; "
                     "use a key that a node issued"
                 )
+        self._confirm_known_restorations()
+        with self._lock:
+            self._check_restoration()
             if not self._create_limiter.take(now):
                 raise _store_unavailable_error(
                     "too many calls with an Idempotency-Key that callers chose; "
@@ -342,6 +354,15 @@
         valid_s = self._lifetime_s * (1.0 - holding.CLOCK_DRIFT_FRACTION)
         return stored is not None and now < stored.stored_at + valid_s
 
+    def _confirm_known_restorations(self) -> None:
+        try:
+            self._confirm_restorations()
+        except errors.PlatformError as error:
+            raise _store_unavailable_error(
+                f"this node can't tell whether the platform was restored from a copy: {error}; "
+                "retry with the same key"
+            ) from error
+
     def _check_restoration(self) -> None:
         """Raises CallError if a restoration of the platform may have lost any claim."""
         if self._may_have_lost():
--- a/bergamotridge/store/restorations.py
+++ b/bergamotridge/store/restorations.py
@@ -16,6 +16,7 @@
 
 FROM_STORE = "store"
 FROM_PEER = "peer"
+FROM_RECORD = "record"
 ALONE_AFTER_S = 5.0
 
 
@@ -27,7 +28,7 @@
         epoch: Epoch that began with it.
         noticed_at: Boot time in seconds at which it was noticed, by this node or by a peer that
             told this node of it.
-        source: `FROM_STORE` or `FROM_PEER`.
+        source: `FROM_STORE`, `FROM_PEER` or `FROM_RECORD`.
     """
 
     epoch: int
@@ -113,20 +114,21 @@
                 f"the answer is of epoch {epoch}, before the store was restored; try again"
             )
 
-    def learn(self, epoch: int, age_s: float, now: float) -> None:
-        """Records a restoration that a peer told of, if it is later than those known.
+    def learn(self, epoch: int, age_s: float, now: float, source: str = FROM_PEER) -> None:
+        """Records a restoration that a peer or the record told of, if it is later than those known.
 
         Args:
             epoch: Epoch that began with the restoration.
             age_s: Seconds since it was noticed.
             now: Boot time in seconds.
+            source: `FROM_PEER` or `FROM_RECORD`.
         """
         with self._lock:
             known = self.epoch
             if epoch < known or (self._latest is not None and epoch <= self._latest.epoch):
                 return
             self._epoch = epoch
-            restoration = self._latest = Restoration(epoch, now - age_s, FROM_PEER)
+            restoration = self._latest = Restoration(epoch, now - age_s, source)
         self._notify(restoration, known)
 
     def hear_epoch(self, epoch: int, now: float) -> None:
