Let the model of restored stores end all processes in between

Cause: the model of the whole way, from the adapter's answers on, started processes anew only while a peer was there to tell them of restorations.

Change: the nodes of the model hold the record of restorations, on the users' wire, and a run may end all of them at once.

--- a/tests/test_platform/test_restored_model.py
+++ b/tests/test_platform/test_restored_model.py
@@ -21,6 +21,7 @@
     freshness,
     quota,
     read_policy,
+    restoration_record,
     restorations,
     watch,
 )
@@ -56,6 +57,7 @@
     watcher: watch.Watcher
     holder: quota_holder.QuotaHolder
     claims: claims.Claims
+    record: restoration_record.RestorationRecord
     in_force: list[int] = attrs.field(factory=list)
     read_at: float = 0.0
     adjust_at: float = 0.0
@@ -73,7 +75,10 @@
 class Model:
     """The fleet, its store and its operator."""
 
-    def __init__(self, seed: int, store: wire_store.WireStore, make_store) -> None:
+    def __init__(
+        self, seed: int, store: wire_store.WireStore, make_store, *, kills_all: bool = False
+    ) -> None:
+        self.kills_all = kills_all
         self.rng = random.Random(seed)
         self.make_store = make_store
         self.store = store
@@ -104,6 +109,9 @@
         objects = self.make_store(transport, known)
         copy = configuration.ConfigurationStore(lambda source, _: Text(json.loads(source)["n"]))
         fresh = freshness.Freshness()
+        record = restoration_record.RestorationRecord(
+            objects, known, claims.reservation_s(KEY_LIFETIME_S), lambda: self.now
+        )
         timings = watch.WatchTimings(max_age_s=MAX_AGE_S, wait_s=0.0, backoff_cap_s=0.5)
         node = Node(
             host,
@@ -129,10 +137,11 @@
                 objects,
                 key_lifetime_s=KEY_LIFETIME_S,
                 may_have_lost=lambda: (
-                    known.recent_epoch(node.claims.reservation_s, self.now) is not None
-                    or not known.is_informed(self.now)
+                    record.is_recent(self.now) or not known.is_informed(self.now)
                 ),
+                confirm_restorations=record.confirm,
             ),
+            record,
             adjust_at=self.now + 0.5,
             undisturbed_since=self.now,
         )
@@ -230,6 +239,12 @@
         self.store_up_since = self.now
         self.rewrite_at = self.now + self.rng.choice([0.0, 0.3, 1.0])
 
+    def kill_all(self) -> None:
+        hosts = sorted(self.nodes)
+        self.nodes.clear()
+        for host in hosts:
+            self.start(host)
+
     def go_away(self) -> None:
         self.store.down = True
         self.return_at = self.now + self.rng.uniform(0.3, 3.0)
@@ -237,7 +252,7 @@
     def disturb(self) -> None:
         node = self.rng.choice(list(self.nodes.values()))
         kinds = ["away", "cut", "part", "start", "loss", "late", "compact", "heal", "heal"]
-        kind = self.rng.choice(kinds)
+        kind = self.rng.choice([*kinds, "kill all"] if self.kills_all else kinds)
         if self.rng.random() < 0.5:
             self.holders = set(self.rng.sample(sorted(self.nodes), HOLDERS))
         if kind == "away" and not self.store.down:
@@ -258,6 +273,8 @@
             self.store.compact()
         elif kind == "heal":
             self.heal()
+        elif kind == "kill all":
+            self.kill_all()
 
     def heal(self) -> None:
         for node in self.nodes.values():
@@ -298,10 +315,10 @@
 def run_model(monkeypatch):
     from hosting import metadata_store
 
-    def run(seed):
+    def run(seed, **options):
         store = wire_store.WireStore()
         monkeypatch.setattr(clock, "boot_time", lambda: store.now)
-        model = Model(seed, store, metadata_store.MetadataStore)
+        model = Model(seed, store, metadata_store.MetadataStore, **options)
         model.run(CONTACT_S)
         for _ in range(ROUNDS):
             model.disturb()
@@ -320,6 +337,14 @@
     assert sum(model.runs.values()) > 10
 
 
+# What a store lost was known to processes only.
+@pytest.mark.parametrize("seed", range(8))
+def test_no_key_runs_twice_if_all_processes_end_in_between(run_model, seed):
+    model = run_model(seed, kills_all=True)
+    assert model.store.era > 2
+    assert sum(model.runs.values()) > 10
+
+
 def read_no_epoch(monkeypatch):
     from hosting import metadata_store
 
@@ -338,6 +363,10 @@
     monkeypatch.setattr(claims.Claims, "_check_restoration", lambda self: None)
 
 
+def read_no_record(monkeypatch):
+    monkeypatch.setattr(restoration_record.RestorationRecord, "confirm", lambda self: None)
+
+
 # The faults of the code before the incident, and what its fix rests on.
 @pytest.mark.parametrize(
     ("plant", "found"),
@@ -353,3 +382,10 @@
     with pytest.raises(AssertionError, match=found):
         for seed in range(20):
             run_model(seed)
+
+
+def test_the_model_finds_processes_that_read_no_record(run_model, monkeypatch):
+    read_no_record(monkeypatch)
+    with pytest.raises(AssertionError, match="ran twice"):
+        for seed in range(60):
+            run_model(seed, kills_all=True)
