Test what is kept of notices, not-run and crashes if all nodes end

The table of withdrawals-forgotten-in-a-kill had no test for these rows. The four new process tests kill all nodes, or the home of a key, and pass on the code as it is:

- an upstream that leaves, or names a limit, is heard again from its next answer on, and then gets no more calls than before;
- a request that crashes upstreams costs at most three more;
- repeats of a call that was refused as not run, whose home was killed since, run once at most, and aren't told not-run.
They get may-have-run: what was said is taken back, as design-once says.

--- a/tests/test_process/test_crashing_requests.py
+++ b/tests/test_process/test_crashing_requests.py
@@ -131,6 +131,25 @@
     assert supervisor.crashed == crashed <= MAX_ENDS
 
 
+# With all nodes of the service the crashes are forgotten: they cost three more upstreams at most.
+def test_after_a_kill_of_all_nodes_a_request_is_held_back_after_three_more_crashes(rig, supervisor):
+    send_deadly_calls(rig)
+    assert supervisor.crashed <= MAX_ENDS
+    nodes = [member.node for member in rig.fleet.members.values()]
+    for node in nodes:
+        node.kill()
+    for node in nodes:
+        node.start()
+    rig.fleet.wait_ready()
+    for name in NAMES:
+        rig.call_until_served(name, path="/rows")
+    crashed = supervisor.crashed
+    replies = send_deadly_calls(rig)
+    supervisor.stop()
+    assert supervisor.crashed - crashed <= MAX_ENDS
+    assert is_held_back(list(replies.values())[-1])
+
+
 # A kind of request that runs everywhere was suspected since upstreams ended by themselves.
 def test_upstreams_that_are_killed_one_after_another_hold_back_no_request(rig):
     load = rig.start_load(rig.stream("large", "rows", 40, 8.0, NAMES))
--- a/tests/test_process/test_once.py
+++ b/tests/test_process/test_once.py
@@ -55,6 +55,33 @@
     assert len(rig.runs(tag)) == 1
 
 
+# What was said is taken back: the platform's object of the claim doesn't tell that it hasn't run.
+def test_repeats_of_a_call_that_has_not_run_run_once_at_most_after_a_kill_of_its_home(rig):
+    upstreams = [member.upstream for member in rig.members("back")]
+    for upstream in upstreams:
+        upstream.kill()
+    tag, replies = rig.tag(), []
+
+    def has_not_run():
+        replies.append(rig.call("front-1", "POST", "/payments", tag, idempotency_key=tag))
+        return replies[-1].verdict == "not-run"
+
+    processes.wait_until(has_not_run, "the call is refused as not run")
+    home = rig.fleet.members["front-1"].node
+    home.kill()
+    home.start()
+    for upstream in upstreams:
+        upstream.start()
+    rig.fleet.wait_ready()
+    for host in rig.fleet.members:
+        rig.call_until_served(host)
+        reply = repeat_until_admitted(rig, host, tag)
+        ran = len(rig.runs(tag, "back"))
+        assert ran <= 1
+        assert reply.verdict != "not-run"
+        assert reply.status != 200 or ran == 1
+
+
 def test_caller_that_disconnects_causes_no_second_run(rig):
     rig.inject_faults("back", service_ms=fleet.SLOW_SERVICE_MS)
     tag = rig.tag()
--- a/tests/test_process/test_upstream_notices.py
+++ b/tests/test_process/test_upstream_notices.py
@@ -80,3 +80,47 @@
     runs = [run for run in rig.runs() if run.address == leaving.addresses.server]
     assert [run for run in runs if run.start > told_at + DRAIN_S] == []
     assert rig.find_violations(attempts) == []
+
+
+def kill_and_start_all_nodes(rig):
+    """Returns the monotonic time at which no node remembers what upstreams said."""
+    nodes = [member.node for member in rig.fleet.members.values()]
+    for node in nodes:
+        node.kill()
+    ended_at = time.monotonic()
+    for node in nodes:
+        node.start()
+    rig.fleet.wait_ready()
+    return ended_at
+
+
+def runs_since(rig, member, since):
+    """Returns the runs of an upstream that started after a time, in their order."""
+    runs = [run for run in rig.runs() if run.address == member.addresses.server]
+    return sorted((run for run in runs if run.start > since), key=lambda run: run.start)
+
+
+# With all nodes the notice is forgotten; the upstream's next answer brings it back.
+def test_after_a_kill_of_all_nodes_the_next_answer_of_an_upstream_that_leaves_counts(rig, leaving):
+    hosts = tuple(rig.fleet.members)
+    rig.send_load(rig.stream("large", "rows", 40, 1.0, hosts))
+    assert runs_since(rig, leaving, 0.0)
+    ended_at = kill_and_start_all_nodes(rig)
+    attempts = rig.send_load(rig.stream("large", "rows", 40, DRAIN_S + 3.0, hosts))
+    runs = runs_since(rig, leaving, ended_at)
+    assert runs
+    assert [run for run in runs if run.start > runs[0].start + DRAIN_S] == []
+    assert rig.find_violations(attempts) == []
+
+
+def test_after_a_kill_of_all_nodes_the_next_answer_of_an_upstream_with_a_limit_counts(rig):
+    limited = rig.members("back")[0]
+    limited.inject_faults(rate_limit=RATE_LIMIT_PER_S)
+    hosts = tuple(rig.fleet.members)
+    rig.send_load(rig.stream("large", "rows", 40, 1.0, hosts))
+    assert runs_since(rig, limited, 0.0)
+    ended_at = kill_and_start_all_nodes(rig)
+    attempts = rig.send_load(rig.stream("large", "rows", 80, LOAD_S, hosts))
+    runs = runs_since(rig, limited, ended_at)
+    assert most_calls_in_window(runs, runs[0].start + CONTACT_S) <= MAX_CALLS_IN_WINDOW
+    assert rig.find_violations(attempts) == []
