Tell nobody else of a restoration that only the record shows

Cause: a process that found no record in an epoch above 0, odd values, or a reserved record told the whole fleet that the store was restored.

Change: what only the record shows stays in the record's module and keeps chosen keys from being claimed. A process in this state reads the record again every 30 to 60 s, as another process may have written the end.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -331,12 +331,12 @@
         ]
         recorder = restoration_recorder.RestorationRecorder(
             self.restoration_record,
-            self.restorations,
             self._reservation_s,
             lambda: election.is_elected(time.monotonic()),
             self._rng,
         )
         self.restorations.add_listener(lambda _: recorder.handle_restoration())
+        self.restoration_record.listen_for_doubt(recorder.handle_restoration)
         self.platform_tasks.append(recorder)
         if not self.environment.keys_in_text:
             self.platform_tasks.append(
--- a/bergamotridge/store/restoration_record.py
+++ b/bergamotridge/store/restoration_record.py
@@ -9,12 +9,16 @@
 own start. So a record begins as reserved, and loses the mark by a process that has known of the
 restoration for the whole reservation, or has heard its age from such a one. A process that finds
 the mark and knows of no restoration counts the reservation from then on.
+
+What only the record shows stays in this module, as it may also be a mere lack of knowledge: other
+parts, and other nodes, hear of restorations that were seen.
 """
 
 import threading
 from collections.abc import Callable
 
 import attrs
+import logbook
 
 from bergamotridge import errors
 from bergamotridge.store import objects, position, restorations
@@ -27,6 +31,8 @@
 MAX_ATTEMPTS = 4  # Other processes may write the record at the same time.
 RETRY_PAUSE_S = 1.0
 
+_log = logbook.Logger(__name__)
+
 
 @attrs.frozen
 class Record:
@@ -76,7 +82,7 @@
 
         Args:
             client: Client of the platform, which reports the store's epoch to `known`.
-            known: What this process knows; it learns of restorations that only the record shows.
+            known: What this process knows of restorations without the record.
             reservation_s: Seconds after a restoration for which the record stays reserved.
             read_clock: Returns the boot time in seconds. Ages count from after an answer, as a
                 process may be paused while it waits for one.
@@ -87,6 +93,8 @@
         self._read_clock = read_clock
         self._lock = threading.Lock()
         self._confirmed_epoch: int | None = None
+        self._doubt: restorations.Restoration | None = None
+        self._on_doubt: Callable[[], None] = lambda: None
         self._retry_at = float("-inf")
 
     def confirm(self) -> None:
@@ -112,13 +120,26 @@
                 self._retry_at = self._read_clock() + RETRY_PAUSE_S
                 raise
 
+    @property
+    def latest(self) -> restorations.Restoration | None:
+        """The latest restoration that was seen, heard of, or that the record doesn't rule out."""
+        latest, doubt = self._known.latest, self._doubt
+        if doubt is not None and (latest is None or latest.epoch < doubt.epoch):
+            return doubt
+        return latest
+
+    def listen_for_doubt(self, callback: Callable[[], None]) -> None:
+        """Sets what is called once the record leaves a restoration possible that nobody told of."""
+        self._on_doubt = callback
+
     def is_recent(self, now: float) -> bool:
-        """Returns True during the reservation after a restoration that this process knows of.
+        """Returns True during the reservation after the latest restoration.
 
         Args:
             now: Boot time in seconds.
         """
-        return self._known.recent_epoch(self._reservation_s, now) is not None
+        latest = self.latest
+        return latest is not None and now - latest.noticed_at <= self._reservation_s
 
     def _is_confirmed(self) -> bool:
         return self._known.is_known and self._confirmed_epoch == self._known.epoch
@@ -132,9 +153,9 @@
                     "the store was restored while the record of restorations was read; try again"
                 )
             if not stored.shows_restoration():
-                self._confirmed_epoch = epoch
+                self._confirmed_epoch, self._doubt = epoch, None
                 return
-            self._known.learn(epoch, 0.0, now, restorations.FROM_RECORD)
+            self._doubt_epoch(epoch, now)
             wanted = Record(epoch, self.is_recent(now))
             if stored.record == wanted or self._write(wanted, stored.version):
                 self._confirmed_epoch = None if wanted.is_reserved else epoch
@@ -143,6 +164,20 @@
             "other processes kept writing the record of restorations; try again"
         )
 
+    def _doubt_epoch(self, epoch: int, now: float) -> None:
+        """Counts the reservation from now on, unless this process knows how the epoch began."""
+        latest = self.latest
+        if latest is not None and latest.epoch == epoch:
+            return
+        self._doubt = restorations.Restoration(epoch, now, restorations.FROM_RECORD)
+        _log.warning(
+            "the platform's store may have been restored to epoch {}: no keys that callers chose "
+            "are claimed for {:.0f} s",
+            epoch,
+            self._reservation_s,
+        )
+        self._on_doubt()
+
     def _read(self) -> _StoredRecord:
         try:
             stored = self._client.get(KIND, NAME)
--- a/bergamotridge/store/restoration_recorder.py
+++ b/bergamotridge/store/restoration_recorder.py
@@ -13,6 +13,7 @@
 
 CHECK_INTERVAL_S = 1.0  # Between looks at whether this node has to write, without a request.
 MAX_PAUSE_S = 8.0  # Longest pause after repeated failures.
+RECHECK_S = 60.0  # Another process may have known of the restoration for longer.
 END_SPREAD_S = 10.0  # The first node to write the end of the reservation saves the others theirs.
 
 _log = logbook.Logger(__name__)
@@ -22,13 +23,13 @@
     """Writes each restoration at once, and the end of its reservation.
 
     A node that noticed the restoration itself writes, and so do the elected nodes, to which others
-    may have told it. The other nodes send no request.
+    may have told it. The other nodes send no request. A node to which only the record shows it also
+    looks whether another one has written the end.
     """
 
     def __init__(
         self,
         record: restoration_record.RestorationRecord,
-        known: restorations.Restorations,
         reservation_s: float,
         is_elected: Callable[[], bool],
         rng: random.Random,
@@ -37,13 +38,11 @@
 
         Args:
             record: The record to keep.
-            known: What this node knows of restorations.
             reservation_s: Seconds after a restoration for which the record stays reserved.
             is_elected: Returns whether this node is one of a few that write for the others.
             rng: Source of jitter.
         """
         self._record = record
-        self._known = known
         self._reservation_s = reservation_s
         self._is_elected = is_elected
         self._rng = rng
@@ -75,7 +74,7 @@
         Returns:
             None once nothing is left to write before the next restoration.
         """
-        latest = self._known.latest
+        latest = self._record.latest
         if latest is None:
             return None
         remaining_s = latest.noticed_at + self._reservation_s - now
@@ -87,9 +86,12 @@
             _log.debug("record of the restoration not written, retrying: {}", error)
             return self._pauses.next_delay_s()
         self._pauses.reset()
-        if remaining_s < 0:
+        if remaining_s < 0 or self._record.latest is None:
             return None
-        return remaining_s + self._rng.uniform(0.0, END_SPREAD_S)
+        until_end_s = remaining_s + self._rng.uniform(0.0, END_SPREAD_S)
+        if latest.source == restorations.FROM_RECORD:
+            return min(until_end_s, self._rng.uniform(0.5, 1.0) * RECHECK_S)
+        return until_end_s
 
     def _run(self) -> None:
         delay_s: float | None = None
--- a/bergamotridge/store/restorations.py
+++ b/bergamotridge/store/restorations.py
@@ -114,21 +114,20 @@
                 f"the answer is of epoch {epoch}, before the store was restored; try again"
             )
 
-    def learn(self, epoch: int, age_s: float, now: float, source: str = FROM_PEER) -> None:
-        """Records a restoration that a peer or the record told of, if it is later than those known.
+    def learn(self, epoch: int, age_s: float, now: float) -> None:
+        """Records a restoration that a peer told of, if it is later than those known.
 
         Args:
             epoch: Epoch that began with the restoration.
             age_s: Seconds since it was noticed.
             now: Boot time in seconds.
-            source: `FROM_PEER` or `FROM_RECORD`.
         """
         with self._lock:
             known = self.epoch
             if epoch < known or (self._latest is not None and epoch <= self._latest.epoch):
                 return
             self._epoch = epoch
-            restoration = self._latest = Restoration(epoch, now - age_s, source)
+            restoration = self._latest = Restoration(epoch, now - age_s, FROM_PEER)
         self._notify(restoration, known)
 
     def hear_epoch(self, epoch: int, now: float) -> None:
