Move what a home keeps of one claim out of callers.claims

No logic changes; a planted fault of test_claims_safety names the new place. test_claims*, test_at_most_once, test_imports and test_application pass.

--- a/bergamotridge/callers/at_most_once.py
+++ b/bergamotridge/callers/at_most_once.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bergamotridge import answer, call, errors, verdict
-from bergamotridge.callers import answers, claims, shutdown
+from bergamotridge.callers import answers, claim_state, claims, shutdown
 from bergamotridge.nodes import context, dispatch, record, relay
 from bergamotridge.util import cancellation, hlc, message
 
@@ -185,14 +185,14 @@
             claim.finish(outcome, stored, time.monotonic())
         return result
 
-    async def _begin(self, claimed: ClaimedCall, team: str, now: float) -> claims.Claim:
+    async def _begin(self, claimed: ClaimedCall, team: str, now: float) -> claim_state.Claim:
         """Claims a key in a thread, as a request to the platform would block the event loop."""
         begin_claim = functools.partial(
             self._claims.begin, claimed.idempotency_key, team, claimed.route, now
         )
         return await asyncio.get_running_loop().run_in_executor(self._begin_pool, begin_claim)
 
-    async def _join(self, claim: claims.Claim, timeout_s: float) -> answer.Answer:
+    async def _join(self, claim: claim_state.Claim, timeout_s: float) -> answer.Answer:
         """Waits in a thread for the first call with the key and returns its answer."""
         wait_for_answer = functools.partial(claim.wait, max(0.0, timeout_s))
         stored = await asyncio.get_running_loop().run_in_executor(self._join_pool, wait_for_answer)
--- a/bergamotridge/callers/claims.py
+++ b/bergamotridge/callers/claims.py
@@ -18,10 +18,8 @@
 import time
 from collections.abc import Callable
 
-import attrs
-
 from bergamotridge import errors, verdict
-from bergamotridge.callers import answers, bucket, idempotency
+from bergamotridge.callers import answers, bucket, claim_state, idempotency
 from bergamotridge.store import claim_objects, holding, objects
 
 CLAIMS_PER_S = 5.0  # Claim objects that one node creates in the platform.
@@ -35,107 +33,6 @@
 RETRY_AFTER_S = 1.0
 
 
-@attrs.frozen
-class _StoredClaim:
-    """The object of a claim that the platform confirmed.
-
-    Attributes:
-        attempt: Number of the create request that wrote it.
-        stored_at: Monotonic time in seconds at which that request was begun.
-    """
-
-    attempt: int
-    stored_at: float
-
-
-@attrs.define(eq=False)
-class _Entry:
-    """State of one claim at its home.
-
-    Attributes:
-        route: Route of the first call.
-        expires_at: Monotonic time in seconds from which the claim may be evicted.
-        stored: The object of the claim, None for keys that nodes issue and before it is confirmed.
-        finished: Set when the first call has ended.
-        outcome: Whether the first call ran, None until it has ended.
-    """
-
-    route: str
-    expires_at: float = float("inf")
-    stored: _StoredClaim | None = None
-    finished: threading.Event = attrs.field(factory=threading.Event)
-    outcome: verdict.Verdict | None = None
-
-
-@attrs.define
-class _UnrunClaim:
-    """State of a key whose call has certainly not run, though this process may hold its object.
-
-    Attributes:
-        attempts: Numbers of the create requests of this process that may have taken effect.
-        stored: The object that one of them certainly wrote, None if none certainly did.
-    """
-
-    attempts: set[int] = attrs.field(factory=set)
-    stored: _StoredClaim | None = None
-
-
-class Claim:
-    """Permission to run a call, or to wait for the answer of the first call with the same key."""
-
-    def __init__(
-        self,
-        entry: _Entry,
-        answer_cache: answers.AnswerCache,
-        first: bool,
-        lifetime_s: float = 0.0,
-        release: Callable[[], None] = lambda: None,
-    ) -> None:
-        self._entry = entry
-        self._answer_cache = answer_cache
-        self._first = first
-        self._lifetime_s = lifetime_s
-        self._release = release
-
-    @property
-    def first(self) -> bool:
-        """True if the holder of this claim must run the call and then call `finish`."""
-        return self._first
-
-    @property
-    def outcome(self) -> verdict.Verdict:
-        """Whether the call has run; MAY_HAVE_RUN while this node has no outcome recorded."""
-        return self._entry.outcome or verdict.Verdict.MAY_HAVE_RUN
-
-    def wait(self, timeout_s: float) -> answers.StoredAnswer | None:
-        """Waits for the first call to end and returns its answer, or None if none is stored.
-
-        After None, `outcome` says whether the call may have run.
-        """
-        self._entry.finished.wait(timeout_s)
-        return self._answer_cache.get(self._entry)
-
-    def finish(
-        self, outcome: verdict.Verdict, answer: answers.StoredAnswer | None, now: float
-    ) -> None:
-        """Records the end of the first call; after NOT_RUN, the key can be claimed again.
-
-        Args:
-            outcome: Whether the call ran.
-            answer: The complete answer for repeats, None if there is none.
-            now: Monotonic time in seconds.
-        """
-        if not self._first or self._entry.finished.is_set():
-            return
-        if answer is not None:
-            self._answer_cache.put(self._entry, answer)
-        self._entry.outcome = outcome
-        self._entry.expires_at = now + self._lifetime_s
-        if outcome.safe_to_repeat:
-            self._release()
-        self._entry.finished.set()
-
-
 def reservation_s(key_lifetime_s: float) -> float:
     """Returns the time in seconds after a restoration in which no chosen key is claimed."""
     return key_lifetime_s * (1.0 + holding.CLOCK_DRIFT_FRACTION)
@@ -187,9 +84,9 @@
             claims_per_s, claims_per_s * BURST_S, 0.0, level=claims_per_s * BURST_S
         )
         self._lock = threading.Lock()
-        self._entries: dict[_ClaimId, _Entry] = {}
+        self._entries: dict[_ClaimId, claim_state.Entry] = {}
         self._answer_cache = answer_cache or answers.AnswerCache()
-        self._unrun_claims: dict[_ClaimId, _UnrunClaim] = {}
+        self._unrun_claims: dict[_ClaimId, claim_state.UnrunClaim] = {}
 
     @property
     def reservation_s(self) -> float:
@@ -236,7 +133,7 @@
         parsed = idempotency.parse(idempotency_key)
         return parsed.host if parsed else self._host
 
-    def begin(self, idempotency_key: str, team: str, route: str, now: float) -> Claim:
+    def begin(self, idempotency_key: str, team: str, route: str, now: float) -> claim_state.Claim:
         """Claims a key for a call, or joins the call that has claimed it.
 
         The first call with a key that the caller chose writes one object to the platform.
@@ -262,10 +159,10 @@
             if entry is not None:
                 return self._join(entry, route)
             self._ensure_capacity(now, parsed is not None)
-            entry = self._entries[claim_id] = _Entry(route)
+            entry = self._entries[claim_id] = claim_state.Entry(route)
         if parsed is None:
             self._claim_in_platform(claim_id, entry, now)
-        return Claim(
+        return claim_state.Claim(
             entry,
             self._answer_cache,
             True,
@@ -273,7 +170,7 @@
             lambda: self._release(claim_id),
         )
 
-    def _join(self, entry: _Entry, route: str) -> Claim:
+    def _join(self, entry: claim_state.Entry, route: str) -> claim_state.Claim:
         if entry.route != route:
             raise errors.CallError(
                 "this Idempotency-Key belongs to a call of another route; "
@@ -289,9 +186,9 @@
                 reason="idempotency-doubt",
                 verdict=entry.outcome or verdict.Verdict.MAY_HAVE_RUN,
             )
-        return Claim(entry, self._answer_cache, False)
+        return claim_state.Claim(entry, self._answer_cache, False)
 
-    def _claim_in_platform(self, claim_id: _ClaimId, entry: _Entry, now: float) -> None:
+    def _claim_in_platform(self, claim_id: _ClaimId, entry: claim_state.Entry, now: float) -> None:
         """Claims a caller-chosen key in the platform; removes the entry if that fails."""
         try:
             entry.stored = self._create_object(claim_id, now)
@@ -301,7 +198,7 @@
             entry.finished.set()
             raise
 
-    def _create_object(self, claim_id: _ClaimId, now: float) -> _StoredClaim:
+    def _create_object(self, claim_id: _ClaimId, now: float) -> claim_state.StoredClaim:
         """Returns the object of a claim, created unless this process has it; raises CallError."""
         with self._lock:
             unrun = self._unrun_claims.get(claim_id)
@@ -343,9 +240,9 @@
         )
         if not created_here or unrun is None or stored_owner.attempt not in unrun.attempts:
             raise errors.ClaimedElsewhereError(stored_owner.host, stored_owner.incarnation)
-        return _StoredClaim(stored_owner.attempt, now)
+        return claim_state.StoredClaim(stored_owner.attempt, now)
 
-    def _is_valid(self, stored: _StoredClaim | None, now: float) -> bool:
+    def _is_valid(self, stored: claim_state.StoredClaim | None, now: float) -> bool:
         """Returns whether an object counts as the claim of this process without a look at it.
 
         Once that has ended, other nodes may have claimed the key after a restoration of the
@@ -375,7 +272,9 @@
     def _register_attempt(self, claim_id: _ClaimId) -> claim_objects.Owner:
         """Records a new create request and returns the owner to write; evicts old records."""
         owner = claim_objects.Owner(self._host, self._incarnation, next(self._attempts))
-        self._unrun_claims.setdefault(claim_id, _UnrunClaim()).attempts.add(owner.attempt)
+        self._unrun_claims.setdefault(claim_id, claim_state.UnrunClaim()).attempts.add(
+            owner.attempt
+        )
         while len(self._unrun_claims) > self._capacity:
             del self._unrun_claims[next(iter(self._unrun_claims))]
         return owner
@@ -407,7 +306,7 @@
         with self._lock:
             stored = self._entries.pop(claim_id).stored
             if stored is not None:
-                self._unrun_claims[claim_id] = _UnrunClaim({stored.attempt}, stored)
+                self._unrun_claims[claim_id] = claim_state.UnrunClaim({stored.attempt}, stored)
 
 
 def _store_unavailable_error(message: str) -> errors.CallError:
--- a/tests/test_callers/test_claims_safety.py
+++ b/tests/test_callers/test_claims_safety.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from bergamotridge import errors, verdict
-from bergamotridge.callers import answers, claims, idempotency
+from bergamotridge.callers import answers, claim_state, claims, idempotency
 from bergamotridge.store import claim_objects
 from standins import store
 from tests import fake_objects, history_once
@@ -141,13 +141,13 @@
 
 
 def release_a_key_after_may_have_run(monkeypatch):
-    finish = claims.Claim.finish
+    finish = claim_state.Claim.finish
 
     def planted(self, outcome, answer, now):
         may_have_run = outcome is verdict.Verdict.MAY_HAVE_RUN
         finish(self, verdict.Verdict.NOT_RUN if may_have_run else outcome, answer, now)
 
-    monkeypatch.setattr(claims.Claim, "finish", planted)
+    monkeypatch.setattr(claim_state.Claim, "finish", planted)
 
 
 def accept_keys_of_an_earlier_process(monkeypatch):
