--- a/tests/test_process/test_restored_store.py
+++ b/tests/test_process/test_restored_store.py
@@ -7,8 +7,8 @@
 import pytest
 
 from bergamotridge.callers import claims
-from bergamotridge.store import restorations
-from standins import client
+from bergamotridge.store import restoration_record, restorations
+from standins import client, processes
 from standins import fleet as standin_fleet
 from tests import fleet
 
@@ -73,3 +73,17 @@
         reply = pay(rig, rng.choice(hosts), tag)
         assert tag not in served or reply.verdict != "not-run"
     assert {tag: len(rig.runs(tag)) for tag in served} == dict.fromkeys(served, 1)
+
+
+def test_a_restoration_is_written_to_the_store_without_any_call(rig):
+    restore_store(rig, store_version(rig))
+    path = f"/objects/{restoration_record.KIND}/{restoration_record.NAME}"
+
+    def is_written():
+        reply = client.send_request(rig.fleet.platform_address, "GET", path)
+        return reply.status == 200 and json.loads(reply.body)["value"] == {
+            restoration_record.EPOCH_KEY: 1,
+            restoration_record.RESERVED_KEY: True,
+        }
+
+    processes.wait_until(is_written, "the store has a record of the restoration")
