--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -11,6 +11,7 @@
     claim_rewriter,
     claims,
     dialect,
+    idempotency,
     keys,
     operator_withdrawal,
     port,
@@ -24,7 +25,13 @@
 )
 from bergamotridge.nodes import call_assembly, control_assembly, quota
 from bergamotridge.store import assembly as store_assembly
-from bergamotridge.store import freshness, holding, restorations
+from bergamotridge.store import (
+    freshness,
+    holding,
+    restoration_record,
+    restoration_recorder,
+    restorations,
+)
 from bergamotridge.util import clock, hlc, httpd
 
 WITHDRAWAL_INTERVAL_S = 1.0
@@ -102,7 +109,9 @@
     """
     team_rates = _create_team_rates(shared, store, control)
     node_shutdown = shutdown.Shutdown()
-    node_claims = _create_claims(shared, store)
+    reservation_s = claims.reservation_s(idempotency.KEY_LIFETIME_S)
+    record = restoration_record.RestorationRecord(store.objects, store.restorations, reservation_s)
+    node_claims = _create_claims(shared, store, record)
     rewriter = claim_rewriter.ClaimRewriter(node_claims, shared.rng)
     store.restorations.add_listener(lambda _: rewriter.handle_restoration())
     once = at_most_once.AtMostOnceDispatcher(
@@ -137,7 +146,11 @@
             node_shutdown=node_shutdown,
         ),
         withdrawal=_create_withdrawal(shared, store, tables, control),
-        tasks=(*_create_withdrawal_writers(shared, store, tables, control), rewriter),
+        tasks=(
+            _create_recorder(shared, store.restorations, record, reservation_s, control),
+            *_create_withdrawal_writers(shared, store, tables, control),
+            rewriter,
+        ),
     )
 
 
@@ -183,17 +196,35 @@
 
 
 def _create_claims(
-    shared: shared_parts.SharedParts, store: store_assembly.StoreParts
+    shared: shared_parts.SharedParts,
+    store: store_assembly.StoreParts,
+    record: restoration_record.RestorationRecord,
 ) -> claims.Claims:
-    node_claims = claims.Claims(
+    return claims.Claims(
         shared.node.host,
         shared.incarnation,
         store.objects,
-        may_have_lost=lambda: _may_have_lost_claims(
-            store.restorations, node_claims.reservation_s, clock.boot_time()
-        ),
+        may_have_lost=lambda: _may_have_lost_claims(store.restorations, record, clock.boot_time()),
+        confirm_restorations=record.confirm,
+    )
+
+
+def _create_recorder(
+    shared: shared_parts.SharedParts,
+    known: restorations.Restorations,
+    record: restoration_record.RestorationRecord,
+    reservation_s: float,
+    control: control_assembly.ControlParts,
+) -> restoration_recorder.RestorationRecorder:
+    recorder = restoration_recorder.RestorationRecorder(
+        record,
+        reservation_s,
+        lambda: control.election.is_elected(time.monotonic()),
+        shared.rng,
     )
-    return node_claims
+    known.add_listener(lambda _: recorder.handle_restoration())
+    record.listen_for_doubt(recorder.handle_restoration)
+    return recorder
 
 
 def _create_withdrawal(
@@ -231,11 +262,10 @@
 
 
 def _may_have_lost_claims(
-    known: restorations.Restorations, reservation_s: float, now: float
+    known: restorations.Restorations, record: restoration_record.RestorationRecord, now: float
 ) -> bool:
     """Returns True if the store may have lost claims at `now` (boot time in seconds)."""
-    is_restored = known.recent_epoch(reservation_s, now) is not None
-    return is_restored or not known.is_informed(now)
+    return record.is_recent(now) or not known.is_informed(now)
 
 
 def _current_stamp(hybrid_clock: hlc.HybridClock) -> hlc.Stamp:
--- a/bergamotridge/store/restorations.py
+++ b/bergamotridge/store/restorations.py
@@ -16,6 +16,7 @@
 
 FROM_STORE = "store"
 FROM_PEER = "peer"
+FROM_RECORD = "record"
 ALONE_AFTER_S = 5.0
 
 
@@ -27,7 +28,7 @@
         epoch: Epoch that began with it.
         noticed_at: Boot time in seconds at which it was noticed, by this node or by a peer that
             told this node of it.
-        source: `FROM_STORE` or `FROM_PEER`.
+        source: `FROM_STORE`, `FROM_PEER` or `FROM_RECORD`.
     """
 
     epoch: int
