--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -147,7 +147,8 @@
             return True
         try:
             if path == "/health":
-                writer.write(wire.encode("HTTP/1.1 200 OK", {"Instance-Id": self.id}))
+                start = "HTTP/1.1 200 OK" if self._state == "ready" else "HTTP/1.1 503 X"
+                writer.write(wire.encode(start, {"Instance-Id": self.id}))
                 return True
             return await self._run(self._record_run(message, fault), fields, writer)
         finally:
