Read an answer that came while the process was stopped

Cause: a wait that SIGCONT interrupts ends without events if its time is over, so that the loop runs its timers before it reads what has arrived meanwhile, and the time limit of the transfer ended it.

Change: at the time limit of a transfer the loop takes two more turns, in which it reads, before the transfer fails.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -7,6 +7,8 @@
 
 from bergamotridge.util import answer_memory, cancellation, response_reader
 
+TURNS_TO_READ = 2  # Of the loop: it reads between them.
+
 
 class TimeLimitError(TimeoutError):
     """The time limit of the transfer has passed; other TimeoutErrors come from the network."""
@@ -119,7 +121,7 @@
             MemoryExceededError: All responses being read exceed the memory for them.
         """
         waiter = self._waiter = self._event_loop.create_future()
-        timer = self._event_loop.call_at(deadline, self._fail_with_timeout)
+        timer = self._event_loop.call_at(deadline, self._end_at_deadline, waiter, TURNS_TO_READ)
         registration = token.on_cancel(self.abort) if token is not None else -1
         try:
             self._transport.write(data)
@@ -139,5 +141,15 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
 
-    def _fail_with_timeout(self) -> None:
-        self._fail_transfer(TimeLimitError("no complete response within the time limit"))
+    def _end_at_deadline(self, waiter: asyncio.Future, turns: int) -> None:
+        """Fails a transfer, after so many turns of the loop, unless its response is read in them.
+
+        In a process that was stopped and goes on, the loop runs its timers before it reads what
+        has arrived meanwhile.
+        """
+        if waiter is not self._waiter:
+            return
+        if turns:
+            self._event_loop.call_soon(self._end_at_deadline, waiter, turns - 1)
+        else:
+            self._fail_transfer(TimeLimitError("no complete response within the time limit"))
