Read what has arrived before a connection counts as idle

Cause: the loop handles timers before what arrived while the process stood still. A stop that waited for quiet connections, and the check on idle ones, then closed connections with a whole request unread.

Change: both let the loop read once more before they decide.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -155,7 +155,9 @@
         await self._stop_accepting()
         while event_loop.time() < deadline - CANCEL_GRACE_S:
             if self._is_quiet(event_loop.time()):
-                break
+                await self._read_arrived()
+                if self._is_quiet(event_loop.time()):
+                    break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._idle_check is not None:
             self._idle_check.cancel()
@@ -202,6 +204,13 @@
             _log.warning("the port '{}' has stopped accepting connections: {}", self.name, error)
         return waiting
 
+    async def _read_arrived(self) -> None:
+        """Lets connections read what has arrived, before it is decided that they are idle.
+
+        If the process or its loop stood still, timers come before what arrived meanwhile.
+        """
+        await asyncio.sleep(0)
+
     def _is_quiet(self, now: float) -> bool:
         """Returns whether no connection is in use and all were idle for `STOP_IDLE_S` seconds."""
         return all(
@@ -248,6 +257,7 @@
             while True:
                 bounds = self.bounds()
                 await asyncio.sleep(min(IDLE_CHECK_INTERVAL_S, bounds.idle_s))
+                await self._read_arrived()
                 self.close_idle(event_loop.time())
 
     def close_idle(self, now: float) -> None:
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -3,10 +3,15 @@
 import asyncio
 import concurrent.futures
 import contextlib
+import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
+import pytest
+
 from bergamotridge.util import http_connection, httpd, message, request_reader
 from standins import processes
 from tests import event_loop
@@ -282,3 +287,25 @@
 
     assert not event_loop.call(receive)
     slow.server.stop(0)
+
+
+# After a pause of the process, the request was dropped: timers were handled before what arrived.
+@pytest.mark.parametrize(("idle_s", "is_stopping"), [(30.0, True), (1.0, False)])
+def test_a_request_that_arrives_while_the_process_stands_still_is_answered(idle_s, is_stopping):
+    command = [sys.executable, "-m", "tests.test_util.plain_server", str(idle_s)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            with connect(process.stdout.readline().strip()) as client:
+                client.sendall(FIRST)
+                assert client.recv(65536).endswith(b"ok")
+                if is_stopping:
+                    process.send_signal(signal.SIGTERM)
+                time.sleep(0.2)
+                process.send_signal(signal.SIGSTOP)
+                time.sleep(0.05)
+                client.sendall(SECOND)
+                time.sleep(1.2)  # Longer than a connection may be idle.
+                process.send_signal(signal.SIGCONT)
+                assert client.recv(65536).endswith(b"ok")
+        finally:
+            process.kill()
