Claim issued keys apart from those that wait for the store

Cause: calls with keys that callers chose confirm the record of restorations in the threads that begin all claims, before any limit of their rate. While the store is silent, a node that has not read the record holds all threads for up to the store's time limit, and calls with issued keys wait behind them.

Change: issued keys, which need nothing of the store, have threads of their own.

The new test timed out before; test_at_most_once.py, test_claims.py and test_claims_restored.py: 18 passed.

--- a/bergamotridge/callers/at_most_once.py
+++ b/bergamotridge/callers/at_most_once.py
@@ -9,13 +9,14 @@
 import attrs
 
 from bergamotridge import answer, call, errors, verdict
-from bergamotridge.callers import answers, claim_state, claims, shutdown
+from bergamotridge.callers import answers, claim_state, claims, idempotency, shutdown
 from bergamotridge.nodes import context, dispatch, record, relay
 from bergamotridge.util import cancellation, hlc, message
 
 CONFLICT = 409
 UNAVAILABLE = 503
 BEGIN_THREADS = 32  # Each may wait for the platform to confirm a claim.
+ISSUED_THREADS = 2  # Claims of keys that nodes issued don't wait for the platform.
 JOIN_THREADS = 128  # Each waits for the first call with a key to end.
 
 
@@ -69,6 +70,7 @@
         self._stamp = stamp
         self._shutdown = node_shutdown
         self._begin_pool = futures.ThreadPoolExecutor(BEGIN_THREADS, "claims")
+        self._issued_pool = futures.ThreadPoolExecutor(ISSUED_THREADS, "issued-claims")
         self._join_pool = futures.ThreadPoolExecutor(JOIN_THREADS, "claim-repeats")
 
     def issue(self) -> str:
@@ -190,7 +192,9 @@
         begin_claim = functools.partial(
             self._claims.begin, claimed.idempotency_key, team, claimed.route, now
         )
-        return await asyncio.get_running_loop().run_in_executor(self._begin_pool, begin_claim)
+        is_issued = idempotency.parse(claimed.idempotency_key) is not None
+        pool = self._issued_pool if is_issued else self._begin_pool
+        return await asyncio.get_running_loop().run_in_executor(pool, begin_claim)
 
     async def _join(self, claim: claim_state.Claim, timeout_s: float) -> answer.Answer:
         """Waits in a thread for the first call with the key and returns its answer."""
--- a/tests/test_callers/test_at_most_once.py
+++ b/tests/test_callers/test_at_most_once.py
@@ -1,8 +1,10 @@
 """Calls with an idempotency key that other nodes relay to the home of their key."""
 
+import asyncio
+import threading
 import time
 
-from bergamotridge import answer, call, verdict
+from bergamotridge import answer, call, errors, verdict
 from bergamotridge.callers import at_most_once, claims, shutdown
 from bergamotridge.nodes import context
 from bergamotridge.util import message
@@ -34,3 +36,38 @@
     result = event_loop.run(calls.run_relayed(relayed, message.Request(b"POST", b"/", []), None))
     assert result.verdict is verdict.Verdict.RUN
     assert dispatcher.sent[0].context.deadline == now + 5.0 - shutdown.MARGIN_S
+
+
+# Calls whose own keys waited for a silent store held up those that need nothing of it.
+def test_a_call_with_an_issued_key_does_not_wait_for_a_silent_store():
+    dispatcher, is_over, now = Dispatcher(), threading.Event(), time.monotonic()
+
+    def wait_for_store():
+        is_over.wait(10.0)
+        raise errors.PlatformUnavailableError("no answer")
+
+    node_claims = claims.Claims(
+        "h",
+        1,
+        fake_objects.FakeObjects(store.Store()),
+        confirm_restorations=wait_for_store,
+    )
+    calls = at_most_once.AtMostOnceDispatcher(
+        "h", node_claims, dispatcher, None, list, lambda: None, shutdown.Shutdown()
+    )
+    call_context = call.CallContext("r", "a", call.Importance.CRITICAL, now + 50, 1, False)
+
+    def start(key):
+        relayed = context.RelayedCall("pay", call_context, 0, None, key, "pay")
+        request = message.Request(b"POST", b"/", [])
+        return asyncio.ensure_future(calls.run_relayed(relayed, request, None))
+
+    async def run():
+        chosen = [start(f"chosen-{i}") for i in range(at_most_once.BEGIN_THREADS)]
+        try:
+            issued = await asyncio.wait_for(start(node_claims.issue(now)), 5.0)
+        finally:
+            is_over.set()
+        return issued.verdict, {item.verdict for item in await asyncio.gather(*chosen)}
+
+    assert event_loop.run(run()) == (verdict.Verdict.RUN, {verdict.Verdict.MAY_HAVE_RUN})
