Ask what a client has yet to take of large answers only

Change: it is asked for answers of over 64 KiB; a client that has yet to take a smaller one is kept for one more limit at most, as before.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -23,6 +23,7 @@
 MAX_PIPELINED_REQUESTS = 16
 LINGER_S = 1.0
 CLOSE_PAUSE_S = 0.005
+MIN_COUNTED_BYTES = 65_536  # Asking what a client has yet to take costs a system call.
 UNANSWERED = "unanswered"  # Cause of an end that leaves requests without an answer.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -335,14 +336,15 @@
         if not keep_alive:
             # What is still unread is not taken, so that the client may send it again.
             self._transport.pause_reading()
-        self._transport.write(
-            message.encode_response(response, keep_alive=keep_alive, head=request.method == b"HEAD")
+        data = message.encode_response(
+            response, keep_alive=keep_alive, head=request.method == b"HEAD"
         )
+        self._transport.write(data)
         if self._write_paused:
             await self._wait_until_written()
         self.token = None
         self.idle_since = self._event_loop.time()
-        self._unsent_bytes = self._count_unsent()
+        self._unsent_bytes = self._count_unsent() if len(data) > MIN_COUNTED_BYTES else 0
         if keep_alive and not self._reader.has_input:
             server.connections.mark_idle(self, self.idle_since)
         elif keep_alive and self._reader.in_head and not self._input_ended:
