--- a/bergamotridge/operators/crash_observer.py
+++ b/bergamotridge/operators/crash_observer.py
@@ -6,7 +6,7 @@
 from bergamotridge.nodes import fingerprint as fingerprints
 from bergamotridge.nodes import suspects
 from bergamotridge.operators import node_metrics
-from bergamotridge.upstreams import notice, quarantine
+from bergamotridge.upstreams import notice, suspect_run
 
 # Hundreds of calls may run when an upstream crashes. The most suspected ones get a line each; the
 # fingerprints of the others stand in the line of the crash.
@@ -30,7 +30,7 @@
         self._name_route = name_route
 
     def record_crash(
-        self, upstream: notice.UpstreamId, calls: Sequence[quarantine.SuspectCall]
+        self, upstream: notice.UpstreamId, calls: Sequence[suspect_run.SuspectCall]
     ) -> None:
         """Logs a crash and the calls that ran, those most suspected first."""
         self._metrics.count_crash()
@@ -48,7 +48,7 @@
         for item in calls[:MAX_CALLS_LOGGED]:
             self._log_call(upstream, item)
 
-    def _log_call(self, upstream: notice.UpstreamId, item: quarantine.SuspectCall) -> None:
+    def _log_call(self, upstream: notice.UpstreamId, item: suspect_run.SuspectCall) -> None:
         lost = item.lost
         self._log.emit(
             "upstream.crashed-under",
@@ -73,13 +73,13 @@
             retry_after_s=round(refusal.retry_after_s, 3),
         )
 
-    def record_trial_start(self, run: quarantine.Run) -> None:
+    def record_trial_start(self, run: suspect_run.Run) -> None:
         """Counts a trial, and logs that of a strong suspect."""
         self._metrics.count_suspect_call("trial")
         if run.suspicion.crashes >= MIN_CRASHES_LOGGED:
             self._log.emit("suspect.tried", run.context.request_id, **_trial_detail(run))
 
-    def record_trial_end(self, run: quarantine.Run) -> None:
+    def record_trial_end(self, run: suspect_run.Run) -> None:
         """Logs the end of the trial of a strong suspect."""
         if run.suspicion.crashes >= MIN_CRASHES_LOGGED:
             self._log.emit(
@@ -88,7 +88,7 @@
                 **_trial_detail(run),
             )
 
-    def record_revocation(self, run: quarantine.Run) -> None:
+    def record_revocation(self, run: suspect_run.Run) -> None:
         """Counts and logs that a running suspect is cancelled."""
         self._metrics.count_suspect_call("revoked")
         self._log.emit(
@@ -98,7 +98,7 @@
         )
 
 
-def _trial_detail(run: quarantine.Run) -> dict[str, object]:
+def _trial_detail(run: suspect_run.Run) -> dict[str, object]:
     return {
         "fingerprint": fingerprints.format_fingerprint(run.fingerprint),
         "crashes": run.suspicion.crashes,
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -11,7 +11,15 @@
 from bergamotridge import answer, call, errors, verdict
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import announcement as announcements
-from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome, quarantine
+from bergamotridge.upstreams import (
+    dialect,
+    gate,
+    live_calls,
+    notice,
+    outcome,
+    quarantine,
+    suspect_run,
+)
 from bergamotridge.util import cancellation, http_client, message
 
 # Heartbeats that an upstream sent before it crashed may arrive as late as this.
@@ -204,7 +212,7 @@
             self._quarantine.finish(run)
         return result
 
-    async def _enter_and_send(self, run: quarantine.Run, retries: int) -> answer.Answer:
+    async def _enter_and_send(self, run: suspect_run.Run, retries: int) -> answer.Answer:
         """Sends a call to the upstream once the gate admits it; raises CallError if refused."""
         ticket = await self._gate.enter(run.context, time.monotonic(), run.token)
         call_outcome = outcome.Outcome.REFUSED
@@ -218,7 +226,7 @@
         return result
 
     async def _send(
-        self, run: quarantine.Run, retries: int
+        self, run: suspect_run.Run, retries: int
     ) -> tuple[answer.Answer, outcome.Outcome]:
         announcement = self._announcement
         if not self._dialect.sends_call_id:
@@ -241,7 +249,7 @@
 
     async def _transfer(
         self,
-        run: quarantine.Run,
+        run: suspect_run.Run,
         upstream_call: dialect.UpstreamCall,
         unused_retries: int,
         token: cancellation.Token,
@@ -267,7 +275,7 @@
 
     async def _classify_failure(
         self,
-        run: quarantine.Run,
+        run: suspect_run.Run,
         upstream: notice.UpstreamId,
         error: http_client.TransferError,
         cancelled: bool,
@@ -290,7 +298,7 @@
 
     async def _has_crashed(
         self,
-        run: quarantine.Run,
+        run: suspect_run.Run,
         upstream: notice.UpstreamId,
         error: http_client.TransferError,
     ) -> bool:
--- a/bergamotridge/upstreams/quarantine.py
+++ b/bergamotridge/upstreams/quarantine.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import Protocol
+from collections.abc import Awaitable, Callable, Sequence
 
-import attrs
 import xxhash
 
 from bergamotridge import call, errors
@@ -16,6 +14,9 @@
     notice,
     recent_completions,
     suspect_lanes,
+    suspect_observer,
+    suspect_run,
+    suspect_source,
 )
 from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.util import cancellation, message
@@ -32,136 +33,6 @@
 SUSPECT_REASON = "crash-suspect"
 
 
-@attrs.frozen
-class SuspectCall:
-    """A call that ran at an upstream when it crashed.
-
-    Attributes:
-        lost: The call.
-        suspicion: How far requests like it are suspected after the crash.
-    """
-
-    lost: crash_detector.LostCall
-    suspicion: suspects.Suspicion
-
-
-@attrs.define(eq=False)
-class Run:
-    """A call on its way to the local upstream.
-
-    Attributes:
-        fingerprint: Fingerprint of its request.
-        context: Context of the call.
-        request: Request of the call.
-        token: Cancelled when the call is cancelled or revoked.
-        trial: Answer of the arbiter if the call is a trial, else None.
-        suspicion: How far requests like it were suspected when it was admitted.
-        sent: True from when it is sent to the upstream.
-        completed: True if the upstream answered it.
-        revoked: True if it was cancelled since upstreams crash under requests like it.
-    """
-
-    fingerprint: int
-    context: call.CallContext
-    request: message.Request
-    token: cancellation.Token
-    trial: suspect_sharing.TrialAnswer | None = None
-    suspicion: suspects.Suspicion = suspects.NOT_SUSPECTED
-    sent: bool = False
-    completed: bool = False
-    revoked: bool = False
-
-
-class Sharing(Protocol):
-    """What the nodes beside the upstreams of a service know of suspects."""
-
-    @property
-    def has_suspects(self) -> bool:
-        """True if any request may be a suspect."""
-
-    def add_listener(self, on_strong_suspects: Callable[[Sequence[int]], None]) -> None:
-        """Registers a callback for fingerprints whose running calls should be cancelled."""
-
-    def suspicion(self, fingerprint: int) -> suspects.Suspicion:
-        """Returns how far a fingerprint is suspected."""
-
-    async def record_crash(self, evidence: Iterable[suspects.Evidence]) -> None:
-        """Records a crash under the requests that ran, and tells the other nodes."""
-
-    async def request_trial(
-        self, fingerprint: int, lifetime_s: float
-    ) -> suspect_sharing.TrialAnswer:
-        """Asks whether a request may run."""
-
-    def finish_trial(self, trial: suspect_sharing.TrialAnswer, completed: bool) -> None:
-        """Tells that a trial has ended, and whether the request completed."""
-
-
-class Observer(Protocol):
-    """Is told of crashes and suspects, for events and metrics."""
-
-    def record_crash(self, upstream: notice.UpstreamId, calls: Sequence[SuspectCall]) -> None:
-        """Records a crash and the calls that ran, those most suspected first."""
-
-    def record_refusal(self, request_id: str, fingerprint: int, refusal: errors.CallError) -> None:
-        """Records that a suspect was refused."""
-
-    def record_trial_start(self, run: Run) -> None:
-        """Records that a suspect is run."""
-
-    def record_trial_end(self, run: Run) -> None:
-        """Records that the run of a suspect has ended."""
-
-    def record_revocation(self, run: Run) -> None:
-        """Records that a running suspect is cancelled."""
-
-
-class NoObserver:
-    """Ignores everything."""
-
-    def record_crash(self, upstream: notice.UpstreamId, calls: Sequence[SuspectCall]) -> None:
-        """Ignores a crash."""
-
-    def record_refusal(self, request_id: str, fingerprint: int, refusal: errors.CallError) -> None:
-        """Ignores a refusal."""
-
-    def record_trial_start(self, run: Run) -> None:
-        """Ignores a trial."""
-
-    def record_trial_end(self, run: Run) -> None:
-        """Ignores a trial."""
-
-    def record_revocation(self, run: Run) -> None:
-        """Ignores a revocation."""
-
-
-class NoSharing:
-    """Suspects nothing, whatever crashes."""
-
-    has_suspects = False
-
-    def add_listener(self, on_strong_suspects: Callable[[Sequence[int]], None]) -> None:
-        """Ignores the listener."""
-
-    def suspicion(self, fingerprint: int) -> suspects.Suspicion:
-        """Suspects nothing."""
-        del fingerprint
-        return suspects.NOT_SUSPECTED
-
-    async def record_crash(self, evidence: Iterable[suspects.Evidence]) -> None:
-        """Ignores a crash."""
-
-    async def request_trial(
-        self, fingerprint: int, lifetime_s: float
-    ) -> suspect_sharing.TrialAnswer:
-        """Lets the request run."""
-        del lifetime_s
-        return suspect_sharing.TrialAnswer(fingerprint, trials.FREE)
-
-    def finish_trial(self, trial: suspect_sharing.TrialAnswer, completed: bool) -> None:
-        """Ignores the end of a trial."""
-
-
 class Quarantine:
     """Decides when a suspect runs at the local upstream, and reports crashes under calls.
 
@@ -174,8 +45,8 @@
         self,
         host: str = "",
         fingerprinter: fingerprint.Fingerprinter | None = None,
-        sharing: Sharing | None = None,
-        observer: Observer | None = None,
+        sharing: suspect_source.Sharing | None = None,
+        observer: suspect_observer.Observer | None = None,
         clock: Callable[[], float] = time.monotonic,
         listening: Callable[[str], Awaitable[bool]] = crash_detector.is_listening,
     ) -> None:
@@ -191,13 +62,13 @@
         """
         self._host = host
         self._fingerprinter = fingerprinter or fingerprint.Fingerprinter("")
-        self._sharing = sharing or NoSharing()
-        self._observer = observer or NoObserver()
+        self._sharing = sharing or suspect_source.NoSharing()
+        self._observer = observer or suspect_observer.NoObserver()
         self._clock = clock
         self._detector = crash_detector.CrashDetector(self._report_crash, listening, clock)
         self._lanes = suspect_lanes.SuspectLanes()
         self._completions = recent_completions.RecentCompletions()
-        self._running: dict[int, list[Run]] = {}
+        self._running: dict[int, list[suspect_run.Run]] = {}
         self._waiting = 0
         self._event_loop: asyncio.AbstractEventLoop | None = None
         self._on_crash: OnCrash = _ignore_crash
@@ -213,7 +84,7 @@
         context: call.CallContext,
         request: message.Request,
         token: cancellation.Token,
-    ) -> Run:
+    ) -> suspect_run.Run:
         """Returns the run of a call, which must be passed to `finish` when it has ended.
 
         Args:
@@ -223,9 +94,9 @@
             token: Cancelled when the call is cancelled.
         """
         key = self._fingerprinter.compute(service, context.virtual_host, request)
-        return Run(key, context, request, cancellation.Token(token))
+        return suspect_run.Run(key, context, request, cancellation.Token(token))
 
-    async def admit(self, run: Run) -> None:
+    async def admit(self, run: suspect_run.Run) -> None:
         """Waits until a call may run, as a trial if it is a suspect.
 
         Raises:
@@ -239,7 +110,7 @@
             self._observer.record_refusal(run.context.request_id, run.fingerprint, error)
             raise
 
-    def start(self, run: Run) -> None:
+    def start(self, run: suspect_run.Run) -> None:
         """Records that a call is sent to the upstream.
 
         Raises:
@@ -254,7 +125,7 @@
         self._event_loop = asyncio.get_running_loop()
         self._running.setdefault(run.fingerprint, []).append(run)
 
-    def finish(self, run: Run) -> None:
+    def finish(self, run: suspect_run.Run) -> None:
         """Ends a run, whether it was sent or not."""
         run.token.close()
         if run.sent:
@@ -266,7 +137,7 @@
             self._sharing.finish_trial(run.trial, run.completed)
             self._observer.record_trial_end(run)
 
-    def _remove(self, run: Run) -> None:
+    def _remove(self, run: suspect_run.Run) -> None:
         running = self._running[run.fingerprint]
         running.remove(run)
         if not running:
@@ -289,7 +160,7 @@
                     self._observer.record_revocation(run)
                     run.token.cancel()
 
-    async def _wait_for_trial(self, run: Run) -> None:
+    async def _wait_for_trial(self, run: suspect_run.Run) -> None:
         if self._waiting >= MAX_WAITING_CALLS:
             raise _build_suspect_refusal(run.context.request_id)
         self._waiting += 1
@@ -298,7 +169,7 @@
         finally:
             self._waiting -= 1
 
-    async def _poll(self, run: Run) -> None:
+    async def _poll(self, run: suspect_run.Run) -> None:
         """Asks for a trial until one is granted, the call is no suspect, or time is up."""
         key, now = run.fingerprint, self._clock()
         give_up_at = now + min(MAX_WAIT_S, MAX_WAIT_FRACTION * run.context.time_left(now))
@@ -326,7 +197,7 @@
                 raise _build_suspect_refusal(run.context.request_id)
             await asyncio.sleep(pause_s)
 
-    async def _ask(self, run: Run) -> suspect_sharing.TrialAnswer:
+    async def _ask(self, run: suspect_run.Run) -> suspect_sharing.TrialAnswer:
         """Asks the arbiter, and leaves the lane unless it grants a trial."""
         is_granted = False
         try:
@@ -338,7 +209,7 @@
                 self._lanes.leave(run.fingerprint)
         return granted
 
-    def record_abandoned(self, run: Run, upstream: notice.UpstreamId) -> None:
+    def record_abandoned(self, run: suspect_run.Run, upstream: notice.UpstreamId) -> None:
         """Records that the connection was closed on a call that had been sent.
 
         Args:
@@ -347,7 +218,9 @@
         """
         self._detector.record_abandoned(upstream, _lost_call(run))
 
-    async def record_lost_connection(self, run: Run, current: announcements.Announcement) -> bool:
+    async def record_lost_connection(
+        self, run: suspect_run.Run, current: announcements.Announcement
+    ) -> bool:
         """Returns whether the upstream has crashed while it ran a call that lost its connection.
 
         Args:
@@ -367,7 +240,8 @@
         self._on_crash(found.upstream)
         await self._sharing.record_crash(self._build_evidence(found, self._clock()))
         calls = [
-            SuspectCall(item, self._sharing.suspicion(item.fingerprint)) for item in found.calls
+            suspect_run.SuspectCall(item, self._sharing.suspicion(item.fingerprint))
+            for item in found.calls
         ]
         calls.sort(key=lambda item: item.suspicion.crashes, reverse=True)
         self._observer.record_crash(found.upstream, calls)
@@ -384,7 +258,7 @@
         return evidence
 
 
-def _lost_call(run: Run) -> crash_detector.LostCall:
+def _lost_call(run: suspect_run.Run) -> crash_detector.LostCall:
     context = run.context
     return crash_detector.LostCall(
         context.request_id,
