--- a/bergamotridge/nodes/suspect_sharing.py
+++ b/bergamotridge/nodes/suspect_sharing.py
@@ -21,6 +21,7 @@
     membership,
     record,
     suspect_messages,
+    suspect_servicer,
     suspects,
     suspects_pb2,
     suspects_pb2_grpc,
@@ -126,7 +127,7 @@
 
     def register(self, server: grpc.Server) -> None:
         """Adds the service to a server that has not started."""
-        suspects_pb2_grpc.add_SuspectsServicer_to_server(_Servicer(self), server)
+        suspects_pb2_grpc.add_SuspectsServicer_to_server(suspect_servicer.Servicer(self), server)
 
     def stop(self) -> None:
         """Ends the rounds and lets running messages end."""
@@ -389,29 +390,3 @@
 
     def _stub(self, address: str) -> suspects_pb2_grpc.SuspectsStub:
         return suspects_pb2_grpc.SuspectsStub(self._channels.channel(address))
-
-
-class _Servicer(suspects_pb2_grpc.SuspectsServicer):
-    """Adapter between the generated gRPC service and `SuspectSharing`."""
-
-    def __init__(self, sharing: SuspectSharing) -> None:
-        self._sharing = sharing
-
-    def Share(  # noqa: N802
-        self, request: suspects_pb2.EvidenceList, context: grpc.ServicerContext
-    ) -> suspects_pb2.EvidenceList:
-        del context
-        return self._sharing.share(request)
-
-    def RequestTrial(  # noqa: N802
-        self, request: suspects_pb2.TrialRequest, context: grpc.ServicerContext
-    ) -> suspects_pb2.TrialDecision:
-        del context
-        return self._sharing.decide(request)
-
-    def FinishTrial(  # noqa: N802
-        self, request: suspects_pb2.TrialResult, context: grpc.ServicerContext
-    ) -> suspects_pb2.TrialReceipt:
-        del context
-        self._sharing.finish(request)
-        return suspects_pb2.TrialReceipt()
