Decide the size of a quota share in a module of its own

No behaviour changes: tests/test_store, tests/test_callers (with the models of quotas and their planted faults), tests/test_nodes and tests/test_imports pass.

--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -11,7 +11,7 @@
 from bergamotridge.callers import lending_bucket
 from bergamotridge.nodes import quota_pb2
 from bergamotridge.operators import operator_text
-from bergamotridge.store import holding, objects, position, quota
+from bergamotridge.store import holding, objects, position, quota, share_size
 
 MAX_ADJUST_ATTEMPTS = 4
 MILLIS_PER_S = 1000
@@ -335,7 +335,7 @@
                 state = self._configured_state(plan.team.name)
                 state.holding.observe(quotas.get(plan.team.name, quota.Quota()), version, now)
                 state.apply_share(now)
-                decision_inputs = holding.DecisionInputs(
+                decision_inputs = share_size.DecisionInputs(
                     chosen=plan.chosen,
                     holders=plan.holders,
                     rate=state.team.rate,
--- a/bergamotridge/store/holding.py
+++ b/bergamotridge/store/holding.py
@@ -2,16 +2,10 @@
 
 import attrs
 
-from bergamotridge.store import position, quota
+from bergamotridge.store import position, quota, share_size
 
 # Largest relative error of a host's clock rate that time limits allow for.
 CLOCK_DRIFT_FRACTION = 0.01
-MAX_CUT_FRACTION = 0.25  # Of the share held.
-MIN_CUT_FRACTION = 0.15  # Of the mean share; smaller cuts are not worth a write.
-MIN_RAISE_FRACTION = 0.05  # Of the mean share.
-MIN_DEMAND_CHANGE_FRACTION = 0.5  # Of the demand last written.
-# Of the share held: a holder that has said that it needs more withdraws this when it needs less.
-COVERED_FRACTION = 0.8
 
 
 @attrs.frozen
@@ -53,31 +47,6 @@
         return self.max_immediate_lifetime_s * (1.0 + CLOCK_DRIFT_FRACTION)
 
 
-@attrs.frozen
-class DecisionInputs:
-    """Inputs of a decision about a share, besides the quota object.
-
-    Attributes:
-        chosen: Whether this host is chosen as a holder.
-        holders: Number of holders that the fleet should have.
-        rate: Rate of the team in the configuration in force, in calls per second.
-        burst: Burst of the team in the configuration in force, in tokens.
-        lent: Tokens that other nodes have drawn ahead from this host and may still spend.
-        demand: Calls per second that ask this host for tokens, from its own node and from nodes
-            that draw tokens from it.
-        lent_to_waiting: Tokens that this host lent for calls which wait at other nodes, and that
-            may still be spent.
-    """
-
-    chosen: bool
-    holders: int
-    rate: float
-    burst: float
-    lent: int
-    demand: float
-    lent_to_waiting: int = 0
-
-
 @attrs.frozen
 class QuotaUpdate:
     """A conditional update of the quota object.
@@ -196,7 +165,7 @@
         self._update_lease_and_unresolved_write()
         self._record_first_seen(now)
 
-    def decide(self, decision_inputs: DecisionInputs, now: float) -> QuotaUpdate | None:
+    def decide(self, decision_inputs: share_size.DecisionInputs, now: float) -> QuotaUpdate | None:
         """Returns the update to send next, or None if there is none.
 
         As soon as this returns, `usable` is no higher than the share that the update gives this
@@ -210,13 +179,14 @@
             return self._renew(live_quota, self._own.parts, decision_inputs, now)
         if host_share is None and not decision_inputs.chosen:
             return self._removal_of_expired_shares(live_quota, now)
-        parts = self._next_parts(live_quota, host_share, decision_inputs)
+        candidate = self._make_candidate(host_share, decision_inputs.demand)
+        parts = share_size.next_parts(live_quota, candidate, host_share, decision_inputs)
         if self._own is None and host_share is not None and now < self.predecessor_loans_end:
             # Tokens drawn from the predecessor may still be spent, up to its whole share.
             parts = max(parts, host_share.parts)
         if self._own is not None and parts < self._own.parts:
             self._max_parts_while_lowering = parts
-            if _loans_exceed(parts, decision_inputs) or now < self.predecessor_loans_end:
+            if share_size.loans_exceed(parts, decision_inputs) or now < self.predecessor_loans_end:
                 return None
         if not decision_inputs.chosen and parts == 0:
             return self._write(live_quota.without([self._host]), None, now)
@@ -240,7 +210,11 @@
         self._unresolved_parts = min(self._unresolved_parts, write.parts)
 
     def _renew(
-        self, live_quota: quota.Quota, parts: int, decision_inputs: DecisionInputs, now: float
+        self,
+        live_quota: quota.Quota,
+        parts: int,
+        decision_inputs: share_size.DecisionInputs,
+        now: float,
     ) -> QuotaUpdate:
         """Returns an update that writes a share of this process."""
         self._renewals += 1
@@ -296,47 +270,17 @@
             return None
         return self._write(live_quota, None, now)
 
-    def _next_parts(
-        self,
-        live_quota: quota.Quota,
-        host_share: quota.Share | None,
-        decision_inputs: DecisionInputs,
-    ) -> int:
-        if not decision_inputs.chosen:
-            return 0
-        held_parts = host_share.parts if host_share else 0
-        share_with_demand = quota.Share(
-            self._host,
-            self._incarnation,
-            self._failure_domain,
-            held_parts,
-            0,
-            decision_inputs.demand,
-        )
-        current = live_quota.replace(share_with_demand)
-        targets = quota.target_parts(current, decision_inputs.rate, decision_inputs.burst)
-        target = targets[self._host]
-        max_raise = _max_raise(live_quota, host_share, decision_inputs.holders)
-        # Holders know the demand of others only as last written, so their targets may sum to less
-        # than the whole. A part of what is free is therefore taken beyond the target.
-        unclaimed = held_parts + max_raise // len(current.shares) if host_share else held_parts
-        if max(target, unclaimed) >= held_parts + 1:
-            return max(unclaimed, min(target, held_parts + max_raise))
-        mean_parts = quota.PARTS / len(current.shares)
-        others_short = [
-            share
-            for share in live_quota.shares
-            if share.host != self._host
-            and _is_short(share, targets[share.host], mean_parts, decision_inputs.rate)
-        ]
-        if not others_short or held_parts - target < MIN_CUT_FRACTION * mean_parts:
-            return held_parts
-        if any(share.parts == 0 for share in others_short):
-            return target
-        return max(target, int(held_parts * (1.0 - MAX_CUT_FRACTION)))
+    def _make_candidate(self, host_share: quota.Share | None, demand: float) -> quota.Share:
+        """Returns this host's share with its present parts and demand, as others would see it."""
+        parts = host_share.parts if host_share else 0
+        return quota.Share(self._host, self._incarnation, self._failure_domain, parts, 0, demand)
 
     def _write_is_due(
-        self, live_quota: quota.Quota, parts: int, decision_inputs: DecisionInputs, now: float
+        self,
+        live_quota: quota.Quota,
+        parts: int,
+        decision_inputs: share_size.DecisionInputs,
+        now: float,
     ) -> bool:
         own = self._own
         if own is None or now - self._renewed_at >= self._timings.renew_s:
@@ -344,47 +288,8 @@
         if live_quota != self._quota or self._unresolved_write is not None:
             return True
         parts_change = abs(parts - own.parts)
-        if parts < own.parts or parts_change > MIN_RAISE_FRACTION * quota.PARTS / len(
+        if parts < own.parts or parts_change > share_size.MIN_RAISE_FRACTION * quota.PARTS / len(
             live_quota.shares
         ):
             return True
-        return _demand_is_due(own, decision_inputs.demand, decision_inputs.rate)
-
-
-def _loans_exceed(parts: int, decision_inputs: DecisionInputs) -> bool:
-    """Returns whether more tokens are on loan than a share of `parts` may lend."""
-    burst = parts * decision_inputs.burst / quota.PARTS
-    lent = decision_inputs.lent + decision_inputs.lent_to_waiting
-    return decision_inputs.lent > quota.lendable_tokens(burst) or lent > burst
-
-
-def _is_short(share: quota.Share, target: int, mean_parts: float, rate: float) -> bool:
-    """Returns whether a holder lacks parts that it should have and needs for its demand."""
-    needed = max(quota.needed_parts(share.demand, rate), 1)
-    return min(needed, target) - share.parts > MIN_RAISE_FRACTION * mean_parts or not share.parts
-
-
-def _demand_is_due(own: quota.Share, demand: float, rate: float) -> bool:
-    """Returns whether the other holders have to learn of this holder's demand.
-
-    They make room for a holder whose written demand exceeds its share. The demand of one whose
-    share suffices changes nothing, so it is not written.
-    """
-    needed = quota.needed_parts(demand, rate)
-    if needed > own.parts:
-        return abs(demand - own.demand) > max(1.0, MIN_DEMAND_CHANGE_FRACTION * own.demand)
-    is_written_as_short = quota.needed_parts(own.demand, rate) > own.parts
-    return is_written_as_short and needed < COVERED_FRACTION * own.parts
-
-
-def _max_raise(live_quota: quota.Quota, host_share: quota.Share | None, holders: int) -> int:
-    """Returns the number of parts by which a host may raise its share.
-
-    Free parts are reserved for holders that have yet to join. If one host took them all, to give
-    them back as others join, they would be lost if that host failed during an outage of the
-    platform.
-    """
-    equal_share = quota.PARTS // max(1, holders)
-    if host_share is None:
-        return min(live_quota.free_parts, equal_share)
-    return max(0, live_quota.free_parts - equal_share * max(0, holders - len(live_quota.shares)))
+        return share_size.demand_is_due(own, decision_inputs.demand, decision_inputs.rate)
--- a/tests/test_store/test_holding.py
+++ b/tests/test_store/test_holding.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bergamotridge.store import holding, position, quota
+from bergamotridge.store import holding, position, quota, share_size
 from tests import positions
 
 HOLDERS = 4
@@ -10,8 +10,8 @@
 BURST = 1000.0
 
 
-def decision_inputs(demand: float) -> holding.DecisionInputs:
-    return holding.DecisionInputs(
+def decision_inputs(demand: float) -> share_size.DecisionInputs:
+    return share_size.DecisionInputs(
         chosen=True, holders=HOLDERS, rate=RATE, burst=BURST, lent=0, demand=demand
     )
 
