Count a stop from the first SIGTERM of its process in the soak's rule LOST

The soak of machines counted each moment of a stop from the last SIGTERM that the machine had got. A second SIGTERM began the stop anew: an own 502 or 504 of the last sixth was accused, and one that came after the first SIGTERM's last sixth was named by the wrong moment; a SIGTERM of the next process did the same to requests that the process before it still had. The last sixth excused each request, though only one that was sent up to 3 s after the SIGTERM is excused, and nothing was found between the end of `grace` and 1 s after it. The route's timeout counted from the first byte, so no own answer to a body that takes longer than the timeout was ever found; nodes count it from the last byte.

`stops` has these decisions now: the first SIGTERM of each process counts, those left out that started after the client had connected. Connections that end without any answer are found as before; the kind of a finding says if the request was sent in time and its server at work in the last sixth.

One case of test_an_answer_of_the_nodes_own_in_a_stop_is_found_until_the_last_sixth was wrong: it excused a 502 in the last sixth to a request sent 4.7 s after SIGTERM. The test is replaced by one of twelve cases, among them that moment with a request that was sent in time (excused) and with one that wasn't (found).

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -9,13 +9,13 @@
     findings,
     record,
     server_faults,
+    stops,
     team_checks,
     timeout_checks,
 )
 
 DRAIN_S = 2.0
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
-LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut a request off.
 MOMENTS_S = (0.0, 0.5, 2.0, 3.0, 6.0)  # Of a stop, to count findings by.
 AT_EXIT_S = 0.05
 REFUSALS = (408, 421, 429, 503)
@@ -54,19 +54,17 @@
     found = []
     for item in filter(lambda attempt: attempt.ended is not None, rows.attempts):
         at_server = runs.get(item.id, [])
-        stops = [
-            at for at in findings.list_times(rows, item.machine, ("SIGTERM",)) if at <= item.ended
-        ]
-        since_s = item.ended - stops[-1] if stops else float("inf")
+        begins = stops.list_begins(rows, item)
+        since_s = item.ended - begins[-1] if begins else float("inf")
         if item.end in ("closed", "reset") and item.sent is not None:
             is_late = item.ended > item.sent + ends.LOST_SLACK_S
             was_read = item.end == "closed" or not ends.is_known_unread(item)
             is_lost = (is_late and was_read) or bool(at_server)
         else:
-            is_stopped = since_s < LAST_SIXTH * ends.GRACE_S
-            is_own = item.status in (502, 504) and not item.sealed
-            is_own &= item.began is not None and item.ended < item.began + item.timeout_s
-            is_lost = is_own and is_stopped and any(_is_at_work(run, item) for run in at_server)
+            is_own = item.status in (502, 504) and not item.sealed and item.sent is not None
+            is_own = is_own and item.ended < item.sent + item.timeout_s
+            is_lost = is_own and stops.forbid_own_answer(begins, item)
+            is_lost = is_lost and any(_is_at_work(run, item) for run in at_server)
         if not is_lost or _is_broken_off(rows, item, {run.machine for run in at_server}):
             continue
         if at_server and at_server[-1].fault in server_faults.BREAK_OFF:
@@ -75,9 +73,12 @@
             f"{item.id} {item.by}, {item.method} {item.path}: connection lasted"
             f" {item.ended - item.connected:.2f}, ended ({item.end} {item.status})"
             f" {item.ended - (item.sent or item.ended):.2f} after the last byte,"
-            f" {since_s:.2f} s after SIGTERM; {len(at_server)} runs, {item.got} bytes came"
+            f" {since_s:.2f} s after the first SIGTERM; {len(at_server)} runs,"
+            f" {item.got} bytes came"
         )
         kind = _name_kind(rows, item, since_s, bool(at_server))
+        if any(_is_at_work(run, item) for run in at_server) and begins:
+            kind += ", in time, at work in the last sixth" * stops.may_break_off(begins[-1], item)
         found.append(findings.Finding("LOST", item.ended, item.machine, text, kind))
     return found
 
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -110,9 +110,46 @@
     assert find_rules(rows) == ["GRACE", "LOST"]
 
 
-@pytest.mark.parametrize(("stopped", "rules"), [(9.5, ["LOST"]), (5.4, [])])
-def test_an_answer_of_the_nodes_own_in_a_stop_is_found_until_the_last_sixth(stopped, rules):
-    assert find_rules(happen(make_rows(status=502), (stopped, "SIGTERM", 1, "7"))) == rules
+# An answer of the node's own in a stop passes for allowed, or a stop for one that began later.
+@pytest.mark.parametrize(
+    ("rules", "sent", "happenings"),
+    [
+        (["LOST"], 10.1, [(9.5, "SIGTERM", 1, "7")]),
+        (["LOST"], 8.3, [(5.6, "SIGTERM", 1, "7")]),
+        ([], 8.3, [(5.4, "SIGTERM", 1, "7")]),
+        (["LOST"], 8.5, [(5.4, "SIGTERM", 1, "7")]),
+        (["LOST"], 10.1, [(3.6, "SIGTERM", 1, "7")]),
+        ([], 10.1, [(3.4, "SIGTERM", 1, "7")]),
+        ([], 8.3, [(5.4, "SIGTERM", 1, "7"), (8.0, "SIGTERM", 1, "7")]),
+        (["LOST"], 10.1, [(5.4, "SIGTERM", 1, "7"), (9.0, "SIGTERM", 1, "7")]),
+        ([], 10.1, [(3.4, "SIGTERM", 1, "7"), (9.0, "SIGTERM", 1, "7")]),
+        (["LOST"], 8.3, [(5.4, "SIGTERM", 1, "7"), (8.0, "SIGTERM", 1, "8")]),
+        (
+            [],
+            8.3,
+            [(5.4, "SIGTERM", 1, "7"), (9.1, "node starts", 1, "8"), (9.5, "SIGTERM", 1, "8")],
+        ),
+        ([], 10.1, [(9.5, "SIGTERM", 3, "9")]),
+    ],
+)
+def test_an_own_answer_counts_from_the_first_sigterm_of_a_process(rules, sent, happenings):
+    assert find_rules(happen(make_rows(status=502, sent=sent), *happenings)) == rules
+
+
+# A body that takes long hides an answer of the node's own, as if the route's timeout were over.
+@pytest.mark.parametrize(("timeout_s", "rules"), [(1.0, ["LOST"]), (0.3, [])])
+def test_the_timeout_of_a_route_begins_with_the_last_byte(timeout_s, rules):
+    rows = make_rows(status=504, began=8.0, timeout_s=timeout_s)
+    assert find_rules(happen(rows, (9.5, "SIGTERM", 1, "7"))) == rules
+
+
+@pytest.mark.parametrize(("again", "text"), [(8.0, "5.10 s after the first"), (5.4, "5.10 s")])
+def test_the_moment_of_a_loss_counts_from_the_first_sigterm(again, text):
+    rows = make_rows(status=0, end="closed", sent=9.0)
+    happen(rows, (5.4, "SIGTERM", 1, "7"), (again, "SIGTERM", 1, "7"))
+    (found,) = checks.find_broken(rows)
+    assert text in found.text
+    assert "3 to 6 s after SIGTERM" in found.kind
 
 
 @pytest.mark.parametrize(
