Draw stops in the soak in which requests become whole at each tenth of a second

Clients without a pause have their last bytes late in a stop only now and then.

The step `late` stops one machine, at times with a second SIGTERM, and has one request that isn't idempotent become whole at each tenth of a second from 2.5 to 5.9 s after the first: on a fresh connection, byte by byte, and in pieces on a kept connection that was in use just before. A job may say when its last byte is to go; the pauses of its client then fill the time until there. Bodies in pieces begin within the idle time of their connection, so the late ones take up to 4.7 s; a head byte by byte can't take longer than the 2 s that a node waits, so those of the last second end with 408.

--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -56,12 +56,16 @@
 
 @attrs.frozen
 class Job:
-    """One request to make: its kind, the service that runs it, its path, and the key to send."""
+    """One request to make: its kind, the service that runs it, its path, and the key to send.
+
+    `last_at` is when its last byte is to be sent, None if its client's pauses tell.
+    """
 
     kind: shape.Kind
     service: str
     path: str
     key: str = ""
+    last_at: float | None = None
 
 
 class Connection:
@@ -97,7 +101,9 @@
     ) -> list[record.Attempt]:
         """Sends requests one behind the other; reads the answers."""
         attempts = [self._make_attempt(job, by, machine, service) for job in jobs]
+        now = self._rows.now()
         deadline_s = max(job.kind.deadline_ms for job in jobs) / shape.MS_PER_S
+        deadline_s += max(max(0.0, (job.last_at or now) - now) for job in jobs)
         for attempt in attempts:
             attempt.alone = len(jobs) == 1
         self._rows.attempts += attempts
@@ -137,8 +143,11 @@
 
     async def _send(self, attempt: record.Attempt, job: Job, answers: asyncio.Task) -> None:
         attempt.began = self._rows.now()
-        for piece, pause_s in self._cut(attempt, job):
-            if pause_s:
+        pieces = self._cut(attempt, job)
+        for index, (piece, pause_s) in enumerate(pieces):
+            if index and job.last_at is not None:
+                pause_s = (job.last_at - self._rows.now()) / (len(pieces) - index)
+            if pause_s > 0:
                 await asyncio.sleep(pause_s)
             if answers.done():  # The node has answered early, or ended the connection.
                 return
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -16,6 +16,7 @@
     server,
     server_faults,
     shape,
+    steps_late,
     steps_press,
     steps_teams,
     store,
@@ -32,6 +33,7 @@
 STEPS = {
     "access": steps_teams.change_access,
     "give back": steps_teams.give_back,
+    "late": steps_late.stop_late,
     "press": steps_press.press,
 }
 
@@ -176,6 +178,10 @@
                 await asyncio.sleep(gap)
                 self.configure()
 
+    def find_machine(self, number: int) -> machine.Machine:
+        """Returns a machine by its number."""
+        return self._machines[number - 1]
+
     async def stop_several(self, number: int, values: dict) -> None:
         """Stops nodes as planned, from that of machine `number` on, and starts them again."""
         stops = []
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from soak.machines import access, shape
+from soak.machines import access, machine, record, shape
 
 
 class Scene(Protocol):
@@ -10,6 +10,10 @@
 
     held: access.Access
     shape: shape.Shape
+    rows: record.Record
+
+    def find_machine(self, number: int) -> machine.Machine:
+        """Returns a machine by its number."""
 
     def configure(self, held: access.Access | None = None) -> None:
         """Writes the next configuration, with other keys and limits if they are given."""
