Find a node's own 504 also where the server gave up at the deadline that the node had cut

A run that ends with 504 less than 0.1 s before its request's end counts as at work now. The new case of test_machine_checks.py failed before.

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -18,6 +18,7 @@
 START_S = 1.0  # A signal ends a process whose interpreter still starts.
 MOMENTS_S = (0.0, 0.5, 2.0, 3.0, 6.0)  # Of a stop, to count findings by.
 AT_EXIT_S = 0.05
+AT_END_S = 0.1  # Between the end of a run and that of its request.
 REFUSALS = (408, 421, 429, 503)
 
 
@@ -100,7 +101,9 @@
 
 
 def _is_at_work(run: record.Run, attempt: record.Attempt) -> bool:
-    return run.ended is None or run.ended > attempt.ended or run.status == 200
+    """Returns True if a run went on, or ended well, or gave up at the deadline that it was told."""
+    gave_up = run.status == 504 and run.ended is not None and run.ended > attempt.ended - AT_END_S
+    return run.ended is None or run.ended > attempt.ended or run.status == 200 or gave_up
 
 
 def _find_untrue(rows: record.Record, runs) -> list[findings.Finding]:
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -136,6 +136,14 @@
     assert find_rules(happen(make_rows(status=502, sent=sent), *happenings)) == rules
 
 
+# A server that gives up at the deadline it was told hides that the node cut its time.
+@pytest.mark.parametrize(("ended", "rules"), [(10.45, ["LOST"]), (10.3, [])])
+def test_a_run_that_gives_up_as_the_node_answers_was_at_work(ended, rules):
+    rows = make_rows(status=504)
+    rows.runs[0].ended, rows.runs[0].status = ended, 504
+    assert find_rules(happen(rows, (5.4, "SIGTERM", 1, "7"))) == rules
+
+
 # A body that takes long hides an answer of the node's own, as if the route's timeout were over.
 @pytest.mark.parametrize(("timeout_s", "rules"), [(1.0, ["LOST"]), (0.3, [])])
 def test_the_timeout_of_a_route_begins_with_the_last_byte(timeout_s, rules):
