Take the refusal of another node's port for one

What callers saw: 502, may-have-run, for calls that the port of another node had refused: it was full, stopped while the call came, or couldn't read its context. Such a call wasn't tried at another upstream if it may run only once.

Cause: the port answers before its handler does and so without a report, and the asking node took every answer without a report as one of unknown effect.

Change: an answer without a report whose verdict is not-run is a refusal. Only the port itself sends that: the verdict is removed from answers of upstreams before they are passed on. The call is then tried elsewhere, as when the node can't be reached.

Failed before: the three cases of test_a_call_that_the_port_of_a_node_refused_has_not_run (502); tests/test_nodes/test_relay.py passes now (12 passed).

--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -48,16 +48,29 @@
             )
         received = context_header.decode_report(response)
         if received is None:
-            error = http_client.TransferError(
-                "the answer has no readable report header; check that a node answers there",
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
-            return _answer_failed_transfer(address, error, relayed.retries)
+            return _answer_failed_transfer(address, _unreported(response), relayed.retries)
         if received.stamp is not None:
             self._log.clock.observe(received.stamp)
         return received
 
 
+def _unreported(response: message.Response) -> http_client.TransferError:
+    """Returns why an answer without a readable report is none.
+
+    The port itself of a node answers without one when it takes no call: it is full, stops or can't
+    read the call. It says so by the verdict, which no answer of an upstream has kept.
+    """
+    claimed = (response.header(answer.VERDICT_HEADER) or b"").decode("latin-1")
+    if verdict.parse(claimed) is verdict.Verdict.NOT_RUN:
+        return http_client.TransferError(
+            f"its port refused the call with status {response.status}", verdict.Verdict.NOT_RUN
+        )
+    return http_client.TransferError(
+        "the answer has no readable report header; check that a node answers there",
+        verdict.Verdict.MAY_HAVE_RUN,
+    )
+
+
 def _failure_reason(error: http_client.TransferError, cancelled: bool) -> str:
     if cancelled:
         return "cancelled"
--- a/tests/test_nodes/test_relay.py
+++ b/tests/test_nodes/test_relay.py
@@ -3,10 +3,11 @@
 import attrs
 import pytest
 
-from bergamotridge import call, events, verdict
+from bergamotridge import answer, call, events, verdict
 from bergamotridge.nodes import context, relay
 from bergamotridge.util import cancellation, http_client, message
 from tests import event_loop
+from tests.test_util import test_http_client
 
 MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
 
@@ -50,10 +51,40 @@
     assert (received.response.status, received.verdict) == (503, verdict.Verdict.NOT_RUN)
 
 
-def _relay(pools):
+def _refusal_of_a_stop():
+    return message.Response(503, [(b"bergamotridge-verdict", b"not-run")])
+
+
+# Callers got 502 for calls that the port of the other node had refused, full or in its stop.
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        answer.fixed_refusal(503, "too many connections", "connections"),
+        answer.fixed_refusal(403, "no token", "relay"),
+        _refusal_of_a_stop(),
+    ],
+)
+def test_a_call_that_the_port_of_a_node_refused_has_not_run(refusal):
+    sent = message.encode_response(refusal, keep_alive=False)
+    received = _relay(http_client.Pools(1000), test_http_client.ScriptedServer(sent).address)
+    assert (received.response.status, received.verdict) == (503, verdict.Verdict.NOT_RUN)
+    assert (received.reason, received.unused) == ("node-failed", 2)
+
+
+# Another answer without a report must not be taken for a refusal: the call may have run.
+@pytest.mark.parametrize("claimed", [b"may-have-run", b"run", b"odd"])
+def test_an_answer_without_a_report_and_refusal_may_have_run(claimed):
+    sent = message.encode_response(
+        message.Response(500, [(b"bergamotridge-verdict", claimed)]), keep_alive=False
+    )
+    received = _relay(http_client.Pools(1000), test_http_client.ScriptedServer(sent).address)
+    assert (received.response.status, received.verdict) == (502, MAY_HAVE_RUN)
+
+
+def _relay(pools, address="127.0.0.1:1"):
     log = events.EventLog("h1", 1, "utrecht")
     client = relay.RelayClient(pools, "token", log)
     call_context = call.CallContext("r1", "delft", call.Importance.STANDARD, 1e12, 0, False)
     relayed = context.RelayedCall("booking", call_context, 2, None)
     request = message.Request(b"GET", b"/slots", [])
-    return event_loop.run(client.send("127.0.0.1:1", relayed, request, cancellation.Token()))
+    return event_loop.run(client.send(address, relayed, request, cancellation.Token()))
