Use a kept connection again only if nothing waits to be read on it

What callers saw: 502, may-have-run, for calls that no server or node had read. They were sent on a kept connection which the other end, a stopping node or a server, had just closed.

Cause: the client knew of the close only after its event loop had read it. A busy or starved process reads late, and sends what its turn holds before that.

Change: before an idle connection is taken, the kernel is asked whether anything has arrived on it. What has is the end, or bytes of no request; the connection is dropped and another one is taken. Left is the time in which both are under way at once.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -1,6 +1,7 @@
 """One connection of the HTTP client: sends a request and reads the bytes of its response."""
 
 import asyncio
+import select
 from collections.abc import Callable
 
 import httptools
@@ -47,10 +48,12 @@
         self._on_arrival = on_arrival
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
+        self._input = select.poll()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keeps the transport."""
         self._transport = transport
+        self._input.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; ends the transfer once its response is complete."""
@@ -97,6 +100,14 @@
         """True if the connection is open and all of the request has been sent."""
         return not self.ended and not self._transport.get_write_buffer_size()
 
+    @property
+    def has_unread_input(self) -> bool:
+        """True if something has arrived that the loop has yet to read, such as the server's end.
+
+        Of an idle connection only; the loop may be some time behind what the kernel knows.
+        """
+        return bool(self._input.poll(0))
+
     def abort(self) -> None:
         """Closes the connection at once; a running transfer fails."""
         self.ended = True
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -236,7 +236,8 @@
             idle.popleft().abort()
         while idle:
             connection = idle.pop()
-            if now < connection.idle_until and not connection.ended:
+            is_open = now < connection.idle_until and not connection.ended
+            if is_open and not connection.has_unread_input:
                 return connection
             connection.abort()
         return None
