Make no room in a full port by a connection on which a request has arrived

What callers saw: a reset in place of an answer, on a kept connection on which they had just sent a request, while the port was full and others came.

Cause: which connection is idle was decided by what the event loop had read. What arrives while a busy loop works through a turn was closed unread with its connection.

Change: before an idle connection is closed to make room, the kernel is asked for what has arrived on it, for sixteen of them at most. If all have requests, the new connection is refused by 503.

--- a/bergamotridge/util/connection_table.py
+++ b/bergamotridge/util/connection_table.py
@@ -1,6 +1,7 @@
 """Decides which connections of a server stay open when more come than it may have."""
 
 import enum
+import itertools
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -9,6 +10,8 @@
 # A connection that was idle for less is probably about to be used: its client has just opened it,
 # or has just had an answer on it.
 MIN_IDLE_S = 0.5
+# Idle connections that are asked for what has arrived on them, to find one that can be closed.
+MAX_ASKED = 16
 
 
 class Connection(Protocol):
@@ -16,9 +19,11 @@
 
     Attributes:
         head_started_at: Time in seconds at which an incomplete head began, None if there is none.
+        has_arrived: True if something has arrived that is still to be read, such as a request.
     """
 
     head_started_at: float | None
+    has_arrived: bool
 
 
 class Cause(enum.Enum):
@@ -46,7 +51,8 @@
     """The open connections of one server; belongs to one event loop.
 
     A full server makes room for a new connection by closing the one that has been idle longest,
-    then the one with the oldest incomplete head. A connection with a request stays open.
+    then the one with the oldest incomplete head. A connection with a request stays open, also if
+    the request is still to be read.
     """
 
     def __init__(self, limit: int) -> None:
@@ -99,9 +105,11 @@
         return decision
 
     def _make_room(self, connection: Connection, now: float) -> Decision:
-        longest_idle = next(iter(self._idle), None)
-        if longest_idle is not None and now - self._idle[longest_idle] >= MIN_IDLE_S:
-            return Decision(longest_idle, Cause.IDLE)
+        for item, since in itertools.islice(self._idle.items(), MAX_ASKED):
+            if now - since < MIN_IDLE_S:
+                break
+            if not item.has_arrived:
+                return Decision(item, Cause.IDLE)
         heads = [item for item in self._busy if item.head_started_at is not None]
         if heads:
             return Decision(min(heads, key=lambda item: item.head_started_at), Cause.HEAD)
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -14,6 +14,7 @@
     connection_table,
     loop,
     message,
+    receive_queue,
     request_reader,
     send_queue,
 )
@@ -153,6 +154,13 @@
         takes_part = self._reader.has_input and not self._input_ended
         return self.token is not None or bool(self._reader.requests) or takes_part
 
+    @property
+    def has_arrived(self) -> bool:
+        """True if input has arrived that is still to be read, and that would be taken."""
+        if self._input_ended or self._transport.is_closing():
+            return False
+        return receive_queue.count_bytes(self._transport.get_extra_info("socket")) > 0
+
     def is_idle_since(self, time: float) -> bool:
         """Returns whether no request was read or answered since a time of the loop."""
         between_requests = (
--- a/tests/test_util/test_connection_table.py
+++ b/tests/test_util/test_connection_table.py
@@ -15,6 +15,7 @@
 @attrs.define(eq=False)
 class Connection:
     head_started_at: float | None = None
+    has_arrived: bool = False
 
 
 def test_room_is_made_by_the_longest_idle_then_the_oldest_head_then_not_at_all():
@@ -40,6 +41,19 @@
     assert table.admit(second, 10.0 + connection_table.MIN_IDLE_S).turned_away is first
 
 
+# A request that had arrived on an idle connection, but wasn't read yet, was reset to make room.
+def test_room_is_made_by_no_connection_on_which_a_request_has_arrived():
+    table = connection_table.ConnectionTable(3)
+    items = [Connection(has_arrived=True), Connection(), Connection(has_arrived=True)]
+    for item in items:
+        table.admit(item, 0.0)
+    first, second = Connection(has_arrived=True), Connection()
+    assert table.admit(first, 2.0).turned_away is items[1]
+    assert table.admit(second, 2.0) == connection_table.Decision(
+        second, connection_table.Cause.FULL
+    )
+
+
 # Connections that were kept without use shut all others out, those of the local upstream as well.
 def test_many_kept_connections_shut_out_no_new_one_and_cut_no_call():
     for seed in range(SEEDS):
