soak of machines: calls between machines, and ports that are full

`far`: clients of other machines, which wait for each answer, ask for the service of a machine whose node stops, reloads or is started anew, by GET, HEAD, POST, PUT and DELETE; askers stand still at times. `crowd` with the shape `crowded`: connections without a request fill the port of a node, and many answers and bodies outlast their routes' timeouts.

A check finds a 502 of a node's own for a request whose answer was whole, or which reached no server though nothing was killed.

--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -10,7 +10,18 @@
 import attrs
 from absl import app, flags
 
-from soak.machines import checks, client, draw, ends, findings, fleet, machine, record, shape
+from soak.machines import (
+    checks,
+    client,
+    draw,
+    ends,
+    far_checks,
+    findings,
+    fleet,
+    machine,
+    record,
+    shape,
+)
 
 S_PER_MINUTE = 60.0
 BEFORE_S, AFTER_S = 4.0, 1.0
@@ -35,7 +46,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     running = fleet.Fleet(plan, of or shape.load("any"), folder.resolve(), tree)
     asyncio.run(running.run())
-    found = checks.find_broken(running.rows)
+    found = [*checks.find_broken(running.rows), *far_checks.find_broken(running.rows)]
     (folder / "plan").write_text("\n".join(plan.to_lines()) + "\n", encoding="utf-8")
     (folder / "record").write_text("\n".join(running.rows.to_lines()) + "\n", encoding="utf-8")
     return running.rows, found
--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -27,6 +27,8 @@
         head_pause_s: Pause before each byte of the head.
         read_pause_s: Pause after each piece that is read.
         forges: True if it sends the headers that only nodes set.
+        safe_method: Method of requests that may run more than once; they have no body.
+        unsafe_method: Method of all others.
     """
 
     name: str
@@ -40,6 +42,8 @@
     read_pause_s: float = 0.0
     size: int = 0
     forges: bool = False
+    safe_method: str = "GET"
+    unsafe_method: str = "POST"
 
 
 STYLES = (
@@ -124,15 +128,17 @@
 
     def _make_attempt(self, job: Job, by: str, machine: int, service: str) -> record.Attempt:
         request_id, is_safe = self._rows.next_id(), job.kind.safe
+        method = self._style.safe_method if is_safe else self._style.unsafe_method
         return record.Attempt(
-            request_id, by, machine, service, "GET" if is_safe else "POST", job.path,
+            request_id, by, machine, service, method, job.path,
             wire.digest(self._make_body(request_id, job)), is_safe, connected=self._connected,
             reused=self._answers > 0, timeout_s=job.kind.timeout_ms / shape.MS_PER_S, key=job.key,
             reads_slowly=self._style.read_pause_s > 0,
         )  # fmt: skip
 
     def _make_body(self, request_id: str, job: Job) -> bytes:
-        size = 0 if job.kind.safe else self._style.body or round(job.kind.request_bytes)
+        is_empty = job.kind.safe or self._style.unsafe_method == "DELETE"
+        size = 0 if is_empty else self._style.body or round(job.kind.request_bytes)
         return wire.content(request_id, size)
 
     async def _send(self, attempt: record.Attempt, job: Job, answers: asyncio.Task) -> None:
@@ -171,7 +177,8 @@
         is_chunked = style.chunked and bool(body)
         fields |= {"Transfer-Encoding": "chunked"} if is_chunked else {}
         start = f"{attempt.method} {attempt.path} HTTP/1.1"
-        head = wire.encode(start, fields, body, not is_chunked).removesuffix(body)
+        has_length = not is_chunked and (bool(body) or attempt.method not in wire.WITHOUT_LENGTH)
+        head = wire.encode(start, fields, body, has_length).removesuffix(body)
         step = len(body) // style.pieces or 1
         bodies = [body[begin : begin + step] for begin in range(0, len(body), step)]
         if is_chunked:
@@ -192,7 +199,8 @@
                 message = await wire.read_head(self._reader)
                 attempt.head_at = self._rows.now()
                 attempt.sealed = "response-seal" in message.fields
-                await wire.read_body(self._reader, message, True, self._style.read_pause_s)
+                if attempt.method != "HEAD":
+                    await wire.read_body(self._reader, message, True, self._style.read_pause_s)
             finally:
                 attempt.got = len(message.body)
             self._finish(attempt, message)
@@ -208,7 +216,8 @@
         attempt.ended, attempt.end, attempt.status = self._rows.now(), "answer", message.status
         self._answers += 1
         size = int(attempt.path.split("/")[3])
-        attempt.whole = message.body == wire.content(attempt.id, size)
+        is_head = attempt.method == "HEAD"
+        attempt.whole = is_head or message.body == wire.content(attempt.id, size)
         if message.status != 200:
             attempt.text = message.body[:80].decode("latin-1")
 
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from soak.machines import server_faults, steps_press, steps_teams
+from soak.machines import server_faults, steps_crowd, steps_far, steps_press, steps_teams
 
 MEAN_GAP_S = 1.3
 
@@ -150,6 +150,14 @@
     return steps_press.draw(rng, _draw_rolling(rng, machines))
 
 
+def _draw_far(rng: random.Random, machines: int) -> dict:
+    return steps_far.draw(rng, _draw_rolling(rng, machines))
+
+
+def _draw_crowd(rng: random.Random, machines: int) -> dict:
+    return steps_crowd.draw(rng)
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -164,4 +172,6 @@
     "access": (3, _draw_access),
     "give back": (2, _draw_give_back),
     "press": (1.5, _draw_press),
+    "far": (3, _draw_far),
+    "crowd": (1, _draw_crowd),
 }
--- /dev/null
+++ b/soak/machines/far_checks.py
@@ -0,0 +1,48 @@
+"""Checks that calls between machines are given up only if a server or an end gave the reason."""
+
+import collections
+from collections.abc import Iterator
+
+from soak.machines import ends, findings, record
+
+AROUND_S = 0.1
+LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut off what its server works on.
+NODE_REASONS = ("node-failed", "cancelled")
+
+
+def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
+    """GIVEN UP: a node's own 502 for a request whose answer was whole, or that reached no server.
+
+    Excused: a machine of the request was killed, a server ended, or the last sixth of `grace` had
+    begun at one of them. Those that reached no server count only if the reason is another node.
+    """
+    runs = collections.defaultdict(list)
+    for run in rows.runs:
+        runs[run.id].append(run)
+    for item in rows.attempts:
+        if item.status != 502 or item.sealed:
+            continue
+        at_server = runs[item.id]
+        was_whole = any(run.status == 200 and not run.fault for run in at_server)
+        was_unsent = not at_server and item.text.startswith(NODE_REASONS)
+        if not (was_whole or was_unsent) or _is_excused(rows, item, at_server):
+            continue
+        what = "its answer was whole" if was_whole else "it reached no server"
+        text = f"{item.id} {item.by}, {item.method} {item.path}: 502 {item.text.strip()}, {what}"
+        yield findings.Finding("GIVEN UP", item.ended, item.machine, text, what)
+
+
+def _is_excused(rows: record.Record, item: record.Attempt, at_server: list[record.Run]) -> bool:
+    machines = {item.machine, *(run.machine for run in at_server)}
+    begin, end = item.began - AROUND_S, item.ended + AROUND_S
+    for other in rows.happenings:
+        is_concerned = not at_server or other.machine in machines
+        is_end = other.what == "server ends" or ends.is_kill(rows, other)
+        is_end |= other.what == "node exits" and "by itself" in other.detail
+        if is_concerned and is_end and begin <= other.at <= end:
+            return True
+        since_s = end - other.at
+        is_late = LAST_SIXTH * ends.GRACE_S <= since_s <= ends.GRACE_S + 2 * AROUND_S
+        if is_concerned and other.what == "SIGTERM" and is_late:
+            return True
+    return False
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -16,6 +16,8 @@
     server,
     server_faults,
     shape,
+    steps_crowd,
+    steps_far,
     steps_press,
     steps_teams,
     store,
@@ -31,6 +33,8 @@
 
 STEPS = {
     "access": steps_teams.change_access,
+    "crowd": steps_crowd.crowd,
+    "far": steps_far.disturb,
     "give back": steps_teams.give_back,
     "press": steps_press.press,
 }
@@ -98,6 +102,7 @@
         for number in range(1, self._plan.machines + 1):
             item = machine.Machine(self.rows, number, network, self._folder, address, self._tree)
             item.service = self.shape.services[number % len(self.shape.services)].name
+            item.max_fds = self.shape.max_fds
             self._machines.append(item)
             await self._start_machine(item)
         deadline = self.rows.now() + READY_S
@@ -209,6 +214,33 @@
             self._send(self._machines[number - 1], style, seed, until)
         await asyncio.sleep(for_s)
 
+    async def freeze(self, number: int, after_s: float, for_s: float) -> None:
+        """Lets the node of machine `number` stand still for some time."""
+        await asyncio.sleep(after_s)
+        item, process = self._machines[number - 1], self._machines[number - 1].process
+        item.send(process, signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        item.send(process, signal.SIGCONT)
+
+    def address_of(self, number: int) -> str:
+        """Returns the address at which the node of machine `number` takes requests."""
+        return self._machines[number - 1].outbound
+
+    def list_askers(self, number: int) -> tuple[str, list[int]]:
+        """Returns the service of machine `number`, and the machines that ask others for it."""
+        service = self._machines[number - 1].service
+        return service, [item.number for item in self._machines if item.service != service]
+
+    def send_by(
+        self, number: int, style: client.Style, seed: str, of: shape.Shape, for_s: float
+    ) -> None:
+        """Adds a client of machine `number` for some time, with requests of a shape."""
+        until = self.rows.now() + for_s
+        sending = client.send_steadily(
+            self.rows, self._machines[number - 1], style, f"{self._plan.seed} {seed}", of, until
+        )
+        self._tasks.append(asyncio.create_task(sending))
+
     def _draw_service(self, share: float) -> str:
         return self.shape.services[int(share * len(self.shape.services))].name
 
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from soak.machines import record, server, wire
+from soak.machines import record, server, shape, wire
 
 OWN_TREE = pathlib.Path(__file__).resolve().parents[2]
 OUTBOUND_PORT, READY_PORT = 8548, 8546
@@ -61,6 +61,7 @@
         self.number, self.ip, self.zone = number, f"{network}.{number}", ZONES[number % len(ZONES)]
         self.outbound = f"{self.ip}:{OUTBOUND_PORT}"
         self.service = ""
+        self.max_fds = shape.MAX_FDS
         self.server: server.Server | None = None
         self.process: Process | None = None
         self.replaces = False  # True while a scenario sees to the next start.
@@ -78,6 +79,7 @@
                 number=self.number,
                 service=self.service,
                 store=self._store,
+                max_fds=self.max_fds,
             ),
             encoding="utf-8",
         )
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from soak.machines import access, shape
+from soak.machines import access, client, shape
 
 
 class Scene(Protocol):
@@ -25,3 +25,17 @@
 
     async def press(self, for_s: float, times: int) -> None:
         """Adds clients for some time, until there are `times` as many as before."""
+
+    async def freeze(self, number: int, after_s: float, for_s: float) -> None:
+        """Lets the node of machine `number` stand still for some time."""
+
+    def address_of(self, number: int) -> str:
+        """Returns the address at which the node of machine `number` takes requests."""
+
+    def list_askers(self, number: int) -> tuple[str, list[int]]:
+        """Returns the service of machine `number`, and the machines that ask others for it."""
+
+    def send_by(
+        self, number: int, style: client.Style, seed: str, of: shape.Shape, for_s: float
+    ) -> None:
+        """Adds a client of machine `number` for some time, with requests of a shape."""
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -205,7 +205,7 @@
         if run.fault:
             is_kept = await server_faults.send(writer, run.fault, start, answer, body)
         else:
-            await self._send_answer(writer, start, answer, body, mode)
+            await self._send_answer(writer, start, answer, body, mode, run.method == "HEAD")
             is_kept = mode != "close"
         run.status = status
         return is_kept
@@ -240,7 +240,9 @@
             connection.close()
         return attempts[0].status == 200
 
-    async def _send_answer(self, writer, start: str, fields: dict, body: bytes, mode: str) -> None:
+    async def _send_answer(
+        self, writer, start: str, fields: dict, body: bytes, mode: str, only_head: bool
+    ) -> None:
         if mode == "chunked":
             fields |= {"Transfer-Encoding": "chunked"}
             framed = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
@@ -249,6 +251,8 @@
             whole = wire.encode(start, fields | {"Connection": "close"}, length=False) + body
         else:
             whole = wire.encode(start, fields, body)
+        if only_head:
+            whole = whole[: whole.index(wire.HEAD_END) + len(wire.HEAD_END)]
         step = len(whole) // TRICKLE_PIECES + 1 if mode == "trickle" else len(whole)
         for begin in range(0, len(whole), step):
             writer.write(whole[begin : begin + step])
--- a/soak/machines/shape.py
+++ b/soak/machines/shape.py
@@ -9,6 +9,7 @@
 
 FOLDER = pathlib.Path(__file__).with_name("shapes")
 MS_PER_S = 1000.0
+MAX_FDS = 4100  # Of a node.
 WORK_SHAPE = 4.0  # Of the gamma distribution of times and sizes around their means.
 
 
@@ -83,6 +84,7 @@
     Attributes:
         clients: Clients on each machine.
         styles: Names of the ways in which clients send; all if empty.
+        max_fds: File descriptors that a node may have, which bound its connections.
     """
 
     services: tuple[Service, ...]
@@ -91,6 +93,7 @@
     clients: int = 4
     max_attempts: int = 2
     styles: tuple[str, ...] = ()
+    max_fds: int = MAX_FDS
 
     def service(self, name: str) -> Service:
         """Returns a service by its name."""
--- a/soak/machines/wire.py
+++ b/soak/machines/wire.py
@@ -10,6 +10,8 @@
 PIECE_BYTES = 8192
 TCP_CLOSE = 7  # State of a connection that was reset, in the kernel's numbering.
 SMALL_BUFFER_BYTES = 8192
+HEAD_END = b"\r\n\r\n"
+WITHOUT_LENGTH = ("HEAD", "DELETE")  # If they have no body.
 
 
 class EndedError(Exception):
@@ -50,7 +52,7 @@
 async def read_head(reader: asyncio.StreamReader) -> Message:
     """Returns a message without its body."""
     try:
-        head = await reader.readuntil(b"\r\n\r\n")
+        head = await reader.readuntil(HEAD_END)
     except asyncio.IncompleteReadError as error:
         raise EndedError(f"ended after {len(error.partial)} bytes of a head") from error
     start, *lines = head[:-4].decode("latin-1").split("\r\n")
--- /dev/null
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -0,0 +1,74 @@
+"""The check on calls between machines finds planted faults, and none that it excuses."""
+
+import random
+
+import pytest
+
+from soak.machines import draw, far_checks, record, shape, steps_far
+
+AT, TOOK_S = 10.0, 0.4
+
+
+def make_rows(text="node-failed\n", status=502, run_status=None, fault="", machine=2):
+    """Returns a request of machine 1, and its run at another one unless `run_status` is None."""
+    rows = record.Record()
+    path = "/u/5/8/length/0"
+    item = record.Attempt(
+        "1a", "far kept", 1, "alpha", "PUT", path, "", False, connected=AT, began=AT, sent=AT,
+        ended=AT + TOOK_S, status=status, end="answer", text=text,
+    )  # fmt: skip
+    rows.attempts.append(item)
+    if run_status is not None:
+        run = record.Run("1a", "i-2", machine, AT, "PUT", path, "", "alpha", fault=fault)
+        run.status = run_status
+        rows.runs.append(run)
+    return rows
+
+
+def count_found(rows):
+    found = list(far_checks.find_broken(rows))
+    assert {finding.rule for finding in found} <= {"GIVEN UP"}
+    return len(found)
+
+
+@pytest.mark.parametrize(
+    ("rows", "found"),
+    [
+        (make_rows(), 1),
+        (make_rows("cancelled\n"), 1),
+        (make_rows("upstream-failed\n"), 0),
+        (make_rows("upstream-failed\n", run_status=200), 1),
+        (make_rows(run_status=200, fault="answer ends early"), 0),
+        (make_rows(run_status=0), 0),
+        (make_rows(status=503), 0),
+    ],
+)
+def test_a_request_that_was_given_up_without_a_reason_is_found(rows, found):
+    assert count_found(rows) == found
+
+
+@pytest.mark.parametrize(
+    ("what", "machine", "at", "found"),
+    [
+        ("SIGKILL", 2, AT, 0),
+        ("SIGKILL", 3, AT, 1),
+        ("server ends", 2, AT, 0),
+        ("SIGTERM", 2, AT, 1),
+        ("SIGTERM", 2, AT - 5.0, 0),
+        ("SIGTERM", 3, AT - 5.0, 1),
+        ("SIGTERM", 2, AT - 8.0, 1),
+    ],
+)
+def test_an_end_at_a_machine_of_the_request_excuses_it(what, machine, at, found):
+    rows = make_rows(run_status=200)
+    rows.happenings.append(record.Happening(at, what, machine))
+    assert count_found(rows) == found
+
+
+# A step whose clients asked for another service would not meet the node that stops.
+def test_clients_ask_for_the_service_of_the_machine_that_stops():
+    drawn = draw.KINDS["far"][1](random.Random(1), 8)
+    assert drawn["askers"] and drawn["what"] in ("stops", "reloads", "both")
+    narrowed = steps_far.narrow(shape.load("repairs"), "parts")
+    assert {kind.name for kind in narrowed.kinds} == {"pay"}
+    assert [item.name for item in narrowed.services] == ["parts"]
