Apply changed limits to the next request of connections that are open

What callers saw: 413 or 431, and the end of their kept connection, for requests within the limits in force: longer bodies or heads were allowed since the connection was opened, or it was opened before the node had its first configuration.

Cause: a connection took the limits in force when it was accepted, for as long as it lasted.

Change: the limits are taken anew when nothing of a request has been read. One that has begun keeps those of its begin.

Failed before: both cases of test_a_kept_connection_follows_changed_limits; the three tests of tests/test_util/test_changed_limits.py pass now, with those of the server.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -95,6 +95,8 @@
         self._server.connections.mark_busy(self)
         reader = self._reader
         waiting = len(reader.requests)
+        if not reader.has_input:
+            reader.bounds = self._server.bounds()  # They may have changed since the last request.
         try:
             reader.feed(data)
         except (httptools.HttpParserError, request_reader.BadRequestError) as error:
