Let nodes relay whatever a caller may send

What callers saw: 502 for requests whose body or head is longer than the built-in limits of the port between nodes, though the operator's text allows it, if the upstream was on another host.

Cause: only the port for callers followed the text. And since a refusal of the port counts as not run, such a request would be sent to one node after the other, each of which is left out then.

Change: the port for relayed calls takes what a caller may send and what a node adds to it. What it can't read all the same, such as from a node that has a later text, has the reason node-refused: it says nothing of the node's health, and a retry takes from the budget. A repeat of a claimed call with that end may have run, as with node-failed.

--- a/bergamotridge/http_ports.py
+++ b/bergamotridge/http_ports.py
@@ -7,7 +7,8 @@
 from bergamotridge.operators import node_metrics, operator_text
 from bergamotridge.util import httpd, loop, request_reader
 
-CALLERS = "callers"
+CALLERS, RELAY = "callers", "relay"
+CONTEXT_BYTES = 8_192  # What a node adds to the head of a call that it relays.
 # Takes the name of a port, its handler and the maximum number of open connections.
 CreateServer = Callable[[str, httpd.Handler, int], httpd.Server]
 
@@ -52,7 +53,7 @@
             refusal=answer.fixed_refusal(
                 503, f"too many connections to the port '{name}', try again later", "connections"
             ),
-            bounds=self._caller_bounds if name == CALLERS else None,
+            bounds={CALLERS: self._caller_bounds, RELAY: self._relay_bounds}.get(name),
             on_turned_away=functools.partial(self._metrics.count_turned_away, name),
             event_loop=self._loop,
         )
@@ -69,3 +70,14 @@
             text_limits.idle_timeout_s or httpd.IDLE_S,
             limits.body_timeout_s,
         )
+
+    def _relay_bounds(self) -> request_reader.RequestLimits:
+        """Returns the limits on what other nodes relay: at least what a caller may send."""
+        text_limits, limits = self._text_limits(), self._node.limits
+        head_bytes = text_limits.header_bytes or httpd.HEADER_BYTES
+        return request_reader.RequestLimits(
+            max(httpd.HEADER_BYTES, head_bytes + CONTEXT_BYTES),
+            max(limits.body_bytes, text_limits.body_bytes),
+            httpd.HEADER_TIMEOUT_S,
+            httpd.IDLE_S,
+        )
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -30,11 +30,12 @@
     "crashes-upstreams": outcome.Outcome.SHED,
     "draining": outcome.Outcome.REFUSED,
     "no-upstream": outcome.Outcome.REFUSED,
+    relay.NODE_REFUSED: outcome.Outcome.SHED,
 }
 
 
 # Reasons of refusals which only mean that no upstream takes calls on that host any more.
-_ABSENT_UPSTREAM_REASONS = frozenset(("draining", "no-upstream", "node-failed"))
+_ABSENT_UPSTREAM_REASONS = frozenset(("draining", "no-upstream", relay.NODE_FAILED))
 
 # Reasons of failures on a host whose gate sheds nothing because its upstream gets or ends no calls.
 # Its threshold says nothing of the room that the service has elsewhere.
@@ -203,7 +204,7 @@
         now: float,
     ) -> None:
         result = _OUTCOME_BY_REASON.get(reply.reason, outcome.Outcome.FAILED)
-        if reply.reason == "node-failed" and reply.verdict is verdict.Verdict.NOT_RUN:
+        if reply.reason == relay.NODE_FAILED and reply.verdict is verdict.Verdict.NOT_RUN:
             result = outcome.Outcome.UNREACHABLE
         self._chooser.record_outcome(target.host, result, reply.report, latency_s, now)
         if reply.report is not None:
--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -10,6 +10,12 @@
 from bergamotridge.util import cancellation, http_client, message
 
 ANSWER_GRACE_S = 0.02
+NODE_FAILED = "node-failed"
+NODE_REFUSED = "node-refused"
+# Reasons of calls with the verdict not-run that no handler of the other node has seen.
+UNHANDLED_REASONS = frozenset((NODE_FAILED, NODE_REFUSED))
+# With these, a port refuses what it can't read, or is too long for it, from any node.
+REQUEST_STATUSES = frozenset((400, 405, 413, 414, 431))
 
 
 class RelayClient:
@@ -48,33 +54,40 @@
             )
         received = context_header.decode_report(response)
         if received is None:
-            return _answer_failed_transfer(address, _unreported(response), relayed.retries)
+            return _answer_without_report(address, response, relayed.retries)
         if received.stamp is not None:
             self._log.clock.observe(received.stamp)
         return received
 
 
-def _unreported(response: message.Response) -> http_client.TransferError:
-    """Returns why an answer without a readable report is none.
+def _answer_without_report(address: str, response: message.Response, retries: int) -> answer.Answer:
+    """Returns the answer for a call whose response has no readable report.
 
-    The port itself of a node answers without one when it takes no call: it is full, stops or can't
-    read the call. It says so by the verdict, which no answer of an upstream has kept.
+    The port itself of a node answers so when it takes no call: it is full, stops or can't read the
+    call. It says so by the verdict, which no answer of an upstream has kept.
     """
     claimed = (response.header(answer.VERDICT_HEADER) or b"").decode("latin-1")
-    if verdict.parse(claimed) is verdict.Verdict.NOT_RUN:
-        return http_client.TransferError(
-            f"its port refused the call with status {response.status}", verdict.Verdict.NOT_RUN
+    if verdict.parse(claimed) is not verdict.Verdict.NOT_RUN:
+        error = http_client.TransferError(
+            "the answer has no readable report header; check that a node answers there",
+            verdict.Verdict.MAY_HAVE_RUN,
         )
-    return http_client.TransferError(
-        "the answer has no readable report header; check that a node answers there",
-        verdict.Verdict.MAY_HAVE_RUN,
+        return _answer_failed_transfer(address, error, retries)
+    is_of_request = response.status in REQUEST_STATUSES
+    failure = errors.CallError(
+        f"the port of the node at '{address}' refused the call with status {response.status}",
+        status=503,
+        reason=NODE_REFUSED if is_of_request else NODE_FAILED,
+        verdict=verdict.Verdict.NOT_RUN,
+        retry_after_s=1,
     )
+    return answer.from_error(failure, retries)
 
 
 def _failure_reason(error: http_client.TransferError, cancelled: bool) -> str:
     if cancelled:
         return "cancelled"
-    return "deadline" if error.timed_out else "node-failed"
+    return "deadline" if error.timed_out else NODE_FAILED
 
 
 def _answer_failed_transfer(
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -116,6 +116,10 @@
         "the node of another host sent no complete answer",
         "see 'bergamotridge timeline' for that host",
     ),
+    "node-refused": Reason(
+        "the port of another host's node could not read the call, or it was too long for it",
+        "check that all nodes run the same version and have the same 'limits.body_bytes'",
+    ),
     "rate": Reason(
         "the team has used up its rate limit and burst",
         "let the team wait for the time in 'Retry-After', or raise its rate in the operator's text",
--- a/tests/test_callers/test_at_most_once.py
+++ b/tests/test_callers/test_at_most_once.py
@@ -4,12 +4,15 @@
 import threading
 import time
 
+import pytest
+
 from bergamotridge import answer, call, errors, verdict
 from bergamotridge.callers import at_most_once, claims, shutdown
-from bergamotridge.nodes import context
+from bergamotridge.nodes import context, dispatch, relay
 from bergamotridge.util import message
 from standins import store
 from tests import event_loop, fake_objects
+from tests.test_nodes import test_dispatch
 
 
 class Dispatcher:
@@ -71,3 +74,29 @@
         return issued.verdict, {item.verdict for item in await asyncio.gather(*chosen)}
 
     assert event_loop.run(run()) == (verdict.Verdict.RUN, {verdict.Verdict.MAY_HAVE_RUN})
+
+
+# A repeat that its key's home never handled must not promise that the first call didn't run.
+@pytest.mark.parametrize("reason", sorted(relay.UNHANDLED_REASONS))
+def test_a_repeat_that_does_not_reach_its_home_may_have_run(reason):
+    class Home:
+        async def send(self, *_):
+            error = errors.CallError("x", status=503, reason=reason)
+            return answer.from_error(error)
+
+    now, objects = time.monotonic(), fake_objects.FakeObjects(store.Store())
+    key = claims.Claims("h1", 1, objects).issue(now)
+    calls = at_most_once.AtMostOnceDispatcher(
+        "h2",
+        claims.Claims("h2", 1, objects),
+        Dispatcher(),
+        Home(),
+        lambda: [test_dispatch.make_record("h1")],
+        lambda: None,
+        shutdown.Shutdown(),
+    )
+    call_context = call.CallContext("r", "a", call.Importance.CRITICAL, now + 50, 1, False)
+    outgoing = dispatch.OutgoingCall("pay", call_context, message.Request(b"POST", b"/", []))
+    claimed = at_most_once.ClaimedCall(key, "pay", outgoing)
+    result = event_loop.run(calls.send(claimed, call.Allowance(0), None))
+    assert result.verdict is verdict.Verdict.MAY_HAVE_RUN
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -9,10 +9,12 @@
 from bergamotridge.nodes import (
     budget,
     call_graph,
+    choice,
     dependency_thresholds,
     dispatch,
     load,
     record,
+    relay,
 )
 from bergamotridge.util import cancellation, message
 from tests import event_loop
@@ -155,3 +157,12 @@
         reply = answer.Answer(message.Response(503), NOT_RUN, answer_reason, report=report)
         dispatcher._record_attempt(make_record(host), "pay", reply, 0.01, 1.0)
     assert (table.encode(["pay"], 1.0) != "pay@0@") is is_shed
+
+
+# A call that was too long for the ports of all nodes made its sender leave out one after the other.
+def test_a_port_that_can_not_read_a_call_counts_as_no_failure_of_its_host(monkeypatch):
+    fleet, outcomes = FakeFleet(), []
+    monkeypatch.setattr(fleet, "record_outcome", lambda host, result, *_: outcomes.append(result))
+    reply = answer.Answer(message.Response(503), NOT_RUN, relay.NODE_REFUSED)
+    make_dispatcher(fleet)._record_attempt(make_record("h1"), "pay", reply, 0.01, 1.0)
+    assert len(outcomes) == 1 and outcomes[0] not in choice.FAILURE_OUTCOMES
--- a/tests/test_nodes/test_relay.py
+++ b/tests/test_nodes/test_relay.py
@@ -71,6 +71,16 @@
     assert (received.reason, received.unused) == ("node-failed", 2)
 
 
+# A call that was too long for a port made the node that sent it leave out one node after the other.
+@pytest.mark.parametrize("status", [400, 413, 431])
+def test_a_call_that_a_port_can_not_read_says_nothing_of_the_node(status):
+    refusal = message.Response(status, [(b"bergamotridge-verdict", b"not-run")])
+    sent = message.encode_response(refusal, keep_alive=False)
+    received = _relay(http_client.Pools(1000), test_http_client.ScriptedServer(sent).address)
+    assert (received.response.status, received.verdict) == (503, verdict.Verdict.NOT_RUN)
+    assert received.reason == relay.NODE_REFUSED
+
+
 # Another answer without a report must not be taken for a refusal: the call may have run.
 @pytest.mark.parametrize("claimed", [b"may-have-run", b"run", b"odd"])
 def test_an_answer_without_a_report_and_refusal_may_have_run(claimed):
