Let servers and nodes read long requests as late as they like

What callers saw: 502, may-have-run, some 1.3 s after a request of 200 KB or more was sent to a server, or to the node beside it, that had not read its body yet. A server may read slowly, and may be at work on it.

Cause: TCP_USER_TIMEOUT, which finds hosts that are gone within a second, also counts the time in which the other side is there and leaves its window closed.

Change: while a request is under way that is longer than what any side takes before it reads, the option is off, and the time limit of the call holds. Short requests keep it, and so do connections between requests.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -1,7 +1,9 @@
 """One connection of the HTTP client: sends a request and reads the bytes of its response."""
 
 import asyncio
+import contextlib
 import select
+import socket
 from collections.abc import Callable
 
 import httptools
@@ -9,6 +11,11 @@
 from bergamotridge.util import answer_memory, cancellation, response_reader
 
 TURNS_TO_READ = 2  # Of the loop: it reads between them.
+# Time without a sign of the other side after which the kernel gives up a connection.
+TCP_USER_TIMEOUT_MS = 1_000
+# Any server takes as much before it reads. It may leave more of a request unread for as long as it
+# likes, which the kernel would take for no sign.
+UNREAD_BYTES = 4_096
 
 
 class TimeLimitError(TimeoutError):
@@ -134,9 +141,14 @@
         waiter = self._waiter = self._event_loop.create_future()
         timer = self._event_loop.call_at(deadline, self._end_at_deadline, waiter, TURNS_TO_READ)
         registration = token.on_cancel(self.abort) if token is not None else -1
+        may_stay_unread = len(data) > UNREAD_BYTES
         try:
+            if may_stay_unread and not self.ended:
+                self._set_user_timeout(0)
             self._transport.write(data)
             await waiter
+            if may_stay_unread and not self.ended:
+                self._set_user_timeout(TCP_USER_TIMEOUT_MS)
         finally:
             timer.cancel()
             self._waiter = None
@@ -144,6 +156,11 @@
             if token is not None:
                 token.remove(registration)
 
+    def _set_user_timeout(self, timeout_ms: int) -> None:
+        sock = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError, ValueError):  # Of a connection that has just ended.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def _complete_transfer(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -21,7 +21,6 @@
 )
 
 CONNECT_TIMEOUT_S = 0.3
-TCP_USER_TIMEOUT_MS = 1_000
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
 MAX_TCP_KEEPALIVE_PROBES = 2
@@ -82,7 +81,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_TCP_KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, client_connection.TCP_USER_TIMEOUT_MS
+    )
 
 
 def _check_usable(
