--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -5,7 +5,14 @@
 
 import attrs
 
-from soak.machines import server_faults, steps_late, steps_press, steps_teams
+from soak.machines import (
+    server_faults,
+    steps_crowd,
+    steps_far,
+    steps_late,
+    steps_press,
+    steps_teams,
+)
 
 MEAN_GAP_S = 1.3
 
@@ -154,6 +161,14 @@
     return steps_late.draw(rng, _draw_stop(rng, machines))
 
 
+def _draw_far(rng: random.Random, machines: int) -> dict:
+    return steps_far.draw(rng, _draw_rolling(rng, machines))
+
+
+def _draw_crowd(rng: random.Random, machines: int) -> dict:
+    return steps_crowd.draw(rng)
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -169,4 +184,6 @@
     "give back": (2, _draw_give_back),
     "press": (1.5, _draw_press),
     "late": (1.0, _draw_late),
+    "far": (3, _draw_far),
+    "crowd": (1, _draw_crowd),
 }
