One bound for all bytes that a node holds for others

What callers saw: a process that was killed for its memory, with all its calls. Each body and answer had a bound, their sum had none: bodies of requests that were being read and the responses of clients that took nothing took as much as there were connections.

A body is reserved from its Content-Length before it is read, and as it grows if it comes in chunks; if it doesn't fit, the request gets 503, Retry-After and the reason request-memory, not-run. Long bodies leave room for small ones, all bodies leave room for answers. Where room is missing, the reader that takes its response most slowly loses it first (cause no-room); one that began within the last second only if there is no other. Answers are given up after that, as before. A request and its response are no longer kept while the client takes the bytes. Writing moved from http_connection to response_writer.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -21,7 +21,7 @@
 from bergamotridge.operators import node_status, port
 from bergamotridge.store import assembly as store_assembly
 from bergamotridge.upstreams import assembly as upstreams_assembly
-from bergamotridge.util import loop
+from bergamotridge.util import held_bytes, loop
 
 CONTROL_GRACE_S = 0.5
 MIN_CONTROL_GRACE_S = 0.05
@@ -69,6 +69,7 @@
             event_loop=self.loop,
             rng=random.Random(),
             metrics=self._recorders.metrics,
+            memory=held_bytes.HeldBytes(node.limits.held_bytes),
             on_malformed=self._recorders.malformed_entries.report,
         )
         self._create_parts(alone_since_ms or incarnation)
@@ -121,7 +122,9 @@
 
     def _create_servers(self) -> None:
         shared, routes = self._shared, self.fleet.routes
-        http = http_ports.HttpPorts(self.settings, self.loop, shared.metrics, routes.limits)
+        http = http_ports.HttpPorts(
+            self.settings, self.loop, shared.metrics, routes.limits, shared.memory
+        )
         self.upstream_server = upstreams_assembly.create_server(
             shared,
             self.upstreams,
--- a/bergamotridge/http_ports.py
+++ b/bergamotridge/http_ports.py
@@ -5,7 +5,7 @@
 
 from bergamotridge import answer, settings
 from bergamotridge.operators import node_metrics, operator_text
-from bergamotridge.util import httpd, loop, request_reader
+from bergamotridge.util import held_bytes, http_connection, httpd, loop, request_reader
 
 CALLERS = "callers"
 # Takes the name of a port, its handler and the maximum number of open connections.
@@ -21,6 +21,7 @@
         event_loop: loop.Loop,
         metrics: node_metrics.NodeMetrics,
         text_limits: Callable[[], operator_text.Limits],
+        memory: held_bytes.HeldBytes | None = None,
     ) -> None:
         """Creates no server yet.
 
@@ -29,11 +30,14 @@
             event_loop: The event loop that runs all servers.
             metrics: Metrics of the node, which count the connections.
             text_limits: Returns the limits in the operator's text, which apply to callers.
+            memory: Account of the bytes that all ports hold, None for an own one.
         """
         self._node = node
         self._loop = event_loop
         self._metrics = metrics
         self._text_limits = text_limits
+        self._memory = memory or held_bytes.HeldBytes(node.limits.held_bytes)
+        metrics.watch_memory(self._memory)
 
     def create(self, name: str, handler: httpd.Handler, connections: int) -> httpd.Server:
         """Returns the server of a port, which does not listen yet.
@@ -54,6 +58,12 @@
             ),
             bounds=self._caller_bounds if name == CALLERS else None,
             on_turned_away=functools.partial(self._metrics.count_turned_away, name),
+            memory=self._memory,
+            memory_refusal=answer.fixed_refusal(
+                503,
+                f"no room for the body of this request at the port '{name}', try again later",
+                http_connection.REQUEST_MEMORY,
+            ),
             event_loop=self._loop,
         )
         self._metrics.watch_port(name, server.connections)
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -9,7 +9,7 @@
 
 from bergamotridge import events, metrics, verdict
 from bergamotridge.operators import event_kinds, status
-from bergamotridge.util import connection_table
+from bergamotridge.util import connection_table, held_bytes
 
 METRIC_PREFIX = "bergamotridge_"
 _STATM_PATH = "/proc/self/statm"
@@ -97,12 +97,15 @@
             f"{METRIC_PREFIX}connections_turned_away_total",
             "Connections refused, or closed before a call was taken from them, by port and "
             "cause: full, idle or head (as the port had all connections that it may have), "
-            "input-STATUS (as what came could not be read, or not in time), or unanswered (the "
-            "node ended it though a request had been read from it).",
+            "input-STATUS (as what came could not be read, or not in time), request-memory (there "
+            "was no room for the body of a request), stalled (the client took nothing more of its "
+            "response), no-room (it took its response most slowly, and there was no room for all), "
+            "or unanswered (the node ended it though a request had been read from it).",
         )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._ports: dict[str, connection_table.ConnectionTable] = {}
+        self._memory = held_bytes.HeldBytes()
         self._register_gauges(registry)
 
     def count_answer(
@@ -146,6 +149,10 @@
         """Reports the connections of a port from now on."""
         self._ports[port] = connections
 
+    def watch_memory(self, memory: held_bytes.HeldBytes) -> None:
+        """Reports the bytes that the node holds for others from now on."""
+        self._memory = memory
+
     def count_platform_request(self, kind: str, operation: str, result: str) -> None:
         """Counts one request to the platform; see `store.counted`."""
         self._platform_requests.add(kind=kind, operation=operation, result=result)
@@ -265,6 +272,17 @@
             "Open connections, by port and state: busy with a request or a part of one, or idle.",
             self._connection_samples,
         )
+        registry.gauges(
+            f"{METRIC_PREFIX}held_bytes",
+            "Bytes that the node holds for others: bodies of requests (each counts twice), answers "
+            "that are being read, responses whose clients take them slowly.",
+            self._held_bytes_samples,
+        )
+        registry.gauge(
+            f"{METRIC_PREFIX}held_bytes_limit",
+            "Bytes that the node may hold for others.",
+            lambda: self._memory.limit_bytes,
+        )
         registry.gauges(
             f"{METRIC_PREFIX}connections_limit",
             "Maximum number of open connections, by port.",
@@ -299,5 +317,11 @@
             for state, count in (("busy", table.busy_count), ("idle", table.idle_count))
         ]
 
+    def _held_bytes_samples(self) -> Iterable[metrics.Sample]:
+        return [
+            metrics.Sample(size, {"kind": kind.value})
+            for kind, size in self._memory.count_by_kind().items()
+        ]
+
     def _connection_limit_samples(self) -> Iterable[metrics.Sample]:
         return [metrics.Sample(table.limit, {"port": port}) for port, table in self._ports.items()]
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -143,6 +143,12 @@
         "look at what the upstream sends: its answers are long, or have no end; raise "
         "'limits.answers_bytes' if they are as they should be",
     ),
+    "request-memory": Reason(
+        "there was no room for the body of the request, which was not read, as the node holds too "
+        "many bytes for others",
+        "see 'bergamotridge_held_bytes' for what holds them; raise 'limits.held_bytes' if the "
+        "bodies are as they should be and the machine has the memory",
+    ),
     "upstream-crashed": Reason(
         "the upstream's process ended while it ran the call",
         "see the lines 'upstream.crashed-under' of this request: how many upstreams have crashed "
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -129,6 +129,14 @@
     head_bytes: int = _number(
         65_536, "largest accepted head of an answer, in bytes", 1024, 16_777_216
     )
+    held_bytes: int = _number(
+        134_217_728,
+        "bytes that the node may hold for others together: bodies of requests (each counts twice, "
+        "all of them take two thirds at most), answers which are being read, and responses whose "
+        "clients take them slowly",
+        1_048_576,
+        68_719_476_736,
+    )
     answers_bytes: int = _number(
         67_108_864,
         "bytes that all answers which are being read may hold together",
--- a/bergamotridge/shared_parts.py
+++ b/bergamotridge/shared_parts.py
@@ -6,7 +6,7 @@
 
 from bergamotridge import events, malformed, settings
 from bergamotridge.operators import node_metrics
-from bergamotridge.util import loop
+from bergamotridge.util import held_bytes, loop
 
 
 @attrs.frozen
@@ -20,6 +20,7 @@
         event_loop: The event loop that runs calls.
         rng: Source of randomness.
         metrics: Counts what the parts do.
+        memory: Account of the bytes that the node holds for others.
         on_malformed: Takes reports of entries of other processes that cannot be read.
     """
 
@@ -29,4 +30,5 @@
     event_loop: loop.Loop
     rng: random.Random
     metrics: node_metrics.NodeMetrics
+    memory: held_bytes.HeldBytes
     on_malformed: malformed.OnMalformed
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -80,6 +80,7 @@
         accepts_close_delimited,
         shared.event_loop.record_arrival,
         limits.answers_bytes,
+        shared.memory,
     )
     admission, calls = gate.Gate(1, limits.queue), live_calls.LiveCalls()
     observer = upstream_observer.UpstreamObserver(shared.log, shared.metrics)
--- a/bergamotridge/util/answer_memory.py
+++ b/bergamotridge/util/answer_memory.py
@@ -3,6 +3,8 @@
 import collections
 from typing import Protocol
 
+from bergamotridge.util import held_bytes
+
 
 class Answer(Protocol):
     """An answer that is being read.
@@ -22,15 +24,18 @@
 
     Each answer is bounded by itself, and so many may come at once that their sum is not. If it
     exceeds the limit, the largest answer is given up of the address whose answers are largest
-    together: answers without end don't take the memory that answers from elsewhere need.
+    together: answers without end don't take the memory that answers from elsewhere need. The same
+    happens if all that the process holds for others exceeds its bound.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, memory: held_bytes.HeldBytes | None = None) -> None:
         """Starts without answers.
 
         Args:
             limit_bytes: Bytes that all incomplete answers may hold together.
+            memory: Account of all that is held, None for one of the answers alone.
         """
+        self._memory = memory or held_bytes.HeldBytes(limit_bytes)
         self._limit_bytes = limit_bytes
         self._sizes: dict[Answer, int] = {}
         self._held_bytes = 0
@@ -42,16 +47,21 @@
 
     def hold(self, answer: Answer, size: int) -> None:
         """Notes that an incomplete answer holds `size` bytes now."""
-        self._held_bytes += size - self._sizes.get(answer, 0)
+        more = size - self._sizes.get(answer, 0)
+        self._held_bytes += more
         self._sizes[answer] = size
-        while self._held_bytes > self._limit_bytes:
+        fits = self._memory.change_answers(more)
+        while self._sizes and not (fits and self._held_bytes <= self._limit_bytes):
             largest = self._largest_of_greediest_address()
             self.release(largest)
             largest.give_up()
+            fits = self._memory.has_room
 
     def release(self, answer: Answer) -> None:
         """Notes that an answer is complete or given up."""
-        self._held_bytes -= self._sizes.pop(answer, 0)
+        size = self._sizes.pop(answer, 0)
+        self._held_bytes -= size
+        self._memory.change_answers(-size)
 
     def _largest_of_greediest_address(self) -> Answer:
         by_address: dict[str, int] = collections.defaultdict(int)
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -15,6 +15,7 @@
     answer_memory,
     cancellation,
     client_connection,
+    held_bytes,
     loop,
     message,
     response_reader,
@@ -296,6 +297,7 @@
         close_delimited: bool = False,
         on_arrival: Callable[[], None] = loop.ignore_arrival,
         answers_bytes: int = ANSWERS_BYTES,
+        memory: held_bytes.HeldBytes | None = None,
     ) -> None:
         """Creates an empty set of pools.
 
@@ -305,8 +307,9 @@
             close_delimited: True if the end of a connection may end the body of a response.
             on_arrival: Called for each piece of a response that arrives.
             answers_bytes: Bytes that all responses being read may hold together.
+            memory: Account of all that the process holds, None for one of these responses alone.
         """
-        self._memory = answer_memory.AnswerMemory(answers_bytes)
+        self._memory = answer_memory.AnswerMemory(answers_bytes, memory)
         self._body_limit = body_limit
         self._head_limit = head_limit
         self._close_delimited = close_delimited
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -12,19 +12,19 @@
 from bergamotridge.util import (
     cancellation,
     connection_table,
-    loop,
+    held_bytes,
     message,
     request_reader,
-    send_queue,
+    response_writer,
 )
 
 logger = logbook.Logger(__name__)
 
 MAX_PIPELINED_REQUESTS = 16
-LINGER_S = 1.0
 CLOSE_PAUSE_S = 0.005
 MIN_COUNTED_BYTES = 65_536  # Asking what a client has yet to take costs a system call.
 UNANSWERED = "unanswered"  # Cause of an end that leaves requests without an answer.
+REQUEST_MEMORY = "request-memory"  # Cause of the refusal of a request for which there is no room.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[message.Request, cancellation.Token], Awaitable[message.Response]]
@@ -37,6 +37,8 @@
     handler: Handler
     name: str
     refusal: bytes
+    memory_refusal: message.Response
+    memory: held_bytes.HeldBytes
     closing: bool
     on_arrival: Callable[[], None]
     connections: connection_table.ConnectionTable
@@ -64,22 +66,22 @@
         self.idle_since = event_loop.time()
         self._server = server
         self._event_loop = event_loop
-        self._reader = request_reader.RequestReader(server.bounds())
+        self._reader = request_reader.RequestReader(server.bounds(), server.memory)
         self._transport: asyncio.Transport | None = None
+        self._writer: response_writer.ResponseWriter | None = None
         self._request_waiter: asyncio.Future | None = None
-        self._write_waiter: asyncio.Future | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._body_timer: asyncio.TimerHandle | None = None
-        self._write_paused = False
-        self._unsent_bytes = 0
         self._is_finishing = False
         self._input_ended = False
-        self._refusal_status = 0
+        self._refusal: message.Response | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the task that answers requests, unless the server is full."""
         self._transport = transport
-        transport.set_write_buffer_limits(high=0)
+        self._writer = response_writer.ResponseWriter(
+            transport, self._event_loop, self._server.memory, self._close_for
+        )
         if self._server.admit(self):
             self._event_loop.create_task(self._serve())
         else:
@@ -101,9 +103,12 @@
             cause = (
                 error if isinstance(error, request_reader.BadRequestError) else error.__context__
             )
-            self._refuse_input(
-                cause.status if isinstance(cause, request_reader.BadRequestError) else 400
-            )
+            if isinstance(cause, request_reader.NoRoomError):
+                self._refuse(self._server.memory_refusal, REQUEST_MEMORY)
+            else:
+                self._refuse_input(
+                    cause.status if isinstance(cause, request_reader.BadRequestError) else 400
+                )
             return
         now = time.monotonic()
         for request in itertools.islice(reader.requests, waiting, None):
@@ -133,19 +138,16 @@
         """Ends the task and removes the connection from the server."""
         del exc
         self._end_input()
-        if self._write_waiter is not None:
-            loop.complete_future(self._write_waiter)
+        self._writer.resume()
         self._server.connections.remove(self)
 
     def pause_writing(self) -> None:
         """Makes the task wait until the client has taken the response."""
-        self._write_paused = True
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Lets the task go on."""
-        self._write_paused = False
-        if self._write_waiter is not None:
-            loop.complete_future(self._write_waiter)
+        self._writer.resume()
 
     @property
     def is_in_use(self) -> bool:
@@ -172,17 +174,11 @@
         Args:
             now: Time of the loop in seconds.
         """
-        before, self._unsent_bytes = self._unsent_bytes, self._count_unsent()
-        if self._unsent_bytes == before:
+        if not self._writer.note_progress():
             return False
         self.idle_since = now
         return True
 
-    def _count_unsent(self) -> int:
-        if self._transport.is_closing():
-            return 0
-        return send_queue.count_bytes(self._transport.get_extra_info("socket"))
-
     def finish(self) -> None:
         """Takes no further input, and closes the connection once all that was read is answered.
 
@@ -202,7 +198,10 @@
 
     def close(self) -> None:
         """Closes the connection at once; a response that is being sent is cut off."""
-        self._report_unanswered()
+        self._close_for(UNANSWERED)
+
+    def _close_for(self, cause: str) -> None:
+        self._report_unanswered(cause)
         self._end_input()
         if self._transport is not None:
             self._transport.abort()
@@ -237,23 +236,27 @@
 
     def _refuse_input(self, status: int) -> None:
         """Refuses invalid or late input with `status`, after the earlier requests are answered."""
+        response = message.Response(status, [(b"bergamotridge-verdict", b"not-run")])
+        self._refuse(response, f"input-{status}")
+
+    def _refuse(self, response: message.Response, cause: str) -> None:
         self._clear_input_timers()
-        self._refusal_status = status
-        self._server.report_turned_away(f"input-{status}")
+        self._refusal = response
+        self._server.report_turned_away(cause)
         self._end_input()
 
     def _end_input(self) -> None:
         """Stops taking requests; cancels the running call unless the input was refused."""
         self._input_ended = True
         self._clear_input_timers()
-        if self.token is not None and not self._refusal_status:
+        if self.token is not None and self._refusal is None:
             self.token.cancel()
         self._wake_request_waiter()
 
-    def _report_unanswered(self) -> None:
+    def _report_unanswered(self, cause: str = UNANSWERED) -> None:
         """Reports that this side ends the connection although requests were read from it."""
         if self.token is not None or self._reader.requests:
-            self._server.report_turned_away(UNANSWERED)
+            self._server.report_turned_away(cause)
 
     def _wake_request_waiter(self) -> None:
         waiter = self._request_waiter
@@ -265,28 +268,27 @@
     async def _serve(self) -> None:
         try:
             keep_alive = True
-            while keep_alive and (request := await self._next_request()) is not None:
-                keep_alive = await self._answer_request(request)
-            if self._refusal_status:
-                response = message.Response(
-                    self._refusal_status, [(b"bergamotridge-verdict", b"not-run")]
-                )
-                self._send_last_response(message.encode_response(response, keep_alive=False))
+            while keep_alive and await self._wait_for_request():
+                keep_alive = await self._answer_request()
+            if self._refusal is not None:
+                self._send_last_response(message.encode_response(self._refusal, keep_alive=False))
             elif not self._transport.is_closing():
                 self._report_unanswered()
                 self._end_after_last_response()
         except Exception:
             logger.exception("a connection of the server '{}' failed", self._server.name)
             self._transport.close()
+        finally:
+            self._reader.drop()
 
     def _send_last_response(self, response: bytes) -> None:
-        """Sends a last response, then discards what the client still sends for `LINGER_S` seconds.
+        """Sends a last response, then discards what the client still sends for a while.
 
         Closing at once would reset the connection, and the client might never read the response.
         """
         if not self._transport.is_closing():
             self._transport.write(response)
-            self._linger()
+            self._writer.linger()
 
     def _end_after_last_response(self) -> None:
         """Ends the connection; what the client has sent since is read and dropped."""
@@ -294,35 +296,40 @@
         # It makes room for others like any that waits for its client.
         self._server.connections.mark_idle(self, self._event_loop.time())
         self._transport.resume_reading()
-        self._linger()
-
-    def _linger(self) -> None:
-        self._transport.write_eof()
-        self._event_loop.call_later(LINGER_S, self._transport.abort)
+        self._writer.linger()
 
-    async def _next_request(self) -> message.Request | None:
-        """Waits for the next request and returns it, or None when no further one will be taken."""
-        requests = self._reader.requests
-        while not requests:
+    async def _wait_for_request(self) -> bool:
+        """Waits for the next request; returns False when no further one will be taken."""
+        while not self._reader.requests:
             if self._input_ended:
-                return None
+                return False
             self._request_waiter = self._event_loop.create_future()
             await self._request_waiter
+        return True
+
+    def _take_request(self) -> message.Request:
+        requests = self._reader.requests
         if len(requests) == MAX_PIPELINED_REQUESTS and not self._input_ended:
             self._transport.resume_reading()
         return requests.popleft()
 
-    async def _answer_request(self, request: message.Request) -> bool:
-        """Sends the response of the handler; returns whether the connection is kept open."""
-        server = self._server
+    async def _handle(self, request: message.Request) -> message.Response:
+        """Returns the response of the handler; the body of the request isn't needed after it."""
         token = self.token = cancellation.Token()
-        if self._is_finishing or (self._input_ended and not self._refusal_status):
+        if self._is_finishing or (self._input_ended and self._refusal is None):
             token.cancel()
         try:
-            response = await server.handler(request, token)
+            return await self._server.handler(request, token)
         except Exception:
-            logger.exception("the handler of the server '{}' failed", server.name)
-            response = message.Response(500, [(b"bergamotridge-verdict", b"may-have-run")])
+            logger.exception("the handler of the server '{}' failed", self._server.name)
+            return message.Response(500, [(b"bergamotridge-verdict", b"may-have-run")])
+        finally:
+            self._reader.release(request)
+
+    async def _answer_request(self) -> bool:
+        """Sends the response of the handler; returns whether the connection is kept open."""
+        server, request = self._server, self._take_request()
+        response = await self._handle(request)
         if self._transport.is_closing():
             self.token = None
             return False
@@ -339,25 +346,15 @@
         data = message.encode_response(
             response, keep_alive=keep_alive, head=request.method == b"HEAD"
         )
-        self._transport.write(data)
-        if self._write_paused:
-            await self._wait_until_written()
+        # Neither is kept while the client takes the response.
+        del request, response
+        is_long = len(data) > MIN_COUNTED_BYTES
+        await self._writer.write(data, self._reader.bounds.idle_s)
         self.token = None
         self.idle_since = self._event_loop.time()
-        self._unsent_bytes = self._count_unsent() if len(data) > MIN_COUNTED_BYTES else 0
+        self._writer.begin_watch(is_long)
         if keep_alive and not self._reader.has_input:
             server.connections.mark_idle(self, self.idle_since)
         elif keep_alive and self._reader.in_head and not self._input_ended:
             self._start_head_timer()
         return keep_alive
-
-    async def _wait_until_written(self) -> None:
-        """Waits for a slow client to take the response; aborts the connection after `idle_s`."""
-        waiter = self._write_waiter = self._event_loop.create_future()
-        timer = self._event_loop.call_later(self._reader.bounds.idle_s, self.close)
-        try:
-            if self._write_paused and not self._transport.is_closing():
-                await waiter
-        finally:
-            self._write_waiter = None
-            timer.cancel()
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -11,6 +11,7 @@
 from bergamotridge.util import (
     addresses,
     connection_table,
+    held_bytes,
     http_connection,
     listening,
     loop,
@@ -54,6 +55,8 @@
         handler: Answers each request.
         name: Name of the server in messages.
         refusal: Serialized response to a connection above the limit.
+        memory_refusal: Response to a request for whose body there is no room.
+        memory: Account of the bytes that are held for clients.
         closing: True once each response closes its connection.
         on_arrival: Called for each piece of a request that arrives.
         connections: The open connections.
@@ -71,6 +74,8 @@
         idle_s: float = IDLE_S,
         bounds: Callable[[], request_reader.RequestLimits] | None = None,
         on_turned_away: Callable[[str], None] = _ignore_cause,
+        memory: held_bytes.HeldBytes | None = None,
+        memory_refusal: message.Response | None = None,
         event_loop: loop.Loop,
     ) -> None:
         """Creates the server; it does not listen before `start`.
@@ -86,6 +91,9 @@
             bounds: Returns the limits now in force; replaces `body_limit` and `idle_s`.
             on_turned_away: Called with the cause for each connection that is closed or refused as
                 the server is full, or as its input is refused.
+            memory: Account of the bytes that are held for clients, None for an own one.
+            memory_refusal: Response to a request for whose body there is no room, `refusal` if
+                None.
             event_loop: The event loop that runs the server; `start` and `stop` are called from
                 other threads.
         """
@@ -96,6 +104,8 @@
         self.handler = handler
         self.name = name
         self.refusal = message.encode_response(refusal, keep_alive=False)
+        self.memory_refusal = memory_refusal or refusal
+        self.memory = memory or held_bytes.HeldBytes()
         self.closing = False
         self.on_arrival = event_loop.record_arrival
         self._endpoint = listening.Endpoint(address, name)
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -5,11 +5,13 @@
 import attrs
 import httptools
 
-from bergamotridge.util import message
+from bergamotridge.util import held_bytes, message
 
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
 MAX_CHUNK_SIZE_FACTOR = 8
+# Of a body in memory: while its pieces are joined, and while it is passed on in one piece.
+BODY_COPIES = 2
 
 
 @attrs.frozen
@@ -43,6 +45,13 @@
         self.status = status
 
 
+class NoRoomError(BadRequestError):
+    """There is no room for the body of a request."""
+
+    def __init__(self) -> None:
+        super().__init__(503)
+
+
 class RequestReader:
     """Collects complete requests; its `on_...` methods are the callbacks of the httptools parser.
 
@@ -55,7 +64,14 @@
         expects_continue: True if the client waits for ``100 Continue`` before it sends the body.
     """
 
-    def __init__(self, bounds: RequestLimits) -> None:
+    def __init__(self, bounds: RequestLimits, memory: held_bytes.HeldBytes | None = None) -> None:
+        """Starts with nothing read.
+
+        Args:
+            bounds: Limits that are enforced.
+            memory: Account of the bodies, of which those of other connections are a part too; None
+                for an own one.
+        """
         self.requests: collections.deque[message.Request] = collections.deque()
         self.parser = httptools.HttpRequestParser(self)
         self.bounds = bounds
@@ -65,6 +81,8 @@
         self._upgrade_offered = False
         self._is_ended = False
         self._head_bytes_fed = 0
+        self._memory = memory or held_bytes.HeldBytes()
+        self._reserved_bytes = 0  # For the request that is being read.
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -74,6 +92,27 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._request_size = 0
+        self._reserve(0)
+
+    def _reserve(self, body_size: int) -> None:
+        """Reserves the memory for a body of this size, in place of what is reserved for it."""
+        size = BODY_COPIES * body_size
+        if size == self._reserved_bytes:
+            return
+        if not self._memory.reserve_request(self._reserved_bytes, size):
+            raise NoRoomError
+        self._reserved_bytes = size
+
+    def release(self, request: message.Request) -> None:
+        """Notes that the body of a complete request is no longer needed."""
+        self._memory.release_request(BODY_COPIES * len(request.body))
+
+    def drop(self) -> None:
+        """Drops all that has been read; nothing further is taken."""
+        self._is_ended = True
+        while self.requests:
+            self.release(self.requests.popleft())
+        self._reset_request()
 
     @property
     def has_input(self) -> bool:
@@ -166,6 +205,10 @@
             raise BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
+        length = message.find_header(headers, b"content-length") or b""
+        body_size = message.parse_whole_number(length, self.bounds.body_bytes + 1) or 0
+        if body_size <= self.bounds.body_bytes:
+            self._reserve(body_size)
         if b"expect" in names and version == "1.1":
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
@@ -182,6 +225,8 @@
         self._body_size += len(body)
         if self._body_size > self.bounds.body_bytes:
             raise BadRequestError(413)
+        if BODY_COPIES * self._body_size > self._reserved_bytes:
+            self._reserve(self._body_size)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -196,8 +241,10 @@
             # For HTTP/1.0 the parser looks for keep-alive only.
             keep_alive = b"close" not in message.connection_options(self._headers)
         self._is_ended = not keep_alive
+        body = b"".join(self._body)
+        self._body.clear()
+        # What was reserved now belongs to the complete request.
+        self._reserved_bytes = 0
         self.requests.append(
-            message.Request(
-                parser.get_method(), self._target, self._headers, b"".join(self._body), keep_alive
-            )
+            message.Request(parser.get_method(), self._target, self._headers, body, keep_alive)
         )
--- /dev/null
+++ b/bergamotridge/util/response_writer.py
@@ -0,0 +1,113 @@
+"""Writes the responses of one connection and watches how its client takes them."""
+
+import asyncio
+from collections.abc import Callable
+
+from bergamotridge.util import held_bytes, loop, reading_progress, send_queue
+
+LINGER_S = 1.0
+NO_ROOM = "no-room"  # Cause of an end: the slowest reader of all, and no room for all.
+STALLED = "stalled"  # Cause of an end: a client that takes nothing more of its response.
+
+
+class ResponseWriter:
+    """Passes responses to a transport; a client that takes one slowly is in the account meanwhile.
+
+    Attributes:
+        started_at: Time of the loop at which the response that is being written was begun.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        event_loop: asyncio.AbstractEventLoop,
+        memory: held_bytes.HeldBytes,
+        on_given_up: Callable[[str], None],
+    ) -> None:
+        """Creates a writer that has written nothing.
+
+        Args:
+            transport: Transport of the connection, whose protocol passes on `pause` and `resume`.
+            event_loop: The event loop of the connection.
+            memory: Account of the bytes that wait for clients.
+            on_given_up: Closes the connection at once, for the cause that it is given.
+        """
+        self.started_at = 0.0
+        self._transport = transport
+        self._event_loop = event_loop
+        self._memory = memory
+        self._on_given_up = on_given_up
+        self._is_paused = False
+        self._waiter: asyncio.Future | None = None
+        self._progress: reading_progress.ReadingProgress | None = None
+        self._untaken_bytes = 0
+        transport.set_write_buffer_limits(high=0)
+
+    def pause(self) -> None:
+        """Notes that the transport holds a part of a response."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Notes that the transport has passed on everything, or is closed."""
+        self._is_paused = False
+        if self._waiter is not None:
+            loop.complete_future(self._waiter)
+
+    async def write(self, data: bytes, stall_s: float) -> None:
+        """Writes a response and waits until the kernel has it or the connection is closed.
+
+        Args:
+            data: The serialized response.
+            stall_s: Seconds after which the connection of a client is closed that has not taken it.
+        """
+        self._transport.write(data)
+        if not self._is_paused or self._transport.is_closing():
+            return
+        size = len(data)
+        del data
+        waiter = self._waiter = self._event_loop.create_future()
+        self.started_at = self._event_loop.time()
+        self._progress = reading_progress.ReadingProgress(self._count_untaken(), self.started_at)
+        timer = self._event_loop.call_later(stall_s, self._on_given_up, STALLED)
+        self._memory.hold_response(self, size)
+        try:
+            await waiter
+        finally:
+            self._waiter = self._progress = None
+            timer.cancel()
+            self._memory.release_response(self)
+
+    def bytes_per_s(self, now: float) -> float:
+        """Returns how fast the client has taken the response that is being written."""
+        if self._progress is None:
+            return float("inf")
+        self._progress.note(self._count_untaken(), now)
+        return self._progress.bytes_per_s(now)
+
+    def give_up(self) -> None:
+        """Closes the connection as all that is held exceeds its bound."""
+        self._on_given_up(NO_ROOM)
+
+    def begin_watch(self, is_long: bool) -> None:
+        """Notes what the client has yet to take of a response that the kernel has.
+
+        Args:
+            is_long: False if it is too short to ask the kernel about it.
+        """
+        self._untaken_bytes = self._count_untaken() if is_long else 0
+
+    def note_progress(self) -> bool:
+        """Returns whether the client has taken a part of the last response since the last look."""
+        before, self._untaken_bytes = self._untaken_bytes, self._count_untaken()
+        return self._untaken_bytes != before
+
+    def linger(self) -> None:
+        """Ends the output and closes the connection after `LINGER_S` seconds."""
+        self._transport.write_eof()
+        self._event_loop.call_later(LINGER_S, self._transport.abort)
+
+    def _count_untaken(self) -> int:
+        if self._transport.is_closing():
+            return 0
+        in_kernel = send_queue.count_bytes(self._transport.get_extra_info("socket"))
+        return self._transport.get_write_buffer_size() + in_kernel
