A client that takes its answer steadily gets all of it

What callers saw: an answer that ended before its length, on a connection that was reset, though the client took it all the time: it had not had all of it within the idle time.

Cause: the time in which the kernel had to have a whole response was the idle time of the connection, however fast it went on.

Change: the writer looks at what the client has not taken four times in that time, and closes only the connection of one that took nothing for all of it (cause stalled).

--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -96,7 +96,7 @@
         self._turned_away = registry.counter(
             f"{METRIC_PREFIX}connections_turned_away_total",
             "Connections refused, or closed before a call was taken from them, by port and "
-            "cause: full, idle or head (as the port had all connections that it may have), "
+            "cause: full, idle, head or reader (as the port had all connections that it may have), "
             "input-STATUS (as what came could not be read, or not in time), request-memory (there "
             "was no room for the body of a request), stalled (the client took nothing more of its "
             "response), no-room (it took its response most slowly, and there was no room for all), "
--- a/bergamotridge/util/connection_table.py
+++ b/bergamotridge/util/connection_table.py
@@ -9,6 +9,8 @@
 # A connection that was idle for less is probably about to be used: its client has just opened it,
 # or has just had an answer on it.
 MIN_IDLE_S = 0.5
+# A client that has been at one response for longer counts as slow.
+MAX_READING_S = 10.0
 
 
 class Connection(Protocol):
@@ -16,9 +18,12 @@
 
     Attributes:
         head_started_at: Time in seconds at which an incomplete head began, None if there is none.
+        reading_since: Time in seconds since which its client has taken a response that is too long
+            to be sent at once, None if there is none.
     """
 
     head_started_at: float | None
+    reading_since: float | None
 
 
 class Cause(enum.Enum):
@@ -27,6 +32,7 @@
     FULL = "full"
     IDLE = "idle"
     HEAD = "head"
+    READER = "reader"
 
 
 @attrs.frozen
@@ -46,7 +52,8 @@
     """The open connections of one server; belongs to one event loop.
 
     A full server makes room for a new connection by closing the one that has been idle longest,
-    then the one with the oldest incomplete head. A connection with a request stays open.
+    then the one with the oldest incomplete head, then the one whose client has taken a response for
+    longest, and for over `MAX_READING_S`. Other connections with a request stay open.
     """
 
     def __init__(self, limit: int) -> None:
@@ -105,6 +112,14 @@
         heads = [item for item in self._busy if item.head_started_at is not None]
         if heads:
             return Decision(min(heads, key=lambda item: item.head_started_at), Cause.HEAD)
+        slow_before = now - MAX_READING_S
+        readers = [
+            item
+            for item in self._busy
+            if item.reading_since is not None and item.reading_since < slow_before
+        ]
+        if readers:
+            return Decision(min(readers, key=lambda item: item.reading_since), Cause.READER)
         return Decision(connection, Cause.FULL)
 
     def mark_busy(self, connection: Connection) -> None:
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -149,6 +149,11 @@
         """Lets the task go on."""
         self._writer.resume()
 
+    @property
+    def reading_since(self) -> float | None:
+        """Time of the loop since which the client has taken a long response, None if it doesn't."""
+        return self._writer.started_at if self._writer.is_writing else None
+
     @property
     def is_in_use(self) -> bool:
         """True while a request is answered, waits, or has been read in part."""
@@ -207,7 +212,10 @@
             self._transport.abort()
 
     def evict(self) -> None:
-        """Closes the connection once everything written has been sent."""
+        """Closes the connection once the kernel has what was written, or at once if it has not."""
+        if self._writer.is_writing:
+            self.close()
+            return
         self._report_unanswered()
         self._end_input()
         self._transport.close()
--- a/bergamotridge/util/response_writer.py
+++ b/bergamotridge/util/response_writer.py
@@ -6,6 +6,7 @@
 from bergamotridge.util import held_bytes, loop, reading_progress, send_queue
 
 LINGER_S = 1.0
+LOOKS_PER_STALL = 4  # At a client, in the time after which it counts as stalled.
 NO_ROOM = "no-room"  # Cause of an end: the slowest reader of all, and no room for all.
 STALLED = "stalled"  # Cause of an end: a client that takes nothing more of its response.
 
@@ -40,6 +41,7 @@
         self._is_paused = False
         self._waiter: asyncio.Future | None = None
         self._progress: reading_progress.ReadingProgress | None = None
+        self._look_timer: asyncio.TimerHandle | None = None
         self._untaken_bytes = 0
         transport.set_write_buffer_limits(high=0)
 
@@ -58,7 +60,7 @@
 
         Args:
             data: The serialized response.
-            stall_s: Seconds after which the connection of a client is closed that has not taken it.
+            stall_s: Seconds after which the connection of a client is closed that takes nothing.
         """
         self._transport.write(data)
         if not self._is_paused or self._transport.is_closing():
@@ -68,15 +70,29 @@
         waiter = self._waiter = self._event_loop.create_future()
         self.started_at = self._event_loop.time()
         self._progress = reading_progress.ReadingProgress(self._count_untaken(), self.started_at)
-        timer = self._event_loop.call_later(stall_s, self._on_given_up, STALLED)
+        self._look_at_client(stall_s)
         self._memory.hold_response(self, size)
         try:
             await waiter
         finally:
             self._waiter = self._progress = None
-            timer.cancel()
+            self._look_timer.cancel()
             self._memory.release_response(self)
 
+    def _look_at_client(self, stall_s: float) -> None:
+        """Closes the connection of a client that takes nothing, else looks again later."""
+        now = self._event_loop.time()
+        self._progress.note(self._count_untaken(), now)
+        if self._progress.has_stalled(now, stall_s):
+            self._on_given_up(STALLED)
+        pause_s = stall_s / LOOKS_PER_STALL
+        self._look_timer = self._event_loop.call_later(pause_s, self._look_at_client, stall_s)
+
+    @property
+    def is_writing(self) -> bool:
+        """True while a client takes a response of which the kernel doesn't have all."""
+        return self._waiter is not None
+
     def bytes_per_s(self, now: float) -> float:
         """Returns how fast the client has taken the response that is being written."""
         if self._progress is None:
--- a/tests/test_util/test_connection_table.py
+++ b/tests/test_util/test_connection_table.py
@@ -15,6 +15,7 @@
 @attrs.define(eq=False)
 class Connection:
     head_started_at: float | None = None
+    reading_since: float | None = None
 
 
 def test_room_is_made_by_the_longest_idle_then_the_oldest_head_then_not_at_all():
@@ -30,6 +31,19 @@
     assert len(table) == 4
 
 
+# Clients that took their responses a byte at a time filled the port, and shut all others out.
+def test_room_is_made_by_the_client_that_takes_its_response_for_longest():
+    table = connection_table.ConnectionTable(3)
+    readers = [Connection(reading_since=began_at) for began_at in (1.0, 0.0, 9.0)]
+    for connection in readers:
+        table.admit(connection, 0.0)
+        table.mark_busy(connection)
+    now = 2.0 + connection_table.MAX_READING_S
+    new = [Connection() for _ in range(3)]
+    decisions = [table.admit(item, now) for item in new]
+    assert [item.turned_away for item in decisions] == [readers[1], readers[0], new[2]]
+
+
 def test_a_connection_that_became_idle_just_now_stays_open():
     table = connection_table.ConnectionTable(1)
     first, second = Connection(), Connection()
