An answer that is being taken isn't cut by the client's next request

What callers saw: in a planned stop, a slow reader that sent its next request over 1 s after its first got a reset, with a part of its answer unread.

Cause: once the kernel had the whole last response, the connection was closed after LINGER_S, and a stop ended without it. Bytes that come on a closed connection make the kernel reset it and drop what it still had to send.

Change: a connection lingers for as long as the kernel has unsent bytes of a response and the client takes some within the idle time, and counts as in use meanwhile, so that a stop waits for it until its own end. A short response behind a long one no longer ends the watch over the long one.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -156,9 +156,14 @@
 
     @property
     def is_in_use(self) -> bool:
-        """True while a request is answered, waits, or has been read in part."""
+        """True while a request is answered, waits, or has been read in part, or an answer is taken.
+
+        The rest of an answer is lost if its client sends anything on a connection that has ended.
+        """
         takes_part = self._reader.has_input and not self._input_ended
-        return self.token is not None or bool(self._reader.requests) or takes_part
+        is_answering = self.token is not None or bool(self._reader.requests)
+        is_taken = self._writer.is_being_taken(self._reader.bounds.idle_s)
+        return is_answering or takes_part or is_taken
 
     def is_idle_since(self, time: float) -> bool:
         """Returns whether no request was read or answered since a time of the loop."""
@@ -296,7 +301,7 @@
         """
         if not self._transport.is_closing():
             self._transport.write(response)
-            self._writer.linger()
+            self._writer.linger(self._reader.bounds.idle_s)
 
     def _end_after_last_response(self) -> None:
         """Ends the connection; what the client has sent since is read and dropped."""
@@ -304,7 +309,7 @@
         # It makes room for others like any that waits for its client.
         self._server.connections.mark_idle(self, self._event_loop.time())
         self._transport.resume_reading()
-        self._writer.linger()
+        self._writer.linger(self._reader.bounds.idle_s)
 
     async def _wait_for_request(self) -> bool:
         """Waits for the next request; returns False when no further one will be taken."""
--- a/bergamotridge/util/reading_progress.py
+++ b/bergamotridge/util/reading_progress.py
@@ -21,11 +21,13 @@
         self._started_with = self._untaken_bytes = untaken_bytes
         self._progress_at = now
 
-    def note(self, untaken_bytes: int, now: float) -> None:
-        """Notes how many bytes the client has not taken at `now`."""
-        if untaken_bytes != self._untaken_bytes:
-            self._untaken_bytes = untaken_bytes
-            self._progress_at = now
+    def note(self, untaken_bytes: int, now: float) -> bool:
+        """Notes how many bytes the client has not taken at `now`; returns whether they changed."""
+        if untaken_bytes == self._untaken_bytes:
+            return False
+        self._untaken_bytes = untaken_bytes
+        self._progress_at = now
+        return True
 
     def bytes_per_s(self, now: float) -> float:
         """Returns how fast the client has taken the response since it was written."""
--- a/bergamotridge/util/response_writer.py
+++ b/bergamotridge/util/response_writer.py
@@ -42,7 +42,7 @@
         self._waiter: asyncio.Future | None = None
         self._progress: reading_progress.ReadingProgress | None = None
         self._look_timer: asyncio.TimerHandle | None = None
-        self._untaken_bytes = 0
+        self._last: reading_progress.ReadingProgress | None = None
         transport.set_write_buffer_limits(high=0)
 
     def pause(self) -> None:
@@ -105,22 +105,50 @@
         self._on_given_up(NO_ROOM)
 
     def begin_watch(self, is_long: bool) -> None:
-        """Notes what the client has yet to take of a response that the kernel has.
+        """Watches how the client takes a response that the kernel has.
 
         Args:
-            is_long: False if it is too short to ask the kernel about it.
+            is_long: False if it is too short to ask the kernel about it, unless an earlier one is
+                being taken.
         """
-        self._untaken_bytes = self._count_untaken() if is_long else 0
+        if is_long or self._last is not None:
+            untaken = self._count_untaken()
+            now = self._event_loop.time()
+            self._last = reading_progress.ReadingProgress(untaken, now) if untaken else None
 
     def note_progress(self) -> bool:
         """Returns whether the client has taken a part of the last response since the last look."""
-        before, self._untaken_bytes = self._untaken_bytes, self._count_untaken()
-        return self._untaken_bytes != before
+        if self._last is None:
+            return False
+        return self._last.note(self._count_untaken(), self._event_loop.time())
 
-    def linger(self) -> None:
-        """Ends the output and closes the connection after `LINGER_S` seconds."""
+    def is_being_taken(self, stall_s: float) -> bool:
+        """Returns whether the client takes a response that the kernel still has a part of.
+
+        Args:
+            stall_s: Seconds after which a client counts as one that takes nothing more.
+        """
+        return (
+            self._last is not None
+            and not self._last.has_stalled(self._event_loop.time(), stall_s)
+            and self._count_untaken() > 0
+        )
+
+    def linger(self, stall_s: float) -> None:
+        """Ends the output, and the connection after `LINGER_S` seconds or once all is taken.
+
+        Args:
+            stall_s: Seconds after which a client counts as one that takes nothing more.
+        """
         self._transport.write_eof()
-        self._event_loop.call_later(LINGER_S, self._transport.abort)
+        self._event_loop.call_later(LINGER_S, self._end_linger, stall_s)
+
+    def _end_linger(self, stall_s: float) -> None:
+        self.note_progress()
+        if self.is_being_taken(stall_s):
+            self._event_loop.call_later(LINGER_S, self._end_linger, stall_s)
+        else:
+            self._transport.abort()
 
     def _count_untaken(self) -> int:
         if self._transport.is_closing():
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -12,13 +12,20 @@
 
 import pytest
 
-from bergamotridge.util import http_connection, httpd, message, request_reader
+from bergamotridge.util import (
+    http_connection,
+    httpd,
+    message,
+    request_reader,
+    response_writer,
+)
 from standins import processes
 from tests import event_loop
 from tests.test_util.test_httpd import start_server
 
 STOP_S = 30
 PAUSE_S = 0.001
+LONG_BODY = bytes(8_000_000)
 FIRST = b"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\none"
 SECOND = b"POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\ntwo"
 
@@ -179,6 +186,58 @@
     server.stop(0)
 
 
+async def answer_at_length(_request, _token):
+    return message.Response(200, [], LONG_BODY)
+
+
+def take_until_written(server, client):
+    """Sends a request and takes its response until the kernel has the rest of it."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 500_000)
+    client.sendall(FIRST)
+    received = client.recv(1000)
+    while not server.connections.idle_count:
+        received += client.recv(1000)
+    return received
+
+
+def take_slowly(client):
+    """Takes a part of a response, sends a request after the time to linger, and takes the rest."""
+    received = client.recv(1000)
+    time.sleep(3 * response_writer.LINGER_S)
+    client.sendall(SECOND)
+    return received + read_all(client)
+
+
+# A response was cut off by the next request of a client that still took it after a second.
+def test_a_response_that_is_taken_for_longer_than_a_connection_lingers_is_whole(monkeypatch):
+    monkeypatch.setattr(response_writer, "LINGER_S", 0.2)
+    server, address = start_server(answer_at_length)
+    server.close_after_answers()
+    with connect(address) as client:
+        received = take_until_written(server, client)
+        assert split(received + take_slowly(client)) == [(200, LONG_BODY)]
+    server.stop(0)
+
+
+# A stop ended while clients still took their responses, and their next requests cut these off.
+@pytest.mark.parametrize("is_written", [False, True])
+def test_responses_that_are_being_taken_in_a_stop_are_whole(monkeypatch, is_written):
+    monkeypatch.setattr(response_writer, "LINGER_S", 0.2)
+    server, address = start_server(answer_at_length)
+    with connect(address) as client, concurrent.futures.ThreadPoolExecutor(1) as executor:
+        if is_written:
+            received = take_until_written(server, client)
+        else:
+            client.sendall(FIRST)
+            received = client.recv(1000)
+        stopping = executor.submit(server.stop, STOP_S)
+        processes.wait_until(lambda: server.closing, "the server stops")
+        time.sleep(3 * httpd.STOP_IDLE_S)
+        received += take_slowly(client)
+        stopping.result(STOP_S)
+    assert split(received) == [(200, LONG_BODY)] * 2
+
+
 # Bytes that could not be read, behind a call, kept the end of a stop from cancelling that call.
 def test_a_call_with_input_behind_it_that_was_refused_is_answered_at_the_end_of_a_stop():
     slow = SlowServer()
