Calls with chosen keys above the limit of claims wait for no store

What callers saw: with the store silent, calls with keys that callers chose waited before their 503, also the many above the rate at which a node creates claims, which had been refused at once before the record of restorations came.

Cause: the record was confirmed, under one lock, before the limit of the rate was asked.

Change: the limit is asked first; what passes it may wait for the platform, as it has to for its claim anyway. The restoration is still checked after the record was confirmed and again after the claim was written, so that no key is claimed that wasn't before. The record isn't read ahead at each start: every node would send one more read, also where no caller ever chooses a key, and a claim has to wait for the store in any case.

The new test of test_claims failed before (a call above the limit hung) and passes now.

--- a/bergamotridge/callers/claims.py
+++ b/bergamotridge/callers/claims.py
@@ -211,14 +211,15 @@
                     "this node has no platform to store the claim of a key that a caller chose; "
                     "use a key that a node issued"
                 )
-        self._confirm_known_restorations()
-        with self._lock:
-            self._check_restoration()
+            # From here on a call may wait for the platform, so there are only so many.
             if not self._create_limiter.take(now):
                 raise _store_unavailable_error(
                     "too many calls with an Idempotency-Key that callers chose; "
                     "retry later or use a key that a node issued"
                 )
+        self._confirm_known_restorations()
+        with self._lock:
+            self._check_restoration()
             owner = self._register_attempt(claim_id)
         try:
             object_name = claim_objects.object_name(*claim_id)
--- a/tests/test_callers/test_claims.py
+++ b/tests/test_callers/test_claims.py
@@ -1,5 +1,9 @@
 """Claims: the call of a key runs at most once, and refusals carry true verdicts."""
 
+import concurrent.futures
+import contextlib
+import threading
+
 import hypothesis
 import orjson
 import pytest
@@ -7,9 +11,10 @@
 from bergamotridge import errors, verdict
 from bergamotridge.callers import answers, claims
 from bergamotridge.store import claim_objects
-from standins import store
+from standins import processes, store
 from tests import fake_objects, odd_values
 
+TIMEOUT_S = 10
 ANSWER = answers.StoredAnswer(201, (("Content-Type", "text/plain"),), b"paid")
 
 
@@ -26,6 +31,36 @@
     assert node_claims.begin(key, "leiden", "pay", 1.0).first
 
 
+# Each call with a chosen key waited for a silent store, those above the limit of claims as well.
+def test_calls_with_chosen_keys_above_the_limit_do_not_wait_for_the_record_of_restorations():
+    may_confirm, asked = threading.Event(), []
+
+    def confirm():
+        asked.append(1)
+        may_confirm.wait()
+        raise errors.PlatformUnavailableError("no answer")
+
+    client = fake_objects.FakeObjects(store.Store())
+    node_claims = claims.Claims("h1", 1, client, confirm_restorations=confirm)
+    within = int(claims.CLAIMS_PER_S * claims.BURST_S)
+    with (
+        concurrent.futures.ThreadPoolExecutor(within + 1) as executor,
+        contextlib.ExitStack() as end,
+    ):
+        end.callback(may_confirm.set)
+        calls = [
+            executor.submit(node_claims.begin, f"key-{number}", "utrecht", "pay", 0.0)
+            for number in range(within)
+        ]
+        processes.wait_until(lambda: len(asked) == within, "all within the limit wait")
+        further = executor.submit(node_claims.begin, "key", "utrecht", "pay", 0.0)
+        refusal = further.exception(TIMEOUT_S)
+        may_confirm.set()
+        refusals = [refusal, *(item.exception(TIMEOUT_S) for item in calls)]
+    assert "too many" in str(refusal) and len(asked) == within
+    assert {item.verdict for item in refusals} == {verdict.Verdict.MAY_HAVE_RUN}
+
+
 def test_only_not_run_releases_the_key():
     node_claims = claims.Claims("h1", 1)
     key = node_claims.issue(0.0)
