--- a/bergamotridge/util/connection_table.py
+++ b/bergamotridge/util/connection_table.py
@@ -12,6 +12,8 @@
 MIN_IDLE_S = 0.5
 # Idle connections that are asked for what has arrived on them, to find one that can be closed.
 MAX_ASKED = 16
+# A client that has been at one response for longer counts as slow.
+MAX_READING_S = 10.0
 
 
 class Connection(Protocol):
@@ -20,10 +22,13 @@
     Attributes:
         head_started_at: Time in seconds at which an incomplete head began, None if there is none.
         has_arrived: True if something has arrived that is still to be read, such as a request.
+        reading_since: Time in seconds since which its client has taken a response that is too long
+            to be sent at once, None if there is none.
     """
 
     head_started_at: float | None
     has_arrived: bool
+    reading_since: float | None
 
 
 class Cause(enum.Enum):
@@ -32,6 +37,7 @@
     FULL = "full"
     IDLE = "idle"
     HEAD = "head"
+    READER = "reader"
 
 
 @attrs.frozen
@@ -51,8 +57,9 @@
     """The open connections of one server; belongs to one event loop.
 
     A full server makes room for a new connection by closing the one that has been idle longest,
-    then the one with the oldest incomplete head. A connection with a request stays open, also if
-    the request is still to be read.
+    then the one with the oldest incomplete head, then the one whose client has taken a response for
+    longest, and for over `MAX_READING_S`. Other connections with a request stay open, also if the
+    request is still to be read.
     """
 
     def __init__(self, limit: int) -> None:
@@ -113,6 +120,14 @@
         heads = [item for item in self._busy if item.head_started_at is not None]
         if heads:
             return Decision(min(heads, key=lambda item: item.head_started_at), Cause.HEAD)
+        slow_before = now - MAX_READING_S
+        readers = [
+            item
+            for item in self._busy
+            if item.reading_since is not None and item.reading_since < slow_before
+        ]
+        if readers:
+            return Decision(min(readers, key=lambda item: item.reading_since), Cause.READER)
         return Decision(connection, Cause.FULL)
 
     def mark_busy(self, connection: Connection) -> None:
