Let calls wait for the connections that their upstream accepts

Cause: a server accepts a connection and then resets it, so that the request had been sent and may have run. Nothing was learnt from it: the gate goes by slots, and sent each further call on a new connection that was reset as well. After a restart of the node not one call got through while connections of the last process were open.

Change: a new connection that the server ends at once, without a byte of an answer, bounds the calls in flight to the connections open beside it (upstreams.connection_bound), also to 0. Other calls wait at the gate, count in its load report, and are shed there as not-run, so that they may go to another server. The bound rises only by connections without a request that stayed open (connection_trials), so no call is spent on finding out. A refused call's time is no hold time of the gate. The encoding of requests moves to a module of its own, for the size of http_client.

--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -149,8 +149,8 @@
         "under requests like it; look at the upstream's own log and core dump",
     ),
     "upstream-failed": Reason(
-        "the upstream closed the connection or sent no complete answer",
-        "look at the upstream's own logs",
+        "the upstream closed or refused the connection, or sent no complete answer",
+        "look at the upstream's own logs, and for 'refuses more' in the log of its node",
     ),
     "upstream-shed": Reason(
         "the upstream itself refused the call with status 503",
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -4,7 +4,15 @@
 
 from bergamotridge import call, errors
 from bergamotridge.nodes import load, record
-from bergamotridge.upstreams import limit, notice, outcome, queue, rate_limit, threshold
+from bergamotridge.upstreams import (
+    connection_bound,
+    limit,
+    notice,
+    outcome,
+    queue,
+    rate_limit,
+    threshold,
+)
 
 MIN_RETRY_AFTER_S = 0.5
 RETRY_AFTER_JITTER_S = 1.5
@@ -48,6 +56,7 @@
         self._slots = slots
         self._connections = connections if connections is not None else slots
         self._announced_limit = slots
+        self._connection_bound = connection_bound.ConnectionBound()
         self._limit = limit.AdaptiveLimit(self._compute_ceiling())
         self._rate_limiter = rate_limit.RateLimiter()
         self._queue = queue.AdmissionQueue(queue_capacity)
@@ -73,6 +82,31 @@
         self._connections = connections
         self._limit.set_ceiling(self._compute_ceiling())
 
+    @property
+    def next_trial(self) -> int | None:
+        """Connections that should be open in the next trial, None if none is due."""
+        total = self._connection_bound.next_trial
+        if total is None or self._draining or self._state is not record.State.READY:
+            return None
+        return min(total, self._compute_need())
+
+    def record_refused_connection(self, open_connections: int, now: float) -> None:
+        """Takes in that the upstream refused a connection beside so many open ones."""
+        self._connection_bound.record_refusal(open_connections, now)
+        self._limit.set_ceiling(self._compute_ceiling())
+
+    def record_trial(self, accepted: int, is_whole: bool, now: float) -> None:
+        """Takes in how many connections the upstream accepted, and whether it refused none."""
+        need = self._compute_need()
+        self._connection_bound.record_trial(accepted, is_whole, need, now)
+        self._limit.set_ceiling(self._compute_ceiling())
+        self._start_waiting_calls(now)
+
+    def forget_connection_bound(self) -> None:
+        """Forgets the refused connections of an upstream that was replaced."""
+        self._connection_bound.reset()
+        self._limit.set_ceiling(self._compute_ceiling())
+
     def apply_announcement(
         self,
         state: record.State,
@@ -121,7 +155,7 @@
 
         Returns None if no call waits, or if the next one waits for a running call to end.
         """
-        if not len(self._queue) or self._in_flight >= self._current_limit():
+        if not len(self._queue) or not self._has_room():
             return None
         return self._rate_limiter.wait_s(now)
 
@@ -200,7 +234,7 @@
         self._update_threshold(now)
         waiting, limit = len(self._queue), self._current_limit()
         gate_load = (self._in_flight + waiting) / limit
-        if self._rate_limiter.wait_s(now):
+        if self._rate_limiter.wait_s(now) or not self._connection_bound.value:
             # A call would have to wait although fewer run than the concurrency limit allows.
             gate_load = max(1.0, gate_load)
         return load.LoadReport(
@@ -211,17 +245,25 @@
             self._controller.threshold,
         )
 
-    def _compute_ceiling(self) -> int:
+    def _compute_need(self) -> int:
         """Returns the smallest of all slots and connections, configured or announced."""
         return min(self._slots, self._connections, self._announced_limit)
 
+    def _compute_ceiling(self) -> int:
+        """Returns how many calls the limit may allow."""
+        return min(self._compute_need(), self._connection_bound.value)
+
     def _current_limit(self) -> int:
         """Returns how many calls may run concurrently."""
         return min(self._limit.value, self._rate_limiter.concurrency(self._controller.hold_s))
 
     def _may_start(self, now: float) -> bool:
         """Returns whether one more call may start now."""
-        return self._in_flight < self._current_limit() and not self._rate_limiter.wait_s(now)
+        return self._has_room() and not self._rate_limiter.wait_s(now)
+
+    def _has_room(self) -> bool:
+        """Returns whether one more call may run, each on a connection of its own."""
+        return self._in_flight < min(self._current_limit(), self._connection_bound.value)
 
     def _update_threshold(self, now: float) -> None:
         if not self._controller.is_update_due(now):
--- /dev/null
+++ b/bergamotridge/upstreams/connection_trials.py
@@ -0,0 +1,69 @@
+"""Trials of how many connections an upstream accepts that has refused some."""
+
+import asyncio
+import time
+
+import logbook
+
+from bergamotridge.upstreams import gate
+from bergamotridge.util import http_client
+
+PAUSE_S = 0.5  # Between trials while the upstream refuses more connections.
+SETTLE_S = 0.2  # An upstream refuses a connection within this time of its opening.
+
+_log = logbook.Logger(__name__)
+
+
+class ConnectionTrials:
+    """Bounds the calls to an upstream that refuses connections, and tries when it accepts more.
+
+    For use on one event loop. In a trial, connections without a request are opened; those that stay
+    open serve later calls.
+    """
+
+    def __init__(self, admission_gate: gate.Gate, pools: http_client.Pools) -> None:
+        self._gate = admission_gate
+        self._pools = pools
+        self._address = ""
+        self._timer: asyncio.TimerHandle | None = None
+        self._trial: asyncio.Task | None = None
+        self._is_reported = False
+
+    def record_refusal(self, address: str, open_connections: int) -> None:
+        """Takes in that the upstream refused a connection.
+
+        Args:
+            address: Address of the upstream.
+            open_connections: Connections that were open beside the refused one.
+        """
+        self._address = address
+        self._gate.record_refused_connection(open_connections, time.monotonic())
+        if self._timer is None and self._trial is None:
+            self._is_reported = False
+            self._start()
+
+    def _start(self) -> None:
+        self._timer = None
+        total = self._gate.next_trial
+        if total is not None:
+            self._trial = asyncio.get_running_loop().create_task(self._try(total))
+
+    async def _try(self, total: int) -> None:
+        """Tries to have `total` connections open, and schedules the next trial."""
+        pool = self._pools.pool_for(self._address)
+        try:
+            accepted = await pool.try_connections(total, SETTLE_S)
+        finally:
+            self._trial = None
+        is_whole = accepted >= total
+        self._gate.record_trial(accepted, is_whole, time.monotonic())
+        if not is_whole and not self._is_reported:
+            self._is_reported = True
+            _log.warning(
+                "the upstream at '{}' accepts {} connections and refuses more; calls wait for "
+                "these until it accepts more; compare its limit with 'connections'",
+                self._address,
+                accepted,
+            )
+        event_loop = asyncio.get_running_loop()
+        self._timer = event_loop.call_later(0.0 if is_whole else PAUSE_S, self._start)
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -146,6 +146,27 @@
         with self._lock:
             self._admission.apply_notice(received, now)
 
+    @property
+    def next_trial(self) -> int | None:
+        """Connections that should be open in the next trial, None if none is due."""
+        with self._lock:
+            return self._admission.next_trial
+
+    def record_refused_connection(self, open_connections: int, now: float) -> None:
+        """Takes in that the upstream refused a connection beside so many open ones."""
+        with self._lock:
+            self._admission.record_refused_connection(open_connections, now)
+
+    def record_trial(self, accepted: int, is_whole: bool, now: float) -> None:
+        """Takes in how many connections the upstream accepted, and whether it refused none."""
+        with self._lock:
+            self._admission.record_trial(accepted, is_whole, now)
+
+    def forget_connection_bound(self) -> None:
+        """Forgets the refused connections of an upstream that was replaced."""
+        with self._lock:
+            self._admission.forget_connection_bound()
+
     def configure(self, slots: int, connections: int) -> None:
         """Applies slots and connections of a new operator's text."""
         with self._lock:
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -11,7 +11,15 @@
 from bergamotridge import answer, call, errors, verdict
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import announcement as announcements
-from bergamotridge.upstreams import dialect, gate, live_calls, notice, outcome, quarantine
+from bergamotridge.upstreams import (
+    connection_trials,
+    dialect,
+    gate,
+    live_calls,
+    notice,
+    outcome,
+    quarantine,
+)
 from bergamotridge.util import cancellation, http_client, message
 
 # Heartbeats that an upstream sent before it crashed may arrive as late as this.
@@ -41,7 +49,7 @@
 
 
 class _NoObserver:
-    """Ignores everything."""
+    """Ignores all."""
 
     def record_send(self) -> None:
         pass
@@ -65,6 +73,7 @@
 _OUT_OF_MEMORY = _Failure(outcome.Outcome.FAILED, 502, "answer-memory")
 _CRASHED = _Failure(outcome.Outcome.FAILED, 502, "upstream-crashed")
 _FAILED = _Failure(outcome.Outcome.FAILED, 502, "upstream-failed")
+_REFUSED = _Failure(outcome.Outcome.REFUSED, 502, "upstream-failed")
 
 
 class LocalUpstream:
@@ -88,13 +97,14 @@
             pools: Connection pools by address.
             upstream_dialect: Header fields between node and upstream; bergamotridge's own if None.
             observer: Is told of calls sent and of changed notices, if not None.
-            on_state_change: Called with the announcement, in its new state, and the monotonic time
-                when an answer says that the upstream leaves, or when it has crashed.
+            on_state_change: Called with the announcement in its new state and the monotonic time
+                when an answer says that the upstream leaves, or it crashed.
             crash_quarantine: Holds back requests under which upstreams crash; none are if None.
         """
         self._gate = admission_gate
         self._live_calls = calls
         self._pools = pools
+        self._trials = connection_trials.ConnectionTrials(admission_gate, pools)
         self._dialect = upstream_dialect or dialect.DefaultDialect()
         self._observer = observer or _NoObserver()
         self._on_state_change = on_state_change
@@ -124,6 +134,9 @@
         with self._lock:
             if not announcement.replaces(self._announcement):
                 return False
+            current = self._announcement
+            if current is None or current.upstream_id != announcement.upstream_id:
+                self._gate.forget_connection_bound()
             self._notices.begin(announcement.upstream_id)
             self._gate.apply_notice(self._notices.current, now)
             self._store_announcement(announcement, now)
@@ -255,6 +268,8 @@
             response = await pool.send(request, time_left_s, token, check=self._dialect.find_fault)
         except http_client.TransferError as error:
             upstream = upstream_call.announcement.upstream_id
+            if error.refused_beside is not None:
+                self._trials.record_refusal(pool.address, error.refused_beside)
             failure = await self._classify_failure(run, upstream, error, token.cancelled)
             return _answer_failure(error, failure, unused_retries)
         self._record_notice(upstream_call, response, sent_at, time.monotonic())
@@ -286,7 +301,7 @@
             return _OUT_OF_MEMORY
         if await self._has_crashed(run, upstream, error) and was_sent:
             return _CRASHED
-        return _FAILED
+        return _FAILED if error.refused_beside is None else _REFUSED
 
     async def _has_crashed(
         self,
--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -26,6 +26,7 @@
         reader: Parses the responses.
         idle_until: Time of the loop in seconds until which the idle connection may be reused.
         ended: True once either side has closed the connection.
+        ended_by_peer: True if the other side closed it first.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self._memory = memory
         self.idle_until = 0.0
         self.ended = False
+        self.ended_by_peer = False
         self._event_loop = event_loop
         self._close_delimited = close_delimited
         self._on_arrival = on_arrival
@@ -80,18 +82,22 @@
 
     def eof_received(self) -> None:
         """Notes the end of the connection, which may also be the end of a response."""
-        self.ended = True
+        self._note_end()
         reader = self.reader
         if self._close_delimited and reader.status and not reader.framed:
             self._complete_transfer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the running transfer."""
-        self.ended = True
+        self._note_end()
         self._fail_transfer(
             exc or ConnectionError("the connection closed before the response was complete")
         )
 
+    def _note_end(self) -> None:
+        self.ended_by_peer = self.ended_by_peer or not self.ended
+        self.ended = True
+
     @property
     def is_open_and_flushed(self) -> bool:
         """True if the connection is open and all of the request has been sent."""
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -17,15 +17,16 @@
     client_connection,
     loop,
     message,
+    request_encoding,
     response_reader,
 )
 
 CONNECT_TIMEOUT_S = 0.3
+REFUSAL_S = 0.25  # A server ends a connection that it refuses within this time.
 TCP_USER_TIMEOUT_MS = 1_000
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
 MAX_TCP_KEEPALIVE_PROBES = 2
-BODILESS_METHODS = frozenset((b"GET", b"HEAD"))
 HEAD_BYTES = 65_536
 ANSWERS_BYTES = 67_108_864
 
@@ -43,6 +44,8 @@
         connection_refused: True if no connection could be opened as nothing listens.
         memory_exceeded: True if the response was given up, as all responses that were being read
             held too much memory.
+        refused_beside: Open connections beside which the server ended a new one without a byte
+            of a response, as if it accepted no more; None if it did not.
     """
 
     def __init__(
@@ -61,19 +64,7 @@
         self.connection_lost = connection_lost
         self.connection_refused = connection_refused
         self.memory_exceeded = memory_exceeded
-
-
-def encode_request(request: message.Request, address: str) -> bytes:
-    """Serializes a request for HTTP/1.1; without a Host field, Host is set to `address`."""
-    fields = request.headers
-    parts = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-    if message.find_header(fields, b"host") is None:
-        parts.append(b"host: %s\r\n" % address.encode())
-    parts += [b"%s: %s\r\n" % field for field in fields]
-    if request.body or request.method not in BODILESS_METHODS:
-        parts.append(b"content-length: %d\r\n" % len(request.body))
-    parts += [b"\r\n", request.body]
-    return b"".join(parts)
+        self.refused_beside: int | None = None
 
 
 def enable_tcp_keepalive(sock: socket.socket) -> None:
@@ -128,6 +119,12 @@
     _idle: collections.deque[client_connection.Connection] = attrs.field(
         factory=collections.deque, init=False
     )
+    _used: int = attrs.field(default=0, init=False)
+
+    @property
+    def open_connections(self) -> int:
+        """Connections with a transfer, those being opened for one included, and idle ones."""
+        return self._used + sum(not connection.ended for connection in self._idle)
 
     async def send(
         self,
@@ -152,14 +149,39 @@
                 timed_out=timeout_s <= 0,
             )
         event_loop = asyncio.get_running_loop()
-        now = event_loop.time()
-        connection = self._take_idle_connection(now)
+        deadline = event_loop.time() + timeout_s
+        connection = self._take_idle_connection(event_loop.time())
         reused = connection is not None
-        if connection is None:
-            connection = await self._connect(event_loop, timeout_s)
-        _check_usable(connection, token)
+        self._used += 1
+        try:
+            if connection is None:
+                connection = await self._connect(event_loop, timeout_s)
+            opened_at = event_loop.time()
+            try:
+                _check_usable(connection, token)
+                response = await self._exchange(connection, request, deadline, token, check, reused)
+            except TransferError as error:
+                ended_soon = connection.ended_by_peer and event_loop.time() < opened_at + REFUSAL_S
+                if ended_soon and not reused and connection.reader.is_untouched:
+                    error.refused_beside = self.open_connections - 1
+                raise
+        finally:
+            self._used -= 1
+        self._keep_or_close(connection, request, response, event_loop.time())
+        return response
+
+    async def _exchange(
+        self,
+        connection: client_connection.Connection,
+        request: message.Request,
+        deadline: float,
+        token: cancellation.Token | None,
+        check: ResponseCheck | None,
+        reused: bool,
+    ) -> message.Response:
+        """Returns the checked response to a request; a connection without one is closed."""
         try:
-            response = await self._transfer(connection, request, now + timeout_s, token)
+            response = await self._transfer(connection, request, deadline, token)
             fault = self._find_framing_fault(connection.reader, request, response)
             if not fault and check is not None:
                 fault = check(request, response, reused)
@@ -169,7 +191,6 @@
         if fault:
             connection.abort()
             raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
-        self._keep_or_close(connection, request, response, event_loop.time())
         return response
 
     async def _transfer(
@@ -182,7 +203,9 @@
         """Sends a request on a connection and returns its response; raises TransferError."""
         connection.reader.prepare_next(head=request.method == b"HEAD")
         try:
-            await connection.transfer(encode_request(request, self.address), deadline, token)
+            await connection.transfer(
+                request_encoding.encode(request, self.address), deadline, token
+            )
         except TimeoutError as error:
             raise TransferError(
                 str(error) or "the connection timed out",
@@ -280,6 +303,29 @@
             raise
         return connection
 
+    async def try_connections(self, total: int, settle_s: float) -> int:
+        """Opens connections without a request and keeps those that the server leaves open.
+
+        Args:
+            total: Connections that are to be open.
+            settle_s: Seconds for which the new ones must stay open before they are used.
+
+        Returns:
+            `total` less those that the server did not accept or ended.
+        """
+        event_loop = asyncio.get_running_loop()
+        missing = range(self.open_connections, total)
+        opened = []
+        with contextlib.suppress(TransferError):
+            for _ in missing:
+                opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
+        await asyncio.sleep(settle_s)
+        accepted = [connection for connection in opened if not connection.ended]
+        for connection in accepted:
+            connection.idle_until = event_loop.time() + connection.reader.idle_s
+        self._idle.extend(accepted)
+        return total - len(missing) + len(accepted)
+
     def close(self) -> None:
         """Closes the idle connections."""
         while self._idle:
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -151,6 +151,11 @@
             is_kept = self.parser.should_keep_alive()
             self.keep_alive = is_kept and b"close" not in self._connection_fields
 
+    @property
+    def is_untouched(self) -> bool:
+        """True if no byte of the response has been read."""
+        return not self._received_size
+
     def feed(self, data: bytes) -> None:
         """Parses received bytes; data after a complete response only sets `has_excess_data`.
 
