Let the server process of a test live until its stop begins

test_a_request_that_arrives_while_the_process_stands_still_is_answered failed once (load average 21): the connection ended without an answer. Not the product: the loop's thread starts when the module is imported, before the main thread blocks SIGTERM, and may get the signal until the main thread waits for it; the process then died by it (-15).

The test itself is unchanged.

--- a/tests/test_util/held_server.py
+++ b/tests/test_util/held_server.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 import signal
+import threading
 
 from bergamotridge.util import held_bytes, message, request_reader
 from tests.test_util.test_httpd import start_server
@@ -27,7 +28,8 @@
 
 
 if __name__ == "__main__":
-    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
+    asked_to_stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: asked_to_stop.set())
     _, address = start_server(
         _answer,
         connections=1000,
@@ -35,4 +37,4 @@
         memory=held_bytes.HeldBytes(HELD_BYTES),
     )
     print(address, flush=True)
-    signal.sigwait([signal.SIGTERM])
+    asked_to_stop.wait()
--- a/tests/test_util/plain_server.py
+++ b/tests/test_util/plain_server.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+import threading
 
 from bergamotridge.util import message
 from tests.test_util.test_httpd import start_server
@@ -14,8 +15,9 @@
 
 
 if __name__ == "__main__":
-    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
+    asked_to_stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: asked_to_stop.set())
     server, address = start_server(_answer, idle_s=float(sys.argv[1]))
     print(address, flush=True)
-    signal.sigwait([signal.SIGTERM])
+    asked_to_stop.wait()
     server.stop(STOP_S)
