--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -13,6 +13,7 @@
 from soak.machines import (
     checks,
     client,
+    cuts,
     draw,
     ends,
     far_checks,
@@ -77,6 +78,7 @@
     return (
         f"{len(rows.attempts)} requests {dict(seen)}, statuses {dict(statuses)},"
         f" without an answer {dict(ends.count(rows))},"
+        f" {cuts.describe(cuts.count(rows))},"
         f" {len(rows.stalls)} stalls of the stand-ins, {dict(steps)}"
     )
 
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -217,10 +217,14 @@
     async def freeze(self, number: int, after_s: float, for_s: float) -> None:
         """Lets the node of machine `number` stand still for some time."""
         await asyncio.sleep(after_s)
-        item, process = self._machines[number - 1], self._machines[number - 1].process
+        item = self._machines[number - 1]
+        if item.replaces:  # It stops, and has to be gone in time.
+            return
+        process, item.replaces = item.process, True
         item.send(process, signal.SIGSTOP)
         await asyncio.sleep(for_s)
         item.send(process, signal.SIGCONT)
+        item.replaces = False
 
     def address_of(self, number: int) -> str:
         """Returns the address at which the node of machine `number` takes requests."""
