Refuse a request whose body stops coming, in place of a silent end

What callers saw: the end of their connection and no answer, if the body of a request paused for as long as a connection may be idle. They couldn't tell that it hadn't run.

Cause: the check for idle connections took one in the middle of a body for one between requests.

Change: such a request is refused by 408 with the verdict not-run, as at the end of the time for a body; the connection ends after it as before.

Failed before: test_a_request_whose_body_pauses_for_too_long_is_refused_as_not_run; passes now, with the other tests of the server and its stop.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -223,6 +223,13 @@
         self._end_input()
         self._transport.close()
 
+    def end_idle(self) -> None:
+        """Ends a connection that was idle for too long; a request that was begun is refused."""
+        if self._reader.in_body:
+            self._refuse_input(408)
+        else:
+            self.evict()
+
     def _start_head_timer(self) -> None:
         # Behind a request that is not answered yet, the time of a head doesn't run.
         is_answering = self.token is not None or self._reader.requests
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -269,4 +269,4 @@
         idle_before = now - self.bounds().idle_s
         for connection in self.connections:
             if connection.is_idle_since(idle_before) and not connection.note_progress(now):
-                connection.evict()
+                connection.end_idle()
