--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -44,3 +44,11 @@
     limits = _make_settings(LINES.replace("grace=6s", f"grace={grace_s}s")).limits
     assert limits.notice_s <= min(TAKEN_OUT_S, limits.drain_s)
     assert limits.drain_s < grace_s
+
+
+# What a node holds for others was not derived from the memory above which it is killed.
+@pytest.mark.parametrize("memory_mb", [100, 300, 2000])
+def test_what_a_node_holds_for_others_leaves_a_third_of_its_memory_to_itself(memory_mb):
+    limits = _make_settings(f"{LINES}limits.memory_mb={memory_mb}\n").limits
+    assert limits.answers_bytes < limits.held_bytes <= memory_mb * 1_048_576 * 2 / 3
+    assert _make_settings(LINES).limits.held_bytes == 134_217_728
