Leave a line for each part of a stop, with its time

Callers saw nothing of this; on-call couldn't tell what held a process that was killed at the end of its grace: after the line of the callers' port there was none.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -268,4 +268,10 @@
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
         after_s = round(time.monotonic() - requested_at, 3)
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
-        part_order.end_all(self._ends().values(), drain_deadline)
+        part_order.end_all(self._ends(), drain_deadline, self._report_end)
+
+    def _report_end(self, part: str, took_s: float, left_s: float) -> None:
+        """Leaves a line for each part, as a process that is killed can't tell what held it."""
+        self.events.emit(
+            "node.part-ended", part=part, took_s=round(took_s, 3), left_s=round(left_s, 3)
+        )
--- a/bergamotridge/part_order.py
+++ b/bergamotridge/part_order.py
@@ -9,6 +9,9 @@
 
 # Ends a part; the argument is the time left for running calls, in seconds.
 End = Callable[[float], object]
+# Called with the name of a part that has ended, the seconds that its end took, and the seconds then
+# left for running calls, below 0 once their time is over.
+OnEnded = Callable[[str, float, float], None]
 
 
 class Port(Protocol):
@@ -61,15 +64,20 @@
         raise
 
 
-def end_all(ends: Iterable[End], deadline: float) -> None:
+def end_all(ends: Mapping[str, End], deadline: float, on_ended: OnEnded) -> None:
     """Ends all parts, one after the other.
 
     Args:
-        ends: How each part ends, in order.
+        ends: How each part ends, by its name, in order.
         deadline: Monotonic time in seconds until which calls may run.
+        on_ended: Called for each part that has ended.
     """
-    for end in ends:
-        end(max(0.0, deadline - time.monotonic()))
+    began_at = time.monotonic()
+    for name, end in ends.items():
+        end(max(0.0, deadline - began_at))
+        ended_at = time.monotonic()
+        on_ended(name, ended_at - began_at, deadline - ended_at)
+        began_at = ended_at
 
 
 def stop_tasks(tasks: Iterable[StoppableTask]) -> None:
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -123,6 +123,19 @@
     ]
 
 
+# The log of a process that was killed in its stop didn't tell what had held it.
+def test_a_stop_leaves_an_event_for_each_part_with_the_time_that_its_end_took(
+    node, bound, monkeypatch
+):
+    monkeypatch.setattr(node.gossip, "stop", lambda wait: time.sleep(0.02), raising=False)
+    node.start(bound)
+    node.stop(time.monotonic())
+    details = [event.detail for event in node.events.recent() if event.kind == "node.part-ended"]
+    assert [detail["part"] for detail in details] == list(node._ends())
+    assert {detail["part"]: detail["took_s"] for detail in details}["gossip"] >= 0.02
+    assert all(detail["left_s"] <= 0.0 for detail in details)
+
+
 # Tests and operators wait for this event, and then rely on the text.
 def test_the_event_of_a_configuration_comes_once_its_routes_and_limits_apply(
     node, calls, monkeypatch
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+import logbook
 import pytest
 
 from bergamotridge.util import http_connection, httpd, message, request_reader
@@ -309,3 +310,17 @@
                 assert client.recv(65536).endswith(b"ok")
         finally:
             process.kill()
+
+
+# The log of a stop didn't tell how many connections were still open at their end.
+def test_the_line_of_the_end_of_a_port_tells_how_many_connections_were_open():
+    slow = SlowServer()
+    with connect(slow.address) as client, connect(slow.address):
+        client.sendall(FIRST)
+        assert slow.entered.wait(STOP_S)
+        processes.wait_until(lambda: len(slow.server.connections) == 2, "both are accepted")
+        with logbook.TestHandler().applicationbound() as log:
+            slow.server.stop(0.0)
+    assert [record.message for record in log.records if "cuts off 1 running" in record.message] == [
+        "the server 'test' stops and cuts off 1 running calls, of 2 open connections"
+    ]
