--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -23,6 +23,7 @@
     folder: pathlib.Path,
     of: shape.Shape | None = None,
     tree: pathlib.Path = machine.OWN_TREE,
+    starving: tuple[float, float] | None = None,
 ) -> tuple[record.Record, list[findings.Finding]]:
     """Carries out a plan; logs and records are written to `folder`.
 
@@ -31,9 +32,10 @@
         folder: Directory of logs and records.
         of: Shape of the fleet; the one named ``any`` if None.
         tree: Work tree of the nodes, which may be that of an earlier landing.
+        starving: The share of time for which all nodes run, and the seconds of a turn.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    running = fleet.Fleet(plan, of or shape.load("any"), folder.resolve(), tree)
+    running = fleet.Fleet(plan, of or shape.load("any"), folder.resolve(), tree, starving)
     asyncio.run(running.run())
     found = checks.find_broken(running.rows)
     (folder / "plan").write_text("\n".join(plan.to_lines()) + "\n", encoding="utf-8")
@@ -66,10 +68,23 @@
     return (
         f"{len(rows.attempts)} requests {dict(seen)}, statuses {dict(statuses)},"
         f" without an answer {dict(ends.count(rows))},"
+        f" longest stop {_find_longest_stop(rows):.2f} s,"
         f" {len(rows.stalls)} stalls of the stand-ins, {dict(steps)}"
     )
 
 
+def _find_longest_stop(rows: record.Record) -> float:
+    """Returns the longest time in seconds from a first SIGTERM to the end of its process."""
+    told: dict[str, float] = {}
+    longest_s = 0.0
+    for item in rows.happenings:
+        if item.what == "SIGTERM":
+            told.setdefault(item.detail, item.at)
+        elif item.what == "process gone" and item.detail in told:
+            longest_s = max(longest_s, item.at - told[item.detail])
+    return longest_s
+
+
 def define_flags() -> None:
     """Defines the flags of the command line."""
     flags.DEFINE_integer("seed", 1, "first seed")
@@ -81,6 +96,9 @@
     flags.DEFINE_multi_enum(
         "step", [], tuple(draw.KINDS), "kinds of scenarios; all if none is given"
     )
+    flags.DEFINE_list(
+        "starving", [], "share of time for which all nodes run, and the seconds of a turn"
+    )
     flags.DEFINE_string("tree", str(machine.OWN_TREE), "work tree whose nodes are started")
     flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
     flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
@@ -90,7 +108,8 @@
 def _run_seed(plan: draw.Plan, folder: pathlib.Path, of: shape.Shape) -> bool:
     shutil.rmtree(folder, ignore_errors=True)
     tree = pathlib.Path(flags.FLAGS.tree).resolve()
-    rows, found = run_plan(plan, folder, of, tree)
+    starving = tuple(float(value) for value in flags.FLAGS.starving) or None
+    rows, found = run_plan(plan, folder, of, tree, starving)
     print(f"seed {plan.seed}: {len(found)} findings; {count(rows)}", flush=True)
     by_rule, by_kind = collections.Counter(), collections.Counter()
     report = []
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from soak.machines import server_faults, steps_press, steps_teams
+from soak.machines import server_faults, steps_press, steps_starve, steps_teams
 
 MEAN_GAP_S = 1.3
 
@@ -150,6 +150,14 @@
     return steps_press.draw(rng, _draw_rolling(rng, machines))
 
 
+def _draw_starve(rng: random.Random, machines: int) -> dict:
+    return steps_starve.draw_starve(rng, _draw_rolling(rng, machines))
+
+
+def _draw_freeze(rng: random.Random, machines: int) -> dict:
+    return steps_starve.draw_freeze(rng, _draw_stop(rng, machines))
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -164,4 +172,6 @@
     "access": (3, _draw_access),
     "give back": (2, _draw_give_back),
     "press": (1.5, _draw_press),
+    "starve": (2, _draw_starve),
+    "freeze": (1, _draw_freeze),
 }
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -12,11 +12,13 @@
     configuration,
     draw,
     machine,
+    pauses,
     record,
     server,
     server_faults,
     shape,
     steps_press,
+    steps_starve,
     steps_teams,
     store,
 )
@@ -33,6 +35,8 @@
     "access": steps_teams.change_access,
     "give back": steps_teams.give_back,
     "press": steps_press.press,
+    "starve": steps_starve.starve,
+    "freeze": steps_starve.freeze,
 }
 
 
@@ -58,9 +62,18 @@
     """The machines, the store, the clients and the scenarios that are under way."""
 
     def __init__(
-        self, plan: draw.Plan, of: shape.Shape, folder: pathlib.Path, tree: pathlib.Path
+        self,
+        plan: draw.Plan,
+        of: shape.Shape,
+        folder: pathlib.Path,
+        tree: pathlib.Path,
+        starving: tuple[float, float] | None = None,
     ) -> None:
-        """Prepares a fleet of the shape `of`, with the nodes of the work tree `tree`."""
+        """Prepares a fleet of the shape `of`, with the nodes of the work tree `tree`.
+
+        Once all are ready, `starving` leaves them a share of the time, in turns of so many seconds.
+        """
+        self.size, self._starving = plan.machines, starving
         self.rows = record.Record()
         self.shape, self.held = of, access.make(of)
         self._plan, self._folder, self._tree = plan, folder, tree
@@ -72,12 +85,18 @@
     async def run(self) -> None:
         """Carries out the plan and ends all processes."""
         beats = asyncio.create_task(self._note_stalls())
+        pausers = []
         try:
             await self._start()
+            if self._starving:
+                numbers = range(1, self.size + 1)
+                pausers = [self.starve(number, *self._starving) for number in numbers]
             await self._play()
             await self._stop_all()
         finally:
             beats.cancel()
+            for pauser in pausers:
+                pauser.end()
             for item in self._machines:
                 if item.process is not None and item.process.popen.returncode is None:
                     item.send(item.process, signal.SIGKILL)
@@ -209,6 +228,16 @@
             self._send(self._machines[number - 1], style, seed, until)
         await asyncio.sleep(for_s)
 
+    def starve(self, number: int, share: float, period_s: float) -> pauses.Pauser:
+        """Leaves the nodes of machine `number` a share of the time, until the pauser is ended."""
+        return self._machines[number - 1].pause(pauses.share_out(share, period_s))
+
+    async def freeze(self, number: int, after_s: float, for_s: float) -> None:
+        """Freezes the nodes of machine `number` once, after some time."""
+        pauser = self._machines[number - 1].pause([(after_s, for_s)])
+        await asyncio.sleep(after_s + for_s)
+        await asyncio.to_thread(pauser.join)
+
     def _draw_service(self, share: float) -> str:
         return self.shape.services[int(share * len(self.shape.services))].name
 
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from soak.machines import record, server, wire
+from soak.machines import pauses, record, server, wire
 
 OWN_TREE = pathlib.Path(__file__).resolve().parents[2]
 OUTBOUND_PORT, READY_PORT = 8548, 8546
@@ -64,6 +64,7 @@
         self.server: server.Server | None = None
         self.process: Process | None = None
         self.replaces = False  # True while a scenario sees to the next start.
+        self._processes: list[Process] = []
         self._rows, self._folder, self._store, self._tree = rows, folder, store, tree
         self._settings = self._folder / f"node-{number}.conf"
         self._watches: set[asyncio.Task] = set()
@@ -103,6 +104,7 @@
         """Takes a process that was just started as the machine's latest."""
         process = Process(popen, self._rows.happen("node starts", self.number, f"{popen.pid}"))
         self.process, self.replaces = process, False
+        self._processes = [item for item in self._processes if item.gone_at is None] + [process]
         threading.Thread(target=self._see_end, args=(process,), daemon=True).start()
         watch = asyncio.create_task(self._watch(process))
         self._watches.add(watch)
@@ -112,7 +114,16 @@
     def _see_end(self, process: Process) -> None:
         with contextlib.suppress(ChildProcessError):  # The event loop has taken its status.
             os.waitid(os.P_PID, process.popen.pid, os.WEXITED | os.WNOWAIT)
-        process.gone_at = self._rows.now()
+        process.gone_at = self._rows.happen("process gone", self.number, f"{process.popen.pid}")
+
+    def pause(self, chosen: pauses.Pauses) -> pauses.Pauser:
+        """Begins to freeze the processes of this machine and to let them go on."""
+        pauser = pauses.Pauser(self._rows, self.number, self._list_pids)
+        pauser.start(chosen)
+        return pauser
+
+    def _list_pids(self) -> list[int]:
+        return [item.popen.pid for item in self._processes if item.gone_at is None]
 
     async def _watch(self, process: Process) -> None:
         code = await process.popen.wait()
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from soak.machines import access, shape
+from soak.machines import access, pauses, shape
 
 
 class Scene(Protocol):
@@ -10,6 +10,7 @@
 
     held: access.Access
     shape: shape.Shape
+    size: int
 
     def configure(self, held: access.Access | None = None) -> None:
         """Writes the next configuration, with other keys and limits if they are given."""
@@ -25,3 +26,9 @@
 
     async def press(self, for_s: float, times: int) -> None:
         """Adds clients for some time, until there are `times` as many as before."""
+
+    def starve(self, number: int, share: float, period_s: float) -> pauses.Pauser:
+        """Leaves the nodes of machine `number` a share of the time, until the pauser is ended."""
+
+    async def freeze(self, number: int, after_s: float, for_s: float) -> None:
+        """Freezes the nodes of machine `number` once, after some time."""
