Pass on what has arrived before a stop cuts calls off

Callers of a node that had stood still until the end of its stop got a 503 or 504 of its own, though their upstream's answer lay unread at the node.

Change: the end takes eight turns of the loop, in which it reads and answers, before it cancels.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -22,6 +22,7 @@
 IDLE_CHECK_INTERVAL_S = 1.0
 STOP_CHECK_INTERVAL_S = 0.05
 CANCEL_CHECK_INTERVAL_S = 0.005
+TURNS_TO_ANSWER = 8  # Of the loop: what an upstream has answered goes on to its caller in them.
 STOP_IDLE_S = 0.5
 CANCEL_GRACE_S = 0.1  # For the answers of calls that a stop has cancelled.
 HEADER_BYTES = 65_536
@@ -161,6 +162,7 @@
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._idle_check is not None:
             self._idle_check.cancel()
+        await self._read_arrived(TURNS_TO_ANSWER)
         await self._finish_connections()
         for connection in self.connections:
             connection.close()
@@ -209,12 +211,13 @@
             _log.warning("the port '{}' has stopped accepting connections: {}", self.name, error)
         return waiting
 
-    async def _read_arrived(self) -> None:
-        """Lets connections read what has arrived, before it is decided that they are idle.
+    async def _read_arrived(self, turns: int = 1) -> None:
+        """Lets the loop read what has arrived, before it is decided what connections wait for.
 
         If the process or its loop stood still, timers come before what arrived meanwhile.
         """
-        await asyncio.sleep(0)
+        for _ in range(turns):
+            await asyncio.sleep(0)
 
     def _is_quiet(self, now: float) -> bool:
         """Returns whether no connection is in use and all were idle for `STOP_IDLE_S` seconds."""
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -312,6 +312,37 @@
             process.kill()
 
 
+# An answer that had come while the process stood still was cut off at the end of its stop.
+def test_an_answer_that_arrives_while_the_process_stands_still_passes_at_the_end_of_a_stop():
+    stop_s = 2.0
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        upstream = "{}:{}".format(*listener.getsockname())
+        command = [
+            sys.executable,
+            "-m",
+            "tests.test_util.plain_server",
+            "30",
+            upstream,
+            f"{stop_s}",
+        ]
+        with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+            try:
+                with connect(process.stdout.readline().strip()) as client:
+                    client.sendall(FIRST)
+                    accepted, _ = listener.accept()
+                    with accepted:
+                        accepted.recv(1000)
+                        process.send_signal(signal.SIGTERM)
+                        time.sleep(stop_s / 10)
+                        process.send_signal(signal.SIGSTOP)
+                        time.sleep(stop_s)
+                        accepted.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+                        process.send_signal(signal.SIGCONT)
+                        assert split(read_all(client)) == [(200, b"ok")]
+            finally:
+                process.kill()
+
+
 # The log of a stop didn't tell how many connections were still open at their end.
 def test_the_line_of_the_end_of_a_port_tells_how_many_connections_were_open():
     slow = SlowServer()
