Write no line for the end of a port without connections

test_httpd.py::test_a_response_to_a_caller_that_reset_its_connection_is_dropped_without_an_error failed since: the end of a port without connections left a line.

Change: the line comes only if connections were open.

Result: the test failed before and passes now; test_httpd.py and test_httpd_stop.py pass.

--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -172,13 +172,14 @@
     async def _finish_connections(self) -> None:
         """Ends all connections once what they wait for is answered, within `CANCEL_GRACE_S`."""
         running = sum(item.token is not None for item in self.connections)
-        _log.log(
-            "WARNING" if running else "INFO",
-            "the server '{}' stops and cuts off {} running calls, of {} open connections",
-            self.name,
-            running,
-            len(self.connections),
-        )
+        if self.connections:
+            _log.log(
+                "WARNING" if running else "INFO",
+                "the server '{}' stops and cuts off {} running calls, of {} open connections",
+                self.name,
+                running,
+                len(self.connections),
+            )
         for connection in self.connections:
             connection.finish()
         event_loop = asyncio.get_running_loop()
