--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -11,6 +11,7 @@
     events,
     http_ports,
     part_order,
+    port_ends,
     ports,
     settings,
     shared_parts,
@@ -190,7 +191,7 @@
             node.addresses.control, node.fleet_secret, (self.gossip, self.team_rates, self.suspects)
         )
         try:
-            part_order.open_ports(self._ports(), bound, self._ends())
+            part_order.open_ports(self._ports(), bound, self._port_ends())
         except errors.AddressUnavailableError:
             self.control.stop(0)
             raise
@@ -218,19 +219,37 @@
         """
         return (self.control, self.gossip, self.team_rates, *self.platform_tasks)
 
-    def _ends(self) -> dict[str, part_order.End]:
-        """Returns how each part ends, in the order of a stop once new calls are refused."""
-        without_limit = part_order.without_limit
+    def _port_ends(self) -> dict[str, part_order.End]:
+        """Returns how each part with a port ends by itself, as in a start that fails."""
         ready_server = self.ready_server
         ready = {"ready": lambda _: ready_server.stop(0)} if ready_server else {}
         return {
             "callers": self.caller_server.stop,
             "relay": self.relay_server.stop,
             "upstream": self.upstream_server.stop,
+            "operators": part_order.without_limit(self.operator_port.stop),
+            **ready,
+            ports.DATAGRAMS: part_order.without_limit(self.freshness_port.stop),
+        }
+
+    def _end_connections(self, left_s: float) -> None:
+        others = (self.relay_server, self.upstream_server)
+        self.loop.run(port_ends.end_all(self.caller_server, others, left_s))
+
+    def _ends(self) -> dict[str, part_order.End]:
+        """Returns how each part ends, in the order of a stop once new calls are refused.
+
+        What follows the connections must not wait for the platform or other nodes once the drain
+        time is over: the process may be killed soon after it.
+        """
+        without_limit = part_order.without_limit
+        ends = self._port_ends()
+        ready = {"ready": ends["ready"]} if "ready" in ends else {}
+        return {
+            "connections": self._end_connections,
             "team rates": self.team_rates.stop,
             "platform tasks": without_limit(lambda: part_order.stop_tasks(self.platform_tasks)),
-            ports.DATAGRAMS: without_limit(self.freshness_port.stop),
-            # What follows must not outlast the drain time: the process may be killed soon after it.
+            ports.DATAGRAMS: ends[ports.DATAGRAMS],
             "gossip": lambda _: self.gossip.stop(wait=False),
             "suspects": without_limit(self.suspects.stop),
             "control": lambda left_s: self.control.stop(
@@ -238,7 +257,7 @@
             ),
             "channels": without_limit(self.channels.close),
             "objects": without_limit(self.objects.close),
-            "operators": without_limit(self.operator_port.stop),
+            "operators": ends["operators"],
             **ready,
             "pools": lambda _: self.loop.call(self.pools.close),
             "loop": without_limit(self.loop.stop),
@@ -268,7 +287,10 @@
         time.sleep(max(0.0, notice_deadline - time.monotonic()))
         after_s = round(time.monotonic() - requested_at, 3)
         self.events.emit("node.draining", after_s=after_s, notice_s=limits.notice_s)
-        part_order.end_all(self._ends(), drain_deadline, self._report_end)
+        limit = drain_deadline + limits.end_s
+        held = part_order.end_all(self._ends(), drain_deadline, limit, self._report_end)
+        if held:
+            self.events.emit("node.part-held", part=held, end_s=limits.end_s)
 
     def _report_end(self, part: str, took_s: float, left_s: float) -> None:
         """Leaves a line for each part, as a process that is killed can't tell what held it."""
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -23,6 +23,7 @@
     "member.suspected": "A host has been silent for longer than expected.",
     "node.draining": "The stopping node begins to refuse calls that might not end before it.",
     "node.part-ended": "A part of the stopping node has ended; tells how long that took.",
+    "node.part-held": "A part took too long to end; the node stopped without waiting for it.",
     "node.started": "The node has opened its ports.",
     "node.stopping": "The node has begun a graceful shutdown.",
     "store.restored": "The platform's store was restored from an earlier copy, as its epoch shows.",
--- a/bergamotridge/part_order.py
+++ b/bergamotridge/part_order.py
@@ -3,10 +3,14 @@
 import socket
 import time
 from collections.abc import Callable, Iterable, Mapping
+from concurrent import futures
 from typing import Protocol
 
 from bergamotridge import errors, ports
 
+# For the ends of a stop whose time is over when it comes to them, as its process stood still.
+MIN_ENDS_S = 0.15
+
 # Ends a part; the argument is the time left for running calls, in seconds.
 End = Callable[[float], object]
 # Called with the name of a part that has ended, the seconds that its end took, and the seconds then
@@ -64,18 +68,37 @@
         raise
 
 
-def end_all(ends: Mapping[str, End], deadline: float, on_ended: OnEnded) -> None:
-    """Ends all parts, one after the other.
+def end_all(ends: Mapping[str, End], deadline: float, limit: float, on_ended: OnEnded) -> str:
+    """Ends all parts, one after the other; a part that hangs doesn't keep the caller.
 
     Args:
         ends: How each part ends, by its name, in order.
         deadline: Monotonic time in seconds until which calls may run.
-        on_ended: Called for each part that has ended.
+        limit: Monotonic time in seconds until which the ends are waited for.
+        on_ended: Called for each part that has ended, in another thread.
+
+    Returns:
+        The part whose end was not waited for, "" if all have ended.
     """
+    left = list(ends)
+    executor = futures.ThreadPoolExecutor(1, "ends")
+    ending = executor.submit(_end_in_order, ends, deadline, left, on_ended)
+    executor.shutdown(wait=False)
+    futures.wait([ending], max(MIN_ENDS_S, limit - time.monotonic()))
+    if ending.done():
+        ending.result()
+    return next(iter(left), "")
+
+
+def _end_in_order(
+    ends: Mapping[str, End], deadline: float, left: list[str], on_ended: OnEnded
+) -> None:
+    """Ends all parts, and removes each from `left` once it has ended."""
     began_at = time.monotonic()
     for name, end in ends.items():
         end(max(0.0, deadline - began_at))
         ended_at = time.monotonic()
+        left.remove(name)
         on_ended(name, ended_at - began_at, deadline - ended_at)
         began_at = ended_at
 
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -144,6 +144,13 @@
     drain_s: float = _number(
         20.0, "longest wait for running calls in a graceful shutdown, in seconds", 0, 600
     )
+    end_s: float = _number(
+        5.0,
+        "time after 'drain_s' in which a graceful shutdown waits for what is left to end, in "
+        "seconds",
+        0,
+        600,
+    )
     notice_s: float = _number(
         1.5, "time in a graceful shutdown in which new calls are still accepted, in seconds", 0, 600
     )
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -146,13 +146,14 @@
         Args:
             grace_s: Maximum wait for running calls and recently used connections in seconds.
         """
-        self._event_loop_thread.run(self._stop(grace_s))
+        self._event_loop_thread.run(self.end(grace_s))
 
-    async def _stop(self, grace_s: float) -> None:
+    async def end(self, grace_s: float) -> None:
+        """Does on the event loop what `stop` describes."""
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + grace_s
         self.closing = True
-        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        await asyncio.sleep(min(grace_s, STOP_CHECK_INTERVAL_S))
         await self._stop_accepting()
         while event_loop.time() < deadline - CANCEL_GRACE_S:
             if self._is_quiet(event_loop.time()):
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,7 +1,10 @@
 """The order in which a node starts and stops its parts."""
 
+import asyncio
+import threading
 import time
 
+import attrs
 import pytest
 
 from bergamotridge import application, errors, ports, settings
@@ -32,10 +35,18 @@
         return lambda *arguments, **named: self._calls.append(f"{self._name}.{function}")
 
 
+class RecordedServer(RecordedPart):
+    async def end(self, grace_s):
+        self._calls.append(f"{self._name}.end")
+
+
 class RecordedLoop(RecordedPart):
     def call(self, function):
         function()
 
+    def run(self, coroutine):
+        asyncio.run(coroutine)
+
 
 @pytest.fixture
 def calls():
@@ -68,7 +79,8 @@
         1,
     )
     for name in (*(part for _, part in PORT_PARTS), *OTHER_PARTS):
-        monkeypatch.setattr(node, name, RecordedPart(name, calls))
+        kind = RecordedServer if name.endswith("_server") else RecordedPart
+        monkeypatch.setattr(node, name, kind(name, calls))
     monkeypatch.setattr(node, "platform_tasks", [RecordedPart("task", calls)])
     real_loop = node.loop
     monkeypatch.setattr(node, "loop", RecordedLoop("loop", calls))
@@ -105,9 +117,9 @@
         "relay_server.close_after_answers",
         "gossip.start_urgent_round",
         "team_rates.start_return",
-        "caller_server.stop",
-        "relay_server.stop",
-        "upstream_server.stop",
+        "caller_server.end",
+        "relay_server.end",
+        "upstream_server.end",
         "team_rates.stop",
         "task.stop",
         "freshness_port.stop",
@@ -136,6 +148,19 @@
     assert all(detail["left_s"] <= 0.0 for detail in details)
 
 
+# A part that hung kept the process until it was killed at the end of its grace.
+def test_a_part_that_does_not_end_does_not_keep_a_stop(node, bound, monkeypatch):
+    may_end = threading.Event()
+    monkeypatch.setattr(node.objects, "close", may_end.wait, raising=False)
+    limits = attrs.evolve(node.settings.limits, end_s=0.0)
+    node.settings = attrs.evolve(node.settings, limits=limits)
+    node.start(bound)
+    node.stop(time.monotonic())
+    held = [event.detail["part"] for event in node.events.recent() if "held" in event.kind]
+    may_end.set()
+    assert held == ["objects"]
+
+
 # Tests and operators wait for this event, and then rely on the text.
 def test_the_event_of_a_configuration_comes_once_its_routes_and_limits_apply(
     node, calls, monkeypatch
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotridge import errors
+from bergamotridge.callers import shutdown
 
 LINES = """node_id=n1
 zone=a
@@ -44,3 +45,12 @@
     limits = _make_settings(LINES.replace("grace=6s", f"grace={grace_s}s")).limits
     assert limits.notice_s <= min(TAKEN_OUT_S, limits.drain_s)
     assert limits.drain_s < grace_s
+
+
+# Connections ended at nine tenths of the grace; a process with little processor time was killed.
+@pytest.mark.parametrize("grace_s", [4, 6, 10, 30])
+def test_a_stop_ends_connections_once_calls_may_be_cut_off_and_no_later(grace_s):
+    limits = _make_settings(LINES.replace("grace=6s", f"grace={grace_s}s")).limits
+    work_s = limits.drain_s - shutdown.MARGIN_S
+    assert grace_s * 5 / 6 <= work_s <= grace_s * 5 / 6 + 0.05
+    assert limits.drain_s + limits.end_s < grace_s
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -147,7 +147,7 @@
         # Both the end of the wait before the close and what holds up are due after this pause.
         loop.call_later(httpd.STOP_CHECK_INTERVAL_S / 2, hold_up)
         loop.call_soon(time.sleep, 2 * httpd.STOP_CHECK_INTERVAL_S)
-        await slow.server._stop(STOP_S)
+        await slow.server.end(STOP_S)
 
     with contextlib.ExitStack() as stack:
         executor = stack.enter_context(concurrent.futures.ThreadPoolExecutor(1))
