Try again to give quota shares back while a stop still serves

A stop that began while the store failed gave no share back if its connections ended late: the second try came only after them, and then had no time. The shares stood unused until their lease ended.

Change: the return that begins with the stop is tried again every 0.5 s, beside the connections, until it succeeds or the parts end.

--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -30,6 +30,7 @@
 MAX_REFILL_WAIT_S = 0.1
 MIN_DRAW_PAUSE_S = 0.02  # Collects the settlements that become due at about the same time.
 SHARE_RETURN_INTERVAL_S = 0.1
+RETURN_RETRY_S = 0.5
 MAX_FIRST_PAUSE_S = 0.4  # Spreads the first reads of hosts that start at the same time.
 TEAMS_POLL_INTERVAL_S = 0.05
 MEAN_JOIN_PAUSE_S = 1.0  # Between two reads while this host has yet to join or leave a quota.
@@ -184,10 +185,11 @@
     def start_return(self) -> None:
         """Starts to return shares to the platform in the background; draws continue.
 
-        The return takes as long as the platform needs for its answers.
+        The return takes as long as the platform needs for its answers, and is tried again until
+        `stop` while the platform fails.
         """
         self._end_share_loop()
-        self._loop_executor.submit(self._return_shares)
+        self._loop_executor.submit(self._keep_returning_shares)
 
     def stop(self, limit_s: float = float("inf")) -> None:
         """Returns drawn tokens and shares as far as possible in a few seconds.
@@ -408,8 +410,15 @@
         names = self._teams_at_restoration or self._teams()
         return self._planner.of_group(names, group)
 
-    def _return_shares(self) -> None:
-        """Returns shares until none is held, the platform fails, or all loans have expired."""
+    def _keep_returning_shares(self) -> None:
+        while not self._return_shares() and not self._stopping.wait(RETURN_RETRY_S):
+            pass
+
+    def _return_shares(self) -> bool:
+        """Returns shares until none is held, the platform fails, or all loans have expired.
+
+        Returns False if the platform failed.
+        """
         started_at = self._clock()
         deadline = started_at + 2.0 * self._settings.timings.loan_s
         try:
@@ -424,4 +433,6 @@
                 threading.Event().wait(SHARE_RETURN_INTERVAL_S)
         except errors.PlatformError as error:
             _log.warning("quota shares not returned: {}", error)
+            return False
         _log.info("return of quota shares ended after {:.3f} s", self._clock() - started_at)
+        return True
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -5,6 +5,7 @@
 from concurrent import futures
 
 import attrs
+import logbook
 import pytest
 
 from bergamotridge import errors, malformed
@@ -14,7 +15,7 @@
 from bergamotridge.store import holding
 from bergamotridge.store import quota as quota_object
 from bergamotridge.util import clock
-from standins import store
+from standins import processes, store
 from tests import event_loop, fake_objects, history_rates
 
 TEAM = operator_text.Team("utrecht", rate=150.0, burst=30)
@@ -235,3 +236,20 @@
     fleet.stop("a0")
     assert tokens_before >= 1.0
     assert tokens_after == {TEAM.name: 0.0}
+
+
+# A stop whose connections ended late gave no share back if the platform had failed when it began.
+def test_shares_go_back_in_a_stop_once_the_platform_answers_again():
+    fleet = Fleet(["a0"])
+    fleet.wait_for_holders(1)
+    node = fleet.nodes["a0"]
+    node.objects.faults.outage = True
+    with logbook.TestHandler().applicationbound() as log:
+        node.rates.start_return()
+        processes.wait_until(
+            lambda: any("not returned" in record.message for record in log.records),
+            "the first try has failed",
+        )
+    node.objects.faults.outage = False
+    processes.wait_until(lambda: not fleet.holders(), "the shares are back")
+    fleet.stop("a0")
