Read what has arrived before a request counts as late

A client got 408 from a node that had stood still, though the rest of its request had arrived in time.

Bodies and slow clients use the same timer and have no test of their own.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -12,6 +12,7 @@
 from bergamotridge.util import (
     cancellation,
     connection_table,
+    late_timer,
     loop,
     message,
     request_reader,
@@ -68,8 +69,8 @@
         self._transport: asyncio.Transport | None = None
         self._request_waiter: asyncio.Future | None = None
         self._write_waiter: asyncio.Future | None = None
-        self._head_timer: asyncio.TimerHandle | None = None
-        self._body_timer: asyncio.TimerHandle | None = None
+        self._head_timer: late_timer.LateTimer | None = None
+        self._body_timer: late_timer.LateTimer | None = None
         self._write_paused = False
         self._unsent_bytes = 0
         self._is_finishing = False
@@ -220,14 +221,14 @@
             bounds = self._reader.bounds
             self.head_started_at = self._event_loop.time()
             timeout_s = min(bounds.header_timeout_s, bounds.idle_s)
-            self._head_timer = self._event_loop.call_later(timeout_s, self._refuse_input, 408)
+            self._head_timer = self._start_timer(timeout_s, self._refuse_late_input)
 
     def _start_body_timer(self) -> None:
         """Limits the time of the whole body, of which single bytes keep the connection active."""
         if self._body_timer is None:
             self._clear_input_timers()
             timeout_s = self._reader.bounds.body_timeout_s
-            self._body_timer = self._event_loop.call_later(timeout_s, self._refuse_input, 408)
+            self._body_timer = self._start_timer(timeout_s, self._refuse_late_input)
 
     def _clear_input_timers(self) -> None:
         for timer in (self._head_timer, self._body_timer):
@@ -235,6 +236,12 @@
                 timer.cancel()
         self._head_timer = self._body_timer = self.head_started_at = None
 
+    def _start_timer(self, delay_s: float, function: Callable[[], None]) -> late_timer.LateTimer:
+        return late_timer.LateTimer(self._event_loop, delay_s, function)
+
+    def _refuse_late_input(self) -> None:
+        self._refuse_input(408)
+
     def _refuse_input(self, status: int) -> None:
         """Refuses invalid or late input with `status`, after the earlier requests are answered."""
         self._clear_input_timers()
@@ -354,7 +361,7 @@
     async def _wait_until_written(self) -> None:
         """Waits for a slow client to take the response; aborts the connection after `idle_s`."""
         waiter = self._write_waiter = self._event_loop.create_future()
-        timer = self._event_loop.call_later(self._reader.bounds.idle_s, self.close)
+        timer = self._start_timer(self._reader.bounds.idle_s, self.close)
         try:
             if self._write_paused and not self._transport.is_closing():
                 await waiter
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -355,3 +355,21 @@
     assert [record.message for record in log.records if "cuts off 1 running" in record.message] == [
         "the server 'test' stops and cuts off 1 running calls, of 2 open connections"
     ]
+
+
+# After a pause of the process, a request was refused as late though all of it had arrived.
+def test_a_head_whose_rest_arrives_while_the_process_stands_still_is_not_late():
+    command = [sys.executable, "-m", "tests.test_util.plain_server", "2"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            with connect(process.stdout.readline().strip()) as client:
+                client.sendall(FIRST[:20])
+                time.sleep(0.2)
+                process.send_signal(signal.SIGSTOP)
+                time.sleep(0.05)
+                client.sendall(FIRST[20:])
+                time.sleep(2.2)  # Longer than a head may take.
+                process.send_signal(signal.SIGCONT)
+                assert client.recv(65536).endswith(b"ok")
+        finally:
+            process.kill()
