Leave out the tick of membership after a pause of the process

A node that had stood still for longer than three heartbeats published its upstream as lost though the upstream's announcements lay unread; it got no calls until the next one. That a suspected host is taken for lost the same way follows from the code and isn't shown.

Change: the first tick after a pause of over two intervals applies no timeouts; of late ticks in a row only the first is left out (nodes.tick_pauses).

--- a/bergamotridge/nodes/gossip.py
+++ b/bergamotridge/nodes/gossip.py
@@ -24,6 +24,7 @@
     record,
     replica_version,
     restoration_news,
+    tick_pauses,
     traffic,
 )
 from bergamotridge.store import client, replica, restorations
@@ -279,9 +280,12 @@
         Replicas and withdrawn keys also change through other tasks, which do not notify this one.
         """
         versions = self._versions()
+        pauses = tick_pauses.TickPauses(TICK_S, time.monotonic())
         while not self._stopping:
             time.sleep(TICK_S)
-            self._members.tick(time.monotonic())
+            now = time.monotonic()
+            if pauses.is_due(now):
+                self._members.tick(now)
             current = self._versions()
             if current != versions:
                 versions = current
