--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -13,6 +13,7 @@
     cancellation,
     connection_table,
     held_bytes,
+    late_timer,
     message,
     receive_queue,
     request_reader,
@@ -71,8 +72,8 @@
         self._transport: asyncio.Transport | None = None
         self._writer: response_writer.ResponseWriter | None = None
         self._request_waiter: asyncio.Future | None = None
-        self._head_timer: asyncio.TimerHandle | None = None
-        self._body_timer: asyncio.TimerHandle | None = None
+        self._head_timer: late_timer.LateTimer | None = None
+        self._body_timer: late_timer.LateTimer | None = None
         self._is_finishing = False
         self._input_ended = False
         self._refusal: message.Response | None = None
@@ -249,14 +250,14 @@
             bounds = self._reader.bounds
             self.head_started_at = self._event_loop.time()
             timeout_s = min(bounds.header_timeout_s, bounds.idle_s)
-            self._head_timer = self._event_loop.call_later(timeout_s, self._refuse_input, 408)
+            self._head_timer = self._start_timer(timeout_s, self._refuse_late_input)
 
     def _start_body_timer(self) -> None:
         """Limits the time of the whole body, of which single bytes keep the connection active."""
         if self._body_timer is None:
             self._clear_input_timers()
             timeout_s = self._reader.bounds.body_timeout_s
-            self._body_timer = self._event_loop.call_later(timeout_s, self._refuse_input, 408)
+            self._body_timer = self._start_timer(timeout_s, self._refuse_late_input)
 
     def _clear_input_timers(self) -> None:
         for timer in (self._head_timer, self._body_timer):
@@ -264,6 +265,12 @@
                 timer.cancel()
         self._head_timer = self._body_timer = self.head_started_at = None
 
+    def _start_timer(self, delay_s: float, function: Callable[[], None]) -> late_timer.LateTimer:
+        return late_timer.LateTimer(self._event_loop, delay_s, function)
+
+    def _refuse_late_input(self) -> None:
+        self._refuse_input(408)
+
     def _refuse_input(self, status: int) -> None:
         """Refuses invalid or late input with `status`, after the earlier requests are answered."""
         response = message.Response(status, [(b"bergamotridge-verdict", b"not-run")])
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -23,6 +23,7 @@
 IDLE_CHECK_INTERVAL_S = 1.0
 STOP_CHECK_INTERVAL_S = 0.05
 CANCEL_CHECK_INTERVAL_S = 0.005
+TURNS_TO_ANSWER = 8  # Of the loop: what an upstream has answered goes on to its caller in them.
 STOP_IDLE_S = 0.5
 CANCEL_GRACE_S = 0.1  # For the answers of calls that a stop has cancelled.
 HEADER_BYTES = 65_536
@@ -155,13 +156,14 @@
         Args:
             grace_s: Maximum wait for running calls and recently used connections in seconds.
         """
-        self._event_loop_thread.run(self._stop(grace_s))
+        self._event_loop_thread.run(self.end(grace_s))
 
-    async def _stop(self, grace_s: float) -> None:
+    async def end(self, grace_s: float) -> None:
+        """Does on the event loop what `stop` describes."""
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + grace_s
         self.closing = True
-        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        await asyncio.sleep(min(grace_s, STOP_CHECK_INTERVAL_S))
         await self._stop_accepting()
         while event_loop.time() < deadline - CANCEL_GRACE_S:
             if self._is_quiet(event_loop.time()):
@@ -171,6 +173,7 @@
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self._idle_check is not None:
             self._idle_check.cancel()
+        await self._read_arrived(TURNS_TO_ANSWER)
         await self._finish_connections()
         for connection in self.connections:
             connection.close()
@@ -180,8 +183,14 @@
     async def _finish_connections(self) -> None:
         """Ends all connections once what they wait for is answered, within `CANCEL_GRACE_S`."""
         running = sum(item.token is not None for item in self.connections)
-        if running:
-            _log.warning("the server '{}' stops and cuts off {} running calls", self.name, running)
+        if self.connections:
+            _log.log(
+                "WARNING" if running else "INFO",
+                "the server '{}' stops and cuts off {} running calls, of {} open connections",
+                self.name,
+                running,
+                len(self.connections),
+            )
         for connection in self.connections:
             connection.finish()
         event_loop = asyncio.get_running_loop()
@@ -214,12 +223,13 @@
             _log.warning("the port '{}' has stopped accepting connections: {}", self.name, error)
         return waiting
 
-    async def _read_arrived(self) -> None:
-        """Lets connections read what has arrived, before it is decided that they are idle.
+    async def _read_arrived(self, turns: int = 1) -> None:
+        """Lets the loop read what has arrived, before it is decided what connections wait for.
 
         If the process or its loop stood still, timers come before what arrived meanwhile.
         """
-        await asyncio.sleep(0)
+        for _ in range(turns):
+            await asyncio.sleep(0)
 
     def _is_quiet(self, now: float) -> bool:
         """Returns whether no connection is in use and all were idle for `STOP_IDLE_S` seconds."""
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -11,6 +11,7 @@
     steps_far,
     steps_late,
     steps_press,
+    steps_starve,
     steps_teams,
 )
 
@@ -169,6 +170,14 @@
     return steps_crowd.draw(rng)
 
 
+def _draw_starve(rng: random.Random, machines: int) -> dict:
+    return steps_starve.draw_starve(rng, _draw_rolling(rng, machines))
+
+
+def _draw_freeze(rng: random.Random, machines: int) -> dict:
+    return steps_starve.draw_freeze(rng, _draw_stop(rng, machines))
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -186,4 +195,6 @@
     "late": (1.0, _draw_late),
     "far": (3, _draw_far),
     "crowd": (1, _draw_crowd),
+    "starve": (2, _draw_starve),
+    "freeze": (1, _draw_freeze),
 }
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from soak.machines import access, client, machine, record, shape
+from soak.machines import access, client, machine, pauses, record, shape
 
 
 class Scene(Protocol):
@@ -11,6 +11,7 @@
     held: access.Access
     shape: shape.Shape
     rows: record.Record
+    size: int
 
     def find_machine(self, number: int) -> machine.Machine:
         """Returns a machine by its number."""
@@ -30,8 +31,8 @@
     async def press(self, for_s: float, times: int) -> None:
         """Adds clients for some time, until there are `times` as many as before."""
 
-    async def freeze(self, number: int, after_s: float, for_s: float) -> None:
-        """Lets the node of machine `number` stand still for some time."""
+    async def freeze_serving(self, number: int, after_s: float, for_s: float) -> None:
+        """Lets the node of machine `number` stand still for some time, unless it stops."""
 
     def address_of(self, number: int) -> str:
         """Returns the address at which the node of machine `number` takes requests."""
@@ -43,3 +44,9 @@
         self, number: int, style: client.Style, seed: str, of: shape.Shape, for_s: float
     ) -> None:
         """Adds a client of machine `number` for some time, with requests of a shape."""
+
+    def starve(self, number: int, share: float, period_s: float) -> pauses.Pauser:
+        """Leaves the nodes of machine `number` a share of the time, until the pauser is ended."""
+
+    async def freeze(self, number: int, after_s: float, for_s: float) -> None:
+        """Freezes the nodes of machine `number` once, after some time."""
--- a/soak/machines/steps_far.py
+++ b/soak/machines/steps_far.py
@@ -44,7 +44,7 @@
     _, askers = on.list_askers(number)
     for at, place, for_s in values["freezes"] if askers else ():
         asker = askers[int(place * len(askers))]
-        tasks.append(asyncio.create_task(on.freeze(asker, at, for_s)))
+        tasks.append(asyncio.create_task(on.freeze_serving(asker, at, for_s)))
     if values["what"] in ("reloads", "both"):
         tasks.append(asyncio.create_task(on.reload(number, values["gaps"])))
     if values["what"] in ("stops", "both"):
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotridge import errors
+from bergamotridge.callers import shutdown
 
 LINES = """node_id=n1
 zone=a
@@ -52,3 +53,12 @@
     limits = _make_settings(f"{LINES}limits.memory_mb={memory_mb}\n").limits
     assert limits.answers_bytes < limits.held_bytes <= memory_mb * 1_048_576 * 2 / 3
     assert _make_settings(LINES).limits.held_bytes == 134_217_728
+
+
+# Connections ended at nine tenths of the grace; a process with little processor time was killed.
+@pytest.mark.parametrize("grace_s", [4, 6, 10, 30])
+def test_a_stop_ends_connections_once_calls_may_be_cut_off_and_no_later(grace_s):
+    limits = _make_settings(LINES.replace("grace=6s", f"grace={grace_s}s")).limits
+    work_s = limits.drain_s - shutdown.MARGIN_S
+    assert grace_s * 5 / 6 <= work_s <= grace_s * 5 / 6 + 0.05
+    assert limits.drain_s + limits.end_s < grace_s
--- a/tests/test_util/test_httpd_stop.py
+++ b/tests/test_util/test_httpd_stop.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+import logbook
 import pytest
 
 from bergamotridge.util import (
@@ -153,7 +154,7 @@
         # Both the end of the wait before the close and what holds up are due after this pause.
         loop.call_later(httpd.STOP_CHECK_INTERVAL_S / 2, hold_up)
         loop.call_soon(time.sleep, 2 * httpd.STOP_CHECK_INTERVAL_S)
-        await slow.server._stop(STOP_S)
+        await slow.server.end(STOP_S)
 
     with contextlib.ExitStack() as stack:
         executor = stack.enter_context(concurrent.futures.ThreadPoolExecutor(1))
@@ -368,3 +369,66 @@
                 assert client.recv(65536).endswith(b"ok")
         finally:
             process.kill()
+
+
+# An answer that had come while the process stood still was cut off at the end of its stop.
+def test_an_answer_that_arrives_while_the_process_stands_still_passes_at_the_end_of_a_stop():
+    stop_s = 2.0
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        upstream = "{}:{}".format(*listener.getsockname())
+        command = [
+            sys.executable,
+            "-m",
+            "tests.test_util.plain_server",
+            "30",
+            upstream,
+            f"{stop_s}",
+        ]
+        with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+            try:
+                with connect(process.stdout.readline().strip()) as client:
+                    client.sendall(FIRST)
+                    accepted, _ = listener.accept()
+                    with accepted:
+                        accepted.recv(1000)
+                        process.send_signal(signal.SIGTERM)
+                        time.sleep(stop_s / 10)
+                        process.send_signal(signal.SIGSTOP)
+                        time.sleep(stop_s)
+                        accepted.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+                        process.send_signal(signal.SIGCONT)
+                        assert split(read_all(client)) == [(200, b"ok")]
+            finally:
+                process.kill()
+
+
+# The log of a stop didn't tell how many connections were still open at their end.
+def test_the_line_of_the_end_of_a_port_tells_how_many_connections_were_open():
+    slow = SlowServer()
+    with connect(slow.address) as client, connect(slow.address):
+        client.sendall(FIRST)
+        assert slow.entered.wait(STOP_S)
+        processes.wait_until(lambda: len(slow.server.connections) == 2, "both are accepted")
+        with logbook.TestHandler().applicationbound() as log:
+            slow.server.stop(0.0)
+    assert [record.message for record in log.records if "cuts off 1 running" in record.message] == [
+        "the server 'test' stops and cuts off 1 running calls, of 2 open connections"
+    ]
+
+
+# After a pause of the process, a request was refused as late though all of it had arrived.
+def test_a_head_whose_rest_arrives_while_the_process_stands_still_is_not_late():
+    command = [sys.executable, "-m", "tests.test_util.plain_server", "2"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            with connect(process.stdout.readline().strip()) as client:
+                client.sendall(FIRST[:20])
+                time.sleep(0.2)
+                process.send_signal(signal.SIGSTOP)
+                time.sleep(0.05)
+                client.sendall(FIRST[20:])
+                time.sleep(2.2)  # Longer than a head may take.
+                process.send_signal(signal.SIGCONT)
+                assert client.recv(65536).endswith(b"ok")
+        finally:
+            process.kill()
