Give the model of claims more examples to find its planted faults

The limit is 10,000 now; the search ends with the first find. The assertion, the model and the number of examples of the model itself are unchanged.

--- a/tests/test_callers/test_claims_fleet_kill.py
+++ b/tests/test_callers/test_claims_fleet_kill.py
@@ -139,5 +139,5 @@
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(
             FleetKillMachine,
-            settings=test_claims_safety.settings(2000, (hypothesis.Phase.generate,)),
+            settings=test_claims_safety.settings(10_000, (hypothesis.Phase.generate,)),
         )
