--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -139,7 +139,8 @@
     ),
     "answer-memory": Reason(
         "the upstream's answer was given up while it was read, as all answers that were being read "
-        "held more than 'limits.answers_bytes', and those of this upstream the most",
+        "held more than 'limits.answers_bytes', or all that the node holds for others more than "
+        "'limits.held_bytes', and the answers of this upstream the most",
         "look at what the upstream sends: its answers are long, or have no end; raise "
         "'limits.answers_bytes' if they are as they should be",
     ),
--- a/tests/test_util/test_httpd_memory.py
+++ b/tests/test_util/test_httpd_memory.py
@@ -26,7 +26,6 @@
 HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % BODY
 CHUNKED = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n%x\r\n" % BODY
 SEED = 37
-TIMEOUT_S = 30
 
 
 @contextlib.contextmanager
