--- a/bench/quota_herd.py
+++ b/bench/quota_herd.py
@@ -7,7 +7,7 @@
 import random
 
 from bench import quota_refusals
-from bergamotridge.callers import quota_rates
+from bergamotridge.callers import read_pauses
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding
 from tests import quota_fleet
@@ -39,7 +39,7 @@
         self.reads: collections.Counter[int] = collections.Counter()
         self.writes: collections.Counter[int] = collections.Counter()
         self._pauses = {
-            host: quota_rates.ReadPauses(self._timings.adjust_s, self._rng)
+            host: read_pauses.ReadPauses(self._timings.adjust_s, self._rng)
             for host in self.fleet.processes
         }
         start = self.fleet.now
--- a/bench/quota_refusals.py
+++ b/bench/quota_refusals.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from bergamotridge.callers import bucket, quota_rates
+from bergamotridge.callers import bucket, read_pauses
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding
 from tests import quota_fleet
@@ -141,7 +141,7 @@
         )
         self._start = self._fleet.now
         self._draw_at = self._start
-        self._pauses = {host: quota_rates.ReadPauses(self._timings.adjust_s, rng) for host in hosts}
+        self._pauses = {host: read_pauses.ReadPauses(self._timings.adjust_s, rng) for host in hosts}
         self._adjust_at = {host: self._start + self._pauses[host].first_pause_s() for host in hosts}
         self._outage = False
 
--- a/bergamotridge/callers/quota_rates.py
+++ b/bergamotridge/callers/quota_rates.py
@@ -14,26 +14,26 @@
 import grpc
 import logbook
 
-from bergamotridge import errors, malformed
-from bergamotridge.callers import holder_choice, quota_drawer, quota_holder, rates, share_plans
+from bergamotridge import malformed
+from bergamotridge.callers import (
+    holder_choice,
+    quota_drawer,
+    quota_holder,
+    rates,
+    share_keeper,
+    share_plans,
+)
 from bergamotridge.nodes import holders, quota, quota_pb2, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, objects
-from bergamotridge.store import quota as quota_objects
 from bergamotridge.util import clock, loop
 
 DRAW_THREADS = 4
-MAX_BACKOFF_S = 4.0
 RECONFIGURE_INTERVAL_S = 0.5
 # Longest time for which a call waits until a holder has created its token. Callers of a team beyond
 # its rate are refused without delay.
 MAX_REFILL_WAIT_S = 0.1
 MIN_DRAW_PAUSE_S = 0.02  # Collects the settlements that become due at about the same time.
-SHARE_RETURN_INTERVAL_S = 0.1
-RETURN_RETRY_S = 0.5
-MAX_FIRST_PAUSE_S = 0.4  # Spreads the first reads of hosts that start at the same time.
-TEAMS_POLL_INTERVAL_S = 0.05
-MEAN_JOIN_PAUSE_S = 1.0  # Between two reads while this host has yet to join or leave a quota.
 _log = logbook.Logger("quota")
 
 
@@ -56,32 +56,6 @@
     draw_timeout_s: float = 0.25
 
 
-class ReadPauses:
-    """Pauses between reads of the quota objects, with jitter that spreads the hosts' reads."""
-
-    def __init__(self, interval_s: float, rng: random.Random) -> None:
-        """Creates pauses of `interval_s` seconds on average while reads succeed."""
-        self._interval_s = interval_s
-        self._rng = rng
-        self._pause_s = interval_s
-
-    def first_pause_s(self) -> float:
-        """Returns the pause before the first read, in seconds."""
-        return min(MAX_FIRST_PAUSE_S, self._interval_s) * self._rng.random()
-
-    def next_pause_s(self, failed: bool) -> float:
-        """Returns the pause before the next read, in seconds; it doubles while reads fail."""
-        self._pause_s = min(MAX_BACKOFF_S, 2.0 * self._pause_s) if failed else self._interval_s
-        return self._pause_s * (0.5 + self._rng.random())
-
-    def next_join_pause_s(self) -> float:
-        """Returns the pause before the next read while a share is to be taken or given up.
-
-        Hosts that learn of a change together would else read in step, and their writes conflict.
-        """
-        return MEAN_JOIN_PAUSE_S * self._rng.uniform(0.5, 1.5)
-
-
 class QuotaRates:
     """Team rates of one node of a fleet.
 
@@ -117,8 +91,6 @@
             on_malformed: Called with a report of each quota object that cannot be read.
         """
         self._restored_epoch = restored_epoch
-        self._teams_at_restoration: frozenset[str] = frozenset()
-        self._restoration_noticed = threading.Event()
         self._on_malformed = on_malformed
         self._host = host
         self._incarnation = incarnation
@@ -144,12 +116,15 @@
             self._settings.groups,
             self._settings.timings.join_after_s,
         )
-        self._planner = share_plans.SharePlanner(self._choice)
+        self._keeper = share_keeper.ShareKeeper(
+            share_plans.SharePlanner(self._choice),
+            teams,
+            self._settings.timings,
+            self._clock,
+            self._rng,
+            on_malformed,
+        )
         self._stopping = threading.Event()
-        self._leaving = threading.Event()
-        self._return_deadline = float("inf")
-        # Set when the share loop has to look at the shares before its pause has ended.
-        self._shares_due = threading.Event()
         self._loop_executor = futures.ThreadPoolExecutor(2, "quota")
         self._send_executor = futures.ThreadPoolExecutor(DRAW_THREADS, "quota-draw")
 
@@ -173,14 +148,12 @@
             self._on_malformed,
             self._teams,
         )
-        self._loop_executor.submit(self._run_share_loop)
+        self._loop_executor.submit(self._keeper.run, self._holder)
         self._loop_executor.submit(self._run_draw_loop)
 
     def handle_restoration(self) -> None:
         """Makes the shares be written again soon, as the platform's store was restored."""
-        self._teams_at_restoration = frozenset(self._teams())
-        self._restoration_noticed.set()
-        self._shares_due.set()
+        self._keeper.handle_restoration()
 
     def start_return(self) -> None:
         """Starts to return shares to the platform in the background; draws continue.
@@ -188,8 +161,8 @@
         The return takes as long as the platform needs for its answers, and is tried again until
         `stop` while the platform fails.
         """
-        self._end_share_loop()
-        self._loop_executor.submit(self._keep_returning_shares)
+        self._keeper.end()
+        self._loop_executor.submit(self._keeper.keep_returning)
 
     def stop(self, limit_s: float = float("inf")) -> None:
         """Returns drawn tokens and shares as far as possible in a few seconds.
@@ -198,28 +171,24 @@
             limit_s: Time in seconds after which no request to the platform begins; one that is
                 under way then is not waited for.
         """
-        self._end_share_loop()
-        self._return_deadline = self._clock() + limit_s
+        deadline = self._clock() + limit_s
+        self._keeper.stop(deadline)
         self._stopping.set()
         with self._lock:
             self._drawer.return_all()
             draws = self._drawer.plan_draws(self._members_by_host(), self._clock())
             self._draw_needed.notify_all()
             self._wake_waiting_calls()
-        self._wait([self._send_executor.submit(self._send_draw, draw) for draw in draws])
-        self._wait([self._loop_executor.submit(self._return_shares)])
+        self._wait([self._send_executor.submit(self._send_draw, draw) for draw in draws], deadline)
+        self._wait([self._loop_executor.submit(self._keeper.return_all)], deadline)
         self._loop_executor.shutdown(wait=False)
         self._send_executor.shutdown(wait=False)
 
-    def _wait(self, ending: Sequence[futures.Future]) -> None:
+    def _wait(self, ending: Sequence[futures.Future], deadline: float) -> None:
         """Waits for the last work of the stop, until its deadline at most."""
-        left_s = max(0.0, self._return_deadline - self._clock())
+        left_s = max(0.0, deadline - self._clock())
         futures.wait(ending, None if math.isinf(left_s) else left_s)
 
-    def _end_share_loop(self) -> None:
-        self._leaving.set()
-        self._shares_due.set()
-
     def shares(self) -> dict[str, float]:
         """Returns the fraction of the quota that this host may use now, by team."""
         return self._holder.shares(self._clock()) if self._holder else {}
@@ -307,7 +276,7 @@
         if not self._choice.update(teams, self._members(), now):
             return
         if self._choice.teams_to_hold() != held_before:
-            self._shares_due.set()
+            self._keeper.look_soon()
         self._drawer.configure(teams, self._choice.by_team, now)
 
     def _run_draw_loop(self) -> None:
@@ -347,92 +316,3 @@
         with self._lock:
             self._drawer.apply_response(draw, response, self._clock())
             self._wake_waiting_calls()
-
-    def _run_share_loop(self) -> None:
-        pauses = ReadPauses(self._settings.timings.adjust_s, self._rng)
-        predecessor_teams: Sequence[str] | None = None
-        self._wait_for_teams()
-        self._leaving.wait(pauses.first_pause_s())
-        while not self._leaving.is_set():
-            failed = False
-            try:
-                if predecessor_teams is None:
-                    predecessor_teams = self._holder.find_predecessor_teams()
-                self._adjust_shares(predecessor_teams)
-            except errors.PlatformError as error:
-                _log.warning("quota shares not adjusted: {}", error)
-                failed = True
-            except Exception:
-                _log.exception("adjusting the quota shares failed unexpectedly and is retried")
-                failed = True
-            pause_s = pauses.next_pause_s(failed)
-            reads_sooner = self._has_pending_share_change() and not failed
-            self._shares_due.wait(pauses.next_join_pause_s() if reads_sooner else pause_s)
-            self._shares_due.clear()
-            if self._restoration_noticed.is_set():
-                self._restoration_noticed.clear()
-                self._leaving.wait(pauses.first_pause_s())
-
-    def _wait_for_teams(self) -> None:
-        """Waits for the first configuration.
-
-        A read before it could change no share and would only delay the next read.
-        """
-        while not self._teams() and not self._leaving.wait(TEAMS_POLL_INTERVAL_S):
-            pass
-
-    def _has_pending_share_change(self) -> bool:
-        """Returns whether this host still has to join or leave a quota, by the shares last read.
-
-        True while the teams are not loaded.
-        """
-        teams = self._teams()
-        if not teams or self._holder.has_unwritten_shares():
-            return True
-        shares = self._holder.shares(self._clock())
-        return self._planner.has_pending_change(teams, shares)
-
-    def _adjust_shares(self, predecessor_teams: Sequence[str]) -> None:
-        now, teams, held_teams = self._clock(), self._teams(), self._holder.held_teams()
-        planned = self._planner.plan(teams, held_teams, predecessor_teams, now)
-        for group, plans in planned.items():
-            try:
-                self._holder.adjust(group, plans, self._teams_known_at_restoration(group))
-            except errors.MalformedObjectError as error:
-                # The teams of the other groups do not depend on it.
-                self._on_malformed(malformed.MalformedEntry(quota_objects.KIND, group, error))
-
-    def _teams_known_at_restoration(self, group: str) -> Sequence[str]:
-        """Returns the teams of a group that may have had holders before the latest restoration.
-
-        A process that has started since then may not know of some, and counts all that it knows.
-        """
-        names = self._teams_at_restoration or self._teams()
-        return self._planner.of_group(names, group)
-
-    def _keep_returning_shares(self) -> None:
-        while not self._return_shares() and not self._stopping.wait(RETURN_RETRY_S):
-            pass
-
-    def _return_shares(self) -> bool:
-        """Returns shares until none is held, the platform fails, or all loans have expired.
-
-        Returns False if the platform failed.
-        """
-        started_at = self._clock()
-        deadline = started_at + 2.0 * self._settings.timings.loan_s
-        try:
-            while self._holder is not None and self._clock() < min(deadline, self._return_deadline):
-                plans = self._planner.plan_return(self._holder.held_teams())
-                if not plans:
-                    break
-                for group, group_plans in plans.items():
-                    if self._clock() < self._return_deadline:
-                        known_teams = self._teams_known_at_restoration(group)
-                        self._holder.adjust(group, group_plans, known_teams)
-                threading.Event().wait(SHARE_RETURN_INTERVAL_S)
-        except errors.PlatformError as error:
-            _log.warning("quota shares not returned: {}", error)
-            return False
-        _log.info("return of quota shares ended after {:.3f} s", self._clock() - started_at)
-        return True
--- a/tests/test_callers/test_quota_many_teams.py
+++ b/tests/test_callers/test_quota_many_teams.py
@@ -9,7 +9,7 @@
 import attrs
 import pytest
 
-from bergamotridge.callers import quota_drawer, quota_holder, quota_rates
+from bergamotridge.callers import quota_drawer, quota_holder, quota_rates, read_pauses
 from bergamotridge.nodes import holders, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, quota
@@ -73,7 +73,7 @@
         self.processes = {host: self._start(host) for host in self.hosts}
         self.most_held_parts = 0.0
         for host in self.hosts:
-            pauses = quota_rates.ReadPauses(TIMINGS.adjust_s, self.rng)
+            pauses = read_pauses.ReadPauses(TIMINGS.adjust_s, self.rng)
             self.at(pauses.first_pause_s(), self._adjust, host, pauses)
         self.at(CHECK_S, self._check_parts)
 
--- a/tests/test_callers/test_quota_rates.py
+++ b/tests/test_callers/test_quota_rates.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bergamotridge import errors, malformed
-from bergamotridge.callers import quota_rates
+from bergamotridge.callers import quota_rates, read_pauses
 from bergamotridge.nodes import control, quota, record
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding
@@ -140,9 +140,9 @@
 # Nodes that had started together read the quota objects within milliseconds of each other, once a
 # second, and almost half of their writes conflicted.
 def test_hosts_that_start_together_do_not_read_in_step_until_they_have_joined():
-    pauses = [quota_rates.ReadPauses(5.0, random.Random(seed)) for seed in range(16)]
+    pauses = [read_pauses.ReadPauses(5.0, random.Random(seed)) for seed in range(16)]
     times = sorted(sum(item.next_join_pause_s() for _ in range(3)) for item in pauses)
-    assert times[-1] <= 3 * 1.5 * quota_rates.MEAN_JOIN_PAUSE_S
+    assert times[-1] <= 3 * 1.5 * read_pauses.MEAN_JOIN_PAUSE_S
     assert times[-1] - times[0] > 0.5
     assert max(sum(at <= other < at + 0.05 for other in times) for at in times) <= 4
 
