Let a freeze of the soak hit the process that the step stops, no older one

Traced: the step froze both processes of a machine; the older one had got its SIGTERM 3.5 s before, stood still until 5.90 s after it (grace is 6), and ended 0.02 s later with what had arrived meanwhile. docs/soak.md says that a freeze ends 5.2 s after SIGTERM, as a later one leaves no time and can't be accused (the machine wasn't in touch); that held for the latest process only.

--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -275,8 +275,9 @@
         return self._machines[number - 1].pause(pauses.share_out(share, period_s))
 
     async def freeze(self, number: int, after_s: float, for_s: float) -> None:
-        """Freezes the nodes of machine `number` once, after some time."""
-        pauser = self._machines[number - 1].pause([(after_s, for_s)])
+        """Freezes the latest node of machine `number` once, after some time."""
+        item = self._machines[number - 1]
+        pauser = item.pause([(after_s, for_s)], item.process)
         await asyncio.sleep(after_s + for_s)
         await asyncio.to_thread(pauser.join)
 
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -118,14 +118,20 @@
             os.waitid(os.P_PID, process.popen.pid, os.WEXITED | os.WNOWAIT)
         process.gone_at = self._rows.happen("process gone", self.number, f"{process.popen.pid}")
 
-    def pause(self, chosen: pauses.Pauses) -> pauses.Pauser:
-        """Begins to freeze the processes of this machine and to let them go on."""
-        pauser = pauses.Pauser(self._rows, self.number, self._list_pids)
+    def pause(self, chosen: pauses.Pauses, only: Process | None = None) -> pauses.Pauser:
+        """Begins to freeze processes and to let them go on.
+
+        Args:
+            chosen: When they run and stand still.
+            only: The process, all of this machine if None.
+        """
+        pauser = pauses.Pauser(self._rows, self.number, lambda: self._list_pids(only))
         pauser.start(chosen)
         return pauser
 
-    def _list_pids(self) -> list[int]:
-        return [item.popen.pid for item in self._processes if item.gone_at is None]
+    def _list_pids(self, only: Process | None) -> list[int]:
+        items = self._processes if only is None else [only]
+        return [item.popen.pid for item in items if item.gone_at is None]
 
     async def _watch(self, process: Process) -> None:
         code = await process.popen.wait()
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -49,4 +49,4 @@
         """Leaves the nodes of machine `number` a share of the time, until the pauser is ended."""
 
     async def freeze(self, number: int, after_s: float, for_s: float) -> None:
-        """Freezes the nodes of machine `number` once, after some time."""
+        """Freezes the latest node of machine `number` once, after some time."""
