Try connections again at an upstream that was lost for a moment

What callers saw: an upstream had refused a connection, so that its bound was known, and was then lost for a moment (its heartbeats came late). Once it was ready again, calls above the bound waited until their deadlines, all of them if the bound was 0, though the upstream had room. Cause: a trial that came due while no upstream was ready ended the chain of trials, which only a further refusal began anew; the bound outlives a loss of the same upstream. Change: while a bound is known and no trial can be made, the next one is scheduled after the pause. The test of it failed before (the call got no answer in 5 s), and passes now.

--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -90,6 +90,11 @@
             return None
         return min(total, self._compute_need())
 
+    @property
+    def has_connection_bound(self) -> bool:
+        """True while the upstream counts as one that refuses connections."""
+        return self._connection_bound.next_trial is not None
+
     def record_refused_connection(self, open_connections: int, now: float) -> None:
         """Takes in that the upstream refused a connection beside so many open ones."""
         self._connection_bound.record_refusal(open_connections, now)
--- a/bergamotridge/upstreams/connection_trials.py
+++ b/bergamotridge/upstreams/connection_trials.py
@@ -47,6 +47,12 @@
         total = self._gate.next_trial
         if total is not None:
             self._trial = asyncio.get_running_loop().create_task(self._try(total))
+        elif self._gate.has_connection_bound:
+            # The upstream is not ready; trials go on once it is.
+            self._schedule(PAUSE_S)
+
+    def _schedule(self, delay_s: float) -> None:
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._start)
 
     async def _try(self, total: int) -> None:
         """Tries to have `total` connections open, and schedules the next trial."""
@@ -65,5 +71,4 @@
                 self._address,
                 accepted,
             )
-        event_loop = asyncio.get_running_loop()
-        self._timer = event_loop.call_later(0.0 if is_whole else PAUSE_S, self._start)
+        self._schedule(0.0 if is_whole else PAUSE_S)
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -152,6 +152,12 @@
         with self._lock:
             return self._admission.next_trial
 
+    @property
+    def has_connection_bound(self) -> bool:
+        """True while the upstream counts as one that refuses connections."""
+        with self._lock:
+            return self._admission.has_connection_bound
+
     def record_refused_connection(self, open_connections: int, now: float) -> None:
         """Takes in that the upstream refused a connection beside so many open ones."""
         with self._lock:
--- a/tests/test_upstreams/test_connection_trials.py
+++ b/tests/test_upstreams/test_connection_trials.py
@@ -96,3 +96,28 @@
         pools.close()
 
     event_loop.run(asyncio.wait_for(run(), 60))
+
+
+def announce(upstream, state, sequence):
+    told = attrs.evolve(upstream.announcement, state=state, sequence=sequence)
+    assert upstream.apply_announcement(told, time.monotonic())
+
+
+# Calls to an upstream that had been lost for a moment waited for ever for a bound of before.
+def test_trials_go_on_once_an_upstream_that_was_lost_is_ready_again(monkeypatch):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 0.01)
+
+    async def run():
+        server = BoundedServer(0)
+        upstream, _, pools = await start_upstream(server)
+        refused = await start_call(upstream)
+        announce(upstream, record.State.LOST, 1)
+        await asyncio.sleep(2 * connection_trials.SETTLE_S)
+        server.bound = SLOTS
+        server.released.set()
+        announce(upstream, record.State.READY, 2)
+        answered = await asyncio.wait_for(start_call(upstream), 5)
+        assert (refused.reason, answered.verdict) == ("upstream-failed", verdict.Verdict.RUN)
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
