Count no connection of a trial that was refused during it

What callers saw: at an upstream that accepts fewer connections than its text says, a second round of calls was cut off (may-have-run) after the first, as the bound had risen again. Cause: a trial begins with the first of several refusals and took all connections that were open then for accepted. With 6 calls and 2 accepted connections the bound was 5 after it, in place of 2. Change: where a trial shows a bound, it is no higher than the fewest connections beside which a call was refused during the trial. A trial in which all stayed open disproves the bound as before.

--- a/bergamotridge/upstreams/connection_trials.py
+++ b/bergamotridge/upstreams/connection_trials.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from bergamotridge.upstreams import gate
+from bergamotridge.upstreams import connection_bound, gate
 from bergamotridge.util import http_client
 
 PAUSE_S = 0.5  # Between trials while the upstream refuses more connections.
@@ -28,6 +28,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._trial: asyncio.Task | None = None
         self._is_reported = False
+        # Connections beside the refused ones of the present trial, where fewest were open.
+        self._fewest_open = connection_bound.UNBOUNDED_CONNECTIONS
 
     def record_refusal(self, address: str, open_connections: int) -> None:
         """Takes in that the upstream refused a connection.
@@ -37,6 +39,7 @@
             open_connections: Connections that were open beside the refused one.
         """
         self._address = address
+        self._fewest_open = min(self._fewest_open, open_connections)
         self._gate.record_refused_connection(open_connections, time.monotonic())
         if self._timer is None and self._trial is None:
             self._is_reported = False
@@ -57,11 +60,15 @@
     async def _try(self, total: int) -> None:
         """Tries to have `total` connections open, and schedules the next trial."""
         pool = self._pools.pool_for(self._address)
+        self._fewest_open = connection_bound.UNBOUNDED_CONNECTIONS
         try:
             accepted = await pool.try_connections(total, SETTLE_S)
         finally:
             self._trial = None
         is_whole = accepted >= total
+        if not is_whole:
+            # Calls whose connections were open as the trial began may have been refused since.
+            accepted = min(accepted, self._fewest_open)
         self._gate.record_trial(accepted, is_whole, time.monotonic())
         if not is_whole and not self._is_reported:
             self._is_reported = True
--- a/tests/test_upstreams/test_connection_trials.py
+++ b/tests/test_upstreams/test_connection_trials.py
@@ -121,3 +121,21 @@
         pools.close()
 
     event_loop.run(asyncio.wait_for(run(), 60))
+
+
+# A trial that began among the refusals took connections for accepted that were refused during it.
+def test_a_trial_counts_no_connection_that_was_refused_meanwhile(monkeypatch):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 30.0)
+
+    async def run():
+        server = BoundedServer(2)
+        upstream, admission, pools = await start_upstream(server)
+        calls = [start_call(upstream) for _ in range(6)]
+        await wait_until(lambda: server.held == 2 and server.refused >= 4)
+        await asyncio.sleep(2 * connection_trials.SETTLE_S)
+        assert admission.report(time.monotonic()).limit == 2
+        server.released.set()
+        await asyncio.gather(*calls)
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
