Let calls wait for a trial of connections, in place of one more connection

What callers saw: a call within the known bound of its upstream was cut off (502, may-have-run, or a refusal) though the upstream had room. Cause: in a trial the new connections take all the room that the upstream has for 0.2 s, and aren't used before. A call without an idle connection opened one more, which the upstream refused. Change: such a call waits for the end of the trial, 0.5 s at most, and takes a connection of it. The test of it failed before (not-run, upstream-failed), and passes now.

--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -23,6 +23,7 @@
 )
 
 CONNECT_TIMEOUT_S = 0.3
+MAX_TRIAL_WAIT_S = 0.5  # For the connections of a trial, in place of a new one.
 REFUSAL_S = 0.25  # A server ends a connection that it refuses within this time.
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
@@ -122,6 +123,7 @@
         factory=collections.deque, init=False
     )
     _used: int = attrs.field(default=0, init=False)
+    _trial_end: asyncio.Future | None = attrs.field(default=None, init=False)
 
     @property
     def open_connections(self) -> int:
@@ -153,11 +155,15 @@
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + timeout_s
         connection = self._take_idle_connection(event_loop.time())
+        if connection is None and self._trial_end is not None:
+            # A new connection might be refused as those of the trial have its room.
+            await asyncio.wait({self._trial_end}, timeout=min(MAX_TRIAL_WAIT_S, timeout_s))
+            connection = self._take_idle_connection(event_loop.time())
         reused = connection is not None
         self._used += 1
         try:
             if connection is None:
-                connection = await self._connect(event_loop, timeout_s)
+                connection = await self._connect(event_loop, deadline - event_loop.time())
             opened_at = event_loop.time()
             try:
                 _check_usable(connection, token)
@@ -319,14 +325,19 @@
         event_loop = asyncio.get_running_loop()
         missing = range(self.open_connections, total)
         opened = []
-        with contextlib.suppress(TransferError):
-            for _ in missing:
-                opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
-        await asyncio.sleep(settle_s)
-        accepted = [connection for connection in opened if not connection.ended]
-        for connection in accepted:
-            connection.idle_until = event_loop.time() + connection.reader.idle_s
-        self._idle.extend(accepted)
+        trial_end = self._trial_end = event_loop.create_future()
+        try:
+            with contextlib.suppress(TransferError):
+                for _ in missing:
+                    opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
+            await asyncio.sleep(settle_s)
+        finally:
+            accepted = [connection for connection in opened if not connection.ended]
+            for connection in accepted:
+                connection.idle_until = event_loop.time() + connection.reader.idle_s
+            self._idle.extend(accepted)
+            self._trial_end = None
+            trial_end.set_result(None)
         return total - len(missing) + len(accepted)
 
     def close(self) -> None:
--- a/tests/test_upstreams/test_connection_trials.py
+++ b/tests/test_upstreams/test_connection_trials.py
@@ -139,3 +139,22 @@
         pools.close()
 
     event_loop.run(asyncio.wait_for(run(), 60))
+
+
+# A call within the bound was cut off as the connections of a trial had taken its room.
+def test_a_call_within_the_bound_waits_for_the_connections_of_a_trial(monkeypatch):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 0.05)
+
+    async def run():
+        server = BoundedServer(2)
+        upstream, _, pools = await start_upstream(server)
+        pool = pools.pool_for(upstream.announcement.address)
+        trial = asyncio.create_task(pool.try_connections(4, connection_trials.SETTLE_S))
+        await wait_until(lambda: server.refused == 2)
+        call_in_trial = start_call(upstream)
+        server.released.set()
+        assert (await call_in_trial).verdict is verdict.Verdict.RUN
+        assert await trial == 2
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
