Count no connection of a trial whose end waits to be read

What callers saw: calls were cut off (502, may-have-run) at an upstream that was known to refuse further connections. Cause: in a process that stood still, the timer of a trial came due before the ends of the refused connections were read, so that they counted as accepted. Such a trial also disproves the bound, and refusals then count for nothing for 2 s. Change: a connection on which something waits to be read isn't taken for accepted. The test of it failed before in 3 of 3 runs (1 accepted in place of 0), and passes now.

--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -332,7 +332,7 @@
                     opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
             await asyncio.sleep(settle_s)
         finally:
-            accepted = [connection for connection in opened if not connection.ended]
+            accepted = [item for item in opened if not (item.ended or item.has_unread_input)]
             for connection in accepted:
                 connection.idle_until = event_loop.time() + connection.reader.idle_s
             self._idle.extend(accepted)
