Use a connection that opened while the process stood still

What callers saw: 503, not-run, of a call for which another connection was opened, although the server had accepted it: the process, or its loop, had stood still for 0.3 s meanwhile. Cause: the timer of the connection's opening came due before the loop learned that it was open. Change: once the time is over, the loop gets 0.02 s more to learn of it. A request whose own time is over by then isn't sent, as before. The task of the opening is waited for before its socket is closed.

--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -24,6 +24,7 @@
 
 CONNECT_TIMEOUT_S = 0.3
 MAX_TRIAL_WAIT_S = 0.5  # For the connections of a trial, in place of a new one.
+LATE_CONNECT_S = 0.02  # For the loop to learn of a connection after its time is over.
 REFUSAL_S = 0.25  # A server ends a connection that it refuses within this time.
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
@@ -79,8 +80,26 @@
     )
 
 
+async def _wait_for_connect(connecting: asyncio.Task, timeout_s: float) -> None:
+    """Waits until a connection is open; raises OSError, or TimeoutError after `timeout_s` seconds.
+
+    In a process that stood still, the time may be over before the loop learns of the connection.
+    """
+    try:
+        for wait_s in (max(0.0, timeout_s), LATE_CONNECT_S):
+            if not connecting.done():
+                await asyncio.wait({connecting}, timeout=wait_s)
+        if not connecting.done():
+            raise TimeoutError
+        connecting.result()
+    finally:
+        # The socket may be closed only once the loop has left it.
+        if connecting.cancel():
+            await asyncio.wait({connecting})
+
+
 def _check_usable(
-    connection: client_connection.Connection, token: cancellation.Token | None
+    connection: client_connection.Connection, is_late: bool, token: cancellation.Token | None
 ) -> None:
     """Raises TransferError if a request must not be sent on a connection any more."""
     if connection.ended:
@@ -88,10 +107,12 @@
             "the server closed the connection before the request was sent",
             verdict.Verdict.NOT_RUN,
         )
-    if token is not None and token.cancelled:
+    if is_late or (token is not None and token.cancelled):
         connection.abort()
         raise TransferError(
-            "nothing was sent: the call was cancelled while connecting", verdict.Verdict.NOT_RUN
+            "nothing was sent: the time limit passed or the call was cancelled while connecting",
+            verdict.Verdict.NOT_RUN,
+            timed_out=is_late,
         )
 
 
@@ -166,7 +187,7 @@
                 connection = await self._connect(event_loop, deadline - event_loop.time())
             opened_at = event_loop.time()
             try:
-                _check_usable(connection, token)
+                _check_usable(connection, opened_at >= deadline, token)
                 response = await self._exchange(connection, request, deadline, token, check, reused)
             except TransferError as error:
                 ended_soon = connection.ended_by_peer and event_loop.time() < opened_at + REFUSAL_S
@@ -285,8 +306,8 @@
         try:
             sock.setblocking(False)
             enable_tcp_keepalive(sock)
-            connecting = event_loop.sock_connect(sock, address.pair)
-            await asyncio.wait_for(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
+            connecting = event_loop.create_task(event_loop.sock_connect(sock, address.pair))
+            await _wait_for_connect(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
             _, connection = await event_loop.create_connection(
                 lambda: client_connection.Connection(
                     event_loop,
--- a/tests/test_util/test_pool_pauses.py
+++ b/tests/test_util/test_pool_pauses.py
@@ -45,3 +45,19 @@
             return await trial
 
     assert event_loop.run(run()) == 0
+
+
+# Calls were refused as no connection had opened in time, though all had before the loop went on.
+@pytest.mark.parametrize("turns", range(4))
+def test_a_connection_that_opened_while_the_loop_stood_still_is_used(listener, turns):
+    pool = create_pool(listener)
+
+    async def run():
+        opening = asyncio.create_task(pool.try_connections(1, 0.0))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        time.sleep(http_client.CONNECT_TIMEOUT_S + 0.1)
+        return await opening
+
+    assert event_loop.run(run()) == 1
+    event_loop.call(pool.close)
