Make no room in a full port by a head of which more has arrived

What callers saw: a connection that was reset without an answer, though the rest of the request had reached the node, as its loop was behind and the port was full. Cause: what has arrived is asked of idle connections only; of those with an incomplete head the oldest was closed, whatever waited to be read on it. Change: those are asked as well, 16 at most, the oldest first; if more has arrived on all of them, the new connection is refused. The test of it failed before (the connection with the rest of a head was closed), and passes now.

--- a/bergamotridge/util/connection_table.py
+++ b/bergamotridge/util/connection_table.py
@@ -1,6 +1,7 @@
 """Decides which connections of a server stay open when more come than it may have."""
 
 import enum
+import heapq
 import itertools
 from collections.abc import Iterator
 from typing import Protocol
@@ -10,7 +11,8 @@
 # A connection that was idle for less is probably about to be used: its client has just opened it,
 # or has just had an answer on it.
 MIN_IDLE_S = 0.5
-# Idle connections that are asked for what has arrived on them, to find one that can be closed.
+# Connections that are asked for what has arrived on them, to find an idle one or one with an
+# incomplete head that can be closed.
 MAX_ASKED = 16
 # A client that has been at one response for longer counts as slow.
 MAX_READING_S = 10.0
@@ -118,8 +120,9 @@
             if not item.has_arrived:
                 return Decision(item, Cause.IDLE)
         heads = [item for item in self._busy if item.head_started_at is not None]
-        if heads:
-            return Decision(min(heads, key=lambda item: item.head_started_at), Cause.HEAD)
+        for item in heapq.nsmallest(MAX_ASKED, heads, key=lambda item: item.head_started_at):
+            if not item.has_arrived:
+                return Decision(item, Cause.HEAD)
         slow_before = now - MAX_READING_S
         readers = [
             item
--- a/tests/test_util/test_connection_table.py
+++ b/tests/test_util/test_connection_table.py
@@ -68,6 +68,20 @@
     )
 
 
+# A request whose rest had arrived, but wasn't read yet, was reset to make room.
+def test_room_is_made_by_no_head_of_which_more_has_arrived():
+    table = connection_table.ConnectionTable(3)
+    heads = [Connection(0.0, has_arrived=True), Connection(2.0), Connection(1.0, has_arrived=True)]
+    for item in heads:
+        table.admit(item, 0.0)
+        table.mark_busy(item)
+    first, second = Connection(has_arrived=True), Connection()
+    assert table.admit(first, 3.0).turned_away is heads[1]
+    assert table.admit(second, 3.0) == connection_table.Decision(
+        second, connection_table.Cause.FULL
+    )
+
+
 # Connections that were kept without use shut all others out, those of the local upstream as well.
 def test_many_kept_connections_shut_out_no_new_one_and_cut_no_call():
     for seed in range(SEEDS):
