Ask the arbiter of suspects also for a call whose time is over

Cause: the time that such a call has left goes to the arbiter as an unsigned number. It was -3 ms, so that the message could not be built, and the error ended the handler with 500. Change: a call without time left is sent with 0. The test of it failed before (ValueError: Value out of range: -10), and passes now.

--- a/bergamotridge/nodes/suspect_sharing.py
+++ b/bergamotridge/nodes/suspect_sharing.py
@@ -293,7 +293,7 @@
             evidence = self._table.evidence(fingerprint)
         message = suspects_pb2.TrialRequest(
             evidence=suspect_messages.encode_evidence(evidence, now),
-            lifetime_ms=int(lifetime_s * suspect_messages.MILLIS_PER_S),
+            lifetime_ms=max(0, int(lifetime_s * suspect_messages.MILLIS_PER_S)),
         )
         try:
             reply = self._stub(address).RequestTrial(message, timeout=REQUEST_TIMEOUT_S)
--- a/tests/test_nodes/test_suspect_sharing.py
+++ b/tests/test_nodes/test_suspect_sharing.py
@@ -97,8 +97,8 @@
     event_loop.run(node.sharing.record_crash(evidence(node.sharing, *crash_ids, key=key)))
 
 
-def request(node, key=KEY):
-    return event_loop.run(node.sharing.request_trial(key, 5.0))
+def request(node, key=KEY, lifetime_s=5.0):
+    return event_loop.run(node.sharing.request_trial(key, lifetime_s))
 
 
 # A retry reached another host before the news of the crash did.
@@ -107,6 +107,13 @@
     assert [node.sharing.suspicion(KEY).crashes for node in fleet] == [1] * NODES
 
 
+# Calls whose time was over when the arbiter was asked ended with 500, as if they might have run.
+def test_an_arbiter_can_be_asked_for_a_call_whose_time_is_over(fleet):
+    tell(fleet[0], 1)
+    rulings = [request(node, lifetime_s=-0.01).decision.ruling for node in fleet]
+    assert rulings[0] is trials.Ruling.TRIAL
+
+
 def test_all_nodes_ask_one_arbiter_which_grants_one_trial_at_a_time(fleet):
     tell(fleet[0], 1)
     granted = [request(node) for node in fleet]
