--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -23,6 +23,8 @@
 )
 
 CONNECT_TIMEOUT_S = 0.3
+MAX_TRIAL_WAIT_S = 0.5  # For the connections of a trial, in place of a new one.
+LATE_CONNECT_S = 0.02  # For the loop to learn of a connection after its time is over.
 REFUSAL_S = 0.25  # A server ends a connection that it refuses within this time.
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
@@ -78,8 +80,26 @@
     )
 
 
+async def _wait_for_connect(connecting: asyncio.Task, timeout_s: float) -> None:
+    """Waits until a connection is open; raises OSError, or TimeoutError after `timeout_s` seconds.
+
+    In a process that stood still, the time may be over before the loop learns of the connection.
+    """
+    try:
+        for wait_s in (max(0.0, timeout_s), LATE_CONNECT_S):
+            if not connecting.done():
+                await asyncio.wait({connecting}, timeout=wait_s)
+        if not connecting.done():
+            raise TimeoutError
+        connecting.result()
+    finally:
+        # The socket may be closed only once the loop has left it.
+        if connecting.cancel():
+            await asyncio.wait({connecting})
+
+
 def _check_usable(
-    connection: client_connection.Connection, token: cancellation.Token | None
+    connection: client_connection.Connection, is_late: bool, token: cancellation.Token | None
 ) -> None:
     """Raises TransferError if a request must not be sent on a connection any more."""
     if connection.ended:
@@ -87,10 +107,12 @@
             "the server closed the connection before the request was sent",
             verdict.Verdict.NOT_RUN,
         )
-    if token is not None and token.cancelled:
+    if is_late or (token is not None and token.cancelled):
         connection.abort()
         raise TransferError(
-            "nothing was sent: the call was cancelled while connecting", verdict.Verdict.NOT_RUN
+            "nothing was sent: the time limit passed or the call was cancelled while connecting",
+            verdict.Verdict.NOT_RUN,
+            timed_out=is_late,
         )
 
 
@@ -122,6 +144,7 @@
         factory=collections.deque, init=False
     )
     _used: int = attrs.field(default=0, init=False)
+    _trial_end: asyncio.Future | None = attrs.field(default=None, init=False)
 
     @property
     def open_connections(self) -> int:
@@ -153,14 +176,18 @@
         event_loop = asyncio.get_running_loop()
         deadline = event_loop.time() + timeout_s
         connection = self._take_idle_connection(event_loop.time())
+        if connection is None and self._trial_end is not None:
+            # A new connection might be refused as those of the trial have its room.
+            await asyncio.wait({self._trial_end}, timeout=min(MAX_TRIAL_WAIT_S, timeout_s))
+            connection = self._take_idle_connection(event_loop.time())
         reused = connection is not None
         self._used += 1
         try:
             if connection is None:
-                connection = await self._connect(event_loop, timeout_s)
+                connection = await self._connect(event_loop, deadline - event_loop.time())
             opened_at = event_loop.time()
             try:
-                _check_usable(connection, token)
+                _check_usable(connection, opened_at >= deadline, token)
                 response = await self._exchange(connection, request, deadline, token, check, reused)
             except TransferError as error:
                 ended_soon = connection.ended_by_peer and event_loop.time() < opened_at + REFUSAL_S
@@ -279,8 +306,8 @@
         try:
             sock.setblocking(False)
             enable_tcp_keepalive(sock)
-            connecting = event_loop.sock_connect(sock, address.pair)
-            await asyncio.wait_for(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
+            connecting = event_loop.create_task(event_loop.sock_connect(sock, address.pair))
+            await _wait_for_connect(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
             _, connection = await event_loop.create_connection(
                 lambda: client_connection.Connection(
                     event_loop,
@@ -319,14 +346,19 @@
         event_loop = asyncio.get_running_loop()
         missing = range(self.open_connections, total)
         opened = []
-        with contextlib.suppress(TransferError):
-            for _ in missing:
-                opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
-        await asyncio.sleep(settle_s)
-        accepted = [connection for connection in opened if not connection.ended]
-        for connection in accepted:
-            connection.idle_until = event_loop.time() + connection.reader.idle_s
-        self._idle.extend(accepted)
+        trial_end = self._trial_end = event_loop.create_future()
+        try:
+            with contextlib.suppress(TransferError):
+                for _ in missing:
+                    opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
+            await asyncio.sleep(settle_s)
+        finally:
+            accepted = [item for item in opened if not (item.ended or item.has_unread_input)]
+            for connection in accepted:
+                connection.idle_until = event_loop.time() + connection.reader.idle_s
+            self._idle.extend(accepted)
+            self._trial_end = None
+            trial_end.set_result(None)
         return total - len(missing) + len(accepted)
 
     def close(self) -> None:
--- a/tests/test_upstreams/test_connection_trials.py
+++ b/tests/test_upstreams/test_connection_trials.py
@@ -96,3 +96,65 @@
         pools.close()
 
     event_loop.run(asyncio.wait_for(run(), 60))
+
+
+def announce(upstream, state, sequence):
+    told = attrs.evolve(upstream.announcement, state=state, sequence=sequence)
+    assert upstream.apply_announcement(told, time.monotonic())
+
+
+# Calls to an upstream that had been lost for a moment waited for ever for a bound of before.
+def test_trials_go_on_once_an_upstream_that_was_lost_is_ready_again(monkeypatch):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 0.01)
+
+    async def run():
+        server = BoundedServer(0)
+        upstream, _, pools = await start_upstream(server)
+        refused = await start_call(upstream)
+        announce(upstream, record.State.LOST, 1)
+        await asyncio.sleep(2 * connection_trials.SETTLE_S)
+        server.bound = SLOTS
+        server.released.set()
+        announce(upstream, record.State.READY, 2)
+        answered = await asyncio.wait_for(start_call(upstream), 5)
+        assert (refused.reason, answered.verdict) == ("upstream-failed", verdict.Verdict.RUN)
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
+
+
+# A trial that began among the refusals took connections for accepted that were refused during it.
+def test_a_trial_counts_no_connection_that_was_refused_meanwhile(monkeypatch):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 30.0)
+
+    async def run():
+        server = BoundedServer(2)
+        upstream, admission, pools = await start_upstream(server)
+        calls = [start_call(upstream) for _ in range(6)]
+        await wait_until(lambda: server.held == 2 and server.refused >= 4)
+        await asyncio.sleep(2 * connection_trials.SETTLE_S)
+        assert admission.report(time.monotonic()).limit == 2
+        server.released.set()
+        await asyncio.gather(*calls)
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
+
+
+# A call within the bound was cut off as the connections of a trial had taken its room.
+def test_a_call_within_the_bound_waits_for_the_connections_of_a_trial(monkeypatch):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 0.05)
+
+    async def run():
+        server = BoundedServer(2)
+        upstream, _, pools = await start_upstream(server)
+        pool = pools.pool_for(upstream.announcement.address)
+        trial = asyncio.create_task(pool.try_connections(4, connection_trials.SETTLE_S))
+        await wait_until(lambda: server.refused == 2)
+        call_in_trial = start_call(upstream)
+        server.released.set()
+        assert (await call_in_trial).verdict is verdict.Verdict.RUN
+        assert await trial == 2
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
