soak of machines: see refusals in place of safe answers, and answers that never come

The rule LOST took only 502 and 504 for a node's own answer, so that a safe request at which its server was at work could get 503 in a stop without a finding; an end by the client's deadline was never a finding unless eight of them and a quarter outlasted the timeout. Now any own status from 300 counts, and each single request that was sent whole and gets no answer until 0.5 s past its route's timeout, for which the node ran. So that a client's deadline means that: it counts from the last byte (before, clients that send in pieces gave up before they had sent all). test_machine_timeout_checks asks its own check directly, as one of its cases is now a finding of the new one.

Result: the new cases of test_machine_checks (503, 429, 500, 404, 302) failed before.

--- /dev/null
+++ b/soak/machines/answer_checks.py
@@ -0,0 +1,47 @@
+"""Checks that each request that was sent whole is answered, or its connection ended."""
+
+from collections.abc import Iterator
+
+from soak.machines import findings, record
+
+LATE_S = 0.5  # After the timeout, for the node's own answer.
+NO_ANSWER = "no answer came"
+
+
+def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
+    """LOST: a client waits past the route's timeout, and its node gives no answer at all.
+
+    Excused: the node ran for less than `LATE_S` from the timeout on, or the stand-ins stood still
+    then. A client that reads slowly may still be at the body of its answer.
+    """
+    for item in rows.attempts:
+        if item.end != "timeout" or item.sent is None:
+            continue
+        if item.reads_slowly and item.head_at is not None:
+            continue
+        due = item.sent + item.timeout_s
+        ran_s = item.ended - due - _find_paused_s(rows, item.machine, due, item.ended)
+        if ran_s < LATE_S or rows.stood_still(due, item.ended):
+            continue
+        text = (
+            f"{item.id} {item.by}, {item.method} {item.path}: no answer"
+            f" {item.ended - item.sent:.2f} after the last byte, the timeout is {item.timeout_s},"
+            f" {item.got} bytes came"
+        )
+        yield findings.Finding("LOST", item.ended, item.machine, text, NO_ANSWER)
+
+
+def _find_paused_s(rows: record.Record, machine: int, begin: float, end: float) -> float:
+    """Returns for how many seconds from `begin` to `end` a process of a machine stood still."""
+    paused_s, since = 0.0, None
+    for item in sorted(rows.happenings, key=lambda item: item.at):
+        if item.machine != machine or item.what not in findings.FREEZES:
+            continue
+        if item.what == "SIGSTOP":
+            since = item.at if since is None else since
+        elif since is not None:
+            paused_s += max(0.0, min(item.at, end) - max(since, begin))
+            since = None
+    if since is not None:
+        paused_s += max(0.0, end - max(since, begin))
+    return paused_s
--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -5,6 +5,7 @@
 import itertools
 
 from soak.machines import (
+    answer_checks,
     ends,
     findings,
     record,
@@ -20,6 +21,7 @@
 AT_EXIT_S = 0.05
 AT_END_S = 0.1  # Between the end of a run and that of its request.
 REFUSALS = (408, 421, 429, 503)
+OWN_FAILURES_FROM = 300
 
 
 def find_broken(rows: record.Record) -> list[findings.Finding]:
@@ -29,6 +31,7 @@
         runs[run.id].append(run)
     found = [
         *_find_lost(rows, runs),
+        *answer_checks.find_broken(rows),
         *_find_untrue(rows, runs),
         *_find_late_runs(rows),
         *_find_exits(rows),
@@ -62,7 +65,7 @@
             was_read = item.end == "closed" or not ends.is_known_unread(item)
             is_lost = (is_late and was_read) or bool(at_server)
         else:
-            is_own = item.status in (502, 504) and not item.sealed and item.sent is not None
+            is_own = item.status >= OWN_FAILURES_FROM and not item.sealed and item.sent is not None
             is_own = is_own and item.ended < item.sent + item.timeout_s
             is_lost = is_own and stops.forbid_own_answer(begins, item)
             is_lost = is_lost and any(_is_at_work(run, item) for run in at_server)
--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -105,18 +105,20 @@
     ) -> list[record.Attempt]:
         """Sends requests one behind the other; reads the answers."""
         attempts = [self._make_attempt(job, by, machine, service) for job in jobs]
-        now = self._rows.now()
-        deadline_s = max(job.kind.deadline_ms for job in jobs) / shape.MS_PER_S
-        deadline_s += max(max(0.0, (job.last_at or now) - now) for job in jobs)
+        patience_s = max(job.kind.deadline_ms for job in jobs) / shape.MS_PER_S + LAST_ANSWER_S
+        sending_s = sum(
+            self._plan_sending(attempt, job) for attempt, job in zip(attempts, jobs, strict=True)
+        )
         for attempt in attempts:
             attempt.alone = len(jobs) == 1
         self._rows.attempts += attempts
         answers = asyncio.create_task(self._read_answers(attempts))
         looks = asyncio.create_task(self._look(attempts))
         try:
-            async with asyncio.timeout(deadline_s + LAST_ANSWER_S):
+            async with asyncio.timeout(sending_s + patience_s) as limit:
                 for attempt, job in zip(attempts, jobs, strict=True):
                     await self._send(attempt, job, answers)
+                limit.reschedule(asyncio.get_running_loop().time() + patience_s)
                 await answers
         except TimeoutError:
             self._fail(attempts, "timeout", "")
@@ -147,6 +149,12 @@
         size = 0 if is_empty else self._style.body or round(job.kind.request_bytes)
         return wire.content(request_id, size)
 
+    def _plan_sending(self, attempt: record.Attempt, job: Job) -> float:
+        """Returns how long the pauses of a request take, in seconds."""
+        if job.last_at is not None:
+            return max(0.0, job.last_at - self._rows.now())
+        return sum(pause_s for _, pause_s in self._cut(attempt, job))
+
     async def _send(self, attempt: record.Attempt, job: Job, answers: asyncio.Task) -> None:
         attempt.began = self._rows.now()
         pieces = self._cut(attempt, job)
--- /dev/null
+++ b/tests/test_soak/test_machine_answer_checks.py
@@ -0,0 +1,73 @@
+"""The check on answers that never come finds planted faults, and none that it excuses."""
+
+import pytest
+
+from soak.machines import checks, record, wire
+
+SENT, TIMEOUT_S, PATIENCE_S = 10.0, 2.0, 3.0
+
+
+def make_rows(**changed):
+    """Returns the record of one request that its client has given up."""
+    rows = record.Record()
+    item = record.Attempt(
+        "1a", "kept", 1, "alpha", "GET", "/s/5/8/length/0", wire.digest(b""), True,
+        connected=SENT, began=SENT, sent=SENT, ended=SENT + PATIENCE_S, end="timeout",
+        timeout_s=TIMEOUT_S,
+    )  # fmt: skip
+    for name, value in changed.items():
+        setattr(item, name, value)
+    rows.attempts.append(item)
+    return rows
+
+
+def find(rows):
+    return [(finding.rule, finding.kind) for finding in checks.find_broken(rows)]
+
+
+LOST = [("LOST", "no answer came")]
+
+
+# A node that reads a request and never answers it passed for a client that was in a hurry.
+def test_a_single_request_that_is_never_answered_is_found():
+    assert find(make_rows()) == LOST
+
+
+@pytest.mark.parametrize(
+    ("found", "seen"),
+    [
+        (LOST, {"head_at": SENT + 1.0}),
+        (LOST, {"reads_slowly": True}),
+        ([], {"reads_slowly": True, "head_at": SENT + 1.0}),
+        ([], {"sent": None}),
+        ([], {"ended": SENT + TIMEOUT_S + 0.4}),
+        ([], {"end": "gave up"}),
+    ],
+)
+def test_a_client_that_does_not_wait_long_enough_finds_nothing(found, seen):
+    assert find(make_rows(**seen)) == found
+
+
+@pytest.mark.parametrize(
+    ("found", "machine", "begin", "end"),
+    [
+        (LOST, 1, SENT - 2.0, SENT + TIMEOUT_S),
+        (LOST, 1, SENT + 1.0, SENT + TIMEOUT_S + 0.4),
+        ([], 1, SENT + 1.0, SENT + TIMEOUT_S + 0.6),
+        ([], 1, SENT + TIMEOUT_S, None),
+        (LOST, 2, SENT, None),
+    ],
+)
+def test_a_node_that_stands_still_past_the_timeout_is_excused(found, machine, begin, end):
+    rows = make_rows()
+    rows.happenings.append(record.Happening(begin, "SIGSTOP", machine, "7"))
+    if end is not None:
+        rows.happenings.append(record.Happening(end, "SIGCONT", machine, "7"))
+    assert find(rows) == found
+
+
+@pytest.mark.parametrize(("begin", "found"), [(SENT, LOST), (SENT + TIMEOUT_S, [])])
+def test_stand_ins_that_stand_still_past_the_timeout_find_nothing(begin, found):
+    rows = make_rows()
+    rows.stalls.append((begin, begin + 0.5))
+    assert find(rows) == found
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -136,6 +136,20 @@
     assert find_rules(happen(make_rows(status=502, sent=sent), *happenings)) == rules
 
 
+# A node that stops refuses a request at which a server is at work: 503 passed for harmless if the
+# request may be repeated.
+@pytest.mark.parametrize("status", [302, 404, 429, 500, 502, 503, 504])
+@pytest.mark.parametrize(("sealed", "rules"), [(False, ["LOST"]), (True, [])])
+def test_any_own_answer_in_a_stop_in_place_of_a_safe_answer_is_found(status, sealed, rules):
+    rows = make_rows(status=status, safe=True, sealed=sealed)
+    assert find_rules(happen(rows, (9.5, "SIGTERM", 1, "7"))) == rules
+
+
+def test_an_own_answer_to_a_safe_request_that_no_server_ran_is_no_loss():
+    rows = make_rows(status=503, safe=True, runs=0)
+    assert find_rules(happen(rows, (9.5, "SIGTERM", 1, "7"))) == []
+
+
 # A server that gives up at the deadline it was told hides that the node cut its time.
 @pytest.mark.parametrize(("ended", "rules"), [(10.45, ["LOST"]), (10.3, [])])
 def test_a_run_that_gives_up_as_the_node_answers_was_at_work(ended, rules):
--- a/tests/test_soak/test_machine_timeout_checks.py
+++ b/tests/test_soak/test_machine_timeout_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.machines import checks, record, wire
+from soak.machines import record, timeout_checks, wire
 
 TIMEOUT_S = 2.0
 AT = 10.0
@@ -22,7 +22,7 @@
 
 
 def count_found(rows):
-    found = checks.find_broken(rows)
+    found = list(timeout_checks.find_broken(rows))
     assert {finding.rule for finding in found} <= {"CONFIG"}
     return len(found)
 
