soak of machines: an answer that is whole after the request has ended was not given up

It now asks what was whole when the request ended; the new case failed before, and two more hold that a run that ended until then is found, also with the reason deadline.

--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -23,7 +23,7 @@
         if item.status != 502 or item.sealed:
             continue
         at_server = runs[item.id]
-        was_whole = any(run.status == 200 and not run.fault for run in at_server)
+        was_whole = any(_is_whole_before(run, item.ended) for run in at_server)
         was_unsent = not at_server and item.text.startswith(NODE_REASONS)
         if not (was_whole or was_unsent) or _is_excused(rows, item, at_server):
             continue
@@ -32,6 +32,11 @@
         yield findings.Finding("GIVEN UP", item.ended, item.machine, text, what)
 
 
+def _is_whole_before(run: record.Run, at: float) -> bool:
+    """Returns True if a sound server had sent its whole answer by then."""
+    return run.status == 200 and not run.fault and (run.ended is None or run.ended <= at)
+
+
 def _is_excused(rows: record.Record, item: record.Attempt, at_server: list[record.Run]) -> bool:
     machines = {item.machine, *(run.machine for run in at_server)}
     begin, end = item.began - AROUND_S, item.ended + AROUND_S
--- a/tests/test_soak/test_machine_far_checks.py
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -9,7 +9,9 @@
 AT, TOOK_S = 10.0, 0.4
 
 
-def make_rows(text="node-failed\n", status=502, run_status=None, fault="", machine=2):
+def make_rows(
+    text="node-failed\n", status=502, run_status=None, fault="", machine=2, run_ended=AT + 0.3
+):
     """Returns a request of machine 1, and its run at another one unless `run_status` is None."""
     rows = record.Record()
     path = "/u/5/8/length/0"
@@ -20,7 +22,7 @@
     rows.attempts.append(item)
     if run_status is not None:
         run = record.Run("1a", "i-2", machine, AT, "PUT", path, "", "alpha", fault=fault)
-        run.status = run_status
+        run.status, run.ended = run_status, run_ended
         rows.runs.append(run)
     return rows
 
@@ -40,6 +42,10 @@
         (make_rows("upstream-failed\n", run_status=200), 1),
         (make_rows(run_status=200, fault="answer ends early"), 0),
         (make_rows(run_status=0), 0),
+        (make_rows("deadline\n", run_status=200), 1),
+        (make_rows("deadline\n", run_status=200, run_ended=AT + TOOK_S), 1),
+        # The server answered after the node had given up at the route's timeout.
+        (make_rows("deadline\n", run_status=200, run_ended=AT + TOOK_S + 0.01), 0),
         (make_rows(status=503), 0),
     ],
 )
