--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -20,6 +20,7 @@
     findings,
     fleet,
     machine,
+    planted_node,
     record,
     shape,
 )
@@ -36,6 +37,7 @@
     of: shape.Shape | None = None,
     tree: pathlib.Path = machine.OWN_TREE,
     starving: tuple[float, float] | None = None,
+    planted: str = "",
 ) -> tuple[record.Record, list[findings.Finding]]:
     """Carries out a plan; logs and records are written to `folder`.
 
@@ -45,9 +47,10 @@
         of: Shape of the fleet; the one named ``any`` if None.
         tree: Work tree of the nodes, which may be that of an earlier landing.
         starving: The share of time for which all nodes run, and the seconds of a turn.
+        planted: A fault of all nodes, see `planted_node`.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    running = fleet.Fleet(plan, of or shape.load("any"), folder.resolve(), tree, starving)
+    running = fleet.Fleet(plan, of or shape.load("any"), folder.resolve(), tree, starving, planted)
     asyncio.run(running.run())
     found = [*checks.find_broken(running.rows), *far_checks.find_broken(running.rows)]
     (folder / "plan").write_text("\n".join(plan.to_lines()) + "\n", encoding="utf-8")
@@ -86,6 +89,12 @@
     )
 
 
+def count_planted(folder: pathlib.Path) -> int:
+    """Returns how often a planted fault has acted, from the logs of the nodes."""
+    logs = (path.read_text(encoding="utf-8", errors="replace") for path in folder.glob("*.log"))
+    return sum(log.count(planted_node.ACTED) for log in logs)
+
+
 def _find_longest_stop(rows: record.Record) -> float:
     """Returns the longest time in seconds from a first SIGTERM to the end of its process."""
     told: dict[str, float] = {}
@@ -112,6 +121,7 @@
     flags.DEFINE_list(
         "starving", [], "share of time for which all nodes run, and the seconds of a turn"
     )
+    flags.DEFINE_string("planted", "", "a fault of all nodes, WAY:PORT:MOMENT:SHARE")
     flags.DEFINE_string("tree", str(machine.OWN_TREE), "work tree whose nodes are started")
     flags.DEFINE_bool("plan", False, "print the plans instead of carrying them out")
     flags.DEFINE_bool("keep", False, "keep the logs of all seeds")
@@ -122,8 +132,9 @@
     shutil.rmtree(folder, ignore_errors=True)
     tree = pathlib.Path(flags.FLAGS.tree).resolve()
     starving = tuple(float(value) for value in flags.FLAGS.starving) or None
-    rows, found = run_plan(plan, folder, of, tree, starving)
-    print(f"seed {plan.seed}: {len(found)} findings; {count(rows)}", flush=True)
+    rows, found = run_plan(plan, folder, of, tree, starving, flags.FLAGS.planted)
+    acted = f" planted {count_planted(folder)} times;" if flags.FLAGS.planted else ""
+    print(f"seed {plan.seed}: {len(found)} findings;{acted} {count(rows)}", flush=True)
     by_rule, by_kind = collections.Counter(), collections.Counter()
     report = []
     for finding in found:
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -74,15 +74,17 @@
         folder: pathlib.Path,
         tree: pathlib.Path,
         starving: tuple[float, float] | None = None,
+        planted: str = "",
     ) -> None:
         """Prepares a fleet of the shape `of`, with the nodes of the work tree `tree`.
 
         Once all are ready, `starving` leaves them a share of the time, in turns of so many seconds.
+        All nodes have the fault `planted`, see `planted_node`.
         """
         self.size, self._starving = plan.machines, starving
         self.rows = record.Record()
         self.shape, self.held = of, access.make(of)
-        self._plan, self._folder, self._tree = plan, folder, tree
+        self._plan, self._folder, self._tree, self._planted = plan, folder, tree, planted
         self._store = store.Store(self.rows)
         self._machines: list[machine.Machine] = []
         self._tasks: list[asyncio.Task] = []
@@ -123,7 +125,7 @@
         for number in range(1, self._plan.machines + 1):
             item = machine.Machine(self.rows, number, network, self._folder, address, self._tree)
             item.service = self.shape.services[number % len(self.shape.services)].name
-            item.max_fds = self.shape.max_fds
+            item.max_fds, item.planted = self.shape.max_fds, self._planted
             self._machines.append(item)
             await self._start_machine(item)
         deadline = self.rows.now() + READY_S
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from soak.machines import pauses, record, server, shape, wire
+from soak.machines import pauses, planted_node, record, server, shape, wire
 
 OWN_TREE = pathlib.Path(__file__).resolve().parents[2]
 OUTBOUND_PORT, READY_PORT = 8548, 8546
@@ -46,7 +46,11 @@
 
 
 class Machine:
-    """One machine: its node's processes, its server, and their address."""
+    """One machine: its node's processes, its server, and their address.
+
+    Attributes:
+        planted: A fault of its nodes as `planted_node` reads it, empty for none.
+    """
 
     def __init__(
         self,
@@ -62,6 +66,7 @@
         self.outbound = f"{self.ip}:{OUTBOUND_PORT}"
         self.service = ""
         self.max_fds = shape.MAX_FDS
+        self.planted = ""
         self.server: server.Server | None = None
         self.process: Process | None = None
         self.replaces = False  # True while a scenario sees to the next start.
@@ -95,9 +100,13 @@
             "PYTHONPATH": f"{_find_libraries(self._tree)}",
             "BERGAMOTRIDGE_CONFIG": f"{self._settings}",
         }
+        command = deploy["roles"]["node"]["run"].split()
+        if self.planted:
+            command[-1] = planted_node.__file__
+            own[planted_node.VARIABLE] = self.planted
         with (self._folder / f"node-{self.number}.log").open("ab") as log:
             popen = await asyncio.create_subprocess_exec(
-                *deploy["roles"]["node"]["run"].split(),
+                *command,
                 cwd=self._tree, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=kept | own,
             )  # fmt: skip
         return self.adopt(popen)
