Report calls that are overdue, and the age of the oldest call

A call that a node has read and never answers was logged nowhere, and no metric told of it: its client gave up, and on-call had nothing to find it by.

--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -16,6 +16,7 @@
     operator_withdrawal,
     port,
     quota_rates,
+    running_calls,
     shedding,
     shutdown,
     text_keys,
@@ -123,6 +124,8 @@
         lambda: _current_stamp(shared.log.clock),
         node_shutdown,
     )
+    running = running_calls.RunningCalls(shared.log)
+    shared.metrics.watch_calls(running.oldest_age_s)
     return CallerParts(
         shutdown=node_shutdown,
         team_rates=team_rates,
@@ -144,6 +147,7 @@
             dialect=caller_dialect,
             origin=service,
             node_shutdown=node_shutdown,
+            calls=running,
         ),
         withdrawal=_create_withdrawal(shared, store, tables, control),
         tasks=(
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -8,7 +8,15 @@
 import attrs
 
 from bergamotridge import answer, call, errors, events, headers, verdict
-from bergamotridge.callers import at_most_once, keys, rates, shedding, shutdown, tree_shedding
+from bergamotridge.callers import (
+    at_most_once,
+    keys,
+    rates,
+    running_calls,
+    shedding,
+    shutdown,
+    tree_shedding,
+)
 from bergamotridge.callers import dialect as caller_dialect
 from bergamotridge.nodes import call_graph, dispatch, routing
 from bergamotridge.operators import operator_text
@@ -80,12 +88,14 @@
         importance: Name of the call's class of importance, "" if it is not known yet.
         service: Service that the call goes to, "" if it is not known yet.
         error_text: Message of the error that ended the call, "" if there is none.
+        running: The call among those under way.
         runs_at_most_once: True if the call has an idempotency key and its route is not repeatable.
         target_s: Target latency of the route in seconds, 0.0 if it has none.
         configuration: Version of the operator's text that the call was matched against.
     """
 
     request_id: str
+    running: running_calls.RunningCall
     team: str = ""
     importance: str = ""
     service: str = ""
@@ -119,6 +129,7 @@
         origin: Service of this host's upstream, "" if unknown.
         rng: Source of randomness for the choice among a route's services.
         node_shutdown: Refuses calls that come too late in the planned stop of the node.
+        calls: The calls under way.
     """
 
     routes: Routes
@@ -136,16 +147,23 @@
     origin: str = ""
     rng: random.Random = attrs.field(factory=random.Random)
     node_shutdown: shutdown.Shutdown = attrs.field(factory=shutdown.Shutdown)
+    calls: running_calls.RunningCalls = attrs.field(
+        default=attrs.Factory(lambda self: running_calls.RunningCalls(self.log), takes_self=True)
+    )
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Returns the response to one call; a handler for `httpd.Server`."""
-        started = _received_at(request, time.monotonic())
-        progress = _Progress(self.dialect.request_id(request))
+        now = time.monotonic()
+        started = _received_at(request, now)
+        request_id = self.dialect.request_id(request)
+        progress = _Progress(request_id, self.calls.begin(request_id, request.path, started, now))
         try:
             result = await self._answer(progress, request, token)
         except errors.CallError as error:
             progress.error_text = str(error)
             result = answer.from_error(error)
+        finally:
+            self.calls.end(progress.running)
         now = time.monotonic()
         result.reason = self.node_shutdown.reason_of(result.reason, now)
         self._record_answer(progress, request, result, now - started)
@@ -254,6 +272,7 @@
             importance = team_settings.importance
         progress.importance = _IMPORTANCE_NAMES[importance]
         deadline = _received_at(request, now) + self._time_limit_s(route, request)
+        progress.running.deadline = deadline
         self.node_shutdown.check(progress.request_id, deadline, now)
         if is_nested_call:
             self.call_graph.record_call(self.origin, service)
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -6,6 +6,9 @@
     "call.failed": "A caller's call failed after it may have reached an upstream.",
     "call.held-back": "A call did not run since upstreams have crashed under requests like it.",
     "call.late": "A caller's call was answered later than its route's target.",
+    "call.overdue": (
+        "A caller's call has no answer although its time was over; reported once for each call."
+    ),
     "call.refused": "A caller's call was refused and did not run.",
     "call.retried": "A node sends a call again, to another upstream.",
     "call.revoked": "A running call was cancelled since upstreams crash under requests like it.",
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -3,6 +3,7 @@
 import collections
 import os
 import resource
+import time
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -106,6 +107,7 @@
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._ports: dict[str, connection_table.ConnectionTable] = {}
         self._memory = held_bytes.HeldBytes()
+        self._read_oldest_call_s: Callable[[float], float] = lambda now: 0.0
         self._register_gauges(registry)
 
     def count_answer(
@@ -149,6 +151,14 @@
         """Reports the connections of a port from now on."""
         self._ports[port] = connections
 
+    def watch_calls(self, read_oldest_age_s: Callable[[float], float]) -> None:
+        """Reports the age of the oldest call of a caller from now on.
+
+        Args:
+            read_oldest_age_s: Takes the monotonic time, and returns the age in seconds.
+        """
+        self._read_oldest_call_s = read_oldest_age_s
+
     def watch_memory(self, memory: held_bytes.HeldBytes) -> None:
         """Reports the bytes that the node holds for others from now on."""
         self._memory = memory
@@ -242,6 +252,11 @@
                 "Time since the start of the node.",
                 lambda: read_status().uptime_s,
             ),
+            (
+                "oldest_call_seconds",
+                "Time for which the oldest call of a caller has had no answer, 0 without calls.",
+                lambda: self._read_oldest_call_s(time.monotonic()),
+            ),
             ("cpu_seconds", "Processor time of this process.", _read_cpu_s),
             ("resident_memory_bytes", "Resident memory of this process.", _read_resident_bytes),
         )
