--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -6,12 +6,14 @@
 from soak.machines import ends, findings, record
 
 AROUND_S = 0.1
+BAD_GATEWAY, OWN_FAILURES_FROM = 502, 300
+CROSSING_S = 0.2  # An answer that becomes whole at the deadline may cross the node's own.
 LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut off what its server works on.
 NODE_REASONS = ("node-failed", "cancelled")
 
 
 def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
-    """GIVEN UP: a node's own 502 for a request whose answer was whole, or that reached no server.
+    """GIVEN UP: an own answer for a request whose answer was whole, or 502 if it reached no server.
 
     Excused: a machine of the request was killed, a server ended, or the last sixth of `grace` had
     begun at one of them. Those that reached no server count only if the reason is another node.
@@ -20,15 +22,18 @@
     for run in rows.runs:
         runs[run.id].append(run)
     for item in rows.attempts:
-        if item.status != 502 or item.sealed:
+        if item.status < OWN_FAILURES_FROM or item.sealed:
             continue
         at_server = runs[item.id]
-        was_whole = any(_is_whole_before(run, item.ended) for run in at_server)
+        by = item.ended - (0.0 if item.status == BAD_GATEWAY else CROSSING_S)
+        was_whole = any(_is_whole_before(run, by) for run in at_server)
         was_unsent = not at_server and item.text.startswith(NODE_REASONS)
+        was_unsent = was_unsent and item.status == BAD_GATEWAY
         if not (was_whole or was_unsent) or _is_excused(rows, item, at_server):
             continue
         what = "its answer was whole" if was_whole else "it reached no server"
-        text = f"{item.id} {item.by}, {item.method} {item.path}: 502 {item.text.strip()}, {what}"
+        own = f"{item.status} {item.text.strip()}"
+        text = f"{item.id} {item.by}, {item.method} {item.path}: {own}, {what}"
         yield findings.Finding("GIVEN UP", item.ended, item.machine, text, what)
 
 
--- a/tests/test_soak/test_machine_far_checks.py
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -47,6 +47,10 @@
         # The server answered after the node had given up at the route's timeout.
         (make_rows("deadline\n", run_status=200, run_ended=AT + TOOK_S + 0.01), 0),
         (make_rows(status=503), 0),
+        # An answer that was whole and is never passed on ends as 504 of the node's own.
+        (make_rows("deadline\n", status=504, run_status=200, run_ended=AT + 0.1), 1),
+        (make_rows("deadline\n", status=504, run_status=200, run_ended=AT + 0.3), 0),
+        (make_rows("shed\n", status=503, run_status=200, run_ended=AT + 0.1), 1),
     ],
 )
 def test_a_request_that_was_given_up_without_a_reason_is_found(rows, found):
