soak of machines: servers released, scaled and crashed for good, resets, cuts from the store, restoration, clock

The steps of leaves, kills and server faults, and the search for free addresses, move out of fleet.py (397 to about 340 lines).

What the checks excuse: CONFIG and DRAIN of a machine whose connections were reset, whose clock jumped, or that the store turned away, for 3 s after it; LOST only for a request on a connection that was itself reset. A machine that left for good no longer keeps a lower limit from ever binding: QUOTA was excused for the rest of the run before.

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -150,17 +150,19 @@
 def _find_late_runs(rows: record.Record) -> list[findings.Finding]:
     """DRAIN: a request runs later than `drain` after a confirmed leave; excuse: not in touch."""
     left = {item.detail: item for item in rows.happenings if item.what == "leave confirmed"}
-    store = findings.list_store_troubles(rows)
+    troubles = findings.list_store_troubles(rows)
     attempts = {item.id: item for item in rows.attempts}
     found = []
     for run in rows.runs:
         leave, item = left.get(run.server), attempts.get(run.id)
         if leave is None or item is None or run.at <= leave.at + DRAIN_S:
             continue
-        disturbed = findings.list_times(rows, item.machine, findings.DISTURBANCES)
+        whats = (*findings.DISTURBANCES, *findings.UNPLANNED)
+        disturbed = findings.list_times(rows, item.machine, whats)
         if any(item.began - findings.CONTACT_S <= at <= run.at for at in disturbed):
             continue
         own = item.machine == leave.machine
+        store = [*troubles, *findings.list_store_cuts(rows, item.machine)]
         if not own and any(
             a - findings.CONTACT_S <= run.at and item.began <= b + findings.CONTACT_S
             for a, b in store
--- a/soak/machines/client.py
+++ b/soak/machines/client.py
@@ -76,8 +76,9 @@
     """One connection to the node of a machine, for one request after another."""
 
     def __init__(self, rows: record.Record, address: str, style: Style) -> None:
-        self.open = False
-        self._rows, self._address, self._style = rows, address, style
+        self.open, self.address = False, address
+        self._torn = False
+        self._rows, self._style = rows, style
         self._reader = self._writer = None
         self._connected = 0.0
         self._written = self._answers = 0  # Bytes, and answers, on this connection.
@@ -87,11 +88,12 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 self._reader, self._writer = await wire.connect(
-                    self._address, self._style.read_pause_s > 0
+                    self.address, self._style.read_pause_s > 0
                 )
         except (OSError, TimeoutError):
             return False
         self.open, self._connected = True, self._rows.now()
+        self._rows.connections.add(self)
         return True
 
     def close(self) -> None:
@@ -100,6 +102,11 @@
         if self._writer is not None:
             self._writer.close()
 
+    def tear(self) -> None:
+        """Resets the connection, as a fault between the client and its node does."""
+        self.open, self._torn = False, True
+        wire.reset(self._writer)
+
     async def exchange(
         self, jobs: list[Job], by: str, machine: int, service: str
     ) -> list[record.Attempt]:
@@ -239,6 +246,7 @@
             attempt.text = message.body[:80].decode("latin-1")
 
     def _fail(self, attempts: list[record.Attempt], end: str, text: str) -> None:
+        end = "torn" if self._torn and end != "gave up" else end
         for attempt in attempts:
             if not attempt.end:
                 attempt.ended, attempt.text = self._rows.now(), text
--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -7,11 +7,16 @@
 
 from soak.machines import (
     server_faults,
+    steps_clock,
     steps_crowd,
     steps_far,
     steps_late,
+    steps_machines,
     steps_press,
+    steps_resets,
+    steps_servers,
     steps_starve,
+    steps_store,
     steps_teams,
 )
 
@@ -178,6 +183,38 @@
     return steps_starve.draw_freeze(rng, _draw_stop(rng, machines))
 
 
+def _draw_clock(rng: random.Random, machines: int) -> dict:
+    return steps_clock.draw(rng, _draw_rolling(rng, machines))
+
+
+def _draw_release(rng: random.Random, machines: int) -> dict:
+    return steps_machines.draw_release(rng, _draw_stop(rng, machines))
+
+
+def _draw_scale(rng: random.Random, machines: int) -> dict:
+    return steps_machines.draw_scale(rng, _draw_stop(rng, machines))
+
+
+def _draw_reuse(rng: random.Random, machines: int) -> dict:
+    return steps_machines.draw_reuse(rng, _draw_stop(rng, machines))
+
+
+def _draw_server_trouble(rng: random.Random, machines: int) -> dict:
+    return steps_servers.draw(rng, _draw_rolling(rng, machines))
+
+
+def _draw_reset(rng: random.Random, machines: int) -> dict:
+    return steps_resets.draw(rng, _draw_rolling(rng, machines))
+
+
+def _draw_store_cut(rng: random.Random, machines: int) -> dict:
+    return steps_store.draw_cut(rng, _draw_rolling(rng, machines))
+
+
+def _draw_store_history(rng: random.Random, machines: int) -> dict:
+    return steps_store.draw_history(rng, _draw_rolling(rng, machines))
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -197,4 +234,12 @@
     "crowd": (1, _draw_crowd),
     "starve": (2, _draw_starve),
     "freeze": (1, _draw_freeze),
+    steps_clock.KIND: (1.5, _draw_clock),
+    "release": (1.5, _draw_release),
+    "scale": (1.5, _draw_scale),
+    "reuse": (1.5, _draw_reuse),
+    "server trouble": (2, _draw_server_trouble),
+    "reset": (2, _draw_reset),
+    "store cut": (2, _draw_store_cut),
+    "store history": (1.5, _draw_store_history),
 }
--- a/soak/machines/ends.py
+++ b/soak/machines/ends.py
@@ -14,6 +14,7 @@
 BEHIND_LAST = "behind an answer that closes"
 DEADLINE = "client's deadline"
 CALLER_ENDED = "calling server ended"
+TORN = "reset from outside"
 OTHER = "other"
 
 
@@ -28,6 +29,8 @@
     """Returns how a request without an answer ended."""
     if item.end in ("timeout", "gave up"):
         return DEADLINE if item.end == "timeout" else CALLER_ENDED
+    if item.end == "torn":
+        return TORN
     if is_killed(rows, item):
         return KILLED if item.accepted else KILLED_BACKLOG
     if item.sent is None:
--- a/soak/machines/findings.py
+++ b/soak/machines/findings.py
@@ -8,6 +8,8 @@
 ENDS = ("SIGTERM", "SIGKILL", "node exits")
 DISTURBANCES = (*ENDS, "node starts")
 FREEZES = ("SIGSTOP", "SIGCONT")
+UNPLANNED = ("connections reset", "clock step")
+LEAVES = "machine leaves"
 
 
 @attrs.frozen
@@ -37,10 +39,18 @@
     return [(begin, next((at for at in ends if at >= begin), float("inf"))) for begin in begins]
 
 
+def list_store_cuts(rows: record.Record, machine: int) -> list[tuple[float, float]]:
+    """Returns from when until when the store turned a single machine away."""
+    begins = list_times(rows, machine, ("store cut",))
+    ends = list_times(rows, machine, ("store cut ends",))
+    return [(begin, next((at for at in ends if at >= begin), float("inf"))) for begin in begins]
+
+
 def is_in_touch(rows: record.Record, machine: int, begin: float, end: float) -> bool:
     """Returns True if a machine was in touch from `begin` to `end`."""
     since = begin - CONTACT_S
-    if any(first <= end and last >= since for first, last in list_store_troubles(rows)):
+    away = [*list_store_troubles(rows), *list_store_cuts(rows, machine)]
+    if any(first <= end and last >= since for first, last in away):
         return False
     of_machine = [item for item in rows.happenings if item.machine == machine and item.at <= end]
     disturbances = _without_own_ends(of_machine)
@@ -56,7 +66,7 @@
             ends_itself = True
         elif item.what == "node starts" and ends_itself:
             ends_itself = False
-        elif item.what in (*DISTURBANCES, *FREEZES):
+        elif item.what in (*DISTURBANCES, *FREEZES, *UNPLANNED):
             found.append(item)
     return found
 
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import pathlib
-import random
 import signal
-import socket
 
 from soak.machines import (
     access,
@@ -12,16 +10,22 @@
     configuration,
     draw,
     machine,
+    network,
     pauses,
     record,
     server,
-    server_faults,
     shape,
+    steps_clock,
     steps_crowd,
     steps_far,
     steps_late,
+    steps_leave,
+    steps_machines,
     steps_press,
+    steps_resets,
+    steps_servers,
     steps_starve,
+    steps_store,
     steps_teams,
     store,
 )
@@ -30,13 +34,24 @@
 SETTLE_S = 6.0
 BEAT_S, STALL_S = 0.05, 0.25
 VERSION_STEP = 3
-LAST_ANSWERS_S = 10.0
 EARLY_SIGNAL_S = 0.5  # The interpreter takes as long to start; see KNOWN-RED.txt on SIGHUP.
 
 
 STEPS = {
     "access": steps_teams.change_access,
+    steps_clock.KIND: steps_clock.jump,
     "crowd": steps_crowd.crowd,
+    "kill": steps_leave.kill,
+    "kill all": steps_leave.kill_all,
+    "leave": steps_leave.leave,
+    "server fault": steps_leave.disturb_server,
+    "release": steps_machines.release,
+    "scale": steps_machines.scale,
+    "reuse": steps_machines.reuse,
+    "server trouble": steps_servers.trouble,
+    "reset": steps_resets.reset,
+    "store cut": steps_store.cut,
+    "store history": steps_store.change_history,
     "far": steps_far.disturb,
     "give back": steps_teams.give_back,
     "late": steps_late.stop_late,
@@ -46,24 +61,6 @@
 }
 
 
-class NotReadyError(Exception):
-    """The fleet didn't come up."""
-
-
-def find_network(seed: int) -> str:
-    """Returns the first three numbers of loopback addresses whose ports are free."""
-    rng = random.Random(f"network {seed}")
-    for _ in range(50):
-        prefix = f"127.{rng.randrange(10, 250)}.{rng.randrange(10, 250)}"
-        try:
-            for last, port in ((1, machine.OUTBOUND_PORT), (200, store.PORT)):
-                socket.create_server((f"{prefix}.{last}", port)).close()
-        except OSError:
-            continue
-        return prefix
-    raise NotReadyError("no free loopback addresses")
-
-
 class Fleet:
     """The machines, the store, the clients and the scenarios that are under way."""
 
@@ -85,10 +82,11 @@
         self.rows = record.Record()
         self.shape, self.held = of, access.make(of)
         self._plan, self._folder, self._tree, self._planted = plan, folder, tree, planted
-        self._store = store.Store(self.rows)
-        self._machines: list[machine.Machine] = []
+        self.store = store.Store(self.rows)
+        self.machines: list[machine.Machine] = []
         self._tasks: list[asyncio.Task] = []
-        self._version = 0
+        self._has_clocks = any(step.kind == steps_clock.KIND for step in plan.steps)
+        self._version, self._network = 0, ""
 
     async def run(self) -> None:
         """Carries out the plan and ends all processes."""
@@ -105,7 +103,7 @@
             beats.cancel()
             for pauser in pausers:
                 pauser.end()
-            for item in self._machines:
+            for item in self.machines:
                 if item.process is not None and item.process.popen.returncode is None:
                     item.send(item.process, signal.SIGKILL)
                     await item.process.popen.wait()
@@ -119,29 +117,38 @@
                 self.rows.stalls.append((begin, self.rows.now()))
 
     async def _start(self) -> None:
-        network = find_network(self._plan.seed)
-        address = await self._store.start(f"{network}.200")
+        self._network = network.find(self._plan.seed)
         self.configure()
         for number in range(1, self._plan.machines + 1):
-            item = machine.Machine(self.rows, number, network, self._folder, address, self._tree)
-            item.service = self.shape.services[number % len(self.shape.services)].name
-            item.max_fds, item.planted = self.shape.max_fds, self._planted
-            self._machines.append(item)
-            await self._start_machine(item)
+            await self.add_machine(self.shape.services[number % len(self.shape.services)].name)
         deadline = self.rows.now() + READY_S
-        for item in self._machines:
+        for item in self.machines:
             while not await item.is_ready():
                 if self.rows.now() > deadline:
-                    raise NotReadyError(f"machine {item.number} is not ready")
+                    raise network.NotReadyError(f"machine {item.number} is not ready")
                 await asyncio.sleep(0.1)
         await asyncio.sleep(SETTLE_S)
 
-    async def _start_machine(self, item: machine.Machine) -> None:
+    async def add_machine(self, service: str) -> machine.Machine:
+        """Starts one more machine: its node, and a server of a service."""
+        number = len(self.machines) + 1
+        address = await self.store.listen(f"{self._network}.{network.STORE}", number)
+        item = machine.Machine(self.rows, number, self._network, self._folder, address, self._tree)
+        item.service, item.max_fds = service, self.shape.max_fds
+        item.planted, item.has_own_clock = self._planted, self._has_clocks
+        item.step_clock(0)
+        self.machines.append(item)
+        await self.start_node(item)
+        return item
+
+    async def start_node(self, item: machine.Machine) -> None:
+        """Starts a node with the machine's present service, and a server beside it."""
         item.write_settings()
         await item.start()
-        await self._start_server(item)
+        await self.start_server(item)
 
-    async def _start_server(self, item: machine.Machine) -> None:
+    async def start_server(self, item: machine.Machine) -> None:
+        """Starts the next server of a machine."""
         item.server = server.Server(self.rows, item, self.shape)
         await item.server.start()
 
@@ -150,7 +157,7 @@
         until = begin + self._plan.duration_s
         self.rows.happen("traffic begins")
         for index, (number, style) in enumerate(self._plan.clients):
-            self._send(self._machines[number - 1], style, f"{self._plan.seed} {index}", until)
+            self._send(self.machines[number - 1], style, f"{self._plan.seed} {index}", until)
         for step in self._plan.steps:
             await asyncio.sleep(max(0.0, begin + step.at - self.rows.now()))
             self.rows.happen(f"step {step.kind}", step.machine, f"{step.values}")
@@ -171,29 +178,22 @@
 
     async def _stop_all(self) -> None:
         self.rows.happen("the end: all nodes are told to stop")
-        for item in self._machines:
+        for item in self.machines:
             item.send(item.process, signal.SIGTERM)
-        await asyncio.gather(*(item.end(item.process) for item in self._machines))
-        for item in self._machines:
+        await asyncio.gather(*(item.end(item.process) for item in self.machines))
+        for item in self.machines:
             if not item.server.ended:
                 item.server.end()
 
     async def _carry_out(self, step: draw.Step) -> None:
-        item, values = self._machines[step.machine - 1], step.values
+        item, values = self.machines[step.machine - 1], step.values
         if step.kind in STEPS:
             await STEPS[step.kind](self, step.machine, values)
         elif step.kind in ("stop", "rolling"):
             await self.stop_several(step.machine, values)
-        elif step.kind in ("kill", "kill all"):
-            chosen = [item] if step.kind == "kill" else self._machines
-            await self._kill(chosen, values["pause"])
-        elif step.kind == "leave":
-            await self._leave(item, values)
-        elif step.kind == "server fault":
-            await self._disturb_server(item, values)
         elif step.kind == "both":
-            other = self._find_server(item, values["service"])
-            stops = (self._stop(item, values["asking"]), self._stop(other, values["asked"]))
+            other = self.find_server(item, values["service"])
+            stops = (self.stop(item, values["asking"]), self.stop(other, values["asked"]))
             await asyncio.gather(*stops)
         elif step.kind == "store":
             await self.trouble_store(values["trouble"], values["for"])
@@ -206,27 +206,27 @@
 
     def find_machine(self, number: int) -> machine.Machine:
         """Returns a machine by its number."""
-        return self._machines[number - 1]
+        return self.machines[number - 1]
 
     async def stop_several(self, number: int, values: dict) -> None:
         """Stops nodes as planned, from that of machine `number` on, and starts them again."""
         stops = []
-        for item in (self._machines[number - 1 :] + self._machines)[: values["count"]]:
-            stops.append(asyncio.create_task(self._stop(item, values)))
+        for item in (self.machines[number - 1 :] + self.machines)[: values["count"]]:
+            stops.append(asyncio.create_task(self.stop(item, values)))
             await asyncio.sleep(values["gap"])
         await asyncio.gather(*stops)
 
     async def trouble_store(self, trouble: str, for_s: float) -> None:
         """Troubles the store for some time."""
         self.rows.happen("store trouble", 0, trouble)
-        self._store.trouble = trouble
+        self.store.trouble = trouble
         await asyncio.sleep(for_s)
-        self._store.trouble = ""
+        self.store.trouble = ""
         self.rows.happen("store works again")
 
     async def reload(self, number: int, gaps: list[float]) -> None:
         """Sends SIGHUP to a node after each of the gaps."""
-        item = self._machines[number - 1]
+        item = self.machines[number - 1]
         for gap in gaps:
             await asyncio.sleep(gap)
             if self.rows.now() > item.process.started + EARLY_SIGNAL_S:
@@ -238,13 +238,13 @@
         added = self._plan.clients * (times - 1)
         for index, (number, style) in enumerate(added):
             seed = f"{self._plan.seed} press {begin} {index}"
-            self._send(self._machines[number - 1], style, seed, until)
+            self._send(self.machines[number - 1], style, seed, until)
         await asyncio.sleep(for_s)
 
     async def freeze_serving(self, number: int, after_s: float, for_s: float) -> None:
         """Lets the node of machine `number` stand still for some time, unless it stops."""
         await asyncio.sleep(after_s)
-        item = self._machines[number - 1]
+        item = self.machines[number - 1]
         if item.replaces:  # It stops, and has to be gone in time.
             return
         process, item.replaces = item.process, True
@@ -255,12 +255,13 @@
 
     def address_of(self, number: int) -> str:
         """Returns the address at which the node of machine `number` takes requests."""
-        return self._machines[number - 1].outbound
+        return self.machines[number - 1].outbound
 
     def list_askers(self, number: int) -> tuple[str, list[int]]:
         """Returns the service of machine `number`, and the machines that ask others for it."""
-        service = self._machines[number - 1].service
-        return service, [item.number for item in self._machines if item.service != service]
+        service = self.machines[number - 1].service
+        others = [item for item in self.machines if item.service != service]
+        return service, [item.number for item in others if not item.gone]
 
     def send_by(
         self, number: int, style: client.Style, seed: str, of: shape.Shape, for_s: float
@@ -268,22 +269,23 @@
         """Adds a client of machine `number` for some time, with requests of a shape."""
         until = self.rows.now() + for_s
         sending = client.send_steadily(
-            self.rows, self._machines[number - 1], style, f"{self._plan.seed} {seed}", of, until
+            self.rows, self.machines[number - 1], style, f"{self._plan.seed} {seed}", of, until
         )
         self._tasks.append(asyncio.create_task(sending))
 
     def starve(self, number: int, share: float, period_s: float) -> pauses.Pauser:
         """Leaves the nodes of machine `number` a share of the time, until the pauser is ended."""
-        return self._machines[number - 1].pause(pauses.share_out(share, period_s))
+        return self.machines[number - 1].pause(pauses.share_out(share, period_s))
 
     async def freeze(self, number: int, after_s: float, for_s: float) -> None:
         """Freezes the latest node of machine `number` once, after some time."""
-        item = self._machines[number - 1]
+        item = self.machines[number - 1]
         pauser = item.pause([(after_s, for_s)], item.process)
         await asyncio.sleep(after_s + for_s)
         await asyncio.to_thread(pauser.join)
 
-    def _draw_service(self, share: float) -> str:
+    def draw_service(self, share: float) -> str:
+        """Returns a service by its place, from 0 to 1."""
         return self.shape.services[int(share * len(self.shape.services))].name
 
     def configure(self, held: access.Access | None = None) -> None:
@@ -291,41 +293,17 @@
         self.held = held or self.held
         self._version += VERSION_STEP
         text = configuration.make(self.shape, self._version, self.held)
-        self._store.write("config", "main", text)
+        self.store.write("config", "main", text)
         at = self.rows.happen("configuration", 0, f"r{self._version}")
         self.rows.configurations.append(record.Configuration(at, self._version, self.held))
 
-    def _find_server(self, item: machine.Machine, share: float) -> machine.Machine:
+    def find_server(self, item: machine.Machine, share: float) -> machine.Machine:
         """Returns another machine whose server runs a drawn service, any other if there is none."""
-        others = [other for other in self._machines if other is not item]
-        service = self._draw_service(share)
+        others = [other for other in self.machines if other is not item]
+        service = self.draw_service(share)
         return next((other for other in others if other.service == service), others[0])
 
-    async def _disturb_server(self, item: machine.Machine, values: dict) -> None:
-        """A server has a fault while its node stops, or a node that asks it."""
-        other = self._find_server(item, values["service"])
-        stopping = {"own": (item,), "asking": (other,), "both": (item, other)}[values["stops"]]
-        stops = [asyncio.create_task(self._stop(node, values["stop"])) for node in stopping]
-        await asyncio.sleep(values["after"])
-        if values["fault"] == server_faults.REPLACED:
-            await self._replace_server(item, values["for"])
-        else:
-            faults = item.server.faults
-            await server_faults.put_in_force(
-                faults, values["fault"], values["share"], values["for"]
-            )
-        await asyncio.gather(*stops)
-
-    async def _replace_server(self, item: machine.Machine, pause_s: float) -> None:
-        """A server crashes, and the next one starts at its address."""
-        if item.server.ended:
-            return
-        item.server.end()
-        await asyncio.sleep(pause_s)
-        if item.server.ended:
-            await self._start_server(item)
-
-    async def _stop(self, item: machine.Machine, values: dict) -> None:
+    async def stop(self, item: machine.Machine, values: dict) -> None:
         """Stops a node as planned, with clients that come at that time, and starts the next."""
         if item.replaces or item.process.popen.returncode is not None:
             return
@@ -357,41 +335,3 @@
         for at, name in also:
             await asyncio.sleep(max(0.0, begin + at - self.rows.now()))
             item.send(process, signal.Signals[name])
-
-    async def _kill(self, items: list[machine.Machine], pause_s: float) -> None:
-        chosen = [item for item in items if not item.replaces]
-        for item in chosen:
-            item.replaces = True
-            item.send(item.process, signal.SIGKILL)
-        for item in chosen:
-            await item.process.popen.wait()
-        await asyncio.sleep(pause_s)
-        for item in chosen:
-            await item.start()
-
-    async def _leave(self, item: machine.Machine, values: dict) -> None:
-        """A server leaves; its address goes to a server of a drawn service, with a new node."""
-        if item.replaces or item.server.ended:
-            return
-        item.replaces = True
-        process, leaving = item.process, item.server
-        left = asyncio.create_task(leaving.leave(values["late"], values["more"], values["says"]))
-        if values["node"] == "killed early":
-            await asyncio.sleep(values["early"])
-            item.send(process, signal.SIGKILL)
-            await process.popen.wait()
-            process = await item.start()
-            item.replaces = True
-        await left
-        if values["node"] != "stays":
-            item.send(process, signal.SIGTERM)
-            await item.end(process)
-        await asyncio.sleep(values["pause"])
-        if values["node"] == "stays":
-            item.replaces = False
-        else:
-            if any(other.service == item.service for other in self._machines if other is not item):
-                item.service = self._draw_service(values["service"])
-            item.write_settings()
-            await item.start()
-        await self._start_server(item)
--- a/soak/machines/machine.py
+++ b/soak/machines/machine.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from soak.machines import pauses, planted_node, record, server, shape, wire
+from soak.machines import clocked_node, pauses, planted_node, record, server, shape, wire
 
 OWN_TREE = pathlib.Path(__file__).resolve().parents[2]
 OUTBOUND_PORT, READY_PORT = 8548, 8546
@@ -50,6 +50,7 @@
 
     Attributes:
         planted: A fault of its nodes as `planted_node` reads it, empty for none.
+        has_own_clock: True if its time of day can be stepped.
     """
 
     def __init__(
@@ -67,12 +68,15 @@
         self.service = ""
         self.max_fds = shape.MAX_FDS
         self.planted = ""
+        self.has_own_clock = False
         self.server: server.Server | None = None
         self.process: Process | None = None
         self.replaces = False  # True while a scenario sees to the next start.
+        self.gone = False  # True once it was taken away for good.
         self._processes: list[Process] = []
         self._rows, self._folder, self._store, self._tree = rows, folder, store, tree
         self._settings = self._folder / f"node-{number}.conf"
+        self._clock = self._folder / f"clock-{self.number}"
         self._watches: set[asyncio.Task] = set()
 
     def write_settings(self) -> None:
@@ -90,6 +94,10 @@
             encoding="utf-8",
         )
 
+    def step_clock(self, offset_ns: int) -> None:
+        """Sets what the time of day of its nodes is ahead of the true one."""
+        clocked_node.step(self._clock, offset_ns)
+
     async def start(self) -> Process:
         """Starts a process of the node, whether or not the one before it still runs."""
         deploy = tomllib.loads((self._tree / "deploy/system.toml").read_text(encoding="utf-8"))
@@ -104,6 +112,9 @@
         if self.planted:
             command[-1] = planted_node.__file__
             own[planted_node.VARIABLE] = self.planted
+        elif self.has_own_clock:
+            command[-1] = clocked_node.__file__
+            own[clocked_node.VARIABLE] = f"{self._clock}"
         with (self._folder / f"node-{self.number}.log").open("ab") as log:
             popen = await asyncio.create_subprocess_exec(
                 *command,
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+import weakref
 
 import attrs
 
@@ -18,7 +19,7 @@
         sent: When the last byte was sent.
         status: Status of the answer, 0 without a whole answer.
         end: ``answer``, ``closed``, ``reset``, ``timeout``, ``refused`` (no connection),
-            ``gave up`` (the calling server ended).
+            ``gave up`` (the calling server ended), ``torn`` (reset from outside).
         got: Bytes of the answer that came.
         alone: False if other requests were sent on the connection before its answer.
         reused: True if another request was answered on its connection before.
@@ -119,6 +120,7 @@
         self.happenings: list[Happening] = []
         self.configurations: list[Configuration] = []
         self.stalls: list[tuple[float, float]] = []  # When the stand-ins themselves stood still.
+        self.connections: weakref.WeakSet = weakref.WeakSet()  # Of all clients.
         self._numbers = itertools.count(1)
         self._start = time.monotonic()
 
--- a/soak/machines/scene.py
+++ b/soak/machines/scene.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from soak.machines import access, client, machine, pauses, record, shape
+from soak.machines import access, client, machine, pauses, record, shape, store
 
 
 class Scene(Protocol):
@@ -12,10 +12,30 @@
     shape: shape.Shape
     rows: record.Record
     size: int
+    machines: list[machine.Machine]
+    store: store.Store
 
     def find_machine(self, number: int) -> machine.Machine:
         """Returns a machine by its number."""
 
+    def find_server(self, item: machine.Machine, share: float) -> machine.Machine:
+        """Returns another machine whose server runs a drawn service, any other if there is none."""
+
+    def draw_service(self, share: float) -> str:
+        """Returns a service by its place, from 0 to 1."""
+
+    async def add_machine(self, service: str) -> machine.Machine:
+        """Starts one more machine: its node, and a server of a service."""
+
+    async def start_node(self, item: machine.Machine) -> None:
+        """Starts a node with the machine's present service, and a server beside it."""
+
+    async def start_server(self, item: machine.Machine) -> None:
+        """Starts the next server of a machine."""
+
+    async def stop(self, item: machine.Machine, values: dict) -> None:
+        """Stops a node as planned, with clients that come at that time, and starts the next."""
+
     def configure(self, held: access.Access | None = None) -> None:
         """Writes the next configuration, with other keys and limits if they are given."""
 
--- a/soak/machines/server.py
+++ b/soak/machines/server.py
@@ -12,6 +12,7 @@
 REPORT_S, AGAIN_S = 1.0, 0.2
 TRICKLE_PIECES = 6
 TRICKLE_PAUSE_S = 0.15
+CROSSING_S = 0.3  # For which an answer may be under way.
 
 
 class Server:
@@ -30,6 +31,8 @@
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._beats: asyncio.Task | None = None
+        self._latest: dict[asyncio.StreamWriter, record.Run] = {}
+        self._is_dark = False
 
     async def start(self) -> None:
         """Listens and begins to report."""
@@ -39,10 +42,29 @@
         self._beats = asyncio.create_task(self._beat())
         self._rows.happen("server starts", self._machine.number, self.id)
 
+    def go_dark(self) -> None:
+        """Crashes with its machine: connections stay open, but nothing more is said on them."""
+        self.ended = self._is_dark = True
+        self._rows.happen("server ends", self._machine.number, self.id)
+        self._beats.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    def reset_connections(self, rng: random.Random, share: float) -> None:
+        """Resets a share of its connections; answers that may be under way there are lost."""
+        for writer in list(self._writers):
+            if rng.random() >= share:
+                continue
+            run = self._latest.get(writer)
+            if run is not None and (run.ended is None or run.ended > self._rows.now() - CROSSING_S):
+                run.fault = server_faults.RESET
+            wire.reset(writer)
+
     def end(self) -> None:
         """Ends as a process does: its connections end with it."""
         self.ended = True
-        self._rows.happen("server ends", self._machine.number, self.id)
+        if not self._is_dark:
+            self._rows.happen("server ends", self._machine.number, self.id)
         self._beats.cancel()
         self._server.close()
         for task in self._tasks:
@@ -101,8 +123,10 @@
         if len(self._writers) >= self.faults.limit(self._service.connections):
             writer.transport.abort()
             return
-        self._tasks.add(task := asyncio.current_task())
         self._writers.add(writer)
+        if self._is_dark:
+            return
+        self._tasks.add(task := asyncio.current_task())
         try:
             while await self._serve_one(reader, writer):
                 pass
@@ -112,8 +136,10 @@
             self._rows.happen("server reads no request", self._machine.number, repr(error))
         finally:
             self._tasks.discard(task)
-            self._writers.discard(writer)
-            writer.close()
+            self._latest.pop(writer, None)
+            if not self._is_dark:
+                self._writers.discard(writer)
+                writer.close()
 
     async def _serve_one(self, reader, writer) -> bool:
         """Returns False if the connection is to end."""
@@ -150,7 +176,8 @@
                 start = "HTTP/1.1 200 OK" if self._state == "ready" else "HTTP/1.1 503 X"
                 writer.write(wire.encode(start, {"Instance-Id": self.id}))
                 return True
-            return await self._run(self._record_run(message, fault), fields, writer)
+            self._latest[writer] = run = self._record_run(message, fault)
+            return await self._run(run, fields, writer)
         finally:
             self._give_slot_back()
 
@@ -196,9 +223,11 @@
     async def _run_to_end(self, run: record.Run, fields: dict, writer) -> bool:
         _, kind, work_ms, size, mode, depth = run.path.split("/")
         left_s = int(fields.get("deadline-ms", 10_000)) / 1000
-        await asyncio.sleep(min(int(work_ms) / 1000, left_s))
+        work_s = self.faults.slow_down(int(work_ms) / shape.MS_PER_S)
+        await asyncio.sleep(min(work_s, left_s))
         good = await self._make_calls(self._shape.kind(kind), int(depth))
-        status = 504 if int(work_ms) / 1000 > left_s else 200 if good else 500
+        good &= not self.faults.draw_failure()
+        status = 504 if work_s > left_s else 200 if good else 500
         answer = {"Request-Id": run.id, "Response-Seal": f"s.{self.id}.{run.id}"}
         body = wire.content(run.id, int(size)) if status == 200 else b"failed"
         start = f"HTTP/1.1 {status} X"
--- a/soak/machines/server_faults.py
+++ b/soak/machines/server_faults.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import socket
-import struct
 
 import attrs
 
@@ -18,6 +16,8 @@
 IDLE_CLOSE = "idle connection closed as a request is sent"
 FEW_CONNECTIONS = "refusals at the bound of connections"
 REPLACED = "server replaced"
+SLOW = "slow"
+FAILS = "fails"
 
 OF_ANSWERS = (EARLY, TWICE, CUT, CUT_WITHOUT_LENGTH, RESET, CLOSE, IDLE_CLOSE)
 ALL = (*OF_ANSWERS, FEW_CONNECTIONS, REPLACED)
@@ -25,7 +25,7 @@
 
 IDLE_CLOSE_S = 0.05  # Idle connections are closed at a moment up to this time after an answer.
 LEAST_CONNECTIONS = 2
-_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+SLOWER_TIMES = 4.0
 
 
 @attrs.define
@@ -39,6 +39,15 @@
         """Draws the fault of one request; empty if its answer is to be sound."""
         return self.kind if self.kind in OF_ANSWERS and random.random() < self.share else ""
 
+    def draw_failure(self) -> bool:
+        """Draws whether a request fails; health checks don't."""
+        return self.kind == FAILS and random.random() < self.share
+
+    def slow_down(self, work_s: float) -> float:
+        """Returns how long a request takes whose work lasts `work_s` on a sound server."""
+        is_slow = self.kind == SLOW and random.random() < self.share
+        return work_s * SLOWER_TIMES if is_slow else work_s
+
     def limit(self, connections: int) -> int:
         """Returns how many connections the server accepts, which has a limit of `connections`."""
         return LEAST_CONNECTIONS if self.kind == FEW_CONNECTIONS else connections
@@ -66,20 +75,12 @@
         writer.write(head + body[: len(body) // 2])
         await writer.drain()
         await asyncio.sleep(random.uniform(0.0, IDLE_CLOSE_S))
-        reset(writer)
+        wire.reset(writer)
     else:
         writer.write(whole)
     await writer.drain()
     if fault == RESET:
-        reset(writer)
+        wire.reset(writer)
     if fault == IDLE_CLOSE:
         await asyncio.sleep(random.uniform(0.0, IDLE_CLOSE_S))
     return fault in (EARLY, TWICE)
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets a connection, so that what is still under way may not be read."""
-    sock = writer.get_extra_info("socket")
-    if not writer.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
-        writer.transport.abort()
--- a/soak/machines/team_checks.py
+++ b/soak/machines/team_checks.py
@@ -116,5 +116,6 @@
             for at in sorted(times)
             if at >= since and findings.is_in_touch(rows, machine, at, at)
         )
-        latest = max(latest, next(touched, float("inf")))
+        left = findings.list_times(rows, machine, (findings.LEAVES,))
+        latest = max(latest, min([next(touched, float("inf")), *left]))
     return latest
--- a/soak/machines/wire.py
+++ b/soak/machines/wire.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import socket
+import struct
 
 import attrs
 
@@ -12,6 +13,7 @@
 SMALL_BUFFER_BYTES = 8192
 HEAD_END = b"\r\n\r\n"
 WITHOUT_LENGTH = ("HEAD", "DELETE")  # If they have no body.
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class EndedError(Exception):
@@ -118,6 +120,14 @@
     return await asyncio.open_connection(sock=sock, limit=SMALL_BUFFER_BYTES if small else 2**16)
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection, so that what is still under way may not be read."""
+    sock = writer.get_extra_info("socket")
+    if not writer.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+        writer.transport.abort()
+
+
 def tell_end(writer: asyncio.StreamWriter) -> str:
     """Returns how the other side ended a connection: ``reset`` if it left bytes unread."""
     try:
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -50,6 +50,8 @@
         (["LOST"], {"status": 0, "end": "reset", "runs": 0, "looked": 10.05}),
         (["LOST"], {"status": 0, "end": "reset", "runs": 0, "looked": 10.4, "taken": 10.2}),
         ([], {"status": 0, "end": "reset", "runs": 0, "looked": 10.4}),
+        ([], {"status": 0, "end": "torn"}),
+        (["TWICE"], {"status": 0, "end": "torn", "runs": 2}),
         ([], {"status": 0, "end": "reset", "runs": 0, "ended": 10.25}),
         ([], {"status": 0, "end": "closed", "runs": 0, "ended": 10.25}),
         ([], {"status": 0, "end": "closed", "runs": 0, "sent": None}),
@@ -100,6 +102,19 @@
     assert find_rules(rows) == ["LOST"]
 
 
+# A machine whose connections are reset passes for one that may lose any request.
+def test_a_reset_excuses_no_request_on_another_connection():
+    rows = happen(make_rows(status=0, end="closed"), (10.3, "connections reset", 1, "clients"))
+    assert find_rules(rows) == ["LOST"]
+
+
+# A machine that the store turns away, or that leaves for good, passes for a broken one.
+@pytest.mark.parametrize("what", ["store cut", "machine leaves"])
+def test_neither_a_cut_from_the_store_nor_the_leave_of_a_machine_excuses_a_lost_request(what):
+    rows = happen(make_rows(status=0, end="closed"), (10.1, what, 1, ""), (10.1, what, 2, ""))
+    assert find_rules(rows) == ["LOST"]
+
+
 def test_a_kill_at_the_end_of_grace_excuses_no_request_of_the_stop():
     rows = happen(
         make_rows(status=0, end="reset", began=9.9),
@@ -188,6 +203,13 @@
                 (9.5, "store works again", 0, ""),
             ],
         ),
+        ([], [(8.0, "leave confirmed", 2, "i-2"), (9.0, "connections reset", 1, "store")]),
+        (["DRAIN"], [(8.0, "leave confirmed", 2, "i-2"), (9.0, "connections reset", 2, "store")]),
+        ([], [(8.0, "leave confirmed", 2, "i-2"), (9.0, "clock step", 1, "+2 s")]),
+        (["DRAIN"], [(8.0, "leave confirmed", 2, "i-2"), (9.0, "clock step", 2, "+2 s")]),
+        ([], [(8.0, "leave confirmed", 2, "i-2"), (9.0, "store cut", 1, "busy")]),
+        (["DRAIN"], [(8.0, "leave confirmed", 2, "i-2"), (9.0, "store cut", 2, "busy")]),
+        (["DRAIN"], [(8.0, "leave confirmed", 1, "i-2"), (9.0, "store cut", 1, "busy")]),
     ],
 )
 def test_a_run_too_late_after_a_leave_is_found_where_the_sender_was_in_touch(rules, happenings):
--- a/tests/test_soak/test_machine_team_checks.py
+++ b/tests/test_soak/test_machine_team_checks.py
@@ -11,6 +11,10 @@
 RESTART = [(9.0, "node starts", 1, "7")]
 WORKS = ("store works again", 0, "")
 OVERLAPPING = [(5.5, "store trouble", 0, "silent"), (6.0, "store trouble", 0, "loses")]
+CUT = [(9.0, "store cut", 1, "silent"), (9.5, "store cut ends", 1, "")]
+CUT_EARLIER = [(5.0, "store cut", 1, "busy"), (6.9, "store cut ends", 1, "")]
+RESET = [(9.0, "connections reset", 1, "store")]
+LEFT = [(0.2, "node starts", 3, "8"), (0.9, "SIGTERM", 3, "8")]
 SILENCE = [(9.0, "store trouble", 0, "silent"), (9.5, *WORKS)]
 
 
@@ -82,6 +86,15 @@
         ([], 8.1, []),
         ([], 7.9, RESTART),
         ([], 7.9, SILENCE),
+        ([], 7.9, CUT),
+        ([], 5.0, CUT[:1]),
+        (["CONFIG"], 7.9, [(at, what, 2, detail) for at, what, _, detail in CUT]),
+        (["CONFIG"], 5.0, CUT_EARLIER),
+        ([], 7.9, RESET),
+        (["CONFIG"], 7.9, [(9.0, "connections reset", 2, "store")]),
+        ([], 7.9, [(9.0, "clock step", 1, "+2 s")]),
+        (["CONFIG"], 7.9, [(9.0, "clock step", 2, "+2 s")]),
+        (["CONFIG"], 5.0, [(6.9, "connections reset", 1, "store")]),
         (["CONFIG"], 7.9, [(9.0, "SIGHUP", 1, "7")]),
         (["CONFIG"], 5.0, [(6.9, "node starts", 1, "7")]),
         (["CONFIG"], 7.9, [(9.0, "node starts", 2, "8")]),
@@ -154,6 +167,9 @@
         ([], 7.9, RESTART),
         ([], 7.9, [(9.0, "node starts", 3, "8")]),
         (["QUOTA"], 1.0, [(6.9, "node starts", 3, "8")]),
+        ([], 1.0, LEFT),
+        (["QUOTA"], 1.0, [*LEFT, (1.5, "machine leaves", 3, "")]),
+        ([], 1.0, [*LEFT, (10.5, "machine leaves", 3, "")]),
     ],
 )
 def test_a_lower_limit_binds_once_all_machines_were_in_touch(rules, lowered, happenings):
--- a/tests/test_soak/test_server_faults.py
+++ b/tests/test_soak/test_server_faults.py
@@ -69,6 +69,13 @@
     assert server_faults.Faults().limit(100) == 100
 
 
+def test_a_slow_server_works_longer_and_one_that_fails_spoils_no_bytes():
+    slow = server_faults.Faults(server_faults.SLOW, 1.0)
+    assert (slow.slow_down(1.0) > 1.0, slow.draw_failure(), slow.draw()) == (True, False, "")
+    failing = server_faults.Faults(server_faults.FAILS, 1.0)
+    assert (failing.slow_down(1.0), failing.draw_failure(), failing.draw()) == (1.0, True, "")
+
+
 def test_a_fault_ends_after_its_time():
     faults = server_faults.Faults()
     asyncio.run(server_faults.put_in_force(faults, server_faults.CUT, 1.0, 0.0))
