Let a stand-in end that is told to stop as it begins to wait for that

Cause: `StopSignal` kept the signal in a `threading.Event`. Its handler runs in the main thread between two lines of `Event.wait`, and for most of them that thread holds the lock that `Event.set` takes: both waited for good. Clients saw a stand-in (platform, upstream, relay, callers of the soak) that neither stopped nor closed its port.

Change: the signal goes through a `queue.SimpleQueue`, whose `put` may interrupt `get` in the same thread. The servers of two tests and the bare relay of bench/ had the same code and use `StopSignal` now; the relay takes it before it listens. The product keeps its signals in a thread of its own (process_signals).

--- a/bench/bare_relay.py
+++ b/bench/bare_relay.py
@@ -1,12 +1,11 @@
 """A relay without any policy, against which the cost of a node's own work is measured."""
 
-import signal
-import threading
 from collections.abc import Sequence
 
 from absl import app, flags
 
 from bergamotridge.util import cancellation, http_client, httpd, loop, message
+from standins import serving
 
 CONNECTIONS = 64
 BODY_LIMIT_BYTES = 1 << 20
@@ -38,10 +37,9 @@
         refusal=message.Response(503),
         event_loop=loop.Loop("calls"),
     )
+    stop_signal = serving.StopSignal()
     server.start()
-    stop_requested = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
-    stop_requested.wait()
+    stop_signal.wait()
     server.stop(0)
 
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,6 +2,7 @@
 
 import http.server
 import json
+import queue
 import select
 import signal
 import socketserver
@@ -93,10 +94,11 @@
 
     def __init__(self) -> None:
         """Installs the handlers; must be called in the main thread, before a port is opened."""
-        self._received = threading.Event()
+        # An event would be locked for good by a handler that runs while `wait` holds its lock.
+        self._received: queue.SimpleQueue[int] = queue.SimpleQueue()
         for signal_number in STOP_SIGNALS:
-            signal.signal(signal_number, lambda *_: self._received.set())
+            signal.signal(signal_number, lambda number, _: self._received.put(number))
 
     def wait(self) -> None:
-        """Blocks until one of the signals is received."""
-        self._received.wait()
+        """Blocks until one of the signals is received; to be called once."""
+        self._received.get()
--- a/tests/test_util/held_server.py
+++ b/tests/test_util/held_server.py
@@ -2,10 +2,9 @@
 
 import pathlib
 import re
-import signal
-import threading
 
 from bergamotridge.util import held_bytes, message, request_reader
+from standins import serving
 from tests.test_util.test_httpd import start_server
 
 MEMORY_BYTES = 300 * 1_048_576
@@ -28,8 +27,7 @@
 
 
 if __name__ == "__main__":
-    asked_to_stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: asked_to_stop.set())
+    stop_signal = serving.StopSignal()
     _, address = start_server(
         _answer,
         connections=1000,
@@ -37,4 +35,4 @@
         memory=held_bytes.HeldBytes(HELD_BYTES),
     )
     print(address, flush=True)
-    asked_to_stop.wait()
+    stop_signal.wait()
--- a/tests/test_util/plain_server.py
+++ b/tests/test_util/plain_server.py
@@ -3,11 +3,10 @@
 It answers requests itself, or passes them on to the upstream at the address of the second argument.
 """
 
-import signal
 import sys
-import threading
 
 from bergamotridge.util import http_client, message
+from standins import serving
 from tests.test_util.test_httpd import start_server
 
 STOP_S = 5.0
@@ -31,10 +30,9 @@
 
 
 if __name__ == "__main__":
-    asked_to_stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: asked_to_stop.set())
+    stop_signal = serving.StopSignal()
     handler = _pass_on(sys.argv[2]) if sys.argv[2:] else _answer
     server, address = start_server(handler, idle_s=float(sys.argv[1]))
     print(address, flush=True)
-    asked_to_stop.wait()
+    stop_signal.wait()
     server.stop(float(sys.argv[3]) if sys.argv[3:] else STOP_S)
