Put the timers of a connection's input into a module of their own

The limits on the time of a head and of a body are now util.input_timers, of which at most one runs.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -13,7 +13,7 @@
     cancellation,
     connection_table,
     held_bytes,
-    late_timer,
+    input_timers,
     message,
     receive_queue,
     request_reader,
@@ -57,14 +57,11 @@
 
     Attributes:
         token: Cancellation token of the request that is being answered, None between requests.
-        head_started_at: Time of the loop at which the first byte of an incomplete head arrived,
-            None if no head is incomplete.
         idle_since: Time of the loop at which the connection was last active.
     """
 
     def __init__(self, server: ConnectionOwner, event_loop: asyncio.AbstractEventLoop) -> None:
         self.token: cancellation.Token | None = None
-        self.head_started_at: float | None = None
         self.idle_since = event_loop.time()
         self._server = server
         self._event_loop = event_loop
@@ -72,8 +69,7 @@
         self._transport: asyncio.Transport | None = None
         self._writer: response_writer.ResponseWriter | None = None
         self._request_waiter: asyncio.Future | None = None
-        self._head_timer: late_timer.LateTimer | None = None
-        self._body_timer: late_timer.LateTimer | None = None
+        self._timers = input_timers.InputTimers(event_loop, self._refuse_late_input)
         self._is_finishing = False
         self._input_ended = False
         self._refusal: message.Response | None = None
@@ -121,7 +117,7 @@
             reader.expects_continue = False
             self._transport.write(CONTINUE_RESPONSE)
         if reader.requests:
-            self._clear_input_timers()
+            self._timers.clear()
             self._wake_request_waiter()
             if len(reader.requests) > MAX_PIPELINED_REQUESTS:
                 self._transport.pause_reading()
@@ -130,7 +126,7 @@
         else:
             self.idle_since = self._event_loop.time()
             if reader.in_body:
-                self._start_body_timer()
+                self._timers.start_body(reader.bounds)
 
     def eof_received(self) -> bool:
         """Cancels the running call, as the client has closed the connection."""
@@ -153,6 +149,11 @@
         """Lets the task go on."""
         self._writer.resume()
 
+    @property
+    def head_started_at(self) -> float | None:
+        """Time of the loop at which an incomplete head began, None if no head is incomplete."""
+        return self._timers.head_started_at
+
     @property
     def reading_since(self) -> float | None:
         """Time of the loop since which the client has taken a long response, None if it doesn't."""
@@ -245,28 +246,8 @@
 
     def _start_head_timer(self) -> None:
         # Behind a request that is not answered yet, the time of a head doesn't run.
-        is_answering = self.token is not None or self._reader.requests
-        if self.head_started_at is None and not is_answering:
-            bounds = self._reader.bounds
-            self.head_started_at = self._event_loop.time()
-            timeout_s = min(bounds.header_timeout_s, bounds.idle_s)
-            self._head_timer = self._start_timer(timeout_s, self._refuse_late_input)
-
-    def _start_body_timer(self) -> None:
-        """Limits the time of the whole body, of which single bytes keep the connection active."""
-        if self._body_timer is None:
-            self._clear_input_timers()
-            timeout_s = self._reader.bounds.body_timeout_s
-            self._body_timer = self._start_timer(timeout_s, self._refuse_late_input)
-
-    def _clear_input_timers(self) -> None:
-        for timer in (self._head_timer, self._body_timer):
-            if timer is not None:
-                timer.cancel()
-        self._head_timer = self._body_timer = self.head_started_at = None
-
-    def _start_timer(self, delay_s: float, function: Callable[[], None]) -> late_timer.LateTimer:
-        return late_timer.LateTimer(self._event_loop, delay_s, function)
+        if self.token is None and not self._reader.requests:
+            self._timers.start_head(self._reader.bounds)
 
     def _refuse_late_input(self) -> None:
         self._refuse_input(408)
@@ -277,7 +258,7 @@
         self._refuse(response, f"input-{status}")
 
     def _refuse(self, response: message.Response, cause: str) -> None:
-        self._clear_input_timers()
+        self._timers.clear()
         self._refusal = response
         self._server.report_turned_away(cause)
         self._end_input()
@@ -285,7 +266,7 @@
     def _end_input(self) -> None:
         """Stops taking requests; cancels the running call unless the input was refused."""
         self._input_ended = True
-        self._clear_input_timers()
+        self._timers.clear()
         if self.token is not None and self._refusal is None:
             self.token.cancel()
         self._wake_request_waiter()
