--- a/bench/latency.py
+++ b/bench/latency.py
@@ -144,7 +144,7 @@
 
 def _start_paths(running: fleet.Fleet) -> list[Path]:
     upstream = running.addresses("far").server
-    relay = processes.Ports().take()
+    relay = processes.Ports().allocate()
     running.launch("relay", "bench.bare_relay", f"--address={relay}", f"--upstream={upstream}")
     key = running.grant(TEAM)
     running.wait_ready()
