soak of machines: SIGHUP right before the SIGTERM of a stop

Planned work comes in series, but the soak never sent a reload right before a stop. The step 'reload and stop' sends one to four SIGHUP and the SIGTERM at once, to one node or several.

--- a/soak/machines/draw.py
+++ b/soak/machines/draw.py
@@ -15,6 +15,7 @@
     steps_press,
     steps_resets,
     steps_servers,
+    steps_signals,
     steps_starve,
     steps_store,
     steps_teams,
@@ -215,6 +216,10 @@
     return steps_store.draw_history(rng, _draw_rolling(rng, machines))
 
 
+def _draw_reload_and_stop(rng: random.Random, machines: int) -> dict:
+    return steps_signals.draw(rng, _draw_rolling(rng, machines))
+
+
 KINDS = {
     "stop": (10, _draw_stop),
     "rolling": (2, _draw_rolling),
@@ -242,4 +247,5 @@
     "reset": (2, _draw_reset),
     "store cut": (2, _draw_store_cut),
     "store history": (1.5, _draw_store_history),
+    steps_signals.KIND: (1.5, _draw_reload_and_stop),
 }
--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -24,6 +24,7 @@
     steps_press,
     steps_resets,
     steps_servers,
+    steps_signals,
     steps_starve,
     steps_store,
     steps_teams,
@@ -189,7 +190,7 @@
         item, values = self.machines[step.machine - 1], step.values
         if step.kind in STEPS:
             await STEPS[step.kind](self, step.machine, values)
-        elif step.kind in ("stop", "rolling"):
+        elif step.kind in ("stop", "rolling", steps_signals.KIND):
             await self.stop_several(step.machine, values)
         elif step.kind == "both":
             other = self.find_server(item, values["service"])
@@ -313,6 +314,9 @@
             seed = f"{self._plan.seed} {item.number} {index}"
             self._tasks.append(asyncio.create_task(self._burst(item, style, seed, at, begin + 4)))
         await asyncio.sleep(values["lead"])
+        if self.rows.now() > process.started + EARLY_SIGNAL_S:
+            for _ in range(values.get("reloads", 0)):
+                item.send(process, signal.SIGHUP)
         item.send(process, signal.SIGTERM)
         ends = asyncio.create_task(item.end(process))
         signals = asyncio.create_task(self._signal_series(item, process, values["also"]))
