soak of machines: what becomes whole after the route's timeout may be answered with 504

Cause: GIVEN UP asked only whether the answer was whole 0.2 s before the node's own. A request of machine 5 with a timeout of 1 s was sent at 10.81; the node was frozen from 11.59 to 14.16; the server's answer, in pieces, was whole at 12.11, after the timeout at 11.81; thawed, the node answered 504. With status 504 an answer now counts if it was whole before the timeout, counted from the last byte, and 0.2 s before the end; other statuses are as strict as before.

--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -6,7 +6,7 @@
 from soak.machines import ends, findings, record
 
 AROUND_S = 0.1
-BAD_GATEWAY, OWN_FAILURES_FROM = 502, 300
+BAD_GATEWAY, GATEWAY_TIMEOUT, OWN_FAILURES_FROM = 502, 504, 300
 CROSSING_S = 0.2  # An answer that becomes whole at the deadline may cross the node's own.
 LAST_SIXTH = 5 / 6  # Of `grace`, after which a node may cut off what its server works on.
 NODE_REASONS = ("node-failed", "cancelled")
@@ -25,8 +25,7 @@
         if item.status < OWN_FAILURES_FROM or item.sealed:
             continue
         at_server = runs[item.id]
-        by = item.ended - (0.0 if item.status == BAD_GATEWAY else CROSSING_S)
-        was_whole = any(_is_whole_before(run, by) for run in at_server)
+        was_whole = any(_is_whole_before(run, _find_due(item)) for run in at_server)
         was_unsent = not at_server and item.text.startswith(NODE_REASONS)
         was_unsent = was_unsent and item.status == BAD_GATEWAY
         if not (was_whole or was_unsent) or _is_excused(rows, item, at_server):
@@ -37,6 +36,20 @@
         yield findings.Finding("GIVEN UP", item.ended, item.machine, text, what)
 
 
+def _find_due(item: record.Attempt) -> float:
+    """Returns until when an answer has to be whole so that no own one may take its place.
+
+    A node that stood still past the timeout of the route answers 504 later than that; what became
+    whole after the timeout came too late.
+    """
+    if item.status == BAD_GATEWAY:
+        return item.ended
+    due = item.ended - CROSSING_S
+    if item.status == GATEWAY_TIMEOUT and item.sent is not None:
+        return min(due, item.sent + item.timeout_s)
+    return due
+
+
 def _is_whole_before(run: record.Run, at: float) -> bool:
     """Returns True if a sound server had sent its whole answer by then."""
     return run.status == 200 and not run.fault and (run.ended is None or run.ended <= at)
--- a/tests/test_soak/test_machine_far_checks.py
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -57,6 +57,23 @@
     assert count_found(rows) == found
 
 
+# A node that was frozen past the timeout was blamed for an answer that had come too late.
+@pytest.mark.parametrize(
+    ("found", "status", "run_ended", "timeout_s"),
+    [
+        (1, 504, AT + 0.9, 1.0),
+        (0, 504, AT + 1.1, 1.0),
+        (1, 504, AT + 1.1, 1.2),
+        (1, 502, AT + 1.1, 1.0),
+        (1, 503, AT + 1.1, 1.0),
+    ],
+)
+def test_an_answer_after_the_timeout_may_be_replaced_by_504(found, status, run_ended, timeout_s):
+    rows = make_rows("deadline\n", status, run_status=200, run_ended=run_ended)
+    rows.attempts[0].ended, rows.attempts[0].timeout_s = AT + 3.3, timeout_s
+    assert count_found(rows) == found
+
+
 @pytest.mark.parametrize(
     ("what", "machine", "at", "found"),
     [
