soak of machines: say how many requests were at risk

The line of a seed now has how many requests ran and ended in a planned stop of the machine that took them, how many of these later than 3 s after the first SIGTERM, beside a SIGHUP, beside a configuration, and at undisturbed machines; the last line of a run gives the findings by rule of the sums, those of seeds in which fewer than half of the requests were answered 200 apart.

--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -11,6 +11,7 @@
 from absl import app, flags
 
 from soak.machines import (
+    at_risk,
     checks,
     client,
     cuts,
@@ -128,13 +129,18 @@
     flags.DEFINE_string("directory", "out/soak-machines", "directory of logs of failed seeds")
 
 
-def _run_seed(plan: draw.Plan, folder: pathlib.Path, of: shape.Shape) -> bool:
+def _run_seed(plan: draw.Plan, folder: pathlib.Path, of: shape.Shape, total: at_risk.Total) -> bool:
     shutil.rmtree(folder, ignore_errors=True)
     tree = pathlib.Path(flags.FLAGS.tree).resolve()
     starving = tuple(float(value) for value in flags.FLAGS.starving) or None
     rows, found = run_plan(plan, folder, of, tree, starving, flags.FLAGS.planted)
     acted = f" planted {count_planted(folder)} times;" if flags.FLAGS.planted else ""
-    print(f"seed {plan.seed}: {len(found)} findings;{acted} {count(rows)}", flush=True)
+    risk = at_risk.count(rows)
+    total.add(risk, found)
+    print(
+        f"seed {plan.seed}: {len(found)} findings of {risk.describe()};{acted} {count(rows)}",
+        flush=True,
+    )
     by_rule, by_kind = collections.Counter(), collections.Counter()
     report = []
     for finding in found:
@@ -157,7 +163,7 @@
     values = flags.FLAGS
     # The fleet is stopped on the way out, as after an interrupt.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
-    broken, of = 0, shape.load(values.shape)
+    broken, of, total = 0, shape.load(values.shape), at_risk.Total()
     of = attrs.evolve(of, styles=tuple(values.styles) or of.styles)
     for seed in range(values.seed, values.seed + values.seeds):
         duration_s = values.minutes * S_PER_MINUTE
@@ -167,9 +173,10 @@
         if values.plan:
             print(f"seed {seed}", *plan.to_lines(), sep="\n")
             continue
-        broken += not _run_seed(plan, pathlib.Path(values.directory) / f"seed-{seed}", of)
+        folder = pathlib.Path(values.directory) / f"seed-{seed}"
+        broken += not _run_seed(plan, folder, of, total)
     if not values.plan:
-        print(f"{values.seeds} seeds, {broken} with findings")
+        print(f"{values.seeds} seeds, {broken} with findings; {total.describe()}")
     return EXIT_FAILED if broken else 0
 
 
--- a/soak/machines/stops.py
+++ b/soak/machines/stops.py
@@ -9,7 +9,12 @@
 
 
 def list_begins(rows: record.Record, item: record.Attempt) -> list[float]:
-    """Returns when the stops began that an attempt may have met, in the order of time.
+    """Returns when the stops began that an attempt may have met, in the order of time."""
+    return sorted(find_told(rows, item).values())
+
+
+def find_told(rows: record.Record, item: record.Attempt) -> dict[str, float]:
+    """Returns the processes that were told to stop before an attempt ended, and when.
 
     A process that gets more than one SIGTERM stops from the first on, and one that started after
     the client had connected didn't take the request.
@@ -24,7 +29,7 @@
     for other in of_machine:
         if other.what == "SIGTERM" and other.detail not in later and other.at <= item.ended:
             begins.setdefault(other.detail, other.at)
-    return sorted(begins.values())
+    return begins
 
 
 def forbid_own_answer(begins: list[float], item: record.Attempt) -> bool:
