soak of machines: find a failure that bears a server's seal and another status than the server gave

A refusal of the node's own that kept the server's Response-Seal passed for the server's: LOST and REFUSED look at answers without a seal only, MIXED looked at successes only. MIXED now takes any sealed answer whose status no run of the request gave. The test of LOST with a sealed answer had a server that answered 200: its server now gives the status that the client got, and the other case is the new test, which failed before.

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -122,7 +122,8 @@
             broken.append("REFUSED")
         if item.status == 200 and not (item.whole and item.sealed):
             broken.append("MIXED")
-        if item.status == 200 and not any(run.status in (200, -1) for run in at_server):
+        is_of_server = item.status == 200 or (item.status > 0 and item.sealed)
+        if is_of_server and not any(run.status in (item.status, -1) for run in at_server):
             broken.append("MIXED")
         what = f"{item.id} {item.by}, {item.method} {item.path}: {item.status}, {at_server}"
         found += [
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -70,6 +70,14 @@
     assert find_rules(make_rows(**seen)) == rules
 
 
+# An own refusal that kept the server's seal passed for the server's.
+@pytest.mark.parametrize(("given", "rules"), [(200, ["MIXED"]), (-1, []), (503, [])])
+def test_a_sealed_failure_with_another_status_than_the_servers_is_found(given, rules):
+    rows = make_rows(status=503, sealed=True)
+    rows.runs[0].status = given
+    assert find_rules(rows) == rules
+
+
 @pytest.mark.parametrize("name", ["method", "path", "digest"])
 def test_a_request_that_runs_changed_is_found(name):
     rows = make_rows()
@@ -142,6 +150,7 @@
 @pytest.mark.parametrize(("sealed", "rules"), [(False, ["LOST"]), (True, [])])
 def test_any_own_answer_in_a_stop_in_place_of_a_safe_answer_is_found(status, sealed, rules):
     rows = make_rows(status=status, safe=True, sealed=sealed)
+    rows.runs[0].status = status if sealed else 200
     assert find_rules(happen(rows, (9.5, "SIGTERM", 1, "7"))) == rules
 
 
