soak of machines: more planted faults; one counts as found only by a request on which it acted

A row with a finding that had nothing to do with its fault also passed for found (closed:callers:reload, 0 times, GIVEN UP 1). At the upstream's port only sends to the machine's own upstream are changed.

The new case of the test fails with the planter of before.

--- a/soak/machines/__main__.py
+++ b/soak/machines/__main__.py
@@ -90,10 +90,14 @@
     )
 
 
-def count_planted(folder: pathlib.Path) -> int:
-    """Returns how often a planted fault has acted, from the logs of the nodes."""
-    logs = (path.read_text(encoding="utf-8", errors="replace") for path in folder.glob("*.log"))
-    return sum(log.count(planted_node.ACTED) for log in logs)
+def list_planted(folder: pathlib.Path) -> list[str]:
+    """Returns the ids of the requests on which a planted fault has acted, from the nodes' logs."""
+    found = []
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+            _, acted, request_id = line.partition(planted_node.ACTED)
+            found += [request_id.strip()] * bool(acted)
+    return found
 
 
 def _find_longest_stop(rows: record.Record) -> float:
@@ -134,7 +138,7 @@
     tree = pathlib.Path(flags.FLAGS.tree).resolve()
     starving = tuple(float(value) for value in flags.FLAGS.starving) or None
     rows, found = run_plan(plan, folder, of, tree, starving, flags.FLAGS.planted)
-    acted = f" planted {count_planted(folder)} times;" if flags.FLAGS.planted else ""
+    acted = f" planted {len(list_planted(folder))} times;" if flags.FLAGS.planted else ""
     risk = at_risk.count(rows)
     total.add(risk, found)
     print(
--- a/soak/machines/planted_node.py
+++ b/soak/machines/planted_node.py
@@ -19,9 +19,16 @@
 
 VARIABLE = "SOAK_PLANTED"
 ACTED = "planted:"
-STATUSES = ("408", "429", "502", "503", "504")
-# What is done in place of an answer of a server.
-WAYS = ("closed", "reset", "cut", "unpassed", "never", "late", "wrong", "dropped", *STATUSES)
+STATUSES = ("301", "400", "404", "408", "421", "429", "500", "502", "503", "504")
+EARLY, UNPASSED = "early ", "unpassed "
+# What is done in place of an answer of a server; what is early is done while the server still
+# works, what is unpassed in place of sending the request on.
+WAYS = (
+    *("closed", "reset", "cut", "never", "late", "wrong", "dropped", "exit", "sealed", *STATUSES),
+    *(f"{EARLY}{way}" for way in ("closed", "reset", "503", "504")),
+    *(f"{UNPASSED}{way}" for way in ("closed", "reset")),
+)
+NOT_RUN_STATUSES = ("408", "421", "429", "503")
 PORTS = ("callers", "relay", "upstream")
 MOMENTS = ("any", "stop", "late stop", "reload", "configuration", "reused", "pieces")
 BESIDE_S = 3.0  # After a SIGHUP or a configuration.
@@ -30,6 +37,7 @@
 PAST_SLACK_S = 0.3  # A close within 0.2 s of the last byte may cross the request.
 CUT_BYTES = 700
 MIN_CUT_BYTES = 2 * CUT_BYTES
+EARLY_S = 0.08  # Most servers have begun to work by then, and few are done.
 
 
 class FaultError(Exception):
@@ -94,6 +102,7 @@
 
     def __init__(self, fault: Fault) -> None:
         self._fault, self._moments = fault, Moments()
+        self._left: set[asyncio.Task] = set()  # Requests that were answered before their servers.
 
     def plant(self) -> None:
         """Changes the classes; the signals and configurations of the process are noted too."""
@@ -130,16 +139,15 @@
             own = connection.__dict__
             answered, pieces = own.get("answered", 0), own.get("pieces", 0)
             own["answered"], own["pieces"] = answered + 1, 0
-            is_port = connection._server.name == planter._fault.port
-            if not is_port:
+            if connection._server.name != planter._fault.port:
                 return await handle(connection, request)
-            if planter._fault.way == "unpassed" and planter._is_time(connection, answered, pieces):
-                connection.token = None
-                return await planter._end(connection, request, None)
+            before = planter._fault.way.startswith((EARLY, UNPASSED))
+            if before and planter._is_time(connection, answered, pieces):
+                return await planter._end_before(connection, request, handle)
             response = await handle(connection, request)
-            is_good = response.status == 200
+            is_good = response.status == 200 and not before
             if is_good and planter._is_time(connection, answered, pieces):
-                return await planter._end(connection, request, response)
+                return await planter._end(connection, request, response, planter._fault.way)
             return response
 
         of._handle, of.data_received = answer, count_pieces
@@ -153,18 +161,32 @@
         holds = self._moments.hold(self._fault.moment, answered, pieces, time.monotonic())
         return holds and random.random() < self._fault.share
 
-    async def _end(self, connection, request, response):
+    async def _end_before(self, connection, request, handle):
+        """Ends a request while its server works, or without one."""
+        way = self._fault.way
+        if way.startswith(UNPASSED):
+            connection.token = None
+            await asyncio.sleep(PAST_SLACK_S)
+            return await self._end(connection, request, None, way.removeprefix(UNPASSED))
+        self._left.add(task := asyncio.create_task(handle(connection, request)))
+        task.add_done_callback(self._left.discard)
+        await asyncio.wait({task}, timeout=EARLY_S)
+        if task.done():
+            return task.result()
+        return await self._end(connection, request, None, way.removeprefix(EARLY))
+
+    async def _end(self, connection, request, response, way: str):
         """Ends a request wrongly, in place of its answer."""
         from bergamotridge.util import message
 
-        way, transport = self._fault.way, connection._transport
+        transport = connection._transport
         if way == "cut" and len(response.body) < MIN_CUT_BYTES:
             return response
         _tell(request)
-        if way == "unpassed":
-            await asyncio.sleep(PAST_SLACK_S)
-        if way in ("closed", "unpassed"):
+        if way == "closed":
             transport.close()
+        elif way == "exit":
+            os._exit(0)
         elif way == "reset":
             linger = struct.pack("ii", 1, 0)
             sock = transport.get_extra_info("socket")
@@ -179,8 +201,10 @@
             await asyncio.sleep(LATE_BY_S)
         elif way == "wrong":
             return message.Response(response.status, response.headers, response.body[::-1])
+        elif way == "sealed":
+            return message.Response(503, response.headers, b"planted\n")
         elif way in STATUSES:
-            told = b"not-run" if way in ("408", "429", "503") else b"may-have-run"
+            told = b"not-run" if way in NOT_RUN_STATUSES else b"may-have-run"
             return message.Response(int(way), [(b"bergamotridge-verdict", told)], b"planted\n")
         return response or message.Response(500, [], b"")
 
@@ -195,9 +219,10 @@
             planter._moments.stopping_since = planter._moments.stopping_since or time.monotonic()
             await end(server, grace_s)
 
-        async def exchange(pool, request, *arguments):
-            response = await send(pool, request, *arguments)
-            if response.status != 200 or not planter._draw(0, 0):
+        async def exchange(pool, request, timeout_s, token=None, check=None):
+            response = await send(pool, request, timeout_s, token, check)
+            is_run = check is not None  # No call of the node's own, nor one to another node.
+            if not is_run or response.status != 200 or not planter._draw(0, 0):
                 return response
             _tell(request)
             if way == "never":
@@ -206,6 +231,10 @@
                 await asyncio.sleep(LATE_BY_S)
             if way == "cut":
                 response.body = response.body[:-CUT_BYTES]
+            if way == "wrong":
+                response.body = response.body[::-1]
+            if way in STATUSES:
+                response.status = int(way)
             if way in ("dropped", "closed", "reset"):
                 raise http_client.TransferError("planted", verdict.Verdict.MAY_HAVE_RUN)
             return response
--- a/tests/test_soak/test_planted_node.py
+++ b/tests/test_soak/test_planted_node.py
@@ -41,11 +41,19 @@
     assert moments.hold(moment, answered=1, pieces=1, now=10.0) is holds
 
 
-# The soak had no finding while each of these acted.
-@pytest.mark.parametrize("fault", ["503:callers:stop:0.5", "never:callers:any:0.05"])
-def test_a_fault_that_went_unseen_is_found(tmp_path, fault):
+# The soak had no finding while each of the first two acted; the last broke the planter itself.
+@pytest.mark.parametrize(
+    ("fault", "rule"),
+    [
+        ("503:callers:stop:0.5", "LOST"),
+        ("never:callers:any:0.05", "LOST"),
+        ("cut:upstream:any:0.05", "MIXED"),
+    ],
+)
+def test_a_fault_that_went_unseen_is_found(tmp_path, fault, rule):
     of = attrs.evolve(shape.load("repairs"), styles=("kept",))
     plan = draw.draw_plan(SEED, DURATION_S, MACHINES, 1, of.clients, ("stop",))
     _, found = machines.run_plan(plan, tmp_path, of, planted=fault)
-    assert machines.count_planted(tmp_path) > 0
-    assert "LOST" in {finding.rule for finding in found}
+    named = machines.list_planted(tmp_path)
+    by_fault = [finding for finding in found if any(name in finding.text for name in named)]
+    assert named and rule in {finding.rule for finding in by_fault}
