--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -103,6 +103,14 @@
         assert raised.value.status == 401
 
 
+# A configuration without tenants knows no key, and all its routes that aren't public answered 401.
+@pytest.mark.parametrize(("tenants", "is_open"), [({}, True), ({"tenants": []}, False)])
+def test_only_a_configuration_with_tenants_asks_for_keys(parse, tenants, is_open):
+    without = {key: value for key, value in CONFIGURATION.items() if key != "tenants"}
+    routes = parse({**without, **tenants}).routes
+    assert (routes["a.example/x/"].open, routes["a.example/x/y/"].open) == (is_open, True)
+
+
 @pytest.mark.parametrize(
     "broken", [{}, {**CONFIGURATION, "clusters": [{"name": "slots"}]}, {"listeners": 3}]
 )
