Give test nodes ports that no client gets from the kernel

Cause: `reserve_ports` took ports from the range of outgoing connections. The operators' port, the one behind the first, has the parity from which Linux serves `connect` first.

Change: the ports come from `standins.processes.Ports`, which are below that range. A node that ends in a set-up of test_forgotten_leaves fails the test at once, with its log.

--- a/tests/test_platform/test_forgotten_leaves.py
+++ b/tests/test_platform/test_forgotten_leaves.py
@@ -21,7 +21,11 @@
 
     def start(self):
         self.process = self.program.start()
-        processes.wait_until(lambda: beside_a_node.is_ready(self.ready), "the node is ready")
+        processes.wait_until(self._is_ready, "the node is ready")
+
+    def _is_ready(self):
+        assert self.process.poll() is None, self.program.log()
+        return beside_a_node.is_ready(self.ready)
 
     def kill(self):
         self.process.kill()
--- a/tests/test_platform/test_process_start.py
+++ b/tests/test_platform/test_process_start.py
@@ -1,6 +1,5 @@
 """Signals and faults around the start of the program, with its real command and settings."""
 
-import contextlib
 import os
 import pathlib
 import signal
@@ -43,16 +42,16 @@
 
 
 def reserve_ports(count):
-    """Returns ports that were free a moment ago; the first two follow each other."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-            for item in sockets:
-                item.bind(("127.0.0.1", 0))
-            ports = [item.getsockname()[1] for item in sockets]
-            with contextlib.suppress(OSError), socket.socket() as second:
-                second.bind(("127.0.0.1", ports[0] + 1))
-                return ports
+    """Returns free ports that no outgoing connection gets; one more follows the first of them."""
+    free = processes.Ports()
+    first, following = _allocate_port(free), _allocate_port(free)
+    while following != first + 1:
+        first, following = following, _allocate_port(free)
+    return [first, *(_allocate_port(free) for _ in range(count - 1))]
+
+
+def _allocate_port(free):
+    return int(free.allocate().rpartition(":")[2])
 
 
 class Program:
@@ -135,6 +134,15 @@
         process.wait()
 
 
+# A socket of some client had the port between two starts, and the node waited for it in vain.
+def test_no_port_of_a_node_is_one_that_the_kernel_gives_to_clients():
+    limits = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
+    lowest, highest = map(int, limits.split())
+    first, *others = reserve_ports(7)
+    taken = [port for port in (first, first + 1, *others) if lowest <= port <= highest]
+    assert taken == []
+
+
 # A settings reload within the first third of a second of a node ended its process.
 def test_no_reload_during_the_imports_of_the_program_ends_it(program):
     process = program.start(signal_at_imports=signal.SIGHUP)
