Compute the fingerprint of a request in fewer steps

Cause: each part and its length was passed to the hash by itself, 26 calls a request. Now the parts that many requests share are joined once, and the hash takes a head and the body.

--- a/bergamotridge/nodes/fingerprint.py
+++ b/bergamotridge/nodes/fingerprint.py
@@ -1,7 +1,9 @@
 """Fingerprints of requests: equal for requests with the same content, whoever sends them."""
 
+import functools
 import hashlib
 import hmac
+import struct
 
 import xxhash
 
@@ -9,7 +11,8 @@
 
 _PURPOSE = b"fingerprint"  # HMAC input that derives the seed from the fleet secret.
 _SEED_BYTES = 8
-_LENGTH_BYTES = 8
+_encode_length = struct.Struct(">Q").pack
+_CACHED_PREFIXES = 256
 
 
 class Fingerprinter:
@@ -34,14 +37,21 @@
             virtual_host: Host name that the caller addressed, "" if routes do not depend on it.
             request: The request.
         """
-        hasher = xxhash.xxh3_64(seed=self._seed)
-        host = virtual_host.lower().encode()
-        for part in (service.encode(), request.method, host, request.target, request.body):
-            hasher.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
-            hasher.update(part)
+        target, body = request.target, request.body
+        prefix = _encode_prefix(service, request.method, virtual_host)
+        head = (prefix, _encode_length(len(target)), target, _encode_length(len(body)))
+        hasher = xxhash.xxh3_64(b"".join(head), seed=self._seed)
+        hasher.update(body)
         return hasher.intdigest()
 
 
+@functools.lru_cache(maxsize=_CACHED_PREFIXES)
+def _encode_prefix(service: str, method: bytes, virtual_host: str) -> bytes:
+    """Returns the parts that many requests share, each behind its length."""
+    parts = (service.encode(), method, virtual_host.lower().encode())
+    return b"".join(_encode_length(len(part)) + part for part in parts)
+
+
 def format_fingerprint(fingerprint: int) -> str:
     """Returns the form of a fingerprint in logs and errors."""
     return f"{fingerprint:016x}"
