Take the usual answer without a notice as a constant

Cause: for each answer of an upstream, a notice, its copy and the id of the upstream were built and compared field by field, though nearly all answers say nothing of the upstream. Such an answer is now the one object NO_NOTICE, known by identity, and an announcement keeps the id of its upstream. Nothing else is reported or passed on than before.

--- a/bergamotridge/upstreams/announcement.py
+++ b/bergamotridge/upstreams/announcement.py
@@ -1,5 +1,6 @@
 """Announcements: state and capacity that an upstream reports about itself."""
 
+import functools
 from typing import Any
 
 import attrs
@@ -66,7 +67,7 @@
     cold_s: float | None = None
     last: bool = False
 
-    @property
+    @functools.cached_property
     def upstream_id(self) -> notice.UpstreamId:
         """The start of the upstream process that made the announcement."""
         return notice.UpstreamId(self.instance, self.incarnation)
--- a/bergamotridge/upstreams/dialect.py
+++ b/bergamotridge/upstreams/dialect.py
@@ -124,8 +124,8 @@
 
     def read_notice(self, response: message.Response) -> notice.Notice:
         """Returns the rate limit that the upstream names, and whether it leaves."""
-        return notice.Notice(
-            notice.parse_rate_limit(response.header(RATE_LIMIT_HEADER)),
+        return notice.read(
+            response.header(RATE_LIMIT_HEADER),
             response.header(LEAVING_HEADER) == LEAVING_VALUE,
         )
 
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -358,6 +358,8 @@
         self, before: notice.Notice, current: notice.Notice, request_id: str, now: float
     ) -> None:
         """Applies a changed notice to the gate and reports it."""
+        if current is before and current is self._reported_notice:
+            return
         if current is not before:
             self._gate.apply_notice(current, now)
         begins_to_leave = current.leaving and not before.leaving
--- a/bergamotridge/upstreams/notice.py
+++ b/bergamotridge/upstreams/notice.py
@@ -98,6 +98,21 @@
     return rate_limit
 
 
+def read(rate_limit: bytes | None, leaving: bool) -> Notice:
+    """Returns the notice in an answer; `NO_NOTICE` itself if the upstream says nothing.
+
+    Args:
+        rate_limit: Value of the header field that names a rate limit, None without one.
+        leaving: True if the answer says that the upstream leaves.
+
+    Raises:
+        ValueError: The rate limit is not valid.
+    """
+    if rate_limit is None and not leaving:
+        return NO_NOTICE
+    return Notice(parse_rate_limit(rate_limit), leaving)
+
+
 class NoticeTracker:
     """Keeps the latest notice of the local upstream; not thread-safe.
 
@@ -158,6 +173,8 @@
         if upstream != self._upstream:
             return self._current
         self._has_answered = True
+        if received is NO_NOTICE and self._current is NO_NOTICE:
+            return NO_NOTICE
         rate_limit = received.rate_limit
         if rate_limit is not None:
             self._rate_limit_named_at = now
@@ -170,4 +187,4 @@
     def _replace(self, latest: Notice) -> None:
         """Stores a notice; an unchanged one stays the same object."""
         if latest != self._current:
-            self._current = latest
+            self._current = NO_NOTICE if latest == NO_NOTICE else latest
