--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -28,6 +28,7 @@
 VERSIONS = frozenset(("1.0", "1.1"))
 BLANKS = b" \t"  # Around a field's value; the parser leaves those behind it.
 Header = tuple[bytes, bytes]
+join_field = b": ".join  # Returns the line of a header field, without its end.
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
@@ -138,11 +139,11 @@
         nor a body.
     """
     status, bodiless = response.status, response.bodiless
-    parts = [b"HTTP/1.1 %d %s\r\n" % (status, _REASON_PHRASES.get(status, b"Unknown"))]
-    parts += [b"%s: %s\r\n" % field for field in response.headers if field[0] not in FRAMING_FIELDS]
+    lines = [b"HTTP/1.1 %d %s" % (status, _REASON_PHRASES.get(status, b"Unknown"))]
+    lines += [join_field(field) for field in response.headers if field[0] not in FRAMING_FIELDS]
     if not bodiless:
-        parts.append(b"content-length: %d\r\n" % len(response.body))
-    parts.append(b"\r\n" if keep_alive else b"connection: close\r\n\r\n")
-    if not (bodiless or head):
-        parts.append(response.body)
-    return b"".join(parts)
+        lines.append(b"content-length: %d" % len(response.body))
+    if not keep_alive:
+        lines.append(b"connection: close")
+    lines += (b"", b"" if bodiless or head else response.body)
+    return b"\r\n".join(lines)
