Filter header fields without a call for each of them

Cause: each field of each head was asked for the prefix of our own fields by a method call, and one look-up of a field built a table of all. The prefix is a range of names now, and a single look-up scans the list. The same fields are passed on.

--- a/bergamotridge/headers.py
+++ b/bergamotridge/headers.py
@@ -4,6 +4,7 @@
 from bergamotridge.util import message
 
 HEADER_PREFIX = call.HEADER_PREFIX.encode()
+_AFTER_PREFIX = HEADER_PREFIX[:-1] + bytes((HEADER_PREFIX[-1] + 1,))  # The first name above it.
 _DROPPED_FOR_UPSTREAM = message.UNFORWARDED_FIELDS | {b"authorization"}
 
 
@@ -16,7 +17,7 @@
     return [
         field
         for field in headers
-        if field[0] not in dropped and not field[0].startswith(HEADER_PREFIX)
+        if field[0] not in dropped and not HEADER_PREFIX <= field[0] < _AFTER_PREFIX
     ]
 
 
--- a/bergamotridge/upstreams/dialect.py
+++ b/bergamotridge/upstreams/dialect.py
@@ -102,7 +102,7 @@
         """
         echoed_id = response.header(CALL_HEADER)
         if echoed_id is not None:
-            sent_id = request.header(CALL_HEADER)
+            sent_id = message.find_header(request.headers, CALL_HEADER)
             return "" if echoed_id == sent_id else "the response has the id of another call"
         if reused and _vouches_not_run(response):
             return "the refusal has no call id, so it may be the answer to an earlier call"
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -43,6 +43,8 @@
 def connection_options(headers: list[Header]) -> set[bytes]:
     """Returns the options in all Connection fields, in lower case; others are names of fields."""
     values = [value for name, value in headers if name == b"connection"]
+    if not values:
+        return set()
     return {option.strip().lower() for value in values for option in value.split(b",")}
 
 
