Do nothing about memory for requests and answers that hold none

Cause: requests without a body, and answers read in one piece, were reserved and released with size 0.

--- a/bergamotridge/util/answer_memory.py
+++ b/bergamotridge/util/answer_memory.py
@@ -60,8 +60,9 @@
     def release(self, answer: Answer) -> None:
         """Notes that an answer is complete or given up."""
         size = self._sizes.pop(answer, 0)
-        self._held_bytes -= size
-        self._memory.change_answers(-size)
+        if size:
+            self._held_bytes -= size
+            self._memory.change_answers(-size)
 
     def _largest_of_greediest_address(self) -> Answer:
         by_address: dict[str, int] = collections.defaultdict(int)
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -92,7 +92,8 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._request_size = 0
-        self._reserve(0)
+        if self._reserved_bytes:
+            self._reserve(0)
 
     def _reserve(self, body_size: int) -> None:
         """Reserves the memory for a body of this size, in place of what is reserved for it."""
@@ -105,7 +106,8 @@
 
     def release(self, request: message.Request) -> None:
         """Notes that the body of a complete request is no longer needed."""
-        self._memory.release_request(BODY_COPIES * len(request.body))
+        if request.body:
+            self._memory.release_request(BODY_COPIES * len(request.body))
 
     def drop(self) -> None:
         """Drops all that has been read; nothing further is taken."""
@@ -205,15 +207,20 @@
             raise BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
-        length = message.find_header(headers, b"content-length") or b""
-        body_size = message.parse_whole_number(length, self.bounds.body_bytes + 1) or 0
-        if body_size <= self.bounds.body_bytes:
-            self._reserve(body_size)
+        if b"content-length" in names:
+            self._reserve_announced_body()
         if b"expect" in names and version == "1.1":
             expected = message.find_header(headers, b"expect")
             self.expects_continue = expected.lower() == b"100-continue"
         self._upgrade_offered = self.parser.should_upgrade()
 
+    def _reserve_announced_body(self) -> None:
+        """Reserves the memory for a body of the announced size, unless that is too large."""
+        length = message.find_header(self._headers, b"content-length")
+        body_size = message.parse_whole_number(length, self.bounds.body_bytes + 1) or 0
+        if body_size <= self.bounds.body_bytes:
+            self._reserve(body_size)
+
     def _check_transfer_encoding(self) -> None:
         """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
         values = [value for name, value in self._headers if name == b"transfer-encoding"]
