Keep what a request needs of the limits in force

Cause: each piece of a request built the limits of its port anew from the operator's text, and each call asked the limiter of an upstream without a rate limit for its concurrency, three times. The limits are built once for each text; an upstream without a rate limit has the concurrency limit alone.

--- a/bergamotridge/http_ports.py
+++ b/bergamotridge/http_ports.py
@@ -13,6 +13,26 @@
 CreateServer = Callable[[str, httpd.Handler, int], httpd.Server]
 
 
+class _CachedBounds:
+    """Limits of one port, computed anew once the limits in the operator's text are others."""
+
+    def __init__(
+        self,
+        text_limits: Callable[[], operator_text.Limits],
+        compute: Callable[[operator_text.Limits], request_reader.RequestLimits],
+    ) -> None:
+        self._text_limits = text_limits
+        self._compute = compute
+        self._computed_from: operator_text.Limits | None = None
+        self._bounds: request_reader.RequestLimits | None = None
+
+    def __call__(self) -> request_reader.RequestLimits:
+        text_limits = self._text_limits()
+        if text_limits is not self._computed_from:
+            self._computed_from, self._bounds = text_limits, self._compute(text_limits)
+        return self._bounds
+
+
 class HttpPorts:
     """Creates the servers of the HTTP ports, whose names are the keys of the addresses."""
 
@@ -36,7 +56,8 @@
         self._node = node
         self._loop = event_loop
         self._metrics = metrics
-        self._text_limits = text_limits
+        self._caller_bounds = _CachedBounds(text_limits, self._compute_caller_bounds)
+        self._relay_bounds = _CachedBounds(text_limits, self._compute_relay_bounds)
         self._memory = memory or held_bytes.HeldBytes(node.limits.held_bytes)
         metrics.watch_memory(self._memory)
 
@@ -70,9 +91,11 @@
         self._metrics.watch_port(name, server.connections)
         return server
 
-    def _caller_bounds(self) -> request_reader.RequestLimits:
+    def _compute_caller_bounds(
+        self, text_limits: operator_text.Limits
+    ) -> request_reader.RequestLimits:
         """Returns the limits on callers' requests; those in the operator's text take precedence."""
-        text_limits, limits = self._text_limits(), self._node.limits
+        limits = self._node.limits
         return request_reader.RequestLimits(
             text_limits.header_bytes or httpd.HEADER_BYTES,
             text_limits.body_bytes or limits.body_bytes,
@@ -81,9 +104,11 @@
             limits.body_timeout_s,
         )
 
-    def _relay_bounds(self) -> request_reader.RequestLimits:
+    def _compute_relay_bounds(
+        self, text_limits: operator_text.Limits
+    ) -> request_reader.RequestLimits:
         """Returns the limits on what other nodes relay: at least what a caller may send."""
-        text_limits, limits = self._text_limits(), self._node.limits
+        limits = self._node.limits
         head_bytes = text_limits.header_bytes or httpd.HEADER_BYTES
         return request_reader.RequestLimits(
             max(httpd.HEADER_BYTES, head_bytes + CONTEXT_BYTES),
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -260,7 +260,10 @@
 
     def _current_limit(self) -> int:
         """Returns how many calls may run concurrently."""
-        return min(self._limit.value, self._rate_limiter.concurrency(self._controller.hold_s))
+        limit = self._limit.value
+        if self._rate_limiter.is_limited:
+            limit = min(limit, self._rate_limiter.concurrency(self._controller.hold_s))
+        return limit
 
     def _may_start(self, now: float) -> bool:
         """Returns whether one more call may start now."""
@@ -319,7 +322,7 @@
     def _check_deadline(self, context: call.CallContext, waiting_ahead: int, now: float) -> None:
         """Refuses a call that cannot finish in time; raises CallError."""
         hold_s = self._controller.hold_s
-        wait_s = waiting_ahead * hold_s / self._current_limit()
+        wait_s = waiting_ahead * hold_s / self._current_limit() if waiting_ahead else 0.0
         if context.deadline - now <= wait_s + REQUIRED_HOLD_FRACTION * hold_s:
             raise build_refusal(
                 "deadline",
--- a/bergamotridge/upstreams/rate_limit.py
+++ b/bergamotridge/upstreams/rate_limit.py
@@ -18,6 +18,11 @@
         self._tokens = 0.0
         self._refilled_at = -math.inf
 
+    @property
+    def is_limited(self) -> bool:
+        """True while a limit is in force."""
+        return self._rate_per_s is not None
+
     def set_limit(self, rate_limit: float | None, now: float) -> None:
         """Sets the calls per second that may start; None removes the limit.
 
