soak of machines: a call that another node ends while a server is at work on it is given up

GIVEN UP asked only for answers that were whole, and for requests that had reached no server. It now also takes a 502 that names another node as its reason while a sound server is at work.

Two of the new cases of the test failed before.

--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -13,10 +13,10 @@
 
 
 def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
-    """GIVEN UP: an own answer for a request whose answer was whole, or 502 if it reached no server.
+    """GIVEN UP: an own answer for a request whose answer was whole, or 502 because of another node.
 
-    Excused: a machine of the request was killed, a server ended, or the last sixth of `grace` had
-    begun at one of them. Those that reached no server count only if the reason is another node.
+    With 502 it had reached no server, or a server was at work on it. Excused: a machine of the
+    request was killed, a server ended, or the last sixth of `grace` had begun at one of them.
     """
     runs = collections.defaultdict(list)
     for run in rows.runs:
@@ -26,11 +26,16 @@
             continue
         at_server = runs[item.id]
         was_whole = any(_is_whole_before(run, _find_due(item)) for run in at_server)
-        was_unsent = not at_server and item.text.startswith(NODE_REASONS)
-        was_unsent = was_unsent and item.status == BAD_GATEWAY
-        if not (was_whole or was_unsent) or _is_excused(rows, item, at_server):
+        is_of_node = item.status == BAD_GATEWAY and item.text.startswith(NODE_REASONS)
+        was_unsent = is_of_node and not at_server
+        was_at_work = is_of_node and any(_is_at_work(run, item.ended) for run in at_server)
+        if not (was_whole or was_unsent or was_at_work) or _is_excused(rows, item, at_server):
             continue
-        what = "its answer was whole" if was_whole else "it reached no server"
+        what = (
+            "its answer was whole"
+            if was_whole
+            else "it reached no server" if was_unsent else "its server was at work"
+        )
         own = f"{item.status} {item.text.strip()}"
         text = f"{item.id} {item.by}, {item.method} {item.path}: {own}, {what}"
         yield findings.Finding("GIVEN UP", item.ended, item.machine, text, what)
@@ -55,6 +60,11 @@
     return run.status == 200 and not run.fault and (run.ended is None or run.ended <= at)
 
 
+def _is_at_work(run: record.Run, at: float) -> bool:
+    """Returns True if a sound server had begun by then, and goes on."""
+    return not run.fault and run.at <= at and (run.ended is None or run.ended > at)
+
+
 def _is_excused(rows: record.Record, item: record.Attempt, at_server: list[record.Run]) -> bool:
     machines = {item.machine, *(run.machine for run in at_server)}
     begin, end = item.began - AROUND_S, item.ended + AROUND_S
--- a/tests/test_soak/test_machine_far_checks.py
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -42,6 +42,11 @@
         (make_rows("upstream-failed\n", run_status=200), 1),
         (make_rows(run_status=200, fault="answer ends early"), 0),
         (make_rows(run_status=0), 0),
+        # A node that ended a call while the server worked on it was not seen.
+        (make_rows(run_status=200, run_ended=AT + TOOK_S + 0.1), 1),
+        (make_rows(run_status=0, run_ended=None), 1),
+        (make_rows("upstream-failed\n", run_status=0, run_ended=None), 0),
+        (make_rows(run_status=200, run_ended=AT + TOOK_S + 0.1, fault="answer ends early"), 0),
         (make_rows("deadline\n", run_status=200), 1),
         (make_rows("deadline\n", run_status=200, run_ended=AT + TOOK_S), 1),
         # The server answered after the node had given up at the route's timeout.
