--- a/soak/machines/planted.py
+++ b/soak/machines/planted.py
@@ -66,6 +66,7 @@
     Case("no answer ever", "never:callers:any:0.005"),
     Case("no answer ever, very rare", "never:callers:any:0.001"),
     Case("no answer ever, in a stop", "never:callers:stop:0.1"),
+    Case("an answer of which the end never comes", "stalled:callers:any:0.01"),
     Case("answers long after the timeout", "late:callers:any:0.3"),
     Case("another body", "wrong:callers:any:0.005"),
     Case("relayed call: connection closed", "closed:relay:any:0.01"),
--- a/soak/machines/planted_node.py
+++ b/soak/machines/planted_node.py
@@ -24,7 +24,8 @@
 # What is done in place of an answer of a server; what is early is done while the server still
 # works, what is unpassed in place of sending the request on.
 WAYS = (
-    *("closed", "reset", "cut", "never", "late", "wrong", "dropped", "exit", "sealed", *STATUSES),
+    *("closed", "reset", "cut", "stalled", "never", "late"),
+    *("wrong", "dropped", "exit", "sealed", *STATUSES),
     *(f"{EARLY}{way}" for way in ("closed", "reset", "503", "504")),
     *(f"{UNPASSED}{way}" for way in ("closed", "reset")),
 )
@@ -180,7 +181,7 @@
         from bergamotridge.util import message
 
         transport = connection._transport
-        if way == "cut" and len(response.body) < MIN_CUT_BYTES:
+        if way in ("cut", "stalled") and len(response.body) < MIN_CUT_BYTES:
             return response
         _tell(request)
         if way == "closed":
@@ -195,6 +196,9 @@
         elif way == "cut":
             transport.write(message.encode_response(response, keep_alive=False)[:-CUT_BYTES])
             transport.close()
+        elif way == "stalled":
+            transport.write(message.encode_response(response, keep_alive=True)[:-CUT_BYTES])
+            await asyncio.Event().wait()
         elif way == "never":
             await asyncio.Event().wait()
         elif way == "late":
