soak of machines: count no time in which the stand-ins stood still against a node

All LOST: a request on a kept connection that had been idle, sent in the moment at which a standstill began, reset and unread, seen at its end (such as sent 15.5765, standstill 15.5765 to 15.9888, seen 15.8819): a close that crossed, of which the kernel had not been asked since. All GIVEN UP: 504 at the node's deadline (721 ms after it took a call with a timeout of 700 ms), the server's answer written 0.10 to 0.33 s before, while its process stood still. LOST doesn't count that time for a reused connection of whose request the kernel told nothing after the last byte; GIVEN UP doesn't take an answer for whole before a 504 if the stand-ins stood still between the two. All else is as strict as before.

--- a/soak/machines/checks.py
+++ b/soak/machines/checks.py
@@ -61,9 +61,8 @@
         begins = stops.list_begins(rows, item)
         since_s = item.ended - begins[-1] if begins else float("inf")
         if item.end in ("closed", "reset") and item.sent is not None:
-            is_late = item.ended > item.sent + ends.LOST_SLACK_S
             was_read = item.end == "closed" or not ends.is_known_unread(item)
-            is_lost = (is_late and was_read) or bool(at_server)
+            is_lost = (ends.is_late(rows, item) and was_read) or bool(at_server)
         else:
             is_own = item.status >= OWN_FAILURES_FROM and not item.sealed and item.sent is not None
             is_own = is_own and item.ended < item.sent + item.timeout_s
--- a/soak/machines/ends.py
+++ b/soak/machines/ends.py
@@ -37,7 +37,7 @@
         return NOT_WHOLE
     if is_known_unread(item) and not item.accepted and _is_stopping(rows, item):
         return LISTENER
-    is_at_once = item.ended <= item.sent + LOST_SLACK_S
+    is_at_once = not is_late(rows, item)
     if item.taken is None and is_at_once and item.end == "closed" and not item.alone:
         return BEHIND_LAST
     if item.taken is None and is_at_once and item.reused:
@@ -45,6 +45,18 @@
     return OTHER
 
 
+def is_late(rows: record.Record, item: record.Attempt) -> bool:
+    """Returns True if a connection ended later than the slack after the last byte.
+
+    While the stand-ins stood still, the end of a kept connection may have come as the request was
+    on its way: their time doesn't count if the kernel told nothing of the request.
+    """
+    took_s = item.ended - item.sent
+    if item.reused and item.taken is None and (item.looked is None or item.looked < item.sent):
+        took_s -= rows.sum_stalls_s(item.sent, item.ended)
+    return took_s > LOST_SLACK_S
+
+
 def is_known_unread(item: record.Attempt) -> bool:
     """Returns True if the kernel told after the last byte, up to the end, that it wasn't read."""
     since = max(item.sent, item.ended - LOST_SLACK_S)
--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -25,7 +25,7 @@
         if item.status < OWN_FAILURES_FROM or item.sealed:
             continue
         at_server = runs[item.id]
-        was_whole = any(_is_whole_before(run, _find_due(item)) for run in at_server)
+        was_whole = any(_was_whole(rows, run, item) for run in at_server)
         is_of_node = item.status == BAD_GATEWAY and item.text.startswith(NODE_REASONS)
         was_unsent = is_of_node and not at_server
         was_at_work = is_of_node and any(_is_at_work(run, item.ended) for run in at_server)
@@ -55,9 +55,18 @@
     return due
 
 
-def _is_whole_before(run: record.Run, at: float) -> bool:
-    """Returns True if a sound server had sent its whole answer by then."""
-    return run.status == 200 and not run.fault and (run.ended is None or run.ended <= at)
+def _was_whole(rows: record.Record, run: record.Run, item: record.Attempt) -> bool:
+    """Returns True if a sound server had sent its whole answer in time.
+
+    Of an answer that became whole just before the stand-ins stood still, the end may not have been
+    sent until they went on, which may be past the timeout.
+    """
+    if run.status != 200 or run.fault:
+        return False
+    if run.ended is None:
+        return True
+    is_unsure = item.status == GATEWAY_TIMEOUT and rows.stood_still(run.ended, item.ended)
+    return run.ended <= _find_due(item) and not is_unsure
 
 
 def _is_at_work(run: record.Run, at: float) -> bool:
--- a/soak/machines/record.py
+++ b/soak/machines/record.py
@@ -141,6 +141,10 @@
         """Returns True if the stand-ins stood still at some time from `begin` to `end`."""
         return any(first <= end and last >= begin for first, last in self.stalls)
 
+    def sum_stalls_s(self, begin: float, end: float) -> float:
+        """Returns for how many seconds from `begin` to `end` the stand-ins stood still."""
+        return sum(max(0.0, min(last, end) - max(first, begin)) for first, last in self.stalls)
+
     def to_lines(self) -> list[str]:
         """Returns everything in the order of its time."""
         rows = [(item.began or item.ended or 0.0, f"attempt {item}") for item in self.attempts]
--- a/tests/test_soak/test_machine_checks.py
+++ b/tests/test_soak/test_machine_checks.py
@@ -72,6 +72,25 @@
     assert find_rules(make_rows(**seen)) == rules
 
 
+# An idle close that crossed a request was seen late, as the stand-ins stood still, and was LOST.
+@pytest.mark.parametrize(
+    ("rules", "stall", "seen"),
+    [
+        ([], (10.05, 10.4), {}),
+        ([], (10.2, 10.6), {"looked": 10.05}),
+        (["LOST"], (10.3, 10.45), {}),
+        (["LOST"], (10.05, 10.4), {"reused": False}),
+        (["LOST"], (10.05, 10.4), {"taken": 10.2, "looked": 10.2}),
+        (["LOST"], (10.05, 10.4), {"looked": 10.15}),
+        (["LOST"], (10.05, 10.4), {"runs": 1}),
+    ],
+)
+def test_the_time_in_which_stand_ins_stood_still_does_not_make_an_end_late(rules, stall, seen):
+    rows = make_rows(**{"status": 0, "end": "reset", "reused": True, "runs": 0} | seen)
+    rows.stalls.append(stall)
+    assert find_rules(rows) == rules
+
+
 # An own refusal that kept the server's seal passed for the server's.
 @pytest.mark.parametrize(("given", "rules"), [(200, ["MIXED"]), (-1, []), (503, [])])
 def test_a_sealed_failure_with_another_status_than_the_servers_is_found(given, rules):
--- a/tests/test_soak/test_machine_far_checks.py
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -79,6 +79,24 @@
     assert count_found(rows) == found
 
 
+# The end of an answer that stand-ins under load could not yet send was taken for given up.
+@pytest.mark.parametrize(
+    ("found", "status", "stall"),
+    [
+        (0, 504, (AT + 0.2, AT + 0.6)),
+        (0, 504, (AT + 0.5, AT + 0.9)),
+        (1, 504, (AT + 0.1, AT + 0.25)),
+        (1, 503, (AT + 0.2, AT + 0.6)),
+        (1, 502, (AT + 0.2, AT + 0.6)),
+    ],
+)
+def test_an_answer_that_stand_ins_had_not_sent_may_be_replaced_by_504(found, status, stall):
+    rows = make_rows("deadline\n", status, run_status=200)
+    rows.attempts[0].ended = AT + 1.0
+    rows.stalls.append(stall)
+    assert count_found(rows) == found
+
+
 @pytest.mark.parametrize(
     ("what", "machine", "at", "found"),
     [
