soak of machines: a node that stood still from an answer to the timeout may answer 504

The node was frozen from 18.618 to 20.045; the server's answer of 1 MB was whole at 18.657, the timeout of the route was at 19.511, the node's 504 came 0.15 s after the thaw. With 504, time in which the caller's node stood still between the answer and the timeout doesn't count for the 0.2 s that an answer has to be there before; other statuses are as strict as before.

--- a/soak/machines/answer_checks.py
+++ b/soak/machines/answer_checks.py
@@ -20,7 +20,7 @@
         if item.reads_slowly and item.head_at is not None:
             continue
         due = item.sent + item.timeout_s
-        ran_s = item.ended - due - _find_paused_s(rows, item.machine, due, item.ended)
+        ran_s = item.ended - due - find_paused_s(rows, item.machine, due, item.ended)
         if ran_s < LATE_S or rows.stood_still(due, item.ended):
             continue
         text = (
@@ -31,7 +31,7 @@
         yield findings.Finding("LOST", item.ended, item.machine, text, NO_ANSWER)
 
 
-def _find_paused_s(rows: record.Record, machine: int, begin: float, end: float) -> float:
+def find_paused_s(rows: record.Record, machine: int, begin: float, end: float) -> float:
     """Returns for how many seconds from `begin` to `end` a process of a machine stood still."""
     paused_s, since = 0.0, None
     for item in sorted(rows.happenings, key=lambda item: item.at):
--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterator
 
-from soak.machines import ends, findings, record
+from soak.machines import answer_checks, ends, findings, record
 
 AROUND_S = 0.1
 BAD_GATEWAY, GATEWAY_TIMEOUT, OWN_FAILURES_FROM = 502, 504, 300
@@ -65,8 +65,18 @@
         return False
     if run.ended is None:
         return True
-    is_unsure = item.status == GATEWAY_TIMEOUT and rows.stood_still(run.ended, item.ended)
-    return run.ended <= _find_due(item) and not is_unsure
+    if item.status == GATEWAY_TIMEOUT and rows.stood_still(run.ended, item.ended):
+        return False
+    due = _find_due(item)
+    return run.ended <= due and not _stood_until(rows, item, run.ended, due)
+
+
+def _stood_until(rows: record.Record, item: record.Attempt, since: float, due: float) -> bool:
+    """Returns True if a 504 came of a node that stood still until the route's timeout."""
+    if item.status != GATEWAY_TIMEOUT:
+        return False
+    paused_s = answer_checks.find_paused_s(rows, item.machine, since, due)
+    return paused_s > 0.0 and due - since - paused_s <= CROSSING_S
 
 
 def _is_at_work(run: record.Run, at: float) -> bool:
--- a/tests/test_soak/test_machine_far_checks.py
+++ b/tests/test_soak/test_machine_far_checks.py
@@ -79,6 +79,29 @@
     assert count_found(rows) == found
 
 
+# A node that stood still from the answer to the timeout was blamed for its 504.
+@pytest.mark.parametrize(
+    ("found", "status", "machine", "begin", "end"),
+    [
+        (0, 504, 1, 0.2, 1.2),
+        (0, 504, 1, 0.45, 1.2),
+        (1, 504, 1, 0.55, 1.2),
+        (1, 504, 1, 0.2, 0.75),
+        (1, 504, 2, 0.2, 1.2),
+        (1, 503, 1, 0.2, 1.2),
+        (1, 502, 1, 0.2, 1.2),
+    ],
+)
+def test_a_node_that_stands_still_until_the_timeout_may_answer_504(
+    found, status, machine, begin, end
+):
+    rows = make_rows("deadline\n", status, run_status=200)
+    rows.attempts[0].ended, rows.attempts[0].timeout_s = AT + 1.3, 1.0
+    for at, what in ((begin, "SIGSTOP"), (end, "SIGCONT")):
+        rows.happenings.append(record.Happening(AT + at, what, machine, "7"))
+    assert count_found(rows) == found
+
+
 # The end of an answer that stand-ins under load could not yet send was taken for given up.
 @pytest.mark.parametrize(
     ("found", "status", "stall"),
