soak of machines: what is whole within 0.2 s of the timeout may cross the node's 504

The timeout was at 9.541 (the request sent at 8.341, 1.2 s), the server's answer of 400 kB was whole at 9.483, the client had the 504 at 9.686: it took the answer for whole 0.203 s before the 504. What may cross is the node's deadline, which the client sees late under load; with 504 the 0.2 s count from the route's timeout, or from the answer if that came before.

--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -44,15 +44,15 @@
 def _find_due(item: record.Attempt) -> float:
     """Returns until when an answer has to be whole so that no own one may take its place.
 
-    A node that stood still past the timeout of the route answers 504 later than that; what became
-    whole after the timeout came too late.
+    A node under load, or one that stood still, sends its 504 later than the timeout of the route;
+    what became whole just before the timeout may have crossed it, what did so later came too late.
     """
     if item.status == BAD_GATEWAY:
         return item.ended
-    due = item.ended - CROSSING_S
+    due = item.ended
     if item.status == GATEWAY_TIMEOUT and item.sent is not None:
-        return min(due, item.sent + item.timeout_s)
-    return due
+        due = min(due, item.sent + item.timeout_s)
+    return due - CROSSING_S
 
 
 def _was_whole(rows: record.Record, run: record.Run, item: record.Attempt) -> bool:
@@ -72,11 +72,11 @@
 
 
 def _stood_until(rows: record.Record, item: record.Attempt, since: float, due: float) -> bool:
-    """Returns True if a 504 came of a node that stood still until the route's timeout."""
+    """Returns True if a 504 came of a node that stood still from an answer to the timeout."""
     if item.status != GATEWAY_TIMEOUT:
         return False
-    paused_s = answer_checks.find_paused_s(rows, item.machine, since, due)
-    return paused_s > 0.0 and due - since - paused_s <= CROSSING_S
+    until = due + CROSSING_S
+    return due - since <= answer_checks.find_paused_s(rows, item.machine, since, until)
 
 
 def _is_at_work(run: record.Run, at: float) -> bool:
