soak of machines: freeze no process that another step has told to stop too early

A step froze a node from 17.061 to 18.837 that another step had told to stop at 12.924: thawed 5.91 s after SIGTERM, it ended at once with four requests unanswered, sent 3.9 to 4.8 s after SIGTERM. The freeze is now left out if the process was told so early.

--- a/soak/machines/fleet.py
+++ b/soak/machines/fleet.py
@@ -279,10 +279,18 @@
         return self.machines[number - 1].pause(pauses.share_out(share, period_s))
 
     async def freeze(self, number: int, after_s: float, for_s: float) -> None:
-        """Freezes the latest node of machine `number` once, after some time."""
+        """Freezes the latest node of machine `number` once, after some time.
+
+        Not if another step has told it to stop so early that it would have no time left to end.
+        """
         item = self.machines[number - 1]
-        pauser = item.pause([(after_s, for_s)], item.process)
-        await asyncio.sleep(after_s + for_s)
+        process = item.process
+        await asyncio.sleep(after_s)
+        told_at = self.rows.now() if process.told_at is None else process.told_at
+        if self.rows.now() + for_s > told_at + steps_starve.FREEZES_END_S:
+            return
+        pauser = item.pause([(0.0, for_s)], process)
+        await asyncio.sleep(for_s)
         await asyncio.to_thread(pauser.join)
 
     def draw_service(self, share: float) -> str:
