Refuse a body that is announced as too large from its head on

Cause: a length above the limit reserved no memory, so that the body was read until it had exceeded the limit.

Change: 413 once the head is read, also before 100 Continue.

Measured: the new test failed before; tests/test_util passes.

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -215,11 +215,12 @@
         self._upgrade_offered = self.parser.should_upgrade()
 
     def _reserve_announced_body(self) -> None:
-        """Reserves the memory for a body of the announced size, unless that is too large."""
+        """Reserves the memory for a body of the announced size; refuses one that is too large."""
         length = message.find_header(self._headers, b"content-length")
         body_size = message.parse_whole_number(length, self.bounds.body_bytes + 1) or 0
-        if body_size <= self.bounds.body_bytes:
-            self._reserve(body_size)
+        if body_size > self.bounds.body_bytes:
+            raise BadRequestError(413)
+        self._reserve(body_size)
 
     def _check_transfer_encoding(self) -> None:
         """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
--- a/tests/test_util/test_httpd_memory.py
+++ b/tests/test_util/test_httpd_memory.py
@@ -68,6 +68,14 @@
         processes.wait_until(lambda: not memory.total_bytes, "nothing is held")
 
 
+# A body above the limit was read as long as there was room, then refused as one to be sent again.
+def test_a_body_that_is_announced_as_too_large_is_refused_before_it_comes():
+    with serving(3 * BODY) as (slow, memory, _), connect(slow.address) as client:
+        client.sendall(HEAD.replace(b"%d" % BODY, b"%d" % (BODY + 1)))
+        assert read_all(client).startswith(b"HTTP/1.1 413")
+        assert (slow.handled, memory.total_bytes) == ([], 0)
+
+
 # What a connection held could have been counted for ever after an odd end.
 def test_nothing_is_counted_any_more_after_any_end_of_a_connection():
     pieces = [HEAD, FIRST, bytes(1000), b"\0\r\n", HEAD + bytes(BODY), CHUNKED + bytes(500)]
