--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -12,7 +12,7 @@
 
 from bergamotridge import errors, malformed
 from bergamotridge.store import position, readable, restorations
-from bergamotridge.util import clock, fields, http_client
+from bergamotridge.util import clock, connecting, fields
 
 EPOCH_HEADER = "Store-Epoch"  # Rises when the store was restored from an earlier copy.
 MAX_EPOCH_DIGITS = 18  # Such numbers fit into 64 bits.
@@ -211,7 +211,7 @@
 def _open_socket(_purpose: int, address: tuple) -> socket.socket:
     family, kind, protocol, _ = address
     sock = socket.socket(family, kind, protocol)
-    http_client.enable_tcp_keepalive(sock)
+    connecting.enable_tcp_keepalive(sock)
     return sock
 
 
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-import socket
 from collections.abc import Callable
 
 import attrs
@@ -15,6 +14,7 @@
     answer_memory,
     cancellation,
     client_connection,
+    connecting,
     held_bytes,
     loop,
     message,
@@ -22,13 +22,8 @@
     response_reader,
 )
 
-CONNECT_TIMEOUT_S = 0.3
 MAX_TRIAL_WAIT_S = 0.5  # For the connections of a trial, in place of a new one.
-LATE_CONNECT_S = 0.02  # For the loop to learn of a connection after its time is over.
 REFUSAL_S = 0.25  # A server ends a connection that it refuses within this time.
-TCP_KEEPALIVE_IDLE_S = 1
-TCP_KEEPALIVE_INTERVAL_S = 1
-MAX_TCP_KEEPALIVE_PROBES = 2
 HEAD_BYTES = 65_536
 ANSWERS_BYTES = 67_108_864
 
@@ -69,35 +64,6 @@
         self.refused_beside: int | None = None
 
 
-def enable_tcp_keepalive(sock: socket.socket) -> None:
-    """Sets TCP options that let the kernel detect an unresponsive peer within a few seconds."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_TCP_KEEPALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, client_connection.TCP_USER_TIMEOUT_MS
-    )
-
-
-async def _wait_for_connect(connecting: asyncio.Task, timeout_s: float) -> None:
-    """Waits until a connection is open; raises OSError, or TimeoutError after `timeout_s` seconds.
-
-    In a process that stood still, the time may be over before the loop learns of the connection.
-    """
-    try:
-        for wait_s in (max(0.0, timeout_s), LATE_CONNECT_S):
-            if not connecting.done():
-                await asyncio.wait({connecting}, timeout=wait_s)
-        if not connecting.done():
-            raise TimeoutError
-        connecting.result()
-    finally:
-        # The socket may be closed only once the loop has left it.
-        if connecting.cancel():
-            await asyncio.wait({connecting})
-
-
 def _check_usable(
     connection: client_connection.Connection, is_late: bool, token: cancellation.Token | None
 ) -> None:
@@ -302,35 +268,31 @@
             address = addresses.parse(self.address)
         except errors.MalformedEntryError as error:
             raise TransferError(f"cannot connect: {error}", verdict.Verdict.NOT_RUN) from error
-        sock = socket.socket(address.family, socket.SOCK_STREAM)
         try:
-            sock.setblocking(False)
-            enable_tcp_keepalive(sock)
-            connecting = event_loop.create_task(event_loop.sock_connect(sock, address.pair))
-            await _wait_for_connect(connecting, min(CONNECT_TIMEOUT_S, timeout_s))
-            _, connection = await event_loop.create_connection(
-                lambda: client_connection.Connection(
-                    event_loop,
-                    self.address,
-                    response_reader.ResponseReader(self.head_limit, self.body_limit),
-                    self.memory,
-                    self.close_delimited,
-                    self.on_arrival,
-                ),
-                sock=sock,
-            )
+            sock = await connecting.open_socket(address, event_loop, timeout_s)
+            try:
+                _, connection = await event_loop.create_connection(
+                    lambda: client_connection.Connection(
+                        event_loop,
+                        self.address,
+                        response_reader.ResponseReader(self.head_limit, self.body_limit),
+                        self.memory,
+                        self.close_delimited,
+                        self.on_arrival,
+                    ),
+                    sock=sock,
+                )
+            except BaseException:
+                sock.close()
+                raise
         except OSError as error:
-            sock.close()
-            text = f"cannot connect: {type(error).__name__}: {error}"
+            is_timeout = isinstance(error, TimeoutError)
             raise TransferError(
-                text,
+                f"cannot connect: {type(error).__name__}: {error}",
                 verdict.Verdict.NOT_RUN,
-                timed_out=isinstance(error, TimeoutError) and timeout_s <= CONNECT_TIMEOUT_S,
+                timed_out=is_timeout and timeout_s <= connecting.CONNECT_TIMEOUT_S,
                 connection_refused=isinstance(error, ConnectionRefusedError),
             ) from error
-        except BaseException:
-            sock.close()
-            raise
         return connection
 
     async def try_connections(self, total: int, settle_s: float) -> int:
@@ -350,7 +312,7 @@
         try:
             with contextlib.suppress(TransferError):
                 for _ in missing:
-                    opened.append(await self._connect(event_loop, CONNECT_TIMEOUT_S))
+                    opened.append(await self._connect(event_loop, connecting.CONNECT_TIMEOUT_S))
             await asyncio.sleep(settle_s)
         finally:
             accepted = [item for item in opened if not (item.ended or item.has_unread_input)]
--- a/tests/test_util/test_pool_pauses.py
+++ b/tests/test_util/test_pool_pauses.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bergamotridge.util import http_client
+from bergamotridge.util import connecting, http_client
 from tests import event_loop
 
 SETTLE_S = 0.2
@@ -56,7 +56,7 @@
         opening = asyncio.create_task(pool.try_connections(1, 0.0))
         for _ in range(turns):
             await asyncio.sleep(0)
-        time.sleep(http_client.CONNECT_TIMEOUT_S + 0.1)
+        time.sleep(connecting.CONNECT_TIMEOUT_S + 0.1)
         return await opening
 
     assert event_loop.run(run()) == 1
