--- a/bench/run.py
+++ b/bench/run.py
@@ -6,6 +6,7 @@
 
 BENCHMARKS = {
     "latency": "bench.latency",
+    "call_cost": "bench.call_cost",
     "policy": "bench.policy.run",
     "quota": "bench.quota",
     "membership": "bench.membership",
