--- a/bergamotridge/answer.py
+++ b/bergamotridge/answer.py
@@ -9,6 +9,7 @@
 from bergamotridge.upstreams import notice
 from bergamotridge.util import hlc, message
 
+GATEWAY_TIMEOUT = 504
 VERDICT_HEADER = verdict.HEADER.lower().encode()
 
 
@@ -41,6 +42,15 @@
     host: str = ""
     upstream_notice: notice.UpstreamNotice | None = None
 
+    def set_doubt(self, outcome: verdict.Verdict) -> None:
+        """Replaces the verdict of a refusal, as the call ran or may have run before it.
+
+        The status of a deadline then is no longer one that promises that the call did not run.
+        """
+        self.verdict = outcome
+        if self.reason == errors.DEADLINE:
+            self.response.status = GATEWAY_TIMEOUT
+
 
 def from_error(error: errors.CallError, unused: int = 0) -> Answer:
     """Returns the answer for a call that failed with `error`.
--- a/bergamotridge/errors.py
+++ b/bergamotridge/errors.py
@@ -4,6 +4,8 @@
 
 from bergamotridge import verdict
 
+DEADLINE = "deadline"  # Reason of a call whose time was over, or too short.
+
 
 class Category(enum.Enum):
     """Kind of mistake or failure that an error reports."""
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -8,6 +8,7 @@
 
 from bergamotridge import answer, call, errors, events, verdict
 from bergamotridge.nodes import (
+    attempt_times,
     budget,
     choice,
     context,
@@ -97,6 +98,7 @@
         self._dependency_thresholds = service_thresholds
         self._log = log
         self._notices = known_notices.KnownNotices()
+        self._attempt_times = attempt_times.AttemptTimes()
 
     async def send(
         self, outgoing: OutgoingCall, allowance: call.Allowance, token: cancellation.Token
@@ -110,8 +112,8 @@
 
         Returns:
             The answer for all attempts; failures are returned as refusals. A failed attempt is
-            retried only if the call is repeatable or certainly did not run, and only before its
-            deadline and while the allowance and the retry budget last.
+            retried only if the call is repeatable or certainly did not run, and only while its
+            time, the allowance and the retry budget last.
         """
         excluded: set[str] = set()
         last: answer.Answer | None = None
@@ -121,7 +123,7 @@
         self._budget.add_first_attempt(outgoing.service, time.monotonic())
         while True:
             last = _combine_answers(last, await self._attempt(target, outgoing, allowance, token))
-            if not _may_be_sent_again(last, outgoing, token):
+            if not _may_be_sent_again(last, outgoing, token) or not self._has_time(outgoing):
                 return last
             excluded.add(target.host)
             target = self._choose_next(last, outgoing, allowance, excluded)
@@ -131,6 +133,11 @@
                 "call.retried", outgoing.context.request_id, last.reason, service=outgoing.service
             )
 
+    def _has_time(self, outgoing: OutgoingCall) -> bool:
+        """Returns whether another attempt of a call may be answered before its deadline."""
+        left_s = outgoing.context.time_left(time.monotonic())
+        return self._attempt_times.allow(outgoing.service, left_s)
+
     def _choose(
         self, outgoing: OutgoingCall, excluded: Collection[str]
     ) -> record.UpstreamRecord | None:
@@ -244,6 +251,8 @@
         now: float,
     ) -> None:
         result = _OUTCOME_BY_REASON.get(reply.reason, outcome.Outcome.FAILED)
+        if result is outcome.Outcome.OK:
+            self._attempt_times.record(service, latency_s)
         if reply.reason == relay.NODE_FAILED and reply.verdict is verdict.Verdict.NOT_RUN:
             result = outcome.Outcome.UNREACHABLE
         self._chooser.record_outcome(target.host, result, reply.report, latency_s, now)
@@ -260,8 +269,10 @@
     """Returns whether a further attempt is of use and can't run the call twice."""
     if not last.reason or token.cancelled or last.reason in _FLEET_WIDE_REASONS:
         return False
-    may_repeat = outgoing.context.repeatable or last.verdict is verdict.Verdict.NOT_RUN
-    return may_repeat and outgoing.context.time_left(time.monotonic()) > 0
+    was_not_run = last.verdict is verdict.Verdict.NOT_RUN
+    # Timers end up to some milliseconds early, so that time may be left on this node's clock.
+    has_used_its_time = last.reason == errors.DEADLINE and not was_not_run
+    return not has_used_its_time and (outgoing.context.repeatable or was_not_run)
 
 
 def _combine_answers(earlier: answer.Answer | None, last: answer.Answer) -> answer.Answer:
@@ -273,7 +284,7 @@
         return last
     if earlier.verdict is verdict.Verdict.RUN:
         return earlier
-    last.verdict = earlier.verdict
+    last.set_doubt(earlier.verdict)
     return last
 
 
--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -12,8 +12,6 @@
 ANSWER_GRACE_S = 0.02
 NODE_FAILED = "node-failed"
 NODE_REFUSED = "node-refused"
-# Reasons of calls with the verdict not-run that no handler of the other node has seen.
-UNHANDLED_REASONS = frozenset((NODE_FAILED, NODE_REFUSED))
 # With these, a port refuses what it can't read, or is too long for it, from any node.
 REQUEST_STATUSES = frozenset((400, 405, 413, 414, 431))
 
@@ -39,6 +37,8 @@
         raises CallError.
         """
         now = time.monotonic()
+        if relayed.context.time_left(now) <= 0:
+            return answer.from_error(_no_time_left_error(), relayed.retries)
         context_field = context_header.encode(self._fleet_token, relayed, now)
         notice_fields = context_header.encode_notice(relayed.upstream_notice)
         fields = [(b"host", address.encode()), *request.headers, *notice_fields, context_field]
@@ -87,7 +87,7 @@
 def _failure_reason(error: http_client.TransferError, cancelled: bool) -> str:
     if cancelled:
         return "cancelled"
-    return "deadline" if error.timed_out else NODE_FAILED
+    return errors.DEADLINE if error.timed_out else NODE_FAILED
 
 
 def _answer_failed_transfer(
@@ -108,6 +108,15 @@
     return answer.from_error(failure, unused)
 
 
+def _no_time_left_error() -> errors.CallError:
+    return errors.CallError(
+        "the time limit of the call had passed before it was sent to another node",
+        status=503,
+        reason=errors.DEADLINE,
+        retry_after_s=1,
+    )
+
+
 class ClaimRunner(Protocol):
     """Runs calls whose idempotency key has this node as its home."""
 
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -79,8 +79,8 @@
     )
 
 
-def send(fleet: FakeFleet, *, repeatable: bool, retries: int = 3, time_left_s: float = 60.0):
-    dispatcher = make_dispatcher(fleet)
+def send(fleet, *, repeatable: bool, retries: int = 3, time_left_s: float = 60.0, dispatcher=None):
+    dispatcher = dispatcher or make_dispatcher(fleet)
     deadline = time.monotonic() + time_left_s
     context = call.CallContext("r", "t", call.Importance.CRITICAL, deadline, 0, repeatable)
     outgoing = dispatch.OutgoingCall("pay", context, message.Request(b"POST", b"/pay", []))
@@ -123,6 +123,37 @@
     assert len(fleet.hosts) == 1
 
 
+# A call that outlasted its route's timeout was sent to a second node, as timers end some
+# milliseconds early; the caller got 502 in place of 504.
+def test_an_attempt_that_ended_for_its_deadline_is_not_retried():
+    fleet = FakeFleet(MAY_HAVE_RUN, NOT_RUN, reason=errors.DEADLINE)
+    received, allowance = send(fleet, repeatable=True, retries=1)
+    assert (len(fleet.hosts), allowance.left, received.verdict) == (1, 1, MAY_HAVE_RUN)
+
+
+# Calls were sent on with less time than any answer takes, and used up retries for refusals.
+@pytest.mark.parametrize(("time_left_s", "attempts"), [(0.2, 1), (60.0, 2)])
+def test_a_call_is_not_retried_with_less_time_left_than_attempts_take(time_left_s, attempts):
+    fleet = FakeFleet(NOT_RUN, NOT_RUN, reason=errors.DEADLINE)
+    dispatcher = make_dispatcher(fleet)
+    reply = answer.Answer(message.Response(200), RUN)
+    dispatcher._record_attempt(make_record("h9"), "pay", reply, 1.0, 1.0)
+    _, allowance = send(
+        fleet, repeatable=False, retries=1, time_left_s=time_left_s, dispatcher=dispatcher
+    )
+    assert (len(fleet.hosts), allowance.left) == (attempts, 2 - attempts)
+
+
+# A deadline after an attempt that may have run was told as 503, which promises that it did not.
+def test_a_deadline_after_an_attempt_that_may_have_run_gets_504():
+    failed = answer.from_error(
+        errors.CallError("lost", status=502, reason="upstream-failed", verdict=MAY_HAVE_RUN)
+    )
+    late = answer.from_error(errors.CallError("late", status=503, reason=errors.DEADLINE))
+    combined = dispatch._combine_answers(failed, late)
+    assert (combined.response.status, combined.verdict) == (504, MAY_HAVE_RUN)
+
+
 def test_an_answer_of_an_upstream_is_kept_over_a_later_refusal():
     answered = answer.Answer(message.Response(500), RUN, "upstream-error")
     refused = answer.from_error(errors.CallError("full", status=503, reason="shed"))
--- a/tests/test_nodes/test_relay.py
+++ b/tests/test_nodes/test_relay.py
@@ -1,9 +1,11 @@
 """Reasons of failed relays: a call that its caller cancelled must not count as a failed node."""
 
+import time
+
 import attrs
 import pytest
 
-from bergamotridge import answer, call, events, verdict
+from bergamotridge import answer, call, errors, events, verdict
 from bergamotridge.nodes import context, relay
 from bergamotridge.util import cancellation, http_client, message
 from tests import event_loop
@@ -12,7 +14,7 @@
 MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
 
 
-@attrs.define
+@attrs.define(slots=False)
 class FailingPools:
     """Connection pools whose transfers fail; `caller_cancels` cancels the call before that."""
 
@@ -51,6 +53,16 @@
     assert (received.response.status, received.verdict) == (503, verdict.Verdict.NOT_RUN)
 
 
+# A call whose time was over was sent to another node, which refused it.
+def test_a_call_whose_time_is_over_is_not_relayed(monkeypatch):
+    sent = []
+    pools = FailingPools(timed_out=False, caller_cancels=False)
+    monkeypatch.setattr(pools, "pool_for", lambda address: sent.append(address) or pools)
+    received = _relay(pools, deadline=time.monotonic())
+    assert (sent, received.reason, received.unused) == ([], errors.DEADLINE, 2)
+    assert (received.response.status, received.verdict) == (503, verdict.Verdict.NOT_RUN)
+
+
 def _refusal_of_a_stop():
     return message.Response(503, [(b"bergamotridge-verdict", b"not-run")])
 
@@ -91,10 +103,10 @@
     assert (received.response.status, received.verdict) == (502, MAY_HAVE_RUN)
 
 
-def _relay(pools, address="127.0.0.1:1"):
+def _relay(pools, address="127.0.0.1:1", deadline=1e12):
     log = events.EventLog("h1", 1, "utrecht")
     client = relay.RelayClient(pools, "token", log)
-    call_context = call.CallContext("r1", "delft", call.Importance.STANDARD, 1e12, 0, False)
+    call_context = call.CallContext("r1", "delft", call.Importance.STANDARD, deadline, 0, False)
     relayed = context.RelayedCall("booking", call_context, 2, None)
     request = message.Request(b"GET", b"/slots", [])
     return event_loop.run(client.send(address, relayed, request, cancellation.Token()))
