After a pause of the process a refused connection is still taken for one

Whether a server had refused a connection was judged by the time at which the loop learnt of its end. In a process that stood still for over 0.25 s meanwhile, a reset that had come at once counted as a broken connection: the upstream got no bound of connections, and more calls were sent on connections that it refused, so that they may have run.

The time is kept by a timer now that lets the loop read first what has arrived (util.late_timer), and the connection notes at its end whether it was refused.

The new case of test_http_client_freeze, a reset during a stop of 0.5 s, failed before.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from bergamotridge.util import answer_memory, cancellation, response_reader
+from bergamotridge.util import answer_memory, cancellation, late_timer, response_reader
 
 TURNS_TO_READ = 2  # Of the loop: it reads between them.
 # Time without a sign of the other side after which the kernel gives up a connection.
@@ -35,6 +35,7 @@
         idle_until: Time of the loop in seconds until which the idle connection may be reused.
         ended: True once either side has closed the connection.
         ended_by_peer: True if the other side closed it first.
+        refused: True if the other side closed it first, before the time given to `limit_refusal`.
     """
 
     def __init__(
@@ -52,6 +53,8 @@
         self.idle_until = 0.0
         self.ended = False
         self.ended_by_peer = False
+        self.refused = False
+        self._may_be_refused = True
         self._event_loop = event_loop
         self._close_delimited = close_delimited
         self._on_arrival = on_arrival
@@ -104,8 +107,20 @@
             exc or ConnectionError("the connection closed before the response was complete")
         )
 
+    def limit_refusal(self, within_s: float) -> None:
+        """Takes an end that arrives later than some seconds from now for no refusal.
+
+        One that had arrived by then, and is read later by a process that stood still, is taken.
+        """
+        late_timer.LateTimer(self._event_loop, within_s, self._exclude_refusal)
+
+    def _exclude_refusal(self) -> None:
+        self._may_be_refused = False
+
     def _note_end(self) -> None:
-        self.ended_by_peer = self.ended_by_peer or not self.ended
+        if not self.ended:
+            self.ended_by_peer = True
+            self.refused = self._may_be_refused
         self.ended = True
 
     @property
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -185,13 +185,12 @@
         try:
             if connection is None:
                 connection = await self._connect(event_loop, deadline - event_loop.time())
-            opened_at = event_loop.time()
+                connection.limit_refusal(REFUSAL_S)
             try:
-                _check_usable(connection, opened_at >= deadline, token)
+                _check_usable(connection, event_loop.time() >= deadline, token)
                 response = await self._exchange(connection, request, deadline, token, check, reused)
             except TransferError as error:
-                ended_soon = connection.ended_by_peer and event_loop.time() < opened_at + REFUSAL_S
-                if ended_soon and not reused and connection.reader.is_untouched:
+                if connection.refused and not reused and connection.reader.is_untouched:
                     error.refused_beside = self.open_connections - 1
                 raise
         finally:
