A trial of connections says nothing of an upstream that came during it

The bound of connections is forgotten as an upstream is replaced, but a trial that had begun at the earlier one was still taken in. If the earlier one had accepted all of its connections, it disproved the bound that the new one had shown meanwhile, and kept it without any for two seconds: calls were sent on connections that were refused, so that they may have run.

The bound has a generation, which a trial keeps from its beginning; a result of another generation is dropped and the next trial starts at once, at the new upstream. One of the two new cases of test_connection_trials (an earlier upstream that accepts all) failed before, with a limit of 8 in place of 2.

--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -90,6 +90,11 @@
             return None
         return min(total, self._compute_need())
 
+    @property
+    def bound_generation(self) -> int:
+        """Changes as the bound of an upstream that was replaced is forgotten."""
+        return self._connection_bound.generation
+
     @property
     def has_connection_bound(self) -> bool:
         """True while the upstream counts as one that refuses connections."""
@@ -100,8 +105,13 @@
         self._connection_bound.record_refusal(open_connections, now)
         self._limit.set_ceiling(self._compute_ceiling())
 
-    def record_trial(self, accepted: int, is_whole: bool, now: float) -> None:
-        """Takes in how many connections the upstream accepted, and whether it refused none."""
+    def record_trial(self, accepted: int, is_whole: bool, generation: int, now: float) -> None:
+        """Takes in how many connections the upstream accepted, and whether it refused none.
+
+        Does nothing if `generation`, that of the trial's beginning, isn't the present one.
+        """
+        if generation != self.bound_generation:
+            return
         need = self._compute_need()
         self._connection_bound.record_trial(accepted, is_whole, need, now)
         self._limit.set_ceiling(self._compute_ceiling())
--- a/bergamotridge/upstreams/connection_bound.py
+++ b/bergamotridge/upstreams/connection_bound.py
@@ -17,9 +17,14 @@
 
     A connection may also have ended at once because of its request. The bound is forgotten if the
     first trial shows that the upstream accepts more.
+
+    Attributes:
+        generation: Number of upstreams whose bound was forgotten; a trial that began before says
+            nothing of the present one.
     """
 
     def __init__(self) -> None:
+        self.generation = 0
         self._value = UNBOUNDED_CONNECTIONS
         self._confirmed = False
         self._disproved_at = -math.inf
@@ -54,12 +59,16 @@
         self._confirmed = True
         self._value = max(self._value, accepted)
         if is_disproved or self._value >= needed:
-            self.reset()
+            self._forget()
         if is_disproved:
             self._disproved_at = now
 
     def reset(self) -> None:
         """Forgets the bound, as that of an earlier upstream."""
+        self.generation += 1
+        self._forget()
+
+    def _forget(self) -> None:
         self._value = UNBOUNDED_CONNECTIONS
         self._confirmed = False
         self._disproved_at = -math.inf
--- a/bergamotridge/upstreams/connection_trials.py
+++ b/bergamotridge/upstreams/connection_trials.py
@@ -47,9 +47,9 @@
 
     def _start(self) -> None:
         self._timer = None
-        total = self._gate.next_trial
+        generation, total = self._gate.bound_generation, self._gate.next_trial
         if total is not None:
-            self._trial = asyncio.get_running_loop().create_task(self._try(total))
+            self._trial = asyncio.get_running_loop().create_task(self._try(total, generation))
         elif self._gate.has_connection_bound:
             # The upstream is not ready; trials go on once it is.
             self._schedule(PAUSE_S)
@@ -57,19 +57,26 @@
     def _schedule(self, delay_s: float) -> None:
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._start)
 
-    async def _try(self, total: int) -> None:
-        """Tries to have `total` connections open, and schedules the next trial."""
+    async def _try(self, total: int, generation: int) -> None:
+        """Tries to have `total` connections open, and schedules the next trial.
+
+        A trial whose upstream is replaced meanwhile, so that the generation of the bound changes,
+        says nothing.
+        """
         pool = self._pools.pool_for(self._address)
         self._fewest_open = connection_bound.UNBOUNDED_CONNECTIONS
         try:
             accepted = await pool.try_connections(total, SETTLE_S)
         finally:
             self._trial = None
+        if generation != self._gate.bound_generation:
+            self._schedule(0.0)
+            return
         is_whole = accepted >= total
         if not is_whole:
             # Calls whose connections were open as the trial began may have been refused since.
             accepted = min(accepted, self._fewest_open)
-        self._gate.record_trial(accepted, is_whole, time.monotonic())
+        self._gate.record_trial(accepted, is_whole, generation, time.monotonic())
         if not is_whole and not self._is_reported:
             self._is_reported = True
             _log.warning(
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -152,6 +152,12 @@
         with self._lock:
             return self._admission.next_trial
 
+    @property
+    def bound_generation(self) -> int:
+        """Changes as the bound of an upstream that was replaced is forgotten."""
+        with self._lock:
+            return self._admission.bound_generation
+
     @property
     def has_connection_bound(self) -> bool:
         """True while the upstream counts as one that refuses connections."""
@@ -163,10 +169,13 @@
         with self._lock:
             self._admission.record_refused_connection(open_connections, now)
 
-    def record_trial(self, accepted: int, is_whole: bool, now: float) -> None:
-        """Takes in how many connections the upstream accepted, and whether it refused none."""
+    def record_trial(self, accepted: int, is_whole: bool, generation: int, now: float) -> None:
+        """Takes in how many connections the upstream accepted, and whether it refused none.
+
+        Does nothing if `generation`, that of the trial's beginning, isn't the present one.
+        """
         with self._lock:
-            self._admission.record_trial(accepted, is_whole, now)
+            self._admission.record_trial(accepted, is_whole, generation, now)
 
     def forget_connection_bound(self) -> None:
         """Forgets the refused connections of an upstream that was replaced."""
--- a/tests/test_upstreams/test_connection_trials.py
+++ b/tests/test_upstreams/test_connection_trials.py
@@ -67,6 +67,13 @@
     return upstream, admission, pools
 
 
+async def replace(upstream, server):
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    told = attrs.evolve(upstream.announcement, address=address, incarnation=2)
+    assert upstream.apply_announcement(told, time.monotonic())
+
+
 def start_call(upstream):
     context = call.CallContext(
         "r", "t", call.Importance.CRITICAL, time.monotonic() + 60, 0, repeatable=False
@@ -158,3 +165,29 @@
         pools.close()
 
     event_loop.run(asyncio.wait_for(run(), 60))
+
+
+# A trial at an upstream that was replaced meanwhile showed that the new one accepts more than it
+# does: calls went on to be sent on connections that it refused.
+@pytest.mark.parametrize("old_bound", [0, SLOTS])
+def test_a_trial_of_an_earlier_upstream_says_nothing_of_the_bound_of_the_next(
+    monkeypatch, old_bound
+):
+    monkeypatch.setattr(connection_trials, "PAUSE_S", 30.0)
+
+    async def run():
+        old, new = BoundedServer(0), BoundedServer(2)
+        upstream, admission, pools = await start_upstream(old)
+        await start_call(upstream)
+        old.bound = old_bound
+        await wait_until(lambda: upstream._trials._trial is not None)
+        await replace(upstream, new)
+        calls = [start_call(upstream) for _ in range(4)]
+        await wait_until(lambda: new.held == 2 and new.refused >= 2)
+        await wait_until(lambda: upstream._trials._trial is None)
+        assert admission.report(time.monotonic()).limit == 2
+        new.released.set()
+        await asyncio.gather(*calls)
+        pools.close()
+
+    event_loop.run(asyncio.wait_for(run(), 60))
