A client isn't taken for one that stalls for the time in which the process stood still

How long the client of an answer had taken nothing was counted by the clock. After a pause of the process for longer than the idle time, the first look at a client found that nothing had moved, as the process itself had passed nothing on, and cut the answer off. In a stop, what a client had taken during the pause was not looked at before it was judged, so that its answer counted as one that nobody takes.

The time by which a look is late is left out of the client's time, and what was taken since the last look counts as being taken.

Two of the new cases of test_response_writer failed before.

--- a/bergamotridge/util/reading_progress.py
+++ b/bergamotridge/util/reading_progress.py
@@ -23,17 +23,25 @@
 
     def note(self, untaken_bytes: int, now: float) -> bool:
         """Notes how many bytes the client has not taken at `now`; returns whether they changed."""
-        if untaken_bytes == self._untaken_bytes:
+        if not self.has_taken(untaken_bytes):
             return False
         self._untaken_bytes = untaken_bytes
         self._progress_at = now
         return True
 
+    def exclude(self, pause_s: float) -> None:
+        """Leaves out seconds since the last progress in which the process stood still."""
+        self._progress_at += pause_s
+
     def bytes_per_s(self, now: float) -> float:
         """Returns how fast the client has taken the response since it was written."""
         taken = self._started_with - self._untaken_bytes
         return taken / max(now - self.started_at, MIN_TIME_S)
 
+    def has_taken(self, untaken_bytes: int) -> bool:
+        """Returns whether the bytes that the client has not taken changed since the last note."""
+        return untaken_bytes != self._untaken_bytes
+
     def has_stalled(self, now: float, stall_s: float) -> bool:
         """Returns whether the client has taken nothing for `stall_s` seconds."""
         return now - self._progress_at >= stall_s
--- a/bergamotridge/util/response_writer.py
+++ b/bergamotridge/util/response_writer.py
@@ -70,7 +70,7 @@
         waiter = self._waiter = self._event_loop.create_future()
         self.started_at = self._event_loop.time()
         self._progress = reading_progress.ReadingProgress(self._count_untaken(), self.started_at)
-        self._look_at_client(stall_s)
+        self._look_at_client(stall_s, self.started_at)
         self._memory.hold_response(self, size)
         try:
             await waiter
@@ -79,14 +79,18 @@
             self._look_timer.cancel()
             self._memory.release_response(self)
 
-    def _look_at_client(self, stall_s: float) -> None:
-        """Closes the connection of a client that takes nothing, else looks again later."""
+    def _look_at_client(self, stall_s: float, due_at: float) -> None:
+        """Closes the connection of a client that takes nothing, else looks again later.
+
+        A process that stood still since the look was due has passed nothing on meanwhile.
+        """
         now = self._event_loop.time()
+        self._progress.exclude(now - due_at)
         self._progress.note(self._count_untaken(), now)
         if self._progress.has_stalled(now, stall_s):
             self._on_given_up(STALLED)
-        pause_s = stall_s / LOOKS_PER_STALL
-        self._look_timer = self._event_loop.call_later(pause_s, self._look_at_client, stall_s)
+        next_at = now + stall_s / LOOKS_PER_STALL
+        self._look_timer = self._event_loop.call_at(next_at, self._look_at_client, stall_s, next_at)
 
     @property
     def is_writing(self) -> bool:
@@ -128,11 +132,12 @@
         Args:
             stall_s: Seconds after which a client counts as one that takes nothing more.
         """
-        return (
-            self._last is not None
-            and not self._last.has_stalled(self._event_loop.time(), stall_s)
-            and self._count_untaken() > 0
-        )
+        if self._last is None:
+            return False
+        untaken = self._count_untaken()
+        has_stalled = self._last.has_stalled(self._event_loop.time(), stall_s)
+        # What was taken since the last look counts, however long the process stood still.
+        return untaken > 0 and (self._last.has_taken(untaken) or not has_stalled)
 
     def linger(self, stall_s: float) -> None:
         """Ends the output, and the connection after `LINGER_S` seconds or once all is taken.
--- a/tests/test_util/test_response_writer.py
+++ b/tests/test_util/test_response_writer.py
@@ -56,7 +56,11 @@
         assert high == 0
 
 
-def write_to(parts, interval_s, stop_after=None):
+def stand_still(event_loop, pause_s):
+    event_loop._virtual.now += pause_s
+
+
+def write_to(parts, interval_s, stop_after=None, pause_s=0.0):
     """Returns the time at which a response has been written, what is unsent, and the causes."""
 
     async def run(event_loop):
@@ -72,6 +76,7 @@
 
         writer = response_writer.ResponseWriter(transport, event_loop, memory, give_up)
         transport.start(writer)
+        event_loop.call_later(0.1, stand_still, event_loop, pause_s)
         await writer.write(bytes(SIZE), STALL_S)
         assert memory.total_bytes == 0
         transport._socket.close()
@@ -96,3 +101,27 @@
     assert causes == [response_writer.STALLED]
     assert unsent == SIZE - taken * SIZE // 50
     assert taken + STALL_S <= ended_at <= taken + 2 * STALL_S
+
+
+# After a pause of the process for longer than the idle time, the client of an answer that the
+# process had yet to pass on was cut off as one that takes nothing.
+def test_a_client_is_not_cut_off_for_the_time_in_which_the_process_stood_still():
+    _, unsent, causes = write_to(10, 0.7 * STALL_S, pause_s=2 * STALL_S)
+    assert (unsent, causes) == (0, [])
+
+
+# In a stop after such a pause, the rest of an answer was cut off that its client was taking.
+@pytest.mark.parametrize(("left", "is_taken"), [(600, True), (1000, False), (0, False)])
+def test_what_a_client_took_while_the_process_stood_still_counts(left, is_taken):
+    async def run(event_loop):
+        transport = SlowTransport(event_loop, 1, 1.0)
+        memory = held_bytes.HeldBytes(read_clock=event_loop.time)
+        writer = response_writer.ResponseWriter(transport, event_loop, memory, None)
+        transport.unsent = 1000
+        writer.begin_watch(is_long=True)
+        stand_still(event_loop, 2 * STALL_S)
+        transport.unsent = left
+        with transport._socket:
+            return writer.is_being_taken(STALL_S)
+
+    assert virtual_time.run(run) is is_taken
