A fault of the node before it sends a call is told as not-run

An exception in a handler other than a refusal was answered by the connection with 500 and may-have-run, whatever had become of the call: callers didn't repeat calls that must not run twice, and a node that had relayed one didn't send it to another, though it had reached no upstream.

The ports for callers, relayed calls and the upstream answer a fault before the call is handed to the dispatcher or the local upstream with 503, not-run and the reason node-fault, and log it. A call with an idempotency key, of which an earlier one may have run, and any fault from then on stay may-have-run.

--- a/bergamotridge/answer.py
+++ b/bergamotridge/answer.py
@@ -70,6 +70,16 @@
     return Answer(response, error.verdict, error.reason, unused, retry_after_s=error.retry_after_s)
 
 
+def fault_before_send() -> errors.CallError:
+    """Returns the error for a call that a fault of this node ended before it was sent anywhere."""
+    return errors.CallError(
+        "this node failed before it sent the call; see its log",
+        status=503,
+        reason="node-fault",
+        retry_after_s=1,
+    )
+
+
 def fixed_refusal(status: int, text: str, reason: str) -> message.Response:
     """Returns the response that refuses a call before it runs and allows a retry after 1 second.
 
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import attrs
+import logbook
 
 from bergamotridge import answer, call, errors, events, headers, verdict
 from bergamotridge.callers import (
@@ -25,6 +26,8 @@
 IDEMPOTENCY_HEADER = b"idempotency-key"
 ISSUE_KEY_PATH = b"/_bergamotridge/idempotency-key"
 
+_log = logbook.Logger(__name__)
+
 _IMPORTANCE_NAMES = tuple(importance.name.lower() for importance in call.Importance)
 
 
@@ -220,6 +223,11 @@
                 # The claim was not looked up, so an earlier call with the key may have run.
                 error.verdict = verdict.Verdict.MAY_HAVE_RUN
             raise
+        except Exception as error:
+            if progress.runs_at_most_once:
+                raise
+            _log.exception("a call failed before it was sent")
+            raise answer.fault_before_send() from error
         try:
             result = await self._send(admitted, request, token)
         except errors.CallError as error:
--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -3,12 +3,16 @@
 import time
 from typing import Protocol
 
+import logbook
+
 from bergamotridge import answer, errors, events, headers, verdict
 from bergamotridge.nodes import context as context_header
 from bergamotridge.nodes import dependency_thresholds
 from bergamotridge.upstreams import local_upstream
 from bergamotridge.util import cancellation, http_client, message
 
+_log = logbook.Logger(__name__)
+
 ANSWER_GRACE_S = 0.02
 NODE_FAILED = "node-failed"
 NODE_REFUSED = "node-refused"
@@ -151,23 +155,19 @@
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one relayed call, as a handler of `httpd.Server`."""
-        now = time.monotonic()
         try:
-            relayed = context_header.decode(
-                self._fleet_token, request.header(context_header.CONTEXT_HEADER), now
-            )
-            passed_on = context_header.decode_notice(request.header(context_header.NOTICE_HEADER))
+            relayed = self._receive(request, time.monotonic())
         except context_header.ContextError as error:
             return answer.fixed_refusal(403, str(error), "relay")
-        if relayed.stamp is not None:
-            self._log.clock.observe(relayed.stamp)
+        except Exception:
+            _log.exception("a relayed call failed before it was handed on")
+            fault = answer.fault_before_send()
+            return answer.fixed_refusal(fault.status, str(fault), fault.reason)
         fields = headers.for_upstream(request.headers)
         forwarded = message.Request(request.method, request.target, fields, request.body)
         if relayed.claim:
             answered = await self._claims.run_relayed(relayed, forwarded, token)
         else:
-            if passed_on is not None:
-                self._upstream.adopt_notice(passed_on, relayed.context.request_id, now)
             answered = await self._upstream.run(
                 relayed.service, relayed.context, forwarded, relayed.retries, token
             )
@@ -179,3 +179,19 @@
         notice_fields = context_header.encode_notice(answered.upstream_notice)
         fields = [*answered.response.headers, *notice_fields, report_field]
         return message.Response(answered.response.status, fields, answered.response.body)
+
+    def _receive(self, request: message.Request, now: float) -> context_header.RelayedCall:
+        """Returns the call that was relayed, and takes in what its sender knows.
+
+        Raises:
+            ContextError: Its headers are missing or malformed.
+        """
+        relayed = context_header.decode(
+            self._fleet_token, request.header(context_header.CONTEXT_HEADER), now
+        )
+        passed_on = context_header.decode_notice(request.header(context_header.NOTICE_HEADER))
+        if relayed.stamp is not None:
+            self._log.clock.observe(relayed.stamp)
+        if passed_on is not None and not relayed.claim:
+            self._upstream.adopt_notice(passed_on, relayed.context.request_id, now)
+        return relayed
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -112,6 +112,10 @@
         "no ready upstream of the service is known",
         "see 'bergamotridge status' for upstreams that are starting, draining or lost",
     ),
+    "node-fault": Reason(
+        "a fault of the node ended the call before it was sent to an upstream",
+        "report the traceback beside it in the node's log",
+    ),
     "node-failed": Reason(
         "the node of another host sent no complete answer",
         "see 'bergamotridge timeline' for that host",
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import attrs
+import logbook
 import orjson
 
 from bergamotridge import answer, call, errors, events, headers, malformed, verdict
@@ -13,6 +14,8 @@
 from bergamotridge.upstreams import dialect, live_calls
 from bergamotridge.util import cancellation, excerpt, fields, message
 
+_log = logbook.Logger(__name__)
+
 ANNOUNCE_PATH = b"/_bergamotridge/announce"
 HEARTBEAT_S = 0.5
 _STATES = {
@@ -104,6 +107,23 @@
     ) -> answer.Answer:
         if parent is None:
             raise _unknown_call_error()
+        try:
+            outgoing = self._prepare(parent, request)
+        except errors.CallError:
+            raise
+        except Exception as error:
+            _log.exception("a call of the upstream failed before it was sent")
+            raise answer.fault_before_send() from error
+        registration = parent.token.on_cancel(token.cancel)
+        try:
+            return await self.dispatcher.send(outgoing, parent.allowance, token)
+        finally:
+            parent.token.remove(registration)
+
+    def _prepare(
+        self, parent: live_calls.LiveCall, request: message.Request
+    ) -> dispatch.OutgoingCall:
+        """Returns the call to send for a request of the upstream; raises CallError."""
         target = self.routes.routes().match(request.method.decode("ascii"), request.path)
         self._check_dependency(parent, target)
         now = time.monotonic()
@@ -116,12 +136,7 @@
         )
         forwarded_headers = headers.for_upstream(request.headers)
         forwarded = message.Request(request.method, request.target, forwarded_headers, request.body)
-        outgoing = dispatch.OutgoingCall(target.route.service, context, forwarded)
-        registration = parent.token.on_cancel(token.cancel)
-        try:
-            return await self.dispatcher.send(outgoing, parent.allowance, token)
-        finally:
-            parent.token.remove(registration)
+        return dispatch.OutgoingCall(target.route.service, context, forwarded)
 
     def _find_parent(self, request: message.Request) -> live_calls.LiveCall | None:
         call_id = request.header(dialect.CALL_HEADER) or b""
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -166,6 +166,38 @@
     assert response.header(b"bergamotridge-verdict") == expected_verdict
 
 
+# A call that a fault of the node ended before it was sent was told as one that may have run.
+@pytest.mark.parametrize(
+    ("headers", "is_not_run"), [((KEY,), True), ((KEY, (b"idempotency-key", b"k")), False)]
+)
+def test_a_fault_before_a_call_is_sent_is_told_as_not_run_unless_an_earlier_call_may_have(
+    monkeypatch, headers, is_not_run
+):
+    async def fail(*_):
+        raise RuntimeError("a fault")
+
+    node = Node()
+    monkeypatch.setattr(Node, "take", fail)
+    if is_not_run:
+        response = send_call(node, b"POST", b"/pay", *headers)
+        assert response.status == 503
+        assert response.header(b"bergamotridge-verdict") == b"not-run"
+    else:
+        with pytest.raises(RuntimeError):
+            send_call(node, b"POST", b"/pay", *headers)
+    assert not node.sent
+
+
+# What fails once a call is being sent may have run: nothing else may be claimed.
+def test_a_fault_as_a_call_is_sent_is_not_told_as_not_run(monkeypatch):
+    async def fail(*_):
+        raise RuntimeError("a fault")
+
+    monkeypatch.setattr(Node, "send", fail)
+    with pytest.raises(RuntimeError):
+        send_call(Node(), b"POST", b"/pay", KEY)
+
+
 class NestedCallDialect(caller_dialect.DefaultDialect):
     """Takes every call without a key for one of an upstream, made for a running request."""
 
--- a/tests/test_nodes/test_relay.py
+++ b/tests/test_nodes/test_relay.py
@@ -110,3 +110,18 @@
     relayed = context.RelayedCall("booking", call_context, 2, None)
     request = message.Request(b"GET", b"/slots", [])
     return event_loop.run(client.send(address, relayed, request, cancellation.Token()))
+
+
+# A relayed call that a fault of this node ended before its upstream saw it counted as one that may
+# have run, so that it was not sent to another node.
+def test_a_fault_before_a_relayed_call_is_handed_on_is_told_as_not_run(monkeypatch):
+    def fail(*_):
+        raise RuntimeError("a fault")
+
+    monkeypatch.setattr(context, "decode", fail)
+    port = relay.RelayPort(None, "token", events.EventLog("h1", 1, "utrecht"), None, None)
+    request = message.Request(b"GET", b"/slots", [])
+    response = event_loop.run(port.handle(request, cancellation.Token()))
+    sent = message.encode_response(response, keep_alive=False)
+    received = _relay(http_client.Pools(1000), test_http_client.ScriptedServer(sent).address)
+    assert (received.verdict, received.reason) == (verdict.Verdict.NOT_RUN, relay.NODE_FAILED)
--- a/tests/test_upstreams/test_port.py
+++ b/tests/test_upstreams/test_port.py
@@ -122,3 +122,17 @@
     node = FakeNode()
     assert node.send_request(b"POST", port.ANNOUNCE_PATH, body) == status
     assert len(node.announced) == (status == 200)
+
+
+# A call that a fault of the node ended before it was sent was told as one that may have run.
+def test_a_fault_before_a_call_to_a_dependency_is_sent_is_told_as_not_run(monkeypatch):
+    def fail(*_):
+        raise RuntimeError("a fault")
+
+    node = FakeNode()
+    monkeypatch.setattr(port.UpstreamPort, "_check_dependency", fail)
+    fields = [(b"bergamotridge-call", node.parent.call_id.encode())]
+    request = message.Request(b"GET", b"/back", fields)
+    response = event_loop.run(node.port.handle(request, cancellation.Token()))
+    assert (response.status, response.header(b"bergamotridge-verdict")) == (503, b"not-run")
+    assert not node.sent
