The end of a process doesn't wait for the reader of its output, and tells when it ends

After its last line, "stopped", a process flushed its streams before it ended. If nobody read them and something was in their buffers, it waited until it was killed. Nothing told how long the end of the log took.

The flush is given 0.25 s. Once the log output has ended, a last line says how long that took; it is left out if it would have to wait.

--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import threading
 import time
 from collections.abc import Callable
 from typing import NoReturn
@@ -25,6 +26,7 @@
 
 SWITCH_INTERVAL_S = 0.0005
 GC_THRESHOLD_ALLOCATIONS = 20_000
+MAX_FLUSH_S = 0.25  # For what the process has printed besides its log.
 
 _log = logbook.Logger(__name__)
 
@@ -106,19 +108,38 @@
             if signals.stop_requested_at is None:
                 _serve(node, node_application, bound, signals, read)
     _log.info("node on host '{}' stopped", node.host)
-    log_output.stream.stop()
+    _end_log_output(log_output)
     return 0
 
 
+def _end_log_output(log_output: logbook.StreamHandler) -> None:
+    """Ends the log; its last line tells how long that took, as the process may end much later."""
+    began_at = time.monotonic()
+    log_output.stream.stop()
+    text = f"log output ended in {time.monotonic() - began_at:.3f} s, the process ends now"
+    last = logbook.LogRecord(__name__, logbook.INFO, text)
+    last.heavy_init()
+    log_output.stream.write_last(log_output.format(last) + "\n")
+
+
 def end_process(exit_code: int) -> NoReturn:
     """Ends this process at once.
 
     The interpreter would wait for all threads first, and some may wait for an answer of the
-    platform or of another node, longer than the time after which the process is killed.
+    platform or of another node, longer than the time after which the process is killed. Nor does it
+    wait for long if nobody reads its output.
     """
+    try:
+        flushing = threading.Thread(target=_flush_output, daemon=True)
+        flushing.start()
+        flushing.join(MAX_FLUSH_S)
+    finally:
+        os._exit(exit_code)
+
+
+def _flush_output() -> None:
     sys.stdout.flush()
     sys.stderr.flush()
-    os._exit(exit_code)
 
 
 def _bind_ports(
--- a/bergamotridge/util/line_queue.py
+++ b/bergamotridge/util/line_queue.py
@@ -2,6 +2,7 @@
 
 import collections
 import os
+import select
 import threading
 
 MAX_QUEUED_LINES = 4096
@@ -49,6 +50,17 @@
             self._changed.notify()
         self._thread.join(DRAIN_TIMEOUT_S)
 
+    def write_last(self, line: str) -> bool:
+        """Writes a line after `stop`, unless it would have to wait; returns whether it has."""
+        output = select.poll()
+        output.register(self._descriptor, select.POLLOUT)
+        is_ready = [(self._descriptor, select.POLLOUT)] == output.poll(0)
+        if self._thread.is_alive() or not is_ready:
+            return False
+        # So short a line doesn't block a pipe that has room.
+        os.write(self._descriptor, line.encode()[: select.PIPE_BUF])
+        return True
+
     def write(self, text: str) -> int:
         """Queues `text`, or drops and counts it if the queue is full; returns its length."""
         with self._changed:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -18,6 +18,22 @@
 futures.ThreadPoolExecutor(1).submit(threading.Event().wait)
 daemon.end_process(7)
 """
+# A program that has printed something to an output that is full.
+FULL_OUTPUT_PROGRAM = """
+import os
+import sys
+from bergamotridge import daemon
+
+sys.stdout = os.fdopen(os.dup(1), "w")
+print("kept in the buffer of the stream", end="")
+os.set_blocking(1, False)
+try:
+    while os.write(1, bytes(4096)):
+        pass
+except BlockingIOError:
+    os.set_blocking(1, True)
+daemon.end_process(7)
+"""
 NODE = settings.NodeSettings(host="h1", failure_domain="a", fleet_secret="s")
 
 
@@ -52,3 +68,13 @@
 def test_a_process_ends_though_a_thread_waits_for_an_answer():
     ended = subprocess.run([sys.executable, "-c", WAITING_PROGRAM], cwd=source.ROOT, timeout=60)
     assert ended.returncode == 7
+
+
+# A process whose output nobody reads waited at its end until it was killed.
+def test_a_process_ends_though_nobody_reads_its_output():
+    command = [sys.executable, "-c", FULL_OUTPUT_PROGRAM]
+    with subprocess.Popen(command, cwd=source.ROOT, stdout=subprocess.PIPE) as process:
+        try:
+            assert process.wait(timeout=60) == 7
+        finally:
+            process.kill()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,6 +5,7 @@
 import os
 
 import logbook
+import pytest
 
 from bergamotridge import events, logs, settings
 from bergamotridge.util import line_queue
@@ -88,6 +89,30 @@
     assert os.read(reading, 65536).split()[-1] == b"99"
 
 
+# The last line of a process must not keep it, whatever became of its output.
+@pytest.mark.parametrize(("end", "is_written"), [("read", True), ("full", False), ("shut", False)])
+def test_the_last_line_is_left_out_if_it_would_have_to_wait(end, is_written):
+    reading, writing = os.pipe()
+    lines = line_queue.LineQueue(writing)
+    lines.start()
+    lines.stop()
+    if end == "full":
+        os.set_blocking(writing, False)
+        while _fill(writing):
+            pass
+    if end == "shut":
+        os.close(reading)
+    assert lines.write_last("last\n") is is_written
+    assert not is_written or os.read(reading, 100) == b"last\n"
+
+
+def _fill(descriptor):
+    try:
+        return os.write(descriptor, bytes(4096))
+    except BlockingIOError:
+        return 0
+
+
 def test_an_exception_stays_on_one_line():
     def write():
         try:
