A host that a call didn't reach is tried until its node answers

A node that starts while the platform is silent knows of no other and waits to be found. The reconnect link of the others tries hosts that are lost or suspected; but a host is suspected only by a node that has it as the peer of a link.

A call that got no complete answer of a host's node makes the reconnect link try that host until its node answers or is no longer a member.

--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -65,6 +65,7 @@
         ),
         thresholds,
         shared.log,
+        control.peers.record_unreached,
     )
     return CallParts(graph, thresholds, relay_client, dispatcher)
 
--- a/bergamotridge/nodes/control_assembly.py
+++ b/bergamotridge/nodes/control_assembly.py
@@ -57,6 +57,7 @@
     Attributes:
         routes: Routes of the configuration in force.
         known: What this node knows of other hosts.
+        peers: Chooses the nodes that the state is exchanged with.
         gossip: Exchanges the state with other nodes.
         freshness_port: Tells other nodes how current the replicas are.
         election: Decides which nodes watch the platform for the others.
@@ -65,6 +66,7 @@
 
     routes: routing.CurrentRoutes
     known: MemberParts
+    peers: peers.PeerChooser
     gossip: gossip.Gossip
     freshness_port: freshness.FreshnessPort
     election: watch_election.WatchElection
@@ -98,6 +100,7 @@
     return ControlParts(
         routes=routes,
         known=known,
+        peers=peer_chooser,
         gossip=gossiping,
         freshness_port=_create_freshness_port(shared, store, replicas, election, gossiping),
         election=election,
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -1,7 +1,7 @@
 """Sends a call to an upstream of its service, on this or another host, and retries it."""
 
 import time
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
 import attrs
@@ -88,7 +88,22 @@
         retry_budget: budget.RetryBudget,
         service_thresholds: dependency_thresholds.DependencyThresholds,
         log: events.EventLog,
+        on_node_failed: Callable[[str], None] = lambda host: None,
     ) -> None:
+        """Creates a dispatcher.
+
+        Args:
+            host: Host of this node.
+            upstream: The upstream on this host.
+            client: Relays calls to the nodes of other hosts.
+            directory: Lists the upstreams of each service.
+            chooser: Chooses among them.
+            retry_budget: Limits the retries for each service.
+            service_thresholds: Takes in the thresholds that come with answers.
+            log: Receives an event for each failed attempt and each retry.
+            on_node_failed: Called with the host of a node that sent no complete answer.
+        """
+        self._on_node_failed = on_node_failed
         self._host = host
         self._upstream = upstream
         self._client = client
@@ -251,6 +266,8 @@
         now: float,
     ) -> None:
         result = _OUTCOME_BY_REASON.get(reply.reason, outcome.Outcome.FAILED)
+        if reply.reason == relay.NODE_FAILED:
+            self._on_node_failed(target.host)
         if result is outcome.Outcome.OK:
             self._attempt_times.record(service, latency_s)
         if reply.reason == relay.NODE_FAILED and reply.verdict is verdict.Verdict.NOT_RUN:
--- a/bergamotridge/nodes/peers.py
+++ b/bergamotridge/nodes/peers.py
@@ -38,7 +38,8 @@
     failure domain; further links use any peer. If the preferred set has no free peer, a wider one
     is used. One more link tries lost hosts and seed addresses, so that two parts of the fleet
     merge again after a network partition. It also tries hosts that are suspected or whose node has
-    stopped: the next process there knows of no other node while the platform is silent.
+    stopped, or that a call has not reached: the next process there knows of no other node while the
+    platform is silent.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self._lock = threading.Lock()
         self._peer_of_link: dict[int, Peer] = {}
         self._answered_at: dict[str, float] = {}
+        self._unreached: set[str] = set()
 
     def add_seed_addresses(self, addresses: Sequence[str]) -> None:
         """Adds seed addresses that were read from the platform."""
@@ -81,13 +83,26 @@
             # A node that stops still answers, and must not keep the link from the next host.
             tried = [
                 Peer(item.control_address, item.host, is_kept=False)
-                for item in self._members.out_of_touch()
+                for item in (*self._members.out_of_touch(), *self._unreached_members())
             ]
             lost = self._random_reconnect_peer(live)
             # Many upstreams that are lost beside live nodes must not keep lost hosts from a try.
             choices = [peer for peer in (lost, self._rng.choice(tried) if tried else None) if peer]
             return self._rng.choice(choices) if choices else None
 
+    def record_unreached(self, host: str) -> None:
+        """Records that a call got no answer of a host's node, which is tried until it answers.
+
+        No link may have that host as its peer, so that none would find it out of touch.
+        """
+        with self._lock:
+            self._unreached.add(host)
+
+    def _unreached_members(self) -> list[record.UpstreamRecord]:
+        members = [item for item in self._members.members() if item.host in self._unreached]
+        self._unreached &= {item.host for item in members}
+        return members
+
     def reconnect_interval_s(self) -> float:
         """Returns the seconds between two attempts of this node to reach a lost host.
 
@@ -102,6 +117,7 @@
         """Records that a peer answered or sent a message."""
         with self._lock:
             self._answered_at[peer.address] = now
+            self._unreached.discard(peer.host)
 
     def has_recent_answer(self, now: float) -> bool:
         """Returns True if any peer answered or sent a message in the last `RECENT_ANSWER_S`."""
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -66,7 +66,7 @@
         pass
 
 
-def make_dispatcher(fleet: FakeFleet, thresholds=None) -> dispatch.Dispatcher:
+def make_dispatcher(fleet: FakeFleet, thresholds=None, **options) -> dispatch.Dispatcher:
     return dispatch.Dispatcher(
         "own",
         None,
@@ -76,6 +76,7 @@
         budget.RetryBudget(),
         thresholds,
         events.EventLog("own", 1, "fd1"),
+        **options,
     )
 
 
@@ -218,3 +219,13 @@
     reply = answer.Answer(message.Response(503), NOT_RUN, relay.NODE_REFUSED)
     make_dispatcher(fleet)._record_attempt(make_record("h1"), "pay", reply, 0.01, 1.0)
     assert len(outcomes) == 1 and outcomes[0] not in choice.FAILURE_OUTCOMES
+
+
+# Nothing but calls may tell that a node was killed, as no link may have it as its peer.
+@pytest.mark.parametrize("reason", [relay.NODE_FAILED, "shed"])
+def test_a_node_that_a_call_did_not_reach_is_told_of(reason):
+    told = []
+    dispatcher = make_dispatcher(FakeFleet(), on_node_failed=told.append)
+    reply = answer.Answer(message.Response(503), NOT_RUN, reason)
+    dispatcher._record_attempt(make_record("h1"), "pay", reply, 0.01, 1.0)
+    assert told == (["h1"] if reason == relay.NODE_FAILED else [])
--- a/tests/test_nodes/test_peers.py
+++ b/tests/test_nodes/test_peers.py
@@ -96,3 +96,14 @@
     members, chooser = _chooser(0)
     members.publish_lost(1.0)
     assert chooser.choose_reconnect_peer() is None
+
+
+# A node that was killed had no configuration for up to 14 s while the platform was silent: no link
+# had it as its peer, so that no node found it out of touch, and the next process knew of no other.
+def test_a_host_that_a_call_did_not_reach_is_tried_until_its_node_answers():
+    _, chooser = _chooser(4)
+    chooser.record_unreached("h1")
+    chooser.record_unreached("no longer a member")
+    assert {chooser.choose_reconnect_peer().host for _ in range(20)} == {"h1"}
+    chooser.record_answer(chooser.choose_reconnect_peer(), 1.0)
+    assert chooser.choose_reconnect_peer() is None
