--- a/bergamotridge/answer.py
+++ b/bergamotridge/answer.py
@@ -9,6 +9,7 @@
 from bergamotridge.upstreams import notice
 from bergamotridge.util import hlc, message
 
+GATEWAY_TIMEOUT = 504
 VERDICT_HEADER = verdict.HEADER.lower().encode()
 
 
@@ -41,6 +42,15 @@
     host: str = ""
     upstream_notice: notice.UpstreamNotice | None = None
 
+    def set_doubt(self, outcome: verdict.Verdict) -> None:
+        """Replaces the verdict of a refusal, as the call ran or may have run before it.
+
+        The status of a deadline then is no longer one that promises that the call did not run.
+        """
+        self.verdict = outcome
+        if self.reason == errors.DEADLINE:
+            self.response.status = GATEWAY_TIMEOUT
+
 
 def from_error(error: errors.CallError, unused: int = 0) -> Answer:
     """Returns the answer for a call that failed with `error`.
@@ -60,6 +70,16 @@
     return Answer(response, error.verdict, error.reason, unused, retry_after_s=error.retry_after_s)
 
 
+def fault_before_send() -> errors.CallError:
+    """Returns the error for a call that a fault of this node ended before it was sent anywhere."""
+    return errors.CallError(
+        "this node failed before it sent the call; see its log",
+        status=503,
+        reason="node-fault",
+        retry_after_s=1,
+    )
+
+
 def fixed_refusal(status: int, text: str, reason: str) -> message.Response:
     """Returns the response that refuses a call before it runs and allows a retry after 1 second.
 
