soak of machines: a 504 for an answer that came to a node standing still beside the server is none that was given up

The node beside the server was frozen from 10.797 to 11.401, the answers were whole at 10.797 to 10.884 by then and not taken, the timeouts of 0.7 s were at 11.329 to 11.379. As for the client's node, time in which it stood still up to the timeout doesn't count, with 504 only.

--- a/soak/machines/far_checks.py
+++ b/soak/machines/far_checks.py
@@ -68,15 +68,18 @@
     if item.status == GATEWAY_TIMEOUT and rows.stood_still(run.ended, item.ended):
         return False
     due = _find_due(item)
-    return run.ended <= due and not _stood_until(rows, item, run.ended, due)
+    return run.ended <= due and not _stood_until(rows, item, run, due)
 
 
-def _stood_until(rows: record.Record, item: record.Attempt, since: float, due: float) -> bool:
-    """Returns True if a 504 came of a node that stood still from an answer to the timeout."""
+def _stood_until(rows: record.Record, item: record.Attempt, run: record.Run, due: float) -> bool:
+    """Returns True if a node of a 504 stood still from an answer to the timeout."""
     if item.status != GATEWAY_TIMEOUT:
         return False
     until = due + CROSSING_S
-    return due - since <= answer_checks.find_paused_s(rows, item.machine, since, until)
+    return any(
+        due - run.ended <= answer_checks.find_paused_s(rows, machine, run.ended, until)
+        for machine in (item.machine, run.machine)
+    )
 
 
 def _is_at_work(run: record.Run, at: float) -> bool:
