--- a/soak/machines/beside.py
+++ b/soak/machines/beside.py
@@ -20,7 +20,7 @@
         "work": rng.choice(WORKS),
         "order": rng.choice((TROUBLE_FIRST, TROUBLE_FIRST, WORK_FIRST, WORK_FIRST, AT_ONCE)),
         "wait": round(rng.uniform(0.1, 2.0), 3),
-        "place": round(rng.random(), 3),
+        "place": rng.random(),
         "gaps": [round(rng.uniform(0.0, 0.8), 3) for _ in range(rng.randint(1, 4))],
         "styles": [rng.randrange(len(client.STYLES)) for _ in range(CLIENTS)],
     }
--- a/tests/test_soak/test_machine_beside.py
+++ b/tests/test_soak/test_machine_beside.py
@@ -64,6 +64,29 @@
     assert {values["work"] for values in drawn} == set(beside.WORKS)
 
 
+class Highest(random.Random):
+    """Draws the highest number that can be drawn, and choices as ever."""
+
+    getrandbits = random.Random.getrandbits
+
+    def random(self):
+        return 1.0 - 2.0**-53
+
+
+# A drawn place that was rounded up to 1 lay behind the last machine, and ended the run.
+def test_the_highest_place_that_can_be_drawn_is_a_machine():
+    on = Scene()
+    numbers: list[int] = []
+
+    async def stop_several(number, values):
+        numbers.append(number)
+
+    on.stop_several = stop_several
+    values = beside.draw(Highest(), {}) | {"work": "stops", "order": beside.AT_ONCE}
+    asyncio.run(beside.play(on, 1, values, on.trouble))
+    assert numbers == [2]
+
+
 def test_a_server_leaves_in_each_way():
     rng = random.Random(1)
     ways = {steps_machines.draw_release(rng, {})["go"]["how"] for _ in range(100)}
