Build the data of a call by plain assignment

Cause: attrs sets each field of a frozen class by a call of object.__setattr__, and a request builds some ten of them with some 55 fields. The classes that each call builds (its context, target, summary, reports, results) are now attrs.define. No code assigns to their fields: it would have raised until now. They are no longer hashable; none is hashed in the tests of upstreams, callers, nodes, dialects and util, which pass.

--- a/bergamotridge/call.py
+++ b/bergamotridge/call.py
@@ -20,7 +20,7 @@
     SHEDDABLE = 2
 
 
-@attrs.frozen
+@attrs.define
 class CallContext:
     """Properties of a call that are passed to every node on its path.
 
--- a/bergamotridge/callers/keys.py
+++ b/bergamotridge/callers/keys.py
@@ -24,7 +24,7 @@
 _DIGEST_PATTERN = re.compile(f"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
 
 
-@attrs.frozen
+@attrs.define
 class Key:
     """The valid key of a request."""
 
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -42,7 +42,7 @@
         """Returns the API key that an Authorization header carries; raises CallError 401."""
 
 
-@attrs.frozen
+@attrs.define
 class AdmittedCall:
     """An admitted call.
 
@@ -59,7 +59,7 @@
     token_taken_at: float
 
 
-@attrs.frozen
+@attrs.define
 class AnswerSummary:
     """Facts about one answer to a caller, for the metrics.
 
--- a/bergamotridge/nodes/context.py
+++ b/bergamotridge/nodes/context.py
@@ -25,7 +25,7 @@
     """A context header is missing or malformed, or does not hold the fleet's relay token."""
 
 
-@attrs.frozen
+@attrs.define
 class RelayedCall:
     """A call that one node relays to another.
 
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -61,7 +61,7 @@
         """Returns the leave of an upstream that the node of a host may have forgotten."""
 
 
-@attrs.frozen
+@attrs.define
 class OutgoingCall:
     """A call to send to any upstream of a service."""
 
--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -92,7 +92,7 @@
     return share
 
 
-@attrs.frozen
+@attrs.define
 class LoadReport:
     """State of one gate, sent with answers.
 
--- a/bergamotridge/upstreams/dialect.py
+++ b/bergamotridge/upstreams/dialect.py
@@ -17,7 +17,7 @@
 MIN_SERVER_ERROR_STATUS = 500
 
 
-@attrs.frozen
+@attrs.define
 class UpstreamCall:
     """A call to send to the local upstream.
 
@@ -35,7 +35,7 @@
     call_id: str = ""
 
 
-@attrs.frozen
+@attrs.define
 class CallResult:
     """Result of a call, as read from the response of the upstream.
 
--- a/bergamotridge/upstreams/live_calls.py
+++ b/bergamotridge/upstreams/live_calls.py
@@ -14,7 +14,7 @@
 HASH_KEY_BYTES = 32
 
 
-@attrs.frozen(eq=False)
+@attrs.define(eq=False)
 class LiveCall:
     """A call that the local upstream is running.
 
