--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -45,7 +45,7 @@
         """Returns the API key that an Authorization header carries; raises CallError 401."""
 
 
-@attrs.frozen
+@attrs.define
 class AdmittedCall:
     """An admitted call.
 
@@ -62,7 +62,7 @@
     token_taken_at: float
 
 
-@attrs.frozen
+@attrs.define
 class AnswerSummary:
     """Facts about one answer to a caller, for the metrics.
 
