soak of machines: a node that stands still can't answer what it couldn't read

The node was frozen from 16.44 to 19.24, the request was sent at 16.89, a server began at 19.30, the client gave up at 19.89: 0.65 s after the thaw, less than the route's timeout. Time in which the node stood still no longer counts towards timeout and slack together; before, it counted from the timeout on only.

--- a/soak/machines/answer_checks.py
+++ b/soak/machines/answer_checks.py
@@ -11,17 +11,18 @@
 def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
     """LOST: a client waits past the route's timeout, and its node gives no answer at all.
 
-    Excused: the node ran for less than `LATE_S` from the timeout on, or the stand-ins stood still
-    then. A client that reads slowly may still be at the body of its answer.
+    Time in which the node stood still doesn't count, as it can't have read the request then.
+    Excused: the stand-ins stood still past the timeout. A client that reads slowly may still be at
+    the body of its answer.
     """
     for item in rows.attempts:
         if item.end != "timeout" or item.sent is None:
             continue
         if item.reads_slowly and item.head_at is not None:
             continue
-        due = item.sent + item.timeout_s
-        ran_s = item.ended - due - find_paused_s(rows, item.machine, due, item.ended)
-        if ran_s < LATE_S or rows.stood_still(due, item.ended):
+        paused_s = find_paused_s(rows, item.machine, item.sent, item.ended)
+        late_s = item.ended - item.sent - paused_s - item.timeout_s
+        if late_s < LATE_S or rows.stood_still(item.sent + item.timeout_s, item.ended):
             continue
         text = (
             f"{item.id} {item.by}, {item.method} {item.path}: no answer"
