--- a/bergamotridge/callers/quota_holder.py
+++ b/bergamotridge/callers/quota_holder.py
@@ -8,7 +8,7 @@
 import logbook
 
 from bergamotridge import errors, malformed
-from bergamotridge.callers import lending_bucket
+from bergamotridge.callers import lending_bucket, team_share
 from bergamotridge.nodes import quota_pb2
 from bergamotridge.operators import operator_text
 from bergamotridge.store import holding, objects, position, quota, share_size
@@ -35,48 +35,6 @@
     holders: int
 
 
-@attrs.define(eq=False)
-class _TeamState:
-    """One team's rate and burst, this host's share of them, and the share's tokens.
-
-    Attributes:
-        team: The team as the configuration in force has it.
-        holding: This host's share of the quota.
-        lending: Tokens of the share.
-        applied_share: Usable parts and end of the predecessor's loans for which `lending` was last
-            resized; -1 parts if it has to be resized in any case.
-    """
-
-    team: operator_text.Team
-    holding: holding.Holding
-    lending: lending_bucket.LendingBucket
-
-    applied_share: tuple[int, float] = (-1, 0.0)
-
-    def configure(self, team: operator_text.Team) -> None:
-        """Sets the team's rate and burst; they take effect when the share is next applied."""
-        if team is not self.team:
-            self.team = team
-            self.applied_share = (-1, 0.0)
-
-    def apply_share_if_changed(self, now: float) -> None:
-        """Resizes the bucket to the share usable now unless it already has that size."""
-        if (self.holding.usable(now), self.holding.predecessor_loans_end) != self.applied_share:
-            self.apply_share(now)
-
-    def apply_share(self, now: float) -> None:
-        """Resizes the bucket to the share that is usable now."""
-        parts = self.holding.usable(now)
-        fraction = parts / quota.PARTS
-        self.applied_share = (parts, self.holding.predecessor_loans_end)
-        self.lending.resize(
-            self.team.rate * fraction,
-            self.team.burst * fraction,
-            self.holding.predecessor_loans_end,
-            now,
-        )
-
-
 class QuotaHolder:
     """All quota shares of one process; thread-safe."""
 
@@ -119,7 +77,7 @@
         self._clock = clock
         self._started_at = clock()
         self._lock = threading.Lock()
-        self._states: dict[str, _TeamState] = {}
+        self._states: dict[str, team_share.TeamShare] = {}
 
     def held_teams(self) -> Mapping[str, operator_text.Team]:
         """Returns the teams of which this host holds a share, by name."""
@@ -264,14 +222,14 @@
             retry_after_ms=math.ceil(retry_after_s * MILLIS_PER_S),
         )
 
-    def _configured_state(self, name: str) -> _TeamState | None:
+    def _configured_state(self, name: str) -> team_share.TeamShare | None:
         """Returns the state of a team with the rate and burst of the configuration in force."""
         state = self._states.get(name)
         if state is not None:
             state.configure(self._teams().get(name, state.team))
         return state
 
-    def _update_state(self, team: operator_text.Team) -> _TeamState:
+    def _update_state(self, team: operator_text.Team) -> team_share.TeamShare:
         """Returns the state of a team, created if missing, with its rate and burst updated.
 
         The configuration in force takes precedence over the team's values in the plan, which may
@@ -291,7 +249,7 @@
                 bucket = lending_bucket.LendingBucket(
                     now, self._timings.loan_s, self._timings.max_immediate_loan_s
                 )
-                state = self._states[team.name] = _TeamState(team, team_holding, bucket)
+                state = self._states[team.name] = team_share.TeamShare(team, team_holding, bucket)
             state.configure(self._teams().get(team.name, team))
             return state
 
@@ -322,7 +280,7 @@
 
     def _decide_updates(
         self,
-        states: Mapping[str, _TeamState],
+        states: Mapping[str, team_share.TeamShare],
         plans: Sequence[TeamPlan],
         quotas: Mapping[str, quota.Quota],
         version: position.Position,
@@ -354,7 +312,7 @@
         self,
         group: str,
         version_read: position.Position,
-        states: Mapping[str, _TeamState],
+        states: Mapping[str, team_share.TeamShare],
         quotas: Mapping[str, quota.Quota],
         updates: Mapping[str, holding.QuotaUpdate],
     ) -> bool:
@@ -401,7 +359,7 @@
         return True
 
     def _record_unknown_outcome(
-        self, states: Mapping[str, _TeamState], updates: Mapping[str, holding.QuotaUpdate]
+        self, states: Mapping[str, team_share.TeamShare], updates: Mapping[str, holding.QuotaUpdate]
     ) -> None:
         with self._lock:
             for team, update in updates.items():
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -12,6 +12,7 @@
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.upstreams import (
+    call_failures,
     connection_trials,
     dialect,
     gate,
@@ -59,24 +60,6 @@
         pass
 
 
-@attrs.frozen
-class _Failure:
-    """How a call whose transfer to the upstream failed is answered if it may have run."""
-
-    outcome: outcome.Outcome
-    status: int
-    reason: str
-
-
-_REVOKED = _Failure(outcome.Outcome.CANCELLED, 502, quarantine.SUSPECT_REASON)
-_CANCELLED = _Failure(outcome.Outcome.CANCELLED, 502, "cancelled")
-_TIMED_OUT = _Failure(outcome.Outcome.TIMED_OUT, 504, "deadline")
-_OUT_OF_MEMORY = _Failure(outcome.Outcome.FAILED, 502, "answer-memory")
-_CRASHED = _Failure(outcome.Outcome.FAILED, 502, "upstream-crashed")
-_FAILED = _Failure(outcome.Outcome.FAILED, 502, "upstream-failed")
-_REFUSED = _Failure(outcome.Outcome.REFUSED, 502, "upstream-failed")
-
-
 class LocalUpstream:
     """Runs calls at the upstream on this host, within the limit and queue of its gate."""
 
@@ -272,7 +255,7 @@
             if error.refused_beside is not None:
                 self._trials.record_refusal(pool.address, error.refused_beside)
             failure = await self._classify_failure(run, upstream, error, token.cancelled)
-            return _answer_failure(error, failure, unused_retries)
+            return call_failures.answer_failure(error, failure, unused_retries)
         self._record_notice(upstream_call, response, sent_at, time.monotonic())
         call_result = self._dialect.interpret_response(response)
         dialect.remove_internal_headers(response)
@@ -287,22 +270,22 @@
         upstream: notice.UpstreamId,
         error: http_client.TransferError,
         cancelled: bool,
-    ) -> _Failure:
+    ) -> call_failures.Failure:
         """Returns how a call is answered whose transfer failed, and reports a crash behind it."""
         was_sent = error.verdict is not verdict.Verdict.NOT_RUN
         if was_sent and (cancelled or error.timed_out):
             self._quarantine.record_abandoned(run, upstream)
         if run.revoked:
-            return _REVOKED
+            return call_failures.REVOKED
         if cancelled:
-            return _CANCELLED
+            return call_failures.CANCELLED
         if error.timed_out:
-            return _TIMED_OUT
+            return call_failures.TIMED_OUT
         if error.memory_exceeded:
-            return _OUT_OF_MEMORY
+            return call_failures.OUT_OF_MEMORY
         if await self._has_crashed(run, upstream, error) and was_sent:
-            return _CRASHED
-        return _FAILED if error.refused_beside is None else _REFUSED
+            return call_failures.CRASHED
+        return call_failures.FAILED if error.refused_beside is None else call_failures.REFUSED
 
     async def _has_crashed(
         self,
@@ -376,20 +359,6 @@
             self._observer.record_notice(current, request_id)
 
 
-def _answer_failure(
-    error: http_client.TransferError, failure: _Failure, unused_retries: int
-) -> tuple[answer.Answer, outcome.Outcome]:
-    """Returns answer and outcome of a call whose transfer to the upstream failed."""
-    refusal = errors.CallError(
-        f"the upstream did not send a complete answer: {error}; see the upstream's log",
-        status=503 if error.verdict is verdict.Verdict.NOT_RUN else failure.status,
-        reason=failure.reason,
-        verdict=error.verdict,
-        retry_after_s=1,
-    )
-    return answer.from_error(refusal, unused_retries), failure.outcome
-
-
 def _no_upstream_error(service: str) -> errors.CallError:
     return errors.CallError(
         f"no upstream of service '{service}' is announced on this host; "
