--- a/bergamotridge/store/quota.py
+++ b/bergamotridge/store/quota.py
@@ -29,8 +29,8 @@
 PARTS = 1_000_000  # Units into which the whole rate and burst of a team are divided.
 FLOOR_FRACTION = 0.25  # Of an equal share; every holder gets at least this.
 MIN_TOKENS_PER_HOLDER = 2.0  # Tokens of burst that every share should hold.
-# Rate that a holder needs, relative to the demand that it measured. The rest absorbs the variation
-# of the demand until the shares are adjusted again.
+# Rate that a holder needs, relative to its recent demand. The rest absorbs the variation of the
+# demand until the shares are adjusted again.
 NEED_FACTOR = 1.5
 # Of the burst of a share. The rest lets a new process on the host serve calls while tokens that its
 # predecessor lent may still be spent.
