Leave out the last log line if the output can't take it

Cause: writes one more line after the log has ended. The thread of the log ends quietly if the output fails, but this write raised OSError, as on a full disk: poll names such a file ready.

What callers saw: nothing of their calls. The process ended its planned stop with a traceback and status 1 in place of 0, and by way of the interpreter, which waits for all threads that aren't daemons, in place of end_process, which doesn't.

Change: an output that fails takes no last line.

Measured: the new test failed before, with OSError. A real node on /dev/full ended with status 1, 2.25 s after SIGTERM (grace 1 s), and with status 0 after 0.62 s now, one run each.

--- a/bergamotridge/util/line_queue.py
+++ b/bergamotridge/util/line_queue.py
@@ -51,14 +51,18 @@
         self._thread.join(DRAIN_TIMEOUT_S)
 
     def write_last(self, line: str) -> bool:
-        """Writes a line after `stop`, unless it would have to wait; returns whether it has."""
+        """Writes a line after `stop`, unless it would have to wait or fails; returns if it has."""
         output = select.poll()
         output.register(self._descriptor, select.POLLOUT)
         is_ready = [(self._descriptor, select.POLLOUT)] == output.poll(0)
         if self._thread.is_alive() or not is_ready:
             return False
-        # So short a line doesn't block a pipe that has room.
-        os.write(self._descriptor, line.encode()[: select.PIPE_BUF])
+        try:
+            # So short a line doesn't block a pipe that has room.
+            os.write(self._descriptor, line.encode()[: select.PIPE_BUF])
+        except OSError:
+            # The error cannot be logged: the log output itself has failed.
+            return False
         return True
 
     def write(self, text: str) -> int:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -106,6 +106,15 @@
     assert not is_written or os.read(reading, 100) == b"last\n"
 
 
+# A process on a full disk ended its planned stop with a traceback and status 1.
+def test_the_last_line_is_left_out_if_the_disk_is_full():
+    with open("/dev/full", "wb") as output:
+        lines = line_queue.LineQueue(output.fileno())
+        lines.start()
+        lines.stop()
+        assert not lines.write_last("last\n")
+
+
 def _fill(descriptor):
     try:
         return os.write(descriptor, bytes(4096))
