Read the settings file again in a thread that no stop waits for

Cause: on SIGHUP the main thread read the settings file itself, and it is the one that takes a stop. A file system that doesn't answer, or a pipe in place of the file, held it up for good. The class of the missed stops up to: what ends the process depends on a thread that something else may hold up.

What callers saw: a node told to stop served on as if nothing had been, and was killed at the end of the grace time with what it held.

Change: a thread of its own reads the file, once for each SIGHUP; the main thread waits for signals only.

--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -3,6 +3,7 @@
 import contextlib
 import gc
 import os
+import queue
 import signal
 import sys
 import threading
@@ -73,6 +74,31 @@
         _log.info("settings reloaded, nothing changed")
 
 
+class _Reloads:
+    """Reads the settings file again in a thread of its own.
+
+    A file system that doesn't answer may hold up that thread for good, but not a stop.
+    """
+
+    def __init__(
+        self, node: settings.NodeSettings, read: Callable[[], settings.NodeSettings] | None
+    ) -> None:
+        """Starts the thread; if `read` is None, nothing is read."""
+        self._requests: queue.SimpleQueue[None] = queue.SimpleQueue()
+        self._node, self._read = node, read
+        threading.Thread(target=self._run, name="reloads", daemon=True).start()
+
+    def request(self) -> None:
+        """Has the file read once more, after those reads that were requested before."""
+        self._requests.put(None)
+
+    def _run(self) -> None:
+        while True:
+            self._requests.get()
+            if self._read is not None:
+                log_changed_settings(self._node, self._read)
+
+
 def run(
     node: settings.NodeSettings,
     signals: process_signals.ReceivedSignals,
@@ -95,7 +121,8 @@
     incarnation = time.time_ns() // 1_000_000
     log_output = logs.setup(node, incarnation)
     wait = port_wait.PortWait(node.limits.drain_s)
-    bound = _bind_ports(node, wait, signals, read)
+    reloads = _Reloads(node, read)
+    bound = _bind_ports(node, wait, signals, reloads)
     if bound is not None:
         # Created once the ports are bound: a process that waits for them has no task that could act
         # for this host.
@@ -106,7 +133,7 @@
         node_application.events.add_listener(logs.EventWriter())
         with contextlib.closing(bound):
             if signals.stop_requested_at is None:
-                _serve(node, node_application, bound, signals, read)
+                _serve(node, node_application, bound, signals, reloads)
     _log.info("node on host '{}' stopped", node.host)
     _end_log_output(log_output)
     return 0
@@ -146,7 +173,7 @@
     node: settings.NodeSettings,
     wait: port_wait.PortWait,
     signals: process_signals.ReceivedSignals,
-    read: Callable[[], settings.NodeSettings] | None,
+    reloads: _Reloads,
 ) -> ports.BoundPorts | None:
     """Returns the ports of the node, which the process before it may free as late as its stop ends.
 
@@ -161,7 +188,7 @@
             wait.record_success(time.monotonic())
             return bound
         if signals.wait(port_wait.RETRY_INTERVAL_S) == signal.SIGHUP:
-            _reload(node, signals, read)
+            reloads.request()
     return None
 
 
@@ -170,7 +197,7 @@
     node_application: application.Application,
     bound: ports.BoundPorts,
     signals: process_signals.ReceivedSignals,
-    read: Callable[[], settings.NodeSettings] | None,
+    reloads: _Reloads,
 ) -> None:
     """Starts the node, and stops it when a signal asks for it."""
     node_application.start(bound)
@@ -181,14 +208,5 @@
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     _log.info("node on host '{}' started", node.host)
     while signals.wait() == signal.SIGHUP:
-        _reload(node, signals, read)
+        reloads.request()
     node_application.stop(signals.stop_requested_at)
-
-
-def _reload(
-    node: settings.NodeSettings,
-    signals: process_signals.ReceivedSignals,
-    read: Callable[[], settings.NodeSettings] | None,
-) -> None:
-    if read is not None and signals.stop_requested_at is None:
-        log_changed_settings(node, read)
--- a/tests/test_platform/test_process_start.py
+++ b/tests/test_platform/test_process_start.py
@@ -1,5 +1,6 @@
 """Signals and faults around the start of the program, with its real command and settings."""
 
+import errno
 import os
 import pathlib
 import signal
@@ -96,6 +97,29 @@
     def write_settings(self, content):
         self._settings.write_bytes(content)
 
+    def hang_settings(self):
+        """Replaces the settings by a pipe; returns a function that waits until a process reads it.
+
+        That function returns a descriptor; as long as it is open, the process waits for content.
+        """
+        self._settings.unlink()
+        os.mkfifo(self._settings)
+
+        def wait_for_reader():
+            opened = []
+
+            def is_read():
+                try:
+                    opened.append(os.open(self._settings, os.O_WRONLY | os.O_NONBLOCK))
+                except OSError as error:
+                    assert error.errno == errno.ENXIO, error
+                return opened
+
+            processes.wait_until(is_read, "the process reads its settings")
+            return opened[0]
+
+        return wait_for_reader
+
     def log(self, start=-1):
         """Returns what the process of a start has logged, by default of the last one."""
         return self._logs[start].read_text(encoding="utf-8")
@@ -204,3 +228,17 @@
     process.send_signal(signal.SIGHUP)
     program.wait_for_line("settings not reloaded", process)
     assert end(process) == 0
+
+
+# A node whose reload waited for its settings file took no stop until it was killed.
+def test_a_stop_is_taken_while_a_reload_waits_for_the_settings_file(program):
+    process = program.start()
+    program.wait_for_line(SERVING_LINE, process)
+    wait_for_reader = program.hang_settings()
+    process.send_signal(signal.SIGHUP)
+    descriptor = wait_for_reader()
+    try:
+        assert end(process) == 0
+    finally:
+        os.close(descriptor)
+    assert "node.stopping" in program.log()
