Go on with the parts behind one whose end fails

Cause: the first end that raised ended the stop. The threads of the parts behind it went on, among them those of the gossip, for which the interpreter waits as it ends; the error went past the call that ends the process.

What callers saw: had the end of the connections failed, the node answered on, and was killed at the end of the grace time with what it held.

Change: the error is logged, and the next part is ended.

--- a/bergamotridge/part_order.py
+++ b/bergamotridge/part_order.py
@@ -6,8 +6,12 @@
 from concurrent import futures
 from typing import Protocol
 
+import logbook
+
 from bergamotridge import errors, ports
 
+_log = logbook.Logger(__name__)
+
 # For the ends of a stop whose time is over when it comes to them, as its process stood still.
 MIN_ENDS_S = 0.15
 
@@ -69,7 +73,7 @@
 
 
 def end_all(ends: Mapping[str, End], deadline: float, limit: float, on_ended: OnEnded) -> str:
-    """Ends all parts, one after the other; a part that hangs doesn't keep the caller.
+    """Ends all parts, one after the other; one that hangs or fails doesn't keep the caller.
 
     Args:
         ends: How each part ends, by its name, in order.
@@ -93,10 +97,16 @@
 def _end_in_order(
     ends: Mapping[str, End], deadline: float, left: list[str], on_ended: OnEnded
 ) -> None:
-    """Ends all parts, and removes each from `left` once it has ended."""
+    """Ends all parts, and removes each from `left` once it has ended.
+
+    Those behind a part whose end fails are ended too: else their threads would keep the process.
+    """
     began_at = time.monotonic()
     for name, end in ends.items():
-        end(max(0.0, deadline - began_at))
+        try:
+            end(max(0.0, deadline - began_at))
+        except Exception:
+            _log.exception("the end of the part '{}' failed", name)
         ended_at = time.monotonic()
         left.remove(name)
         on_ended(name, ended_at - began_at, deadline - ended_at)
