soak of machines: a pause ends with its process, and counts for that one only

Cause: SIGSTOP and SIGCONT were paired by machine. A process that was killed in a pause gets no SIGCONT, so that the pause went on, for the check, until that of another process of the machine, or for the rest of the run; and one process's SIGCONT ended another's pause.

What it hid: LOST (no answer came) and GIVEN UP (504) at a process that ran.

Change: pauses are paired by process, and end with it.

Measured: both cases of the new test failed before; the tests of these checks pass, one run.

--- a/soak/machines/answer_checks.py
+++ b/soak/machines/answer_checks.py
@@ -1,11 +1,13 @@
 """Checks that each request that was sent whole is answered, or its connection ended."""
 
+import collections
 from collections.abc import Iterator
 
 from soak.machines import findings, record
 
 LATE_S = 0.5  # After the timeout, for the node's own answer.
 NO_ANSWER = "no answer came"
+EXIT = "node exits"
 
 
 def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
@@ -32,16 +34,24 @@
 
 
 def find_paused_s(rows: record.Record, machine: int, begin: float, end: float) -> float:
-    """Returns for how many seconds from `begin` to `end` a process of a machine stood still."""
-    paused_s, since = 0.0, None
-    for item in sorted(rows.happenings, key=lambda item: item.at):
-        if item.machine != machine or item.what not in findings.FREEZES:
+    """Returns for how many seconds from `begin` to `end` a process of a machine stood still.
+
+    Of more than one process, it is the one that did so for longest. A pause ends with its process.
+    """
+    paused_s: collections.Counter[str] = collections.Counter()
+    since: dict[str, float] = {}
+    ends = [record.Happening(end, "SIGCONT", machine, process) for process in _list_processes(rows)]
+    for item in [*sorted(rows.happenings, key=lambda item: item.at), *ends]:
+        if item.machine != machine or item.what not in (*findings.FREEZES, EXIT):
             continue
+        process = item.detail.partition(" ")[0]
         if item.what == "SIGSTOP":
-            since = item.at if since is None else since
-        elif since is not None:
-            paused_s += max(0.0, min(item.at, end) - max(since, begin))
-            since = None
-    if since is not None:
-        paused_s += max(0.0, end - max(since, begin))
-    return paused_s
+            since.setdefault(process, item.at)
+        elif process in since:
+            began = max(since.pop(process), begin)
+            paused_s[process] += max(0.0, min(item.at, end) - began)
+    return max(paused_s.values(), default=0.0)
+
+
+def _list_processes(rows: record.Record) -> set[str]:
+    return {item.detail for item in rows.happenings if item.what == "SIGSTOP"}
--- a/tests/test_soak/test_machine_answer_checks.py
+++ b/tests/test_soak/test_machine_answer_checks.py
@@ -66,6 +66,18 @@
     assert find(rows) == found
 
 
+# The pause of a process that was killed in it excused the next processes of its machine for good.
+@pytest.mark.parametrize("exits_at", [SENT - 1.0, SENT + TIMEOUT_S + 0.4])
+def test_a_pause_ends_with_its_process(exits_at):
+    rows = make_rows()
+    rows.happenings += [
+        record.Happening(SENT - 2.0, "SIGSTOP", 1, "7"),
+        record.Happening(exits_at, "node exits", 1, "7 -9 killed"),
+        record.Happening(SENT + PATIENCE_S + 1.0, "SIGCONT", 1, "8"),
+    ]
+    assert LOST[0] in find(rows)
+
+
 @pytest.mark.parametrize(("begin", "found"), [(SENT, LOST), (SENT + TIMEOUT_S, [])])
 def test_stand_ins_that_stand_still_past_the_timeout_find_nothing(begin, found):
     rows = make_rows()
