End the process after an error that nobody expects

Cause: such an error in the main thread, as in the first steps of a stop, went past the call that ends the process. The interpreter then waited for the threads of the gossip and of the executors, which nobody had told to end. The class of the missed stops up to: what ends the process depends on threads that something else may hold up.

What callers saw: the node answered on, took no further signal, and was killed at the end of the grace time with what it held.

Change: the error is logged, and the process ends with status 1.

Measured: the new test failed before.

--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -27,6 +27,7 @@
 
 SWITCH_INTERVAL_S = 0.0005
 GC_THRESHOLD_ALLOCATIONS = 20_000
+EXIT_FAULT = 1
 MAX_FLUSH_S = 0.25  # For what the process has printed besides its log.
 
 _log = logbook.Logger(__name__)
@@ -107,6 +108,8 @@
 ) -> int:
     """Runs a node until SIGTERM or SIGINT and returns the exit code of the process.
 
+    The code is `EXIT_FAULT` after an error that nobody expects; the log has its traceback.
+
     Args:
         node: Checked settings.
         signals: Signals that came since the start of the process, and those to come.
@@ -120,6 +123,27 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
     log_output = logs.setup(node, incarnation)
+    exit_code = 0
+    try:
+        _run_logged(node, incarnation, signals, node_environment, read)
+    except errors.BergamotridgeError:
+        raise
+    except Exception:
+        # Raised further, it would leave the process to threads that don't end.
+        _log.exception("the node failed, the process ends")
+        exit_code = EXIT_FAULT
+    _end_log_output(log_output)
+    return exit_code
+
+
+def _run_logged(
+    node: settings.NodeSettings,
+    incarnation: int,
+    signals: process_signals.ReceivedSignals,
+    node_environment: environment.Environment | None,
+    read: Callable[[], settings.NodeSettings] | None,
+) -> None:
+    """Runs a node whose log output is set up."""
     wait = port_wait.PortWait(node.limits.drain_s)
     reloads = _Reloads(node, read)
     bound = _bind_ports(node, wait, signals, reloads)
@@ -135,8 +159,6 @@
             if signals.stop_requested_at is None:
                 _serve(node, node_application, bound, signals, reloads)
     _log.info("node on host '{}' stopped", node.host)
-    _end_log_output(log_output)
-    return 0
 
 
 def _end_log_output(log_output: logbook.StreamHandler) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -34,6 +34,21 @@
     os.set_blocking(1, True)
 daemon.end_process(7)
 """
+# A node that fails while one of its threads waits for an answer that never comes.
+FAILING_PROGRAM = """
+import threading
+from concurrent import futures
+from bergamotridge import application, daemon, ports, process_signals, settings
+
+def fail(*_):
+    futures.ThreadPoolExecutor(1).submit(threading.Event().wait)
+    raise OSError("no such socket")
+
+application.Application = fail
+ports.bind = lambda addresses: object()
+node = settings.NodeSettings(host="h1", failure_domain="a", fleet_secret="s")
+daemon.end_process(daemon.run(node, process_signals.ReceivedSignals()))
+"""
 NODE = settings.NodeSettings(host="h1", failure_domain="a", fleet_secret="s")
 
 
@@ -78,3 +93,11 @@
             assert process.wait(timeout=60) == 7
         finally:
             process.kill()
+
+
+# A node whose stop failed served on, and took no further signal, until it was killed.
+def test_a_process_ends_after_an_error_that_nobody_expects():
+    command = [sys.executable, "-c", FAILING_PROGRAM]
+    ended = subprocess.run(command, cwd=source.ROOT, timeout=60, capture_output=True)
+    assert ended.returncode == daemon.EXIT_FAULT
+    assert b"no such socket" in ended.stdout
