--- a/bergamotridge/daemon.py
+++ b/bergamotridge/daemon.py
@@ -3,6 +3,7 @@
 import contextlib
 import gc
 import os
+import queue
 import signal
 import sys
 import threading
@@ -26,6 +27,7 @@
 
 SWITCH_INTERVAL_S = 0.0005
 GC_THRESHOLD_ALLOCATIONS = 20_000
+EXIT_FAULT = 1
 MAX_FLUSH_S = 0.25  # For what the process has printed besides its log.
 
 _log = logbook.Logger(__name__)
@@ -73,6 +75,31 @@
         _log.info("settings reloaded, nothing changed")
 
 
+class _Reloads:
+    """Reads the settings file again in a thread of its own.
+
+    A file system that doesn't answer may hold up that thread for good, but not a stop.
+    """
+
+    def __init__(
+        self, node: settings.NodeSettings, read: Callable[[], settings.NodeSettings] | None
+    ) -> None:
+        """Starts the thread; if `read` is None, nothing is read."""
+        self._requests: queue.SimpleQueue[None] = queue.SimpleQueue()
+        self._node, self._read = node, read
+        threading.Thread(target=self._run, name="reloads", daemon=True).start()
+
+    def request(self) -> None:
+        """Has the file read once more, after those reads that were requested before."""
+        self._requests.put(None)
+
+    def _run(self) -> None:
+        while True:
+            self._requests.get()
+            if self._read is not None:
+                log_changed_settings(self._node, self._read)
+
+
 def run(
     node: settings.NodeSettings,
     signals: process_signals.ReceivedSignals,
@@ -81,6 +108,8 @@
 ) -> int:
     """Runs a node until SIGTERM or SIGINT and returns the exit code of the process.
 
+    The code is `EXIT_FAULT` after an error that nobody expects; the log has its traceback.
+
     Args:
         node: Checked settings.
         signals: Signals that came since the start of the process, and those to come.
@@ -94,8 +123,30 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     incarnation = time.time_ns() // 1_000_000
     log_output = logs.setup(node, incarnation)
+    exit_code = 0
+    try:
+        _run_logged(node, incarnation, signals, node_environment, read)
+    except errors.BergamotridgeError:
+        raise
+    except Exception:
+        # Raised further, it would leave the process to threads that don't end.
+        _log.exception("the node failed, the process ends")
+        exit_code = EXIT_FAULT
+    _end_log_output(log_output)
+    return exit_code
+
+
+def _run_logged(
+    node: settings.NodeSettings,
+    incarnation: int,
+    signals: process_signals.ReceivedSignals,
+    node_environment: environment.Environment | None,
+    read: Callable[[], settings.NodeSettings] | None,
+) -> None:
+    """Runs a node whose log output is set up."""
     wait = port_wait.PortWait(node.limits.drain_s)
-    bound = _bind_ports(node, wait, signals, read)
+    reloads = _Reloads(node, read)
+    bound = _bind_ports(node, wait, signals, reloads)
     if bound is not None:
         # Created once the ports are bound: a process that waits for them has no task that could act
         # for this host.
@@ -106,10 +157,8 @@
         node_application.events.add_listener(logs.EventWriter())
         with contextlib.closing(bound):
             if signals.stop_requested_at is None:
-                _serve(node, node_application, bound, signals, read)
+                _serve(node, node_application, bound, signals, reloads)
     _log.info("node on host '{}' stopped", node.host)
-    _end_log_output(log_output)
-    return 0
 
 
 def _end_log_output(log_output: logbook.StreamHandler) -> None:
@@ -146,7 +195,7 @@
     node: settings.NodeSettings,
     wait: port_wait.PortWait,
     signals: process_signals.ReceivedSignals,
-    read: Callable[[], settings.NodeSettings] | None,
+    reloads: _Reloads,
 ) -> ports.BoundPorts | None:
     """Returns the ports of the node, which the process before it may free as late as its stop ends.
 
@@ -161,7 +210,7 @@
             wait.record_success(time.monotonic())
             return bound
         if signals.wait(port_wait.RETRY_INTERVAL_S) == signal.SIGHUP:
-            _reload(node, signals, read)
+            reloads.request()
     return None
 
 
@@ -170,7 +219,7 @@
     node_application: application.Application,
     bound: ports.BoundPorts,
     signals: process_signals.ReceivedSignals,
-    read: Callable[[], settings.NodeSettings] | None,
+    reloads: _Reloads,
 ) -> None:
     """Starts the node, and stops it when a signal asks for it."""
     node_application.start(bound)
@@ -181,14 +230,5 @@
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
     _log.info("node on host '{}' started", node.host)
     while signals.wait() == signal.SIGHUP:
-        _reload(node, signals, read)
+        reloads.request()
     node_application.stop(signals.stop_requested_at)
-
-
-def _reload(
-    node: settings.NodeSettings,
-    signals: process_signals.ReceivedSignals,
-    read: Callable[[], settings.NodeSettings] | None,
-) -> None:
-    if read is not None and signals.stop_requested_at is None:
-        log_changed_settings(node, read)
