--- a/soak/machines/planted_node.py
+++ b/soak/machines/planted_node.py
@@ -109,7 +109,8 @@
         """Changes the classes; the signals and configurations of the process are noted too."""
         from bergamotridge import daemon, events
 
-        reload, emit, moments = daemon._reload, events.EventLog.emit, self._moments
+        reload, moments = daemon.log_changed_settings, self._moments
+        emit = events.EventLog.emit
 
         def note_reload(*arguments):
             moments.reloaded_at = time.monotonic()
@@ -120,7 +121,7 @@
                 moments.configured_at = time.monotonic()
             return emit(log, kind, *arguments, **detail)
 
-        daemon._reload, events.EventLog.emit = note_reload, note_event
+        daemon.log_changed_settings, events.EventLog.emit = note_reload, note_event
         if self._fault.port == "upstream":
             self._plant_in_pool()
         else:
