A call that reached no upstream is sent on while it has time

Such a call puts no load on anyone and has run nowhere: it is sent on as long as a request can reach another host.

--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -138,7 +138,7 @@
         self._budget.add_first_attempt(outgoing.service, time.monotonic())
         while True:
             last = _combine_answers(last, await self._attempt(target, outgoing, allowance, token))
-            if not _may_be_sent_again(last, outgoing, token) or not self._has_time(outgoing):
+            if not _may_be_sent_again(last, outgoing, token) or not self._has_time(last, outgoing):
                 return last
             excluded.add(target.host)
             target = self._choose_next(last, outgoing, allowance, excluded)
@@ -148,9 +148,15 @@
                 "call.retried", outgoing.context.request_id, last.reason, service=outgoing.service
             )
 
-    def _has_time(self, outgoing: OutgoingCall) -> bool:
-        """Returns whether another attempt of a call may be answered before its deadline."""
+    def _has_time(self, last: answer.Answer, outgoing: OutgoingCall) -> bool:
+        """Returns whether another attempt of a call may be answered before its deadline.
+
+        Routes of a service may differ in their times. A call that reached no upstream is not
+        refused for the times of others.
+        """
         left_s = outgoing.context.time_left(time.monotonic())
+        if _was_unsent(last):
+            return left_s > attempt_times.MIN_ATTEMPT_S
         return self._attempt_times.allow(outgoing.service, left_s)
 
     def _choose(
@@ -173,11 +179,10 @@
         shed put load on a node though, so that it goes on without them only to an upstream with
         room, and not for long.
         """
-        was_not_run = last.verdict is verdict.Verdict.NOT_RUN
-        if was_not_run and last.reason in _UNSENT_REASONS:
+        if _was_unsent(last):
             return self._choose(outgoing, excluded)
         now = time.monotonic()
-        is_shed = was_not_run and last.reason == GATE_REFUSAL_REASON
+        is_shed = last.verdict is verdict.Verdict.NOT_RUN and last.reason == GATE_REFUSAL_REASON
         if is_shed and len(excluded) < MAX_ATTEMPTS_FOR_ROOM:
             candidates = self._directory.candidates(outgoing.service)
             target = self._chooser.choose_with_room(candidates, excluded, now)
@@ -280,6 +285,11 @@
             )
 
 
+def _was_unsent(last: answer.Answer) -> bool:
+    """Returns whether an attempt certainly reached no upstream."""
+    return last.verdict is verdict.Verdict.NOT_RUN and last.reason in _UNSENT_REASONS
+
+
 def _may_be_sent_again(
     last: answer.Answer, outgoing: OutgoingCall, token: cancellation.Token
 ) -> bool:
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -145,6 +145,18 @@
     assert (len(fleet.hosts), allowance.left) == (attempts, 2 - attempts)
 
 
+# A call with time left that had reached no upstream was refused beside a free host, as answers to
+# other routes of its service take longer.
+@pytest.mark.parametrize(("reason", "attempts"), [("draining", 2), ("no-upstream", 2), ("shed", 1)])
+def test_a_call_that_reached_no_upstream_is_sent_on_while_it_has_time(reason, attempts):
+    fleet = FakeFleet(NOT_RUN, RUN, reason=reason)
+    dispatcher = make_dispatcher(fleet)
+    reply = answer.Answer(message.Response(200), RUN)
+    dispatcher._record_attempt(make_record("h9"), "pay", reply, 4.0, 1.0)
+    send(fleet, repeatable=False, retries=1, time_left_s=1.0, dispatcher=dispatcher)
+    assert len(fleet.hosts) == attempts
+
+
 # A deadline after an attempt that may have run was told as 503, which promises that it did not.
 def test_a_deadline_after_an_attempt_that_may_have_run_gets_504():
     failed = answer.from_error(
