soak of machines: only a pause before a request was read delays its timeout

Found by the reviewer in: all pauses since the last byte were taken off, also those after the node had read the request, so that pauses of over 0.5 s blinded the check where a client waits little longer than the timeout. Until the request is seen as read, and from the timeout on, a pause doesn't count; between the two it does.

--- a/soak/machines/answer_checks.py
+++ b/soak/machines/answer_checks.py
@@ -13,7 +13,8 @@
 def find_broken(rows: record.Record) -> Iterator[findings.Finding]:
     """LOST: a client waits past the route's timeout, and its node gives no answer at all.
 
-    Time in which the node stood still doesn't count, as it can't have read the request then.
+    Time in which the node stood still before it had read the request, or past the timeout, doesn't
+    count.
     Excused: the stand-ins stood still past the timeout. A client that reads slowly may still be at
     the body of its answer.
     """
@@ -22,9 +23,10 @@
             continue
         if item.reads_slowly and item.head_at is not None:
             continue
-        paused_s = find_paused_s(rows, item.machine, item.sent, item.ended)
-        late_s = item.ended - item.sent - paused_s - item.timeout_s
-        if late_s < LATE_S or rows.stood_still(item.sent + item.timeout_s, item.ended):
+        due, read_at = item.sent + item.timeout_s, item.ended if item.taken is None else item.taken
+        paused_s = find_paused_s(rows, item.machine, item.sent, read_at)
+        paused_s += find_paused_s(rows, item.machine, max(due, read_at), item.ended)
+        if item.ended - due - paused_s < LATE_S or rows.stood_still(due, item.ended):
             continue
         text = (
             f"{item.id} {item.by}, {item.method} {item.path}: no answer"
--- a/tests/test_soak/test_machine_answer_checks.py
+++ b/tests/test_soak/test_machine_answer_checks.py
@@ -80,6 +80,22 @@
     assert LOST[0] in find(rows)
 
 
+# A pause of a node that had read the request hid that it never answered.
+@pytest.mark.parametrize(
+    ("begin", "end", "found"),
+    [
+        (SENT + 0.5, SENT + 1.5, LOST),
+        (SENT + 1.0, SENT + TIMEOUT_S + 0.4, LOST),
+        (SENT + 1.0, SENT + TIMEOUT_S + 0.6, []),
+    ],
+)
+def test_a_pause_after_the_request_was_read_counts_from_the_timeout_on(begin, end, found):
+    rows = make_rows(taken=SENT + 0.01)
+    rows.happenings.append(record.Happening(begin, "SIGSTOP", 1, "7"))
+    rows.happenings.append(record.Happening(end, "SIGCONT", 1, "7"))
+    assert find(rows) == found
+
+
 @pytest.mark.parametrize(("begin", "found"), [(SENT, LOST), (SENT + TIMEOUT_S, [])])
 def test_stand_ins_that_stand_still_past_the_timeout_find_nothing(begin, found):
     rows = make_rows()
