Test the restored store with its moments apart

Times have steps of 0.1 ms, and 'now - (now - at)' is at times a rounding error below 'at': a copy of the same step as 'at' is then taken for a later one. The moments are 0.01 s apart now.

--- a/tests/test_soak/test_machine_store.py
+++ b/tests/test_soak/test_machine_store.py
@@ -93,6 +93,8 @@
         async with serve() as (own, (first, _)):
             kept = {"metadata": {"name": "kept"}, "spec": 1}
             _, before, _ = await ask(first, "lease", "POST", kept)
+            # The store's time has steps of 0.1 ms.
+            await asyncio.sleep(0.01)
             at = own.rows.now()
             await asyncio.sleep(0.01)
             await ask(first, "lease", "POST", {"metadata": {"name": "gone"}, "spec": 1})
