--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -75,6 +75,17 @@
     assert (short.importance, short.target_s) == (call.Importance.SHEDDABLE, 1.5)
 
 
+# Downloads were taken for calls that run at most once, and not sent on after a failed attempt.
+@pytest.mark.parametrize(
+    ("kind", "repeatable"),
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False), (None, False)],
+)
+def test_only_calls_on_routes_of_idempotent_kinds_may_be_repeated(parse, kind, repeatable):
+    rule = {**CONFIGURATION["listeners"][0]["rules"][0], "kind": kind}
+    routes = parse({**CONFIGURATION, "listeners": [{"host": "a.example", "rules": [rule]}]}).routes
+    assert routes["a.example/x/"].repeatable is repeatable
+
+
 @pytest.mark.parametrize(("path", "host"), [("/x/1", "b.example"), ("/y/", "a.example")])
 def test_a_call_that_matches_no_route_gets_status_404(parse, path, host):
     with pytest.raises(errors.CallError) as raised:
