nodes: a reserve of retries for direct calls

Cause: the retry bucket of a service is used up by calls that name no request, nine in ten of the calls at a scarce service. A call that came to the service directly then gets no retry. With 72 nodes a bucket holds a single token.

With it, an unattributed call takes a retry only while more than half of the bucket's capacity is left, and no more than half of the tokens that are added. Capacity and refill of a bucket are as before, so the budget is too.

Result: in test_budget, a bucket of one token and random kinds of calls, more than 0.3 of the direct calls get a retry where less than 0.15 did. Budget, dispatch, settings, node_environment and docs tests pass.

--- a/bergamotridge/nodes/budget.py
+++ b/bergamotridge/nodes/budget.py
@@ -8,14 +8,32 @@
 SLACK_RETRIES = 10.0  # Of all nodes in a window, beyond the ratio.
 WINDOW_S = 50.0
 MIN_CAPACITY_TOKENS = 1.0
+# With a reserve: part of a bucket's capacity that unattributed calls leave to direct ones, and part
+# of the tokens added to a bucket that unattributed calls may take.
+RESERVE_FRACTION = 0.5
+UNATTRIBUTED_TOKENS_FRACTION = 0.5
 
 
 @attrs.define
 class _Bucket:
-    """Tokens for retries and the monotonic time in seconds of the last refill."""
+    """Tokens for retries of one service.
+
+    Attributes:
+        tokens: Retries that may be made.
+        refilled_at: Monotonic time in seconds of the last refill.
+        unattributed_tokens: How many of the retries unattributed calls may make.
+    """
 
     tokens: float
     refilled_at: float
+    unattributed_tokens: float
+
+    def add(self, tokens: float, capacity: float) -> None:
+        """Adds tokens; unattributed calls may take UNATTRIBUTED_TOKENS_FRACTION of them."""
+        self.tokens += tokens
+        self.unattributed_tokens = min(
+            capacity, self.unattributed_tokens + UNATTRIBUTED_TOKENS_FRACTION * tokens
+        )
 
 
 class RetryBudget:
@@ -24,6 +42,10 @@
     Each first attempt adds `ratio` tokens, and a retry takes one. The fleet's slack is divided
     evenly among the nodes: a node's share is the capacity of its bucket, and a bucket refills by
     that share in each window, even without traffic.
+
+    With a reserve, an unattributed call takes a retry only while more than RESERVE_FRACTION of the
+    capacity is left. In a large fleet a bucket holds a single token, which no part of the capacity
+    can keep free, so such calls also take no more than a fraction of the tokens that are added.
     """
 
     def __init__(
@@ -32,6 +54,8 @@
         slack: float = SLACK_RETRIES,
         window_s: float = WINDOW_S,
         fleet_size: Callable[[], int] = lambda: 1,
+        *,
+        has_reserve: bool = False,
     ) -> None:
         """Creates a budget in which the bucket of each service starts full.
 
@@ -40,11 +64,13 @@
             slack: Retries of all nodes in a window, beyond the ratio.
             window_s: The window in seconds.
             fleet_size: Returns the number of nodes in the fleet.
+            has_reserve: True to keep a reserve for calls that aren't unattributed.
         """
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._fleet_size = fleet_size
+        self._has_reserve = has_reserve
         self._last_capacity = 0.0
         self._buckets: dict[str, _Bucket] = {}
 
@@ -54,13 +80,24 @@
         if bucket is None:
             bucket = self._refilled_bucket(service, now)
         if bucket.tokens < self._last_capacity:
-            bucket.tokens += self._ratio
+            bucket.add(self._ratio, self._last_capacity)
 
-    def try_take(self, service: str, now: float) -> bool:
-        """Takes a token for a retry; returns False if less than one is left."""
+    def try_take(self, service: str, now: float, *, is_unattributed: bool = False) -> bool:
+        """Takes a token for a retry; returns False if less than one is left.
+
+        Args:
+            service: Service that the call goes to.
+            now: Monotonic time in seconds.
+            is_unattributed: True for a call that names no request; it gets no token of the reserve.
+        """
         bucket = self._refilled_bucket(service, now)
         if bucket.tokens < 1.0:
             return False
+        if self._has_reserve and is_unattributed:
+            reserve = RESERVE_FRACTION * self._last_capacity
+            if bucket.tokens <= reserve or bucket.unattributed_tokens < 1.0:
+                return False
+            bucket.unattributed_tokens -= 1.0
         bucket.tokens -= 1.0
         return True
 
@@ -73,9 +110,10 @@
         return self._last_capacity
 
     def _refilled_bucket(self, service: str, now: float) -> _Bucket:
-        bucket = self._buckets.setdefault(service, _Bucket(self._update_capacity(), now))
+        capacity = self._update_capacity()
+        bucket = self._buckets.setdefault(service, _Bucket(capacity, now, capacity))
         elapsed_s = max(0.0, now - bucket.refilled_at)
-        refill = elapsed_s * self._slack_per_node() / self._window_s
-        bucket.tokens = min(self._update_capacity(), bucket.tokens + refill)
+        bucket.add(elapsed_s * self._slack_per_node() / self._window_s, capacity)
+        bucket.tokens = min(capacity, bucket.tokens)
         bucket.refilled_at = max(now, bucket.refilled_at)
         return bucket
--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -61,7 +61,11 @@
         members,
         choice.UpstreamChooser(node.host, node.failure_domain, node.region, shared.rng),
         budget.RetryBudget(
-            node.retries.ratio, node.retries.slack, node.retries.window_s, members.size
+            node.retries.ratio,
+            node.retries.slack,
+            node.retries.window_s,
+            members.size,
+            has_reserve=node.shedding.scarce,
         ),
         thresholds,
         shared.log,
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -188,7 +188,10 @@
             target = self._chooser.choose_with_room(candidates, excluded, now)
             if target is not None:
                 return target
-        if self._budget.try_take(outgoing.service, now) and allowance.spend():
+        may_retry = self._budget.try_take(
+            outgoing.service, now, is_unattributed=outgoing.context.unattributed
+        )
+        if may_retry and allowance.spend():
             return self._choose(outgoing, excluded)
         return None
 
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -212,6 +212,18 @@
     )
 
 
+@attrs.frozen
+class Shedding:
+    """Which calls are refused where demand exceeds capacity."""
+
+    scarce: bool = _setting(
+        False,
+        "whether calls that come to a service directly keep a part of its capacity beside calls "
+        "that name no request, and upstreams that reject calls lower the share of the latter",
+        "true or false",
+    )
+
+
 @attrs.frozen
 class NodeSettings:
     """All settings of `bergamotridge node`."""
@@ -232,6 +244,7 @@
     limits: Limits = attrs.field(factory=Limits)
     retries: Retries = attrs.field(factory=Retries)
     quota: Quota = attrs.field(factory=Quota)
+    shedding: Shedding = attrs.field(factory=Shedding)
 
 
 def _check_value(source: str, key: str, field: attrs.Attribute, value: object) -> object:
--- a/tests/test_nodes/test_budget.py
+++ b/tests/test_nodes/test_budget.py
@@ -1,5 +1,9 @@
 """Retry budget: retries are limited to a fraction of the first attempts and the initial tokens."""
 
+import random
+
+import pytest
+
 from bergamotridge.nodes import budget
 
 
@@ -13,3 +17,31 @@
     assert granted <= 10 + 0.1 * 2000
     assert granted >= 0.1 * 2000
     assert retries.try_take("booking", 2.0)
+
+
+# Nine in ten first attempts at a scarce service are unattributed, and used up all tokens: a direct
+# call found none. With 72 nodes a bucket holds a single token.
+@pytest.mark.parametrize(("fleet_size", "has_reserve"), [(1, True), (72, True), (72, False)])
+def test_unattributed_calls_leave_retries_to_direct_ones(fleet_size, has_reserve):
+    retries = budget.RetryBudget(0.1, 40.0, 10.0, lambda: fleet_size, has_reserve=has_reserve)
+    granted, rng = {True: 0, False: 0}, random.Random(3)
+    for attempt in range(20_000):
+        now = attempt / 100
+        retries.add_first_attempt("depot", now)
+        is_unattributed = rng.random() < 0.9
+        granted[is_unattributed] += retries.try_take("depot", now, is_unattributed=is_unattributed)
+    initial = max(1.0, 40.0 / fleet_size)
+    refill = 40.0 / fleet_size * 200.0 / 10.0
+    assert sum(granted.values()) <= initial + refill + 0.1 * 20_000
+    served = granted[False] / 2000
+    assert served > 0.3 if has_reserve else served < 0.15
+
+
+def test_unattributed_calls_stop_at_half_of_a_bucket_and_get_retries_beside_no_others():
+    retries = budget.RetryBudget(0.1, 10.0, 50.0, has_reserve=True)
+    taken = sum(retries.try_take("depot", 0.0, is_unattributed=True) for _ in range(20))
+    assert taken == 5
+    assert sum(retries.try_take("depot", 0.0) for _ in range(20)) == 5
+    for _ in range(1000):
+        retries.add_first_attempt("depot", 0.0)
+    assert retries.try_take("depot", 0.0, is_unattributed=True)
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -62,3 +62,12 @@
     work_s = limits.drain_s - shutdown.MARGIN_S
     assert grace_s * 5 / 6 <= work_s <= grace_s * 5 / 6 + 0.05
     assert limits.drain_s + limits.end_s < grace_s
+
+
+# Other deployments keep the behaviour that they were tested with.
+@pytest.mark.parametrize(
+    ("contracts", "scarce"),
+    [("", False), ("contracts=pools,grid\n", False), ("contracts=grid, pool\n", True)],
+)
+def test_only_the_contract_pool_turns_on_the_settings_for_scarce_services(contracts, scarce):
+    assert _make_settings(LINES + contracts).shedding.scarce is scarce
