upstreams: divide a scarce upstream between direct and unattributed calls

Cause: calls that name no request count as critical. A backlog of them set the shares of all direct calls at the gate to 0, evicted them from the queue and was served first. An upstream that rejected calls lowered no share while its load was low, so that trees went on to begin and fail; and its rejections cut the limit to 1, so that direct calls waited.

Change, with shedding.scarce only: the queue keeps the kinds apart, starts them by start-time fair queueing with weights 1 and 3 and evicts from the kind with the longer queue for its weight. Shares, hold times, required times and queue timeouts are computed by kind. The share of unattributed calls also falls by the smoothed fraction of rejected calls; its gain is in proportion to the share, and in full while the upstream is mostly idle. Rejections cut the limit no further than to where a ramp starts.

--- a/bench/policy/measures.py
+++ b/bench/policy/measures.py
@@ -6,7 +6,7 @@
 
 from bench.policy import clients, deployment, scenarios
 from bergamotridge import call
-from bergamotridge.upstreams import threshold
+from bergamotridge.upstreams import demand_estimate
 
 BIN_S = 0.25
 RECOVERED_FRACTION = 0.97
@@ -83,7 +83,7 @@
             demand[request.team] += 1
             good[request.team] += request.good
         pairs = [(demand[name], described.text.teams[name].weight) for name in fair]
-        level = threshold.fair_level(pairs, sum(request.good for request in of_route))
+        level = demand_estimate.fair_level(pairs, sum(request.good for request in of_route))
         for name, team in described.text.teams.items():
             fair[name] += min(demand[name], level * team.weight)
     return min(good[name] / fair[name] for name in fair if fair[name])
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -5,17 +5,17 @@
 from bergamotridge import call, errors
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import (
+    call_kinds,
     connection_bound,
     limit,
     notice,
     outcome,
     queue,
     rate_limit,
+    refusal,
     threshold,
 )
 
-MIN_RETRY_AFTER_S = 0.5
-RETRY_AFTER_JITTER_S = 1.5
 REQUIRED_HOLD_FRACTION = 0.7  # Of the smoothed hold time; a call with less time left is refused.
 MIN_QUEUE_TIMEOUT_S = 0.05
 # Queue timeouts in hold times. Root calls (depth 0) get less than deeper calls, whose requests have
@@ -23,22 +23,10 @@
 ROOT_QUEUE_TIMEOUT_HOLDS = 0.5
 NESTED_QUEUE_TIMEOUT_HOLDS = 1.0
 LOAD_DECIMALS = 3
+# Outcomes of calls that the upstream neither accepted nor rejected.
+_NOT_SENT = (outcome.Outcome.REFUSED, outcome.Outcome.UNREACHABLE)
 
-
-def build_refusal(
-    reason: str, message: str, request_id: str, retry_after_s: float | None = None
-) -> errors.CallError:
-    """Returns the error for a call that is refused before it runs.
-
-    Args:
-        reason: Fixed reason code for metrics and events.
-        message: Text of the error.
-        request_id: Id of the caller's request; the jitter that spreads retries is derived from it.
-        retry_after_s: Seconds after which the caller may retry; computed with jitter if None.
-    """
-    if retry_after_s is None:
-        retry_after_s = MIN_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * load.request_position(request_id)
-    return errors.CallError(message, status=503, reason=reason, retry_after_s=retry_after_s)
+build_refusal = refusal.build_refusal
 
 
 class Admission:
@@ -50,17 +38,25 @@
         slots: Concurrent calls that the operator's text allows.
         queue_capacity: Number of calls that may wait.
         connections: Connections that the operator's text allows; as many as slots if None.
+        scarce: True to divide the upstream between direct and unattributed calls.
     """
 
-    def __init__(self, slots: int, queue_capacity: int, connections: int | None = None) -> None:
+    def __init__(
+        self,
+        slots: int,
+        queue_capacity: int,
+        connections: int | None = None,
+        *,
+        scarce: bool = False,
+    ) -> None:
         self._slots = slots
         self._connections = connections if connections is not None else slots
         self._announced_limit = slots
         self._connection_bound = connection_bound.ConnectionBound()
         self._limit = limit.AdaptiveLimit(self._compute_ceiling())
         self._rate_limiter = rate_limit.RateLimiter()
-        self._queue = queue.AdmissionQueue(queue_capacity)
-        self._controller = threshold.ThresholdController()
+        self._queue = queue.AdmissionQueue(queue_capacity, separate_kinds=scarce)
+        self._controller = threshold.ThresholdController(scarce=scarce)
         self._state = record.State.LOST
         self._exact_slots = False
         self._draining = False
@@ -71,6 +67,17 @@
         """State in the latest announcement of the upstream."""
         return self._state
 
+    @property
+    def kinds(self) -> call_kinds.KindsReport:
+        """How the upstream is divided between direct and unattributed calls."""
+        unattributed = self._queue.count_unattributed()
+        return call_kinds.KindsReport(
+            self._controller.unattributed_share,
+            self._controller.rejected_fraction,
+            len(self._queue) - unattributed,
+            unattributed,
+        )
+
     @property
     def in_flight(self) -> int:
         """Number of running calls."""
@@ -193,7 +200,8 @@
             CallError: The call was refused; the verdict is NOT_RUN.
         """
         if self._draining or self._state is not record.State.READY:
-            self._check_available(context)
+            is_draining = self._draining or self._state is record.State.DRAINING
+            raise refusal.build_unavailable(context.request_id, is_draining=is_draining)
         self._controller.record_arrival(context)
         self._update_threshold(now)
         entry = queue.Entry(context, now, notify)
@@ -203,7 +211,7 @@
             return entry
         self._controller.record_wait()
         self._check_threshold(context)
-        self._check_deadline(context, self._queue.count_at_or_above(context.importance), now)
+        self._check_deadline(context, self._queue.count_ahead(context), now)
         evicted = self._queue.push(entry)
         if evicted is entry:
             raise build_refusal(
@@ -238,9 +246,18 @@
         in_flight_before = self._in_flight
         self._in_flight -= 1
         if result not in (outcome.Outcome.SHED, outcome.Outcome.REFUSED):
-            self._controller.record_hold_time(now - entry.started_at)
+            kind = call_kinds.kind_of(entry.context)
+            self._controller.record_hold_time(now - entry.started_at, kind)
+        if result not in _NOT_SENT:
+            self._controller.record_end(was_rejected=result is outcome.Outcome.SHED)
         if not self._exact_slots:
-            self._limit.record_result(result, in_flight_before, self._controller.hold_s, now)
+            self._limit.record_result(
+                result,
+                in_flight_before,
+                self._controller.hold_s,
+                now,
+                keeps_ramp_start=self._controller.divides_kinds,
+            )
         if len(self._queue):
             self._start_waiting_calls(now)
 
@@ -286,38 +303,28 @@
     def _update_threshold(self, now: float) -> None:
         if not self._controller.is_update_due(now):
             return
-        waiting = self._queue.count_by_class()
-        if self._controller.update(self._current_limit(), self._in_flight, waiting, now):
+        if self._controller.update(
+            self._current_limit(),
+            self._in_flight,
+            self._queue.count_by_class(),
+            now,
+            self._queue.count_unattributed(),
+        ):
             self._shed_stale_calls(now)
 
     def _shed_stale_calls(self, now: float) -> None:
         """Sheds calls that have waited longer than the queue timeout."""
-        hold_s = self._controller.hold_s
         for entry in self._queue.entries():
+            hold_s = self._controller.hold_s_of(entry.context)
             timeout_holds = (
                 NESTED_QUEUE_TIMEOUT_HOLDS if entry.context.depth else ROOT_QUEUE_TIMEOUT_HOLDS
             )
             if hold_s and now - entry.arrived_at > max(MIN_QUEUE_TIMEOUT_S, timeout_holds * hold_s):
                 self.withdraw(entry, "shed")
 
-    def _required_time_s(self) -> float:
+    def _required_time_s(self, context: call.CallContext) -> float:
         """Returns the least time in seconds that a call needs before its deadline."""
-        return REQUIRED_HOLD_FRACTION * self._controller.hold_s
-
-    def _check_available(self, context: call.CallContext) -> None:
-        """Refuses a call while the upstream is draining or not ready; raises CallError."""
-        if self._draining or self._state is record.State.DRAINING:
-            raise build_refusal(
-                "draining",
-                "the upstream on this host is draining; retry later",
-                context.request_id,
-            )
-        if self._state is not record.State.READY:
-            raise build_refusal(
-                "no-upstream",
-                "no upstream is ready on this host; retry later",
-                context.request_id,
-            )
+        return REQUIRED_HOLD_FRACTION * self._controller.hold_s_of(context)
 
     def _check_threshold(self, context: call.CallContext) -> None:
         """Refuses a root call whose request is above the admitted share; raises CallError."""
@@ -333,23 +340,15 @@
         """Refuses a call that cannot finish in time; raises CallError."""
         hold_s = self._controller.hold_s
         wait_s = waiting_ahead * hold_s / self._current_limit() if waiting_ahead else 0.0
-        if context.deadline - now <= wait_s + REQUIRED_HOLD_FRACTION * hold_s:
-            raise build_refusal(
-                "deadline",
-                "the call cannot finish before its deadline; allow it more time",
-                context.request_id,
-            )
+        if context.deadline - now <= wait_s + self._required_time_s(context):
+            raise refusal.build_late(context.request_id)
 
     def _start_waiting_calls(self, now: float) -> None:
         """Starts waiting calls while they may start; refuses those that cannot finish in time."""
         while len(self._queue) and self._may_start(now):
             entry = self._queue.pop()
-            if entry.context.time_left(now) <= self._required_time_s():
-                self._refuse(
-                    entry,
-                    "deadline",
-                    "the call cannot finish before its deadline; allow it more time",
-                )
+            if entry.context.time_left(now) <= self._required_time_s(entry.context):
+                self._settle(entry, refusal.build_late(entry.context.request_id))
                 continue
             self._start(entry, now)
             entry.notify(entry)
@@ -359,11 +358,16 @@
         entry.started_at = now
         self._in_flight += 1
         self._rate_limiter.take(now)
-        self._queue.charge(entry.context)
+        hold_s = self._controller.hold_s
+        relative_cost = self._controller.hold_s_of(entry.context) / hold_s if hold_s else 1.0
+        self._queue.charge(entry.context, relative_cost)
 
     def _refuse(self, entry: queue.Entry, reason: str, message: str) -> None:
+        self._settle(entry, build_refusal(reason, message, entry.context.request_id))
+
+    def _settle(self, entry: queue.Entry, error: errors.CallError) -> None:
         entry.state = queue.EntryState.REFUSED
-        entry.refusal = build_refusal(reason, message, entry.context.request_id)
+        entry.refusal = error
         entry.notify(entry)
 
     def _refuse_waiting_calls(self) -> None:
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -82,7 +82,8 @@
         limits.answers_bytes,
         shared.memory,
     )
-    admission, calls = gate.Gate(1, limits.queue), live_calls.LiveCalls()
+    admission = gate.Gate(1, limits.queue, scarce=shared.node.shedding.scarce)
+    calls = live_calls.LiveCalls()
     observer = upstream_observer.UpstreamObserver(shared.log, shared.metrics)
     publisher = reported_state.StatePublisher(
         control.known.members, control.gossip.start_urgent_round, is_stopping
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -7,7 +7,7 @@
 
 from bergamotridge import call, errors
 from bergamotridge.nodes import load, record
-from bergamotridge.upstreams import admission, notice, outcome, queue
+from bergamotridge.upstreams import admission, call_kinds, notice, outcome, queue
 from bergamotridge.util import cancellation, loop
 
 
@@ -39,16 +39,24 @@
     `enter` must be called on one event loop; other methods may be called from any thread.
     """
 
-    def __init__(self, slots: int, queue_capacity: int, connections: int | None = None) -> None:
+    def __init__(
+        self,
+        slots: int,
+        queue_capacity: int,
+        connections: int | None = None,
+        *,
+        scarce: bool = False,
+    ) -> None:
         """Creates a gate that refuses all calls until the upstream announces that it is ready.
 
         Args:
             slots: Concurrent calls that the operator's text allows.
             queue_capacity: Number of calls that may wait.
             connections: Connections that the operator's text allows; as many as slots if None.
+            scarce: True to divide the upstream between direct and unattributed calls.
         """
         self._lock = threading.Lock()
-        self._admission = admission.Admission(slots, queue_capacity, connections)
+        self._admission = admission.Admission(slots, queue_capacity, connections, scarce=scarce)
         self._event_loop: asyncio.AbstractEventLoop | None = None
         self._start_timer: asyncio.TimerHandle | None = None
 
@@ -218,6 +226,12 @@
         with self._lock:
             self._admission.drain()
 
+    @property
+    def kinds(self) -> call_kinds.KindsReport:
+        """How the upstream is divided between direct and unattributed calls."""
+        with self._lock:
+            return self._admission.kinds
+
     def report(self, now: float) -> load.LoadReport:
         """Returns the load report that is sent with every answer."""
         with self._lock:
--- a/bergamotridge/upstreams/limit.py
+++ b/bergamotridge/upstreams/limit.py
@@ -74,7 +74,13 @@
         self._ramping = ramp
 
     def record_result(
-        self, result: outcome.Outcome, in_flight: int, hold_s: float, now: float
+        self,
+        result: outcome.Outcome,
+        in_flight: int,
+        hold_s: float,
+        now: float,
+        *,
+        keeps_ramp_start: bool = False,
     ) -> None:
         """Adapts the limit to the outcome of a call.
 
@@ -83,9 +89,14 @@
             in_flight: Calls in flight when the call ended, including it.
             hold_s: Smoothed duration of a call in seconds.
             now: Monotonic time in seconds.
+            keeps_ramp_start: True to cut the limit no further than to where a ramp starts, and to
+                start one there. An upstream that sheds whatever its load would else bring it down
+                to one call, from where it takes seconds to rise.
         """
         if result is outcome.Outcome.SHED:
-            self._cut(in_flight - 1.0, hold_s, now)
+            floor = RAMP_START_FRACTION * self._ceiling if keeps_ramp_start else MIN_LIMIT_CALLS
+            self._cut(max(floor, in_flight - 1.0), hold_s, now)
+            self._ramping = keeps_ramp_start and self._value <= floor
         elif result is outcome.Outcome.OK and (
             self._ramping or in_flight >= MIN_UTILIZATION_FRACTION * self.value
         ):
--- a/bergamotridge/upstreams/queue.py
+++ b/bergamotridge/upstreams/queue.py
@@ -1,11 +1,13 @@
 """Admission queue of an upstream: by class, then fair between teams, then by call depth."""
 
 import enum
+import math
 from collections.abc import Callable
 
 import attrs
 
 from bergamotridge import call, errors
+from bergamotridge.upstreams import call_kinds
 
 ROOT_CALLS_FRACTION = 0.5  # Of the queue's capacity, for root calls (depth 0).
 
@@ -41,7 +43,7 @@
 
 
 class FairClock:
-    """Virtual clock of start-time fair queueing (SFQ) between the teams of one class.
+    """Virtual clock of start-time fair queueing (SFQ), between the teams of one class or the kinds.
 
     The team with the lowest start tag goes next. Each started call moves the team's start tag on by
     1 / weight, so that teams start calls in proportion to their weights.
@@ -69,38 +71,19 @@
             }
 
 
-class AdmissionQueue:
-    """Bounded priority queue of the calls that wait at one upstream.
+class _Lane:
+    """Waiting calls of one kind, by class and team; see `AdmissionQueue` for their order."""
 
-    The next call to start belongs to the most important class that has waiting calls, and in it to
-    the team that is furthest behind its fair share. Of that team's calls the one with the highest
-    depth starts first, then the oldest. When the queue is full, a call of the least important class
-    is evicted: from the team with the most waiting calls relative to its weight, the one with the
-    lowest depth, then the newest. Root calls (depth 0) may take up only ROOT_CALLS_FRACTION of the
-    queue, as the requests of deeper calls have already cost work.
-
-    Args:
-        capacity: Number of calls that may wait.
-    """
-
-    def __init__(self, capacity: int) -> None:
-        self._capacity = capacity
+    def __init__(self) -> None:
         self._entries: dict[call.Importance, dict[str, list[Entry]]] = {
             importance: {} for importance in call.Importance
         }
         self._fair_clocks = {importance: FairClock() for importance in call.Importance}
         self._length = 0
-        self._root_calls = 0
 
     def __len__(self) -> int:
-        """Returns the number of calls that wait."""
         return self._length
 
-    @property
-    def capacity(self) -> int:
-        """Number of calls that may wait."""
-        return self._capacity
-
     def count_by_class(self) -> dict[call.Importance, int]:
         """Returns the number of waiting calls of each class."""
         return {
@@ -112,43 +95,37 @@
         """Returns the number of waiting calls of this class and of more important ones."""
         return sum(count for level, count in self.count_by_class().items() if level <= importance)
 
+    def teams_of(self, importance: call.Importance) -> dict[str, list[Entry]]:
+        """Returns the waiting calls of a class by team."""
+        return self._entries[importance]
+
     def charge(self, context: call.CallContext) -> None:
         """Charges a started call to the fair share of its team."""
         self._fair_clocks[context.importance].charge(context.team, context.weight)
 
-    def push(self, entry: Entry) -> Entry | None:
-        """Adds a call; returns the call evicted to make room (maybe `entry` itself), or None."""
+    def push(self, entry: Entry) -> None:
+        """Adds a call."""
         teams = self._entries[entry.context.importance]
         teams.setdefault(entry.context.team, []).append(entry)
-        self._change_counts(entry, 1)
-        evicted = None
-        if self._length > self._capacity:
-            evicted = self._choose_eviction(root_only=False)
-        elif not entry.context.depth and self._root_calls > self._capacity * ROOT_CALLS_FRACTION:
-            evicted = self._choose_eviction(root_only=True)
-        if evicted is not None:
-            self.remove(evicted)
-        return evicted
+        self._length += 1
 
-    def pop(self) -> Entry | None:
-        """Removes and returns the call to start next, or returns None if the queue is empty."""
+    def find_next(self) -> Entry | None:
+        """Returns the call to start next, None if no call waits."""
         for importance, teams in self._entries.items():
             if not teams:
                 continue
             clock = self._fair_clocks[importance]
             team = min(teams, key=clock.start_tag)
-            entry = max(teams[team], key=lambda item: (item.context.depth, -item.arrived_at))
-            self.remove(entry)
-            return entry
+            return max(teams[team], key=lambda item: (item.context.depth, -item.arrived_at))
         return None
 
     def remove(self, entry: Entry) -> None:
-        """Removes a waiting call from the queue."""
+        """Removes a waiting call."""
         teams = self._entries[entry.context.importance]
         teams[entry.context.team].remove(entry)
         if not teams[entry.context.team]:
             del teams[entry.context.team]
-        self._change_counts(entry, -1)
+        self._length -= 1
 
     def entries(self) -> list[Entry]:
         """Returns all waiting calls."""
@@ -159,17 +136,130 @@
             for entry in entries
         ]
 
-    def _change_counts(self, entry: Entry, change: int) -> None:
-        self._length += change
-        if not entry.context.depth:
-            self._root_calls += change
 
-    def _choose_eviction(self, *, root_only: bool) -> Entry:
-        """Returns the call to evict, chosen among the root calls only if `root_only`."""
+class AdmissionQueue:
+    """Bounded priority queue of the calls that wait at one upstream.
+
+    The next call to start belongs to the most important class that has waiting calls, and in it to
+    the team that is furthest behind its fair share. Of that team's calls the one with the highest
+    depth starts first, then the oldest. When the queue is full, a call of the least important class
+    is evicted: from the team with the most waiting calls relative to its weight, the one with the
+    lowest depth, then the newest. Root calls (depth 0) may take up only ROOT_CALLS_FRACTION of the
+    queue, as the requests of deeper calls have already cost work.
+
+    With `separate_kinds`, all of this holds within each kind of calls. The kind that is furthest
+    behind its fair share of the upstream's time goes first (start-time fair queueing by
+    `call_kinds.WEIGHTS`), and the kind with the most waiting calls relative to its weight is the
+    one from which a call is evicted. So neither a backlog of one kind nor its class delays the
+    other.
+
+    Args:
+        capacity: Number of calls that may wait.
+        separate_kinds: True to divide the upstream between the kinds of calls.
+    """
+
+    def __init__(self, capacity: int, *, separate_kinds: bool = False) -> None:
+        self._capacity = capacity
+        self._separate_kinds = separate_kinds
+        kinds = call_kinds.Kind if separate_kinds else (call_kinds.Kind.DIRECT,)
+        self._lanes = {kind: _Lane() for kind in kinds}
+        self._kind_clock = FairClock()
+        self._length = 0
+        self._root_calls = 0
+
+    def __len__(self) -> int:
+        """Returns the number of calls that wait."""
+        return self._length
+
+    @property
+    def capacity(self) -> int:
+        """Number of calls that may wait."""
+        return self._capacity
+
+    def count_by_class(self) -> dict[call.Importance, int]:
+        """Returns the number of waiting calls of each class, of direct ones if kinds are apart."""
+        return self._lanes[call_kinds.Kind.DIRECT].count_by_class()
+
+    def count_unattributed(self) -> int:
+        """Returns the number of waiting unattributed calls if kinds are apart, else 0."""
+        lane = self._lanes.get(call_kinds.Kind.UNATTRIBUTED)
+        return len(lane) if lane is not None else 0
+
+    def count_ahead(self, context: call.CallContext) -> int:
+        """Returns how many waiting calls may start before a call that would be added now."""
+        kind = self._kind_of(context)
+        ahead = self._lanes[kind].count_at_or_above(context.importance)
+        return ahead + sum(
+            min(
+                len(lane),
+                math.ceil((ahead + 1) * call_kinds.WEIGHTS[other] / call_kinds.WEIGHTS[kind]),
+            )
+            for other, lane in self._lanes.items()
+            if other is not kind
+        )
+
+    def charge(self, context: call.CallContext, relative_cost: float = 1.0) -> None:
+        """Charges a started call to the fair shares of its team and its kind.
+
+        Args:
+            context: Context of the call.
+            relative_cost: Usual time of a call of this kind, as a multiple of that of all calls.
+        """
+        kind = self._kind_of(context)
+        self._lanes[kind].charge(context)
+        if self._separate_kinds:
+            self._kind_clock.charge(kind.value, call_kinds.WEIGHTS[kind] / relative_cost)
+
+    def push(self, entry: Entry) -> Entry | None:
+        """Adds a call; returns the call evicted to make room (maybe `entry` itself), or None."""
+        lane = self._lanes[self._kind_of(entry.context)]
+        lane.push(entry)
+        self._length += 1
+        self._root_calls += not entry.context.depth
+        evicted = None
+        if self._length > self._capacity:
+            evicted = self._choose_eviction(lane=self._most_crowded_lane(), root_only=False)
+        elif not entry.context.depth and self._root_calls > self._capacity * ROOT_CALLS_FRACTION:
+            evicted = self._choose_eviction(lane=lane, root_only=True)
+        if evicted is not None:
+            self.remove(evicted)
+        return evicted
+
+    def pop(self) -> Entry | None:
+        """Removes and returns the call to start next, or returns None if the queue is empty."""
+        waiting = [kind for kind, lane in self._lanes.items() if len(lane)]
+        if not waiting:
+            return None
+        kind = min(waiting, key=lambda item: self._kind_clock.start_tag(item.value))
+        entry = self._lanes[kind].find_next()
+        self.remove(entry)
+        return entry
+
+    def remove(self, entry: Entry) -> None:
+        """Removes a waiting call from the queue."""
+        self._lanes[self._kind_of(entry.context)].remove(entry)
+        self._length -= 1
+        self._root_calls -= not entry.context.depth
+
+    def entries(self) -> list[Entry]:
+        """Returns all waiting calls."""
+        return [entry for lane in self._lanes.values() for entry in lane.entries()]
+
+    def _kind_of(self, context: call.CallContext) -> call_kinds.Kind:
+        if not self._separate_kinds:
+            return call_kinds.Kind.DIRECT
+        return call_kinds.kind_of(context)
+
+    def _most_crowded_lane(self) -> _Lane:
+        kind = max(self._lanes, key=lambda item: len(self._lanes[item]) / call_kinds.WEIGHTS[item])
+        return self._lanes[kind]
+
+    def _choose_eviction(self, *, lane: _Lane, root_only: bool) -> Entry:
+        """Returns the call of a lane to evict, chosen among the root calls only if `root_only`."""
         for importance in reversed(call.Importance):
             candidates = [
                 [entry for entry in entries if not (root_only and entry.context.depth)]
-                for entries in self._entries[importance].values()
+                for entries in lane.teams_of(importance).values()
             ]
             candidates = [entries for entries in candidates if entries]
             if candidates:
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -4,117 +4,38 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
-
-import attrs
+from collections.abc import Mapping
 
 from bergamotridge import call
 from bergamotridge.nodes import load
+from bergamotridge.upstreams import call_kinds, demand_estimate, rejections
 
-UPDATE_INTERVAL_S = 0.05
-FAST_SMOOTHING_FACTOR = 0.2  # Weight of the latest interval.
-SLOW_SMOOTHING_FACTOR = 0.03  # Weight of the latest interval.
-CHANGE_SIGMAS = 2.5
 MAX_SHARE_GROWTH_FACTOR = 2.0  # Of a share, in one update.
 # Lowest value to which a rising share is set, as no factor lets a share of 0 grow. It is also the
 # lowest share of unattributed calls.
 RECOVERY_START_FRACTION = 0.02
-MIN_DIVISOR_FRACTION = 0.01  # Least share that an arrival rate is divided by to estimate demand.
 HOLD_SMOOTHING_FACTOR = 0.05  # Weight of the latest call.
 TARGET_QUEUE_FRACTION = 0.1  # Of the limit.
 CORRECTION_S = 0.5
 MAX_LISTED_SHARES = 32
 MAX_STEP_S = 0.2  # Longest time that one adjustment of the unattributed share accounts for.
 UNATTRIBUTED_GAIN = 1.0  # Change of the share per second if as many slots as the limit are free.
+# Change of the share per second if all calls are rejected. Against an idle upstream, whose free
+# slots raise the share, it lowers it where more than a fifth of the calls are rejected: of trees
+# with four calls, more than half then fail.
+REJECTION_GAIN = 5.0
+# With `scarce`, the gain is in proportion to the share, as a step of a low share changes the load
+# by more; but not below a least gain, and in full while the upstream is mostly idle. Of 60 slots at
+# twice the demand, with shares that took effect after 0.4 s, 0.74 were used with the full gain and
+# 0.89 with this one.
+MIN_GAIN_FACTOR = 0.2
+IDLE_RATIO = 0.3  # Of the limit; with more free slots the upstream is mostly idle.
 
 
-@attrs.define
-class _Estimate:
-    """Arrival rate and admitted share, smoothed exponentially with the same factor.
-
-    Attributes:
-        smoothing: Weight of the latest interval, for intervals of UPDATE_INTERVAL_S.
-        rate: Smoothed arrivals per second.
-        share: Smoothed admitted share, 0.0 to 1.0.
-    """
-
-    smoothing: float
-    rate: float = 0.0
-    share: float = 1.0
-
-    @property
-    def demand(self) -> float:
-        """Calls per second that would arrive if no calls were shed."""
-        return self.rate / max(self.share, MIN_DIVISOR_FRACTION)
-
-    @property
-    def demand_std_dev(self) -> float:
-        """Standard deviation of the demand in calls per second, if arrivals are independent."""
-        window_s = UPDATE_INTERVAL_S / self.smoothing
-        return math.sqrt(max(self.rate, 1.0) / (2.0 * window_s)) / max(
-            self.share, MIN_DIVISOR_FRACTION
-        )
-
-    def add(self, rate: float, share: float, elapsed_s: float) -> None:
-        """Adds the arrival rate and the share of the last `elapsed_s` seconds to the averages."""
-        decay = (1.0 - self.smoothing) ** (elapsed_s / UPDATE_INTERVAL_S)
-        self.rate = decay * self.rate + (1.0 - decay) * rate
-        self.share = decay * self.share + (1.0 - decay) * share
-
-
-@attrs.define
-class _Flow:
-    """Arrivals, estimated demand and admitted share of one class and team.
-
-    The fast estimates of all teams of a class add up to the demand of the class. The slow estimates
-    divide this demand between the teams, as the fast ones vary so much for a team with few calls
-    that it would be limited at random. When the two differ by more than random variation explains
-    (CHANGE_SIGMAS standard deviations), the slow estimate is set to the fast one.
-    """
-
-    weight: float = 1.0
-    arrivals: int = 0
-    share: float = 1.0
-    fast: _Estimate = attrs.field(factory=lambda: _Estimate(FAST_SMOOTHING_FACTOR))
-    slow: _Estimate = attrs.field(factory=lambda: _Estimate(SLOW_SMOOTHING_FACTOR))
-
-    def close_interval(self, elapsed_s: float) -> None:
-        """Adds the arrivals of the last `elapsed_s` seconds to the estimates; resets the count."""
-        rate = self.arrivals / elapsed_s
-        self.arrivals = 0
-        self.fast.add(rate, self.share, elapsed_s)
-        self.slow.add(rate, self.share, elapsed_s)
-        if abs(self.fast.demand - self.slow.demand) > CHANGE_SIGMAS * self.fast.demand_std_dev:
-            self.slow.rate, self.slow.share = self.fast.rate, self.fast.share
-
-
-def _estimate_demands(flows: Sequence[_Flow]) -> list[float]:
-    """Returns the estimated demand of each flow of a class, in calls per second."""
-    total = sum(flow.fast.demand for flow in flows)
-    divisor = sum(flow.slow.demand for flow in flows)
-    return [total * flow.slow.demand / divisor if divisor else 0.0 for flow in flows]
-
-
-def fair_level(demands: list[tuple[float, float]], capacity: float) -> float:
-    """Returns the allotment per unit of weight that divides `capacity` by max-min fairness.
-
-    Args:
-        demands: Pairs of demand and weight.
-        capacity: Capacity to divide, in the unit of the demands.
-
-    Returns:
-        The level L for which the sum of min(demand, weight * L) is the capacity, or infinity if
-        the capacity covers all demands.
-    """
-    remaining = capacity
-    remaining_weight = sum(weight for _, weight in demands)
-    for demand, weight in sorted(demands, key=lambda pair: pair[0] / pair[1]):
-        level = remaining / remaining_weight
-        if demand / weight > level:
-            return max(0.0, level)
-        remaining -= demand
-        remaining_weight -= weight
-    return math.inf
+def _smooth_hold(smoothed_s: float, hold_s: float) -> float:
+    """Returns the smoothed hold time with that of one more call; the first one sets it."""
+    smoothed_s = smoothed_s or hold_s
+    return smoothed_s + HOLD_SMOOTHING_FACTOR * (hold_s - smoothed_s)
 
 
 class ThresholdController:
@@ -131,10 +52,22 @@
     shed by class here; instead, the nodes that admit their requests shed whole requests. Their
     admitted share rises with free slots and falls with waiting calls. When capacity is divided,
     they count as one more team of the least important class.
+
+    With `scarce`, direct and unattributed calls divide the slots by max-min fairness first, by
+    demand and `call_kinds.WEIGHTS`; classes and teams divide the part of the direct calls. Calls
+    of one kind that wait do not lower the share of the other. The share of unattributed calls
+    also falls while the upstream rejects calls, whatever its load, as a request of several calls
+    rarely completes then.
+
+    Args:
+        scarce: True to divide the slots between the kinds of calls.
     """
 
-    def __init__(self) -> None:
-        self._flows: dict[load.Key, _Flow] = {}
+    def __init__(self, *, scarce: bool = False) -> None:
+        self._scarce = scarce
+        self._kind_hold_s: dict[call_kinds.Kind, float] = {}
+        self._rejections = rejections.RejectionMeter()
+        self._flows: dict[load.Key, demand_estimate.Flow] = {}
         self._updated_at = -math.inf
         self._hold_s = 0.0
         self._threshold = load.ADMIT_ALL
@@ -151,6 +84,25 @@
         """Smoothed time in seconds for which a call holds its slot, 0 before the first call."""
         return self._hold_s
 
+    @property
+    def divides_kinds(self) -> bool:
+        """True if the slots are divided between direct and unattributed calls."""
+        return self._scarce and load.UNATTRIBUTED in self._flows
+
+    @property
+    def rejected_fraction(self) -> float:
+        """Smoothed fraction of calls that the upstream rejected, 0.0 if that isn't measured."""
+        return self._rejections.fraction
+
+    @property
+    def unattributed_share(self) -> float:
+        """Admitted share of unattributed calls."""
+        return self._unattributed_share
+
+    def hold_s_of(self, context: call.CallContext) -> float:
+        """Returns the smoothed hold time of calls like this one; see `hold_s`."""
+        return self._hold_s_of_kind(call_kinds.kind_of(context))
+
     def record_arrival(self, context: call.CallContext) -> None:
         """Counts a call that reached the gate, admitted or not."""
         key = (context.importance, context.team)
@@ -159,7 +111,7 @@
         flow = self._flows.get(key)
         if flow is None:
             share = 1.0 if context.unattributed else self._threshold.defaults[context.importance]
-            flow = self._flows[key] = _Flow(share=share)
+            flow = self._flows[key] = demand_estimate.Flow(share=share)
         flow.weight = context.weight
         flow.arrivals += 1
 
@@ -167,31 +119,44 @@
         """Records that a call found no free slot."""
         self._any_waited = True
 
-    def record_hold_time(self, hold_s: float) -> None:
+    def record_hold_time(
+        self, hold_s: float, kind: call_kinds.Kind = call_kinds.Kind.DIRECT
+    ) -> None:
         """Adds the seconds for which a finished call held its slot to the smoothed hold time."""
-        if not self._hold_s:
-            self._hold_s = hold_s
-        self._hold_s += HOLD_SMOOTHING_FACTOR * (hold_s - self._hold_s)
+        self._hold_s = _smooth_hold(self._hold_s, hold_s)
+        if self._scarce:
+            self._kind_hold_s[kind] = _smooth_hold(self._kind_hold_s.get(kind, 0.0), hold_s)
+
+    def record_end(self, *, was_rejected: bool) -> None:
+        """Counts a call that the upstream ended, or rejected without running it."""
+        if self._scarce:
+            self._rejections.record_end(was_rejected=was_rejected)
 
     def is_update_due(self, now: float) -> bool:
         """Returns whether `update` would compute a new threshold at time `now`."""
-        return now - self._updated_at >= UPDATE_INTERVAL_S
+        return now - self._updated_at >= demand_estimate.UPDATE_INTERVAL_S
 
     def update(
-        self, limit: int, in_flight: int, waiting: Mapping[call.Importance, int], now: float
+        self,
+        limit: int,
+        in_flight: int,
+        waiting: Mapping[call.Importance, int],
+        now: float,
+        unattributed_waiting: int = 0,
     ) -> bool:
         """Computes a new threshold if UPDATE_INTERVAL_S has passed; returns whether it has.
 
         Args:
             limit: Number of calls that may run concurrently.
             in_flight: Number of running calls.
-            waiting: Number of waiting calls by class.
+            waiting: Number of waiting calls by class, with `scarce` of direct ones.
             now: Monotonic time in seconds.
+            unattributed_waiting: Number of waiting unattributed calls, used with `scarce`.
         """
         if self._updated_at == -math.inf:
             self._updated_at = now
         elapsed_s = now - self._updated_at
-        if elapsed_s < UPDATE_INTERVAL_S:
+        if elapsed_s < demand_estimate.UPDATE_INTERVAL_S:
             return False
         self._updated_at = now
         for flow in self._flows.values():
@@ -199,14 +164,37 @@
         # A stall of the machine lowers the capacity estimate, too. Calls are therefore shed only if
         # some have waited since the last update, or if shedding has already begun.
         is_contended, self._any_waited = self._any_waited or not self._threshold.admits_all, False
-        if self._hold_s and is_contended:
-            target_queue = TARGET_QUEUE_FRACTION * limit
-            self._assign_shares(limit / self._hold_s, limit - in_flight, waiting, target_queue)
-            spare_slots = limit - in_flight + target_queue - sum(waiting.values())
+        free_slots, target_queue = limit - in_flight, TARGET_QUEUE_FRACTION * limit
+        if self._scarce:
+            self._rejections.close_interval(elapsed_s)
+            direct_slots = self._direct_slots(limit)
+            if self._hold_s and is_contended:
+                hold_s = self._hold_s_of_kind(call_kinds.Kind.DIRECT)
+                target = target_queue * direct_slots / limit
+                self._assign_shares(direct_slots / hold_s, free_slots, waiting, target)
+            spare_slots = free_slots + target_queue - unattributed_waiting
+            self._adjust_unattributed_share(spare_slots / limit, elapsed_s)
+        elif self._hold_s and is_contended:
+            self._assign_shares(limit / self._hold_s, free_slots, waiting, target_queue)
+            spare_slots = free_slots + target_queue - sum(waiting.values())
             self._adjust_unattributed_share(spare_slots / limit, elapsed_s)
         self._threshold = self._build_threshold()
         return True
 
+    def _hold_s_of_kind(self, kind: call_kinds.Kind) -> float:
+        return self._kind_hold_s.get(kind) or self._hold_s
+
+    def _direct_slots(self, limit: int) -> float:
+        """Returns how many slots direct calls get if they demand that many.
+
+        That is their guaranteed part, or what unattributed calls leave, if that is more.
+        """
+        flow = self._flows.get(load.UNATTRIBUTED)
+        if flow is None:
+            return limit
+        used = flow.fast.demand * self._hold_s_of_kind(call_kinds.Kind.UNATTRIBUTED)
+        return max(call_kinds.guaranteed_fraction(call_kinds.Kind.DIRECT) * limit, limit - used)
+
     def _assign_shares(
         self,
         capacity: float,
@@ -225,17 +213,23 @@
         used_capacity, waiting_so_far = 0.0, 0
         for importance in call.Importance:
             waiting_so_far += waiting.get(importance, 0)
-            flows = [flow for key, flow in self._flows.items() if key[0] is importance]
+            flows = [
+                flow
+                for key, flow in self._flows.items()
+                if key[0] is importance and not (self._scarce and key == load.UNATTRIBUTED)
+            ]
             if not flows:
                 continue
             headroom = free_slots + target_queue - waiting_so_far
             available = max(0.0, capacity + headroom / CORRECTION_S - used_capacity)
-            demands = _estimate_demands(flows)
+            demands = demand_estimate.estimate_demands(flows)
             pairs = [(demand, flow.weight) for demand, flow in zip(demands, flows, strict=True)]
-            level = fair_level(pairs, available)
+            level = demand_estimate.fair_level(pairs, available)
             # At a low limit with slow calls there are too few arrivals for a reliable estimate, so
-            # critical calls are shed only while some of them wait.
-            admit_all = importance is call.Importance.CRITICAL and not waiting.get(importance)
+            # critical calls are shed only while some of them wait. An upstream that rejects calls
+            # has a low limit, too, and that is left to the share of unattributed calls.
+            is_protected = importance is call.Importance.CRITICAL or self.divides_kinds
+            admit_all = is_protected and not waiting.get(importance)
             for demand, flow in zip(demands, flows, strict=True):
                 if flow is self._flows.get(load.UNATTRIBUTED):
                     continue
@@ -258,7 +252,12 @@
             # After a stall of the machine, the calls that wait now say little about the whole
             # interval.
             step_s = min(elapsed_s, MAX_STEP_S)
-            share = self._unattributed_share + UNATTRIBUTED_GAIN * spare_ratio * step_s
+            change_per_s = UNATTRIBUTED_GAIN * spare_ratio
+            if self._scarce:
+                if spare_ratio <= IDLE_RATIO:
+                    change_per_s *= max(self._unattributed_share, MIN_GAIN_FACTOR)
+                change_per_s -= REJECTION_GAIN * self._rejections.fraction
+            share = self._unattributed_share + change_per_s * step_s
             self._unattributed_share = min(1.0, max(RECOVERY_START_FRACTION, share))
 
     def _build_threshold(self) -> load.Threshold:
--- a/tests/test_upstreams/test_threshold.py
+++ b/tests/test_upstreams/test_threshold.py
@@ -10,9 +10,10 @@
 CALL_S = 0.0005
 
 
-def test_a_stall_of_the_machine_does_not_shed_calls_that_never_waited():
+@pytest.mark.parametrize("scarce", [True, False])
+def test_a_stall_of_the_machine_does_not_shed_calls_that_never_waited(scarce):
     # A stall prolongs the hold time of a call and so lowers the capacity estimate.
-    admitter = admission.Admission(50, 64, 400)
+    admitter = admission.Admission(50, 64, 400, scarce=scarce)
     now = 0.0
     admitter.apply_announcement(record.State.READY, 50, 400, now)
     for number in range(4000):
