operators: metrics of the two kinds of calls at a gate

Cause: nothing showed why first nodes refuse requests for a service below: neither the share of unattributed calls, nor the fraction of calls that its upstreams reject, nor who waits.

Change: metrics bergamotridge_unattributed_share, bergamotridge_upstream_rejected_fraction and bergamotridge_calls_waiting_by_kind; the status page has the same three values.

--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -226,6 +226,18 @@
                 "Calls per second that the local upstream says it takes, -1 if it names no limit.",
                 lambda: read_status().load.rate_limit,
             ),
+            (
+                "unattributed_share",
+                "Share of the calls that name no request which the local upstream's gate admits; "
+                "below 1, first nodes refuse requests that need such calls.",
+                lambda: read_status().load.unattributed_share,
+            ),
+            (
+                "upstream_rejected_fraction",
+                "Fraction of calls that the local upstream rejected without running them; 0 unless "
+                "shedding.scarce is set.",
+                lambda: read_status().load.rejected_fraction,
+            ),
             (
                 "configuration_version",
                 "Version of the operator's text in force, 0 before the first.",
@@ -267,6 +279,12 @@
             "Time since a replica of the platform's objects was known to be current, by kind.",
             self._replica_age_samples,
         )
+        registry.gauges(
+            f"{METRIC_PREFIX}calls_waiting_by_kind",
+            "Calls queued for the local upstream, by kind: unattributed calls name no request; all "
+            "others are direct. All count as direct unless shedding.scarce is set.",
+            self._waiting_samples,
+        )
         registry.gauges(
             f"{METRIC_PREFIX}members",
             "Known hosts, by state.",
@@ -310,6 +328,14 @@
             for kind, age_s in self._read_status().replica_ages.items()
         ]
 
+    def _waiting_samples(self) -> Iterable[metrics.Sample]:
+        current = self._read_status().load
+        unattributed = current.unattributed_waiting
+        return [
+            metrics.Sample(current.waiting - unattributed, {"kind": "direct"}),
+            metrics.Sample(unattributed, {"kind": "unattributed"}),
+        ]
+
     def _member_samples(self) -> Iterable[metrics.Sample]:
         states = collections.Counter(member.state for member in self._read_status().members)
         return [metrics.Sample(count, {"state": state}) for state, count in states.items()]
--- a/bergamotridge/operators/node_status.py
+++ b/bergamotridge/operators/node_status.py
@@ -65,6 +65,7 @@
         now = time.monotonic()
         own = self._members.own
         report = self._gate.report(now)
+        kinds = self._gate.kinds
         current = self._store.current
         rate_limit = self._upstream.rate_limit
         return status.Status(
@@ -82,6 +83,9 @@
                 report.queued,
                 report.limit,
                 _NO_RATE_LIMIT if rate_limit is None else rate_limit,
+                kinds.unattributed_share,
+                kinds.rejected_fraction,
+                kinds.unattributed_waiting,
             ),
             store_epoch=self._restorations.epoch,
             replica_ages=self._freshness.ages(clock.boot_time()),
--- a/bergamotridge/operators/status.py
+++ b/bergamotridge/operators/status.py
@@ -55,12 +55,20 @@
         waiting: Calls that are queued on the node.
         limit: Maximum number of concurrent calls that the node now allows.
         rate_limit: Calls per second that the upstream says it takes, -1 if it names no limit.
+        unattributed_share: Share of calls that name no request which its gate admits, 0.0 to 1.0.
+        rejected_fraction: Fraction of calls that the upstream rejected, over some tenths of a
+            second; measured only with the setting `shedding.scarce`.
+        unattributed_waiting: Calls of `waiting` that name no request; counted only with the setting
+            `shedding.scarce`.
     """
 
     running: int = 0
     waiting: int = 0
     limit: float = 0.0
     rate_limit: float = -1.0
+    unattributed_share: float = 1.0
+    rejected_fraction: float = 0.0
+    unattributed_waiting: int = 0
 
 
 @attrs.frozen
