upstreams: trees get their part back from direct calls

Cause: while the share of unattributed calls is low, direct calls take the slots that are left. No slot is free then, so the share rose slowly.

Change: with shedding.scarce, slots of the guaranteed part of unattributed calls that direct calls use count as free.

Result: after rejections, at twice the demand with three tenths of it direct, the share is above 0.4 three seconds after the end; without the change the new test fails with 0.35.

--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -61,6 +61,7 @@
         self._exact_slots = False
         self._draining = False
         self._in_flight = 0
+        self._unattributed_in_flight = 0
 
     @property
     def state(self) -> record.State:
@@ -214,17 +215,9 @@
         self._check_deadline(context, self._queue.count_ahead(context), now)
         evicted = self._queue.push(entry)
         if evicted is entry:
-            raise build_refusal(
-                "shed",
-                "the admission queue of the upstream is full; retry later",
-                context.request_id,
-            )
+            raise refusal.build_queue_full(context.request_id)
         if evicted is not None:
-            self._refuse(
-                evicted,
-                "shed",
-                "evicted from the admission queue by a call that takes precedence; retry later",
-            )
+            self._settle(evicted, refusal.build_evicted(evicted.context.request_id))
         self._start_waiting_calls(now)
         return entry
 
@@ -245,6 +238,7 @@
         entry.state = queue.EntryState.FINISHED
         in_flight_before = self._in_flight
         self._in_flight -= 1
+        self._unattributed_in_flight -= entry.context.unattributed
         if result not in (outcome.Outcome.SHED, outcome.Outcome.REFUSED):
             kind = call_kinds.kind_of(entry.context)
             self._controller.record_hold_time(now - entry.started_at, kind)
@@ -309,6 +303,7 @@
             self._queue.count_by_class(),
             now,
             self._queue.count_unattributed(),
+            self._unattributed_in_flight,
         ):
             self._shed_stale_calls(now)
 
@@ -330,11 +325,7 @@
         """Refuses a root call whose request is above the admitted share; raises CallError."""
         share = self._controller.threshold.share(context.importance, context.team)
         if not context.depth and load.request_position(context.request_id) >= share:
-            raise build_refusal(
-                "shed",
-                "the request is above the threshold of this upstream; retry later",
-                context.request_id,
-            )
+            raise refusal.build_above_threshold(context.request_id)
 
     def _check_deadline(self, context: call.CallContext, waiting_ahead: int, now: float) -> None:
         """Refuses a call that cannot finish in time; raises CallError."""
@@ -357,6 +348,7 @@
         entry.state = queue.EntryState.STARTED
         entry.started_at = now
         self._in_flight += 1
+        self._unattributed_in_flight += entry.context.unattributed
         self._rate_limiter.take(now)
         hold_s = self._controller.hold_s
         relative_cost = self._controller.hold_s_of(entry.context) / hold_s if hold_s else 1.0
--- a/bergamotridge/upstreams/refusal.py
+++ b/bergamotridge/upstreams/refusal.py
@@ -39,3 +39,26 @@
     return build_refusal(
         "no-upstream", "no upstream is ready on this host; retry later", request_id
     )
+
+
+def build_above_threshold(request_id: str) -> errors.CallError:
+    """Returns the error for a request that is above the admitted share."""
+    return build_refusal(
+        "shed", "the request is above the threshold of this upstream; retry later", request_id
+    )
+
+
+def build_queue_full(request_id: str) -> errors.CallError:
+    """Returns the error for a call that found no room in the admission queue."""
+    return build_refusal(
+        "shed", "the admission queue of the upstream is full; retry later", request_id
+    )
+
+
+def build_evicted(request_id: str) -> errors.CallError:
+    """Returns the error for a call that was evicted from the admission queue."""
+    return build_refusal(
+        "shed",
+        "evicted from the admission queue by a call that takes precedence; retry later",
+        request_id,
+    )
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -143,6 +143,7 @@
         waiting: Mapping[call.Importance, int],
         now: float,
         unattributed_waiting: int = 0,
+        unattributed_in_flight: int = 0,
     ) -> bool:
         """Computes a new threshold if UPDATE_INTERVAL_S has passed; returns whether it has.
 
@@ -152,6 +153,7 @@
             waiting: Number of waiting calls by class, with `scarce` of direct ones.
             now: Monotonic time in seconds.
             unattributed_waiting: Number of waiting unattributed calls, used with `scarce`.
+            unattributed_in_flight: Number of running ones, used with `scarce`.
         """
         if self._updated_at == -math.inf:
             self._updated_at = now
@@ -172,7 +174,11 @@
                 hold_s = self._hold_s_of_kind(call_kinds.Kind.DIRECT)
                 target = target_queue * direct_slots / limit
                 self._assign_shares(direct_slots / hold_s, free_slots, waiting, target)
-            spare_slots = free_slots + target_queue - unattributed_waiting
+            # Slots of their guaranteed part that direct calls use count as free: unattributed calls
+            # get them as soon as they come.
+            guaranteed = call_kinds.guaranteed_fraction(call_kinds.Kind.UNATTRIBUTED) * limit
+            unused_slots = max(free_slots, guaranteed - unattributed_in_flight)
+            spare_slots = unused_slots + target_queue - unattributed_waiting
             self._adjust_unattributed_share(spare_slots / limit, elapsed_s)
         elif self._hold_s and is_contended:
             self._assign_shares(limit / self._hold_s, free_slots, waiting, target_queue)
--- a/tests/test_upstreams/test_scarce.py
+++ b/tests/test_upstreams/test_scarce.py
@@ -143,6 +143,19 @@
     assert max(scarce_gate.waits) < MAX_WAIT_S
 
 
+# Direct calls took all slots while trees were refused. The share of trees then rose slowly, as no
+# slot was free, and was 0.35 three seconds later.
+def test_trees_get_their_part_back_from_direct_calls_that_used_it_meanwhile():
+    scarce_gate = ScarceGate(scarce=True)
+    scarce_gate.demand(2.0, direct_part=0.3)
+    scarce_gate.rejected_part = 0.5
+    scarce_gate.run_for(4.0)
+    scarce_gate.rejected_part = 0.0
+    scarce_gate.run_for(4.0)
+    assert scarce_gate.share_at(4.0) < 0.1
+    assert scarce_gate.share_at(7.0) > 0.4
+
+
 # The setting must change nothing for services that no upstream calls.
 @pytest.mark.parametrize("exact_slots", [True, False])
 def test_a_gate_without_unattributed_calls_behaves_as_without_the_setting(exact_slots):
