upstreams: less work for each call at a gate without the setting

Change: the kinds are whole numbers, and without the setting hold times and charges take no look at the kind.

--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -350,9 +350,7 @@
         self._in_flight += 1
         self._unattributed_in_flight += entry.context.unattributed
         self._rate_limiter.take(now)
-        hold_s = self._controller.hold_s
-        relative_cost = self._controller.hold_s_of(entry.context) / hold_s if hold_s else 1.0
-        self._queue.charge(entry.context, relative_cost)
+        self._queue.charge(entry.context, self._controller.relative_cost(entry.context))
 
     def _refuse(self, entry: queue.Entry, reason: str, message: str) -> None:
         self._settle(entry, build_refusal(reason, message, entry.context.request_id))
--- a/bergamotridge/upstreams/call_kinds.py
+++ b/bergamotridge/upstreams/call_kinds.py
@@ -7,11 +7,11 @@
 from bergamotridge import call
 
 
-class Kind(enum.Enum):
+class Kind(enum.IntEnum):
     """Whether a call names the request that it belongs to."""
 
-    DIRECT = "direct"
-    UNATTRIBUTED = "unattributed"
+    DIRECT = 0
+    UNATTRIBUTED = 1
 
 
 # Weights by which the kinds divide an upstream that can't run all their calls. Direct calls are
--- a/bergamotridge/upstreams/queue.py
+++ b/bergamotridge/upstreams/queue.py
@@ -163,6 +163,7 @@
         self._separate_kinds = separate_kinds
         kinds = call_kinds.Kind if separate_kinds else (call_kinds.Kind.DIRECT,)
         self._lanes = {kind: _Lane() for kind in kinds}
+        self._direct = self._lanes[call_kinds.Kind.DIRECT]
         self._kind_clock = FairClock()
         self._length = 0
         self._root_calls = 0
@@ -178,7 +179,7 @@
 
     def count_by_class(self) -> dict[call.Importance, int]:
         """Returns the number of waiting calls of each class, of direct ones if kinds are apart."""
-        return self._lanes[call_kinds.Kind.DIRECT].count_by_class()
+        return self._direct.count_by_class()
 
     def count_unattributed(self) -> int:
         """Returns the number of waiting unattributed calls if kinds are apart, else 0."""
@@ -205,10 +206,12 @@
             context: Context of the call.
             relative_cost: Usual time of a call of this kind, as a multiple of that of all calls.
         """
-        kind = self._kind_of(context)
+        if not self._separate_kinds:
+            self._direct.charge(context)
+            return
+        kind = call_kinds.kind_of(context)
         self._lanes[kind].charge(context)
-        if self._separate_kinds:
-            self._kind_clock.charge(kind.value, call_kinds.WEIGHTS[kind] / relative_cost)
+        self._kind_clock.charge(kind.name, call_kinds.WEIGHTS[kind] / relative_cost)
 
     def push(self, entry: Entry) -> Entry | None:
         """Adds a call; returns the call evicted to make room (maybe `entry` itself), or None."""
@@ -230,7 +233,7 @@
         waiting = [kind for kind, lane in self._lanes.items() if len(lane)]
         if not waiting:
             return None
-        kind = min(waiting, key=lambda item: self._kind_clock.start_tag(item.value))
+        kind = min(waiting, key=lambda item: self._kind_clock.start_tag(item.name))
         entry = self._lanes[kind].find_next()
         self.remove(entry)
         return entry
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -101,8 +101,14 @@
 
     def hold_s_of(self, context: call.CallContext) -> float:
         """Returns the smoothed hold time of calls like this one; see `hold_s`."""
+        if not self._scarce:
+            return self._hold_s
         return self._hold_s_of_kind(call_kinds.kind_of(context))
 
+    def relative_cost(self, context: call.CallContext) -> float:
+        """Returns the hold time of calls like this one, as a multiple of that of all calls."""
+        return self.hold_s_of(context) / self._hold_s if self._scarce and self._hold_s else 1.0
+
     def record_arrival(self, context: call.CallContext) -> None:
         """Counts a call that reached the gate, admitted or not."""
         key = (context.importance, context.team)
