settings: shedding.dependencies, by service or by route

Cause: what one caller of a service needs below it is required of all its callers.

The new table [shedding] has the key dependencies, "service" (today's behaviour, the default) or "route". On the platform it is "route" where the key contracts of the settings file lists "pool". Nothing reads it yet.

--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -212,6 +212,22 @@
     )
 
 
+BY_SERVICE, BY_ROUTE = "service", "route"
+
+
+@attrs.frozen
+class Shedding:
+    """Shedding of requests at their first node for services below them."""
+
+    dependencies: str = _setting(
+        BY_SERVICE,
+        "what a request is taken to need where upstreams' calls don't name their request: all that "
+        "its service calls, or what requests on its route call",
+        "service or route",
+        lambda value: value in (BY_SERVICE, BY_ROUTE),
+    )
+
+
 @attrs.frozen
 class NodeSettings:
     """All settings of `bergamotridge node`."""
@@ -232,6 +248,7 @@
     limits: Limits = attrs.field(factory=Limits)
     retries: Retries = attrs.field(factory=Retries)
     quota: Quota = attrs.field(factory=Quota)
+    shedding: Shedding = attrs.field(factory=Shedding)
 
 
 def _check_value(source: str, key: str, field: attrs.Attribute, value: object) -> object:
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -62,3 +62,11 @@
     work_s = limits.drain_s - shutdown.MARGIN_S
     assert grace_s * 5 / 6 <= work_s <= grace_s * 5 / 6 + 0.05
     assert limits.drain_s + limits.end_s < grace_s
+
+
+@pytest.mark.parametrize(
+    ("contracts", "dependencies"),
+    [("", "service"), ("contracts=spool", "service"), ("contracts=rate, pool", "route")],
+)
+def test_dependencies_are_told_apart_by_route_only_with_the_contract(contracts, dependencies):
+    assert _make_settings(LINES + contracts).shedding.dependencies == dependencies
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -48,6 +48,7 @@
         ("127.0.0.1:8000", "127.0.0.1:\u00b2", "key 'addresses.callers'"),
         ("[platform]", "[platform]\ntimeout_s = -1", "key 'platform.timeout_s' is -1"),
         ('host = "h1"', 'host = "h1"\npeers = 3', "key 'peers' must be a table"),
+        ("[platform]", '[shedding]\ndependencies = "x"\n[platform]', "accepted: service or route"),
     ],
 )
 def test_errors_name_the_file_and_the_invalid_key(old, new, message):
