nodes: dependencies by route instead of by service

With shedding.dependencies = "route" the node beside an upstream tells call attribution of each request and each call of the upstream, with the deadline that the upstream gave it. It states in its answers the services below the route of the call, in front of the thresholds. The first node learns from these statements per service and route; an answer without a statement, as from a node that was just started, counts as not knowing. While a route is unknown, it has all dependencies of its service, as today. The status page shows what each route is taken to need, and the metric bergamotridge_route_needs counts known and unknown ones.

With "service" none of the new parts is created, and answers are encoded as before. A node of either setting reads the answers of the other.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -109,7 +109,12 @@
         )
         store_assembly.log_accepted(self.events, self.store.configuration)
         self.calls = call_assembly.create(
-            shared, self.fleet, upstreams.upstream, upstreams.pools, self.caller_tables.thresholds
+            shared,
+            self.fleet,
+            upstreams.upstream,
+            upstreams.pools,
+            self.caller_tables.thresholds,
+            upstreams.attribution,
         )
         self.callers = callers_assembly.create(
             shared,
@@ -119,6 +124,7 @@
             self.calls,
             surroundings.caller_dialect,
             surroundings.service,
+            upstreams.attribution,
         )
 
     def _create_servers(self) -> None:
@@ -136,7 +142,12 @@
             http.create,
         )
         self.relay_server = call_assembly.create_server(
-            shared, self.calls, self.upstreams.upstream, self.callers.at_most_once, http.create
+            shared,
+            self.calls,
+            self.upstreams.upstream,
+            self.callers.at_most_once,
+            routes.name_route,
+            http.create,
         )
         self.caller_server = callers_assembly.create_server(shared, self.callers, http.create)
         self.ready_server = operators_assembly.create_ready_server(shared, self.ready, http.create)
@@ -154,6 +165,7 @@
             self.callers.team_rates.tokens,
             self.store.freshness,
             self.store.restorations,
+            self.calls.routes.needs if self.calls.routes else tuple,
         )
 
     def _create_operator_port(self) -> port.OperatorPort:
--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -24,7 +24,7 @@
     withdrawal_confirmer,
     withdrawals,
 )
-from bergamotridge.nodes import call_assembly, control_assembly, quota
+from bergamotridge.nodes import call_assembly, call_attribution, control_assembly, quota
 from bergamotridge.store import assembly as store_assembly
 from bergamotridge.store import (
     freshness,
@@ -96,6 +96,7 @@
     calls: call_assembly.CallParts,
     caller_dialect: dialect.CallerDialect,
     service: str,
+    attribution: call_attribution.CallAttribution | None,
 ) -> CallerParts:
     """Creates the parts.
 
@@ -107,6 +108,7 @@
         calls: Parts on the path of a call between nodes.
         caller_dialect: Header fields between callers and node.
         service: Service of this host, "" if its upstream names it.
+        attribution: Finds the routes that cause calls, None if routes are not told apart.
     """
     team_rates = _create_team_rates(shared, store, control)
     node_shutdown = shutdown.Shutdown()
@@ -136,7 +138,7 @@
             team_rates=team_rates,
             thresholds=tables.thresholds,
             tree_shedding=tree_shedding.TreeShedding(
-                tables.thresholds, calls.graph.dependencies_of
+                tables.thresholds, calls.dependencies.dependencies_of
             ),
             call_graph=calls.graph,
             at_most_once=once,
@@ -148,6 +150,7 @@
             origin=service,
             node_shutdown=node_shutdown,
             calls=running,
+            attribution=attribution,
         ),
         withdrawal=_create_withdrawal(shared, store, tables, control),
         tasks=(
--- a/bergamotridge/callers/at_most_once.py
+++ b/bergamotridge/callers/at_most_once.py
@@ -148,7 +148,7 @@
         del token
         limited = self._shutdown.limit(relayed.context.deadline)
         call_context = attrs.evolve(relayed.context, deadline=limited)
-        outgoing = dispatch.OutgoingCall(relayed.service, call_context, request)
+        outgoing = dispatch.OutgoingCall(relayed.service, call_context, request, relayed.route)
         claimed = ClaimedCall(relayed.claim, relayed.route, outgoing)
         allowance = call.Allowance(relayed.retries)
         try:
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -19,7 +19,7 @@
     tree_shedding,
 )
 from bergamotridge.callers import dialect as caller_dialect
-from bergamotridge.nodes import call_graph, dispatch, routing
+from bergamotridge.nodes import call_attribution, call_graph, dispatch, routing
 from bergamotridge.operators import operator_text
 from bergamotridge.util import cancellation, clock, message
 
@@ -133,6 +133,8 @@
         rng: Source of randomness for the choice among a route's services.
         node_shutdown: Refuses calls that come too late in the planned stop of the node.
         calls: The calls under way.
+        attribution: Finds the routes that cause the upstream's calls, None if routes are not told
+            apart.
     """
 
     routes: Routes
@@ -153,6 +155,7 @@
     calls: running_calls.RunningCalls = attrs.field(
         default=attrs.Factory(lambda self: running_calls.RunningCalls(self.log), takes_self=True)
     )
+    attribution: call_attribution.CallAttribution | None = None
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Returns the response to one call; a handler for `httpd.Server`."""
@@ -284,9 +287,11 @@
         self.node_shutdown.check(progress.request_id, deadline, now)
         if is_nested_call:
             self.call_graph.record_call(self.origin, service)
+            if self.attribution is not None:
+                self._record_nested_call(self.attribution, route, request, now)
         else:
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
-            self.tree_shedding.check(progress.request_id, importance, service, now)
+            self.tree_shedding.check(progress.request_id, importance, service, now, route.name)
         token_taken_at = clock.boot_time()
         if team:
             await self.team_rates.take(team, token_taken_at)
@@ -304,6 +309,19 @@
         )
         return AdmittedCall(target, service, context, token_taken_at)
 
+    def _record_nested_call(
+        self,
+        attribution: call_attribution.CallAttribution,
+        route: operator_text.Route,
+        request: message.Request,
+        now: float,
+    ) -> None:
+        """Records a call of the upstream with the deadline that the upstream gave it."""
+        left_s = self.dialect.time_left_s(request)
+        if left_s is None:
+            left_s = route.timeout_s
+        attribution.record_call(route.name, _received_at(request, now) + left_s, now)
+
     def _choose_service(self, route: operator_text.Route) -> str:
         """Returns the route's service, or one of several at random by their weights."""
         if not route.shares:
@@ -334,7 +352,7 @@
         fields = headers.for_upstream(request.headers)
         forwarded = message.Request(request.method, request.target, fields, request.body)
         route = admitted.target.route
-        outgoing = dispatch.OutgoingCall(admitted.service, admitted.context, forwarded)
+        outgoing = dispatch.OutgoingCall(admitted.service, admitted.context, forwarded, route.name)
         allowance = call.Allowance(route.attempts - 1 if route.attempts else self.retries)
         idempotency_key = request.header(IDEMPOTENCY_HEADER)
         if idempotency_key is None or route.repeatable:
--- a/bergamotridge/callers/tree_shedding.py
+++ b/bergamotridge/callers/tree_shedding.py
@@ -29,20 +29,28 @@
     """
 
     def __init__(
-        self, shares: UnattributedShares, dependencies_of: Callable[[str], frozenset[str]]
+        self, shares: UnattributedShares, dependencies_of: Callable[[str, str], frozenset[str]]
     ) -> None:
         """Creates the shedder without any measured rate.
 
         Args:
             shares: Source of the shares that dependencies admit.
-            dependencies_of: Returns all direct and indirect dependencies of a service.
+            dependencies_of: Returns all direct and indirect dependencies of the calls to a service
+                on a route.
         """
         self._shares = shares
         self._dependencies_of = dependencies_of
         # Rate of requests by dependency and class.
         self._rates: dict[str, dict[call.Importance, decay.DecayingRate]] = {}
 
-    def check(self, request_id: str, importance: call.Importance, service: str, now: float) -> None:
+    def check(
+        self,
+        request_id: str,
+        importance: call.Importance,
+        service: str,
+        now: float,
+        route: str = "",
+    ) -> None:
         """Refuses a request if a dependency does not admit the calls that it would cause.
 
         Args:
@@ -50,11 +58,12 @@
             importance: Class of the request.
             service: Service that the request goes to.
             now: Monotonic time in seconds.
+            route: Route of the request.
 
         Raises:
             CallError: The request is shed; the verdict is NOT_RUN.
         """
-        for dependency in self._dependencies_of(service):
+        for dependency in self._dependencies_of(service, route):
             self._class_rate(dependency, importance, now).record(now)
             share = self._shares.unattributed_share(dependency, now)
             if share >= 1.0:
--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -1,10 +1,13 @@
 """Creates the parts of a node that send calls to other nodes and take theirs."""
 
+from collections.abc import Callable
+
 import attrs
 
 from bergamotridge import http_ports, shared_parts
 from bergamotridge.nodes import (
     budget,
+    call_attribution,
     call_graph,
     choice,
     context,
@@ -12,6 +15,7 @@
     dependency_thresholds,
     dispatch,
     relay,
+    route_dependencies,
 )
 from bergamotridge.upstreams import local_upstream
 from bergamotridge.util import http_client, httpd
@@ -23,16 +27,23 @@
 
     Attributes:
         graph: Services below each service.
+        routes: Services below each route, None if routes are not told apart.
         dependency_thresholds: Thresholds of the services below a service.
         relay_client: Sends calls to the nodes of other hosts.
         dispatcher: Sends calls to upstreams.
     """
 
     graph: call_graph.CallGraph
+    routes: route_dependencies.RouteDependencies | None
     dependency_thresholds: dependency_thresholds.DependencyThresholds
     relay_client: relay.RelayClient
     dispatcher: dispatch.Dispatcher
 
+    @property
+    def dependencies(self) -> call_graph.CallGraph | route_dependencies.RouteDependencies:
+        """Services below a call."""
+        return self.routes or self.graph
+
 
 def create(
     shared: shared_parts.SharedParts,
@@ -40,6 +51,7 @@
     upstream: local_upstream.LocalUpstream,
     pools: http_client.Pools,
     table: dependency_thresholds.ThresholdTable,
+    attribution: call_attribution.CallAttribution | None,
 ) -> CallParts:
     """Creates the parts.
 
@@ -49,10 +61,14 @@
         upstream: The local upstream.
         pools: Connection pools by address.
         table: Holds the thresholds that this node has received.
+        attribution: Finds the routes that cause calls, None if routes are not told apart.
     """
     node, members = shared.node, control.known.members
     graph = call_graph.CallGraph(control.routes.dependencies_of)
-    thresholds = dependency_thresholds.DependencyThresholds(table, graph)
+    by_route = None
+    if attribution is not None:
+        by_route = route_dependencies.RouteDependencies(graph, control.routes, attribution)
+    thresholds = dependency_thresholds.DependencyThresholds(table, graph, by_route)
     relay_client = relay.RelayClient(pools, context.relay_token(node.fleet_secret), shared.log)
     dispatcher = dispatch.Dispatcher(
         node.host,
@@ -67,7 +83,7 @@
         shared.log,
         control.peers.record_unreached,
     )
-    return CallParts(graph, thresholds, relay_client, dispatcher)
+    return CallParts(graph, by_route, thresholds, relay_client, dispatcher)
 
 
 def create_server(
@@ -75,6 +91,7 @@
     calls: CallParts,
     upstream: local_upstream.LocalUpstream,
     claims: relay.ClaimRunner,
+    name_route: Callable[[str, str, str], str],
     new_server: http_ports.CreateServer,
 ) -> httpd.Server:
     """Returns the server of the port for relayed calls.
@@ -84,6 +101,7 @@
         calls: Parts on the path of a call between nodes.
         upstream: The local upstream.
         claims: Runs calls whose idempotency key has this node as its home.
+        name_route: Returns the name of the route of a method, path and host.
         new_server: Creates a server.
     """
     port = relay.RelayPort(
@@ -92,5 +110,6 @@
         shared.log,
         calls.dependency_thresholds,
         claims,
+        name_route if calls.routes else None,
     )
     return new_server("relay", port.handle, shared.node.limits.relay_connections)
--- a/bergamotridge/nodes/call_graph.py
+++ b/bergamotridge/nodes/call_graph.py
@@ -43,8 +43,12 @@
             self._cached_dependencies.clear()
         observed_at[called] = self._clock()
 
-    def dependencies_of(self, service: str) -> frozenset[str]:
-        """Returns all services below `service`, without itself."""
+    def dependencies_of(self, service: str, route: str = "") -> frozenset[str]:
+        """Returns all services below `service`, without itself.
+
+        They are the same for all its routes; `route_dependencies` tells them apart.
+        """
+        del route
         now = self._clock()
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._sweep(now)
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -64,11 +64,12 @@
 
 @attrs.define
 class OutgoingCall:
-    """A call to send to any upstream of a service."""
+    """A call to send to any upstream of a service; `route` is "" if its route is not known."""
 
     service: str
     context: call.CallContext
     request: message.Request
+    route: str = ""
 
 
 class Dispatcher:
@@ -206,6 +207,9 @@
                 outgoing.service, outgoing.context, outgoing.request, granted, token
             )
             reply.report = self._upstream.report(time.monotonic())
+            reply.thresholds = self._dependency_thresholds.encode_statement(
+                outgoing.service, time.monotonic(), outgoing.route
+            )
         else:
             stamp = self._log.clock.stamp(time.time_ns() // 1_000_000)
             relayed = context.RelayedCall(
@@ -222,7 +226,9 @@
         ended_at = time.monotonic()
         if reply.reason:
             self._log_failed_attempt(target, outgoing, reply, ended_at - started_at)
-        self._record_attempt(target, outgoing.service, reply, ended_at - started_at, ended_at)
+        self._record_attempt(
+            target, outgoing.service, reply, ended_at - started_at, ended_at, outgoing.route
+        )
         return reply
 
     def _notice_for(self, host: str, now: float) -> notice.UpstreamNotice | None:
@@ -269,6 +275,7 @@
         reply: answer.Answer,
         latency_s: float,
         now: float,
+        route: str = "",
     ) -> None:
         result = _OUTCOME_BY_REASON.get(reply.reason, outcome.Outcome.FAILED)
         if reply.reason == relay.NODE_FAILED:
@@ -281,7 +288,7 @@
         if reply.report is not None:
             threshold = None if reply.reason in _IDLE_GATE_REASONS else reply.report.threshold
             self._dependency_thresholds.record_answer(
-                service, target.host, threshold, reply.thresholds, now
+                service, target.host, threshold, reply.thresholds, now, route
             )
 
 
--- a/bergamotridge/nodes/relay.py
+++ b/bergamotridge/nodes/relay.py
@@ -1,6 +1,7 @@
 """Calls relayed between nodes: the client that sends them and the port that receives them."""
 
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import logbook
@@ -146,12 +147,24 @@
         log: events.EventLog,
         service_thresholds: dependency_thresholds.DependencyThresholds,
         claims: ClaimRunner,
+        name_route: Callable[[str, str, str], str] | None = None,
     ) -> None:
+        """Creates a port.
+
+        Args:
+            upstream: The upstream on this host.
+            fleet_token: Token that other nodes send.
+            log: Its clock observes the times of other nodes.
+            service_thresholds: Thresholds of the services below a call.
+            claims: Runs calls with a claim.
+            name_route: Returns the route of a method, path and host, if routes are told apart.
+        """
         self._upstream = upstream
         self._fleet_token = fleet_token
         self._log = log
         self._dependency_thresholds = service_thresholds
         self._claims = claims
+        self._name_route = name_route
 
     async def handle(self, request: message.Request, token: cancellation.Token) -> message.Response:
         """Answers one relayed call, as a handler of `httpd.Server`."""
@@ -173,13 +186,22 @@
             )
             answered.report = self._upstream.report(time.monotonic())
             answered.upstream_notice = self._upstream.upstream_notice
-        answered.thresholds = self._dependency_thresholds.encode(relayed.service, time.monotonic())
+        answered.thresholds = self._dependency_thresholds.encode(
+            relayed.service, time.monotonic(), self._route_of(relayed, request)
+        )
         answered.stamp = self._log.clock.stamp(time.time_ns() // 1_000_000)
         report_field = context_header.encode_report(answered)
         notice_fields = context_header.encode_notice(answered.upstream_notice)
         fields = [*answered.response.headers, *notice_fields, report_field]
         return message.Response(answered.response.status, fields, answered.response.body)
 
+    def _route_of(self, relayed: context_header.RelayedCall, request: message.Request) -> str:
+        """Returns the route of a call that ran at the upstream, "" if that is of no interest."""
+        if self._name_route is None or relayed.claim:
+            return ""
+        method = request.method.decode("latin-1")
+        return self._name_route(method, request.path, relayed.context.virtual_host)
+
     def _receive(self, request: message.Request, now: float) -> context_header.RelayedCall:
         """Returns the call that was relayed, and takes in what its sender knows.
 
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -267,6 +267,12 @@
             "Time since a replica of the platform's objects was known to be current, by kind.",
             self._replica_age_samples,
         )
+        registry.gauges(
+            f"{METRIC_PREFIX}route_needs",
+            "Routes that the node sends calls on, by whether it is known what they need; none if "
+            "shedding.dependencies is service.",
+            self._route_needs_samples,
+        )
         registry.gauges(
             f"{METRIC_PREFIX}members",
             "Known hosts, by state.",
@@ -310,6 +316,13 @@
             for kind, age_s in self._read_status().replica_ages.items()
         ]
 
+    def _route_needs_samples(self) -> Iterable[metrics.Sample]:
+        counts = collections.Counter(item.known for item in self._read_status().route_needs)
+        return [
+            metrics.Sample(count, {"known": "yes" if known else "no"})
+            for known, count in counts.items()
+        ]
+
     def _member_samples(self) -> Iterable[metrics.Sample]:
         states = collections.Counter(member.state for member in self._read_status().members)
         return [metrics.Sample(count, {"state": state}) for state, count in states.items()]
--- a/bergamotridge/operators/node_status.py
+++ b/bergamotridge/operators/node_status.py
@@ -2,11 +2,11 @@
 
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from bergamotridge import settings
 from bergamotridge.callers import keys
-from bergamotridge.nodes import membership
+from bergamotridge.nodes import membership, route_dependencies
 from bergamotridge.operators import status
 from bergamotridge.store import configuration, freshness, restorations
 from bergamotridge.upstreams import gate, local_upstream
@@ -31,6 +31,7 @@
         tokens: Callable[[], Mapping[str, float]],
         known_freshness: freshness.Freshness,
         known_restorations: restorations.Restorations,
+        route_needs: Callable[[], Iterable[route_dependencies.RouteNeeds]] = tuple,
     ) -> None:
         """Prepares a reader; the uptime counts from now.
 
@@ -46,6 +47,7 @@
             tokens: Returns the tokens in each team's bucket on this node, by team.
             known_freshness: Tells how current the replicas of the platform's objects are.
             known_restorations: Tells the epoch of the platform's store.
+            route_needs: Returns what the routes need that the node sends calls on.
         """
         self._settings = node
         self._incarnation = incarnation
@@ -58,6 +60,7 @@
         self._tokens = tokens
         self._freshness = known_freshness
         self._restorations = known_restorations
+        self._route_needs = route_needs
         self._started_at = time.monotonic()
 
     def read(self) -> status.Status:
@@ -87,6 +90,18 @@
             replica_ages=self._freshness.ages(clock.boot_time()),
             members=self._build_members(),
             teams=self._build_team_rates(),
+            route_needs=self._build_route_needs(),
+        )
+
+    def _build_route_needs(self) -> tuple[status.RouteNeeds, ...]:
+        return tuple(
+            status.RouteNeeds(
+                item.service,
+                item.route,
+                known=item.services is not None,
+                services=tuple(sorted(item.services or ())),
+            )
+            for item in self._route_needs()
         )
 
     def _build_members(self) -> tuple[status.Member, ...]:
--- a/bergamotridge/operators/status.py
+++ b/bergamotridge/operators/status.py
@@ -46,6 +46,23 @@
     tokens: float = 0.0
 
 
+@attrs.frozen
+class RouteNeeds:
+    """What the node takes the requests of a route to need; see the setting shedding.dependencies.
+
+    Attributes:
+        service: Service that the route's calls go to.
+        route: Name of the route.
+        known: False if too little is known, so that it has all dependencies of its service.
+        services: All services below it, empty if that is not known.
+    """
+
+    service: str
+    route: str
+    known: bool
+    services: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class Load:
     """Load of the local upstream, which runs on the host of the node.
@@ -85,6 +102,7 @@
             by kind.
         store_epoch: Highest epoch of the platform's store that the node knows; it rises when the
             store is restored from an earlier copy.
+        route_needs: What the routes need that the node sends calls on, if routes are told apart.
     """
 
     host: str
@@ -101,6 +119,7 @@
     replica_ages: dict[str, float] = attrs.field(factory=dict)
     store_epoch: int = 0
     configuration_epoch: int = 0
+    route_needs: tuple[RouteNeeds, ...] = ()
 
 
 def encode(status: Status) -> bytes:
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from bergamotridge import http_ports, malformed, shared_parts
-from bergamotridge.nodes import control_assembly, dispatch, fingerprint
+from bergamotridge import http_ports, malformed, settings, shared_parts
+from bergamotridge.nodes import call_attribution, control_assembly, dispatch, fingerprint
 from bergamotridge.operators import crash_observer, upstream_observer
 from bergamotridge.store import configuration
 from bergamotridge.upstreams import (
@@ -19,6 +19,7 @@
     report_check,
     report_proof,
     reported_state,
+    request_tracker,
 )
 from bergamotridge.util import http_client, httpd
 
@@ -40,6 +41,8 @@
         upstream: The local upstream.
         applier: Applies its announcements.
         report_check: Holds back reports of the upstream until they are proven.
+        attribution: Finds the routes that cause the upstream's calls, None if routes are not told
+            apart.
     """
 
     pools: http_client.Pools
@@ -48,6 +51,7 @@
     upstream: local_upstream.LocalUpstream
     applier: reported_state.AnnouncementApplier
     report_check: report_check.ReportCheck
+    attribution: call_attribution.CallAttribution | None
 
 
 def create(
@@ -87,6 +91,10 @@
     publisher = reported_state.StatePublisher(
         control.known.members, control.gossip.start_urgent_round, is_stopping
     )
+    attribution = tracker = None
+    if shared.node.shedding.dependencies == settings.BY_ROUTE:
+        attribution = call_attribution.CallAttribution()
+        tracker = request_tracker.RequestTracker(attribution, control.routes.name_route)
     upstream = local_upstream.LocalUpstream(
         admission,
         calls,
@@ -95,6 +103,7 @@
         observer,
         publisher.publish,
         _create_quarantine(shared, control),
+        tracker,
     )
     applier = reported_state.AnnouncementApplier(upstream, admission, store, publisher.publish)
     store.add_listener(lambda _: applier.configure_gate())
@@ -109,7 +118,7 @@
         time.monotonic,
     )
     store.add_listener(lambda _: check.handle_configuration())
-    return UpstreamParts(pools, admission, calls, upstream, applier, check)
+    return UpstreamParts(pools, admission, calls, upstream, applier, check, attribution)
 
 
 def _create_quarantine(
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -20,6 +20,7 @@
     notice,
     outcome,
     quarantine,
+    request_tracker,
     suspect_run,
 )
 from bergamotridge.util import cancellation, http_client, message
@@ -72,6 +73,7 @@
         observer: Observer | None = None,
         on_state_change: OnStateChange = _ignore_state_change,
         crash_quarantine: quarantine.Quarantine | None = None,
+        tracker: request_tracker.RequestTracker | None = None,
     ) -> None:
         """Creates the object without an upstream, which is known from its first announcement.
 
@@ -84,6 +86,7 @@
             on_state_change: Called with the announcement in its new state and the monotonic time
                 when an answer says that the upstream leaves, or it crashed.
             crash_quarantine: Holds back requests under which upstreams crash; none are if None.
+            tracker: Is told of the requests whose calls do not name them, if not None.
         """
         self._gate = admission_gate
         self._live_calls = calls
@@ -94,6 +97,7 @@
         self._on_state_change = on_state_change
         self._quarantine = crash_quarantine or quarantine.Quarantine()
         self._quarantine.set_crash_listener(self._record_crash)
+        self._tracker = tracker
         self._crashed: notice.UpstreamId | None = None
         self._crashed_at = float("-inf")
         self._notices = notice.NoticeTracker()
@@ -220,7 +224,10 @@
         announcement = self._announcement
         if not self._dialect.sends_call_id:
             upstream_call = dialect.UpstreamCall(run.context, run.request, announcement)
-            return await self._transfer(run, upstream_call, retries, run.token)
+            if self._tracker is None:
+                return await self._transfer(run, upstream_call, retries, run.token)
+            with self._tracker.track(announcement.service, run.context, run.request):
+                return await self._transfer(run, upstream_call, retries, run.token)
         call_token = cancellation.Token(run.token)
         live_call = self._live_calls.open(announcement.service, run.context, retries, call_token)
         upstream_call = dialect.UpstreamCall(
--- a/bergamotridge/upstreams/port.py
+++ b/bergamotridge/upstreams/port.py
@@ -136,7 +136,7 @@
         )
         forwarded_headers = headers.for_upstream(request.headers)
         forwarded = message.Request(request.method, request.target, forwarded_headers, request.body)
-        return dispatch.OutgoingCall(target.route.service, context, forwarded)
+        return dispatch.OutgoingCall(target.route.service, context, forwarded, target.route.name)
 
     def _find_parent(self, request: message.Request) -> live_calls.LiveCall | None:
         call_id = request.header(dialect.CALL_HEADER) or b""
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -63,11 +63,10 @@
     bound.close()
 
 
-@pytest.fixture
-def node(calls, monkeypatch):
+def create_node(**tables):
     free = processes.Ports()
     names = ("callers", "upstream", "relay", "control", "operators", "ready")
-    node = application.Application(
+    return application.Application(
         settings.NodeSettings(
             host="h1",
             failure_domain="a",
@@ -75,9 +74,15 @@
             addresses=settings.Addresses(**{name: free.allocate() for name in names}),
             platform=settings.Platform(address=free.allocate()),
             limits=settings.Limits(notice_s=0.0, drain_s=0.0),
+            **tables,
         ),
         1,
     )
+
+
+@pytest.fixture
+def node(calls, monkeypatch):
+    node = create_node()
     for name in (*(part for _, part in PORT_PARTS), *OTHER_PARTS):
         kind = RecordedServer if name.endswith("_server") else RecordedPart
         monkeypatch.setattr(node, name, kind(name, calls))
@@ -94,6 +99,23 @@
     real_loop.stop()
 
 
+# A part that is not told of the setting learns nothing, without an error.
+@pytest.mark.parametrize("dependencies", [settings.BY_SERVICE, settings.BY_ROUTE])
+def test_the_parts_tell_routes_apart_only_by_the_setting(dependencies):
+    node = create_node(shedding=settings.Shedding(dependencies))
+    caller_port = node.callers.port
+    parts = (node.upstreams.attribution, caller_port.attribution, node.calls.routes)
+    node.loop.stop()
+    if dependencies == settings.BY_ROUTE:
+        assert parts[0] is parts[1] is not None
+    else:
+        assert parts == (None, None, None)
+    assert caller_port.tree_shedding._dependencies_of == node.calls.dependencies.dependencies_of
+    assert (node.upstreams.upstream._tracker is None) is (parts[0] is None)
+    assert node.calls.dependency_thresholds._routes is node.calls.routes
+    assert node._status.read().route_needs == ()
+
+
 def test_all_ports_are_open_before_a_node_talks_to_others_and_claims_quota_shares(
     node, bound, calls
 ):
--- a/tests/test_callers/test_tree_shedding.py
+++ b/tests/test_callers/test_tree_shedding.py
@@ -28,7 +28,7 @@
 
     Only the second half of the time is counted, when the measured rates have settled.
     """
-    shedding = tree_shedding.TreeShedding(shares, lambda service: dependencies)
+    shedding = tree_shedding.TreeShedding(shares, lambda service, route: dependencies)
     sent, admitted = {PAYMENT: 0, LOOKUP: 0}, {PAYMENT: 0, LOOKUP: 0}
     for number in range(int(seconds * 400)):
         now = number / 400
@@ -62,5 +62,14 @@
     assert lookups == 0.0
 
 
+# Bookings were refused for an overloaded service that only lookups need.
+def test_only_requests_on_routes_that_need_the_dependency_are_shed():
+    needs = {"booking": frozenset(), "lookup": frozenset(("deep",))}
+    shedder = tree_shedding.TreeShedding(Shares(deep=0.0), lambda service, route: needs[route])
+    shedder.check("request-1", PAYMENT, "bookings", 0.0, "booking")
+    with pytest.raises(errors.CallError, match="'deep', a dependency of 'bookings'"):
+        shedder.check("request-1", LOOKUP, "bookings", 0.0, "lookup")
+
+
 def test_an_overloaded_service_that_is_not_a_dependency_sheds_nothing():
     assert admitted_shares(Shares(other=0.02)) == (1.0, 1.0)
