--- a/tests/test_nodes/test_call_graph.py
+++ b/tests/test_nodes/test_call_graph.py
@@ -145,6 +145,10 @@
     assert fixture.needs()[1] == {"progress"}
     fixture.call("booking", sender=started, count=60)
     assert fixture.needs()[0] == {"progress"}
+    for _ in range(20):
+        fixture.call("booking")
+        fixture.call("booking", sender=started, count=3)
+    assert fixture.needs()[0] == {"progress"}, "three quarters of the nodes do not know"
 
 
 def test_statements_that_come_no_more_are_not_used_for_long():
