--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -106,10 +106,8 @@
     caller_port = node.callers.port
     parts = (node.upstreams.attribution, caller_port.attribution, node.calls.routes)
     node.loop.stop()
-    if dependencies == settings.BY_ROUTE:
-        assert parts[0] is parts[1] is not None
-    else:
-        assert parts == (None, None, None)
+    assert parts[0] is parts[1]
+    assert [part is not None for part in parts] == 3 * [dependencies == settings.BY_ROUTE]
     assert caller_port.tree_shedding._dependencies_of == node.calls.dependencies.dependencies_of
     assert (node.upstreams.upstream._tracker is None) is (parts[0] is None)
     assert node.calls.dependency_thresholds._routes is node.calls.routes
--- a/tests/test_nodes/test_call_attribution.py
+++ b/tests/test_nodes/test_call_attribution.py
@@ -17,14 +17,7 @@
 
 
 class Load:
-    """Bookings and lookups at one upstream; each lookup makes four calls, one after the other.
-
-    Attributes:
-        caller_routes: Routes whose requests call `marks`.
-        budget_s: Longest time that the upstream gives to a call.
-        lookup_left_s: Time left of a lookup that isn't late.
-        late: Share of the requests that arrive with little time left.
-    """
+    """Bookings and lookups at one upstream; each lookup makes four calls, one after the other."""
 
     def __init__(self, seed, budget_s=OWN_BUDGET_S, lookup_left_s=2.0, late=0.1):
         self.caller_routes = {"lookup"}
--- a/tests/test_nodes/test_call_graph.py
+++ b/tests/test_nodes/test_call_graph.py
@@ -88,12 +88,7 @@
 
 
 class RouteFixture:
-    """A node beside a `bookings` upstream that calls `marks` for lookups, and a first node.
-
-    Attributes:
-        below: The node beside the upstream; None stands for one that was just started.
-        first: The first node.
-    """
+    """A node beside a `bookings` upstream that calls `marks` for lookups, and a first node."""
 
     def __init__(self):
         self.now = 0.0
