--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -212,10 +212,20 @@
     )
 
 
+BY_SERVICE, BY_ROUTE = "service", "route"
+
+
 @attrs.frozen
 class Shedding:
     """Which calls are refused where demand exceeds capacity."""
 
+    dependencies: str = _setting(
+        BY_SERVICE,
+        "what a request is taken to need where upstreams' calls don't name their request: all that "
+        "its service calls, or what requests on its route call",
+        "service or route",
+        lambda value: value in (BY_SERVICE, BY_ROUTE),
+    )
     scarce: bool = _setting(
         False,
         "whether calls that come to a service directly keep a part of its capacity beside calls "
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -71,3 +71,11 @@
 )
 def test_only_the_contract_pool_turns_on_the_settings_for_scarce_services(contracts, scarce):
     assert _make_settings(LINES + contracts).shedding.scarce is scarce
+
+
+@pytest.mark.parametrize(
+    ("contracts", "dependencies"),
+    [("", "service"), ("contracts=spool", "service"), ("contracts=rate, pool", "route")],
+)
+def test_dependencies_are_told_apart_by_route_only_with_the_contract(contracts, dependencies):
+    assert _make_settings(LINES + contracts).shedding.dependencies == dependencies
