util: bodies in very small chunks cost no more than is counted

Cause: the reader of requests kept the pieces of a body in a list. A chunk of one byte took a pointer there, and the account counted one byte. All that had been received was parsed at once, whatever the number of chunks, so that other connections waited.

Change: a body is collected in one buffer, which gives away its content without a copy, as the join of the list did not. A turn parses at most 512 parts of messages, plus those of the piece in which that number is reached (4 KiB, up to 32 KiB behind pieces with few parts); the rest is parsed in later turns, one connection in each iteration of the loop, and nothing is read from the connection until then. What waits, heads with many fields or over 8 KiB, and pipelined requests are counted too. Behind 16 waiting requests, nothing is parsed; they were all parsed before if they came in one piece. A body that is late is refused only after what has come was parsed; a stop refuses a request that is still to be parsed as not run.

A long pipeline that is cut within its heads got 414, as the bytes of all of them counted as one head: 2,425 pieces of 27 bytes on.

New metric bergamotridge_input_turns_total.

--- a/bergamotridge/http_ports.py
+++ b/bergamotridge/http_ports.py
@@ -86,6 +86,7 @@
                 f"no room for the body of this request at the port '{name}', try again later",
                 http_connection.REQUEST_MEMORY,
             ),
+            on_input_turn=functools.partial(self._metrics.count_input_turn, name),
             event_loop=self._loop,
         )
         self._metrics.watch_port(name, server.connections)
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -99,10 +99,15 @@
             "Connections refused, or closed before a call was taken from them, by port and "
             "cause: full, idle, head or reader (as the port had all connections that it may have), "
             "input-STATUS (as what came could not be read, or not in time), request-memory (there "
-            "was no room for the body of a request), stalled (the client took nothing more of its "
+            "was no room for a request), stalled (the client took nothing more of its "
             "response), no-room (it took its response most slowly, and there was no room for all), "
             "or unanswered (the node ended it though a request had been read from it).",
         )
+        self._input_turns = registry.counter(
+            f"{METRIC_PREFIX}input_turns_total",
+            "Parts of the input of connections that were parsed later than they came, so that "
+            "others were served first, by port: bodies in very small chunks, for example.",
+        )
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._ports: dict[str, connection_table.ConnectionTable] = {}
@@ -147,6 +152,10 @@
         """Counts one connection that a port has turned away."""
         self._turned_away.add(port=port, cause=cause)
 
+    def count_input_turn(self, port: str) -> None:
+        """Counts a part of the input of a port that is parsed later than it came."""
+        self._input_turns.add(port=port)
+
     def watch_port(self, port: str, connections: connection_table.ConnectionTable) -> None:
         """Reports the connections of a port from now on."""
         self._ports[port] = connections
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -3,16 +3,14 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Awaitable, Callable
-from typing import Protocol
+from collections.abc import Callable
 
 import httptools
 import logbook
 
 from bergamotridge.util import (
     cancellation,
-    connection_table,
-    held_bytes,
+    connection_owner,
     input_timers,
     message,
     receive_queue,
@@ -22,35 +20,12 @@
 
 logger = logbook.Logger(__name__)
 
-MAX_PIPELINED_REQUESTS = 16
 CLOSE_PAUSE_S = 0.005
 MIN_COUNTED_BYTES = 65_536  # Asking what a client has yet to take costs a system call.
 UNANSWERED = "unanswered"  # Cause of an end that leaves requests without an answer.
 REQUEST_MEMORY = "request-memory"  # Cause of the refusal of a request for which there is no room.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-Handler = Callable[[message.Request, cancellation.Token], Awaitable[message.Response]]
-
-
-class ConnectionOwner(Protocol):
-    """The server that a connection belongs to; `httpd.Server` describes the attributes."""
-
-    bounds: Callable[[], request_reader.RequestLimits]
-    handler: Handler
-    name: str
-    refusal: bytes
-    memory_refusal: message.Response
-    memory: held_bytes.HeldBytes
-    closing: bool
-    on_arrival: Callable[[], None]
-    connections: connection_table.ConnectionTable
-
-    def admit(self, connection: "Connection") -> bool:
-        """Registers a new connection; returns False if the server is full."""
-
-    def report_turned_away(self, cause: str) -> None:
-        """Counts a connection that is closed without an answer of the handler."""
-
 
 class Connection(asyncio.Protocol):
     """One accepted connection; its task answers the requests in the order of their arrival.
@@ -60,7 +35,9 @@
         idle_since: Time of the loop at which the connection was last active.
     """
 
-    def __init__(self, server: ConnectionOwner, event_loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, server: connection_owner.ConnectionOwner, event_loop: asyncio.AbstractEventLoop
+    ) -> None:
         self.token: cancellation.Token | None = None
         self.idle_since = event_loop.time()
         self._server = server
@@ -70,6 +47,9 @@
         self._writer: response_writer.ResponseWriter | None = None
         self._request_waiter: asyncio.Future | None = None
         self._timers = input_timers.InputTimers(event_loop, self._refuse_late_input)
+        self._arrived_at = 0.0
+        self._awaits_turn = False
+        self._is_late = False
         self._is_finishing = False
         self._input_ended = False
         self._refusal: message.Response | None = None
@@ -87,46 +67,72 @@
             self._send_last_response(self._server.refusal)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and wakes the task once a request is complete."""
+        """Parses received bytes, and wakes the task once a request is complete.
+
+        What is too much for one turn is parsed in later ones, and nothing is received until then.
+        """
         self._server.on_arrival()
         if self._input_ended:
             return
         self._server.connections.mark_busy(self)
         reader = self._reader
-        waiting = len(reader.requests)
         if not reader.has_input:
             reader.bounds = self._server.bounds()  # They may have changed since the last request.
+        self._arrived_at = time.monotonic()
+        self._parse(lambda: reader.feed(data))
+        if not self._input_ended and (reader.is_behind or reader.is_full):
+            self._transport.pause_reading()
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Parses the rest of the input in a later turn, then reads on; not while many wait."""
+        if self._awaits_turn or self._reader.is_full:
+            return
+        if self._reader.is_behind:
+            self._awaits_turn = True
+            self._server.input_turns.add(self._event_loop, self._parse_rest)
+        elif not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _parse_rest(self) -> None:
+        self._awaits_turn = False
+        if not self._input_ended:
+            self._parse(self._reader.parse)
+            # Also after a refusal, as the client sends on until it has read it.
+            self._read_on()
+
+    def _parse(self, parse: Callable[[], None]) -> None:
+        """Calls `parse` and does what follows from the input."""
+        reader = self._reader
+        waiting = len(reader.requests)
         try:
-            reader.feed(data)
+            parse()
         except (httptools.HttpParserError, request_reader.BadRequestError) as error:
-            # httptools raises its own error from the exception of a callback.
-            cause = (
-                error if isinstance(error, request_reader.BadRequestError) else error.__context__
-            )
-            if isinstance(cause, request_reader.NoRoomError):
-                self._refuse(self._server.memory_refusal, REQUEST_MEMORY)
-            else:
-                self._refuse_input(
-                    cause.status if isinstance(cause, request_reader.BadRequestError) else 400
-                )
+            self._refuse_unreadable(error)
             return
-        now = time.monotonic()
         for request in itertools.islice(reader.requests, waiting, None):
-            request.received_at = now
+            request.received_at = self._arrived_at
         if reader.expects_continue:
             reader.expects_continue = False
             self._transport.write(CONTINUE_RESPONSE)
         if reader.requests:
-            self._timers.clear()
+            self._clear_timers()
             self._wake_request_waiter()
-            if len(reader.requests) > MAX_PIPELINED_REQUESTS:
-                self._transport.pause_reading()
         elif reader.in_head:
             self._start_head_timer()
         else:
             self.idle_since = self._event_loop.time()
             if reader.in_body:
                 self._timers.start_body(reader.bounds)
+        if self._is_late and not reader.is_behind:
+            self._refuse_input(408)
+
+    def _refuse_unreadable(self, error: Exception) -> None:
+        cause = request_reader.find_cause(error)
+        if isinstance(cause, request_reader.NoRoomError):
+            self._refuse(self._server.memory_refusal, REQUEST_MEMORY)
+        else:
+            self._refuse_input(cause.status)
 
     def eof_received(self) -> bool:
         """Cancels the running call, as the client has closed the connection."""
@@ -175,7 +181,8 @@
         """True if input has arrived that is still to be read, and that would be taken."""
         if self._input_ended or self._transport.is_closing():
             return False
-        return receive_queue.count_bytes(self._transport.get_extra_info("socket")) > 0
+        unread = receive_queue.count_bytes(self._transport.get_extra_info("socket"))
+        return self._reader.is_behind or unread > 0
 
     def is_idle_since(self, time: float) -> bool:
         """Returns whether no request was read or answered since a time of the loop."""
@@ -183,6 +190,7 @@
             self.token is None
             and self.head_started_at is None
             and not self._reader.requests
+            and not self._reader.is_behind
             and not self._input_ended
         )
         return between_requests and self.idle_since < time
@@ -213,7 +221,7 @@
         if self._input_ended:
             return
         self._transport.pause_reading()
-        if self._reader.in_head or self._reader.in_body:
+        if self._reader.in_head or self._reader.in_body or self._reader.is_behind:
             self._refuse_input(503)
         else:
             self._end_input()
@@ -250,7 +258,15 @@
             self._timers.start_head(self._reader.bounds)
 
     def _refuse_late_input(self) -> None:
-        self._refuse_input(408)
+        """Refuses a request that isn't complete in time, once all that has come is parsed."""
+        if self._reader.is_behind:
+            self._is_late = True
+        else:
+            self._refuse_input(408)
+
+    def _clear_timers(self) -> None:
+        self._timers.clear()
+        self._is_late = False
 
     def _refuse_input(self, status: int) -> None:
         """Refuses invalid or late input with `status`, after the earlier requests are answered."""
@@ -258,7 +274,7 @@
         self._refuse(response, f"input-{status}")
 
     def _refuse(self, response: message.Response, cause: str) -> None:
-        self._timers.clear()
+        self._clear_timers()
         self._refusal = response
         self._server.report_turned_away(cause)
         self._end_input()
@@ -266,7 +282,8 @@
     def _end_input(self) -> None:
         """Stops taking requests; cancels the running call unless the input was refused."""
         self._input_ended = True
-        self._timers.clear()
+        self._reader.drop_unparsed()
+        self._clear_timers()
         if self.token is not None and self._refusal is None:
             self.token.cancel()
         self._wake_request_waiter()
@@ -326,10 +343,12 @@
         return True
 
     def _take_request(self) -> message.Request:
-        requests = self._reader.requests
-        if len(requests) == MAX_PIPELINED_REQUESTS and not self._input_ended:
-            self._transport.resume_reading()
-        return requests.popleft()
+        reader = self._reader
+        was_full = reader.is_full
+        request = reader.requests.popleft()
+        if was_full and not reader.is_full and not self._input_ended:
+            self._read_on()
+        return request
 
     async def _handle(self, request: message.Request) -> message.Response:
         """Returns the response of the handler; the body of the request isn't needed after it."""
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -10,9 +10,11 @@
 
 from bergamotridge.util import (
     addresses,
+    connection_owner,
     connection_table,
     held_bytes,
     http_connection,
+    input_turns,
     listening,
     loop,
     message,
@@ -31,7 +33,7 @@
 IDLE_S = 75.0
 REPORT_INTERVAL_S = 1.0  # A flood of connections must not flood the log.
 
-Handler = http_connection.Handler
+Handler = connection_owner.Handler
 
 _log = logbook.Logger(__name__)
 
@@ -45,6 +47,10 @@
     del cause
 
 
+def _ignore_turn() -> None:
+    pass
+
+
 class Server:
     """Listens on one address and passes each complete request to a handler.
 
@@ -61,6 +67,7 @@
         closing: True once each response closes its connection.
         on_arrival: Called for each piece of a request that arrives.
         connections: The open connections.
+        input_turns: Turns in which connections parse input that is too much for one.
     """
 
     def __init__(
@@ -77,6 +84,7 @@
         on_turned_away: Callable[[str], None] = _ignore_cause,
         memory: held_bytes.HeldBytes | None = None,
         memory_refusal: message.Response | None = None,
+        on_input_turn: Callable[[], None] = _ignore_turn,
         event_loop: loop.Loop,
     ) -> None:
         """Creates the server; it does not listen before `start`.
@@ -95,6 +103,8 @@
             memory: Account of the bytes that are held for clients, None for an own one.
             memory_refusal: Response to a request for whose body there is no room, `refusal` if
                 None.
+            on_input_turn: Called for each part of the input of a connection that is parsed in a
+                later iteration of the loop than it was received in.
             event_loop: The event loop that runs the server; `start` and `stop` are called from
                 other threads.
         """
@@ -113,6 +123,7 @@
         self._max_connections = connections
         self._event_loop_thread = event_loop
         self.connections = connection_table.ConnectionTable(connections)
+        self.input_turns = input_turns.InputTurns(on_input_turn)
         self._on_turned_away = on_turned_away
         self._turned_away: collections.Counter[str] = collections.Counter()
         self._reported_at = float("-inf")
--- a/bergamotridge/util/message.py
+++ b/bergamotridge/util/message.py
@@ -80,6 +80,7 @@
         keep_alive: True if the client wants to reuse the connection.
         received_at: Monotonic time in seconds at which its last byte was read, None if it was not
             received by a server.
+        held_bytes: Bytes that are reserved for it in an account of memory.
     """
 
     method: bytes
@@ -88,6 +89,7 @@
     body: bytes = b""
     keep_alive: bool = True
     received_at: float | None = None
+    held_bytes: int = attrs.field(default=0, init=False, eq=False)
     _values_by_name: dict[bytes, bytes] | None = attrs.field(default=None, init=False, eq=False)
 
     def header(self, name: bytes) -> bytes | None:
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -1,6 +1,7 @@
 """Parses HTTP requests from the bytes of a connection and enforces size limits."""
 
 import collections
+import io
 
 import attrs
 import httptools
@@ -10,8 +11,25 @@
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
 MAX_CHUNK_SIZE_FACTOR = 8
-# Of a body in memory: while its pieces are joined, and while it is passed on in one piece.
+# Of a body in memory: the request, and its encoded form while it is passed on. A body that is
+# being read takes an eighth more than its size.
 BODY_COPIES = 2
+BODY_STEP_BYTES = 4_096  # In which the room for a body of unknown size is reserved.
+# Parsed at once: at first, and while that yields few parts of a body. The rest of a body of
+# announced size is one part.
+MIN_PARSED_BYTES = 4_096
+MAX_PARSED_BYTES = 32_768
+FEW_PARTS = 4
+# Fields, pieces of bodies and requests after which parsing goes on in a later turn: about 1 ms.
+MAX_TURN_PARTS = 512
+MAX_PIPELINED_REQUESTS = 16  # With more waiting, nothing further is parsed.
+# A head with less is not counted.
+FREE_HEAD_BYTES = 8_192
+FREE_FIELDS = 64
+# Of a field: its name, value, tuple and entries in lists and dictionaries.
+FIELD_BYTES = 256
+HEAD_COPIES = 2
+REQUEST_BYTES = 2_048  # Of a request without a body that waits behind another one.
 
 
 @attrs.frozen
@@ -52,6 +70,13 @@
         super().__init__(503)
 
 
+def find_cause(error: Exception) -> BadRequestError:
+    """Returns why the input is refused on which `RequestReader` has raised `error`."""
+    # httptools raises its own error from the exception of a callback.
+    cause = error if isinstance(error, BadRequestError) else error.__context__
+    return cause if isinstance(cause, BadRequestError) else BadRequestError(400)
+
+
 class RequestReader:
     """Collects complete requests; its `on_...` methods are the callbacks of the httptools parser.
 
@@ -64,6 +89,8 @@
         expects_continue: True if the client waits for ``100 Continue`` before it sends the body.
     """
 
+    _body: bytes | io.BytesIO
+
     def __init__(self, bounds: RequestLimits, memory: held_bytes.HeldBytes | None = None) -> None:
         """Starts with nothing read.
 
@@ -80,74 +107,142 @@
         self.expects_continue = False
         self._upgrade_offered = False
         self._is_ended = False
+        self._piece_size = 0
         self._head_bytes_fed = 0
         self._memory = memory or held_bytes.HeldBytes()
         self._reserved_bytes = 0  # For the request that is being read.
+        self._unparsed = memoryview(b"")
+        self._unparsed_reserved_bytes = 0
+        self._turn_parts = 0
         self._reset_request()
 
     def _reset_request(self) -> None:
         self._target = b""
         self._version = ""
         self._headers: list[message.Header] = []
-        self._body: list[bytes] = []
+        self._body = b""
         self._body_size = 0
+        self._announced_size = 0
+        self._head_cost = 0
         self._request_size = 0
         if self._reserved_bytes:
             self._reserve(0)
 
-    def _reserve(self, body_size: int) -> None:
-        """Reserves the memory for a body of this size, in place of what is reserved for it."""
-        size = BODY_COPIES * body_size
+    def _reserve(self, size: int) -> None:
+        """Reserves `size` bytes for the request that is being read, in place of those so far."""
         if size == self._reserved_bytes:
             return
         if not self._memory.reserve_request(self._reserved_bytes, size):
             raise NoRoomError
         self._reserved_bytes = size
 
+    def _reserve_head(self) -> None:
+        """Reserves the memory for the head that is being read if it is a large one."""
+        fields = len(self._headers)
+        if fields > FREE_FIELDS or self._head_bytes_fed > FREE_HEAD_BYTES:
+            self._head_cost = HEAD_COPIES * self._head_bytes_fed + FIELD_BYTES * fields
+            self._reserve(self._head_cost)
+
     def release(self, request: message.Request) -> None:
-        """Notes that the body of a complete request is no longer needed."""
-        if request.body:
-            self._memory.release_request(BODY_COPIES * len(request.body))
+        """Notes that a complete request is no longer needed."""
+        if request.held_bytes:
+            self._memory.release_request(request.held_bytes)
+            request.held_bytes = 0
 
     def drop(self) -> None:
         """Drops all that has been read; nothing further is taken."""
         self._is_ended = True
+        self.drop_unparsed()
         while self.requests:
             self.release(self.requests.popleft())
         self._reset_request()
 
+    def drop_unparsed(self) -> None:
+        """Drops what was fed and has not been parsed."""
+        self._unparsed = memoryview(b"")
+        self._memory.release_request(self._unparsed_reserved_bytes)
+        self._unparsed_reserved_bytes = 0
+
     @property
     def has_input(self) -> bool:
         """True while a request is waiting, or a part of one has been read."""
-        return bool(self.requests) or self.in_head or self.in_body
+        return bool(self.requests) or self.in_head or self.in_body or self.is_behind
+
+    @property
+    def is_behind(self) -> bool:
+        """True while a part of what was fed has yet to be parsed by `parse`."""
+        return bool(self._unparsed)
+
+    @property
+    def is_full(self) -> bool:
+        """True while so many requests wait that nothing further is parsed."""
+        return len(self.requests) > MAX_PIPELINED_REQUESTS
 
     def feed(self, data: bytes) -> None:
-        """Parses the next bytes of the connection; those behind a last request are ignored.
+        """Parses the next bytes of the connection, as far as `parse` does in one turn.
+
+        Raises:
+            BadRequestError: As `parse` raises it.
+            httptools.HttpParserError: As `parse` raises it.
+        """
+        if self._is_ended:
+            return
+        self._unparsed = memoryview(bytes(self._unparsed) + data if self._unparsed else data)
+        self.parse()
+
+    def parse(self) -> None:
+        """Parses a bounded part of what was fed; what is behind a last request is ignored.
 
         Raises:
             BadRequestError: The head, or the framing of the body, is too large. It may come
-                without end, in a field or chunk extension that is never complete too.
+                without end, in a field or chunk extension that is never complete too. Or there is
+                no room for what is left.
             httptools.HttpParserError: The bytes are not valid HTTP, or a callback raised
                 BadRequestError, which is then the context of this error.
         """
-        if self._is_ended:
-            return
+        self._turn_parts = 0
+        size = MIN_PARSED_BYTES
+        rest = self._unparsed
+        while rest and not self.is_full and self._turn_parts < MAX_TURN_PARTS:
+            parts = self._turn_parts
+            size = max(size, self._announced_size - self._body_size)
+            rest = rest[self._parse_piece(rest[:size]) :]
+            if self._is_ended:
+                rest = rest[:0]
+            is_sparse = self.in_body and self._turn_parts - parts <= FEW_PARTS
+            size = min(2 * size, MAX_PARSED_BYTES) if is_sparse else MIN_PARSED_BYTES
+        self._unparsed = rest
+        if rest:
+            self._reserve_unparsed(rest.obj)
+        elif self._unparsed_reserved_bytes:
+            self.drop_unparsed()
+
+    def _reserve_unparsed(self, data: bytes) -> None:
+        """Reserves the memory for fed bytes, all of which are kept until the last is parsed."""
+        if not self._memory.reserve_request(self._unparsed_reserved_bytes, len(data)):
+            raise NoRoomError
+        self._unparsed_reserved_bytes = len(data)
+
+    def _parse_piece(self, piece: memoryview) -> int:
+        """Parses bytes up to the end of the next head that offers an upgrade; returns how many."""
         # An upper bound: the pieces of data may also hold bytes before or after the head.
-        self._head_bytes_fed = len(data) + (self._head_bytes_fed if self.in_head else 0)
-        rest = data
-        while rest and not self._is_ended:
-            rest = self._parse(rest)
+        self._piece_size = len(piece)
+        self._head_bytes_fed = self._piece_size + (self._head_bytes_fed if self.in_head else 0)
+        size = self._parse(piece)
         if self._is_ended:
-            return
-        if self.in_head and self._head_bytes_fed > self.bounds.header_bytes:
-            raise BadRequestError(431 if self._headers else 414)
-        self._request_size += len(data)
+            return size
+        if self.in_head:
+            if self._head_bytes_fed > self.bounds.header_bytes:
+                raise BadRequestError(431 if self._headers else 414)
+            self._reserve_head()
+        self._request_size += size
         max_size = self.bounds.header_bytes + MAX_CHUNK_SIZE_FACTOR * self._body_size
         if not self.requests and not self.in_head and self._request_size > max_size:
             raise BadRequestError(413)
+        return size
 
-    def _parse(self, data: bytes) -> bytes:
-        """Parses bytes up to the end of the next head that offers an upgrade, and returns the rest.
+    def _parse(self, data: memoryview) -> int:
+        """Parses bytes up to the end of the next head that offers an upgrade; returns how many.
 
         The parser ends a message at a head that offers an upgrade, whatever its length. No upgrade
         is accepted, so that the head is parsed again without the offer.
@@ -159,11 +254,11 @@
             head = self._encode_head_without_offer()
             self.parser = httptools.HttpRequestParser(self)
             self.parser.feed_data(head)
-            return data[offer.args[0] :]
+            return offer.args[0]
         except httptools.HttpParserError:
             if not self._is_ended:
                 raise
-        return b""
+        return len(data)
 
     def _encode_head_without_offer(self) -> bytes:
         first = (self.parser.get_method(), self._target, self._version.encode())
@@ -175,6 +270,7 @@
     def on_message_begin(self) -> None:
         """Resets the state for the next request."""
         self._reset_request()
+        self._head_bytes_fed = self._piece_size
         self.in_head = True
         self.in_body = False
 
@@ -186,6 +282,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field; one behind the body is not forwarded and has no effect."""
+        self._turn_parts += 1
         if not self.in_body:
             self._headers.append((name.lower(), value.rstrip(message.BLANKS)))
 
@@ -200,6 +297,7 @@
                 raise BadRequestError(431)
         if self.parser.get_method() == b"CONNECT":
             raise BadRequestError(405)
+        self._reserve_head()
         version = self._version = self.parser.get_http_version()
         names = [name for name, _ in headers]
         hosts = names.count(b"host")
@@ -220,7 +318,8 @@
         body_size = message.parse_whole_number(length, self.bounds.body_bytes + 1) or 0
         if body_size > self.bounds.body_bytes:
             raise BadRequestError(413)
-        self._reserve(body_size)
+        self._announced_size = body_size
+        self._reserve(self._head_cost + BODY_COPIES * body_size)
 
     def _check_transfer_encoding(self) -> None:
         """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
@@ -230,17 +329,26 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
-        self._body_size += len(body)
-        if self._body_size > self.bounds.body_bytes:
+        self._turn_parts += 1
+        size = self._body_size = self._body_size + len(body)
+        if size > self.bounds.body_bytes:
             raise BadRequestError(413)
-        if BODY_COPIES * self._body_size > self._reserved_bytes:
-            self._reserve(self._body_size)
-        self._body.append(body)
+        if self._head_cost + BODY_COPIES * size > self._reserved_bytes:
+            steps = -(-size // BODY_STEP_BYTES)
+            self._reserve(self._head_cost + BODY_COPIES * BODY_STEP_BYTES * steps)
+        if not self._body:
+            self._body = body
+            return
+        if not isinstance(self._body, io.BytesIO):
+            first, self._body = self._body, io.BytesIO()
+            self._body.write(first)
+        self._body.write(body)
 
     def on_message_complete(self) -> None:
         """Appends the complete request to `requests`; one that offers an upgrade is read again."""
         if self._upgrade_offered:
             return
+        self._turn_parts += 1
         self.in_body = False
         parser = self.parser
         self.expects_continue = False
@@ -249,10 +357,14 @@
             # For HTTP/1.0 the parser looks for keep-alive only.
             keep_alive = b"close" not in message.connection_options(self._headers)
         self._is_ended = not keep_alive
-        body = b"".join(self._body)
-        self._body.clear()
-        # What was reserved now belongs to the complete request.
-        self._reserved_bytes = 0
-        self.requests.append(
-            message.Request(parser.get_method(), self._target, self._headers, body, keep_alive)
+        waiting_bytes = REQUEST_BYTES if self.requests else 0
+        self._reserve(self._head_cost + BODY_COPIES * self._body_size + waiting_bytes)
+        # The buffer gives away its content, without a copy.
+        body = self._body.getvalue() if isinstance(self._body, io.BytesIO) else self._body
+        self._body, self._announced_size = b"", 0
+        request = message.Request(
+            parser.get_method(), self._target, self._headers, body, keep_alive
         )
+        # What was reserved now belongs to the complete request.
+        request.held_bytes, self._reserved_bytes = self._reserved_bytes, 0
+        self.requests.append(request)
