util: a status above 599 is no status of an answer

Cause: the reader of responses refused statuses below 100 only. An upstream's 600 or 999 went to the caller as its answer, with the verdict "run".

Change: statuses above 599 are a fault of the response like 000 and 1000: 502, may have run. Calls that may be repeated go on to another upstream as after any such fault. The plain reader of the tests takes 600 for no status either.

Before the change, of tests/test_util/test_http_client.py, tests/test_platform/test_repeated_refusal.py and tests/test_process/test_upstream_faults.py failed the 14 new cases with 600 and 999: for calls that may and may not be repeated, at the node of the upstream and over a second node ("assert (600, 'run') == (502, 'may-have-run')"). After it they pass, with test_framing, test_standins/test_upstream and test_docs. The cases with 000, 0, 099, 20, 1000, -20 and 200X passed before too.

The stand-in of an upstream has a new fault, `status`.

--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -4,7 +4,7 @@
 
 from bergamotridge.util import message
 
-MIN_STATUS = 100
+MIN_STATUS, MAX_STATUS = 100, 599
 SWITCHED_STATUS = 101
 # Of these the parser knows that their length fields mean nothing, as those of all interim ones.
 KNOWN_INTERIM_STATUSES = frozenset((100, 102, 103))
@@ -111,7 +111,7 @@
 
     def _check_head(self) -> None:
         """Raises an error for heads behind which the body, or the next head, might be misread."""
-        if self.status < MIN_STATUS:
+        if not MIN_STATUS <= self.status <= MAX_STATUS:
             raise httptools.HttpParserError("the status is not valid")
         if self.status == SWITCHED_STATUS:
             # No upgrade was offered.
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -51,6 +51,7 @@
         leaving: True if its answers say that it is about to stop.
         endless: Part of a response, "head" or "body", that goes on until its client closes the
             connection; "" for complete responses.
+        status: Status of the responses to calls that have run; 0 for the true one.
     """
 
     service_ms: float = 5.0
@@ -63,6 +64,7 @@
     rate_limit: float | None = None
     leaving: bool = False
     endless: str = ""
+    status: int = 0
 
 
 @attrs.frozen
@@ -284,7 +286,7 @@
         else:
             self.upstream.record.end(run, "ok" if status == 200 else "failed")
             time.sleep(self.upstream.control.late_ms / 1000)
-            self._answer_result(status, tag)
+            self._answer_result(self.upstream.control.status or status, tag)
 
     def _perform_call(self, tag: str, now: float, deadline: float) -> int:
         work_s = self.upstream.compute_work_s(now)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -277,4 +277,5 @@
     "rate_limit": None,
     "leaving": False,
     "endless": "",
+    "status": 0,
 }
--- a/tests/plain_http.py
+++ b/tests/plain_http.py
@@ -12,7 +12,7 @@
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _FIELD = re.compile(rb"(" + _TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*")
 _REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([!-~]+) HTTP/(1\.[01])")
-_STATUS_LINE = re.compile(rb"HTTP/(1\.[01]) ([1-9][0-9][0-9])(?: [\t\x20-\x7e]*)?")
+_STATUS_LINE = re.compile(rb"HTTP/(1\.[01]) ([1-5][0-9][0-9])(?: [\t\x20-\x7e]*)?")
 _EXTENSION = rb"(?:;" + _TOKEN + rb"(?:=(?:" + _TOKEN + rb'|"(?:[^"\\\r\n]|\\.)*"))?)*'
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})" + _EXTENSION)
 
--- a/tests/test_platform/test_repeated_refusal.py
+++ b/tests/test_platform/test_repeated_refusal.py
@@ -21,6 +21,11 @@
 
 def _run_calls(upstream_dialect, *responses):
     """Sends one call for each response over one connection; returns the verdicts."""
+    return [item.verdict for item in _answer_calls(upstream_dialect, *responses)]
+
+
+def _answer_calls(upstream_dialect, *responses, repeatable=False):
+    """Sends one call for each response over one connection; returns the answers."""
     server = test_http_client.ScriptedServer(*responses)
     upstream = local_upstream.LocalUpstream(
         gate.Gate(8, 8), live_calls.LiveCalls(), http_client.Pools(1024), upstream_dialect
@@ -29,14 +34,16 @@
     upstream.apply_announcement(
         announcement.Announcement("depot", server.address, record.State.READY, 1, 8, 8, 0.0), now
     )
-    verdicts = []
+    answers = []
     for number in range(len(responses)):
         request_id = f"r{number}"
-        context = call.CallContext(request_id, "t", call.Importance.CRITICAL, now + 60, 0, False)
+        context = call.CallContext(
+            request_id, "t", call.Importance.CRITICAL, now + 60, 0, repeatable
+        )
         request = message.Request(b"POST", b"/pay", [(b"request-id", request_id.encode())], b"x")
         running = upstream.run("depot", context, request, 0, cancellation.Token())
-        verdicts.append(event_loop.run(running).verdict)
-    return verdicts
+        answers.append(event_loop.run(running))
+    return answers
 
 
 def _platform_dialect():
@@ -72,3 +79,13 @@
 def test_an_answer_with_the_call_id_of_another_call_is_not_passed_on():
     answered = _encode_refusal(200, "bergamotridge-call: other")
     assert _run_calls(dialect.DefaultDialect(), answered) == [MAY_HAVE_RUN]
+
+
+# A status above 599 was passed on to the caller, as an answer that had run.
+@pytest.mark.parametrize("status", [600, 999])
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_an_answer_with_a_status_that_is_none_of_http_may_have_run(status, repeatable):
+    sealed = _encode_refusal(status, "request-id: r0", "response-seal: s", "not-executed: 1")
+    (answered,) = _answer_calls(_platform_dialect(), sealed, repeatable=repeatable)
+    assert (answered.response.status, answered.verdict) == (502, MAY_HAVE_RUN)
+    assert answered.reason == "upstream-failed"
--- a/tests/test_process/test_upstream_faults.py
+++ b/tests/test_process/test_upstream_faults.py
@@ -45,6 +45,18 @@
     rig.call_until("front-1", "POST", "/payments", lambda reply: reply.status == 200)
 
 
+# An upstream's status above 599, which is none of HTTP, was the answer that its caller got.
+@pytest.mark.parametrize("status", [600, 999])
+@pytest.mark.parametrize(("method", "path"), [("GET", "/rows"), ("POST", "/payments")])
+@pytest.mark.parametrize("host", ["back-1", "front-1"])
+def test_a_status_that_is_none_of_http_is_not_passed_on(rig, host, method, path, status):
+    rig.inject_faults("back", status=status)
+    tag = rig.tag()
+    reply = rig.call(host, method, path, tag)
+    assert (reply.status, reply.verdict) == (502, "may-have-run")
+    assert len(rig.runs(tag)) == 1 or method == "GET"
+
+
 def test_late_responses_reach_no_other_caller(rig):
     rig.inject_faults("back", late_ms=1300)
     glances = rig.stream("large", "glance", 20, 1, ("front-1",))
--- a/tests/test_util/test_framing.py
+++ b/tests/test_util/test_framing.py
@@ -95,6 +95,7 @@
 HOSTS = [b"host: a\r\n"] * 10 + [b"", b"host: a\r\nHost: b\r\n"]
 STATUS_LINES = [b"HTTP/1.1 %d X" % status for status in (200, 200, 404, 204, 304)]
 STATUS_LINES += [b"HTTP/1.0 200 OK", b"HTTP/2.0 200 OK", b"HTTP/1.1 099 X", b"HTTP/1.1 200"]
+STATUS_LINES += [b"HTTP/1.1 600 X"]
 INTERIM_LINES = [b"HTTP/1.1 %d X" % status for status in (100, 100, 103, 103, 101, 199)]
 INTERIM = strategies.tuples(
     strategies.sampled_from(INTERIM_LINES), strategies.sampled_from(FIELDS), framings()
--- a/tests/test_util/test_http_client.py
+++ b/tests/test_util/test_http_client.py
@@ -60,6 +60,10 @@
     assert len(server.requests) == 2
 
 
+INVALID_STATUSES = (b"000", b"0", b"099", b"20", b"600", b"999", b"1000", b"-20", b"200X")
+
+
+# A status above 599 was taken for that of an answer.
 @pytest.mark.parametrize(
     "invalid_response",
     [
@@ -68,8 +72,9 @@
         b"HTTP/1.1 200 OK\r\n\r\nok",
         OK_RESPONSE.replace(b"1.1", b"2.0"),
         b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000,
+        *(OK_RESPONSE.replace(b"200", status) for status in INVALID_STATUSES),
     ],
-    ids=["cut", "chunk missing", "no length", "other version", "too large"],
+    ids=["cut", "chunk missing", "no length", "other version", "too large", *INVALID_STATUSES],
 )
 def test_an_incomplete_or_too_large_response_is_an_error(invalid_response):
     pool = http_client.Pool(ScriptedServer(invalid_response).address, BODY_LIMIT)
