util: responses in very small chunks are parsed in turns and counted

Cause: as for requests, the pieces of a response were kept in a list, of which the account of answers knew only the data, and all that had been received was parsed at once. Fields of its head were not counted.

Change: a response is collected in one buffer, as the body of a request (body_buffer, which both use). A turn parses at most 512 fields and pieces, plus those of the last piece; the rest is parsed in later turns, one connection of a pool in each iteration, and counted. The account has the buffer with the eighth that it may take beside its content, and 256 bytes for each field. A request that comes in one short piece is parsed without a view of it.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -8,7 +8,13 @@
 
 import httptools
 
-from bergamotridge.util import answer_memory, cancellation, late_timer, response_reader
+from bergamotridge.util import (
+    answer_memory,
+    cancellation,
+    input_turns,
+    late_timer,
+    response_reader,
+)
 
 TURNS_TO_READ = 2  # Of the loop: it reads between them.
 # Time without a sign of the other side after which the kernel gives up a connection.
@@ -16,6 +22,12 @@
 # Any server takes as much before it reads. It may leave more of a request unread for as long as it
 # likes, which the kernel would take for no sign.
 UNREAD_BYTES = 4_096
+# Parsed at once: at first, and while that yields few parts of a response.
+MIN_PARSED_BYTES = 4_096
+MAX_PARSED_BYTES = 32_768
+FEW_PARTS = 4
+# Fields and pieces of a body after which parsing goes on in a later turn.
+MAX_TURN_PARTS = 512
 
 
 class TimeLimitError(TimeoutError):
@@ -46,6 +58,7 @@
         memory: answer_memory.AnswerMemory,
         close_delimited: bool,
         on_arrival: Callable[[], None],
+        turns: input_turns.InputTurns,
     ) -> None:
         self.address = address
         self.reader = reader
@@ -58,6 +71,9 @@
         self._event_loop = event_loop
         self._close_delimited = close_delimited
         self._on_arrival = on_arrival
+        self._turns = turns
+        self._unparsed = memoryview(b"")
+        self._awaits_turn = False
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
         self._input = select.poll()
@@ -68,22 +84,60 @@
         self._input.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes; ends the transfer once its response is complete."""
+        """Parses received bytes; ends the transfer once its response is complete.
+
+        What is too much for one turn is parsed in later ones, and nothing is received until then.
+        """
         self._on_arrival()
-        reader = self.reader
         if self._waiter is None:
             # No transfer is running, so these bytes belong to no request.
             self.abort()
             return
+        self._unparsed = memoryview(bytes(self._unparsed) + data if self._unparsed else data)
+        self._parse()
+        if self._unparsed and not self.ended:
+            self._transport.pause_reading()
+            self._await_turn()
+
+    def _await_turn(self) -> None:
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._turns.add(self._event_loop, self._parse_rest)
+
+    def _parse_rest(self) -> None:
+        """Parses more of what was received, and receives more once that was the last of it."""
+        self._awaits_turn = False
+        if self.ended:
+            return
+        self._parse()
+        if self._unparsed:
+            self._await_turn()
+        elif not self.ended:
+            self._transport.resume_reading()
+
+    def _parse(self) -> None:
+        """Parses a bounded part of what was received."""
+        reader, rest, size = self.reader, self._unparsed, MIN_PARSED_BYTES
+        first_part = reader.parts
+        self._unparsed = rest[:0]  # Unless it is needed below.
         try:
-            reader.feed(data)
+            while rest and not reader.has_excess_data:
+                parts = reader.parts
+                if parts - first_part >= MAX_TURN_PARTS:
+                    self._unparsed = rest
+                    break
+                reader.feed(rest[:size])
+                rest = rest[size:]
+                is_sparse = reader.parts - parts <= FEW_PARTS
+                size = min(2 * size, MAX_PARSED_BYTES) if is_sparse else MIN_PARSED_BYTES
         except (httptools.HttpParserError, response_reader.ResponseTooLargeError) as error:
             self._fail_transfer(error)
             return
-        if reader.complete:
+        if reader.complete and not self._unparsed:
             self._complete_transfer()
         else:
-            self._memory.hold(self, reader.body_size)
+            unparsed_bytes = len(self._unparsed.obj) if self._unparsed else 0
+            self._memory.hold(self, reader.held_bytes + unparsed_bytes)
 
     def give_up(self) -> None:
         """Drops the response that is being read, and closes the connection."""
@@ -91,6 +145,7 @@
             MemoryExceededError("all responses being read together exceed their memory")
         )
         self.reader.drop()
+        self._unparsed = memoryview(b"")
         self.abort()
 
     def eof_received(self) -> None:
@@ -173,6 +228,7 @@
         finally:
             timer.cancel()
             self._waiter = None
+            self._unparsed = memoryview(b"")
             self._memory.release(self)
             if token is not None:
                 token.remove(registration)
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -16,6 +16,7 @@
     client_connection,
     connecting,
     held_bytes,
+    input_turns,
     loop,
     message,
     request_encoding,
@@ -109,6 +110,7 @@
     _idle: collections.deque[client_connection.Connection] = attrs.field(
         factory=collections.deque, init=False
     )
+    _turns: input_turns.InputTurns = attrs.field(factory=input_turns.InputTurns, init=False)
     _used: int = attrs.field(default=0, init=False)
     _trial_end: asyncio.Future | None = attrs.field(default=None, init=False)
 
@@ -278,6 +280,7 @@
                         self.memory,
                         self.close_delimited,
                         self.on_arrival,
+                        self._turns,
                     ),
                     sock=sock,
                 )
--- a/bergamotridge/util/input_turns.py
+++ b/bergamotridge/util/input_turns.py
@@ -12,7 +12,7 @@
     connections are served between two turns. Belongs to one event loop.
     """
 
-    def __init__(self, on_turn: Callable[[], None]) -> None:
+    def __init__(self, on_turn: Callable[[], None] = lambda: None) -> None:
         """Starts without a connection that waits.
 
         Args:
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -6,7 +6,7 @@
 import attrs
 import httptools
 
-from bergamotridge.util import held_bytes, message
+from bergamotridge.util import body_buffer, held_bytes, message
 
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
@@ -187,7 +187,15 @@
         """
         if self._is_ended:
             return
-        self._unparsed = memoryview(bytes(self._unparsed) + data if self._unparsed else data)
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        elif len(data) <= MIN_PARSED_BYTES:
+            # Most requests come in one short piece.
+            size = self._parse_piece(data)
+            if size == len(data) or self._is_ended:
+                return
+            data = data[size:]
+        self._unparsed = memoryview(data)
         self.parse()
 
     def parse(self) -> None:
@@ -223,7 +231,7 @@
             raise NoRoomError
         self._unparsed_reserved_bytes = len(data)
 
-    def _parse_piece(self, piece: memoryview) -> int:
+    def _parse_piece(self, piece: bytes | memoryview) -> int:
         """Parses bytes up to the end of the next head that offers an upgrade; returns how many."""
         # An upper bound: the pieces of data may also hold bytes before or after the head.
         self._piece_size = len(piece)
@@ -241,7 +249,7 @@
             raise BadRequestError(413)
         return size
 
-    def _parse(self, data: memoryview) -> int:
+    def _parse(self, data: bytes | memoryview) -> int:
         """Parses bytes up to the end of the next head that offers an upgrade; returns how many.
 
         The parser ends a message at a head that offers an upgrade, whatever its length. No upgrade
@@ -336,13 +344,7 @@
         if self._head_cost + BODY_COPIES * size > self._reserved_bytes:
             steps = -(-size // BODY_STEP_BYTES)
             self._reserve(self._head_cost + BODY_COPIES * BODY_STEP_BYTES * steps)
-        if not self._body:
-            self._body = body
-            return
-        if not isinstance(self._body, io.BytesIO):
-            first, self._body = self._body, io.BytesIO()
-            self._body.write(first)
-        self._body.write(body)
+        self._body = body_buffer.append(self._body, body)
 
     def on_message_complete(self) -> None:
         """Appends the complete request to `requests`; one that offers an upgrade is read again."""
@@ -359,8 +361,7 @@
         self._is_ended = not keep_alive
         waiting_bytes = REQUEST_BYTES if self.requests else 0
         self._reserve(self._head_cost + BODY_COPIES * self._body_size + waiting_bytes)
-        # The buffer gives away its content, without a copy.
-        body = self._body.getvalue() if isinstance(self._body, io.BytesIO) else self._body
+        body = body_buffer.content(self._body)
         self._body, self._announced_size = b"", 0
         request = message.Request(
             parser.get_method(), self._target, self._headers, body, keep_alive
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -1,8 +1,10 @@
 """Parses HTTP responses from the bytes of a connection and enforces size limits."""
 
+import io
+
 import httptools
 
-from bergamotridge.util import message
+from bergamotridge.util import body_buffer, message
 
 MIN_STATUS, MAX_STATUS = 100, 599
 SWITCHED_STATUS = 101
@@ -15,6 +17,8 @@
 KEEP_ALIVE_REUSE_FRACTION = 0.5
 # Bytes of framing for each byte of a body; a chunk of one byte has five.
 MAX_CHUNK_OVERHEAD_FACTOR = 8
+# What a field takes in memory beside its bytes: name, value, tuple and entries in lists.
+FIELD_BYTES = 256
 _LENGTH_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -37,8 +41,11 @@
         status: HTTP status, 0 before the head was read, and again after an interim response.
         body_size: Bytes of the body that have been read.
         idle_s: Seconds for which the connection may stay idle before it is no longer reused.
+        parts: Fields and pieces of bodies that have been read.
     """
 
+    _body: bytes | io.BytesIO
+
     def __init__(self, head_limit: int, body_limit: int) -> None:
         self._head_limit = head_limit
         self._body_limit = body_limit
@@ -53,7 +60,8 @@
         self._received_size = 0
         self._header_size = 0
         self.body_size = 0
-        self._body: list[bytes] = []
+        self.parts = 0
+        self._body = b""
         self._headers: list[message.Header] = []
         self._connection_fields: set[bytes] = set()
         self._transfer_encodings: list[bytes] = []
@@ -64,14 +72,14 @@
 
     def drop(self) -> None:
         """Frees the body of a response that is given up."""
-        self._body = []
+        self._body = b""
 
     def response(self) -> message.Response:
         """Returns the response without the header fields that concern this connection only."""
         fields = self._headers
         if self._connection_fields:
             fields = [field for field in fields if field[0] not in self._connection_fields]
-        return message.Response(self.status, fields, b"".join(self._body))
+        return message.Response(self.status, fields, body_buffer.content(self._body))
 
     def on_message_begin(self) -> None:
         """Notes that data follows a complete response."""
@@ -83,6 +91,7 @@
 
         A field behind the body is counted, but not forwarded, and has no effect.
         """
+        self.parts += 1
         if self.complete:
             return
         self._header_size += len(name) + len(value)
@@ -128,13 +137,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
+        self.parts += 1
         if self.complete:
             self.has_excess_data = True
             return
         self.body_size += len(body)
         if self.body_size > self._body_limit:
             raise ResponseTooLargeError("the body is too large")
-        self._body.append(body)
+        self._body = body_buffer.append(self._body, body)
 
     def on_message_complete(self) -> None:
         """Completes the response, or discards an interim one."""
@@ -151,6 +161,12 @@
             is_kept = self.parser.should_keep_alive()
             self.keep_alive = is_kept and b"close" not in self._connection_fields
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that the response takes, at most."""
+        head_bytes = self._header_size + FIELD_BYTES * len(self._headers)
+        return head_bytes + self.body_size + self.body_size // 8
+
     @property
     def is_untouched(self) -> bool:
         """True if no byte of the response has been read."""
--- a/tests/test_util/test_input_turns.py
+++ b/tests/test_util/test_input_turns.py
@@ -2,10 +2,21 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
-from bergamotridge.util import held_bytes, http_connection, input_turns, message, request_reader
+from bergamotridge.util import (
+    answer_memory,
+    client_connection,
+    held_bytes,
+    http_connection,
+    input_turns,
+    loop,
+    message,
+    request_reader,
+    response_reader,
+)
 from standins import processes
 from tests import event_loop
 from tests.test_util.test_httpd import start_server
@@ -20,11 +31,15 @@
 
 
 class Transport(asyncio.Transport):
-    """Notes whether its protocol reads, and what it writes."""
+    """Notes whether its protocol reads, and what it writes; its socket is not connected."""
 
     def __init__(self):
         super().__init__()
         self.reads, self.written = True, b""
+        self._socket = socket.socket()
+
+    def get_extra_info(self, name, default=None):
+        return self._socket
 
     def pause_reading(self):
         self.reads = False
@@ -39,7 +54,7 @@
         pass
 
     def abort(self):
-        pass
+        self._socket.close()
 
     def is_closing(self):
         return False
@@ -213,3 +228,69 @@
         arrived_at, times = event_loop.run(parse(slow))
         slow.may_finish.set()
     assert times == [arrived_at] * len(times) and times
+
+
+class Answer:
+    """A response that is being read; to be used on the loop."""
+
+    def __init__(self):
+        self.memory = answer_memory.AnswerMemory(LIMIT)
+        self.transport = Transport()
+        self.connection = client_connection.Connection(
+            asyncio.get_running_loop(),
+            "127.0.0.1:1",
+            response_reader.ResponseReader(10_000, 1_000_000),
+            self.memory,
+            False,
+            loop.ignore_arrival,
+            input_turns.InputTurns(),
+        )
+        self.connection.connection_made(self.transport)
+
+    async def receive(self, data):
+        """Returns the body, and the bytes that were held once `data` had been received."""
+        self.connection.reader.prepare_next(head=False)
+        deadline = asyncio.get_running_loop().time() + 60.0
+        transfer = asyncio.ensure_future(self.connection.transfer(b"", deadline, None))
+        await asyncio.sleep(0)
+        self.connection.data_received(data)
+        held = self.memory.held_bytes
+        if not held:
+            assert self.transport.reads
+        elif not data.endswith(b"0\r\n\r\n"):
+            self.connection.abort()
+            self.connection.connection_lost(None)
+        await transfer
+        return self.connection.reader.response().body, held
+
+
+RESPONSE = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + CHUNKS
+
+
+# The loop parsed a response in chunks of one byte whole; its pieces took memory of no account.
+def test_a_response_in_very_small_chunks_is_parsed_in_turns_and_counted():
+    async def receive():
+        answer = Answer()
+        first = await answer.receive(RESPONSE + b"0\r\n\r\n")
+        reads = answer.transport.reads
+        second = await answer.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\ntwo")
+        answer.connection.abort()
+        return first, reads, second, answer
+
+    (body, held), reads, second, answer = event_loop.run(receive())
+    assert (body, reads, second) == (b"x" * SIZE, True, (b"two", 0))
+    assert held > len(RESPONSE)
+    assert answer.memory.held_bytes == 0
+    assert not answer.connection.reader.has_excess_data
+
+
+def test_a_response_that_ends_before_it_is_parsed_is_held_no_more():
+    async def receive():
+        answer = Answer()
+        with pytest.raises(ConnectionError):
+            await answer.receive(RESPONSE)
+        return answer
+
+    answer = event_loop.run(receive())
+    event_loop.run(asyncio.sleep(0.01))
+    assert answer.memory.held_bytes == 0
