tests: requests that are parsed in turns agree with the plain reader

The comparison of the reader of requests with a plain reader cut messages where they were received only.

--- a/tests/test_util/test_framing.py
+++ b/tests/test_util/test_framing.py
@@ -1,5 +1,7 @@
 """The readers of requests and responses agree with a plain reader of RFC 9112 on every message."""
 
+from unittest import mock
+
 import attrs
 import httptools
 import hypothesis
@@ -119,6 +121,8 @@
     try:
         for piece in pieces:
             reader.feed(piece)
+            while reader.is_behind:
+                reader.parse()
     except (httptools.HttpParserError, request_reader.BadRequestError):
         refused = True
     requests = [
@@ -139,6 +143,9 @@
     ]
     for pieces in _pieces(data):
         assert _read_requests(pieces) == (expected, refused, awaits)
+    for size in (1, 7, 40):
+        with mock.patch.multiple(request_reader, MIN_PARSED_BYTES=size, MAX_TURN_PARTS=1):
+            assert _read_requests([data]) == (expected, refused, awaits)
 
 
 def _read_response(pieces: list[bytes], head: bool):
