Merge bounded memory and turns for bodies in small pieces

Crowds of clients that send one-byte chunks and stay open took a node to several times its memory; statuses above 599 of an upstream were passed on as answers.

--- a/tests/test_util/test_framing.py
+++ b/tests/test_util/test_framing.py
@@ -1,5 +1,7 @@
 """The readers of requests and responses agree with a plain reader of RFC 9112 on every message."""
 
+from unittest import mock
+
 import attrs
 import httptools
 import hypothesis
@@ -95,6 +97,7 @@
 HOSTS = [b"host: a\r\n"] * 10 + [b"", b"host: a\r\nHost: b\r\n"]
 STATUS_LINES = [b"HTTP/1.1 %d X" % status for status in (200, 200, 404, 204, 304)]
 STATUS_LINES += [b"HTTP/1.0 200 OK", b"HTTP/2.0 200 OK", b"HTTP/1.1 099 X", b"HTTP/1.1 200"]
+STATUS_LINES += [b"HTTP/1.1 600 X"]
 INTERIM_LINES = [b"HTTP/1.1 %d X" % status for status in (100, 100, 103, 103, 101, 199)]
 INTERIM = strategies.tuples(
     strategies.sampled_from(INTERIM_LINES), strategies.sampled_from(FIELDS), framings()
@@ -118,6 +121,8 @@
     try:
         for piece in pieces:
             reader.feed(piece)
+            while reader.is_behind:
+                reader.parse()
     except (httptools.HttpParserError, request_reader.BadRequestError):
         refused = True
     requests = [
@@ -138,6 +143,9 @@
     ]
     for pieces in _pieces(data):
         assert _read_requests(pieces) == (expected, refused, awaits)
+    for size in (1, 7, 40):
+        with mock.patch.multiple(request_reader, MIN_PARSED_BYTES=size, MAX_TURN_PARTS=1):
+            assert _read_requests([data]) == (expected, refused, awaits)
 
 
 def _read_response(pieces: list[bytes], head: bool):
