nodes: match the deadlines of calls that are read late

A node that gathers arrivals reads a call up to 4 ms after it was sent, so its deadline lies that much behind that of its request. The chance windows are farther apart, as they are wider now.

--- a/bergamotridge/nodes/call_attribution.py
+++ b/bergamotridge/nodes/call_attribution.py
@@ -12,15 +12,15 @@
 AGING_INTERVAL_S = 1.0
 # A called route without a call for this long is forgotten, as in `call_graph`.
 FORGET_S = 60.0
-# The deadline of a call is at most this much before or after that of its request: both are passed
-# on in whole milliseconds and count from the arrival of a message.
-EARLY_S = 0.003
-LATE_S = 0.001
+# The deadline of a call is at most this much before or after that of its request. Both are passed
+# on in whole milliseconds, and a node that gathers arrivals reads a call some milliseconds late.
+EARLY_S = 0.002
+LATE_S = 0.004
 # Windows in which a deadline matches only by chance. Most matches in the first window are chance at
 # 150 requests a second, so several windows are averaged.
-CHANCE_SHIFTS_S = (-0.020, -0.015, -0.010, 0.010, 0.015, 0.020)
+CHANCE_SHIFTS_S = (-0.045, -0.030, -0.015, 0.015, 0.030, 0.045)
 # A call with less time left than this could match only past deadlines in some of these windows.
-MIN_LEFT_S = 0.025
+MIN_LEFT_S = 0.050
 # A call with more than this part of the longest time left may expire by its own budget instead of
 # that of its request, so that it need not match its request.
 EVIDENCE_FRACTION = 0.8
