upstreams: bounds the calls that start per second at a cold upstream

While an upstream is cold, by its announcements, by its answer to the health check of a held-back report or, where it says nothing, for `cold_start_s` after its first announcement, its gate starts calls from a bucket that is empty at first, and refuses others as not run with the new reason `cold`. No second holds both calls from before and calls under the bound. The gate reports a load of 2. The refused call goes on without retry budget, to three upstreams at most.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -103,6 +103,7 @@
             self.fleet,
             upstream_dialect=surroundings.upstream_dialect,
             read_instance=surroundings.read_instance,
+            read_cold_s=surroundings.read_cold_s,
             accepts_close_delimited=surroundings.accepts_close_delimited,
             alone_since_ms=alone_since_ms,
             is_stopping=lambda: self._stopping,
--- a/bergamotridge/environment.py
+++ b/bergamotridge/environment.py
@@ -45,6 +45,7 @@
         upstream_dialect: Header fields used between a node and its upstream.
         read_instance: Returns the id of the upstream that made a response to a health check, "" if
             the response doesn't say.
+        read_cold_s: Returns the seconds for which that upstream stays cold, None if it doesn't say.
         make_upstream_handler: Returns the handler of the port for the upstream; takes the default
             handler, the function that applies announcements of the upstream, and the one that takes
             reports of those that cannot be read.
@@ -63,6 +64,7 @@
         factory=upstreams_dialect.DefaultDialect
     )
     read_instance: report_check.ReadInstance = report_check.read_no_instance
+    read_cold_s: report_check.ReadColdness = report_check.read_no_coldness
     make_upstream_handler: Callable[
         [httpd.Handler, OnAnnouncement, malformed.OnMalformed], httpd.Handler
     ] = _use_default_handler
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -22,11 +22,13 @@
 
 SERVICE_UNAVAILABLE = 503
 GATE_REFUSAL_REASON = "shed"  # By the gate of a node, before the call was sent to its upstream.
+COLD_REASON = "cold"  # The upstream is cold and takes few calls; its gate refused this one.
 MAX_ATTEMPTS_FOR_ROOM = 3  # A call that so many gates shed needs a retry to go on.
 _OUTCOME_BY_REASON = {
     "": outcome.Outcome.OK,
     "upstream-shed": outcome.Outcome.SHED,
     "shed": outcome.Outcome.SHED,
+    COLD_REASON: outcome.Outcome.SHED,
     "cancelled": outcome.Outcome.CANCELLED,
     "deadline": outcome.Outcome.TIMED_OUT,
     "crash-suspect": outcome.Outcome.SHED,
@@ -46,7 +48,11 @@
 
 # Reasons of failures on a host whose gate sheds nothing because its upstream gets or ends no calls.
 # Its threshold says nothing of the room that the service has elsewhere.
-_IDLE_GATE_REASONS = _ABSENT_UPSTREAM_REASONS | {"upstream-failed", "upstream-crashed"}
+_IDLE_GATE_REASONS = _ABSENT_UPSTREAM_REASONS | {
+    "upstream-failed",
+    "upstream-crashed",
+    COLD_REASON,
+}
 
 # Reasons of refusals that hold for all upstreams of the service.
 _FLEET_WIDE_REASONS = frozenset(("crash-suspect", "crashes-upstreams"))
@@ -177,17 +183,20 @@
 
         What reached no upstream takes nothing from the allowance or the budget. A call that a gate
         shed put load on a node though, so that it goes on without them only to an upstream with
-        room, and not for long.
+        room, and not for long. The same holds for a cold upstream, but its refusal says nothing of
+        the others, which may be tried without a report of now.
         """
         if _was_unsent(last):
             return self._choose(outgoing, excluded)
         now = time.monotonic()
-        is_shed = last.verdict is verdict.Verdict.NOT_RUN and last.reason == GATE_REFUSAL_REASON
-        if is_shed and len(excluded) < MAX_ATTEMPTS_FOR_ROOM:
+        is_cold = last.reason == COLD_REASON
+        is_refused = is_cold or last.reason == GATE_REFUSAL_REASON
+        was_not_run = last.verdict is verdict.Verdict.NOT_RUN
+        if is_refused and was_not_run and len(excluded) < MAX_ATTEMPTS_FOR_ROOM:
             candidates = self._directory.candidates(outgoing.service)
             target = self._chooser.choose_with_room(candidates, excluded, now)
-            if target is not None:
-                return target
+            if target is not None or is_cold:
+                return target or self._choose(outgoing, excluded)
         if self._budget.try_take(outgoing.service, now) and allowance.spend():
             return self._choose(outgoing, excluded)
         return None
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -33,6 +33,7 @@
     "suspect.cleared": "A request under whose like several upstreams had crashed was answered.",
     "suspect.not-cleared": "The trial of such a request ended without an answer.",
     "suspect.tried": "A request under whose like several upstreams have crashed runs as a trial.",
+    "upstream.cold": "The local upstream is cold, and its calls per second are bounded.",
     "upstream.crashed": "The local upstream ended with calls under way and without leaving.",
     "upstream.crashed-under": "A call ran at the local upstream when it crashed; a few per crash.",
     "upstream.leaving": "The local upstream says in an answer that it is about to stop.",
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -108,6 +108,7 @@
         self._ports: dict[str, connection_table.ConnectionTable] = {}
         self._memory = held_bytes.HeldBytes()
         self._read_oldest_call_s: Callable[[float], float] = lambda now: 0.0
+        self._read_cold_rate: Callable[[], float] = lambda: 0.0
         self._register_gauges(registry)
 
     def count_answer(
@@ -159,6 +160,10 @@
         """
         self._read_oldest_call_s = read_oldest_age_s
 
+    def watch_cold_rate(self, read: Callable[[], float]) -> None:
+        """Reports the bound on calls to a cold upstream from now on."""
+        self._read_cold_rate = read
+
     def watch_memory(self, memory: held_bytes.HeldBytes) -> None:
         """Reports the bytes that the node holds for others from now on."""
         self._memory = memory
@@ -226,6 +231,12 @@
                 "Calls per second that the local upstream says it takes, -1 if it names no limit.",
                 lambda: read_status().load.rate_limit,
             ),
+            (
+                "upstream_cold_rate",
+                "Calls per second to which the local upstream is held as it is cold, 0 if it isn't "
+                "held.",
+                lambda: self._read_cold_rate(),
+            ),
             (
                 "configuration_version",
                 "Version of the operator's text in force, 0 before the first.",
--- a/bergamotridge/operators/operator_text.py
+++ b/bergamotridge/operators/operator_text.py
@@ -32,6 +32,8 @@
         connections: Connections that may be open to one upstream.
         health_path: Path on which an upstream answers whether it is alive and not leaving, "" if
             there is none.
+        cold_rate: Calls per second that a cold upstream tolerates, 0 for no bound.
+        cold_start_s: Seconds for which an upstream is cold after its start, if it doesn't say so.
     """
 
     name: str
@@ -39,6 +41,8 @@
     slots: int = 50
     connections: int = 400
     health_path: str = ""
+    cold_rate: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @attrs.frozen
@@ -195,7 +199,9 @@
 
 def _read_service(source: str, name: str, table: object) -> Service:
     key = f"services.{name}"
-    table = _check_keys(source, key, table, ("depends_on", "slots", "connections"))
+    table = _check_keys(
+        source, key, table, ("depends_on", "slots", "connections", "cold_rate", "cold_start_s")
+    )
     depends_on = table.get("depends_on", [])
     if not isinstance(depends_on, list) or not all(isinstance(item, str) for item in depends_on):
         raise _build_error(source, f"{key}.depends_on", "accepted: a list of service names")
@@ -203,7 +209,18 @@
     connections = _read_number(
         source, f"{key}.connections", table.get("connections", 400), 1, integers_only=True
     )
-    return Service(name, tuple(depends_on), int(slots), int(connections))
+    cold_rate, cold_start_s = (
+        float(_read_number(source, f"{key}.{item}", table.get(item, 0), 0))
+        for item in ("cold_rate", "cold_start_s")
+    )
+    return Service(
+        name,
+        tuple(depends_on),
+        int(slots),
+        int(connections),
+        cold_rate=cold_rate,
+        cold_start_s=cold_start_s,
+    )
 
 
 def _read_path(source: str, key: str, value: object) -> str:
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -43,6 +43,12 @@
         "this node already stores its maximum number of idempotency keys",
         "spread callers over more nodes, or look for a caller that never reuses a key",
     ),
+    "cold": Reason(
+        "the upstream is cold, and has got the calls per second that its service's 'cold_rate' "
+        "allows",
+        "nothing, if it passes within 'cold_start_s'; else look why upstreams start, or become "
+        "cold, together",
+    ),
     "configuration": Reason(
         "the node has no operator's text yet",
         "wait a few seconds; if it persists, check that the platform or a peer can be reached",
--- a/bergamotridge/operators/upstream_observer.py
+++ b/bergamotridge/operators/upstream_observer.py
@@ -18,6 +18,10 @@
         """Counts a call that is sent to the upstream."""
         self._metrics.count_upstream_call()
 
+    def record_cold(self, received: announcement.Announcement) -> None:
+        """Logs that the calls of a cold upstream are bounded."""
+        self._log.emit("upstream.cold", cold_s=received.cold_s, **_describe(received))
+
     def record_notice(self, received: notice.Notice, request_id: str) -> None:
         """Logs each part of a notice that has changed.
 
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -162,6 +162,11 @@
     notice_s: float = _number(
         1.5, "time in a graceful shutdown in which new calls are still accepted, in seconds", 0, 600
     )
+    bounds_cold: bool = _setting(
+        False,
+        "keep the 'cold_rate' of services: calls per second to an upstream that is cold",
+        "true or false",
+    )
     heartbeat_s: float = _number(
         0.5, "interval between announcements of the upstream, in seconds", 0.05, 60
     )
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -10,7 +10,7 @@
     notice,
     outcome,
     queue,
-    rate_limit,
+    start_rates,
     threshold,
 )
 
@@ -58,7 +58,7 @@
         self._announced_limit = slots
         self._connection_bound = connection_bound.ConnectionBound()
         self._limit = limit.AdaptiveLimit(self._compute_ceiling())
-        self._rate_limiter = rate_limit.RateLimiter()
+        self.start_rates = start_rates.StartRates()
         self._queue = queue.AdmissionQueue(queue_capacity)
         self._controller = threshold.ThresholdController()
         self._state = record.State.LOST
@@ -149,7 +149,7 @@
         self._exact_slots = exact_slots
         self._state = state
         if state is not record.State.READY:
-            self._refuse_waiting_calls()
+            self._refuse_unavailable()
         self._start_waiting_calls(now)
 
     def apply_notice(self, received: notice.Notice, now: float) -> None:
@@ -162,7 +162,7 @@
             received: What is known of the upstream after the answer.
             now: Monotonic time in seconds.
         """
-        self._rate_limiter.set_limit(received.rate_limit, now)
+        self.start_rates.named.set_limit(received.rate_limit, now)
         self._start_waiting_calls(now)
 
     def next_start_s(self, now: float) -> float | None:
@@ -172,7 +172,7 @@
         """
         if not len(self._queue) or not self._has_room():
             return None
-        return self._rate_limiter.wait_s(now)
+        return self.start_rates.wait_s(now)
 
     def start_waiting_calls(self, now: float) -> None:
         """Starts the waiting calls that may start, and sheds those that have waited too long."""
@@ -182,7 +182,7 @@
     def drain(self) -> None:
         """Refuses all waiting and future calls; running calls continue."""
         self._draining = True
-        self._refuse_waiting_calls()
+        self._refuse_unavailable()
 
     def offer(
         self, context: call.CallContext, now: float, notify: Callable[[queue.Entry], None]
@@ -201,6 +201,8 @@
             self._check_deadline(context, 0, now)
             self._start(entry, now)
             return entry
+        if self.start_rates.cold.is_in_force(now):
+            raise build_refusal("cold", start_rates.COLD_MESSAGE, context.request_id)
         self._controller.record_wait()
         self._check_threshold(context)
         self._check_deadline(context, self._queue.count_at_or_above(context.importance), now)
@@ -249,9 +251,11 @@
         self._update_threshold(now)
         waiting, limit = len(self._queue), self._current_limit()
         gate_load = (self._in_flight + waiting) / limit
-        if self._rate_limiter.wait_s(now) or not self._connection_bound.value:
-            # A call would have to wait although fewer run than the concurrency limit allows.
-            gate_load = max(1.0, gate_load)
+        # A call may have to wait although fewer run than the concurrency limit allows.
+        min_load = self.start_rates.min_load(now)
+        if not self._connection_bound.value:
+            min_load = max(start_rates.FULL_LOAD, min_load)
+        gate_load = max(min_load, gate_load)
         return load.LoadReport(
             round(gate_load, LOAD_DECIMALS),
             limit,
@@ -271,13 +275,14 @@
     def _current_limit(self) -> int:
         """Returns how many calls may run concurrently."""
         limit = self._limit.value
-        if self._rate_limiter.is_limited:
-            limit = min(limit, self._rate_limiter.concurrency(self._controller.hold_s))
+        named = self.start_rates.named
+        if named.is_limited:
+            limit = min(limit, named.concurrency(self._controller.hold_s))
         return limit
 
     def _may_start(self, now: float) -> bool:
         """Returns whether one more call may start now."""
-        return self._has_room() and not self._rate_limiter.wait_s(now)
+        return self._has_room() and not self.start_rates.wait_s(now)
 
     def _has_room(self) -> bool:
         """Returns whether one more call may run, each on a connection of its own."""
@@ -358,7 +363,7 @@
         entry.state = queue.EntryState.STARTED
         entry.started_at = now
         self._in_flight += 1
-        self._rate_limiter.take(now)
+        self.start_rates.take(now)
         self._queue.charge(entry.context)
 
     def _refuse(self, entry: queue.Entry, reason: str, message: str) -> None:
@@ -366,12 +371,15 @@
         entry.refusal = build_refusal(reason, message, entry.context.request_id)
         entry.notify(entry)
 
-    def _refuse_waiting_calls(self) -> None:
+    def _refuse_unavailable(self) -> None:
         is_draining = self._draining or self._state is record.State.DRAINING
+        self.refuse_waiting_calls(
+            "draining" if is_draining else "no-upstream",
+            "the upstream on this host is no longer ready; retry later",
+        )
+
+    def refuse_waiting_calls(self, reason: str, message: str) -> None:
+        """Refuses all calls that wait now."""
         for entry in self._queue.entries():
             self._queue.remove(entry)
-            self._refuse(
-                entry,
-                "draining" if is_draining else "no-upstream",
-                "the upstream on this host is no longer ready; retry later",
-            )
+            self._refuse(entry, reason, message)
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -57,6 +57,7 @@
     *,
     upstream_dialect: dialect.UpstreamDialect,
     read_instance: report_check.ReadInstance,
+    read_cold_s: report_check.ReadColdness,
     accepts_close_delimited: bool,
     alone_since_ms: int,
     is_stopping: Callable[[], bool],
@@ -69,6 +70,7 @@
         control: What this node knows of the fleet.
         upstream_dialect: Header fields between node and upstream.
         read_instance: Reads the id of the upstream in the response to a health check.
+        read_cold_s: Reads for how long it stays cold in the same response.
         accepts_close_delimited: True if the end of the connection may end a response.
         alone_since_ms: Unix time in milliseconds since which no other process serves this host.
         is_stopping: Returns True once this node stops.
@@ -96,7 +98,10 @@
         publisher.publish,
         _create_quarantine(shared, control),
     )
-    applier = reported_state.AnnouncementApplier(upstream, admission, store, publisher.publish)
+    applier = reported_state.AnnouncementApplier(
+        upstream, admission, store, publisher.publish, limits.bounds_cold
+    )
+    shared.metrics.watch_cold_rate(lambda: admission.cold_rate(time.monotonic()))
     store.add_listener(lambda _: applier.configure_gate())
     check = report_check.ReportCheck(
         report_proof.ReportProof(alone_since_ms, limits.heartbeat_s),
@@ -107,6 +112,7 @@
         pools,
         shared.event_loop,
         time.monotonic,
+        read_cold_s=read_cold_s,
     )
     store.add_listener(lambda _: check.handle_configuration())
     return UpstreamParts(pools, admission, calls, upstream, applier, check)
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -7,7 +7,7 @@
 
 from bergamotridge import call, errors
 from bergamotridge.nodes import load, record
-from bergamotridge.upstreams import admission, notice, outcome, queue
+from bergamotridge.upstreams import admission, notice, outcome, queue, start_rates
 from bergamotridge.util import cancellation, loop
 
 
@@ -71,8 +71,8 @@
             Ticket of the started call.
 
         Raises:
-            CallError: The call was refused with verdict NOT_RUN; reason is "shed", "deadline",
-                "cancelled", "draining" or "no-upstream".
+            CallError: The call was refused with verdict NOT_RUN; reason is "shed", "cold",
+                "deadline", "cancelled", "draining" or "no-upstream".
         """
         if token is not None and token.cancelled:
             raise _caller_left_error(context)
@@ -187,6 +187,28 @@
         with self._lock:
             self._admission.configure(slots, connections)
 
+    def configure_cold(self, rate_per_s: float, cold_start_s: float) -> None:
+        """Applies the bound of a cold upstream; see `start_rates.ColdRate.configure`."""
+        with self._lock:
+            self._admission.start_rates.cold.configure(rate_per_s, cold_start_s)
+
+    def apply_coldness(self, cold_s: float | None, is_new_start: bool, now: float) -> bool:
+        """Takes in how long the upstream stays cold; returns True if a bound begins.
+
+        Waiting calls are refused then, as other upstreams may have room. See
+        `start_rates.ColdRate.apply_announcement`.
+        """
+        with self._lock:
+            begins = self._admission.start_rates.cold.apply_announcement(cold_s, is_new_start, now)
+            if begins:
+                self._admission.refuse_waiting_calls("cold", start_rates.COLD_MESSAGE)
+            return begins
+
+    def cold_rate(self, now: float) -> float:
+        """Returns the calls per second that a cold upstream gets, 0 while there is no bound."""
+        with self._lock:
+            return self._admission.start_rates.cold.rate_per_s(now)
+
     def apply_announcement(
         self,
         state: record.State,
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -39,6 +39,9 @@
     def record_send(self) -> None:
         """Counts a call that is sent to the upstream."""
 
+    def record_cold(self, received: announcements.Announcement) -> None:
+        """Records that the calls of a cold upstream are bounded from now on."""
+
     def record_notice(self, received: notice.Notice, request_id: str) -> None:
         """Records that the answer to a request changed what the upstream says about itself."""
 
@@ -56,6 +59,9 @@
     def record_send(self) -> None:
         pass
 
+    def record_cold(self, received: announcements.Announcement) -> None:
+        pass
+
     def record_notice(self, received: notice.Notice, request_id: str) -> None:
         pass
 
@@ -119,8 +125,11 @@
             if not announcement.replaces(self._announcement):
                 return False
             current = self._announcement
-            if current is None or current.upstream_id != announcement.upstream_id:
+            is_new = current is None or current.upstream_id != announcement.upstream_id
+            if is_new:
                 self._gate.forget_connection_bound()
+            if self._gate.apply_coldness(announcement.cold_s, is_new, now):
+                self._observer.record_cold(announcement)
             self._notices.begin(announcement.upstream_id)
             self._gate.apply_notice(self._notices.current, now)
             self._store_announcement(announcement, now)
--- a/bergamotridge/upstreams/report_check.py
+++ b/bergamotridge/upstreams/report_check.py
@@ -5,6 +5,8 @@
 from concurrent import futures
 from typing import Protocol
 
+import attrs
+
 from bergamotridge.nodes import record
 from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.upstreams import report_proof
@@ -18,6 +20,8 @@
 OnAnnouncement = Callable[[announcements.Announcement, float], None]
 # Returns the id of the upstream that made a response to a health check, "" if it doesn't say.
 ReadInstance = Callable[[message.Response], str]
+# Returns the seconds for which that upstream stays cold, None if it doesn't say.
+ReadColdness = Callable[[message.Response], float | None]
 
 
 def read_no_instance(response: message.Response) -> str:
@@ -26,6 +30,11 @@
     return ""
 
 
+def read_no_coldness(response: message.Response) -> None:
+    """Returns None: the response to a health check doesn't say whether the upstream is cold."""
+    del response
+
+
 class Observer(Protocol):
     """Is told what became of reports that may be late, for events and metrics."""
 
@@ -58,6 +67,7 @@
         event_loop: loop.Loop,
         clock: Callable[[], float],
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        read_cold_s: ReadColdness = read_no_coldness,
     ) -> None:
         """Creates a check.
 
@@ -71,6 +81,7 @@
             event_loop: Loop on which `receive` is called.
             clock: Returns the monotonic time in seconds.
             sleep: Waits for a number of seconds.
+            read_cold_s: Reads how long the upstream stays cold in such a response.
         """
         self._proof = proof
         self._health_path = health_path
@@ -81,6 +92,7 @@
         self._loop = event_loop
         self._clock = clock
         self._sleep = sleep
+        self._read_cold_s = read_cold_s
         self._asked: announcements.Announcement | None = None
         self._is_asking = False
 
@@ -131,7 +143,7 @@
     async def _ask(self, asked: announcements.Announcement, path: str) -> bool:
         """Makes one health check; returns whether another one may have a better result."""
         request = message.Request(b"GET", path.encode(), [(b"host", asked.address.encode())], b"")
-        instance, status = "", None
+        instance, status, cold_s = "", None, None
         self._is_asking = True
         try:
             response = await self._pools.pool_for(asked.address).send(request, PROBE_TIMEOUT_S)
@@ -141,13 +153,15 @@
             status = response.status
             result = f"status {status}"
             if status == OK_STATUS:
-                instance = self._read_instance(response)
+                instance, cold_s = self._read_instance(response), self._read_cold_s(response)
                 result += f" of upstream '{instance}'" if instance else " without an id"
         finally:
             self._is_asking = False
         self._observer.record_probe(asked, result)
         believed = self._proof.record_answer(instance)
         if believed is not None:
+            if cold_s is not None:  # The response is later than the report.
+                believed = attrs.evolve(believed, cold_s=cold_s)
             self._apply(believed, self._clock())
             self._observer.record_proof(believed)
         return status in (None, BUSY_STATUS)
--- a/bergamotridge/upstreams/reported_state.py
+++ b/bergamotridge/upstreams/reported_state.py
@@ -45,12 +45,14 @@
         admission: Its gate.
         store: The configuration in force.
         publish: Publishes the state that results.
+        bounds_cold: True if the `cold_rate` of services is kept.
     """
 
     upstream: local_upstream.LocalUpstream
     admission: gate.Gate
     store: configuration.ConfigurationStore
     publish: local_upstream.OnStateChange
+    bounds_cold: bool = False
 
     def apply(self, received: announcement.Announcement, now: float) -> None:
         """Applies an announcement that came at the monotonic time `now`, unless it is out of date.
@@ -72,6 +74,8 @@
         service = current.text.services.get(self.upstream.service) if current else None
         if service is not None:
             self.admission.configure(service.slots, service.connections)
+            if self.bounds_cold:
+                self.admission.configure_cold(service.cold_rate, service.cold_start_s)
 
     def health_path(self, service: str) -> str:
         """Returns the path of the health check of a service, "" while not known."""
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -196,6 +196,15 @@
     assert (received.verdict, len(fleet.hosts)) == (NOT_RUN, dispatch.MAX_ATTEMPTS_FOR_ROOM)
 
 
+# Guards against 503 for calls that met a cold upstream while others, of unknown load, have room.
+def test_a_call_that_a_cold_upstream_did_not_take_goes_to_others_without_a_retry_but_not_for_long():
+    received, allowance = send(FakeFleet(NOT_RUN, RUN, reason="cold"), repeatable=False, retries=0)
+    assert (received.verdict, allowance.left) == (RUN, 0)
+    fleet = FakeFleet(*[NOT_RUN] * 4, reason="cold")
+    send(fleet, repeatable=False, retries=0)
+    assert len(fleet.hosts) == dispatch.MAX_ATTEMPTS_FOR_ROOM
+
+
 @pytest.mark.parametrize(
     ("reason", "is_shed"),
     [
@@ -203,6 +212,7 @@
         ("no-upstream", True),
         ("node-failed", True),
         ("upstream-failed", True),
+        ("cold", True),
         ("shed", False),
         ("", False),
     ],
--- a/tests/test_upstreams/test_report_check.py
+++ b/tests/test_upstreams/test_report_check.py
@@ -30,6 +30,7 @@
     path: str = "/health"
     targets: list = attrs.field(factory=list)
     applied: list = attrs.field(factory=list)
+    cold_s: list = attrs.field(factory=list)
     told: list = attrs.field(factory=list)
     answers: list = attrs.field(factory=list)  # Before `answer`.
     sleepers: list = attrs.field(factory=list)
@@ -41,14 +42,19 @@
             proof,
             lambda service: self.path,
             lambda response: (response.header(b"id") or b"").decode(),
-            lambda received, now: self.applied.append(received.sequence),
+            self._apply,
             self,
             self,
             self,
             lambda: self.now,
             self.sleep,
+            lambda response: float(response.header(b"cold") or 0) or None,
         )
 
+    def _apply(self, received, now):
+        self.applied.append(received.sequence)
+        self.cold_s.append(received.cold_s)
+
     async def sleep(self, pause_s):
         until, ended = self.now + pause_s, asyncio.Event()
         self.sleepers.append((until, ended))
@@ -113,6 +119,13 @@
     assert beside.told == ["held", "status 200 of upstream 'i-1'", "proven"]
 
 
+# Guards against full load for an upstream that became cold between its report and its answer.
+def test_the_health_check_tells_how_long_the_upstream_stays_cold():
+    beside = Beside(answer=message.Response(200, [(b"id", b"i-1"), (b"cold", b"2.5")], b""))
+    receive(beside, 1)
+    assert beside.cold_s == [2.5]
+
+
 @pytest.mark.parametrize(
     ("answer", "result"),
     [
