store, nodes, upstreams: evacuation of a failure domain

Cause: an operator could take a failure domain out of use only by ending its upstreams.

Change: with `platform.evacuations` (off by default) each object `evacuations/FAILURE_DOMAIN` of the platform's store evacuates that domain while it exists. `store.evacuations` is its replica, watched by the elected nodes and passed on by gossip like the configuration, before it. `nodes.evacuated_directory` leaves the domain's upstreams out of the candidates, as one sequence until something changes. The gates there refuse calls as not run with the reason `draining`, also those that wait.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -101,6 +101,7 @@
             shared,
             self.store.configuration,
             self.fleet,
+            self.store.evacuations,
             upstream_dialect=surroundings.upstream_dialect,
             read_instance=surroundings.read_instance,
             read_cold_s=surroundings.read_cold_s,
--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -58,7 +58,7 @@
         node.host,
         upstream,
         relay_client,
-        members,
+        control.directory,
         choice.UpstreamChooser(node.host, node.failure_domain, node.region, shared.rng),
         budget.RetryBudget(
             node.retries.ratio, node.retries.slack, node.retries.window_s, members.size
--- a/bergamotridge/nodes/control_assembly.py
+++ b/bergamotridge/nodes/control_assembly.py
@@ -9,6 +9,7 @@
 from bergamotridge.nodes import (
     bootstrap,
     control,
+    evacuated_directory,
     exchange,
     freshness,
     freshness_exchange,
@@ -57,6 +58,7 @@
     Attributes:
         routes: Routes of the configuration in force.
         known: What this node knows of other hosts.
+        directory: Upstreams that may be chosen.
         peers: Chooses the nodes that the state is exchanged with.
         gossip: Exchanges the state with other nodes.
         freshness_port: Tells other nodes how current the replicas are.
@@ -66,6 +68,7 @@
 
     routes: routing.CurrentRoutes
     known: MemberParts
+    directory: evacuated_directory.EvacuatedDirectory
     peers: peers.PeerChooser
     gossip: gossip.Gossip
     freshness_port: freshness.FreshnessPort
@@ -91,7 +94,13 @@
     """
     routes = _create_routes(store.configuration)
     known = _create_members(shared, service)
-    replicas = (store.configuration,) if keys_in_text else (store.configuration, key_ring)
+    replicas: tuple[replica.Replica, ...] = (store.configuration,)
+    if not keys_in_text:
+        replicas += (key_ring,)
+    if shared.node.platform.evacuations:
+        # First, as peers are asked in this order: a node that starts anew knows the evacuations
+        # when the configuration lets it send calls.
+        replicas = (store.evacuations, *replicas)
     peer_chooser = peers.PeerChooser(known.members, shared.node.peers.first, shared.rng)
     gossiping = _create_gossip(shared, store, known, replicas, key_ring, peer_chooser)
     election = watch_election.WatchElection(
@@ -100,6 +109,9 @@
     return ControlParts(
         routes=routes,
         known=known,
+        directory=evacuated_directory.EvacuatedDirectory(
+            known.members, lambda: store.evacuations.domains
+        ),
         peers=peer_chooser,
         gossip=gossiping,
         freshness_port=_create_freshness_port(shared, store, replicas, election, gossiping),
@@ -214,6 +226,7 @@
     )
     store.freshness.add_listener(port.notify_progress)
     store.configuration.add_listener(lambda _: port.notify_progress())
+    store.evacuations.add_listener(lambda _: port.notify_progress())
     return port
 
 
--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -18,6 +18,8 @@
     "entry.malformed": (
         "An object, announcement or message of another process cannot be read and is skipped."
     ),
+    "evacuation.begun": "A failure domain is evacuated: its upstreams get no calls.",
+    "evacuation.ended": "The evacuation of a failure domain has been taken back.",
     "key.withdrawn": "An operator withdrew a key through the node.",
     "member.changed": "The service or state of a host's upstream changed.",
     "member.forgotten": "A lost host was removed from the members.",
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -4,7 +4,7 @@
 import os
 import resource
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -108,6 +108,7 @@
         self._ports: dict[str, connection_table.ConnectionTable] = {}
         self._memory = held_bytes.HeldBytes()
         self._read_oldest_call_s: Callable[[float], float] = lambda now: 0.0
+        self._read_evacuated: Callable[[], Collection[str]] = tuple
         self._read_cold_rate: Callable[[], float] = lambda: 0.0
         self._register_gauges(registry)
 
@@ -164,6 +165,10 @@
         """Reports the bound on calls to a cold upstream from now on."""
         self._read_cold_rate = read
 
+    def watch_evacuations(self, read: Callable[[], Collection[str]]) -> None:
+        """Reports the evacuated failure domains from now on."""
+        self._read_evacuated = read
+
     def watch_memory(self, memory: held_bytes.HeldBytes) -> None:
         """Reports the bytes that the node holds for others from now on."""
         self._memory = memory
@@ -283,6 +288,11 @@
             "Known hosts, by state.",
             self._member_samples,
         )
+        registry.gauges(
+            f"{METRIC_PREFIX}evacuated_failure_domains",
+            "Evacuated failure domains that the node knows of: 1 for each, by name.",
+            lambda: [metrics.Sample(1, {"domain": name}) for name in self._read_evacuated()],
+        )
         registry.gauges(
             f"{METRIC_PREFIX}team_tokens",
             "Tokens in a team's bucket: calls of the team that this node may admit at once.",
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -78,7 +78,7 @@
         "add the service to 'depends_on' in the operator's text if the call is intended",
     ),
     "draining": Reason(
-        "the upstream or the node on its host is shutting down",
+        "the upstream or the node on its host is shutting down, or its failure domain is evacuated",
         "nothing; calls go to other hosts within seconds",
     ),
     "idempotency-doubt": Reason(
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -99,6 +99,11 @@
         0.2,
         300,
     )
+    evacuations: bool = _setting(
+        False,
+        "read the objects 'evacuations/FAILURE_DOMAIN', whose upstreams get no calls",
+        "true or false",
+    )
     start_spread_s: float = _number(
         0.4,
         "time over which nodes that start together spread their first reads, in seconds",
--- a/bergamotridge/store/assembly.py
+++ b/bergamotridge/store/assembly.py
@@ -6,7 +6,7 @@
 
 from bergamotridge import events, shared_parts
 from bergamotridge.operators import operator_text
-from bergamotridge.store import configuration, counted, freshness, restorations
+from bergamotridge.store import configuration, counted, evacuations, freshness, restorations
 
 
 @attrs.frozen
@@ -18,12 +18,14 @@
         objects: Client of the store, whose requests are counted.
         configuration: The configuration in force.
         freshness: The time as of which each replica is current.
+        evacuations: Evacuated failure domains; a replica only if the settings say so.
     """
 
     restorations: restorations.Restorations
     objects: counted.CountedStore
     configuration: configuration.ConfigurationStore
     freshness: freshness.Freshness
+    evacuations: evacuations.Evacuations
 
 
 def create(
@@ -53,9 +55,27 @@
         ),
         configuration=configuration.ConfigurationStore(parse_text),
         freshness=freshness.Freshness(),
+        evacuations=_create_evacuations(shared),
     )
 
 
+def _create_evacuations(shared: shared_parts.SharedParts) -> evacuations.Evacuations:
+    known = evacuations.Evacuations()
+    last: frozenset[str] = frozenset()
+
+    def record_change(domains: frozenset[str]) -> None:
+        nonlocal last
+        for domain in sorted(domains - last):
+            shared.log.emit("evacuation.begun", domain=domain)
+        for domain in sorted(last - domains):
+            shared.log.emit("evacuation.ended", domain=domain)
+        last = domains
+
+    known.add_listener(record_change)
+    shared.metrics.watch_evacuations(lambda: known.domains)
+    return known
+
+
 def log_accepted(log: events.EventLog, store: configuration.ConfigurationStore) -> None:
     """Logs each configuration that comes into force, once the earlier listeners have applied it."""
 
--- a/bergamotridge/store/client.py
+++ b/bergamotridge/store/client.py
@@ -54,11 +54,14 @@
         items: The objects that could be read.
         version: The version of the store.
         reports: Reports of what could not be read; such an object is left out, or has a fault.
+        is_complete: True if an object of the kind that is neither among the items nor reported
+            didn't exist at that version.
     """
 
     items: tuple[StoredObject, ...]
     version: position.Position
     reports: tuple[malformed.MalformedEntry, ...] = ()
+    is_complete: bool = False
 
 
 @attrs.frozen
@@ -250,7 +253,8 @@
     def list(self, kind: str, *, eventual: bool = False) -> Listing:
         """Returns all objects of a kind; `eventual` has no effect, as in `get`."""
         del eventual
-        return _decode_listing(kind, self._request("GET", f"/objects/{_quote_segment(kind)}"))
+        listing = _decode_listing(kind, self._request("GET", f"/objects/{_quote_segment(kind)}"))
+        return attrs.evolve(listing, is_complete=True)
 
     def put(
         self, kind: str, name: str, value: object, version: position.Position
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -8,7 +8,7 @@
 from bergamotridge import http_ports, malformed, shared_parts
 from bergamotridge.nodes import control_assembly, dispatch, fingerprint
 from bergamotridge.operators import crash_observer, upstream_observer
-from bergamotridge.store import configuration
+from bergamotridge.store import configuration, evacuations
 from bergamotridge.upstreams import (
     dialect,
     gate,
@@ -54,6 +54,7 @@
     shared: shared_parts.SharedParts,
     store: configuration.ConfigurationStore,
     control: control_assembly.ControlParts,
+    known_evacuations: evacuations.Evacuations,
     *,
     upstream_dialect: dialect.UpstreamDialect,
     read_instance: report_check.ReadInstance,
@@ -68,6 +69,7 @@
         shared: Parts that all packages use.
         store: The configuration in force.
         control: What this node knows of the fleet.
+        known_evacuations: Evacuated failure domains.
         upstream_dialect: Header fields between node and upstream.
         read_instance: Reads the id of the upstream in the response to a health check.
         read_cold_s: Reads for how long it stays cold in the same response.
@@ -101,6 +103,10 @@
     applier = reported_state.AnnouncementApplier(
         upstream, admission, store, publisher.publish, limits.bounds_cold
     )
+    failure_domain = shared.node.failure_domain
+    known_evacuations.add_listener(
+        lambda domains: admission.set_evacuated(failure_domain in domains)
+    )
     shared.metrics.watch_cold_rate(lambda: admission.cold_rate(time.monotonic()))
     store.add_listener(lambda _: applier.configure_gate())
     check = report_check.ReportCheck(
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -10,6 +10,10 @@
 from bergamotridge.upstreams import admission, notice, outcome, queue, start_rates
 from bergamotridge.util import cancellation, loop
 
+# Other nodes then send the call elsewhere, without a retry.
+DRAINING = "draining"
+EVACUATED_MESSAGE = "the failure domain of this host is evacuated; retry later"
+
 
 class Ticket:
     """Slot of a started call; `finish` must be called once when the call has ended."""
@@ -51,6 +55,7 @@
         self._admission = admission.Admission(slots, queue_capacity, connections)
         self._event_loop: asyncio.AbstractEventLoop | None = None
         self._start_timer: asyncio.TimerHandle | None = None
+        self._evacuated = False
 
     async def enter(
         self,
@@ -77,6 +82,8 @@
         if token is not None and token.cancelled:
             raise _caller_left_error(context)
         with self._lock:
+            if self._evacuated:
+                raise admission.build_refusal(DRAINING, EVACUATED_MESSAGE, context.request_id)
             entry = self._admission.offer(context, now, _ignore_settled)
         if entry.state is queue.EntryState.WAITING:
             await self._wait(entry, context.deadline - now, token)
@@ -240,6 +247,13 @@
         with self._lock:
             self._admission.drain()
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Refuses all waiting and future calls while `evacuated`; running calls continue."""
+        with self._lock:
+            self._evacuated = evacuated
+            if evacuated:
+                self._admission.refuse_waiting_calls(DRAINING, EVACUATED_MESSAGE)
+
     def report(self, now: float) -> load.LoadReport:
         """Returns the load report that is sent with every answer."""
         with self._lock:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -31,6 +31,7 @@
         calls: Calls to dependencies, in the form of the flag --calls of standins.upstream.
         crash_on: Query of the calls that end the upstream's process, "" for none.
         settings: Further TOML tables, appended to the node's settings file.
+        platform_settings: Further lines of the table [platform] of that file.
     """
 
     name: str
@@ -41,6 +42,7 @@
     calls: tuple[str, ...] = ()
     crash_on: str = ""
     settings: str = ""
+    platform_settings: str = ""
 
 
 @attrs.frozen
@@ -403,6 +405,7 @@
         yield from (f'{port} = "{address}"' for port, address in ports.items())
         yield "[platform]"
         yield f'address = "{self.platform_link if self._network else self.platform_address}"'
+        yield host.platform_settings
         yield "[peers]"
         other_addresses = [
             address for address in bootstrap_addresses if address != addresses.advertised_control
--- a/tests/test_platform/wire_store.py
+++ b/tests/test_platform/wire_store.py
@@ -30,6 +30,7 @@
         self.down = False
         self.objects: dict[tuple[str, str], dict] = {}
         self._events: list[tuple[int, str, dict]] = []
+        self.requests: list[tuple[str, str]] = []
         self._oldest_event = 0
         self._snapshots = [_Snapshot(0.0, self.revision, {})]
 
@@ -52,11 +53,20 @@
         self.revision += 1
         item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
         self.objects[kind, name] = item
-        self._events.append((self.revision, kind, item))
+        self._record(kind, {"object": item, "deleted": False})
+
+    def delete(self, kind: str, name: str) -> None:
+        """Deletes an object; its event holds the object with the revision of its last write."""
+        self.revision += 1
+        self._record(kind, {"object": self.objects.pop((kind, name)), "deleted": True})
+
+    def _record(self, kind: str, event: dict) -> None:
+        self._events.append((self.revision, kind, event))
         self._snapshots.append(_Snapshot(self.now, self.revision, dict(self.objects)))
 
     def answer(self, method: str, path: str, body: bytes | None) -> client.Reply:
         """Answers one request at once; a watch doesn't wait."""
+        self.requests.append((method, path))
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query))
         kind, *name = url.path.removeprefix("/objects/").split("/")
@@ -74,8 +84,7 @@
     def _watch(self, kind: str, since: int) -> client.Reply:
         if not self._oldest_event <= since <= self.revision:
             return self._reply(410, {"as_of": self.revision})
-        found = [item for revision, of, item in self._events if of == kind and revision > since]
-        events = [{"object": item, "deleted": False} for item in found]
+        events = [event for revision, of, event in self._events if of == kind and revision > since]
         return self._reply(200, {"events": events, "as_of": self.revision})
 
     def _write(self, method: str, kind: str, metadata: dict, spec: object) -> tuple[int, dict]:
--- a/tests/test_store/test_client.py
+++ b/tests/test_store/test_client.py
@@ -58,7 +58,7 @@
     ) as (server, platform):
         stored = platform.get("k", "a/b")
         assert (stored.version, stored.value) == (positions.at(4), {"x": 1})
-        assert platform.list("k") == client.Listing((stored,), positions.at(9))
+        assert platform.list("k") == client.Listing((stored,), positions.at(9), is_complete=True)
         assert platform.watch("k", positions.at(3), 0.5).items == (stored,)
         assert platform.put("k", "a/b", [1], positions.at(4)) == positions.at(5)
     assert server.requests == [
--- a/tests/test_upstreams/test_gate.py
+++ b/tests/test_upstreams/test_gate.py
@@ -102,3 +102,24 @@
     first.finish(outcome.Outcome.OK, time.monotonic())
     assert open_gate.report(time.monotonic()).in_flight == 0
     enter(open_gate, make_context(2), time.monotonic())
+
+
+# Guards against calls from nodes that have not learned of an evacuation yet, and calls that wait.
+def test_the_gate_of_an_evacuated_domain_refuses_calls_as_not_run_until_it_is_taken_back():
+    async def run():
+        open_gate = make_open_gate(1, 5)
+        now = time.monotonic()
+        running = await open_gate.enter(make_context(1), now)
+        waiting = asyncio.ensure_future(open_gate.enter(make_context(2), now))
+        await asyncio.sleep(0)
+        open_gate.set_evacuated(True)
+        for refused in (waiting, open_gate.enter(make_context(3), now)):
+            with pytest.raises(errors.CallError) as error_info:
+                await refused
+            assert error_info.value.reason == "draining"
+            assert error_info.value.verdict is verdict.Verdict.NOT_RUN
+        running.finish(outcome.Outcome.OK, now)
+        open_gate.set_evacuated(False)
+        assert await open_gate.enter(make_context(4), now)
+
+    event_loop.run(run())
