--- a/bergamotridge/store/evacuations.py
+++ b/bergamotridge/store/evacuations.py
@@ -88,7 +88,8 @@
             before = self._position
             for item in _last_of_each(listing.items):
                 self._apply_object(item, listing)
-            if listing.is_complete:
+            # An earlier listing tells nothing: this replica is complete up to its position.
+            if listing.is_complete and listing.version >= self._position:
                 self._apply_missing(listing)
             # Without this a kind without objects would be listed again and again.
             if not self._position.exists or listing.version.epoch > self._position.epoch:
@@ -117,7 +118,7 @@
         """Ends evacuations whose objects a listing of all objects lacks."""
         named = {item.name for item in listing.items} | {item.name for item in listing.reports}
         for name, entry in list(self._entries.items()):
-            if entry.exists and name not in named and entry.version <= listing.version:
+            if entry.exists and name not in named:
                 self._store(name, _Entry(listing.version, exists=False))
 
     def _store(self, name: str, entry: _Entry) -> None:
