--- a/bergamotridge/operators/event_kinds.py
+++ b/bergamotridge/operators/event_kinds.py
@@ -18,6 +18,8 @@
     "entry.malformed": (
         "An object, announcement or message of another process cannot be read and is skipped."
     ),
+    "evacuation.begun": "A failure domain is evacuated: its upstreams get no calls.",
+    "evacuation.ended": "The evacuation of a failure domain has been taken back.",
     "key.withdrawn": "An operator withdrew a key through the node.",
     "member.changed": "The service or state of a host's upstream changed.",
     "member.forgotten": "A lost host was removed from the members.",
@@ -33,6 +35,7 @@
     "suspect.cleared": "A request under whose like several upstreams had crashed was answered.",
     "suspect.not-cleared": "The trial of such a request ended without an answer.",
     "suspect.tried": "A request under whose like several upstreams have crashed runs as a trial.",
+    "upstream.cold": "The local upstream is cold, and its calls per second are bounded.",
     "upstream.crashed": "The local upstream ended with calls under way and without leaving.",
     "upstream.crashed-under": "A call ran at the local upstream when it crashed; a few per crash.",
     "upstream.leaving": "The local upstream says in an answer that it is about to stop.",
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -43,6 +43,12 @@
         "this node already stores its maximum number of idempotency keys",
         "spread callers over more nodes, or look for a caller that never reuses a key",
     ),
+    "cold": Reason(
+        "the upstream is cold, and has got the calls per second that its service's 'cold_rate' "
+        "allows",
+        "nothing, if it passes within 'cold_start_s'; else look why upstreams start, or become "
+        "cold, together",
+    ),
     "configuration": Reason(
         "the node has no operator's text yet",
         "wait a few seconds; if it persists, check that the platform or a peer can be reached",
@@ -72,7 +78,7 @@
         "add the service to 'depends_on' in the operator's text if the call is intended",
     ),
     "draining": Reason(
-        "the upstream or the node on its host is shutting down",
+        "the upstream or the node on its host is shutting down, or its failure domain is evacuated",
         "nothing; calls go to other hosts within seconds",
     ),
     "idempotency-doubt": Reason(
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -99,6 +99,11 @@
         0.2,
         300,
     )
+    evacuations: bool = _setting(
+        False,
+        "read the objects 'evacuations/FAILURE_DOMAIN', whose upstreams get no calls",
+        "true or false",
+    )
     start_spread_s: float = _number(
         0.4,
         "time over which nodes that start together spread their first reads, in seconds",
@@ -162,6 +167,11 @@
     notice_s: float = _number(
         1.5, "time in a graceful shutdown in which new calls are still accepted, in seconds", 0, 600
     )
+    bounds_cold: bool = _setting(
+        False,
+        "keep the 'cold_rate' of services: calls per second to an upstream that is cold",
+        "true or false",
+    )
     heartbeat_s: float = _number(
         0.5, "interval between announcements of the upstream, in seconds", 0.05, 60
     )
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -8,7 +8,7 @@
 from bergamotridge import http_ports, malformed, settings, shared_parts
 from bergamotridge.nodes import call_attribution, control_assembly, dispatch, fingerprint
 from bergamotridge.operators import crash_observer, upstream_observer
-from bergamotridge.store import configuration
+from bergamotridge.store import configuration, evacuations
 from bergamotridge.upstreams import (
     dialect,
     gate,
@@ -58,9 +58,11 @@
     shared: shared_parts.SharedParts,
     store: configuration.ConfigurationStore,
     control: control_assembly.ControlParts,
+    known_evacuations: evacuations.Evacuations,
     *,
     upstream_dialect: dialect.UpstreamDialect,
     read_instance: report_check.ReadInstance,
+    read_cold_s: report_check.ReadColdness,
     accepts_close_delimited: bool,
     alone_since_ms: int,
     is_stopping: Callable[[], bool],
@@ -71,8 +73,10 @@
         shared: Parts that all packages use.
         store: The configuration in force.
         control: What this node knows of the fleet.
+        known_evacuations: Evacuated failure domains.
         upstream_dialect: Header fields between node and upstream.
         read_instance: Reads the id of the upstream in the response to a health check.
+        read_cold_s: Reads for how long it stays cold in the same response.
         accepts_close_delimited: True if the end of the connection may end a response.
         alone_since_ms: Unix time in milliseconds since which no other process serves this host.
         is_stopping: Returns True once this node stops.
@@ -106,7 +110,14 @@
         _create_quarantine(shared, control),
         tracker,
     )
-    applier = reported_state.AnnouncementApplier(upstream, admission, store, publisher.publish)
+    applier = reported_state.AnnouncementApplier(
+        upstream, admission, store, publisher.publish, limits.bounds_cold
+    )
+    failure_domain = shared.node.failure_domain
+    known_evacuations.add_listener(
+        lambda domains: admission.set_evacuated(failure_domain in domains)
+    )
+    shared.metrics.watch_cold_rate(lambda: admission.cold_rate(time.monotonic()))
     store.add_listener(lambda _: applier.configure_gate())
     check = report_check.ReportCheck(
         report_proof.ReportProof(alone_since_ms, limits.heartbeat_s),
@@ -117,6 +128,7 @@
         pools,
         shared.event_loop,
         time.monotonic,
+        read_cold_s=read_cold_s,
     )
     store.add_listener(lambda _: check.handle_configuration())
     return UpstreamParts(pools, admission, calls, upstream, applier, check, attribution)
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -7,9 +7,20 @@
 
 from bergamotridge import call, errors
 from bergamotridge.nodes import load, record
-from bergamotridge.upstreams import admission, call_kinds, notice, outcome, queue
+from bergamotridge.upstreams import (
+    admission,
+    call_kinds,
+    notice,
+    outcome,
+    queue,
+    start_rates,
+)
 from bergamotridge.util import cancellation, loop
 
+# Other nodes then send the call elsewhere, without a retry.
+DRAINING = "draining"
+EVACUATED_MESSAGE = "the failure domain of this host is evacuated; retry later"
+
 
 class Ticket:
     """Slot of a started call; `finish` must be called once when the call has ended."""
@@ -59,6 +70,7 @@
         self._admission = admission.Admission(slots, queue_capacity, connections, scarce=scarce)
         self._event_loop: asyncio.AbstractEventLoop | None = None
         self._start_timer: asyncio.TimerHandle | None = None
+        self._evacuated = False
 
     async def enter(
         self,
@@ -79,12 +91,14 @@
             Ticket of the started call.
 
         Raises:
-            CallError: The call was refused with verdict NOT_RUN; reason is "shed", "deadline",
-                "cancelled", "draining" or "no-upstream".
+            CallError: The call was refused with verdict NOT_RUN; reason is "shed", "cold",
+                "deadline", "cancelled", "draining" or "no-upstream".
         """
         if token is not None and token.cancelled:
             raise _caller_left_error(context)
         with self._lock:
+            if self._evacuated:
+                raise admission.build_refusal(DRAINING, EVACUATED_MESSAGE, context.request_id)
             entry = self._admission.offer(context, now, _ignore_settled)
         if entry.state is queue.EntryState.WAITING:
             await self._wait(entry, context.deadline - now, token)
@@ -195,6 +209,28 @@
         with self._lock:
             self._admission.configure(slots, connections)
 
+    def configure_cold(self, rate_per_s: float, cold_start_s: float) -> None:
+        """Applies the bound of a cold upstream; see `start_rates.ColdRate.configure`."""
+        with self._lock:
+            self._admission.start_rates.cold.configure(rate_per_s, cold_start_s)
+
+    def apply_coldness(self, cold_s: float | None, is_new_start: bool, now: float) -> bool:
+        """Takes in how long the upstream stays cold; returns True if a bound begins.
+
+        Waiting calls are refused then, as other upstreams may have room. See
+        `start_rates.ColdRate.apply_announcement`.
+        """
+        with self._lock:
+            begins = self._admission.start_rates.cold.apply_announcement(cold_s, is_new_start, now)
+            if begins:
+                self._admission.refuse_waiting_calls("cold", start_rates.COLD_MESSAGE)
+            return begins
+
+    def cold_rate(self, now: float) -> float:
+        """Returns the calls per second that a cold upstream gets, 0 while there is no bound."""
+        with self._lock:
+            return self._admission.start_rates.cold.rate_per_s(now)
+
     def apply_announcement(
         self,
         state: record.State,
@@ -232,6 +268,13 @@
         with self._lock:
             return self._admission.kinds
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Refuses all waiting and future calls while `evacuated`; running calls continue."""
+        with self._lock:
+            self._evacuated = evacuated
+            if evacuated:
+                self._admission.refuse_waiting_calls(DRAINING, EVACUATED_MESSAGE)
+
     def report(self, now: float) -> load.LoadReport:
         """Returns the load report that is sent with every answer."""
         with self._lock:
