balancing: the least-loaded way of choosing is a strategy

Cause: a second way of choosing among the usable upstreams of a service is to be added, while ejection, probes and ramp-up stay as they are. Change: nodes.choice keeps those and the split by distance, and asks a strategy (new package balancing) for the choice. Today's way moves to balancing.least_loaded, which remains the only one. Result: no change of behaviour.

--- /dev/null
+++ b/bergamotridge/balancing/strategy.py
@@ -0,0 +1,106 @@
+"""What a strategy of load balancing is asked and told."""
+
+from collections.abc import Hashable, Sequence
+from typing import Generic, Protocol, TypeVar
+
+import attrs
+
+FULL_LOAD = 1.0  # At this load or above, a further call has to wait at the upstream.
+
+
+class Upstream(Protocol):
+    """The part of an upstream's record that strategies use."""
+
+    @property
+    def host(self) -> str:
+        """Host of the upstream."""
+
+    @property
+    def service(self) -> str:
+        """Service that it serves."""
+
+    @property
+    def slots(self) -> int:
+        """Calls that it can run concurrently."""
+
+    @property
+    def load(self) -> float:
+        """Fraction of its slots in use as last published to all nodes."""
+
+
+class Report(Protocol):
+    """Load report that came with an answer."""
+
+    @property
+    def load(self) -> float:
+        """Calls that run or wait at the upstream, divided by `limit`."""
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run there at once."""
+
+
+Candidate = TypeVar("Candidate", bound=Upstream)
+
+
+@attrs.frozen
+class Split(Generic[Candidate]):
+    """Upstreams of a service that may be called, by their distance from this node.
+
+    Attributes:
+        candidates: The sequence that was split; a cached split is valid for this object only.
+        own_host: The upstream on the own host, if there is one.
+        own_domain: Those on other hosts of the own failure domain.
+        others: Those in other failure domains.
+        not_near: All except `near`.
+    """
+
+    candidates: Sequence[Candidate]
+    own_host: Sequence[Candidate]
+    own_domain: Sequence[Candidate]
+    others: Sequence[Candidate]
+    not_near: Sequence[Candidate]
+
+    @property
+    def near(self) -> Sequence[Candidate]:
+        """The upstream on the own host if there is one, else those in the own failure domain."""
+        return self.own_host or self.own_domain
+
+
+@attrs.frozen
+class Answered:
+    """How one call to an upstream ended.
+
+    Attributes:
+        kind: Calls of one kind take about the same time at upstreams of the same speed.
+        completed: True if the upstream ran the call and answered it.
+        report: Load report that came with the answer, or None.
+        latency_s: Duration of the call in seconds.
+    """
+
+    kind: Hashable
+    completed: bool
+    report: Report | None
+    latency_s: float
+
+
+class Strategy(Protocol):
+    """Chooses among the usable upstreams of a service, for use on one event loop.
+
+    All times are monotonic seconds.
+    """
+
+    def choose(self, usable: Split[Candidate], now: float) -> Candidate:
+        """Returns the upstream to call; all of `usable`, at least one, may be called."""
+
+    def load_of(self, item: Upstream, now: float) -> float:
+        """Returns the estimated load of an upstream."""
+
+    def has_recent_report(self, host: str, now: float) -> bool:
+        """Returns whether the load of the upstream on a host is known from a recent report."""
+
+    def record_sent(self, item: Upstream, now: float) -> None:
+        """Records that a call is sent to an upstream."""
+
+    def record_answer(self, host: str, answered: Answered, now: float) -> None:
+        """Records how a call to the upstream on a host ended."""
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -1,16 +1,14 @@
 """Load balancing: chooses the upstream that a call is sent to."""
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Hashable, Sequence
 
 import attrs
 
+from bergamotridge.balancing import least_loaded, strategy
 from bergamotridge.nodes import load, record
 from bergamotridge.upstreams import outcome
 
-FULL_LOAD = 1.0  # At this load or above, a further call has to wait at the upstream.
-SPILL_LOAD_MARGIN = 0.1  # How much lower the load of a far upstream must be than of a near one.
-REPORT_TTL_S = 1.0
 FAILURES_TO_EJECT = 3  # In a row, without an answer between them.
 FIRST_EJECTION_S = 0.5  # Doubles with each further ejection.
 MAX_EJECTION_S = 5.0
@@ -28,14 +26,11 @@
 
 @attrs.define
 class _HostHealth:
-    """Load and failures of one host as observed in calls from this node.
+    """Failures of one host as observed in calls from this node.
 
     All times are monotonic seconds.
 
     Attributes:
-        reported_load: Load in the last report that came with an answer.
-        reported_at: When that report came.
-        sent: Calls sent to the host since that report.
         failures: Failures since the last answer that counted as a success.
         ejections: Ejections since the host last stayed healthy for longer than `RAMP_UP_S`.
         ejected_until: When probes may start; -inf unless the host is ejected.
@@ -44,9 +39,6 @@
         returned_at: When a probe last succeeded, the start of the ramp-up.
     """
 
-    reported_load: float = 0.0
-    reported_at: float = float("-inf")
-    sent: int = 0
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
@@ -68,30 +60,10 @@
     return result is outcome.Outcome.TIMED_OUT and report is not None
 
 
-@attrs.frozen
-class _Split:
-    """Upstreams of a service that may be called, split into near and far ones.
-
-    Attributes:
-        candidates: The sequence that was split; a cached split is valid for this object only.
-        near: The upstream on the own host if there is one, else those in the own failure domain.
-        far: All others.
-    """
-
-    candidates: Sequence[record.UpstreamRecord]
-    near: Sequence[record.UpstreamRecord]
-    far: Sequence[record.UpstreamRecord]
-
-
 class UpstreamChooser:
     """Chooses among the upstreams of a service, for use on one event loop.
 
-    The near upstream is the one on the own host or, if there is none, the less loaded of two random
-    ones in the own failure domain. It is chosen while its load is below `FULL_LOAD`. Otherwise a
-    far upstream, again the less loaded of two random ones, is chosen if its load is lower by more
-    than `SPILL_LOAD_MARGIN` or if there is no near upstream. The load is the one last reported with
-    an answer plus the calls sent since; the load in the upstream's record is used only if no report
-    came in the last `REPORT_TTL_S`.
+    A strategy chooses among the upstreams that are usable. This class decides which ones are.
 
     An upstream that fails repeatedly or cannot be reached is ejected and then probed with single
     calls. After a successful probe, its share of the traffic rises to the full one over
@@ -104,22 +76,25 @@
         own_failure_domain: str,
         own_region: str,
         rng: random.Random,
+        balancing: strategy.Strategy | None = None,
     ) -> None:
-        """Creates a chooser without any observed load or failure.
+        """Creates a chooser without any observed failure.
 
         Args:
             own_host: Host of this node.
             own_failure_domain: Failure domain of this node.
             own_region: Region of this node.
             rng: Source of random numbers.
+            balancing: Chooses among usable upstreams; `LeastLoaded` if None.
         """
+        self._balancing = balancing or least_loaded.LeastLoaded(rng)
         self._own_host = own_host
         self._own_failure_domain = own_failure_domain
         self._own_region = own_region
         self._rng = rng
         self._hosts: dict[str, _HostHealth] = {}
         self._unhealthy: dict[str, _HostHealth] = {}
-        self._splits: dict[str, _Split] = {}
+        self._splits: dict[str, strategy.Split[record.UpstreamRecord]] = {}
 
     def choose(
         self,
@@ -151,10 +126,10 @@
             chosen = self._choose_probe(ready, now, may_probe) or self._choose_usable(ready, now)
         else:
             split = self._cached_split(candidates)
-            if not split.near and not split.far:
+            if not split.near and not split.not_near:
                 return None
-            chosen = self._choose_near_or_spill(split, now)
-        self._health(chosen.host).sent += 1
+            chosen = self._balancing.choose(split, now)
+        self._balancing.record_sent(chosen, now)
         return chosen
 
     def choose_with_room(
@@ -175,13 +150,14 @@
             for item in candidates
             if item.state is record.State.READY
             and item.host not in excluded
-            and now - self._health(item.host).reported_at < REPORT_TTL_S
+            and self._balancing.has_recent_report(item.host, now)
             and self._accepts_call(item, now)
         ]
-        chosen = min(known, key=lambda item: self._load_of(item, now), default=None)
-        if chosen is None or self._load_of(chosen, now) >= FULL_LOAD:
+        load_of = self._balancing.load_of
+        chosen = min(known, key=lambda item: load_of(item, now), default=None)
+        if chosen is None or load_of(chosen, now) >= strategy.FULL_LOAD:
             return None
-        self._health(chosen.host).sent += 1
+        self._balancing.record_sent(chosen, now)
         return chosen
 
     def record_outcome(
@@ -191,6 +167,7 @@
         report: load.LoadReport | None,
         latency_s: float,
         now: float,
+        kind: Hashable = "",
     ) -> None:
         """Records how a call to `host` ended.
 
@@ -200,10 +177,13 @@
             report: Load report that came with the answer, or None.
             latency_s: Duration of the call in seconds.
             now: Monotonic time in seconds.
+            kind: Kind of the call; see `strategy.Answered`.
         """
         health = self._health(host)
-        if report is not None:
-            health.reported_load, health.reported_at, health.sent = report.load, now, 0
+        completed = result is outcome.Outcome.OK
+        self._balancing.record_answer(
+            host, strategy.Answered(kind, completed, report, latency_s), now
+        )
         if result in FAILURE_OUTCOMES and not _timed_out_with_report(result, report):
             self._unhealthy[host] = health
             self._record_failure(health, now, eject_at_once=result is outcome.Outcome.UNREACHABLE)
@@ -265,10 +245,12 @@
             usable = [item for item in ready if not self._health(item.host).is_ejected]
         if not usable:
             return self._rng.choice(ready) if ready else None
-        return self._choose_near_or_spill(self._split_near_far(usable), now)
+        return self._balancing.choose(self._split_by_distance(usable), now)
 
-    def _cached_split(self, candidates: Sequence[record.UpstreamRecord]) -> _Split:
-        """Returns the ready candidates of a service, split into near and far ones.
+    def _cached_split(
+        self, candidates: Sequence[record.UpstreamRecord]
+    ) -> strategy.Split[record.UpstreamRecord]:
+        """Returns the ready candidates of a service, split by distance.
 
         The split is cached, because the candidates of a service change rarely.
         """
@@ -276,51 +258,24 @@
         cached = self._splits.get(service)
         if cached is None or cached.candidates is not candidates:
             ready = [item for item in candidates if item.state is record.State.READY]
-            cached = attrs.evolve(self._split_near_far(ready), candidates=candidates)
+            cached = attrs.evolve(self._split_by_distance(ready), candidates=candidates)
             self._splits[service] = cached
         return cached
 
-    def _split_near_far(self, usable: Sequence[record.UpstreamRecord]) -> _Split:
-        near = self._find_near(usable)
-        return _Split(usable, near, [item for item in usable if item not in near])
-
-    def _choose_near_or_spill(self, usable: _Split, now: float) -> record.UpstreamRecord:
-        """Returns the upstream to call; all of `usable` may be called."""
-        best_near = self._less_loaded_of_two(usable.near, now) if usable.near else None
-        if best_near is not None and self._load_of(best_near, now) < FULL_LOAD:
-            return best_near
-        if not usable.far:
-            return best_near
-        best_far = self._less_loaded_of_two(usable.far, now)
-        if best_near is None:
-            return best_far
-        use_far = self._load_of(best_far, now) + SPILL_LOAD_MARGIN < self._load_of(best_near, now)
-        return best_far if use_far else best_near
-
-    def _find_near(self, usable: Sequence[record.UpstreamRecord]) -> list[record.UpstreamRecord]:
-        near = [item for item in usable if item.failure_domain == self._own_failure_domain]
-        for item in near:
-            if item.host == self._own_host:
-                return [item]
-        return near
-
-    def _less_loaded_of_two(
-        self, items: Sequence[record.UpstreamRecord], now: float
-    ) -> record.UpstreamRecord:
-        count = len(items)
-        first = self._rng.randrange(count)
-        if count == 1:
-            return items[0]
-        second = self._rng.randrange(count - 1)
-        if second == first:
-            second = count - 1
-        one, other = items[first], items[second]
-        return one if self._load_of(one, now) <= self._load_of(other, now) else other
-
-    def _load_of(self, item: record.UpstreamRecord, now: float) -> float:
-        health = self._health(item.host)
-        reported = health.reported_load if now - health.reported_at < REPORT_TTL_S else item.load
-        return reported + health.sent / max(1, item.slots)
+    def _split_by_distance(
+        self, usable: Sequence[record.UpstreamRecord]
+    ) -> strategy.Split[record.UpstreamRecord]:
+        own_host, own_domain, others = [], [], []
+        for item in usable:
+            if item.failure_domain != self._own_failure_domain:
+                others.append(item)
+            elif item.host == self._own_host:
+                own_host.append(item)
+            else:
+                own_domain.append(item)
+        near = own_host or own_domain
+        not_near = [item for item in usable if item not in near]
+        return strategy.Split(usable, own_host, own_domain, others, not_near)
 
     def _accepts_call(self, item: record.UpstreamRecord, now: float) -> bool:
         """Returns whether `item` may be chosen; random while its traffic ramps up."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -36,6 +36,17 @@
     graphlib.TopologicalSorter(graph).prepare()
 
 
+# Strategies that know records or outcomes can't be tested or replaced by themselves.
+def test_balancing_imports_no_other_package():
+    names = {
+        name
+        for path, tree in source.trees()
+        if path.parent.name == "balancing"
+        for name in imported_names(tree)
+    }
+    assert {name for name in names if not name.startswith("bergamotridge.balancing.")} == set()
+
+
 # A node loaded 505 modules before its first request, many of them for pages that nobody asked for.
 def test_a_node_starts_without_the_libraries_of_pages_and_commands():
     code = (
--- a/tests/test_nodes/test_choice.py
+++ b/tests/test_nodes/test_choice.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bergamotridge.balancing import least_loaded
 from bergamotridge.nodes import choice, load, record
 from bergamotridge.upstreams import outcome
 
@@ -69,7 +70,7 @@
         report_answer(chooser, host, gate_load=gate_load)
     assert chooser.choose_with_room(HOSTS, (), 0.5).host == "far-2"
     assert chooser.choose_with_room(HOSTS, ("far-1", "far-2"), 0.5) is None
-    assert chooser.choose_with_room(HOSTS, (), choice.REPORT_TTL_S) is None
+    assert chooser.choose_with_room(HOSTS, (), least_loaded.REPORT_TTL_S) is None
 
 
 def test_a_failing_upstream_is_ejected_then_probed_by_one_call_then_ramped_up():
