balancing: a strategy that draws by expected time and free capacity

Cause: nodes with the same reports chose the same least loaded upstream, so upstreams were overloaded in turns. Change: balancing.expected_wait draws at random in proportion to free slots by speed, in the own host, then the own failure domain, then elsewhere; a nearer one is left gradually as it becomes fuller or clearly slower. An upstream at full load is drawn only if no other has room.

--- /dev/null
+++ b/bergamotridge/balancing/expected_wait.py
@@ -0,0 +1,177 @@
+"""Strategy: random in proportion to free capacity, near upstreams first unless they are slower."""
+
+import itertools
+import random
+from collections.abc import Sequence
+from typing import Generic
+
+import attrs
+
+from bergamotridge.balancing import load_estimate, speed, strategy
+
+SAMPLE_SIZE = 8  # Upstreams of one distance that are compared for one call.
+RECENT_REPORT_S = 1.0
+MIN_ROOM_CALLS = 0.5  # An upstream with less room counts as full.
+# Calls leave the nearer upstreams from this load on, and make no difference between near and far
+# ones from `FULL_LOAD` on. A gradual change keeps nodes from moving at the same time. The load of a
+# single upstream varies more than that of a failure domain, so the own host is left later.
+OWN_HOST_SPILL_LOAD = 0.85
+OWN_DOMAIN_SPILL_LOAD = 0.5
+SPILL_LOAD_MARGIN = 0.15  # The effect of that is full if the load farther away is so much lower.
+# The same by expected time: nearer upstreams over farther ones. A relayed call costs processor
+# time on two hosts and, between failure domains, traffic.
+SPILL_START_RATIO = 1.5
+SPILL_FULL_RATIO = 2.25
+FULL_SPILL_RATIO = 1.25  # If all upstreams of both distances are full.
+# Of the calls that may go farther without need, so that the speed of upstreams there is known.
+EXPLORED_FRACTION = 0.02
+# Power by which a slowness that passes lowers the weight of an upstream. Its calls at work already
+# fill it for as long as it stays slow.
+PASSING_POWER = 3
+
+
+@attrs.frozen
+class _Group(Generic[strategy.Candidate]):
+    """Upstreams of one distance, or a sample of them.
+
+    Attributes:
+        items: The upstreams.
+        weights: Free capacity of each, 0 if it is full.
+        times: Expected time of a call at each, in multiples of the usual time of the service.
+        capacity: Free capacity of all upstreams of that distance.
+        load: Mean load of `items`.
+    """
+
+    items: Sequence[strategy.Candidate]
+    weights: Sequence[float]
+    times: Sequence[float]
+    capacity: float
+    load: float
+
+    @property
+    def expected_time(self) -> float:
+        """Mean expected time of a call that is drawn by weight; the least one if all are full."""
+        total = sum(self.weights)
+        if not total:
+            return min(self.times)
+        pairs = zip(self.weights, self.times, strict=True)
+        return sum(weight * time for weight, time in pairs) / total
+
+
+class ExpectedWait:
+    """Chooses by how long a call would take; implements `strategy.Strategy`.
+
+    An upstream is drawn in proportion to its free capacity: free slots by speed. Nodes with the
+    same reports then choose differently. The upstream on the own host is preferred to those in the
+    own failure domain, and these to all others, unless they are clearly slower or nearly full.
+    An upstream without room is chosen only if none of those compared has room.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        """Creates a strategy that has observed nothing; `rng` draws the upstreams."""
+        self._rng = rng
+        self._loads = load_estimate.LoadEstimator()
+        self._slowness = speed.Slowness()
+        self._services: dict[str, str] = {}
+
+    def choose(self, usable: strategy.Split[strategy.Candidate], now: float) -> strategy.Candidate:
+        """Returns the upstream to call; all of `usable`, at least one, may be called."""
+        chosen = self._compare(usable.own_host, now) if usable.own_host else None
+        if usable.own_domain:
+            in_domain = self._compare(usable.own_domain, now)
+            stays = chosen is not None and self._stays_near(chosen, in_domain, OWN_HOST_SPILL_LOAD)
+            if stays and chosen.capacity:
+                return chosen.items[0]
+            chosen = chosen if stays else in_domain
+        if usable.others:
+            others = self._compare(usable.others, now)
+            if chosen is None or not self._stays_near(chosen, others, OWN_DOMAIN_SPILL_LOAD):
+                chosen = others
+        if not chosen.capacity:
+            chosen = self._compare_all(usable.candidates, now) or chosen
+        return self._draw(chosen)
+
+    def load_of(self, item: strategy.Upstream, now: float) -> float:
+        """Returns the estimated load of an upstream."""
+        return self._loads.load_of(item, now)
+
+    def has_recent_report(self, host: str, now: float) -> bool:
+        """Returns whether a report of the host came in the last `RECENT_REPORT_S`."""
+        return self._loads.age_of(host, now) < RECENT_REPORT_S
+
+    def record_sent(self, item: strategy.Upstream, now: float) -> None:
+        """Records that a call is sent to an upstream."""
+        self._services[item.host] = item.service
+        self._loads.record_sent(item, now)
+
+    def record_answer(self, host: str, answered: strategy.Answered, now: float) -> None:
+        """Takes in the load report and the duration of a call."""
+        report = answered.report
+        self._loads.record_answer(host, report, answered.latency_s, now)
+        if answered.completed and report is not None:
+            service = self._services.get(host, "")
+            self._slowness.record(
+                host, service, answered.kind, answered.latency_s, report.load, now
+            )
+
+    def slowness_by_host(self, now: float) -> dict[str, float]:
+        """Returns the learned slowness of each upstream; may be called from any thread."""
+        return self._slowness.by_host(now)
+
+    def _compare(
+        self, items: Sequence[strategy.Candidate], now: float
+    ) -> _Group[strategy.Candidate]:
+        """Returns weights and expected times of `items`, or of a sample if they are many."""
+        count = len(items)
+        if count > SAMPLE_SIZE:
+            items = self._rng.sample(items, SAMPLE_SIZE)
+        weights, times, total_load = [], [], 0.0
+        for item in items:
+            load, limit = self._loads.load_of(item, now), self._loads.limit_of(item)
+            slowness = self._slowness.of(item.host, now)
+            passing = self._slowness.passing_of(item.host, now)
+            room = limit * (1.0 - load)
+            weights.append(
+                room / (slowness * passing**PASSING_POWER) if room >= MIN_ROOM_CALLS else 0.0
+            )
+            times.append(slowness * passing * max(1.0, load))
+            total_load += load
+        capacity = sum(weights) * count / len(items)
+        return _Group(items, weights, times, capacity, total_load / len(items))
+
+    def _compare_all(
+        self, items: Sequence[strategy.Candidate], now: float
+    ) -> _Group[strategy.Candidate] | None:
+        """Returns those of all upstreams that have room, or None if none has."""
+        free = [
+            item
+            for item in items
+            if self._loads.limit_of(item) * (1.0 - self._loads.load_of(item, now)) >= MIN_ROOM_CALLS
+        ]
+        return self._compare(free, now) if free else None
+
+    def _stays_near(self, near: _Group, far: _Group, spill_load: float) -> bool:
+        """Returns whether a call goes to the nearer of two groups; random close to the limit."""
+        if not near.capacity and not far.capacity:
+            return near.expected_time <= FULL_SPILL_RATIO * far.expected_time
+        by_load = (near.load - spill_load) / (strategy.FULL_LOAD - spill_load)
+        by_load *= min(1.0, max(0.0, (near.load - far.load) / SPILL_LOAD_MARGIN))
+        ratio = near.expected_time / far.expected_time
+        by_time = (ratio - SPILL_START_RATIO) / (SPILL_FULL_RATIO - SPILL_START_RATIO)
+        pressure = min(1.0, max(by_load, by_time, EXPLORED_FRACTION)) if near.capacity else 1.0
+        far_fraction = pressure * far.capacity / (near.capacity + far.capacity)
+        return self._rng.random() >= far_fraction
+
+    def _draw(self, group: _Group[strategy.Candidate]) -> strategy.Candidate:
+        """Returns an upstream by weight; if all are full, the faster one of two."""
+        if len(group.items) == 1:
+            return group.items[0]
+        if not any(group.weights):
+            positions = self._rng.sample(range(len(group.items)), 2)
+            return group.items[min(positions, key=group.times.__getitem__)]
+        cumulative = list(itertools.accumulate(group.weights))
+        drawn = self._rng.random() * cumulative[-1]
+        for item, bound in zip(group.items, cumulative, strict=True):
+            if drawn < bound:
+                return item
+        return group.items[group.weights.index(max(group.weights))]
--- a/bergamotridge/balancing/least_loaded.py
+++ b/bergamotridge/balancing/least_loaded.py
@@ -1,7 +1,7 @@
 """Strategy: the near upstream while it has room, else the less loaded of two random far ones."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -75,6 +75,10 @@
             known = self._host(host)
             known.reported_load, known.reported_at, known.sent = answered.report.load, now, 0
 
+    def slowness_by_host(self, now: float) -> Mapping[str, float]:
+        """Returns nothing, as this strategy learns no slowness."""
+        return {}
+
     def _host(self, host: str) -> _HostLoad:
         known = self._hosts.get(host)
         if known is None:
--- a/bergamotridge/balancing/strategy.py
+++ b/bergamotridge/balancing/strategy.py
@@ -1,6 +1,6 @@
 """What a strategy of load balancing is asked and told."""
 
-from collections.abc import Hashable, Sequence
+from collections.abc import Hashable, Mapping, Sequence
 from typing import Generic, Protocol, TypeVar
 
 import attrs
@@ -104,3 +104,6 @@
 
     def record_answer(self, host: str, answered: Answered, now: float) -> None:
         """Records how a call to the upstream on a host ended."""
+
+    def slowness_by_host(self, now: float) -> Mapping[str, float]:
+        """Returns the learned slowness of upstreams, 1.0 is usual; called from any thread."""
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -212,6 +212,19 @@
     )
 
 
+@attrs.frozen
+class Balancing:
+    """Choice among the usable upstreams of a service."""
+
+    method: str = _setting(
+        "least-loaded",
+        "how an upstream is chosen: by the load that it last reported, or by the time that the "
+        "call is expected to take there, at random in proportion to free capacity",
+        "least-loaded or expected-wait",
+        lambda value: value in ("least-loaded", "expected-wait"),
+    )
+
+
 @attrs.frozen
 class NodeSettings:
     """All settings of `bergamotridge node`."""
@@ -232,6 +245,7 @@
     limits: Limits = attrs.field(factory=Limits)
     retries: Retries = attrs.field(factory=Retries)
     quota: Quota = attrs.field(factory=Quota)
+    balancing: Balancing = attrs.field(factory=Balancing)
 
 
 def _check_value(source: str, key: str, field: attrs.Attribute, value: object) -> object:
--- /dev/null
+++ b/tests/test_balancing/test_expected_wait.py
@@ -0,0 +1,78 @@
+"""Choice by expected time: room first, own host and domain unless clearly slower."""
+
+import collections
+import random
+
+import attrs
+import pytest
+
+from bergamotridge import settings
+from bergamotridge.balancing import expected_wait, methods, strategy
+from tests.test_balancing import records
+
+OWN = records.make_upstream("own")
+DOMAIN = [records.make_upstream(f"domain-{number}") for number in range(3)]
+OTHERS = [records.make_upstream(f"other-{number}", "b") for number in range(20)]
+ALL = [OWN, *DOMAIN, *OTHERS]
+
+
+def count_choices(loads, latencies_s=None, calls=400):
+    """Returns the choices by host, after some seconds of answers with the same loads and times."""
+    chosen, now = expected_wait.ExpectedWait(random.Random(5)), 0.0
+    usable = strategy.Split(ALL, [OWN], DOMAIN, OTHERS, ALL[1:])
+
+    def answer_all():
+        for item in ALL:
+            chosen.record_sent(item, now - 0.1)
+            gate_load = loads.get(item.host, 0.3)
+            latency_s = (latencies_s or {}).get(item.host, 0.1) * max(1.0, gate_load)
+            chosen.record_answer(item.host, records.make_answer(gate_load, latency_s), now)
+
+    while now < 5.0:
+        now += 0.1
+        answer_all()
+    picked = collections.Counter()
+    for _ in range(calls):
+        answer_all()
+        picked[chosen.choose(usable, now).host] += 1
+    return picked
+
+
+def test_the_own_host_is_chosen_but_for_the_few_calls_that_learn_the_speed_of_others():
+    picked = count_choices({})
+    assert 0.95 * 400 < picked["own"] < 400
+
+
+# Relayed calls cost processor time and traffic, so a small difference is no reason for them.
+@pytest.mark.parametrize(("latency_s", "low", "high"), [(0.13, 360, 400), (0.3, 0, 140)])
+def test_the_own_host_is_left_only_if_it_is_clearly_slower(latency_s, low, high):
+    assert low <= count_choices({}, {"own": latency_s})["own"] <= high
+
+
+def test_calls_stay_in_the_own_failure_domain_while_it_has_room():
+    picked = count_choices({"own": 1.2})
+    assert sum(picked[item.host] for item in DOMAIN) > 0.95 * 400
+
+
+# With samples of eight, the one upstream that has room isn't compared each time.
+def test_an_upstream_at_full_load_is_never_drawn_while_another_has_room():
+    loads = {item.host: 1.0 + 0.1 * (number % 3) for number, item in enumerate(ALL)}
+    assert count_choices(loads | {"other-13": 0.5}) == {"other-13": 400}
+
+
+def test_if_all_are_full_the_own_host_is_kept_unless_its_queue_is_clearly_longer():
+    loads = {item.host: 1.2 for item in ALL}
+    assert count_choices(loads)["own"] == 400
+    assert count_choices(loads | {"own": 3.0})["own"] == 0
+
+
+def test_the_draw_is_in_proportion_to_free_slots_and_speed():
+    loads = {"own": 1.2, "domain-0": 0.0, "domain-1": 0.5}
+    picked = count_choices(loads, {"domain-2": 0.2}, calls=1200)
+    ratios = [picked["domain-0"] / picked[host] for host in ("domain-1", "domain-2")]
+    assert ratios == [pytest.approx(2.0, rel=0.3), pytest.approx(2.0 / 0.7, rel=0.3)]
+
+
+def test_the_setting_accepts_the_methods_that_exist():
+    for name in methods.METHODS:
+        assert attrs.fields(settings.Balancing).method.metadata["check"](name)
