balancing: connect the setting, metrics, and the adapter's contract

Cause: the strategy of the setting balancing.method was not used. Change: nodes.call_assembly creates the strategy that the setting names. nodes.dispatch tells it the kind of each call (class, repeatable, depth, unattributed, class of the status; contexts name no route). The adapter reads the key contracts and sets expected-wait if it holds pool.

--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bergamotridge import http_ports, shared_parts
+from bergamotridge.balancing import methods
 from bergamotridge.nodes import (
     budget,
     call_graph,
@@ -59,7 +60,7 @@
         upstream,
         relay_client,
         members,
-        choice.UpstreamChooser(node.host, node.failure_domain, node.region, shared.rng),
+        _create_chooser(shared),
         budget.RetryBudget(
             node.retries.ratio, node.retries.slack, node.retries.window_s, members.size
         ),
@@ -70,6 +71,20 @@
     return CallParts(graph, thresholds, relay_client, dispatcher)
 
 
+def _create_chooser(shared: shared_parts.SharedParts) -> choice.UpstreamChooser:
+    node = shared.node
+    balancing = methods.METHODS[node.balancing.method](shared.rng)
+    shared.metrics.watch_slowness(balancing.slowness_by_host)
+    return choice.UpstreamChooser(
+        node.host,
+        node.failure_domain,
+        node.region,
+        shared.rng,
+        balancing,
+        lambda distance: shared.metrics.count_choice(distance.value),
+    )
+
+
 def create_server(
     shared: shared_parts.SharedParts,
     calls: CallParts,
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -1,7 +1,8 @@
 """Load balancing: chooses the upstream that a call is sent to."""
 
+import enum
 import random
-from collections.abc import Collection, Hashable, Sequence
+from collections.abc import Callable, Collection, Hashable, Sequence
 
 import attrs
 
@@ -60,6 +61,14 @@
     return result is outcome.Outcome.TIMED_OUT and report is not None
 
 
+class Distance(enum.Enum):
+    """How far from this node a chosen upstream is."""
+
+    OWN_HOST = "own-host"
+    OWN_DOMAIN = "own-domain"
+    OTHER_DOMAIN = "other-domain"
+
+
 class UpstreamChooser:
     """Chooses among the upstreams of a service, for use on one event loop.
 
@@ -77,6 +86,7 @@
         own_region: str,
         rng: random.Random,
         balancing: strategy.Strategy | None = None,
+        on_chosen: Callable[[Distance], None] = lambda distance: None,
     ) -> None:
         """Creates a chooser without any observed failure.
 
@@ -86,8 +96,10 @@
             own_region: Region of this node.
             rng: Source of random numbers.
             balancing: Chooses among usable upstreams; `LeastLoaded` if None.
+            on_chosen: Called for each call that is to be sent.
         """
         self._balancing = balancing or least_loaded.LeastLoaded(rng)
+        self._on_chosen = on_chosen
         self._own_host = own_host
         self._own_failure_domain = own_failure_domain
         self._own_region = own_region
@@ -129,7 +141,7 @@
             if not split.near and not split.not_near:
                 return None
             chosen = self._balancing.choose(split, now)
-        self._balancing.record_sent(chosen, now)
+        self._record_chosen(chosen, now)
         return chosen
 
     def choose_with_room(
@@ -157,7 +169,7 @@
         chosen = min(known, key=lambda item: load_of(item, now), default=None)
         if chosen is None or load_of(chosen, now) >= strategy.FULL_LOAD:
             return None
-        self._balancing.record_sent(chosen, now)
+        self._record_chosen(chosen, now)
         return chosen
 
     def record_outcome(
@@ -195,6 +207,15 @@
                 if not health.is_ejected and now - health.returned_at >= RAMP_UP_S:
                     del self._unhealthy[host]
 
+    def _record_chosen(self, chosen: record.UpstreamRecord, now: float) -> None:
+        self._balancing.record_sent(chosen, now)
+        if chosen.host == self._own_host:
+            self._on_chosen(Distance.OWN_HOST)
+        elif chosen.failure_domain == self._own_failure_domain:
+            self._on_chosen(Distance.OWN_DOMAIN)
+        else:
+            self._on_chosen(Distance.OTHER_DOMAIN)
+
     def _health(self, host: str) -> _HostHealth:
         health = self._hosts.get(host)
         if health is None:
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -1,7 +1,7 @@
 """Sends a call to an upstream of its service, on this or another host, and retries it."""
 
 import time
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Hashable, Sequence
 from typing import Protocol
 
 import attrs
@@ -222,7 +222,14 @@
         ended_at = time.monotonic()
         if reply.reason:
             self._log_failed_attempt(target, outgoing, reply, ended_at - started_at)
-        self._record_attempt(target, outgoing.service, reply, ended_at - started_at, ended_at)
+        self._record_attempt(
+            target,
+            outgoing.service,
+            reply,
+            ended_at - started_at,
+            ended_at,
+            _kind_of(outgoing.context, reply.response.status),
+        )
         return reply
 
     def _notice_for(self, host: str, now: float) -> notice.UpstreamNotice | None:
@@ -269,6 +276,7 @@
         reply: answer.Answer,
         latency_s: float,
         now: float,
+        kind: Hashable = "",
     ) -> None:
         result = _OUTCOME_BY_REASON.get(reply.reason, outcome.Outcome.FAILED)
         if reply.reason == relay.NODE_FAILED:
@@ -277,7 +285,7 @@
             self._attempt_times.record(service, latency_s)
         if reply.reason == relay.NODE_FAILED and reply.verdict is verdict.Verdict.NOT_RUN:
             result = outcome.Outcome.UNREACHABLE
-        self._chooser.record_outcome(target.host, result, reply.report, latency_s, now)
+        self._chooser.record_outcome(target.host, result, reply.report, latency_s, now, kind)
         if reply.report is not None:
             threshold = None if reply.reason in _IDLE_GATE_REASONS else reply.report.threshold
             self._dependency_thresholds.record_answer(
@@ -285,6 +293,15 @@
             )
 
 
+def _kind_of(of: call.CallContext, status: int) -> Hashable:
+    """Returns the properties of a call by which calls that take different times are told apart.
+
+    A context does not name its route, but those of one route have all of these in common. The class
+    of the status is one of them, so that an upstream that fails at once does not count as quick.
+    """
+    return (of.importance, of.repeatable, of.depth, of.unattributed, status // 100)
+
+
 def _was_unsent(last: answer.Answer) -> bool:
     """Returns whether an attempt certainly reached no upstream."""
     return last.verdict is verdict.Verdict.NOT_RUN and last.reason in _UNSENT_REASONS
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -4,7 +4,7 @@
 import os
 import resource
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -103,6 +103,13 @@
             "response), no-room (it took its response most slowly, and there was no room for all), "
             "or unanswered (the node ended it though a request had been read from it).",
         )
+        self._choices = registry.counter(
+            f"{METRIC_PREFIX}upstream_choices_total",
+            "Calls for which an upstream was chosen, by its distance: own-host, own-domain (another"
+            " host of the failure domain) or other-domain.",
+        )
+        self._choice_cells: dict[str, metrics.CounterCell] = {}
+        self._read_slowness: Callable[[float], Mapping[str, float]] = lambda now: {}
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._ports: dict[str, connection_table.ConnectionTable] = {}
@@ -175,6 +182,21 @@
         """Counts an entry that was skipped; see `malformed.MalformedEntry`."""
         self._malformed_entries.add(source=source)
 
+    def count_choice(self, distance: str) -> None:
+        """Counts a call for which an upstream at a distance was chosen; see `choice.Distance`."""
+        cell = self._choice_cells.get(distance)
+        if cell is None:
+            cell = self._choice_cells[distance] = self._choices.labelled(distance=distance)
+        cell.add()
+
+    def watch_slowness(self, read_by_host: Callable[[float], Mapping[str, float]]) -> None:
+        """Reports the learned slowness of upstreams from now on.
+
+        Args:
+            read_by_host: Takes the monotonic time, and returns the slowness by host.
+        """
+        self._read_slowness = read_by_host
+
     def count_held_upstream(self) -> None:
         """Counts a start of the upstream whose reports are held back."""
         self._held_upstreams.add()
@@ -272,6 +294,12 @@
             "Known hosts, by state.",
             self._member_samples,
         )
+        registry.gauges(
+            f"{METRIC_PREFIX}upstream_slowness",
+            "Time of calls at an upstream over what is usual in its service, as learned by this "
+            "node, by host; only with the method expected-wait.",
+            self._slowness_samples,
+        )
         registry.gauges(
             f"{METRIC_PREFIX}team_tokens",
             "Tokens in a team's bucket: calls of the team that this node may admit at once.",
@@ -314,6 +342,12 @@
         states = collections.Counter(member.state for member in self._read_status().members)
         return [metrics.Sample(count, {"state": state}) for state, count in states.items()]
 
+    def _slowness_samples(self) -> Iterable[metrics.Sample]:
+        return [
+            metrics.Sample(round(value, 3), {"host": host})
+            for host, value in self._read_slowness(time.monotonic()).items()
+        ]
+
     def _token_samples(self) -> Iterable[metrics.Sample]:
         return [
             metrics.Sample(team.tokens, {"team": team.team}) for team in self._read_status().teams
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -233,6 +233,24 @@
     assert len(outcomes) == 1 and outcomes[0] not in choice.FAILURE_OUTCOMES
 
 
+# An upstream that fails at once would count as the quickest one of its service.
+def test_calls_with_errors_and_calls_with_other_work_are_of_other_kinds(monkeypatch):
+    kinds = []
+    for status, repeatable in ((200, True), (204, True), (500, True), (200, False)):
+        fleet = FakeFleet(RUN)
+        monkeypatch.setattr(fleet, "record_outcome", lambda *given: kinds.append(given[-1]))
+        dispatcher, sent = make_dispatcher(fleet), fleet.send
+
+        async def answer_with(*arguments, status=status, sent=sent):
+            reply = await sent(*arguments)
+            reply.response.status = status
+            return reply
+
+        monkeypatch.setattr(fleet, "send", answer_with)
+        send(fleet, repeatable=repeatable, dispatcher=dispatcher)
+    assert kinds[0] == kinds[1] and len(set(kinds)) == 3
+
+
 # Nothing but calls may tell that a node was killed, as no link may have it as its peer.
 @pytest.mark.parametrize("reason", [relay.NODE_FAILED, "shed"])
 def test_a_node_that_a_call_did_not_reach_is_told_of(reason):
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -39,6 +39,20 @@
         _make_settings(LINES.replace("zone=a\n", ""))
 
 
+# A deployment without the contract keeps the way of choosing upstreams that it had.
+@pytest.mark.parametrize(
+    ("contracts", "method"),
+    [
+        ("", "least-loaded"),
+        ("contracts=pool", "expected-wait"),
+        ("contracts=other, pool", "expected-wait"),
+        ("contracts=pools,other", "least-loaded"),
+    ],
+)
+def test_only_the_contract_pool_sets_the_choice_by_expected_wait(contracts, method):
+    assert _make_settings(f"{LINES}{contracts}\n").balancing.method == method
+
+
 # With a grace of 10 s, requests of up to 5 s were passed on 5 s after SIGTERM and cut off at 9 s.
 @pytest.mark.parametrize("grace_s", [2, 6, 10, 30])
 def test_a_stop_takes_any_request_only_until_load_balancers_have_taken_the_node_out(grace_s):
