choice: build the list of the farther upstreams without comparing records

Cause: while any upstream is unhealthy, the split by distance is made for each call, and the list of upstreams that are not near compared each record with each near one, field by field. Change: the list is made from the own host's record or is that of the other failure domains.

--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -294,8 +294,7 @@
                 own_host.append(item)
             else:
                 own_domain.append(item)
-        near = own_host or own_domain
-        not_near = [item for item in usable if item not in near]
+        not_near = [item for item in usable if item is not own_host[0]] if own_host else others
         return strategy.Split(usable, own_host, own_domain, others, not_near)
 
     def _accepts_call(self, item: record.UpstreamRecord, now: float) -> bool:
