bench: expected-wait in the policy model and in the list of benchmarks

Cause: the new choice was compared on one service only. Change: bench.policy has a policy expected-wait and tells choosers the kind of a call; bench.run has even_load.

--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -1,6 +1,6 @@
 """Compares the ways of choosing an upstream: many nodes that choose at once, in virtual time.
 
-    python -m bench.even_load
+    python -m bench.run even_load
 
 Each upstream has a FIFO queue in front of its slots. A node learns from its own answers only.
 """
@@ -252,8 +252,9 @@
 }
 
 
-def main() -> None:
-    """Prints a table of all cases and ways."""
+def main(arguments: list[str]) -> int:
+    """Prints a table of all cases and ways; takes no arguments."""
+    del arguments
     print(
         "| case | method | spread | p50 ms | p99 ms | own domain | own host | report age s | slow "
         "| after |"
@@ -268,7 +269,4 @@
                 f"{got.ages_s[0]:.1f}-{got.ages_s[1]:.1f} | {got.while_slow:.2f} | "
                 f"{got.afterwards:.2f} |"
             )
-
-
-if __name__ == "__main__":
-    main()
+    return 0
--- a/bench/policy/baseline.py
+++ b/bench/policy/baseline.py
@@ -1,7 +1,7 @@
 """The baseline policy: fixed limits, FIFO queues, round robin and plain retries at each hop."""
 
 import collections
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Hashable, Sequence
 
 from bergamotridge import call
 from bergamotridge.nodes import load, record
@@ -78,5 +78,6 @@
         report: load.LoadReport | None,
         latency_s: float,
         now: float,
+        kind: Hashable = "",
     ) -> None:
         """Ignores the result of an attempt."""
--- a/bench/policy/run.py
+++ b/bench/policy/run.py
@@ -22,6 +22,7 @@
         world.Policy("no-thresholds", thresholds=False),
         world.Policy("no-fairness", fairness=False),
         world.Policy("no-budgets", budgets=False),
+        world.Policy("expected-wait", balancing="expected-wait"),
     )
 }
 
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -7,6 +7,7 @@
 
 from bench.policy import baseline, deployment, loop, upstream
 from bergamotridge import call, errors
+from bergamotridge.balancing import methods
 from bergamotridge.callers import shedding
 from bergamotridge.nodes import budget, choice, load, record
 from bergamotridge.operators import operator_text
@@ -28,6 +29,7 @@
         thresholds: True if the first node sheds by the thresholds of the services on the path.
         fairness: True if each team gets its fair share, False if all count as one team.
         budgets: True if retries are limited to a ratio of the first attempts.
+        balancing: Name of the strategy by which nodes choose upstreams.
     """
 
     name: str
@@ -35,6 +37,7 @@
     thresholds: bool = True
     fairness: bool = True
     budgets: bool = True
+    balancing: str = "least-loaded"
 
 
 OURS = Policy("ours")
@@ -109,7 +112,9 @@
             self.admission = admission.Admission(
                 described.slots, QUEUE_LIMIT, described.connections
             )
-            self.chooser = choice.UpstreamChooser(self.host, str(domain), "region", rng)
+            self.chooser = choice.UpstreamChooser(
+                self.host, str(domain), "region", rng, methods.METHODS[policy.balancing](rng)
+            )
             self.announce(record.State.READY, 0.0)
 
     def announce(self, state: record.State, now: float) -> None:
@@ -267,7 +272,12 @@
         """Records the result of an attempt and retries if that is allowed."""
         now = self._world.loop.now
         self._origin.chooser.record_outcome(
-            target.host, result, self._receive_report(target), now - sent_at, now
+            target.host,
+            result,
+            self._receive_report(target),
+            now - sent_at,
+            now,
+            self._request.path[self._index :],
         )
         if good or not self._may_retry(result, not_run):
             self._send_result(good, repeatable=not_run)
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,6 +8,7 @@
     "latency": "bench.latency",
     "call_cost": "bench.call_cost",
     "policy": "bench.policy.run",
+    "even_load": "bench.even_load",
     "quota": "bench.quota",
     "membership": "bench.membership",
     "once": "bench.once",
