Merge choice of upstreams by expected wait

balancing.method = "expected-wait" spreads calls by speed and free capacity, and counts own calls until a report that can include them. The kind of a call by which times are compared now names its route, where that is known.

--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bergamotridge import http_ports, shared_parts
+from bergamotridge.balancing import methods
 from bergamotridge.nodes import (
     budget,
     call_attribution,
@@ -75,7 +76,7 @@
         upstream,
         relay_client,
         control.directory,
-        choice.UpstreamChooser(node.host, node.failure_domain, node.region, shared.rng),
+        _create_chooser(shared),
         budget.RetryBudget(
             node.retries.ratio,
             node.retries.slack,
@@ -90,6 +91,20 @@
     return CallParts(graph, by_route, thresholds, relay_client, dispatcher)
 
 
+def _create_chooser(shared: shared_parts.SharedParts) -> choice.UpstreamChooser:
+    node = shared.node
+    balancing = methods.METHODS[node.balancing.method](shared.rng)
+    shared.metrics.watch_slowness(balancing.slowness_by_host)
+    return choice.UpstreamChooser(
+        node.host,
+        node.failure_domain,
+        node.region,
+        shared.rng,
+        balancing,
+        lambda distance: shared.metrics.count_choice(distance.value),
+    )
+
+
 def create_server(
     shared: shared_parts.SharedParts,
     calls: CallParts,
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -1,7 +1,7 @@
 """Sends a call to an upstream of its service, on this or another host, and retries it."""
 
 import time
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Hashable, Sequence
 from typing import Protocol
 
 import attrs
@@ -239,7 +239,13 @@
         if reply.reason:
             self._log_failed_attempt(target, outgoing, reply, ended_at - started_at)
         self._record_attempt(
-            target, outgoing.service, reply, ended_at - started_at, ended_at, outgoing.route
+            target,
+            outgoing.service,
+            reply,
+            ended_at - started_at,
+            ended_at,
+            outgoing.route,
+            _kind_of(outgoing, reply.response.status),
         )
         return reply
 
@@ -288,6 +294,7 @@
         latency_s: float,
         now: float,
         route: str = "",
+        kind: Hashable = "",
     ) -> None:
         result = _OUTCOME_BY_REASON.get(reply.reason, outcome.Outcome.FAILED)
         if reply.reason == relay.NODE_FAILED:
@@ -296,7 +303,7 @@
             self._attempt_times.record(service, latency_s)
         if reply.reason == relay.NODE_FAILED and reply.verdict is verdict.Verdict.NOT_RUN:
             result = outcome.Outcome.UNREACHABLE
-        self._chooser.record_outcome(target.host, result, reply.report, latency_s, now)
+        self._chooser.record_outcome(target.host, result, reply.report, latency_s, now, kind)
         if reply.report is not None:
             threshold = None if reply.reason in _IDLE_GATE_REASONS else reply.report.threshold
             self._dependency_thresholds.record_answer(
@@ -304,6 +311,23 @@
             )
 
 
+def _kind_of(outgoing: OutgoingCall, status: int) -> Hashable:
+    """Returns the properties of a call by which calls that take different times are told apart.
+
+    Where the route is not known, calls of one route have the others in common. The class of the
+    status is one of them, so that an upstream that fails at once does not count as quick.
+    """
+    of = outgoing.context
+    return (
+        outgoing.route,
+        of.importance,
+        of.repeatable,
+        of.depth,
+        of.unattributed,
+        status // 100,
+    )
+
+
 def _was_unsent(last: answer.Answer) -> bool:
     """Returns whether an attempt certainly reached no upstream."""
     return last.verdict is verdict.Verdict.NOT_RUN and last.reason in _UNSENT_REASONS
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -244,6 +244,22 @@
     )
 
 
+LEAST_LOADED, EXPECTED_WAIT = "least-loaded", "expected-wait"
+
+
+@attrs.frozen
+class Balancing:
+    """Choice among the usable upstreams of a service."""
+
+    method: str = _setting(
+        LEAST_LOADED,
+        "how an upstream is chosen: by the load that it last reported, or by the time that the "
+        "call is expected to take there, at random in proportion to free capacity",
+        "least-loaded or expected-wait",
+        lambda value: value in (LEAST_LOADED, EXPECTED_WAIT),
+    )
+
+
 @attrs.frozen
 class NodeSettings:
     """All settings of `bergamotridge node`."""
@@ -265,6 +281,7 @@
     retries: Retries = attrs.field(factory=Retries)
     quota: Quota = attrs.field(factory=Quota)
     shedding: Shedding = attrs.field(factory=Shedding)
+    balancing: Balancing = attrs.field(factory=Balancing)
 
 
 def _check_value(source: str, key: str, field: attrs.Attribute, value: object) -> object:
