operators: the gauges of the status in a module of their own

It still declares all metrics; name, help and value of those that show the status are data in status_gauges.

--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -1,20 +1,21 @@
 """The metrics of a node; all of them are declared here."""
 
-import collections
 import os
 import resource
 import time
 from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import TypeVar
 
 import attrs
 
 from bergamotridge import events, metrics, verdict
-from bergamotridge.operators import event_kinds, status
+from bergamotridge.operators import event_kinds, status, status_gauges
 from bergamotridge.util import connection_table, held_bytes
 
 METRIC_PREFIX = "bergamotridge_"
 _STATM_PATH = "/proc/self/statm"
 _NO_REASON = "none"
+_Value = TypeVar("_Value")
 
 
 def _read_cpu_s() -> float:
@@ -244,73 +245,26 @@
         )
         return _AnswerCells(answers, self._latency.labelled(importance=importance))
 
+    def _register_status_gauges(self, registry: metrics.Metrics) -> None:
+        def reader(read: Callable[[status.Status], _Value]) -> Callable[[], _Value]:
+            return lambda: read(self._read_status())
+
+        for scalar in status_gauges.SCALARS:
+            registry.gauge(METRIC_PREFIX + scalar.name, scalar.help_text, reader(scalar.read))
+        for labelled in status_gauges.LABELLED:
+            registry.gauges(
+                METRIC_PREFIX + labelled.name, labelled.help_text, reader(labelled.read)
+            )
+
     def _register_gauges(self, registry: metrics.Metrics) -> None:
-        read_status = self._read_status
+        self._register_status_gauges(registry)
         scalar_gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
-            (
-                "calls_running",
-                "Calls that run at the local upstream.",
-                lambda: read_status().load.running,
-            ),
-            (
-                "calls_waiting",
-                "Calls queued for the local upstream.",
-                lambda: read_status().load.waiting,
-            ),
-            (
-                "calls_limit",
-                "Maximum number of concurrent calls at the local upstream.",
-                lambda: read_status().load.limit,
-            ),
-            (
-                "upstream_rate_limit",
-                "Calls per second that the local upstream says it takes, -1 if it names no limit.",
-                lambda: read_status().load.rate_limit,
-            ),
-            (
-                "unattributed_share",
-                "Share of the calls that name no request which the local upstream's gate admits; "
-                "below 1, first nodes refuse requests that need such calls.",
-                lambda: read_status().load.unattributed_share,
-            ),
-            (
-                "upstream_rejected_fraction",
-                "Fraction of calls that the local upstream rejected without running them; 0 unless "
-                "shedding.scarce is set.",
-                lambda: read_status().load.rejected_fraction,
-            ),
             (
                 "upstream_cold_rate",
                 "Calls per second to which the local upstream is held as it is cold, 0 if it isn't "
                 "held.",
                 lambda: self._read_cold_rate(),
             ),
-            (
-                "configuration_version",
-                "Version of the operator's text in force, 0 before the first.",
-                lambda: read_status().configuration_version,
-            ),
-            (
-                "configuration_epoch",
-                "Epoch of the platform's store in which the node read that version.",
-                lambda: read_status().configuration_epoch,
-            ),
-            (
-                "store_epoch",
-                "Highest epoch of the platform's store that the node knows; it rises when the store"
-                " is restored from an earlier copy.",
-                lambda: read_status().store_epoch,
-            ),
-            (
-                "withdrawn_keys",
-                "Withdrawn keys that the node knows of.",
-                lambda: read_status().withdrawn_keys,
-            ),
-            (
-                "uptime_seconds",
-                "Time since the start of the node.",
-                lambda: read_status().uptime_s,
-            ),
             (
                 "oldest_call_seconds",
                 "Time for which the oldest call of a caller has had no answer, 0 without calls.",
@@ -321,28 +275,6 @@
         )
         for name, help_text, value in scalar_gauges:
             registry.gauge(METRIC_PREFIX + name, help_text, value)
-        registry.gauges(
-            f"{METRIC_PREFIX}replica_age_seconds",
-            "Time since a replica of the platform's objects was known to be current, by kind.",
-            self._replica_age_samples,
-        )
-        registry.gauges(
-            f"{METRIC_PREFIX}calls_waiting_by_kind",
-            "Calls queued for the local upstream, by kind: unattributed calls name no request; all "
-            "others are direct. All count as direct unless shedding.scarce is set.",
-            self._waiting_samples,
-        )
-        registry.gauges(
-            f"{METRIC_PREFIX}route_needs",
-            "Routes that the node sends calls on, by whether it is known what they need; none if "
-            "shedding.dependencies is service.",
-            self._route_needs_samples,
-        )
-        registry.gauges(
-            f"{METRIC_PREFIX}members",
-            "Known hosts, by state.",
-            self._member_samples,
-        )
         registry.gauges(
             f"{METRIC_PREFIX}evacuated_failure_domains",
             "Evacuated failure domains that the node knows of: 1 for each, by name.",
@@ -354,16 +286,6 @@
             "node, by host; only with the method expected-wait.",
             self._slowness_samples,
         )
-        registry.gauges(
-            f"{METRIC_PREFIX}team_tokens",
-            "Tokens in a team's bucket: calls of the team that this node may admit at once.",
-            self._token_samples,
-        )
-        registry.gauges(
-            f"{METRIC_PREFIX}team_held_rate",
-            "Part of a team's rate that this node holds, in calls per second.",
-            self._held_rate_samples,
-        )
         registry.gauges(
             f"{METRIC_PREFIX}connections",
             "Open connections, by port and state: busy with a request or a part of one, or idle.",
@@ -386,48 +308,12 @@
             self._connection_limit_samples,
         )
 
-    def _replica_age_samples(self) -> Iterable[metrics.Sample]:
-        return [
-            metrics.Sample(age_s, {"kind": kind})
-            for kind, age_s in self._read_status().replica_ages.items()
-        ]
-
-    def _waiting_samples(self) -> Iterable[metrics.Sample]:
-        current = self._read_status().load
-        unattributed = current.unattributed_waiting
-        return [
-            metrics.Sample(current.waiting - unattributed, {"kind": "direct"}),
-            metrics.Sample(unattributed, {"kind": "unattributed"}),
-        ]
-
-    def _route_needs_samples(self) -> Iterable[metrics.Sample]:
-        counts = collections.Counter(item.known for item in self._read_status().route_needs)
-        return [
-            metrics.Sample(count, {"known": "yes" if known else "no"})
-            for known, count in counts.items()
-        ]
-
-    def _member_samples(self) -> Iterable[metrics.Sample]:
-        states = collections.Counter(member.state for member in self._read_status().members)
-        return [metrics.Sample(count, {"state": state}) for state, count in states.items()]
-
     def _slowness_samples(self) -> Iterable[metrics.Sample]:
         return [
             metrics.Sample(round(value, 3), {"host": host})
             for host, value in self._read_slowness(time.monotonic()).items()
         ]
 
-    def _token_samples(self) -> Iterable[metrics.Sample]:
-        return [
-            metrics.Sample(team.tokens, {"team": team.team}) for team in self._read_status().teams
-        ]
-
-    def _held_rate_samples(self) -> Iterable[metrics.Sample]:
-        return [
-            metrics.Sample(team.held_rate, {"team": team.team})
-            for team in self._read_status().teams
-        ]
-
     def _connection_samples(self) -> Iterable[metrics.Sample]:
         return [
             metrics.Sample(count, {"port": port, "state": state})
