callers: refused trees return by the share that is admitted

All callers that a first node refused at a share of 0.9 were told to return after 1.85 to 2.0 s, as the jitter came from the hash that decides who is refused: together, and later than the target of 1.5 s of most of them. With shedding.scarce they are told 0.25 s plus up to 1.75 s times the refused part, by an independent hash. The new cases of test_tree_shedding fail with the usual time (a spread of 0.15 s where up to 2 s are refused at random isn't reached, and returns up to 2.0 s).

--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -138,7 +138,9 @@
             team_rates=team_rates,
             thresholds=tables.thresholds,
             tree_shedding=tree_shedding.TreeShedding(
-                tables.thresholds, calls.dependencies.dependencies_of
+                tables.thresholds,
+                calls.dependencies.dependencies_of,
+                returns_by_share=shared.node.shedding.scarce,
             ),
             call_graph=calls.graph,
             at_most_once=once,
--- a/bergamotridge/callers/tree_shedding.py
+++ b/bergamotridge/callers/tree_shedding.py
@@ -5,7 +5,7 @@
 
 from bergamotridge import call
 from bergamotridge.nodes import load
-from bergamotridge.upstreams import admission
+from bergamotridge.upstreams import admission, refusal
 from bergamotridge.util import decay
 
 RATE_WINDOW_S = 1.0
@@ -29,7 +29,11 @@
     """
 
     def __init__(
-        self, shares: UnattributedShares, dependencies_of: Callable[[str, str], frozenset[str]]
+        self,
+        shares: UnattributedShares,
+        dependencies_of: Callable[[str, str], frozenset[str]],
+        *,
+        returns_by_share: bool = False,
     ) -> None:
         """Creates the shedder without any measured rate.
 
@@ -37,8 +41,11 @@
             shares: Source of the shares that dependencies admit.
             dependencies_of: Returns all direct and indirect dependencies of the calls to a service
                 on a route.
+            returns_by_share: True to tell callers to return the sooner, the more requests are
+                admitted.
         """
         self._shares = shares
+        self._returns_by_share = returns_by_share
         self._dependencies_of = dependencies_of
         # Rate of requests by dependency and class.
         self._rates: dict[str, dict[call.Importance, decay.DecayingRate]] = {}
@@ -68,16 +75,22 @@
             share = self._shares.unattributed_share(dependency, now)
             if share >= 1.0:
                 continue
-            if load.request_position(request_id) >= self._class_share(
-                dependency, importance, share, now
-            ):
+            class_share = self._class_share(dependency, importance, share, now)
+            if load.request_position(request_id) >= class_share:
                 raise admission.build_refusal(
                     "shed",
                     f"service '{dependency}', a dependency of '{service}', is overloaded; "
                     "retry later",
                     request_id,
+                    self._return_s(request_id, class_share),
                 )
 
+    def _return_s(self, request_id: str, class_share: float) -> float | None:
+        """Returns the seconds after which a refused caller may return, None for the usual time."""
+        if not self._returns_by_share:
+            return None
+        return refusal.compute_return_s(request_id, class_share)
+
     def _class_rate(
         self, service: str, importance: call.Importance, now: float
     ) -> decay.DecayingRate:
--- a/bergamotridge/upstreams/refusal.py
+++ b/bergamotridge/upstreams/refusal.py
@@ -1,10 +1,33 @@
 """Errors for calls that are refused before they run."""
 
+import xxhash
+
 from bergamotridge import errors
 from bergamotridge.nodes import load
 
 MIN_RETRY_AFTER_S = 0.5
 RETRY_AFTER_JITTER_S = 1.5
+# Of a caller that is told to return by the share of requests that are admitted.
+MIN_RETURN_S = 0.25
+MAX_RETURN_S = 2.0
+# The position of a request decides whether it is refused, so that those of refused requests are
+# alike. Another seed of the hash gives a position that is independent of it.
+_RETURN_SEED = 1
+
+
+def compute_return_s(request_id: str, share: float) -> float:
+    """Returns the seconds after which the caller of a refused request may return.
+
+    A caller that is likely to be admitted next time returns soon enough to meet its target latency.
+    The fewer are admitted, the longer the time over which returns are spread.
+
+    Args:
+        request_id: Id of the refused request.
+        share: Share of requests that are admitted, 0.0 to 1.0.
+    """
+    position = xxhash.xxh32_intdigest(request_id.encode(), seed=_RETURN_SEED) / 2**32
+    refused = 1.0 - min(1.0, max(0.0, share))
+    return MIN_RETURN_S + (MAX_RETURN_S - MIN_RETURN_S) * refused * position
 
 
 def build_refusal(
--- a/tests/test_callers/test_tree_shedding.py
+++ b/tests/test_callers/test_tree_shedding.py
@@ -8,6 +8,7 @@
 
 from bergamotridge import call, errors
 from bergamotridge.callers import tree_shedding
+from bergamotridge.upstreams import refusal
 
 PAYMENT, LOOKUP = call.Importance.CRITICAL, call.Importance.SHEDDABLE
 LOOKUPS_PER_PAYMENT = 3
@@ -73,3 +74,21 @@
 
 def test_an_overloaded_service_that_is_not_a_dependency_sheds_nothing():
     assert admitted_shares(Shares(other=0.02)) == (1.0, 1.0)
+
+
+# All refused callers were told to return after nearly the same time, too late for their targets.
+@pytest.mark.parametrize("share", [0.9, 0.5, 0.02])
+def test_refused_callers_return_soon_if_most_are_admitted_and_never_together(share):
+    shedder = tree_shedding.TreeShedding(
+        Shares(deep=share), lambda service, route: frozenset(("deep",)), returns_by_share=True
+    )
+    returns = []
+    for number in range(2000):
+        try:
+            shedder.check(f"r{number}", call.Importance.STANDARD, "top", number / 1000)
+        except errors.CallError as error:
+            returns.append(error.retry_after_s)
+    spread = (refusal.MAX_RETURN_S - refusal.MIN_RETURN_S) * (1.0 - share)
+    assert min(returns) >= refusal.MIN_RETURN_S
+    assert max(returns) <= refusal.MIN_RETURN_S + spread + 1e-9
+    assert max(returns) - min(returns) > 0.9 * spread
