upstreams: keep trees while an upstream rejects half of its calls

Since shedding.scarce, first nodes refused nearly all trees while an upstream rejected half of its calls, on the assumption that such trees can't complete. The share now falls only above six tenths of rejected calls, where a tree of four calls hardly ever completes.

--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -20,10 +20,12 @@
 MAX_LISTED_SHARES = 32
 MAX_STEP_S = 0.2  # Longest time that one adjustment of the unattributed share accounts for.
 UNATTRIBUTED_GAIN = 1.0  # Change of the share per second if as many slots as the limit are free.
-# Change of the share per second if all calls are rejected. Against an idle upstream, whose free
-# slots raise the share, it lowers it where more than a fifth of the calls are rejected: of trees
-# with four calls, more than half then fail.
-REJECTION_GAIN = 5.0
+# Fraction of rejected calls above which the share falls. Where half of the calls are rejected, a
+# part of the trees with four calls still completes by retries and costs the upstream nothing.
+TOLERATED_REJECTIONS = 0.6
+# Change of the share per second by what is above, in place of a rise by the slots that are free
+# because of the rejections.
+REJECTION_GAIN = 15.0
 # With `scarce`, the gain is in proportion to the share, as a step of a low share changes the load
 # by more; but not below a least gain, and in full while the upstream is mostly idle. Of 60 slots at
 # twice the demand, with shares that took effect after 0.4 s, 0.74 were used with the full gain and
@@ -56,8 +58,8 @@
     With `scarce`, direct and unattributed calls divide the slots by max-min fairness first, by
     demand and `call_kinds.WEIGHTS`; classes and teams divide the part of the direct calls. Calls
     of one kind that wait do not lower the share of the other. The share of unattributed calls
-    also falls while the upstream rejects calls, whatever its load, as a request of several calls
-    rarely completes then.
+    also falls while the upstream rejects most calls, whatever its load, as a request of several
+    calls rarely completes then.
 
     Args:
         scarce: True to divide the slots between the kinds of calls.
@@ -268,7 +270,9 @@
             if self._scarce:
                 if spare_ratio <= IDLE_RATIO:
                     change_per_s *= max(self._unattributed_share, MIN_GAIN_FACTOR)
-                change_per_s -= REJECTION_GAIN * self._rejections.fraction
+                excess = self._rejections.fraction - TOLERATED_REJECTIONS
+                if excess > 0.0:
+                    change_per_s = min(0.0, change_per_s) - REJECTION_GAIN * excess
             share = self._unattributed_share + change_per_s * step_s
             self._unattributed_share = min(1.0, max(RECOVERY_START_FRACTION, share))
 
