balancing: state unit and role of each constant, compute free slots once

Several comments were fragments ("By which newer reports weigh more", "Of the quick average") that had to be read together with the code that uses the constant, two constants had no comment, and the literals 0.5 and 1e-4 in speed.py had no name. The rule for a full upstream stood in two methods. Comments now name the quantity and its reason, the literals are constants, and _free_slots holds the rule. _compare_all is now _compare_free, as it returns only upstreams with room. No behaviour changes.

--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -10,23 +10,26 @@
 from bergamotridge.balancing import load_estimate, speed, strategy
 
 SAMPLE_SIZE = 8  # Upstreams of one distance that are compared for one call.
-RECENT_REPORT_S = 1.0
+RECENT_REPORT_S = 1.0  # Age up to which a report shows whether an upstream has room.
 MIN_ROOM_CALLS = 0.5  # An upstream with less room counts as full.
 # Calls leave the nearer upstreams from this load on, and make no difference between near and far
 # ones from `FULL_LOAD` on. A gradual change keeps nodes from moving at the same time. The load of a
 # single upstream varies more than that of a failure domain, so the own host is left later.
 OWN_HOST_SPILL_LOAD = 0.85
 OWN_DOMAIN_SPILL_LOAD = 0.5
-SPILL_LOAD_MARGIN = 0.15  # The effect of that is full if the load farther away is so much lower.
-# The same by expected time: nearer upstreams over farther ones. A relayed call costs processor
-# time on two hosts and, between failure domains, traffic.
+# The load has its full effect if it is lower by this much farther away, and less effect below that.
+SPILL_LOAD_MARGIN = 0.15
+# Expected time at the nearer upstreams divided by that at the farther ones: from the first ratio on
+# calls leave the nearer upstreams, and from the second on the distance makes no difference. The
+# ratios are above 1, as a relayed call costs processor time on two hosts and, between failure
+# domains, traffic.
 SPILL_START_RATIO = 1.5
 SPILL_FULL_RATIO = 2.25
-FULL_SPILL_RATIO = 1.25  # If all upstreams of both distances are full.
-# Of the calls that may go farther without need, so that the speed of upstreams there is known.
+ALL_FULL_SPILL_RATIO = 1.25  # Above this ratio all calls leave if both distances are full.
+# Part of the calls that goes farther without need, so that the speed of upstreams there is known.
 EXPLORED_FRACTION = 0.02
-# Power by which a slowness that passes lowers the weight of an upstream. Its calls at work already
-# fill it for as long as it stays slow.
+# Exponent of a passing slowness in the weight of an upstream. Calls that were sent there before the
+# slowness was noticed keep it busy for longer than their number shows.
 PASSING_POWER = 3
 
 
@@ -36,9 +39,9 @@
 
     Attributes:
         items: The upstreams.
-        weights: Free capacity of each, 0 if it is full.
+        weights: Free capacity of each (free slots divided by slowness), 0 if it is full.
         times: Expected time of a call at each, in multiples of the usual time of the service.
-        capacity: Free capacity of all upstreams of that distance.
+        capacity: Free capacity of all upstreams of that distance, extrapolated from a sample.
         load: Mean load of `items`.
     """
 
@@ -50,7 +53,7 @@
 
     @property
     def expected_time(self) -> float:
-        """Mean expected time of a call that is drawn by weight; the least one if all are full."""
+        """Mean of `times` by weight; the shortest time if all upstreams are full."""
         total = sum(self.weights)
         if not total:
             return min(self.times)
@@ -88,7 +91,8 @@
             if chosen is None or not self._stays_near(chosen, others, OWN_DOMAIN_SPILL_LOAD):
                 chosen = others
         if not chosen.capacity:
-            chosen = self._compare_all(usable.candidates, now) or chosen
+            # A sample may have missed the upstreams that have room.
+            chosen = self._compare_free(usable.candidates, now) or chosen
         return self._draw(chosen)
 
     def load_of(self, item: strategy.Upstream, now: float) -> float:
@@ -130,36 +134,34 @@
             load, limit = self._loads.load_of(item, now), self._loads.limit_of(item)
             slowness = self._slowness.of(item.host, now)
             passing = self._slowness.passing_of(item.host, now)
-            room = limit * (1.0 - load)
-            weights.append(
-                room / (slowness * passing**PASSING_POWER) if room >= MIN_ROOM_CALLS else 0.0
-            )
+            weights.append(_free_slots(limit, load) / (slowness * passing**PASSING_POWER))
             times.append(slowness * passing * max(1.0, load))
             total_load += load
         capacity = sum(weights) * count / len(items)
         return _Group(items, weights, times, capacity, total_load / len(items))
 
-    def _compare_all(
+    def _compare_free(
         self, items: Sequence[strategy.Candidate], now: float
     ) -> _Group[strategy.Candidate] | None:
-        """Returns those of all upstreams that have room, or None if none has."""
+        """Returns a group of the upstreams in `items` that have room, or None if none has."""
         free = [
             item
             for item in items
-            if self._loads.limit_of(item) * (1.0 - self._loads.load_of(item, now)) >= MIN_ROOM_CALLS
+            if _free_slots(self._loads.limit_of(item), self._loads.load_of(item, now))
         ]
         return self._compare(free, now) if free else None
 
     def _stays_near(self, near: _Group, far: _Group, spill_load: float) -> bool:
         """Returns whether a call goes to the nearer of two groups; random close to the limit."""
         if not near.capacity and not far.capacity:
-            return near.expected_time <= FULL_SPILL_RATIO * far.expected_time
+            return near.expected_time <= ALL_FULL_SPILL_RATIO * far.expected_time
         by_load = (near.load - spill_load) / (strategy.FULL_LOAD - spill_load)
         by_load *= min(1.0, max(0.0, (near.load - far.load) / SPILL_LOAD_MARGIN))
         ratio = near.expected_time / far.expected_time
         by_time = (ratio - SPILL_START_RATIO) / (SPILL_FULL_RATIO - SPILL_START_RATIO)
-        pressure = min(1.0, max(by_load, by_time, EXPLORED_FRACTION)) if near.capacity else 1.0
-        far_fraction = pressure * far.capacity / (near.capacity + far.capacity)
+        # 0 keeps all calls near; with 1 the distance makes no difference.
+        spill = min(1.0, max(by_load, by_time, EXPLORED_FRACTION)) if near.capacity else 1.0
+        far_fraction = spill * far.capacity / (near.capacity + far.capacity)
         return self._rng.random() >= far_fraction
 
     def _draw(self, group: _Group[strategy.Candidate]) -> strategy.Candidate:
@@ -175,3 +177,9 @@
             if drawn < bound:
                 return item
         return group.items[group.weights.index(max(group.weights))]
+
+
+def _free_slots(limit: int, load: float) -> float:
+    """Returns how many more calls an upstream can run, 0 if it counts as full."""
+    free = limit * (1.0 - load)
+    return free if free >= MIN_ROOM_CALLS else 0.0
--- a/bergamotridge/balancing/load_estimate.py
+++ b/bergamotridge/balancing/load_estimate.py
@@ -7,17 +7,17 @@
 
 from bergamotridge.balancing import strategy
 
-FRESH_S = 0.1  # Up to this age a report counts as it is.
-# Beyond `FRESH_S`, the part of a report that still counts falls by a factor e in this time. Calls
-# take tenths of a second, after which an upstream runs others than those that were reported.
+FRESH_S = 0.1  # Up to this age a report counts in full.
+# Time constant with which the weight of a report falls beyond `FRESH_S`. Calls take tenths of a
+# second, after which an upstream runs others than those that were reported.
 REPORT_DECAY_S = 0.4
-MEAN_DECAY_S = 0.3  # By which newer reports weigh more in the mean of a service.
-MEAN_INTERVAL_S = 0.05  # Between two computations of that mean.
+MEAN_DECAY_S = 0.3  # Time constant of the weight of reports by age in the mean of a service.
+MEAN_INTERVAL_S = 0.05  # Least time between two computations of that mean.
 MEAN_TTL_S = 5.0  # Without any report of the service in this time, the published load counts.
 # The shortest call to a host is the round trip plus the work of that call, so that it is no better
 # estimate of the round trip than this bound, which covers the event loops of two busy nodes.
 MAX_TRANSIT_S = 0.02
-MIN_LOAD_WEIGHT = 0.01
+MIN_LOAD_WEIGHT = 0.01  # Reports of less weight, alone or in a mean together, have no effect.
 
 
 @attrs.define
@@ -29,7 +29,7 @@
         load: Load in the last report.
         limit: Calls that may run at once, in the last report; 0 before the first.
         reported_at: When the last report came.
-        made_at: Time up to which the calls that were sent count in the last report.
+        made_at: Estimated time of the last report; it includes the calls that were sent before.
         transit_s: Shortest round trip seen, at most `MAX_TRANSIT_S`.
         sent: Times at which own calls under way were sent, after `made_at`, in their order.
     """
@@ -49,7 +49,7 @@
 
     Attributes:
         hosts: What is known of its upstreams.
-        load: The mean, by the age of the reports; None before the first report.
+        load: The mean, in which newer reports weigh more; None before the first report.
         computed_at: When it was computed.
         reported_at: When the last report came.
     """
@@ -63,8 +63,8 @@
 class LoadEstimator:
     """Estimates loads for one node; all times are monotonic seconds.
 
-    The load is that of the last report, and the own calls that this report can't include. A report
-    moves towards the mean load of the service with its age.
+    The estimate is the load in the last report plus the own calls that this report can't include.
+    As a report ages, its load is replaced gradually by the mean load of the service.
     """
 
     def __init__(self) -> None:
@@ -112,7 +112,7 @@
     def limit_of(self, item: strategy.Upstream) -> int:
         """Returns how many calls an upstream may run at once, by its last report if there is one.
 
-        A new upstream allows fewer than its slots.
+        The gate of an upstream that has just started allows fewer calls than its slots.
         """
         known = self._hosts.get(item.host)
         return known.limit if known is not None and known.limit else max(1, item.slots)
@@ -146,7 +146,11 @@
 
 
 def _remove_ended(sent: collections.deque[float], sent_at: float) -> None:
-    """Removes the call that was sent last at `sent_at`, which is known to some microseconds."""
+    """Removes the call that was sent at `sent_at`.
+
+    A call is recorded some microseconds before its duration is measured, so it is taken to be the
+    latest one that was recorded at or before that time.
+    """
     for position in range(len(sent) - 1, -1, -1):
         if sent[position] <= sent_at:
             del sent[position]
--- a/bergamotridge/balancing/speed.py
+++ b/bergamotridge/balancing/speed.py
@@ -8,21 +8,23 @@
 
 USUAL_S = 5.0  # Time constant of the usual time of a kind of calls.
 LASTING_S = 10.0  # Time constant of the slow average, which shows lasting differences of speed.
-# Of the quick average. It shows upstreams that are slow for some tenths of a second.
+# Time constant of the quick average, which shows slowness of some tenths of a second.
 PASSING_S = 0.1
-MAX_PASSING_STEP = 0.5  # So that a single long call counts by half at most.
+MAX_STEP = 0.5  # Greatest weight of a further call in any of these averages.
 # Time constant with which the quick average returns to normal without answers. With 0.2 s, an
 # upstream got calls again before a slowness of 0.6 s was over.
 FORGET_PASSING_S = 0.3
-# Answers that come more often than this keep the averages from being forgotten.
+# Time without answers after which the averages begin to return to normal.
 MIN_PASSING_IDLE_S = 0.1
 MIN_LASTING_IDLE_S = 5.0
-FORGET_LASTING_S = 30.0
-SHOWN_S = 60.0  # For which metrics show an upstream without answers, such as one that was removed.
-# Calls of one kind differ in their work. Below this ratio the quick average shows nothing else.
+FORGET_LASTING_S = 30.0  # Time constant with which the slow average returns to normal then.
+SHOWN_S = 60.0  # Metrics leave out an upstream without answers for longer; it may be removed.
+# A quick average below this counts as 1, as the work of calls of one kind varies as much.
 MIN_PASSING_RATIO = 1.4
-MAX_RATIO = 5.0  # To which one call counts; a call may also have waited for a service below.
+# Bounds of the time of one call over the usual one; a call may have waited for a service below.
 MIN_RATIO = 0.2
+MAX_RATIO = 5.0
+MIN_RUN_S = 1e-4  # Shortest time of a call that is counted, to keep ratios finite.
 
 
 @attrs.define
@@ -76,7 +78,7 @@
                 the limit waits that many times as long as it runs.
             now: When the answer came.
         """
-        run_s = max(1e-4, latency_s / max(1.0, load))
+        run_s = max(MIN_RUN_S, latency_s / max(1.0, load))
         known = self._hosts[host]
         lasting = self._aged_lasting(known, now)
         passing = self._aged_passing(known, now)
@@ -85,19 +87,19 @@
         idle_s = now - known.updated_at
         known.count += 1
         step = max(_step(idle_s, LASTING_S), 1.0 / (known.count + 1))
-        known.passing = passing + min(MAX_PASSING_STEP, _step(idle_s, PASSING_S)) * (
+        known.passing = passing + min(MAX_STEP, _step(idle_s, PASSING_S)) * (
             ratio / lasting - passing
         )
-        known.lasting = lasting + min(0.5, step) * (ratio - lasting)
+        known.lasting = lasting + min(MAX_STEP, step) * (ratio - lasting)
         known.updated_at = now
 
     def of(self, host: str, now: float) -> float:
-        """Returns the slowness of an upstream, without what passes soon."""
+        """Returns the lasting slowness of an upstream; see `passing_of` for that of the moment."""
         known = self._hosts.get(host)
         return self._aged_lasting(known, now) if known is not None else 1.0
 
     def passing_of(self, host: str, now: float) -> float:
-        """Returns how many times slower than usual an upstream is at present, at least 1."""
+        """Returns how many times slower than its lasting slowness an upstream is, at least 1."""
         known = self._hosts.get(host)
         if known is None or known.passing < MIN_PASSING_RATIO:
             return 1.0
@@ -118,7 +120,7 @@
             return seconds
         usual.count += 1
         step = max(_step(now - usual.updated_at, USUAL_S), 1.0 / usual.count)
-        usual.seconds += min(0.5, step) * (seconds - usual.seconds)
+        usual.seconds += min(MAX_STEP, step) * (seconds - usual.seconds)
         usual.updated_at = now
         return usual.seconds
 
--- a/bergamotridge/balancing/strategy.py
+++ b/bergamotridge/balancing/strategy.py
@@ -1,4 +1,4 @@
-"""What a strategy of load balancing is asked and told."""
+"""Interface of the strategies of load balancing, and the data that they take."""
 
 from collections.abc import Hashable, Mapping, Sequence
 from typing import Generic, Protocol, TypeVar
@@ -72,7 +72,7 @@
     """How one call to an upstream ended.
 
     Attributes:
-        kind: Calls of one kind take about the same time at upstreams of the same speed.
+        kind: Equal for calls that take about the same time at upstreams of the same speed.
         completed: True if the upstream ran the call and answered it.
         report: Load report that came with the answer, or None.
         latency_s: Duration of the call in seconds.
