nodes: plain comments for attribution and dependencies by route

MIN_COMPLETE and MIN_NAMED didn't say that they are fractions, MIN_ANSWERS is compared with the number of statements, and the attribute 'complete' counts answers with a statement. They are now MIN_STATED_FRACTION, MIN_NAMED_FRACTION, MIN_STATEMENTS and 'stated'. The unnamed bound 0.01 for decaying counts is a constant, and the time after which a called route is forgotten is taken from call_graph, as its comment said. Doc comments that used 'those' and 'them' for two things name them. A variable 'of' is 'call_context'. No behaviour changes.

--- a/bergamotridge/nodes/call_attribution.py
+++ b/bergamotridge/nodes/call_attribution.py
@@ -7,32 +7,36 @@
 
 import attrs
 
+from bergamotridge.nodes import call_graph
+
 # Evidence loses its weight with this time constant, so that a changed upstream is noticed.
 DECAY_S = 60.0
-AGING_INTERVAL_S = 1.0
+AGING_INTERVAL_S = 1.0  # Least time between two updates of decaying counts.
+NEGLIGIBLE_COUNT = 0.01  # A decaying count that is no greater is removed.
 # A called route without a call for this long is forgotten, as in `call_graph`.
-FORGET_S = 60.0
+FORGET_S = call_graph.DEPENDENCY_TTL_S
 # The deadline of a call is at most this much before or after that of its request. Both are passed
 # on in whole milliseconds, and a node that gathers arrivals reads a call some milliseconds late.
 EARLY_S = 0.002
 LATE_S = 0.004
-# Windows in which a deadline matches only by chance. Most matches in the first window are chance at
-# 150 requests a second, so several windows are averaged.
+# Distances of further windows from the real one. Deadlines match there only by chance. As chance
+# makes most of the matches at 150 requests a second, several windows are averaged.
 CHANCE_SHIFTS_S = (-0.045, -0.030, -0.015, 0.015, 0.030, 0.045)
-# A call with less time left than this could match only past deadlines in some of these windows.
+# A call with less time left isn't matched: some of these windows would lie before the present time.
 MIN_LEFT_S = 0.050
 # A call with more than this part of the longest time left may expire by its own budget instead of
 # that of its request, so that it need not match its request.
 EVIDENCE_FRACTION = 0.8
+# The longest time left is that of the present period and the one before.
 LONGEST_PERIOD_S = 60.0
-# Requests of a route, and calls that certainly expire with their request, before a verdict.
+# Requests of a route, and calls that certainly expire with their request, needed for a verdict.
 MIN_REQUESTS = 30.0
 MIN_EVIDENCE = 20.0
 # A route that calls another one in fewer of its requests is taken not to call it.
 CALLING_FRACTION = 0.1
-# Calls are evidence against a route only if most of them belong to known requests.
+# Calls are evidence against a route only if this share of them, beyond chance, matches requests.
 MIN_EXPLAINED = 0.5
-# Above this share of matches by chance, real ones can't be told from them.
+# Above this share of matches by chance, real matches can't be told from them.
 MAX_CHANCE = 0.8
 _MATCHED = 1  # Bit of a match; the bits above it are those of the windows of chance.
 _CHANCE_BITS = tuple(2 << number for number in range(len(CHANCE_SHIFTS_S)))
@@ -63,12 +67,12 @@
 
 @attrs.define
 class _Count:
-    """Decaying count of requests, in view of one called route.
+    """Decaying counts of requests, by whether calls on one called route match them.
 
     Attributes:
-        total: All of them.
-        matched: Those with a call whose deadline matches.
-        chance: Those with a call that matches in a window of chance, mean of all windows.
+        total: All requests.
+        matched: Requests with a call whose deadline matches.
+        chance: Requests with a call that matches in a window of chance, mean of all windows.
     """
 
     total: float = 0.0
@@ -76,6 +80,7 @@
     chance: float = 0.0
 
     def add(self, matches: int) -> None:
+        """Counts a request; `matches` has the bits of the windows in which a call matched it."""
         self.total += 1.0
         self.matched += matches & _MATCHED
         self.chance += (matches >> 1).bit_count() / len(CHANCE_SHIFTS_S)
@@ -111,11 +116,12 @@
 
 @attrs.define
 class _Requests:
-    """Counts of the requests of one route, in view of one called route.
+    """Counts of the requests of one route, with regard to one called route.
 
     Attributes:
         ended: All requests. A match shows that they call, a missing match shows nothing.
-        exposed: Those that ran so late that a call of theirs would have expired with them.
+        exposed: Requests that ran so late that a call of theirs would have expired with them, so
+            that a missing match shows that they made none.
     """
 
     ended: _Count = attrs.field(factory=_Count)
@@ -129,8 +135,8 @@
     Attributes:
         called_at: Monotonic time in seconds of the latest call.
         evidence: Decaying count of calls that certainly expired with their request.
-        hits: Those of them whose deadline matches that of a running request.
-        chance_hits: Those that match in a window of chance, mean of all windows.
+        hits: Part of `evidence` whose deadline matches that of a running request.
+        chance_hits: Part of `evidence` that matches in a window of chance, mean of all windows.
         longest_s: Longest time left in this period.
         earlier_longest_s: Longest time left in the period before.
         period_started_at: Start of this period.
@@ -152,6 +158,7 @@
         return EVIDENCE_FRACTION * max(self.longest_s, self.earlier_longest_s)
 
     def observe(self, left_s: float, now: float) -> None:
+        """Records a call with `left_s` seconds left before its deadline."""
         if now - self.period_started_at >= LONGEST_PERIOD_S:
             self.earlier_longest_s, self.longest_s = self.longest_s, 0.0
             self.period_started_at = now
@@ -194,10 +201,10 @@
 class CallAttribution:
     """Finds the routes whose requests cause the calls of the local upstream.
 
-    Such a call carries nothing that identifies its request, but it expires with it if little time
-    is left. So a request whose deadline equals that of a call is counted as the source of the call,
-    less the matches that are expected by chance. A route is taken not to call another one only by
-    calls that certainly expire with their request. For use on one event loop.
+    Such a call carries nothing that identifies its request, but the two expire together if little
+    time is left. So a request whose deadline equals that of a call is counted as the source of the
+    call, less the matches that are expected by chance. Only calls that certainly expire with their
+    request are evidence that a route doesn't call another one. For use on one event loop.
     """
 
     def __init__(self) -> None:
@@ -319,4 +326,6 @@
         }
         for called in self._called.values():
             called.decay(factor)
-        self._ended = {name: count * factor for name, count in self._ended.items() if count > 0.01}
+        self._ended = {
+            name: count * factor for name, count in self._ended.items() if count > NEGLIGIBLE_COUNT
+        }
--- a/bergamotridge/nodes/dependency_thresholds.py
+++ b/bergamotridge/nodes/dependency_thresholds.py
@@ -5,7 +5,8 @@
 
 from bergamotridge.nodes import call_graph, load, route_dependencies
 
-# Begins each service of a statement. What follows the statement is separated by a space.
+# Precedes each service of a statement. A space ends it: "@bookings@progress THRESHOLDS", and
+# "@ THRESHOLDS" if no service is below.
 _STATEMENT_MARK = "@"
 
 
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -314,16 +314,17 @@
 def _kind_of(outgoing: OutgoingCall, status: int) -> Hashable:
     """Returns the properties of a call by which calls that take different times are told apart.
 
-    Where the route is not known, calls of one route have the others in common. The class of the
-    status is one of them, so that an upstream that fails at once does not count as quick.
+    Where the route is not known, the other properties serve in its place, as calls on one route
+    have them in common. The class of the status is included, so that an upstream that fails at once
+    does not count as quick.
     """
-    of = outgoing.context
+    call_context = outgoing.context
     return (
         outgoing.route,
-        of.importance,
-        of.repeatable,
-        of.depth,
-        of.unattributed,
+        call_context.importance,
+        call_context.repeatable,
+        call_context.depth,
+        call_context.unattributed,
         status // 100,
     )
 
--- a/bergamotridge/nodes/evacuated_directory.py
+++ b/bergamotridge/nodes/evacuated_directory.py
@@ -30,8 +30,8 @@
 class EvacuatedDirectory:
     """Leaves out the upstreams of evacuated failure domains; for use on one event loop.
 
-    As long as neither the upstreams nor the evacuations change, a service has the same sequence,
-    on which `nodes.choice` relies.
+    As long as neither the upstreams nor the evacuations change, `candidates` returns the same
+    object for a service, by which `nodes.choice` finds what it has cached.
     """
 
     def __init__(self, directory: Directory, read_evacuated: Callable[[], frozenset[str]]) -> None:
@@ -52,8 +52,11 @@
         if not evacuated or not candidates:
             return candidates
         cached = self._filtered.get(service)
-        is_current = cached is not None and cached.candidates is candidates
-        if not is_current or cached.evacuated is not evacuated:
+        if (
+            cached is None
+            or cached.candidates is not candidates
+            or cached.evacuated is not evacuated
+        ):
             kept = tuple(item for item in candidates if item.failure_domain not in evacuated)
             cached = self._filtered[service] = _Filtered(candidates, evacuated, kept)
         return cached.kept
--- a/bergamotridge/nodes/route_dependencies.py
+++ b/bergamotridge/nodes/route_dependencies.py
@@ -8,19 +8,18 @@
 
 from bergamotridge.nodes import call_attribution, call_graph, routing
 
-# Answers lose their weight with this time constant. Knowledge of a route that gets fewer than
-# `MIN_ANSWERS` in that time is not used.
-DECAY_S = 10.0
-MIN_ANSWERS = 3.0
-# Of the answers, with a complete statement. Those of nodes that were just started have none.
-MIN_COMPLETE = 0.5
-# Of the complete statements. The nodes beside single upstreams may be wrong for a time.
-MIN_NAMED = 0.2
-REFRESH_INTERVAL_S = 0.5
+DECAY_S = 10.0  # Time constant with which answers lose their weight.
+MIN_STATEMENTS = 3.0  # Decayed count of statements below which a route is unknown.
+# Fraction of the answers that must have a statement; nodes that were just started send none.
+MIN_STATED_FRACTION = 0.5
+# Fraction of the statements that must name a service. Single nodes may be wrong for a time.
+MIN_NAMED_FRACTION = 0.2
+REFRESH_INTERVAL_S = 0.5  # Least time between two computations from the counts.
+NEGLIGIBLE_COUNT = 0.01  # A decaying count that is no greater is removed.
 # A route without a call for this long is forgotten, as in `call_graph`.
 FORGET_S = call_graph.DEPENDENCY_TTL_S
 
-# All services below a route, None from a node that doesn't know them.
+# All services below a route as one node states them, None if it doesn't know them.
 Statement = frozenset[str] | None
 
 
@@ -32,24 +31,25 @@
         updated_at: Monotonic time in seconds of the latest answer.
         decayed_at: Monotonic time in seconds to which the counts have decayed.
         answers: All answers.
-        complete: Answers with a statement.
+        stated: Answers with a statement.
         named: Answers whose statement names a service, by service.
-        current: What the answers say together, as last computed.
+        current: Services that enough statements name, as last computed; None if not known.
     """
 
     updated_at: float
     decayed_at: float
     answers: float = 0.0
-    complete: float = 0.0
+    stated: float = 0.0
     named: dict[str, float] = attrs.field(factory=dict)
     current: Statement = None
 
     def add(self, statement: Statement, now: float) -> None:
+        """Counts an answer and its statement."""
         self.refresh(now)
         self.updated_at = now
         self.answers += 1.0
         if statement is not None:
-            self.complete += 1.0
+            self.stated += 1.0
             for name in statement:
                 self.named[name] = self.named.get(name, 0.0) + 1.0
 
@@ -61,10 +61,13 @@
         self.decayed_at = now
         factor = math.exp(-elapsed_s / DECAY_S)
         self.answers *= factor
-        self.complete *= factor
-        self.named = {name: count * factor for name, count in self.named.items() if count > 0.01}
-        is_known = self.complete >= max(MIN_ANSWERS, MIN_COMPLETE * self.answers)
-        named = (name for name, count in self.named.items() if count >= MIN_NAMED * self.complete)
+        self.stated *= factor
+        self.named = {
+            name: count * factor for name, count in self.named.items() if count > NEGLIGIBLE_COUNT
+        }
+        is_known = self.stated >= max(MIN_STATEMENTS, MIN_STATED_FRACTION * self.answers)
+        min_count = MIN_NAMED_FRACTION * self.stated
+        named = (name for name, count in self.named.items() if count >= min_count)
         self.current = frozenset(named) if is_known else None
 
 
@@ -95,9 +98,9 @@
 class RouteDependencies:
     """Tells the services below a route, and learns them from calls and answers.
 
-    The node beside an upstream knows from `call_attribution` which routes the requests of a route
-    call. It states the services of these routes, and all that is below them, with its answers.
-    Other nodes learn from these statements. While too little is known of a route, it has all
+    The node beside an upstream knows from `call_attribution` which other routes the requests on a
+    route call. Its answers state the services of these routes and all services below them. Other
+    nodes learn from these statements. While too little is known of a route, it has all
     dependencies of its service. For use on one event loop, except for `needs`.
     """
 
@@ -133,9 +136,10 @@
         return self._graph.dependencies_of(service)
 
     def statement(self, service: str, route: str, now: float) -> Statement:
-        """Returns what the calls of the local upstream say of a route, None if that is too little.
+        """Returns the services below a route of the local upstream, None if they are not known.
 
-        What other nodes stated is not repeated, so that no statement outlives its reason.
+        Only calls of the local upstream count for the route itself. If nodes repeated what others
+        state of it, they could keep a dependency alive that no longer exists.
 
         Args:
             service: Service that calls on the route go to.
