util: name what the parsing and memory bounds count

The comment 'Parsed at once: at first, and while that yields few parts' didn't tell the start size from the bound up to which it doubles, and 'Of a field' had no noun. NoRoomError spoke of the body only, but is raised for heads and unparsed input too. Comments only.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -22,7 +22,8 @@
 # Any server takes as much before it reads. It may leave more of a request unread for as long as it
 # likes, which the kernel would take for no sign.
 UNREAD_BYTES = 4_096
-# Parsed at once: at first, and while that yields few parts of a response.
+# Responses are parsed in pieces of the first size, which doubles up to the second one while a piece
+# yields no more parts than this.
 MIN_PARSED_BYTES = 4_096
 MAX_PARSED_BYTES = 32_768
 FEW_PARTS = 4
--- a/bergamotridge/util/input_turns.py
+++ b/bergamotridge/util/input_turns.py
@@ -16,7 +16,7 @@
         """Starts without a connection that waits.
 
         Args:
-            on_turn: Called at the begin of each turn.
+            on_turn: Called at the start of each turn.
         """
         self._on_turn = on_turn
         self._waiting: collections.deque[Callable[[], None]] = collections.deque()
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -11,22 +11,22 @@
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
 MAX_CHUNK_SIZE_FACTOR = 8
-# Of a body in memory: the request, and its encoded form while it is passed on. A body that is
-# being read takes an eighth more than its size.
+# Copies of a body in memory: the request, and its encoded form while it is passed on. They cover
+# a body that is being read too, whose buffer takes an eighth more than its size.
 BODY_COPIES = 2
-BODY_STEP_BYTES = 4_096  # In which the room for a body of unknown size is reserved.
-# Parsed at once: at first, and while that yields few parts of a body. The rest of a body of
-# announced size is one part.
+BODY_STEP_BYTES = 4_096  # Step in which the room for a body of unknown size is reserved.
+# Input is parsed in pieces of the first size, which doubles up to the second one while a piece
+# yields no more parts than this. The rest of a body of announced size is one piece and one part.
 MIN_PARSED_BYTES = 4_096
 MAX_PARSED_BYTES = 32_768
 FEW_PARTS = 4
 # Fields, pieces of bodies and requests after which parsing goes on in a later turn: about 1 ms.
 MAX_TURN_PARTS = 512
 MAX_PIPELINED_REQUESTS = 16  # With more waiting, nothing further is parsed.
-# A head with less is not counted.
+# Heads within both bounds reserve no memory.
 FREE_HEAD_BYTES = 8_192
 FREE_FIELDS = 64
-# Of a field: its name, value, tuple and entries in lists and dictionaries.
+# Memory for a field: its name, value, tuple and entries in lists and dictionaries.
 FIELD_BYTES = 256
 HEAD_COPIES = 2
 REQUEST_BYTES = 2_048  # Of a request without a body that waits behind another one.
@@ -64,7 +64,7 @@
 
 
 class NoRoomError(BadRequestError):
-    """There is no room for the body of a request."""
+    """There is no room in memory for a request."""
 
     def __init__(self) -> None:
         super().__init__(503)
@@ -202,9 +202,9 @@
         """Parses a bounded part of what was fed; what is behind a last request is ignored.
 
         Raises:
-            BadRequestError: The head, or the framing of the body, is too large. It may come
-                without end, in a field or chunk extension that is never complete too. Or there is
-                no room for what is left.
+            BadRequestError: The head, or the framing of the body, is too large, also in a field or
+                chunk extension that is never complete; or there is no room for the rest of the
+                input.
             httptools.HttpParserError: The bytes are not valid HTTP, or a callback raised
                 BadRequestError, which is then the context of this error.
         """
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -17,7 +17,7 @@
 KEEP_ALIVE_REUSE_FRACTION = 0.5
 # Bytes of framing for each byte of a body; a chunk of one byte has five.
 MAX_CHUNK_OVERHEAD_FACTOR = 8
-# What a field takes in memory beside its bytes: name, value, tuple and entries in lists.
+# Memory for a field beside its bytes: name, value, tuple and entries in lists.
 FIELD_BYTES = 256
 _LENGTH_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -164,6 +164,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of memory that the response takes, at most."""
+        # The buffer of a body takes up to an eighth more than its content.
         head_bytes = self._header_size + FIELD_BYTES * len(self._headers)
         return head_bytes + self.body_size + self.body_size // 8
 
