--- a/bergamotridge/operators/status_gauges.py
+++ b/bergamotridge/operators/status_gauges.py
@@ -33,97 +33,97 @@
     read: Callable[[status.Status], Iterable[metrics.Sample]]
 
 
-def _read_replica_ages(of: status.Status) -> list[metrics.Sample]:
-    return [metrics.Sample(age_s, {"kind": kind}) for kind, age_s in of.replica_ages.items()]
+def _read_replica_ages(current: status.Status) -> list[metrics.Sample]:
+    return [metrics.Sample(age_s, {"kind": kind}) for kind, age_s in current.replica_ages.items()]
 
 
-def _read_waiting(of: status.Status) -> list[metrics.Sample]:
-    unattributed = of.load.unattributed_waiting
+def _read_waiting(current: status.Status) -> list[metrics.Sample]:
+    unattributed = current.load.unattributed_waiting
     return [
-        metrics.Sample(of.load.waiting - unattributed, {"kind": "direct"}),
+        metrics.Sample(current.load.waiting - unattributed, {"kind": "direct"}),
         metrics.Sample(unattributed, {"kind": "unattributed"}),
     ]
 
 
-def _count_route_needs(of: status.Status) -> list[metrics.Sample]:
-    counts = collections.Counter(item.known for item in of.route_needs)
+def _count_route_needs(current: status.Status) -> list[metrics.Sample]:
+    counts = collections.Counter(item.known for item in current.route_needs)
     return [
         metrics.Sample(count, {"known": "yes" if known else "no"})
         for known, count in counts.items()
     ]
 
 
-def _count_members(of: status.Status) -> list[metrics.Sample]:
-    states = collections.Counter(member.state for member in of.members)
+def _count_members(current: status.Status) -> list[metrics.Sample]:
+    states = collections.Counter(member.state for member in current.members)
     return [metrics.Sample(count, {"state": state}) for state, count in states.items()]
 
 
-def _read_team_tokens(of: status.Status) -> list[metrics.Sample]:
-    return [metrics.Sample(team.tokens, {"team": team.team}) for team in of.teams]
+def _read_team_tokens(current: status.Status) -> list[metrics.Sample]:
+    return [metrics.Sample(team.tokens, {"team": team.team}) for team in current.teams]
 
 
-def _read_held_rates(of: status.Status) -> list[metrics.Sample]:
-    return [metrics.Sample(team.held_rate, {"team": team.team}) for team in of.teams]
+def _read_held_rates(current: status.Status) -> list[metrics.Sample]:
+    return [metrics.Sample(team.held_rate, {"team": team.team}) for team in current.teams]
 
 
 SCALARS = (
     ScalarGauge(
         "calls_running",
         "Calls that run at the local upstream.",
-        lambda of: of.load.running,
+        lambda current: current.load.running,
     ),
     ScalarGauge(
         "calls_waiting",
         "Calls queued for the local upstream.",
-        lambda of: of.load.waiting,
+        lambda current: current.load.waiting,
     ),
     ScalarGauge(
         "calls_limit",
         "Maximum number of concurrent calls at the local upstream.",
-        lambda of: of.load.limit,
+        lambda current: current.load.limit,
     ),
     ScalarGauge(
         "upstream_rate_limit",
         "Calls per second that the local upstream says it takes, -1 if it names no limit.",
-        lambda of: of.load.rate_limit,
+        lambda current: current.load.rate_limit,
     ),
     ScalarGauge(
         "unattributed_share",
         "Share of the calls that name no request which the local upstream's gate admits; "
         "below 1, first nodes refuse requests that need such calls.",
-        lambda of: of.load.unattributed_share,
+        lambda current: current.load.unattributed_share,
     ),
     ScalarGauge(
         "upstream_rejected_fraction",
         "Fraction of calls that the local upstream rejected without running them; 0 unless "
         "shedding.scarce is set.",
-        lambda of: of.load.rejected_fraction,
+        lambda current: current.load.rejected_fraction,
     ),
     ScalarGauge(
         "configuration_version",
         "Version of the operator's text in force, 0 before the first.",
-        lambda of: of.configuration_version,
+        lambda current: current.configuration_version,
     ),
     ScalarGauge(
         "configuration_epoch",
         "Epoch of the platform's store in which the node read that version.",
-        lambda of: of.configuration_epoch,
+        lambda current: current.configuration_epoch,
     ),
     ScalarGauge(
         "store_epoch",
         "Highest epoch of the platform's store that the node knows; it rises when the store"
         " is restored from an earlier copy.",
-        lambda of: of.store_epoch,
+        lambda current: current.store_epoch,
     ),
     ScalarGauge(
         "withdrawn_keys",
         "Withdrawn keys that the node knows of.",
-        lambda of: of.withdrawn_keys,
+        lambda current: current.withdrawn_keys,
     ),
     ScalarGauge(
         "uptime_seconds",
         "Time since the start of the node.",
-        lambda of: of.uptime_s,
+        lambda current: current.uptime_s,
     ),
 )
 LABELLED = (
