upstreams, store: refusals from their own module, comments that read once

admission.build_refusal was an unexplained alias for refusal.build_refusal that seven modules used; they now use the function itself. FairClock spoke of teams although it also orders kinds of calls; both are flows. Comments on the cold bound, the gains of the threshold, the retry reserve and old deletions are rewritten so that they name their subject, and the bound 1024 has a name. No behaviour changes.

--- a/bench/policy/baseline.py
+++ b/bench/policy/baseline.py
@@ -5,7 +5,7 @@
 
 from bergamotridge import call
 from bergamotridge.nodes import load, record
-from bergamotridge.upstreams import admission, outcome, queue
+from bergamotridge.upstreams import outcome, queue, refusal
 
 
 class FifoAdmission:
@@ -22,7 +22,7 @@
     ) -> queue.Entry:
         """Starts or queues a call; raises CallError if all connections are in use."""
         if len(self._waiting) >= self._room:
-            raise admission.build_refusal("shed", "no connection is free", context.request_id)
+            raise refusal.build_refusal("shed", "no connection is free", context.request_id)
         entry = queue.Entry(context, now, notify)
         if self._in_flight < self._slots:
             self._start(entry, now)
--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -17,7 +17,8 @@
 # single upstream varies more than that of a failure domain, so the own host is left later.
 OWN_HOST_SPILL_LOAD = 0.85
 OWN_DOMAIN_SPILL_LOAD = 0.5
-# The load has its full effect if it is lower by this much farther away, and less effect below that.
+# The load has its full effect if that farther away is lower by this difference; a smaller one
+# reduces the effect in proportion.
 SPILL_LOAD_MARGIN = 0.15
 # Expected time at the nearer upstreams divided by that at the farther ones: from the first ratio on
 # calls leave the nearer upstreams, and from the second on the distance makes no difference. The
--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -6,7 +6,7 @@
 
 from bergamotridge import call
 from bergamotridge.nodes import load
-from bergamotridge.upstreams import admission
+from bergamotridge.upstreams import refusal
 
 FRESH_S = 1.0  # Age up to which a threshold applies in full.
 DECAY_S = 2.0  # Time after that in which the admitted share rises linearly to 1.0.
@@ -143,7 +143,7 @@
             if load.request_position(request_id) >= self._admitted_share(
                 thresholds, importance, team, now
             ):
-                raise admission.build_refusal(
+                raise refusal.build_refusal(
                     "shed", f"service '{service}' is overloaded; retry later", request_id
                 )
 
--- a/bergamotridge/callers/shutdown.py
+++ b/bergamotridge/callers/shutdown.py
@@ -1,6 +1,6 @@
 """Refuses calls that come so late in the planned stop of a node that they might be cut off."""
 
-from bergamotridge.upstreams import admission
+from bergamotridge.upstreams import refusal
 
 MARGIN_S = 0.2  # For the answer to reach the caller before the connections are closed.
 CANCELLED_REASON = "cancelled"
@@ -56,7 +56,7 @@
             CallError: The call is refused; the verdict is NOT_RUN.
         """
         if now >= self._refuses_from and deadline > self._closes_at - MARGIN_S:
-            raise admission.build_refusal(
+            raise refusal.build_refusal(
                 "draining",
                 "the node is shutting down and may close this connection before the call ends; "
                 "retry on a new connection",
--- a/bergamotridge/callers/tree_shedding.py
+++ b/bergamotridge/callers/tree_shedding.py
@@ -5,7 +5,7 @@
 
 from bergamotridge import call
 from bergamotridge.nodes import load
-from bergamotridge.upstreams import admission
+from bergamotridge.upstreams import refusal
 from bergamotridge.util import decay
 
 RATE_WINDOW_S = 1.0
@@ -71,7 +71,7 @@
             if load.request_position(request_id) >= self._class_share(
                 dependency, importance, share, now
             ):
-                raise admission.build_refusal(
+                raise refusal.build_refusal(
                     "shed",
                     f"service '{dependency}', a dependency of '{service}', is overloaded; "
                     "retry later",
--- a/bergamotridge/nodes/budget.py
+++ b/bergamotridge/nodes/budget.py
@@ -8,10 +8,9 @@
 SLACK_RETRIES = 10.0  # Of all nodes in a window, beyond the ratio.
 WINDOW_S = 50.0
 MIN_CAPACITY_TOKENS = 1.0
-# With a reserve: part of a bucket's capacity that unattributed calls leave to direct ones, and part
-# of the tokens added to a bucket that unattributed calls may take.
-RESERVE_FRACTION = 0.5
-UNATTRIBUTED_TOKENS_FRACTION = 0.5
+# With a reserve only.
+RESERVE_FRACTION = 0.5  # Of a bucket's capacity, which unattributed calls leave to direct ones.
+UNATTRIBUTED_TOKENS_FRACTION = 0.5  # Of the tokens added to a bucket, for unattributed calls.
 
 
 @attrs.define
@@ -64,7 +63,7 @@
             slack: Retries of all nodes in a window, beyond the ratio.
             window_s: The window in seconds.
             fleet_size: Returns the number of nodes in the fleet.
-            has_reserve: True to keep a reserve for calls that aren't unattributed.
+            has_reserve: True to keep a reserve for direct calls (`upstreams.call_kinds`).
         """
         self._ratio = ratio
         self._slack = slack
--- a/bergamotridge/store/evacuations.py
+++ b/bergamotridge/store/evacuations.py
@@ -8,8 +8,9 @@
 from bergamotridge.store import client, position, replica
 
 KIND = "evacuations"
-PAGE_ITEMS = 1000
-# An older deletion could be undone only by a listing from before as many later ones.
+PAGE_ITEMS = 1000  # Objects that one page for another node holds.
+# Deletions that are remembered. One that was forgotten could be undone only by a listing that is
+# older than as many later deletions.
 MAX_DELETIONS = 1000
 
 
@@ -73,7 +74,8 @@
             version = self._position
         newer.sort(key=lambda item: item[1].version)
         if len(newer) > PAGE_ITEMS:
-            # Objects that a listing lacked have one version, and go together.
+            # Deletions that were found by one complete listing have the same version, and must not
+            # be divided between pages. A page may therefore hold more.
             version = newer[PAGE_ITEMS - 1][1].version
             newer = [item for item in newer if item[1].version <= version]
         items = tuple(
@@ -91,7 +93,7 @@
             # An earlier listing tells nothing: this replica is complete up to its position.
             if listing.is_complete and listing.version >= self._position:
                 self._apply_missing(listing)
-            # Without this a kind without objects would be listed again and again.
+            # A replica without a position is listed whole each time, also if there is no object.
             if not self._position.exists or listing.version.epoch > self._position.epoch:
                 self._position = max(self._position, listing.version)
             self._forget_old_deletions()
@@ -104,7 +106,7 @@
 
     def _apply_object(self, item: client.StoredObject, listing: client.Listing) -> None:
         known = self._entries.get(item.name)
-        # A value with a fault is one, too.
+        # An object whose value can't be read exists, too.
         if item.value is not None or item.fault:
             if known is None or item.version > known.version:
                 self._store(item.name, _Entry(item.version, exists=True))
--- a/bergamotridge/upstreams/admission.py
+++ b/bergamotridge/upstreams/admission.py
@@ -26,8 +26,6 @@
 # Outcomes of calls that the upstream neither accepted nor rejected.
 _NOT_SENT = (outcome.Outcome.REFUSED, outcome.Outcome.UNREACHABLE)
 
-build_refusal = refusal.build_refusal
-
 
 class Admission:
     """Decides which calls run at the upstream and when.
@@ -211,7 +209,7 @@
             self._start(entry, now)
             return entry
         if self.start_rates.cold.is_in_force(now):
-            raise build_refusal("cold", start_rates.COLD_MESSAGE, context.request_id)
+            raise refusal.build_refusal("cold", start_rates.COLD_MESSAGE, context.request_id)
         self._controller.record_wait()
         self._check_threshold(context)
         self._check_deadline(context, self._queue.count_ahead(context), now)
@@ -358,7 +356,7 @@
         self._queue.charge(entry.context, self._controller.relative_cost(entry.context))
 
     def _refuse(self, entry: queue.Entry, reason: str, message: str) -> None:
-        self._settle(entry, build_refusal(reason, message, entry.context.request_id))
+        self._settle(entry, refusal.build_refusal(reason, message, entry.context.request_id))
 
     def _settle(self, entry: queue.Entry, error: errors.CallError) -> None:
         entry.state = queue.EntryState.REFUSED
--- a/bergamotridge/upstreams/gate.py
+++ b/bergamotridge/upstreams/gate.py
@@ -13,11 +13,12 @@
     notice,
     outcome,
     queue,
+    refusal,
     start_rates,
 )
 from bergamotridge.util import cancellation, loop
 
-# Other nodes then send the call elsewhere, without a retry.
+# Reason of a refusal upon which other nodes send the call elsewhere without a retry.
 DRAINING = "draining"
 EVACUATED_MESSAGE = "the failure domain of this host is evacuated; retry later"
 
@@ -98,7 +99,7 @@
             raise _caller_left_error(context)
         with self._lock:
             if self._evacuated:
-                raise admission.build_refusal(DRAINING, EVACUATED_MESSAGE, context.request_id)
+                raise refusal.build_refusal(DRAINING, EVACUATED_MESSAGE, context.request_id)
             entry = self._admission.offer(context, now, _ignore_settled)
         if entry.state is queue.EntryState.WAITING:
             await self._wait(entry, context.deadline - now, token)
@@ -286,4 +287,4 @@
 
 
 def _caller_left_error(context: call.CallContext) -> errors.CallError:
-    return admission.build_refusal("cancelled", "the caller has disconnected", context.request_id)
+    return refusal.build_refusal("cancelled", "the caller has disconnected", context.request_id)
--- a/bergamotridge/upstreams/quarantine.py
+++ b/bergamotridge/upstreams/quarantine.py
@@ -8,17 +8,17 @@
 
 from bergamotridge import call, errors
 from bergamotridge.nodes import fingerprint, suspect_sharing, suspects, trials
+from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.upstreams import (
-    admission,
     crash_detector,
     notice,
     recent_completions,
+    refusal,
     suspect_lanes,
     suspect_observer,
     suspect_run,
     suspect_source,
 )
-from bergamotridge.upstreams import announcement as announcements
 from bergamotridge.util import cancellation, message
 
 MAX_WAIT_S = 0.6  # For other trials; longer than the pause after a crash and one short run.
@@ -297,7 +297,7 @@
 
 
 def _build_suspect_refusal(request_id: str) -> errors.CallError:
-    return admission.build_refusal(
+    return refusal.build_refusal(
         SUSPECT_REASON,
         "an upstream has crashed under a request like this one, and others like it are tried "
         "first; retry later",
--- a/bergamotridge/upstreams/queue.py
+++ b/bergamotridge/upstreams/queue.py
@@ -10,6 +10,7 @@
 from bergamotridge.upstreams import call_kinds
 
 ROOT_CALLS_FRACTION = 0.5  # Of the queue's capacity, for root calls (depth 0).
+MAX_START_TAGS = 1024  # With more, those without effect are removed.
 
 
 class EntryState(enum.Enum):
@@ -43,27 +44,28 @@
 
 
 class FairClock:
-    """Virtual clock of start-time fair queueing (SFQ), between the teams of one class or the kinds.
+    """Virtual clock of start-time fair queueing (SFQ).
 
-    The team with the lowest start tag goes next. Each started call moves the team's start tag on by
-    1 / weight, so that teams start calls in proportion to their weights.
+    The flows are the teams of one class, or the kinds of calls. The flow with the lowest start tag
+    goes next. Each started call moves the flow's start tag on by 1 / weight, so that flows start
+    calls in proportion to their weights.
     """
 
     def __init__(self) -> None:
         self._virtual_time = 0.0
         self._start_tags: dict[str, float] = {}
 
-    def start_tag(self, team: str) -> float:
-        """Returns the start tag of the team's next call, in virtual time."""
-        return max(self._virtual_time, self._start_tags.get(team, 0.0))
+    def start_tag(self, flow: str) -> float:
+        """Returns the start tag of the flow's next call, in virtual time."""
+        return max(self._virtual_time, self._start_tags.get(flow, 0.0))
 
-    def charge(self, team: str, weight: float) -> None:
-        """Advances the virtual time and the team's start tag by a call that was started."""
-        self._virtual_time = self.start_tag(team)
-        self._start_tags[team] = self._virtual_time + 1.0 / weight
+    def charge(self, flow: str, weight: float) -> None:
+        """Advances the virtual time and the flow's start tag by a call that was started."""
+        self._virtual_time = self.start_tag(flow)
+        self._start_tags[flow] = self._virtual_time + 1.0 / weight
         # A tag that is not ahead of the virtual time has the same effect as a missing one,
         # so such tags are removed to bound the memory.
-        if len(self._start_tags) > 1024:
+        if len(self._start_tags) > MAX_START_TAGS:
             self._start_tags = {
                 name: start_tag
                 for name, start_tag in self._start_tags.items()
@@ -178,11 +180,11 @@
         return self._capacity
 
     def count_by_class(self) -> dict[call.Importance, int]:
-        """Returns the number of waiting calls of each class, of direct ones if kinds are apart."""
+        """Returns the number of waiting calls by class, only of direct ones if kinds are apart."""
         return self._direct.count_by_class()
 
     def count_unattributed(self) -> int:
-        """Returns the number of waiting unattributed calls if kinds are apart, else 0."""
+        """Returns the number of waiting unattributed calls, 0 if kinds are not apart."""
         lane = self._lanes.get(call_kinds.Kind.UNATTRIBUTED)
         return len(lane) if lane is not None else 0
 
@@ -190,6 +192,7 @@
         """Returns how many waiting calls may start before a call that would be added now."""
         kind = self._kind_of(context)
         ahead = self._lanes[kind].count_at_or_above(context.importance)
+        # Meanwhile, calls of the other kind start in proportion to the weights.
         return ahead + sum(
             min(
                 len(lane),
--- a/bergamotridge/upstreams/start_rates.py
+++ b/bergamotridge/upstreams/start_rates.py
@@ -1,12 +1,12 @@
-"""How many calls a second may start at one upstream: its own rate limit, and the one while cold."""
+"""Bounds on the calls that start per second at one upstream: its rate limit, and while cold."""
 
 import math
 
 from bergamotridge.upstreams import rate_limit
 
 FULL_LOAD = 1.0
-# Load of a gate whose cold upstream takes no call now: above that of busy ones with a queue, so
-# that the choice between upstreams doesn't prefer it while the whole service is busy.
+# Load that a gate reports while its cold upstream takes no call: above that of busy gates with a
+# queue, so that the upstream isn't preferred while the whole service is busy.
 COLD_LOAD = 2.0
 COLD_MESSAGE = "the upstream on this host is cold and takes few calls for now; retry later"
 WINDOW_S = 1.0  # The bound of a cold upstream holds in each interval of this length.
@@ -15,9 +15,8 @@
 class ColdRate:
     """Bounds the calls that start per second while the upstream is cold; not thread-safe.
 
-    In no interval of `WINDOW_S` does a call start under the bound beside one that started before
-    the upstream was known to be cold. So the calls of such an interval are those from before or
-    those of the bound, never their sum.
+    No interval of `WINDOW_S` holds both calls that started under the bound and calls that started
+    before the upstream was known to be cold, so their numbers never add up.
     """
 
     def __init__(self) -> None:
@@ -26,6 +25,7 @@
         self._cold_start_s = 0.0
         self._limiter = rate_limit.RateLimiter()
         self._cold_until = -math.inf
+        # Time of the upstream's start if `cold_start_s` decides how long it is cold, else None.
         self._new_since: float | None = None
         self._last_start = -math.inf
 
@@ -34,8 +34,8 @@
 
         Args:
             rate_per_s: Calls per second that a cold upstream tolerates, 0 for no bound.
-            cold_start_s: Seconds for which an upstream counts as cold that started and doesn't say
-                for how long it is.
+            cold_start_s: Seconds for which an upstream that doesn't announce how long it is cold
+                counts as cold after its start.
         """
         self._rate_per_s, self._cold_start_s = rate_per_s, cold_start_s
         if self._new_since is not None:
@@ -43,6 +43,7 @@
         if not rate_per_s:
             self._limiter.set_limit(None, 0.0)
         elif self._limiter.is_limited:
+            # At this time the bucket gains no tokens.
             self._limiter.set_limit(rate_per_s, -math.inf)
 
     def apply_announcement(self, cold_s: float | None, is_new_start: bool, now: float) -> bool:
@@ -63,6 +64,7 @@
             self._new_since, self._cold_until = now, now + self._cold_start_s
         if was_bounded or not self.is_in_force(now):
             return False
+        # `wait_s` sets the limit again, with an empty bucket.
         self._limiter.set_limit(None, now)
         return True
 
@@ -79,7 +81,7 @@
         if not self.is_in_force(now):
             return 0.0
         if not self._limiter.is_limited:
-            # The first token is complete when the calls started before are out of the window.
+            # The first token is complete once no earlier call is in the same window.
             first_at = max(now + 1.0 / self._rate_per_s, self._last_start + WINDOW_S)
             self._limiter.set_limit(self._rate_per_s, first_at - 1.0 / self._rate_per_s)
         return self._limiter.wait_s(now)
@@ -108,7 +110,7 @@
         self.cold.take(now)
 
     def min_load(self, now: float) -> float:
-        """Returns the load below which the gate's load is not reported."""
+        """Returns the least load that the gate may report."""
         if self.cold.wait_s(now):
             return COLD_LOAD
         return FULL_LOAD if self.named.wait_s(now) else 0.0
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -20,14 +20,14 @@
 MAX_LISTED_SHARES = 32
 MAX_STEP_S = 0.2  # Longest time that one adjustment of the unattributed share accounts for.
 UNATTRIBUTED_GAIN = 1.0  # Change of the share per second if as many slots as the limit are free.
-# Change of the share per second if all calls are rejected. Against an idle upstream, whose free
-# slots raise the share, it lowers it where more than a fifth of the calls are rejected: of trees
-# with four calls, more than half then fail.
+# Fall of the share per second if all calls are rejected. Free slots of an idle upstream raise the
+# share by UNATTRIBUTED_GAIN, so it falls there if more than a fifth of the calls are rejected: more
+# than half of the trees of four calls fail then.
 REJECTION_GAIN = 5.0
-# With `scarce`, the gain is in proportion to the share, as a step of a low share changes the load
-# by more; but not below a least gain, and in full while the upstream is mostly idle. Of 60 slots at
-# twice the demand, with shares that took effect after 0.4 s, 0.74 were used with the full gain and
-# 0.89 with this one.
+# With `scarce`, the gain is multiplied by the share, but by no less than this factor, as the same
+# step changes the load more at a low share. While the upstream is mostly idle the gain is full. At
+# twice the capacity of 60 slots, with shares that took effect after 0.4 s, 0.74 of the slots were
+# used with the full gain and 0.89 with this one.
 MIN_GAIN_FACTOR = 0.2
 IDLE_RATIO = 0.3  # Of the limit; with more free slots the upstream is mostly idle.
 
@@ -180,8 +180,8 @@
                 hold_s = self._hold_s_of_kind(call_kinds.Kind.DIRECT)
                 target = target_queue * direct_slots / limit
                 self._assign_shares(direct_slots / hold_s, free_slots, waiting, target)
-            # Slots of their guaranteed part that direct calls use count as free: unattributed calls
-            # get them as soon as they come.
+            # Direct calls may use slots of the part that unattributed calls are guaranteed. Such
+            # slots count as free, as unattributed calls get them as soon as they arrive.
             guaranteed = call_kinds.guaranteed_fraction(call_kinds.Kind.UNATTRIBUTED) * limit
             unused_slots = max(free_slots, guaranteed - unattributed_in_flight)
             spare_slots = unused_slots + target_queue - unattributed_waiting
