--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -85,7 +85,10 @@
             self._read_on()
 
     def _read_on(self) -> None:
-        """Parses the rest of the input in a later turn, then reads on; not while many wait."""
+        """Parses the rest of the input in later turns, then receives more.
+
+        Does nothing while too many requests wait.
+        """
         if self._awaits_turn or self._reader.is_full:
             return
         if self._reader.is_behind:
@@ -102,7 +105,7 @@
             self._read_on()
 
     def _parse(self, parse: Callable[[], None]) -> None:
-        """Calls `parse` and does what follows from the input."""
+        """Calls `parse`; then sets timers and wakes the task, or refuses the input."""
         reader = self._reader
         waiting = len(reader.requests)
         try:
