--- a/bergamotridge/callers/tree_shedding.py
+++ b/bergamotridge/callers/tree_shedding.py
@@ -5,7 +5,7 @@
 
 from bergamotridge import call
 from bergamotridge.nodes import load
-from bergamotridge.upstreams import admission, refusal
+from bergamotridge.upstreams import refusal
 from bergamotridge.util import decay
 
 RATE_WINDOW_S = 1.0
@@ -77,7 +77,7 @@
                 continue
             class_share = self._class_share(dependency, importance, share, now)
             if load.request_position(request_id) >= class_share:
-                raise admission.build_refusal(
+                raise refusal.build_refusal(
                     "shed",
                     f"service '{dependency}', a dependency of '{service}', is overloaded; "
                     "retry later",
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -26,10 +26,10 @@
 # Change of the share per second by what is above, in place of a rise by the slots that are free
 # because of the rejections.
 REJECTION_GAIN = 15.0
-# With `scarce`, the gain is in proportion to the share, as a step of a low share changes the load
-# by more; but not below a least gain, and in full while the upstream is mostly idle. Of 60 slots at
-# twice the demand, with shares that took effect after 0.4 s, 0.74 were used with the full gain and
-# 0.89 with this one.
+# With `scarce`, the gain is multiplied by the share, but by no less than this factor, as the same
+# step changes the load more at a low share. While the upstream is mostly idle the gain is full. At
+# twice the capacity of 60 slots, with shares that took effect after 0.4 s, 0.74 of the slots were
+# used with the full gain and 0.89 with this one.
 MIN_GAIN_FACTOR = 0.2
 IDLE_RATIO = 0.3  # Of the limit; with more free slots the upstream is mostly idle.
 
@@ -182,8 +182,8 @@
                 hold_s = self._hold_s_of_kind(call_kinds.Kind.DIRECT)
                 target = target_queue * direct_slots / limit
                 self._assign_shares(direct_slots / hold_s, free_slots, waiting, target)
-            # Slots of their guaranteed part that direct calls use count as free: unattributed calls
-            # get them as soon as they come.
+            # Direct calls may use slots of the part that unattributed calls are guaranteed. Such
+            # slots count as free, as unattributed calls get them as soon as they arrive.
             guaranteed = call_kinds.guaranteed_fraction(call_kinds.Kind.UNATTRIBUTED) * limit
             unused_slots = max(free_slots, guaranteed - unattributed_in_flight)
             spare_slots = unused_slots + target_queue - unattributed_waiting
