nodes: unattributed calls get their part of the retry tokens of a full bucket

With shedding.scarce, in a fleet larger than the slack, a node where only unattributed calls fail granted them one retry and then none for minutes.

Cause: tokens were added to their part only while the bucket was not full. A bucket of one token is full again after ten first attempts, when their part has half a token, and stays full as nobody else takes one. First attempts at a full bucket now add to that part, which has no more tokens than before; the budget is unchanged.

--- a/bergamotridge/nodes/budget.py
+++ b/bergamotridge/nodes/budget.py
@@ -31,6 +31,10 @@
     def add(self, tokens: float, capacity: float) -> None:
         """Adds tokens; unattributed calls may take UNATTRIBUTED_TOKENS_FRACTION of them."""
         self.tokens += tokens
+        self.add_unattributed(tokens, capacity)
+
+    def add_unattributed(self, tokens: float, capacity: float) -> None:
+        """Lets unattributed calls take more of the tokens, as if `tokens` were added."""
         self.unattributed_tokens = min(
             capacity, self.unattributed_tokens + UNATTRIBUTED_TOKENS_FRACTION * tokens
         )
@@ -81,6 +85,9 @@
             bucket = self._refilled_bucket(service, now)
         if bucket.tokens < self._last_capacity:
             bucket.add(self._ratio, self._last_capacity)
+        elif bucket.unattributed_tokens < 1.0:
+            # A full bucket of one token would else never let unattributed calls take it again.
+            bucket.add_unattributed(self._ratio, self._last_capacity)
 
     def try_take(self, service: str, now: float, *, is_unattributed: bool = False) -> bool:
         """Takes a token for a retry; returns False if less than one is left.
--- a/tests/test_nodes/test_budget.py
+++ b/tests/test_nodes/test_budget.py
@@ -45,3 +45,14 @@
     for _ in range(1000):
         retries.add_first_attempt("depot", 0.0)
     assert retries.try_take("depot", 0.0, is_unattributed=True)
+
+
+# A bucket of one token that was full again gave unattributed calls nothing more: with no direct
+# call that took a retry, they got two retries and then none for minutes.
+def test_unattributed_calls_get_their_part_of_the_tokens_although_no_direct_call_takes_any():
+    retries = budget.RetryBudget(0.1, 10.0, float("inf"), lambda: 72, has_reserve=True)
+    granted = 0
+    for _ in range(2000):
+        retries.add_first_attempt("depot", 0.0)
+        granted += retries.try_take("depot", 0.0, is_unattributed=True)
+    assert 0.8 * 100 <= granted <= 1 + 100
