balancing: an upstream whose limit is one call is found again

With expected-wait, an upstream whose limit had fallen to one call got no further calls from a node while the mean load of its service was above one half and others had room. Its limit rises only with calls that succeed, so it stayed unused.

Cause: a room of less than half a call counts as full. For a limit of one call and an aged report that is so at any mean load above one half. Without a recent report such a room is now the weight of the upstream in the draw.

Failed before: test_an_upstream_with_a_limit_of_one_call_is_found_again_while_the_service_is_busy (none of 5000 calls).

--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -130,10 +130,8 @@
             load, limit = self._loads.load_of(item, now), self._loads.limit_of(item)
             slowness = self._slowness.of(item.host, now)
             passing = self._slowness.passing_of(item.host, now)
-            room = limit * (1.0 - load)
-            weights.append(
-                room / (slowness * passing**PASSING_POWER) if room >= MIN_ROOM_CALLS else 0.0
-            )
+            room = self._room_of(item, limit, load, now)
+            weights.append(room / (slowness * passing**PASSING_POWER))
             times.append(slowness * passing * max(1.0, load))
             total_load += load
         capacity = sum(weights) * count / len(items)
@@ -146,10 +144,21 @@
         free = [
             item
             for item in items
-            if self._loads.limit_of(item) * (1.0 - self._loads.load_of(item, now)) >= MIN_ROOM_CALLS
+            if self._room_of(item, self._loads.limit_of(item), self._loads.load_of(item, now), now)
         ]
         return self._compare(free, now) if free else None
 
+    def _room_of(self, item: strategy.Upstream, limit: int, load: float, now: float) -> float:
+        """Returns the calls for which an upstream has room, 0 if it is full.
+
+        Without a recent report the load is a mean, and less than `MIN_ROOM_CALLS` is the chance
+        that a call finds room. An upstream whose limit is one call would else get none.
+        """
+        room = limit * (1.0 - load)
+        if room >= MIN_ROOM_CALLS:
+            return room
+        return 0.0 if room <= 0.0 or self.has_recent_report(item.host, now) else room
+
     def _stays_near(self, near: _Group, far: _Group, spill_load: float) -> bool:
         """Returns whether a call goes to the nearer of two groups; random close to the limit."""
         if not near.capacity and not far.capacity:
--- a/tests/test_balancing/test_expected_wait.py
+++ b/tests/test_balancing/test_expected_wait.py
@@ -76,3 +76,22 @@
 def test_the_setting_accepts_the_methods_that_exist():
     for name in methods.METHODS:
         assert attrs.fields(settings.Balancing).method.metadata["check"](name)
+
+
+# An upstream whose limit has fallen to one call has room for less than half a call by the mean load
+# of a busy service. It counted as full, so no call raised its limit again while others had room.
+def test_an_upstream_with_a_limit_of_one_call_is_found_again_while_the_service_is_busy():
+    chosen = expected_wait.ExpectedWait(random.Random(5))
+    usable = strategy.Split(DOMAIN, [], DOMAIN, [], [])
+    limited = DOMAIN[0]
+    chosen.record_sent(limited, 0.0)
+    chosen.record_answer(limited.host, records.make_answer(0.0, limit=1), 0.1)
+    for item in DOMAIN[1:]:
+        chosen.record_sent(item, 0.0)
+    picked = collections.Counter()
+    for number in range(5000):
+        now = 2.0 + 0.002 * number
+        for item in DOMAIN[1:]:
+            chosen.record_answer(item.host, records.make_answer(0.7, limit=39), now)
+        picked[chosen.choose(usable, now).host] += 1
+    assert 0 < picked[limited.host] < 0.1 * 5000
