util: refuse a last request for which there is no room behind others

A request with 'Connection: close' that came behind others, while the memory for requests was used up, was neither answered nor refused. Its client waited until the connection was idle for too long.

Cause: the input counted as ended before the room for the request was reserved, and errors behind the end of the input are ignored.

Failed before: test_a_last_request_that_finds_no_room_behind_another_is_refused.

--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -358,9 +358,10 @@
         if keep_alive and self._version == "1.0":
             # For HTTP/1.0 the parser looks for keep-alive only.
             keep_alive = b"close" not in message.connection_options(self._headers)
-        self._is_ended = not keep_alive
         waiting_bytes = REQUEST_BYTES if self.requests else 0
         self._reserve(self._head_cost + BODY_COPIES * self._body_size + waiting_bytes)
+        # Errors behind a last request are ignored, but not that there is no room for it.
+        self._is_ended = not keep_alive
         body = body_buffer.content(self._body)
         self._body, self._announced_size = b"", 0
         request = message.Request(
--- a/tests/test_util/test_input_turns.py
+++ b/tests/test_util/test_input_turns.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+import httptools
 import pytest
 
 from bergamotridge.util import (
@@ -141,6 +142,17 @@
     assert memory.total_bytes == 0
 
 
+# Such a request was neither answered nor refused: its client waited until the connection was idle
+# for too long, and what was reserved for it was kept as long.
+def test_a_last_request_that_finds_no_room_behind_another_is_refused():
+    memory = held_bytes.HeldBytes(request_reader.REQUEST_BYTES)
+    reader = request_reader.RequestReader(BOUNDS, memory)
+    last = SHORT_GET.replace(b"host", b"connection: close\r\nhost")
+    with pytest.raises(httptools.HttpParserError) as raised:
+        reader.feed(SHORT_GET + last)
+    assert isinstance(request_reader.find_cause(raised.value), request_reader.NoRoomError)
+
+
 # Requests behind a full pipeline, or input behind a turn, could have been lost or swapped.
 def test_all_requests_of_a_long_pipeline_are_answered_in_order():
     async def name_target(request, _token):
