balancing: forget hosts of which nothing was heard for long

With expected-wait, a node kept what it knew of each host that it ever sent a call to. Memory grew with each host that was replaced, and so did the mean load of a service, which goes through all of them up to 20 times a second. A host that got another service counted in the mean of both.

Cause: entries by host were only added. They are now removed when a further host becomes known: load after 60 s without a report or a call under way, slowness after 180 s without an answer.

Failed before: test_upstreams_without_reports_for_long_are_forgotten_and_known_ones_are_kept, test_a_host_that_serves_another_service_counts_in_the_mean_of_that_one_only, test_upstreams_without_answers_for_long_are_forgotten.

--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -72,7 +72,6 @@
         self._rng = rng
         self._loads = load_estimate.LoadEstimator()
         self._slowness = speed.Slowness()
-        self._services: dict[str, str] = {}
 
     def choose(self, usable: strategy.Split[strategy.Candidate], now: float) -> strategy.Candidate:
         """Returns the upstream to call; all of `usable`, at least one, may be called."""
@@ -101,7 +100,6 @@
 
     def record_sent(self, item: strategy.Upstream, now: float) -> None:
         """Records that a call is sent to an upstream."""
-        self._services[item.host] = item.service
         self._loads.record_sent(item, now)
 
     def record_answer(self, host: str, answered: strategy.Answered, now: float) -> None:
@@ -109,7 +107,7 @@
         report = answered.report
         self._loads.record_answer(host, report, answered.latency_s, now)
         if answered.completed and report is not None:
-            service = self._services.get(host, "")
+            service = self._loads.service_of(host)
             self._slowness.record(
                 host, service, answered.kind, answered.latency_s, report.load, now
             )
--- a/bergamotridge/balancing/load_estimate.py
+++ b/bergamotridge/balancing/load_estimate.py
@@ -18,6 +18,7 @@
 # estimate of the round trip than this bound, which covers the event loops of two busy nodes.
 MAX_TRANSIT_S = 0.02
 MIN_LOAD_WEIGHT = 0.01
+FORGET_S = 60.0  # Without a report or a call under way in this time, a host is forgotten.
 
 
 @attrs.define
@@ -75,6 +76,7 @@
         """Records that a call is sent to an upstream."""
         known = self._hosts[item.host]
         if known.service != item.service:
+            self._forget_hosts(item.host, now)
             self._hosts[item.host] = known = _HostLoad(item.service)
             self._means[item.service].hosts.append(known)
         known.sent.append(now)
@@ -109,6 +111,11 @@
         load = self._aged_load(known, item, now)
         return load + len(known.sent) / self.limit_of(item) if known.sent else load
 
+    def service_of(self, host: str) -> str:
+        """Returns the service of the last call that was sent to a host, "" if it is not known."""
+        known = self._hosts.get(host)
+        return known.service if known is not None else ""
+
     def limit_of(self, item: strategy.Upstream) -> int:
         """Returns how many calls an upstream may run at once, by its last report if there is one.
 
@@ -122,6 +129,17 @@
         known = self._hosts.get(host)
         return now - known.reported_at if known is not None else float("inf")
 
+    def _forget_hosts(self, replaced: str, now: float) -> None:
+        """Forgets hosts of which nothing was heard for long, and one whose service has changed."""
+        kept = {
+            host: known
+            for host, known in self._hosts.items()
+            if host != replaced and (known.sent or now - known.reported_at < FORGET_S)
+        }
+        self._hosts = collections.defaultdict(_HostLoad, kept)
+        for service, mean in self._means.items():
+            mean.hosts = [known for known in kept.values() if known.service == service]
+
     def _aged_load(self, known: _HostLoad, item: strategy.Upstream, now: float) -> float:
         age_s = now - known.reported_at
         if age_s <= FRESH_S:
--- a/bergamotridge/balancing/speed.py
+++ b/bergamotridge/balancing/speed.py
@@ -18,6 +18,7 @@
 MIN_PASSING_IDLE_S = 0.1
 MIN_LASTING_IDLE_S = 5.0
 FORGET_LASTING_S = 30.0
+FORGET_HOST_S = 180.0  # After which a host without answers counts as usual, and is forgotten.
 SHOWN_S = 60.0  # For which metrics show an upstream without answers, such as one that was removed.
 # Calls of one kind differ in their work. Below this ratio the quick average shows nothing else.
 MIN_PASSING_RATIO = 1.4
@@ -77,6 +78,8 @@
             now: When the answer came.
         """
         run_s = max(1e-4, latency_s / max(1.0, load))
+        if host not in self._hosts:
+            self._forget_hosts(now)
         known = self._hosts[host]
         lasting = self._aged_lasting(known, now)
         passing = self._aged_passing(known, now)
@@ -111,6 +114,14 @@
         ]
         return {host: self.of(host, now) * self.passing_of(host, now) for host in recent}
 
+    def _forget_hosts(self, now: float) -> None:
+        kept = {
+            host: known
+            for host, known in self._hosts.items()
+            if now - known.updated_at < FORGET_HOST_S
+        }
+        self._hosts = collections.defaultdict(_HostSlowness, kept)
+
     def _update_usual(self, key: tuple[str, Hashable], seconds: float, now: float) -> float:
         usual = self._usual.get(key)
         if usual is None:
--- a/tests/test_balancing/test_load_estimate.py
+++ b/tests/test_balancing/test_load_estimate.py
@@ -1,5 +1,6 @@
 """The load of an upstream: own calls that a report can't include, and reports that grow old."""
 
+import attrs
 import pytest
 
 from bergamotridge.balancing import load_estimate
@@ -63,3 +64,28 @@
     estimator.record_sent(UPSTREAM, 0.0)
     estimator.record_answer("one", records.make_answer(0.0, limit=3).report, 0.01, 0.01)
     assert estimator.limit_of(UPSTREAM) == 3
+
+
+# Hosts are replaced all the time. What was known of those that are gone was kept, and each
+# computation of the mean of a service went through them.
+def test_upstreams_without_reports_for_long_are_forgotten_and_known_ones_are_kept():
+    estimator = load_estimate.LoadEstimator()
+    for number in range(1000):
+        now = float(number)
+        for item in (records.make_upstream(f"replaced-{number}"), UPSTREAM):
+            estimator.record_sent(item, now)
+            answer(estimator, item, 0.5, 0.01, now + 0.01)
+    assert len(estimator._hosts) <= load_estimate.FORGET_S + 10
+    assert estimator.load_of(UPSTREAM, now + 0.02) == 0.5
+    assert estimator.load_of(records.make_upstream("new"), now + 0.1) == pytest.approx(0.5)
+
+
+# The upstream of the service that a host served before counted in its mean for ever.
+def test_a_host_that_serves_another_service_counts_in_the_mean_of_that_one_only():
+    estimator = load_estimate.LoadEstimator()
+    moved = attrs.evolve(UPSTREAM, service="port")
+    for now in range(100):
+        for item in (UPSTREAM, moved):
+            estimator.record_sent(item, float(now))
+            answer(estimator, item, 0.5, 0.01, now + 0.01)
+    assert len(estimator._means["depot"].hosts) + len(estimator._means["port"].hosts) == 1
--- a/tests/test_balancing/test_speed.py
+++ b/tests/test_balancing/test_speed.py
@@ -51,3 +51,12 @@
     assert slowness.of("slow", now + 10 * speed.FORGET_LASTING_S) == pytest.approx(1.0, abs=0.01)
     assert set(slowness.by_host(now)) == set(SPEEDS)
     assert slowness.by_host(now + speed.SHOWN_S + 1) == {}
+
+
+# Hosts are replaced all the time, and what was known of those that are gone was kept.
+def test_upstreams_without_answers_for_long_are_forgotten():
+    slowness = speed.Slowness()
+    for number in range(1000):
+        for host in (f"replaced-{number}", "usual"):
+            slowness.record(host, "depot", "lookup", 0.1, 0.5, float(number))
+    assert len(slowness._hosts) <= speed.FORGET_HOST_S + 10
