balancing: the load that a cold gate reports is no queue

With expected-wait, an upstream counted as up to twice as fast as it is after it had been cold, and so got more than its part of the calls.

Cause: the time of a call is divided by the reported load, for the queue that it waited in. The gate beside a cold upstream reports a load of 2 without any queue. The load is now computed from the calls that the report says run and wait.

--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -108,9 +108,9 @@
         self._loads.record_answer(host, report, answered.latency_s, now)
         if answered.completed and report is not None:
             service = self._loads.service_of(host)
-            self._slowness.record(
-                host, service, answered.kind, answered.latency_s, report.load, now
-            )
+            # The reported load may be higher: a gate whose starts are limited reports no room.
+            queue_load = (report.in_flight + report.queued) / max(1, report.limit)
+            self._slowness.record(host, service, answered.kind, answered.latency_s, queue_load, now)
 
     def slowness_by_host(self, now: float) -> dict[str, float]:
         """Returns the learned slowness of each upstream; may be called from any thread."""
--- a/bergamotridge/balancing/strategy.py
+++ b/bergamotridge/balancing/strategy.py
@@ -33,12 +33,20 @@
 
     @property
     def load(self) -> float:
-        """Calls that run or wait at the upstream, divided by `limit`."""
+        """Calls that run or wait at the upstream, divided by `limit`, or more if none may start."""
 
     @property
     def limit(self) -> int:
         """Calls that may run there at once."""
 
+    @property
+    def in_flight(self) -> int:
+        """Calls that run there."""
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait there."""
+
 
 Candidate = TypeVar("Candidate", bound=Upstream)
 
--- a/tests/test_balancing/test_expected_wait.py
+++ b/tests/test_balancing/test_expected_wait.py
@@ -8,6 +8,8 @@
 
 from bergamotridge import settings
 from bergamotridge.balancing import expected_wait, methods, strategy
+from bergamotridge.nodes import load
+from bergamotridge.upstreams import start_rates
 from tests.test_balancing import records
 
 OWN = records.make_upstream("own")
@@ -95,3 +97,20 @@
             chosen.record_answer(item.host, records.make_answer(0.7, limit=39), now)
         picked[chosen.choose(usable, now).host] += 1
     assert 0 < picked[limited.host] < 0.1 * 5000
+
+
+# The gate beside a cold upstream reports a load of 2 without a queue. The time of each call there
+# was divided by that, so that the upstream counted as twice as fast as the others.
+def test_the_load_that_a_cold_gate_reports_is_not_taken_for_a_queue():
+    chosen = expected_wait.ExpectedWait(random.Random(5))
+    cold_report = load.LoadReport(start_rates.COLD_LOAD, 39, 1, 0)
+    for number in range(400):
+        now = 0.01 * number
+        for item in DOMAIN:
+            chosen.record_sent(item, now)
+            answered = records.make_answer(0.5, limit=39)
+            if item is DOMAIN[0]:
+                answered = attrs.evolve(answered, report=cold_report)
+            chosen.record_answer(item.host, answered, now + 0.005)
+    slowness = chosen.slowness_by_host(now)
+    assert slowness[DOMAIN[0].host] == pytest.approx(slowness[DOMAIN[1].host], rel=0.05)
