--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -76,7 +76,6 @@
         self._rng = rng
         self._loads = load_estimate.LoadEstimator()
         self._slowness = speed.Slowness()
-        self._services: dict[str, str] = {}
 
     def choose(self, usable: strategy.Split[strategy.Candidate], now: float) -> strategy.Candidate:
         """Returns the upstream to call; all of `usable`, at least one, may be called."""
@@ -106,7 +105,6 @@
 
     def record_sent(self, item: strategy.Upstream, now: float) -> None:
         """Records that a call is sent to an upstream."""
-        self._services[item.host] = item.service
         self._loads.record_sent(item, now)
 
     def record_answer(self, host: str, answered: strategy.Answered, now: float) -> None:
@@ -114,10 +112,10 @@
         report = answered.report
         self._loads.record_answer(host, report, answered.latency_s, now)
         if answered.completed and report is not None:
-            service = self._services.get(host, "")
-            self._slowness.record(
-                host, service, answered.kind, answered.latency_s, report.load, now
-            )
+            service = self._loads.service_of(host)
+            # The reported load may be higher: a gate whose starts are limited reports no room.
+            queue_load = (report.in_flight + report.queued) / max(1, report.limit)
+            self._slowness.record(host, service, answered.kind, answered.latency_s, queue_load, now)
 
     def slowness_by_host(self, now: float) -> dict[str, float]:
         """Returns the learned slowness of each upstream; may be called from any thread."""
@@ -135,7 +133,8 @@
             load, limit = self._loads.load_of(item, now), self._loads.limit_of(item)
             slowness = self._slowness.of(item.host, now)
             passing = self._slowness.passing_of(item.host, now)
-            weights.append(_free_slots(limit, load) / (slowness * passing**PASSING_POWER))
+            room = self._room_of(item, limit, load, now)
+            weights.append(room / (slowness * passing**PASSING_POWER))
             times.append(slowness * passing * max(1.0, load))
             total_load += load
         capacity = sum(weights) * count / len(items)
@@ -148,10 +147,21 @@
         free = [
             item
             for item in items
-            if _free_slots(self._loads.limit_of(item), self._loads.load_of(item, now))
+            if self._room_of(item, self._loads.limit_of(item), self._loads.load_of(item, now), now)
         ]
         return self._compare(free, now) if free else None
 
+    def _room_of(self, item: strategy.Upstream, limit: int, load: float, now: float) -> float:
+        """Returns the calls for which an upstream has room, 0 if it is full.
+
+        Without a recent report the load is a mean, and less than `MIN_ROOM_CALLS` is the chance
+        that a call finds room. An upstream whose limit is one call would else get none.
+        """
+        room = limit * (1.0 - load)
+        if room >= MIN_ROOM_CALLS:
+            return room
+        return 0.0 if room <= 0.0 or self.has_recent_report(item.host, now) else room
+
     def _stays_near(self, near: _Group, far: _Group, spill_load: float) -> bool:
         """Returns whether a call goes to the nearer of two groups; random close to the limit."""
         if not near.capacity and not far.capacity:
@@ -178,9 +188,3 @@
             if drawn < bound:
                 return item
         return group.items[group.weights.index(max(group.weights))]
-
-
-def _free_slots(limit: int, load: float) -> float:
-    """Returns how many more calls an upstream can run, 0 if it counts as full."""
-    free = limit * (1.0 - load)
-    return free if free >= MIN_ROOM_CALLS else 0.0
