standins: a stop signal that does not wake the waiting thread ends the wait

Cause: the handler of the interpreter runs in the main thread only, which blocked without a limit. A signal that arrives between its last check and the block, or at another thread, doesn't wake it, and the stand-in never stops; the test sends SIGTERM as soon as the stand-in listens, which is when it begins to wait.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -1,5 +1,6 @@
 """A threaded HTTP/1.1 server with keep-alive connections, shared by the stand-ins."""
 
+import contextlib
 import http.server
 import json
 import queue
@@ -100,5 +101,12 @@
             signal.signal(signal_number, lambda number, _: self._received.put(number))
 
     def wait(self) -> None:
-        """Blocks until one of the signals is received; to be called once."""
-        self._received.get()
+        """Blocks until one of the signals is received; to be called once.
+
+        A signal that arrives just before the thread blocks does not wake it, and its handler runs
+        only when the thread goes on.
+        """
+        while True:
+            with contextlib.suppress(queue.Empty):
+                self._received.get(timeout=POLL_INTERVAL_S)
+                return
--- a/tests/test_standins/test_stop_signal.py
+++ b/tests/test_standins/test_stop_signal.py
@@ -36,3 +36,25 @@
 def test_a_signal_at_any_line_of_the_wait_ends_it(line):
     command = [sys.executable, "-c", SIGNALLED_WAIT, str(line)]
     subprocess.run(command, cwd=source.ROOT, timeout=HANG_S, check=True)
+
+
+# The interpreter's handler runs in the main thread only, which a signal that came just before it
+# blocked, or that another thread got, did not wake.
+OTHER_THREAD_SIGNALLED = """
+import signal, threading, time
+from standins import serving
+
+stop_signal = serving.StopSignal()
+
+def signal_itself():
+    time.sleep(0.2)
+    signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+
+threading.Thread(target=signal_itself).start()
+stop_signal.wait()
+"""
+
+
+def test_a_signal_that_does_not_wake_the_waiting_thread_ends_the_wait():
+    command = [sys.executable, "-c", OTHER_THREAD_SIGNALLED]
+    subprocess.run(command, cwd=source.ROOT, timeout=HANG_S, check=True)
