callers: pipelined calls that may be repeated run side by side

A caller may send requests on a connection before the first is answered.

util.pipeline starts requests ahead of their turn while they and all before them may be repeated; answers keep their order. One that may not be repeated still waits: its caller sends it again if an answer before it closes the connection. Responses that wait count in limits.held_bytes.

--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -173,7 +173,12 @@
         parts: Parts that serve callers.
         new_server: Creates a server.
     """
-    return new_server(http_ports.CALLERS, parts.port.handle, shared.node.limits.caller_connections)
+    return new_server(
+        http_ports.CALLERS,
+        parts.port.handle,
+        shared.node.limits.caller_connections,
+        parts.port.may_overlap,
+    )
 
 
 def _create_team_rates(
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -175,6 +175,17 @@
         self._record_answer(progress, request, result, now - started)
         return self.dialect.response(result, progress.request_id)
 
+    def may_overlap(self, request: message.Request) -> bool:
+        """Returns whether a call may run beside others that its caller has sent before it.
+
+        It must be one that may be repeated: its caller sends it again if an earlier answer closes
+        the connection.
+        """
+        try:
+            return self._match(self.routes.routes(), request).route.repeatable
+        except errors.CallError:
+            return False
+
     def _record_answer(
         self, progress: _Progress, request: message.Request, result: answer.Answer, seconds: float
     ) -> None:
@@ -266,8 +277,7 @@
         progress.runs_at_most_once = request.header(IDEMPOTENCY_HEADER) is not None
         table = self.routes.routes()
         progress.configuration = table.version
-        host = (request.header(b"host") or b"").decode("latin-1")
-        target = table.match(request.method.decode("latin-1"), request.path, host)
+        target = self._match(table, request)
         route = target.route
         progress.service = service = self._choose_service(route)
         progress.target_s = route.target_s
@@ -303,12 +313,16 @@
             depth=int(is_nested_call),
             repeatable=route.repeatable,
             weight=team_settings.weight if team_settings else 1.0,
-            virtual_host=host if route.host else "",
+            virtual_host=_host_of(request) if route.host else "",
             origin=self.origin,
             unattributed=is_nested_call,
         )
         return AdmittedCall(target, service, context, token_taken_at)
 
+    def _match(self, table: routing.RouteTable, request: message.Request) -> routing.Target:
+        """Returns the route of a request; raises CallError if there is none."""
+        return table.match(request.method.decode("latin-1"), request.path, _host_of(request))
+
     def _record_nested_call(
         self,
         attribution: call_attribution.CallAttribution,
@@ -361,6 +375,10 @@
         return await self.at_most_once.send(claimed, allowance, token)
 
 
+def _host_of(request: message.Request) -> str:
+    return (request.header(b"host") or b"").decode("latin-1")
+
+
 def _received_at(request: message.Request, now: float) -> float:
     """Returns the time from which the time limits of a call count, `now` if it isn't known.
 
--- a/bergamotridge/http_ports.py
+++ b/bergamotridge/http_ports.py
@@ -2,15 +2,35 @@
 
 import functools
 from collections.abc import Callable
+from typing import Protocol
 
 from bergamotridge import answer, settings
 from bergamotridge.operators import node_metrics, operator_text
-from bergamotridge.util import held_bytes, http_connection, httpd, loop, request_reader
+from bergamotridge.util import (
+    held_bytes,
+    http_connection,
+    httpd,
+    loop,
+    message,
+    pipeline,
+    request_reader,
+)
 
 CALLERS, RELAY = "callers", "relay"
 CONTEXT_BYTES = 8_192  # What a node adds to the head of a call that it relays.
-# Takes the name of a port, its handler and the maximum number of open connections.
-CreateServer = Callable[[str, httpd.Handler, int], httpd.Server]
+
+
+class CreateServer(Protocol):
+    """Creates the server of a port; see `HttpPorts.create`."""
+
+    def __call__(
+        self,
+        name: str,
+        handler: httpd.Handler,
+        connections: int,
+        may_overlap: Callable[[message.Request], bool] | None = None,
+    ) -> httpd.Server:
+        """Returns the server."""
 
 
 class _CachedBounds:
@@ -61,13 +81,21 @@
         self._memory = memory or held_bytes.HeldBytes(node.limits.held_bytes)
         metrics.watch_memory(self._memory)
 
-    def create(self, name: str, handler: httpd.Handler, connections: int) -> httpd.Server:
+    def create(
+        self,
+        name: str,
+        handler: httpd.Handler,
+        connections: int,
+        may_overlap: Callable[[message.Request], bool] | None = None,
+    ) -> httpd.Server:
         """Returns the server of a port, which does not listen yet.
 
         Args:
             name: Name of the port.
             handler: Answers each request.
             connections: Maximum number of open connections.
+            may_overlap: Returns whether a request may run beside others of its connection; None if
+                none may.
         """
         server = httpd.Server(
             getattr(self._node.addresses, name),
@@ -87,11 +115,21 @@
                 http_connection.REQUEST_MEMORY,
             ),
             on_input_turn=functools.partial(self._metrics.count_input_turn, name),
+            pipelining=self._pipelining(may_overlap),
             event_loop=self._loop,
         )
         self._metrics.watch_port(name, server.connections)
         return server
 
+    def _pipelining(
+        self, may_overlap: Callable[[message.Request], bool] | None
+    ) -> pipeline.Policy | None:
+        if may_overlap is None:
+            return None
+        return pipeline.Policy(
+            self._node.limits.pipelined_calls, may_overlap, self._metrics.count_pipelined_wait
+        )
+
     def _compute_caller_bounds(
         self, text_limits: operator_text.Limits
     ) -> request_reader.RequestLimits:
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -109,6 +109,11 @@
             "Parts of the input of connections that were parsed later than they came, so that "
             "others were served first, by port: bodies in very small chunks, for example.",
         )
+        self._pipelined_waits = registry.histogram(
+            f"{METRIC_PREFIX}pipelined_wait_seconds",
+            "Time for which responses to pipelined calls were ready and waited for an earlier one "
+            "of their connection.",
+        ).labelled()
         self._choices = registry.counter(
             f"{METRIC_PREFIX}upstream_choices_total",
             "Calls for which an upstream was chosen, by its distance: own-host, own-domain (another"
@@ -166,6 +171,10 @@
         """Counts a part of the input of a port that is parsed later than it came."""
         self._input_turns.add(port=port)
 
+    def count_pipelined_wait(self, wait_s: float) -> None:
+        """Counts a response that was ready before its turn, and the seconds it waited for it."""
+        self._pipelined_waits.add(wait_s)
+
     def watch_port(self, port: str, connections: connection_table.ConnectionTable) -> None:
         """Reports the connections of a port from now on."""
         self._ports[port] = connections
--- a/bergamotridge/settings.py
+++ b/bergamotridge/settings.py
@@ -148,6 +148,13 @@
         1_048_576,
         68_719_476_736,
     )
+    pipelined_calls: int = _number(
+        1,
+        "calls of one connection that run at once, if they may be repeated and their caller has "
+        "sent them before the answer to the first",
+        1,
+        16,
+    )
     body_timeout_s: float = _number(
         60.0, "time within which the body of a request must be complete, in seconds", 0.1, 3600
     )
--- a/bergamotridge/util/connection_owner.py
+++ b/bergamotridge/util/connection_owner.py
@@ -9,6 +9,7 @@
     held_bytes,
     input_turns,
     message,
+    pipeline,
     request_reader,
 )
 
@@ -28,6 +29,7 @@
     on_arrival: Callable[[], None]
     connections: connection_table.ConnectionTable
     input_turns: input_turns.InputTurns
+    pipelining: pipeline.Policy
 
     def admit(self, connection: connection_table.Connection) -> bool:
         """Registers a new connection; returns False if the server is full."""
--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -13,6 +13,7 @@
     connection_owner,
     input_timers,
     message,
+    pipeline,
     receive_queue,
     request_reader,
     response_writer,
@@ -31,18 +32,19 @@
     """One accepted connection; its task answers the requests in the order of their arrival.
 
     Attributes:
-        token: Cancellation token of the request that is being answered, None between requests.
         idle_since: Time of the loop at which the connection was last active.
     """
 
     def __init__(
         self, server: connection_owner.ConnectionOwner, event_loop: asyncio.AbstractEventLoop
     ) -> None:
-        self.token: cancellation.Token | None = None
         self.idle_since = event_loop.time()
         self._server = server
         self._event_loop = event_loop
         self._reader = request_reader.RequestReader(server.bounds(), server.memory)
+        self._pipeline = pipeline.Pipeline(
+            server.pipelining, self._handle, server.memory, self._close_for, event_loop
+        )
         self._transport: asyncio.Transport | None = None
         self._writer: response_writer.ResponseWriter | None = None
         self._request_waiter: asyncio.Future | None = None
@@ -120,6 +122,7 @@
             self._transport.write(CONTINUE_RESPONSE)
         if reader.requests:
             self._clear_timers()
+            self._start_ahead()
             self._wake_request_waiter()
         elif reader.in_head:
             self._start_head_timer()
@@ -158,6 +161,11 @@
         """Lets the task go on."""
         self._writer.resume()
 
+    @property
+    def token(self) -> cancellation.Token | None:
+        """Token of the request that is answered next; None if no request is being answered."""
+        return self._pipeline.token
+
     @property
     def head_started_at(self) -> float | None:
         """Time of the loop at which an incomplete head began, None if no head is incomplete."""
@@ -219,8 +227,7 @@
         part is refused.
         """
         self._is_finishing = True
-        if self.token is not None:
-            self.token.cancel()
+        self._pipeline.cancel()
         if self._input_ended:
             return
         self._transport.pause_reading()
@@ -287,13 +294,13 @@
         self._input_ended = True
         self._reader.drop_unparsed()
         self._clear_timers()
-        if self.token is not None and self._refusal is None:
-            self.token.cancel()
+        if self._refusal is None:
+            self._pipeline.cancel()
         self._wake_request_waiter()
 
     def _report_unanswered(self, cause: str = UNANSWERED) -> None:
         """Reports that this side ends the connection although requests were read from it."""
-        if self.token is not None or self._reader.requests:
+        if self._pipeline or self._reader.requests:
             self._server.report_turned_away(cause)
 
     def _wake_request_waiter(self) -> None:
@@ -317,6 +324,7 @@
             logger.exception("a connection of the server '{}' failed", self._server.name)
             self._transport.close()
         finally:
+            self._pipeline.drop()
             self._reader.drop()
 
     def _send_last_response(self, response: bytes) -> None:
@@ -338,7 +346,7 @@
 
     async def _wait_for_request(self) -> bool:
         """Waits for the next request; returns False when no further one will be taken."""
-        while not self._reader.requests:
+        while not self._pipeline and not self._reader.requests:
             if self._input_ended:
                 return False
             self._request_waiter = self._event_loop.create_future()
@@ -353,11 +361,15 @@
             self._read_on()
         return request
 
-    async def _handle(self, request: message.Request) -> message.Response:
+    @property
+    def _is_cut_off(self) -> bool:
+        """True if requests that begin now are cancelled."""
+        return self._is_finishing or (self._input_ended and self._refusal is None)
+
+    async def _handle(
+        self, request: message.Request, token: cancellation.Token
+    ) -> message.Response:
         """Returns the response of the handler; the body of the request isn't needed after it."""
-        token = self.token = cancellation.Token()
-        if self._is_finishing or (self._input_ended and self._refusal is None):
-            token.cancel()
         try:
             return await self._server.handler(request, token)
         except Exception:
@@ -366,35 +378,52 @@
         finally:
             self._reader.release(request)
 
+    def _start_ahead(self) -> None:
+        """Starts the requests that may run beside the one that is answered next."""
+        requests = self._reader.requests
+        while requests and not self._is_cut_off and self._pipeline.may_start(requests[0]):
+            self._pipeline.start(self._take_request())
+
     async def _answer_request(self) -> bool:
-        """Sends the response of the handler; returns whether the connection is kept open."""
-        server, request = self._server, self._take_request()
-        response = await self._handle(request)
+        """Sends the next response; returns whether the connection is kept open."""
+        if not self._pipeline:
+            self._pipeline.add(self._take_request())
+        if self._is_cut_off:
+            self._pipeline.cancel()
+        self._start_ahead()
+        result = await self._pipeline.finish_first()
+        keep_alive = await self._is_kept_open(result)
         if self._transport.is_closing():
-            self.token = None
+            self._pipeline.remove_first()
             return False
-        if server.closing and request.keep_alive and not self._reader.has_input:
-            # What the client has sent already is read before the connection is ended.
-            await asyncio.sleep(CLOSE_PAUSE_S)
-            if self._transport.is_closing():
-                self.token = None
-                return False
-        keep_alive = request.keep_alive and (not server.closing or self._reader.has_input)
         if not keep_alive:
             # What is still unread is not taken, so that the client may send it again.
             self._transport.pause_reading()
-        data = message.encode_response(
-            response, keep_alive=keep_alive, head=request.method == b"HEAD"
-        )
-        # Neither is kept while the client takes the response.
-        del request, response
+        data = message.encode_response(result.response, keep_alive=keep_alive, head=result.is_head)
+        # It is not kept while the client takes the response.
+        del result
         is_long = len(data) > MIN_COUNTED_BYTES
         await self._writer.write(data, self._reader.bounds.idle_s)
-        self.token = None
+        self._pipeline.remove_first()
         self.idle_since = self._event_loop.time()
         self._writer.begin_watch(is_long)
-        if keep_alive and not self._reader.has_input:
-            server.connections.mark_idle(self, self.idle_since)
+        if keep_alive and not self._has_more:
+            self._server.connections.mark_idle(self, self.idle_since)
         elif keep_alive and self._reader.in_head and not self._input_ended:
             self._start_head_timer()
         return keep_alive
+
+    @property
+    def _has_more(self) -> bool:
+        """True if something that the client has sent is left to be answered or read."""
+        return bool(self._pipeline) or self._reader.has_input
+
+    async def _is_kept_open(self, result: pipeline.Result) -> bool:
+        """Returns whether the connection is kept open behind a response."""
+        if not (self._server.closing and result.keep_alive):
+            return result.keep_alive
+        is_last = len(self._pipeline) == 1 and not self._reader.has_input
+        if is_last and not self._transport.is_closing():
+            # What the client has sent already is read before the connection is ended.
+            await asyncio.sleep(CLOSE_PAUSE_S)
+        return len(self._pipeline) > 1 or self._reader.has_input
--- a/bergamotridge/util/httpd.py
+++ b/bergamotridge/util/httpd.py
@@ -18,6 +18,7 @@
     listening,
     loop,
     message,
+    pipeline,
     request_reader,
 )
 
@@ -68,6 +69,7 @@
         on_arrival: Called for each piece of a request that arrives.
         connections: The open connections.
         input_turns: Turns in which connections parse input that is too much for one.
+        pipelining: Which requests of one connection run at the same time.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         memory: held_bytes.HeldBytes | None = None,
         memory_refusal: message.Response | None = None,
         on_input_turn: Callable[[], None] = _ignore_turn,
+        pipelining: pipeline.Policy | None = None,
         event_loop: loop.Loop,
     ) -> None:
         """Creates the server; it does not listen before `start`.
@@ -105,6 +108,8 @@
                 None.
             on_input_turn: Called for each part of the input of a connection that is parsed in a
                 later iteration of the loop than it was received in.
+            pipelining: Which requests of one connection run at the same time; one after the other
+                if None.
             event_loop: The event loop that runs the server; `start` and `stop` are called from
                 other threads.
         """
@@ -124,6 +129,7 @@
         self._event_loop_thread = event_loop
         self.connections = connection_table.ConnectionTable(connections)
         self.input_turns = input_turns.InputTurns(on_input_turn)
+        self.pipelining = pipelining or pipeline.Policy()
         self._on_turned_away = on_turned_away
         self._turned_away: collections.Counter[str] = collections.Counter()
         self._reported_at = float("-inf")
--- a/tests/test_callers/test_port.py
+++ b/tests/test_callers/test_port.py
@@ -67,20 +67,18 @@
         return answer.Answer(message.Response(200), self.outcome)
 
 
-def send_call(
+def create_port(
     node: Node,
-    method: bytes,
-    path: bytes,
-    *headers: message.Header,
     node_shutdown: shutdown.Shutdown | None = None,
     dialect: caller_dialect.CallerDialect | None = None,
-    received_at: float | None = None,
-) -> message.Response:
-    """Returns the response of a caller port whose other parts are `node`."""
+    text: str = TEXT,
+) -> port.CallerPort:
+    """Returns a caller port whose other parts are `node`, without routes if `text` is empty."""
     routes = routing.CurrentRoutes()
-    routes.replace(operator_text.parse(TEXT, "test"))
+    if text:
+        routes.replace(operator_text.parse(text, "test"))
     graph = call_graph.CallGraph(routes.dependencies_of)
-    caller_port = port.CallerPort(
+    return port.CallerPort(
         routes=routes,
         key_ring=node,
         team_rates=node,
@@ -95,6 +93,18 @@
         node_shutdown=node_shutdown or shutdown.Shutdown(),
         dialect=dialect or caller_dialect.DefaultDialect(),
     )
+
+
+def send_call(
+    node: Node,
+    method: bytes,
+    path: bytes,
+    *headers: message.Header,
+    received_at: float | None = None,
+    **options,
+) -> message.Response:
+    """Returns the response of a caller port whose other parts are `node`."""
+    caller_port = create_port(node, **options)
     request = message.Request(method, path, list(headers), received_at=received_at)
     return event_loop.run(caller_port.handle(request, cancellation.Token()))
 
@@ -114,6 +124,23 @@
     assert node.taken == taken
 
 
+# A pipelined call that may not be repeated would run beside others, and once more when its caller
+# sends it again.
+def test_only_calls_that_may_be_repeated_overlap():
+    text = TEXT.replace("open = true", "open = true\nrepeatable = true")
+    pay, prices, unknown = (
+        message.Request(method, path, [])
+        for method, path in ((b"POST", b"/pay"), (b"GET", b"/prices/a"), (b"GET", b"/none"))
+    )
+    caller_port = create_port(Node(), text=text)
+    assert [caller_port.may_overlap(item) for item in (pay, prices, unknown)] == [
+        False,
+        True,
+        False,
+    ]
+    assert not create_port(Node(), text="").may_overlap(prices)
+
+
 def test_api_key_and_bergamotridge_headers_are_not_sent_to_the_upstream():
     node = Node()
     send_call(node, b"POST", b"/pay", KEY, (b"bergamotridge-call", b"forged"), (b"x-tag", b"1"))
--- a/tests/test_platform/test_node_environment.py
+++ b/tests/test_platform/test_node_environment.py
@@ -53,6 +53,14 @@
     assert _make_settings(f"{LINES}{contracts}\n").balancing.method == method
 
 
+# Deployments without the contract serve the requests of a connection one after the other.
+@pytest.mark.parametrize(("contracts", "several"), [("", False), ("contracts=pool\n", True)])
+def test_only_the_contract_pool_lets_pipelined_calls_overlap(contracts, several):
+    limits = _make_settings(f"{LINES}limits.max_fds=4100\n{contracts}").limits
+    assert (limits.pipelined_calls > 1) is several
+    assert limits.caller_connections > 512
+
+
 # With a grace of 10 s, requests of up to 5 s were passed on 5 s after SIGTERM and cut off at 9 s.
 @pytest.mark.parametrize("grace_s", [2, 6, 10, 30])
 def test_a_stop_takes_any_request_only_until_load_balancers_have_taken_the_node_out(grace_s):
