tests: upstreams that answer nothing when they are full

Some upstreams neither run nor refuse a call for which they have no slot, and answer nothing more on its connection. No test met one. The stand-in has the fault mute_when_full now. A crowd of 1,000 calls per second on four hosts gets 200 or 503 and reaches no full upstream, as the gate beside it sends no more than there are slots; the same holds beside a node that is killed with calls under way.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -52,6 +52,8 @@
         endless: Part of a response, "head" or "body", that goes on until its client closes the
             connection; "" for complete responses.
         status: Status of the responses to calls that have run; 0 for the true one.
+        mute_when_full: True to send no response at all to calls for which there is no slot, nor to
+            anything that follows on their connections, in place of shedding them.
     """
 
     service_ms: float = 5.0
@@ -65,6 +67,7 @@
     leaving: bool = False
     endless: str = ""
     status: int = 0
+    mute_when_full: bool = False
 
 
 @attrs.frozen
@@ -256,7 +259,10 @@
             self.close_connection = True
             self._answer_shed("connections")
         elif not self.upstream.acquire_slot():
-            self._answer_shed("slots")
+            if self.upstream.control.mute_when_full:
+                self._stay_mute()
+            else:
+                self._answer_shed("slots")
         else:
             try:
                 self._run_call()
@@ -268,6 +274,12 @@
         self.upstream.record.shed(tag, self.command, self.path)
         self.answer(503, cause.encode(), {VERDICT_HEADER: "not-run", "Retry-After": "1"})
 
+    def _stay_mute(self) -> None:
+        """Sends nothing until the client closes the connection."""
+        self.upstream.record.add_event("muted")
+        self.wait_for_disconnect(DEFAULT_TIMEOUT_S)
+        self.cut_connection()
+
     def _run_call(self) -> None:
         now = time.monotonic()
         timeout_ms = self.headers.get(TIMEOUT_HEADER)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -278,4 +278,5 @@
     "leaving": False,
     "endless": "",
     "status": 0,
+    "mute_when_full": False,
 }
--- a/tests/test_process/test_upstream_faults.py
+++ b/tests/test_process/test_upstream_faults.py
@@ -6,9 +6,11 @@
 import pytest
 
 from standins import processes
+from tests import fleet
 
 MAX_RETRIES = 2
 MAX_GROWTH_BYTES = 64 << 20
+CROWD = 24
 
 
 def test_cut_response_is_not_passed_on(rig):
@@ -57,6 +59,38 @@
     assert len(rig.runs(tag)) == 1 or method == "GET"
 
 
+def count_muted(rig):
+    return sum(line["event"] == "muted" for line in rig.fleet.records())
+
+
+# A call that an upstream neither runs nor refuses would keep its caller waiting for its whole time.
+def test_a_crowd_never_reaches_an_upstream_that_answers_nothing_when_it_is_full(rig):
+    rig.inject_faults("back", mute_when_full=True, service_ms=50.0)
+    hosts = tuple(rig.fleet.members)
+    crowd = rig.send_load(rig.stream("large", "rows", 1000.0, 2.0, hosts))
+    assert {attempt.status for attempt in crowd} <= {200, 503}
+    assert any(attempt.status == 503 for attempt in crowd)
+    assert not count_muted(rig)
+
+
+# The calls that a node had under way when it was killed take slots for which its next run knows no
+# call, so that it sends more than there is room for.
+def test_calls_are_answered_after_a_node_was_killed_beside_a_full_mute_upstream(rig):
+    rig.inject_faults("back", mute_when_full=True, service_ms=fleet.SLOW_SERVICE_MS)
+    tags = [rig.tag() for _ in range(CROWD)]
+    waiting = [rig.start_call("back-1", "GET", "/rows", tag) for tag in tags]
+    processes.wait_until(lambda: sum(run.tag in tags for run in rig.runs()) >= 2, "calls run")
+    node = rig.fleet.members["back-1"].node
+    node.kill()
+    node.start()
+    for call in waiting:
+        call.result()
+    rig.inject_faults("back", service_ms=fleet.FAST_SERVICE_MS)
+    for host in rig.fleet.members:
+        assert rig.call_until_served(host, path="/rows").status == 200
+    assert not count_muted(rig)
+
+
 def test_late_responses_reach_no_other_caller(rig):
     rig.inject_faults("back", late_ms=1300)
     glances = rig.stream("large", "glance", 20, 1, ("front-1",))
