balancing: fewer calls to upstreams that reject them

An upstream that rejects a part of the calls without running them has free slots, so that both methods sent it more calls than the others. Each rejection takes a retry, and a request that needs several calls fails with one of them.

Each node now learns the fraction of calls that an upstream accepts from the answers to its own calls (balancing.acceptance); expected-wait counts room and expected time by the fourth power of it. Refusals by a gate do not count. No message changes; bergamotridge_upstream_accepted_fraction shows what is learned.

--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -40,6 +40,9 @@
         work_s: Mean time of a call at an upstream of speed 1.
         utilization: Demand over capacity.
         slow_fraction: Fraction of the upstreams that become 2.5 times slower for 0.6 s at a time.
+        rejecting: Number of upstreams that reject calls whatever their load, from a third of the
+            run to two thirds of it.
+        rejected_fraction: Fraction of the calls that those reject.
         reports_end_at: When answers stop to carry reports, in seconds.
     """
 
@@ -51,6 +54,8 @@
     work_s: float = 0.12
     utilization: float = 0.7
     slow_fraction: float = 0.0
+    rejecting: int = 0
+    rejected_fraction: float = 0.55
     reports_end_at: float = math.inf
 
 
@@ -59,6 +64,7 @@
     item: record.UpstreamRecord
     speed: float
     is_unsteady: bool
+    rejects: bool
     busy: int = 0
     waiting: collections.deque = attrs.field(factory=collections.deque)
 
@@ -80,6 +86,9 @@
         while_slow: Calls sent to unsteady upstreams while they were slow, over their part of all
             speeds.
         afterwards: The same for the time from `AGAIN_FROM_S` until they become slow again.
+        accepted: Fraction of the calls that were accepted while upstreams rejected some.
+        returned: Calls sent to rejecting upstreams in the last sixth of the run, over their part
+            of all speeds.
     """
 
     spread: float
@@ -90,6 +99,8 @@
     ages_s: tuple[float, float]
     while_slow: float
     afterwards: float
+    accepted: float
+    returned: float
 
 
 def run(fleet: Fleet, method: str, seed: int, duration_s: float = 12.0) -> Result:
@@ -105,6 +116,8 @@
         self._numbers = itertools.count()
         self._upstreams = {}
         self._reported_at: dict[tuple[int, str], float] = {}
+        self._rejects_from, self._rejects_until = math.inf, math.inf
+        self._accepted = [0, 0]  # Calls that were accepted and that were not.
         for number in range(fleet.upstreams):
             item = record.UpstreamRecord(
                 f"upstream-{number}",
@@ -122,7 +135,8 @@
             # Each failure domain has slow and fast ones.
             speed = 0.5 + 1.2 * (number * 3 % fleet.upstreams) / (fleet.upstreams - 1)
             is_unsteady = number < fleet.slow_fraction * fleet.upstreams
-            self._upstreams[item.host] = _Upstream(item, speed, is_unsteady)
+            rejects = number < fleet.rejecting
+            self._upstreams[item.host] = _Upstream(item, speed, is_unsteady, rejects)
         self._candidates = [item.item for item in self._upstreams.values()]
         self._choosers = []
         for number in range(fleet.nodes):
@@ -142,10 +156,14 @@
         per_tick = fleet.utilization * capacity * TICK_S / fleet.nodes
         start_s = duration_s / 4
         self._times, self._start_s = [], start_s
+        self._rejects_from, self._rejects_until = duration_s / 3, 2 * duration_s / 3
         spreads, near, sent, own, own_sent = [], 0, 0, 0, 0
         unsteady = {host for host, item in self._upstreams.items() if item.is_unsteady}
         total_speed = sum(item.speed for item in self._upstreams.values())
         share = sum(self._upstreams[host].speed for host in unsteady) / total_speed
+        rejecting = {host for host, item in self._upstreams.items() if item.rejects}
+        rejecting_share = sum(self._upstreams[host].speed for host in rejecting) / total_speed
+        returned = [0, 0]
         by_phase = {phase: [0, 0] for phase in ("slow", "steady", "between")}
         ages = []
         next_tick, next_sample = 0.0, start_s
@@ -164,6 +182,9 @@
                         own_sent += node < fleet.beside
                         by_phase[phase][0] += target.host in unsteady
                         by_phase[phase][1] += 1
+                        if now >= 5 / 6 * duration_s:
+                            returned[0] += target.host in rejecting
+                            returned[1] += 1
                         near += target.failure_domain == f"domain-{node % fleet.domains}"
             next_tick += TICK_S
             if now >= next_sample:
@@ -184,6 +205,8 @@
                 by_phase[phase][0] / by_phase[phase][1] / share if share else math.nan
                 for phase in ("slow", "steady")
             ),
+            self._accepted[0] / sum(self._accepted) if rejecting else math.nan,
+            returned[0] / returned[1] / rejecting_share if rejecting else math.nan,
         )
 
     def _at(self, at: float, action: Callable, arguments: tuple) -> None:
@@ -196,6 +219,12 @@
 
     def _arrive(self, now: float, host: str, node: int, sent_at: float) -> None:
         target = self._upstreams[host]
+        is_measured = self._rejects_from <= now < self._rejects_until
+        if target.rejects and is_measured and self._rng.random() < self._fleet.rejected_fraction:
+            self._accepted[1] += 1
+            self._answer_with(now, target, node, sent_at, outcome.Outcome.SHED)
+            return
+        self._accepted[0] += is_measured
         if target.busy < self._fleet.slots:
             self._start(now, target, node, sent_at)
         else:
@@ -211,21 +240,34 @@
         target.busy -= 1
         if target.waiting:
             self._start(now, target, *target.waiting.popleft())
+        self._answer_with(now, target, node, sent_at, outcome.Outcome.OK)
+
+    def _answer_with(
+        self, now: float, target: _Upstream, node: int, sent_at: float, result: outcome.Outcome
+    ) -> None:
         slots, waiting = self._fleet.slots, len(target.waiting)
         report = load.LoadReport((target.busy + waiting) / slots, slots, target.busy, waiting)
         if now >= self._fleet.reports_end_at:
             report = None
-        self._at(now + TRANSIT_S, self._answer, (target.item.host, node, sent_at, report))
+        self._at(now + TRANSIT_S, self._answer, (target.item.host, node, sent_at, report, result))
 
     def _answer(
-        self, now: float, host: str, node: int, sent_at: float, report: load.LoadReport | None
+        self,
+        now: float,
+        host: str,
+        node: int,
+        sent_at: float,
+        report: load.LoadReport | None,
+        result: outcome.Outcome,
     ) -> None:
         if sent_at >= self._start_s:
             self._times.append(now - sent_at)
         if report is not None:
             self._reported_at[node, host] = now
-        result = outcome.Outcome.OK
-        self._choosers[node].record_outcome(host, result, report, now - sent_at, now)
+        accepted = result is outcome.Outcome.OK
+        self._choosers[node].record_outcome(
+            host, result, report, now - sent_at, now, accepted=accepted
+        )
 
 
 def _phase(now: float) -> str:
@@ -249,6 +291,13 @@
     "0.85 of the capacity, calls of 0.5 s": Fleet(work_s=0.5, slots=24, utilization=0.85),
     "20 nodes beside the upstreams": Fleet(beside=20),
     "reports stop after 4 s": Fleet(reports_end_at=4.0),
+    "11 nodes, 4 of 5 upstreams reject 0.55": Fleet(
+        nodes=11, upstreams=5, slots=75, work_s=0.058, utilization=0.4, rejecting=4
+    ),
+    "2 of 20 upstreams reject 0.35": Fleet(rejecting=2, rejected_fraction=0.35),
+    "all of 5 upstreams reject 0.55": Fleet(
+        nodes=11, upstreams=5, slots=75, work_s=0.058, utilization=0.4, rejecting=5
+    ),
 }
 
 
@@ -257,9 +306,9 @@
     del arguments
     print(
         "| case | method | spread | p50 ms | p99 ms | own domain | own host | report age s | slow "
-        "| after |"
+        "| after | accepted | returned |"
     )
-    print("|---|---|---|---|---|---|---|---|---|---|")
+    print("|---|---|---|---|---|---|---|---|---|---|---|---|")
     for name, fleet in CASES.items():
         for method in methods.METHODS:
             got = run(fleet, method, seed=1)
@@ -267,6 +316,6 @@
                 f"| {name} | {method} | {got.spread:.3f} | {1000 * got.p50_s:.0f} | "
                 f"{1000 * got.p99_s:.0f} | {got.own_domain:.2f} | {got.own_host:.2f} | "
                 f"{got.ages_s[0]:.1f}-{got.ages_s[1]:.1f} | {got.while_slow:.2f} | "
-                f"{got.afterwards:.2f} |"
+                f"{got.afterwards:.2f} | {got.accepted:.2f} | {got.returned:.2f} |"
             )
     return 0
--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bergamotridge.balancing import load_estimate, speed, strategy
+from bergamotridge.balancing import acceptance, load_estimate, speed, strategy
 
 SAMPLE_SIZE = 8  # Upstreams of one distance that are compared for one call.
 RECENT_REPORT_S = 1.0  # Age up to which a report shows whether an upstream has room.
@@ -32,6 +32,9 @@
 # Exponent of a passing slowness in the weight of an upstream. Calls that were sent there before the
 # slowness was noticed keep it busy for longer than their number shows.
 PASSING_POWER = 3
+# Exponent of the accepted fraction of calls in weight and expected time. A request needs several
+# calls, each rejected one takes a retry, and the rejecting upstream seems idle.
+ACCEPTANCE_POWER = 4
 
 
 @attrs.frozen
@@ -40,8 +43,10 @@
 
     Attributes:
         items: The upstreams.
-        weights: Free capacity of each (free slots divided by slowness), 0 if it is full.
-        times: Expected time of a call at each, in multiples of the usual time of the service.
+        weights: Free capacity of each (free slots divided by slowness), 0 if it is full; less if it
+            rejects calls.
+        times: Expected time of a call at each, in multiples of the usual time of the service; more
+            if it rejects calls.
         capacity: Free capacity of all upstreams of that distance, extrapolated from a sample.
         load: Mean load of `items`.
     """
@@ -76,6 +81,7 @@
         self._rng = rng
         self._loads = load_estimate.LoadEstimator()
         self._slowness = speed.Slowness()
+        self._acceptance = acceptance.Acceptance()
 
     def choose(self, usable: strategy.Split[strategy.Candidate], now: float) -> strategy.Candidate:
         """Returns the upstream to call; all of `usable`, at least one, may be called."""
@@ -111,6 +117,8 @@
         """Takes in the load report and the duration of a call."""
         report = answered.report
         self._loads.record_answer(host, report, answered.latency_s, now)
+        if answered.accepted is not None:
+            self._acceptance.record(host, accepted=answered.accepted, now=now)
         if answered.completed and report is not None:
             service = self._loads.service_of(host)
             # The reported load may be higher: a gate whose starts are limited reports no room.
@@ -121,6 +129,10 @@
         """Returns the learned slowness of each upstream; may be called from any thread."""
         return self._slowness.by_host(now)
 
+    def accepted_by_host(self, now: float) -> dict[str, float]:
+        """Returns the accepted fraction of upstreams that reject calls, from any thread."""
+        return self._acceptance.by_host(now)
+
     def _compare(
         self, items: Sequence[strategy.Candidate], now: float
     ) -> _Group[strategy.Candidate]:
@@ -133,9 +145,10 @@
             load, limit = self._loads.load_of(item, now), self._loads.limit_of(item)
             slowness = self._slowness.of(item.host, now)
             passing = self._slowness.passing_of(item.host, now)
+            accepted = self._acceptance.of(item.host, now) ** ACCEPTANCE_POWER
             room = self._room_of(item, limit, load, now)
-            weights.append(room / (slowness * passing**PASSING_POWER))
-            times.append(slowness * passing * max(1.0, load))
+            weights.append(room * accepted / (slowness * passing**PASSING_POWER))
+            times.append(slowness * passing * max(1.0, load) / accepted)
             total_load += load
         capacity = sum(weights) * count / len(items)
         return _Group(items, weights, times, capacity, total_load / len(items))
--- a/bergamotridge/balancing/least_loaded.py
+++ b/bergamotridge/balancing/least_loaded.py
@@ -79,6 +79,10 @@
         """Returns nothing, as this strategy learns no slowness."""
         return {}
 
+    def accepted_by_host(self, now: float) -> Mapping[str, float]:
+        """Returns nothing, as this strategy does not learn which upstreams reject calls."""
+        return {}
+
     def _host(self, host: str) -> _HostLoad:
         known = self._hosts.get(host)
         if known is None:
--- a/bergamotridge/balancing/strategy.py
+++ b/bergamotridge/balancing/strategy.py
@@ -84,12 +84,15 @@
         completed: True if the upstream ran the call and answered it.
         report: Load report that came with the answer, or None.
         latency_s: Duration of the call in seconds.
+        accepted: Whether the upstream took the call, False if it rejected it without running it;
+            None if it is not known.
     """
 
     kind: Hashable
     completed: bool
     report: Report | None
     latency_s: float
+    accepted: bool | None = None
 
 
 class Strategy(Protocol):
@@ -115,3 +118,6 @@
 
     def slowness_by_host(self, now: float) -> Mapping[str, float]:
         """Returns the learned slowness of upstreams, 1.0 is usual; called from any thread."""
+
+    def accepted_by_host(self, now: float) -> Mapping[str, float]:
+        """Returns the fraction of calls accepted by upstreams that reject some, from any thread."""
--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -95,6 +95,7 @@
     node = shared.node
     balancing = methods.METHODS[node.balancing.method](shared.rng)
     shared.metrics.watch_slowness(balancing.slowness_by_host)
+    shared.metrics.watch_acceptance(balancing.accepted_by_host)
     return choice.UpstreamChooser(
         node.host,
         node.failure_domain,
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -180,6 +180,7 @@
         latency_s: float,
         now: float,
         kind: Hashable = "",
+        accepted: bool | None = None,
     ) -> None:
         """Records how a call to `host` ended.
 
@@ -190,11 +191,12 @@
             latency_s: Duration of the call in seconds.
             now: Monotonic time in seconds.
             kind: Kind of the call; see `strategy.Answered`.
+            accepted: Whether the upstream took the call; see `strategy.Answered`.
         """
         health = self._health(host)
         completed = result is outcome.Outcome.OK
         self._balancing.record_answer(
-            host, strategy.Answered(kind, completed, report, latency_s), now
+            host, strategy.Answered(kind, completed, report, latency_s, accepted), now
         )
         if result in FAILURE_OUTCOMES and not _timed_out_with_report(result, report):
             self._unhealthy[host] = health
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -22,11 +22,12 @@
 
 SERVICE_UNAVAILABLE = 503
 GATE_REFUSAL_REASON = "shed"  # By the gate of a node, before the call was sent to its upstream.
+UPSTREAM_REJECTION_REASON = "upstream-shed"  # The upstream got the call and did not run it.
 COLD_REASON = "cold"  # The upstream is cold and takes few calls; its gate refused this one.
 MAX_ATTEMPTS_FOR_ROOM = 3  # A call that so many gates shed needs a retry to go on.
 _OUTCOME_BY_REASON = {
     "": outcome.Outcome.OK,
-    "upstream-shed": outcome.Outcome.SHED,
+    UPSTREAM_REJECTION_REASON: outcome.Outcome.SHED,
     "shed": outcome.Outcome.SHED,
     COLD_REASON: outcome.Outcome.SHED,
     "cancelled": outcome.Outcome.CANCELLED,
@@ -303,7 +304,9 @@
             self._attempt_times.record(service, latency_s)
         if reply.reason == relay.NODE_FAILED and reply.verdict is verdict.Verdict.NOT_RUN:
             result = outcome.Outcome.UNREACHABLE
-        self._chooser.record_outcome(target.host, result, reply.report, latency_s, now, kind)
+        self._chooser.record_outcome(
+            target.host, result, reply.report, latency_s, now, kind, _was_accepted(reply)
+        )
         if reply.report is not None:
             threshold = None if reply.reason in _IDLE_GATE_REASONS else reply.report.threshold
             self._dependency_thresholds.record_answer(
@@ -311,6 +314,13 @@
             )
 
 
+def _was_accepted(reply: answer.Answer) -> bool | None:
+    """Returns whether an upstream took a call, None if that isn't known or it did not get it."""
+    if reply.verdict is verdict.Verdict.RUN:
+        return True
+    return False if reply.reason == UPSTREAM_REJECTION_REASON else None
+
+
 def _kind_of(outgoing: OutgoingCall, status: int) -> Hashable:
     """Returns the properties of a call by which calls that take different times are told apart.
 
--- a/bergamotridge/operators/node_metrics.py
+++ b/bergamotridge/operators/node_metrics.py
@@ -31,6 +31,10 @@
         return float("nan")
 
 
+def _by_host(values: Mapping[str, float]) -> list[metrics.Sample]:
+    return [metrics.Sample(round(value, 3), {"host": host}) for host, value in values.items()]
+
+
 @attrs.frozen
 class _AnswerCells:
     """Metric cells of the answers that share one set of labels."""
@@ -121,6 +125,7 @@
         )
         self._choice_cells: dict[str, metrics.CounterCell] = {}
         self._read_slowness: Callable[[float], Mapping[str, float]] = lambda now: {}
+        self._read_acceptance: Callable[[float], Mapping[str, float]] = lambda now: {}
         self._answer_cells: dict[tuple[str, str, str, verdict.Verdict], _AnswerCells] = {}
         self._event_cells: dict[tuple[str, str], metrics.CounterCell] = {}
         self._ports: dict[str, connection_table.ConnectionTable] = {}
@@ -226,6 +231,14 @@
         """
         self._read_slowness = read_by_host
 
+    def watch_acceptance(self, read_by_host: Callable[[float], Mapping[str, float]]) -> None:
+        """Reports the fraction of calls that upstreams accept from now on.
+
+        Args:
+            read_by_host: Takes the monotonic time, and returns the fraction by host.
+        """
+        self._read_acceptance = read_by_host
+
     def count_held_upstream(self) -> None:
         """Counts a start of the upstream whose reports are held back."""
         self._held_upstreams.add()
@@ -293,7 +306,13 @@
             f"{METRIC_PREFIX}upstream_slowness",
             "Time of calls at an upstream over what is usual in its service, as learned by this "
             "node, by host; only with the method expected-wait.",
-            self._slowness_samples,
+            lambda: _by_host(self._read_slowness(time.monotonic())),
+        )
+        registry.gauges(
+            f"{METRIC_PREFIX}upstream_accepted_fraction",
+            "Fraction of this node's calls that an upstream accepts, by host, for upstreams that "
+            "have rejected calls lately; only with the method expected-wait.",
+            lambda: _by_host(self._read_acceptance(time.monotonic())),
         )
         registry.gauges(
             f"{METRIC_PREFIX}connections",
@@ -317,12 +336,6 @@
             self._connection_limit_samples,
         )
 
-    def _slowness_samples(self) -> Iterable[metrics.Sample]:
-        return [
-            metrics.Sample(round(value, 3), {"host": host})
-            for host, value in self._read_slowness(time.monotonic()).items()
-        ]
-
     def _connection_samples(self) -> Iterable[metrics.Sample]:
         return [
             metrics.Sample(count, {"port": port, "state": state})
--- a/tests/test_nodes/test_dispatch.py
+++ b/tests/test_nodes/test_dispatch.py
@@ -25,6 +25,7 @@
     verdict.Verdict.RUN,
 )
 HOSTS = ("h1", "h2", "h3", "h4")
+KIND_POSITION = 5  # Of the arguments of `record_outcome`.
 
 
 def make_record(host: str) -> record.UpstreamRecord:
@@ -248,7 +249,9 @@
     kinds = []
     for status, repeatable in ((200, True), (204, True), (500, True), (200, False)):
         fleet = FakeFleet(RUN)
-        monkeypatch.setattr(fleet, "record_outcome", lambda *given: kinds.append(given[-1]))
+        monkeypatch.setattr(
+            fleet, "record_outcome", lambda *given: kinds.append(given[KIND_POSITION])
+        )
         dispatcher, sent = make_dispatcher(fleet), fleet.send
 
         async def answer_with(*arguments, status=status, sent=sent):
@@ -261,6 +264,26 @@
     assert kinds[0] == kinds[1] and len(set(kinds)) == 3
 
 
+# An upstream that rejects calls is avoided; a refusal by a gate or a failure tells nothing of that.
+@pytest.mark.parametrize(
+    ("reason", "attempt_verdict", "accepted"),
+    [
+        ("", RUN, True),
+        ("upstream-error", RUN, True),
+        ("upstream-shed", NOT_RUN, False),
+        ("shed", NOT_RUN, None),
+        ("upstream-failed", MAY_HAVE_RUN, None),
+    ],
+)
+def test_the_choice_learns_what_upstreams_accept(monkeypatch, reason, attempt_verdict, accepted):
+    told = []
+    fleet = FakeFleet()
+    monkeypatch.setattr(fleet, "record_outcome", lambda *given: told.append(given[-1]))
+    reply = answer.Answer(message.Response(503), attempt_verdict, reason)
+    make_dispatcher(fleet)._record_attempt(make_record("h1"), "pay", reply, 0.01, 1.0)
+    assert told == [accepted]
+
+
 # Nothing but calls may tell that a node was killed, as no link may have it as its peer.
 @pytest.mark.parametrize("reason", [relay.NODE_FAILED, "shed"])
 def test_a_node_that_a_call_did_not_reach_is_told_of(reason):
