upstreams: refuse requests that hardly complete while a service below rejects calls

While the upstreams of the lowest service rejected half of their calls for 8 s, requests that need eight calls there were begun as ever. Nearly all of them failed after the work above was done, and callers could not tell whether they had run: a hand-in that may not be repeated was lost for good.

Gates report the fraction of calls that their upstream accepts; it is passed on with thresholds. The node beside the upstream that runs a request counts by route which requests complete meanwhile (upstreams.completion) and refuses the others before they begin, as not run, reason dependency-rejects. All begin where one in a hundred completes, so that trees of four calls are begun as before, and once the service accepts calls again. Deciding at the first node was tried and dropped: it sees too few requests of a route to tell one in ten from one in a hundred in that time.

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -22,6 +22,7 @@
 from bergamotridge.operators import node_status, port
 from bergamotridge.store import assembly as store_assembly
 from bergamotridge.upstreams import assembly as upstreams_assembly
+from bergamotridge.upstreams import completion
 from bergamotridge.util import held_bytes, loop
 
 CONTROL_GRACE_S = 0.5
@@ -118,6 +119,7 @@
             self.caller_tables.thresholds,
             upstreams.attribution,
         )
+        self._guard_completion()
         self.callers = callers_assembly.create(
             shared,
             self.store,
@@ -129,6 +131,14 @@
             upstreams.attribution,
         )
 
+    def _guard_completion(self) -> None:
+        """Lets the local upstream refuse requests that hardly ever complete, if it is so set."""
+        tracker, routes = self.upstreams.tracker, self.calls.routes
+        if self.settings.shedding.scarce and tracker is not None and routes is not None:
+            tracker.guard = completion.CompletionGuard(
+                routes.local_dependencies_of, self.caller_tables.thresholds.accepted_fraction
+            )
+
     def _create_servers(self) -> None:
         shared, routes = self._shared, self.fleet.routes
         http = http_ports.HttpPorts(
--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -76,8 +76,9 @@
     """
     if len(thresholds) == 1:
         return thresholds[0]
+    accepted = _combine_shares([item.accepted for item in thresholds])
     if any(item.admits_all for item in thresholds):
-        return load.ADMIT_ALL
+        return load.ADMIT_ALL if accepted >= 1.0 else load.Threshold(accepted=accepted)
     keys = sorted({key for item in thresholds for key in item.shares} - {load.UNATTRIBUTED})
     shares = {key: _combine_shares([item.share(*key) for item in thresholds]) for key in keys}
     unattributed = _combine_shares([item.unattributed for item in thresholds])
@@ -89,6 +90,7 @@
             for level in call.Importance
         ),
         shares,
+        accepted,
     )
 
 
@@ -155,6 +157,14 @@
         current = thresholds.current(now)
         return _recovered_share(current.threshold.unattributed, now - current.observed_at)
 
+    def accepted_fraction(self, service: str, now: float) -> float:
+        """Returns the fraction of calls that the upstreams of a service accept at any load."""
+        thresholds = self._by_service.get(service)
+        if thresholds is None or thresholds.admits_all:
+            return 1.0
+        current = thresholds.current(now)
+        return _recovered_share(current.threshold.accepted, now - current.observed_at)
+
     def encode(self, services: Collection[str], now: float) -> str:
         """Returns the stored thresholds of `services` with their ages, as the text of a header.
 
--- a/bergamotridge/nodes/dispatch.py
+++ b/bergamotridge/nodes/dispatch.py
@@ -17,7 +17,7 @@
     record,
     relay,
 )
-from bergamotridge.upstreams import known_notices, local_upstream, notice, outcome
+from bergamotridge.upstreams import completion, known_notices, local_upstream, notice, outcome
 from bergamotridge.util import cancellation, message
 
 SERVICE_UNAVAILABLE = 503
@@ -32,6 +32,7 @@
     COLD_REASON: outcome.Outcome.SHED,
     "cancelled": outcome.Outcome.CANCELLED,
     "deadline": outcome.Outcome.TIMED_OUT,
+    completion.REASON: outcome.Outcome.SHED,
     "crash-suspect": outcome.Outcome.SHED,
     "crashes-upstreams": outcome.Outcome.SHED,
     "draining": outcome.Outcome.REFUSED,
@@ -56,7 +57,7 @@
 }
 
 # Reasons of refusals that hold for all upstreams of the service.
-_FLEET_WIDE_REASONS = frozenset(("crash-suspect", "crashes-upstreams"))
+_FLEET_WIDE_REASONS = frozenset(("crash-suspect", "crashes-upstreams", completion.REASON))
 
 
 class UpstreamDirectory(Protocol):
--- a/bergamotridge/nodes/load.py
+++ b/bergamotridge/nodes/load.py
@@ -17,6 +17,8 @@
 # Class and team under which a threshold lists the share of calls that do not name their request.
 # No team can have this name.
 UNATTRIBUTED: Key = (call.Importance.SHEDDABLE, ":unattributed")
+# The same for the fraction of calls that the upstream accepts, in an encoded threshold only.
+_ACCEPTED: Key = (call.Importance.SHEDDABLE, ":accepted")
 
 
 def request_position(request_id: str) -> float:
@@ -35,10 +37,13 @@
     Attributes:
         defaults: Share of each class, for the teams that `shares` does not list.
         shares: Shares of single teams, by (class, team).
+        accepted: Fraction of calls that the upstream accepts; the others it rejects whatever its
+            load. No class or team is shed for it.
     """
 
     defaults: tuple[float, float, float] = (1.0, 1.0, 1.0)
     shares: Mapping[Key, float] = attrs.field(factory=dict)
+    accepted: float = 1.0
 
     @functools.cached_property
     def admits_all(self) -> bool:
@@ -56,10 +61,13 @@
 
     @functools.cached_property
     def encoded(self) -> str:
-        """The threshold as a header value; "" if all requests are admitted."""
-        if self.admits_all:
+        """The threshold as a header value; "" if all calls are admitted and accepted."""
+        if self.admits_all and self.accepted >= 1.0:
             return ""
-        listed = [f"{key[0].value}:{key[1]}={share:.3f}" for key, share in self.shares.items()]
+        shares = dict(self.shares)
+        if self.accepted < 1.0:
+            shares[_ACCEPTED] = self.accepted
+        listed = [f"{key[0].value}:{key[1]}={share:.3f}" for key, share in shares.items()]
         return ";".join([",".join(f"{share:.3f}" for share in self.defaults), *listed])
 
 
@@ -82,7 +90,8 @@
         name, _, share = item.rpartition("=")
         importance, _, team = name.partition(":")
         shares[call.Importance(int(importance)), team] = _parse_share(share)
-    return Threshold(defaults, shares)
+    accepted = shares.pop(_ACCEPTED, 1.0)
+    return Threshold(defaults, shares, accepted)
 
 
 def _parse_share(text: str) -> float:
--- a/bergamotridge/nodes/route_dependencies.py
+++ b/bergamotridge/nodes/route_dependencies.py
@@ -135,6 +135,17 @@
                 return learned.current
         return self._graph.dependencies_of(service)
 
+    def local_dependencies_of(self, service: str, route: str, now: float) -> frozenset[str]:
+        """Returns all services below a route of the local upstream, or of its service if unknown.
+
+        Args:
+            service: Service that calls on the route go to.
+            route: Name of the route, "" if there is none.
+            now: Monotonic time in seconds.
+        """
+        stated = self.statement(service, route, now)
+        return self._graph.dependencies_of(service) if stated is None else stated
+
     def statement(self, service: str, route: str, now: float) -> Statement:
         """Returns the services below a route of the local upstream, None if they are not known.
 
--- a/bergamotridge/operators/reasons.py
+++ b/bergamotridge/operators/reasons.py
@@ -49,6 +49,11 @@
         "nothing, if it passes within 'cold_start_s'; else look why upstreams start, or become "
         "cold, together",
     ),
+    "dependency-rejects": Reason(
+        "a service below rejects calls, so that hardly any request on the route completes",
+        "look at the upstreams of the service that 'told' names: "
+        "'bergamotridge_upstream_rejected_fraction' is high on their hosts",
+    ),
     "configuration": Reason(
         "the node has no operator's text yet",
         "wait a few seconds; if it persists, check that the platform or a peer can be reached",
--- a/bergamotridge/upstreams/assembly.py
+++ b/bergamotridge/upstreams/assembly.py
@@ -43,6 +43,7 @@
         report_check: Holds back reports of the upstream until they are proven.
         attribution: Finds the routes that cause the upstream's calls, None if routes are not told
             apart.
+        tracker: Tells it of the upstream's requests, None if routes are not told apart.
     """
 
     pools: http_client.Pools
@@ -52,6 +53,7 @@
     applier: reported_state.AnnouncementApplier
     report_check: report_check.ReportCheck
     attribution: call_attribution.CallAttribution | None
+    tracker: request_tracker.RequestTracker | None
 
 
 def create(
@@ -131,7 +133,7 @@
         read_cold_s=read_cold_s,
     )
     store.add_listener(lambda _: check.handle_configuration())
-    return UpstreamParts(pools, admission, calls, upstream, applier, check, attribution)
+    return UpstreamParts(pools, admission, calls, upstream, applier, check, attribution, tracker)
 
 
 def _create_quarantine(
--- a/bergamotridge/upstreams/local_upstream.py
+++ b/bergamotridge/upstreams/local_upstream.py
@@ -92,7 +92,8 @@
             on_state_change: Called with the announcement in its new state and the monotonic time
                 when an answer says that the upstream leaves, or it crashed.
             crash_quarantine: Holds back requests under which upstreams crash; none are if None.
-            tracker: Is told of the requests whose calls do not name them, if not None.
+            tracker: Is told of the requests whose calls do not name them, and may refuse some of
+                them, if not None.
         """
         self._gate = admission_gate
         self._live_calls = calls
@@ -205,6 +206,8 @@
             return answer.from_error(_no_upstream_error(service), retries)
         run = self._quarantine.create_run(service, context, request, token)
         try:
+            if self._tracker is not None:
+                self._tracker.check(service, context, request)
             if announcement.state is record.State.READY:
                 await self._quarantine.admit(run)
             result = await self._enter_and_send(run, retries)
@@ -235,8 +238,11 @@
             upstream_call = dialect.UpstreamCall(run.context, run.request, announcement)
             if self._tracker is None:
                 return await self._transfer(run, upstream_call, retries, run.token)
-            with self._tracker.track(announcement.service, run.context, run.request):
-                return await self._transfer(run, upstream_call, retries, run.token)
+            service = announcement.service
+            with self._tracker.track(service, run.context, run.request) as tracked:
+                result, call_outcome = await self._transfer(run, upstream_call, retries, run.token)
+                tracked.result = result
+                return result, call_outcome
         call_token = cancellation.Token(run.token)
         live_call = self._live_calls.open(announcement.service, run.context, retries, call_token)
         upstream_call = dialect.UpstreamCall(
--- a/bergamotridge/upstreams/threshold.py
+++ b/bergamotridge/upstreams/threshold.py
@@ -31,6 +31,9 @@
 # twice the capacity of 60 slots, with shares that took effect after 0.4 s, 0.74 of the slots were
 # used with the full gain and 0.89 with this one.
 MIN_GAIN_FACTOR = 0.2
+# Rejected fraction from which callers are told of it, in steps, so that few thresholds differ.
+MIN_SHOWN_REJECTIONS = 0.15
+SHOWN_DECIMALS = 1
 IDLE_RATIO = 0.3  # Of the limit; with more free slots the upstream is mostly idle.
 
 
@@ -282,9 +285,10 @@
         It lists the MAX_LISTED_SHARES lowest shares and that of unattributed calls. All other teams
         get the default share of their class, the highest among its teams.
         """
+        accepted = self._shown_acceptance()
         reduced = {key: flow.share for key, flow in self._flows.items() if flow.share < 1.0}
         if not reduced and self._unattributed_share >= 1.0:
-            return load.ADMIT_ALL
+            return load.ADMIT_ALL if accepted >= 1.0 else load.Threshold(accepted=accepted)
         attributed = {key: flow for key, flow in self._flows.items() if key != load.UNATTRIBUTED}
         defaults = tuple(
             max([flow.share for key, flow in attributed.items() if key[0] is importance] or [1.0])
@@ -293,4 +297,11 @@
         listed = dict(sorted(reduced.items(), key=lambda item: item[1])[:MAX_LISTED_SHARES])
         if self._unattributed_share < 1.0:
             listed[load.UNATTRIBUTED] = self._unattributed_share
-        return load.Threshold(defaults, listed)
+        return load.Threshold(defaults, listed, accepted)
+
+    def _shown_acceptance(self) -> float:
+        """Returns the accepted fraction that is reported; it matters to unattributed calls only."""
+        rejected = self._rejections.fraction
+        if rejected < MIN_SHOWN_REJECTIONS or not self.divides_kinds:
+            return 1.0
+        return round(1.0 - rejected, SHOWN_DECIMALS)
