operators: preview where a request would go, without sending it

After a request, explain tells why it went where it did; nothing told it before. The command preview asks a node for the route of a method and path, what services and those below admit for its class and team, and for each upstream the chance that it would be chosen now, with load, slowness and accepted fraction (200 draws on the event loop, nothing recorded, no probe taken).

--- a/bergamotridge/application.py
+++ b/bergamotridge/application.py
@@ -19,7 +19,7 @@
 from bergamotridge.callers import assembly as callers_assembly
 from bergamotridge.nodes import call_assembly, control, control_assembly
 from bergamotridge.operators import assembly as operators_assembly
-from bergamotridge.operators import node_status, port
+from bergamotridge.operators import node_status, port, route_preview
 from bergamotridge.store import assembly as store_assembly
 from bergamotridge.upstreams import assembly as upstreams_assembly
 from bergamotridge.upstreams import completion
@@ -182,10 +182,18 @@
 
     def _create_operator_port(self) -> port.OperatorPort:
         sources = operators_assembly.PageSources(
-            self._recorders.registry, self._status.read, self.callers.withdrawal.withdraw
+            self._recorders.registry,
+            self._status.read,
+            self.callers.withdrawal.withdraw,
+            self._preview,
         )
         return operators_assembly.create_port(self._shared, sources)
 
+    def _preview(self, query: route_preview.Query) -> route_preview.RoutePreview:
+        """Returns where a request would go now; called from the thread of the operators' port."""
+        previewer = self.callers.previewer
+        return self.loop.call(lambda: previewer.preview(query, time.monotonic()))
+
     def _take_parts(self) -> None:
         """Takes the parts that are started or that end by themselves from those of the packages."""
         self.objects = self.store.objects
--- a/bergamotridge/balancing/expected_wait.py
+++ b/bergamotridge/balancing/expected_wait.py
@@ -124,6 +124,16 @@
         """Returns the estimated load of an upstream."""
         return self._loads.load_of(item, now)
 
+    def view_of(self, item: strategy.Upstream, now: float) -> strategy.UpstreamView:
+        """Returns what is known of an upstream."""
+        slowness = self._slowness.of(item.host, now) * self._slowness.passing_of(item.host, now)
+        return strategy.UpstreamView(
+            self._loads.load_of(item, now),
+            self._loads.limit_of(item),
+            slowness,
+            self._acceptance.of(item.host, now),
+        )
+
     def has_recent_report(self, host: str, now: float) -> bool:
         """Returns whether a report of the host came in the last `RECENT_REPORT_S`."""
         return self._loads.age_of(host, now) < RECENT_REPORT_S
--- a/bergamotridge/balancing/least_loaded.py
+++ b/bergamotridge/balancing/least_loaded.py
@@ -61,6 +61,10 @@
         reported = known.reported_load if now - known.reported_at < REPORT_TTL_S else item.load
         return reported + known.sent / max(1, item.slots)
 
+    def view_of(self, item: strategy.Upstream, now: float) -> strategy.UpstreamView:
+        """Returns the load of an upstream; nothing else is known of it."""
+        return strategy.UpstreamView(self.load_of(item, now), item.slots)
+
     def has_recent_report(self, host: str, now: float) -> bool:
         """Returns whether a report of the host came in the last `REPORT_TTL_S`."""
         return now - self._host(host).reported_at < REPORT_TTL_S
--- a/bergamotridge/balancing/strategy.py
+++ b/bergamotridge/balancing/strategy.py
@@ -95,6 +95,23 @@
     accepted: bool | None = None
 
 
+@attrs.frozen
+class UpstreamView:
+    """What a strategy knows of an upstream now.
+
+    Attributes:
+        load: Estimated load.
+        limit: Calls that may run there at once.
+        slowness: Learned slowness, 1.0 is usual.
+        accepted: Fraction of calls that it accepts.
+    """
+
+    load: float
+    limit: int
+    slowness: float = 1.0
+    accepted: float = 1.0
+
+
 class Strategy(Protocol):
     """Chooses among the usable upstreams of a service, for use on one event loop.
 
@@ -107,6 +124,9 @@
     def load_of(self, item: Upstream, now: float) -> float:
         """Returns the estimated load of an upstream."""
 
+    def view_of(self, item: Upstream, now: float) -> UpstreamView:
+        """Returns what is known of an upstream."""
+
     def has_recent_report(self, host: str, now: float) -> bool:
         """Returns whether the load of the upstream on a host is known from a recent report."""
 
--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -16,6 +16,7 @@
     operator_withdrawal,
     port,
     quota_rates,
+    route_previewer,
     running_calls,
     shedding,
     shutdown,
@@ -62,6 +63,7 @@
         team_rates: Rates of the teams.
         at_most_once: Runs calls with an idempotency key.
         port: Answers the requests of callers.
+        previewer: Tells operators where a request would go.
         withdrawal: Withdraws keys for operators.
         tasks: Tasks that write to the platform, in the order of their start.
     """
@@ -70,6 +72,7 @@
     team_rates: quota_rates.QuotaRates
     at_most_once: at_most_once.AtMostOnceDispatcher
     port: port.CallerPort
+    previewer: route_previewer.RoutePreviewer
     withdrawal: operator_withdrawal.OperatorWithdrawal
     tasks: Sequence[part_order.StoppableTask]
 
@@ -126,6 +129,11 @@
         lambda: _current_stamp(shared.log.clock),
         node_shutdown,
     )
+    shedder = tree_shedding.TreeShedding(
+        tables.thresholds,
+        calls.dependencies.dependencies_of,
+        returns_by_share=shared.node.shedding.scarce,
+    )
     running = running_calls.RunningCalls(shared.log)
     shared.metrics.watch_calls(running.oldest_age_s)
     return CallerParts(
@@ -137,11 +145,7 @@
             key_ring=text_keys.TextKeys(control.routes) if tables.keys_in_text else tables.keys,
             team_rates=team_rates,
             thresholds=tables.thresholds,
-            tree_shedding=tree_shedding.TreeShedding(
-                tables.thresholds,
-                calls.dependencies.dependencies_of,
-                returns_by_share=shared.node.shedding.scarce,
-            ),
+            tree_shedding=shedder,
             call_graph=calls.graph,
             at_most_once=once,
             dispatcher=calls.dispatcher,
@@ -154,6 +158,16 @@
             calls=running,
             attribution=attribution,
         ),
+        previewer=route_previewer.RoutePreviewer(
+            shared.node.host,
+            control.routes,
+            tables.thresholds,
+            shedder,
+            control.directory,
+            calls.chooser,
+            team_rates.tokens,
+            shared.node.limits.retries,
+        ),
         withdrawal=_create_withdrawal(shared, store, tables, control),
         tasks=(
             _create_recorder(shared, store.restorations, record, reservation_s, control),
--- a/bergamotridge/callers/shedding.py
+++ b/bergamotridge/callers/shedding.py
@@ -142,13 +142,22 @@
             thresholds = self._by_service.get(service)
             if thresholds is None or thresholds.admits_all:
                 continue
-            if load.request_position(request_id) >= self._admitted_share(
+            if load.request_position(request_id) >= _admitted_share(
                 thresholds, importance, team, now
             ):
                 raise refusal.build_refusal(
                     "shed", f"service '{service}' is overloaded; retry later", request_id
                 )
 
+    def admitted_share(
+        self, service: str, importance: call.Importance, team: str, now: float
+    ) -> float:
+        """Returns the share of the requests of a class and team that a service admits."""
+        thresholds = self._by_service.get(service)
+        if thresholds is None or thresholds.admits_all:
+            return 1.0
+        return _admitted_share(thresholds, importance, team, now)
+
     def unattributed_share(self, service: str, now: float) -> float:
         """Returns the share that a service admits of calls that do not name their request."""
         thresholds = self._by_service.get(service)
@@ -223,13 +232,12 @@
             thresholds = self._by_service[service] = _ServiceThresholds()
         return thresholds
 
-    def _admitted_share(
-        self, thresholds: _ServiceThresholds, importance: call.Importance, team: str, now: float
-    ) -> float:
-        current = thresholds.current(now)
-        return _recovered_share(
-            current.threshold.share(importance, team), now - current.observed_at
-        )
+
+def _admitted_share(
+    thresholds: _ServiceThresholds, importance: call.Importance, team: str, now: float
+) -> float:
+    current = thresholds.current(now)
+    return _recovered_share(current.threshold.share(importance, team), now - current.observed_at)
 
 
 def _recovered_share(share: float, age_s: float) -> float:
--- a/bergamotridge/callers/tree_shedding.py
+++ b/bergamotridge/callers/tree_shedding.py
@@ -85,6 +85,18 @@
                     self._return_s(request_id, class_share),
                 )
 
+    def admitted_shares(
+        self, importance: call.Importance, service: str, route: str, now: float
+    ) -> dict[str, float]:
+        """Returns the share of the requests of a class that each dependency admits, 0.0 to 1.0."""
+        shares = {}
+        for dependency in self._dependencies_of(service, route):
+            share = self._shares.unattributed_share(dependency, now)
+            if share < 1.0 and importance in self._rates.get(dependency, {}):
+                share = self._class_share(dependency, importance, share, now)
+            shares[dependency] = min(1.0, max(0.0, share))
+        return shares
+
     def _return_s(self, request_id: str, class_share: float) -> float | None:
         """Returns the seconds after which a refused caller may return, None for the usual time."""
         if not self._returns_by_share:
--- a/bergamotridge/commands/registry.py
+++ b/bergamotridge/commands/registry.py
@@ -71,6 +71,12 @@
         "Explain why one request was refused, retried or shed.",
         ("REQUEST_ID",),
     ),
+    Command(
+        "preview",
+        "preview",
+        "Show where a node would send a request now, and why, without sending it.",
+        ("METHOD", "PATH"),
+    ),
     Command(
         "replay",
         "replay",
--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -31,6 +31,7 @@
         routes: Services below each route, None if routes are not told apart.
         dependency_thresholds: Thresholds of the services below a service.
         relay_client: Sends calls to the nodes of other hosts.
+        chooser: Chooses among the upstreams of a service.
         dispatcher: Sends calls to upstreams.
     """
 
@@ -38,6 +39,7 @@
     routes: route_dependencies.RouteDependencies | None
     dependency_thresholds: dependency_thresholds.DependencyThresholds
     relay_client: relay.RelayClient
+    chooser: choice.UpstreamChooser
     dispatcher: dispatch.Dispatcher
 
     @property
@@ -71,12 +73,13 @@
         by_route = route_dependencies.RouteDependencies(graph, control.routes, attribution)
     thresholds = dependency_thresholds.DependencyThresholds(table, graph, by_route)
     relay_client = relay.RelayClient(pools, context.relay_token(node.fleet_secret), shared.log)
+    chooser = _create_chooser(shared)
     dispatcher = dispatch.Dispatcher(
         node.host,
         upstream,
         relay_client,
         control.directory,
-        _create_chooser(shared),
+        chooser,
         budget.RetryBudget(
             node.retries.ratio,
             node.retries.slack,
@@ -88,7 +91,7 @@
         shared.log,
         control.peers.record_unreached,
     )
-    return CallParts(graph, by_route, thresholds, relay_client, dispatcher)
+    return CallParts(graph, by_route, thresholds, relay_client, chooser, dispatcher)
 
 
 def _create_chooser(shared: shared_parts.SharedParts) -> choice.UpstreamChooser:
--- a/bergamotridge/nodes/choice.py
+++ b/bergamotridge/nodes/choice.py
@@ -1,5 +1,6 @@
 """Load balancing: chooses the upstream that a call is sent to."""
 
+import collections
 import enum
 import random
 from collections.abc import Callable, Collection, Hashable, Sequence
@@ -17,6 +18,7 @@
 # Fraction of calls for which a host may be chosen when its ramp-up starts.
 RAMP_UP_START_FRACTION = 0.1
 PROBE_TIMEOUT_S = 5.0
+PREVIEW_DRAWS = 200
 FAILURE_OUTCOMES = (
     outcome.Outcome.FAILED,
     outcome.Outcome.TIMED_OUT,
@@ -84,6 +86,25 @@
     OTHER_DOMAIN = "other-domain"
 
 
+@attrs.frozen
+class CandidateView:
+    """An upstream as this node would choose or leave it out now.
+
+    Attributes:
+        record: Its record.
+        distance: How far from this node it is.
+        is_ejected: True if it gets single probes only.
+        view: What the balancing knows of it.
+        chance: Fraction of the draws in which it was chosen.
+    """
+
+    record: record.UpstreamRecord
+    distance: Distance
+    is_ejected: bool
+    view: strategy.UpstreamView
+    chance: float
+
+
 class UpstreamChooser:
     """Chooses among the upstreams of a service, for use on one event loop.
 
@@ -187,6 +208,28 @@
         self._record_chosen(chosen, now)
         return chosen
 
+    def preview(
+        self, candidates: Sequence[record.UpstreamRecord], now: float
+    ) -> list[CandidateView]:
+        """Returns the ready upstreams of a service and how often each would be chosen now.
+
+        Nothing is recorded, and no probe is taken.
+        """
+        ready = [item for item in candidates if item.state is record.State.READY]
+        drawn = collections.Counter(
+            self._choose_usable(ready, now).host for _ in range(PREVIEW_DRAWS if ready else 0)
+        )
+        return [
+            CandidateView(
+                item,
+                self._distance_of(item),
+                self._health(item.host).is_ejected,
+                self._balancing.view_of(item, now),
+                drawn[item.host] / PREVIEW_DRAWS,
+            )
+            for item in ready
+        ]
+
     def record_outcome(
         self,
         host: str,
@@ -226,12 +269,14 @@
 
     def _record_chosen(self, chosen: record.UpstreamRecord, now: float) -> None:
         self._balancing.record_sent(chosen, now)
-        if chosen.host == self._own_host:
-            self._on_chosen(Distance.OWN_HOST)
-        elif chosen.failure_domain == self._own_failure_domain:
-            self._on_chosen(Distance.OWN_DOMAIN)
-        else:
-            self._on_chosen(Distance.OTHER_DOMAIN)
+        self._on_chosen(self._distance_of(chosen))
+
+    def _distance_of(self, item: record.UpstreamRecord) -> Distance:
+        if item.host == self._own_host:
+            return Distance.OWN_HOST
+        if item.failure_domain == self._own_failure_domain:
+            return Distance.OWN_DOMAIN
+        return Distance.OTHER_DOMAIN
 
     def _health(self, host: str) -> _HostHealth:
         health = self._hosts.get(host)
--- a/bergamotridge/operators/assembly.py
+++ b/bergamotridge/operators/assembly.py
@@ -6,7 +6,14 @@
 import attrs
 
 from bergamotridge import events, http_ports, metrics, shared_parts
-from bergamotridge.operators import malformed_entries, node_metrics, port, readiness, status
+from bergamotridge.operators import (
+    malformed_entries,
+    node_metrics,
+    port,
+    readiness,
+    route_preview,
+    status,
+)
 from bergamotridge.util import httpd
 
 if TYPE_CHECKING:
@@ -37,11 +44,13 @@
         registry: Registry of all metrics.
         read_status: Returns the status of the node.
         withdraw_key: Withdraws a key and returns who knows of it.
+        preview: Tells where a request would go now.
     """
 
     registry: metrics.Metrics
     read_status: Callable[[], status.Status]
     withdraw_key: "Callable[[str], confirmation.Knowledge]"
+    preview: Callable[[route_preview.Query], route_preview.RoutePreview]
 
 
 def create_recorders(log: events.EventLog, read_status: Callable[[], status.Status]) -> Recorders:
@@ -77,6 +86,7 @@
             pages.metrics_page(sources.registry),
             pages.status_page(sources.read_status),
             pages.events_page(shared.log),
+            pages.preview_page(sources.preview),
             pages.withdraw_page(shared.node.fleet_secret, sources.withdraw_key),
         )
 
--- a/bergamotridge/operators/client.py
+++ b/bergamotridge/operators/client.py
@@ -2,11 +2,12 @@
 
 import urllib.parse
 
+import attrs
 import orjson
 
 from bergamotridge import errors, events
 from bergamotridge.nodes import confirmation
-from bergamotridge.operators import decoding, pages, signature, status
+from bergamotridge.operators import decoding, pages, route_preview, signature, status
 from bergamotridge.util import http_client, message
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -33,6 +34,11 @@
         """Returns the status of the node."""
         return decoding.decode_status(self._request(b"GET", pages.STATUS_PATH))
 
+    def preview(self, query: route_preview.Query) -> route_preview.RoutePreview:
+        """Returns where the node would send a request now."""
+        target = f"{pages.PREVIEW_PATH}?{urllib.parse.urlencode(attrs.asdict(query))}"
+        return decoding.decode_preview(self._request(b"GET", target))
+
     def events(self, request_id: str = "", since: str = "") -> list[events.Event]:
         """Returns the events that the node stores.
 
--- a/bergamotridge/operators/decoding.py
+++ b/bergamotridge/operators/decoding.py
@@ -5,7 +5,7 @@
 
 from bergamotridge import errors, events
 from bergamotridge.nodes import confirmation
-from bergamotridge.operators import status
+from bergamotridge.operators import route_preview, status
 from bergamotridge.util import hlc
 
 _converter = cattrs.Converter()
@@ -25,6 +25,18 @@
         raise errors.OperatorPortError("the status page is not in the expected form") from error
 
 
+def decode_preview(body: bytes) -> route_preview.RoutePreview:
+    """Returns the preview that `route_preview.encode` serialized.
+
+    Raises:
+        OperatorPortError: The body is anything else.
+    """
+    try:
+        return cattrs.structure(orjson.loads(body), route_preview.RoutePreview)
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        raise errors.OperatorPortError("the preview is not in the expected form") from error
+
+
 def decode_knowledge(body: bytes) -> confirmation.Knowledge:
     """Returns who knows of a change, as a node answers an operator who made it.
 
--- a/bergamotridge/operators/overview.py
+++ b/bergamotridge/operators/overview.py
@@ -36,7 +36,8 @@
     return position.Position(node.configuration_epoch, node.configuration_version)
 
 
-def _format_table(rows: Sequence[Sequence[str]]) -> Iterator[str]:
+def format_table(rows: Sequence[Sequence[str]]) -> Iterator[str]:
+    """Yields a line for each row, with the cells of a column below each other."""
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
     for row in rows:
         padded = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
@@ -45,7 +46,7 @@
 
 def format_lines(survey: fleet.Survey) -> Iterator[str]:
     """Yields the table, then a warning if configuration versions differ, then the missing nodes."""
-    yield from _format_table([_COLUMN_TITLES, *(_format_cells(node) for node in survey.statuses)])
+    yield from format_table([_COLUMN_TITLES, *(_format_cells(node) for node in survey.statuses)])
     versions = sorted({_version(node) for node in survey.statuses})
     if len(versions) > 1:
         yield f"versions of the configuration differ: {', '.join(map(str, versions))}"
--- a/bergamotridge/operators/pages.py
+++ b/bergamotridge/operators/pages.py
@@ -9,11 +9,18 @@
 
 from bergamotridge import errors, events, metrics
 from bergamotridge.nodes import confirmation
-from bergamotridge.operators import event_lines, page_server, signature, status
+from bergamotridge.operators import (
+    event_lines,
+    page_server,
+    route_preview,
+    signature,
+    status,
+)
 
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
 EVENTS_PATH = "/events"
+PREVIEW_PATH = "/preview"
 WITHDRAW_PATH = "/keys/withdraw"
 JSON_CONTENT_TYPE = "application/json"
 JSON_LINES_CONTENT_TYPE = "application/x-ndjson"
@@ -59,6 +66,33 @@
     return page_server.Page("GET", EVENTS_PATH, answer)
 
 
+def preview_page(
+    preview: Callable[[route_preview.Query], route_preview.RoutePreview],
+) -> page_server.Page:
+    """Returns `GET /preview?method=&path=&virtual_host=&team=`: where a request would go, as JSON.
+
+    Args:
+        preview: Tells where a request would go now; sends nothing.
+    """
+
+    def answer(request: werkzeug.Request) -> werkzeug.Response:
+        given = request.args
+        if not given.get("path", "").startswith("/"):
+            return werkzeug.Response(
+                "path is missing; accepted: a path that begins with '/'\n", 400
+            )
+        query = route_preview.Query(
+            given.get("method", "GET"),
+            given["path"],
+            given.get("virtual_host", ""),
+            given.get("team", ""),
+        )
+        body = route_preview.encode(preview(query))
+        return werkzeug.Response(body, content_type=JSON_CONTENT_TYPE)
+
+    return page_server.Page("GET", PREVIEW_PATH, answer)
+
+
 def withdraw_page(
     fleet_secret: str, withdraw: Callable[[str], confirmation.Knowledge]
 ) -> page_server.Page:
--- a/tests/test_operators/test_port.py
+++ b/tests/test_operators/test_port.py
@@ -10,7 +10,14 @@
 
 from bergamotridge import errors, events, metrics
 from bergamotridge.nodes import confirmation
-from bergamotridge.operators import client, page_server, pages, port, status
+from bergamotridge.operators import (
+    client,
+    page_server,
+    pages,
+    port,
+    route_preview,
+    status,
+)
 from bergamotridge.util import http_client, message
 
 SECRET = "fleet secret"
@@ -39,6 +46,9 @@
         self.withdrawn.append(key_id)
         return KNOWLEDGE
 
+    def preview(self, query):
+        return route_preview.RoutePreview("h1", "9", f"{query.method} {query.path} {query.team}")
+
 
 @pytest.fixture
 def node():
@@ -50,6 +60,7 @@
         pages.status_page(lambda: STATUS),
         pages.events_page(running_node.log),
         pages.withdraw_page(SECRET, running_node.withdraw),
+        pages.preview_page(running_node.preview),
     )
     operator_port = port.OperatorPort(running_node.address, lambda: served_pages)
     operator_port.start()
@@ -74,6 +85,14 @@
     assert operator_client.events(since=str(second.stamp.millis + 1)) == []
 
 
+def test_client_asks_where_a_request_would_go(node):
+    operator_client = client.OperatorClient(node.address, TIMEOUT_S)
+    query = route_preview.Query("GET", "/a b?", "app", "delft")
+    assert operator_client.preview(query).refusal == "GET /a b? delft"
+    with pytest.raises(errors.OperatorPortError, match="path is missing"):
+        operator_client.preview(route_preview.Query("GET", "a"))
+
+
 def test_metrics_page(node):
     answer = send_request(node, b"GET", b"/metrics")
     assert b"calls_total 1\n" in answer.body
--- a/tests/test_process/test_path.py
+++ b/tests/test_process/test_path.py
@@ -35,6 +35,17 @@
     assert rig.runs(tag) == []
 
 
+# The page has to ask the parts that decide on the event loop that they belong to.
+def test_a_preview_tells_where_a_call_would_go_and_sends_nothing(rig):
+    before = len(rig.runs())
+    address = rig.fleet.addresses("front-1").operators
+    told = rig.fleet.run_command("preview", f"--node={address}", "GET", "/reads/1")
+    assert "route 'read': may be repeated" in told
+    assert "below it: 'back'" in told
+    assert "front-1" in told and "own-host" in told
+    assert len(rig.runs()) == before
+
+
 def test_internal_headers_from_callers_are_ignored(rig):
     tag = rig.tag()
     headers = {
