callers: divide what a service below admits fairly between teams

Requests that need calls without the name of their request are shed at their first node by class only. A team that sent many times its usual, within its rate, took room from all other teams of its class, each of which lost the same share of its requests.

With shedding.scarce the first node divides the share of a class by max-min fairness between teams, by their rates over some 5 s and their weights (callers.fair_teams). Nothing changes without the setting or without teams in contention.

--- a/bergamotridge/callers/assembly.py
+++ b/bergamotridge/callers/assembly.py
@@ -133,6 +133,7 @@
         tables.thresholds,
         calls.dependencies.dependencies_of,
         returns_by_share=shared.node.shedding.scarce,
+        divides_teams=shared.node.shedding.scarce,
     )
     running = running_calls.RunningCalls(shared.log)
     shared.metrics.watch_calls(running.oldest_age_s)
--- a/bergamotridge/callers/port.py
+++ b/bergamotridge/callers/port.py
@@ -301,7 +301,10 @@
                 self._record_nested_call(self.attribution, route, request, now)
         else:
             self.thresholds.check(progress.request_id, importance, target.services, now, team)
-            self.tree_shedding.check(progress.request_id, importance, service, now, route.name)
+            weight = team_settings.weight if team_settings else 1.0
+            self.tree_shedding.check(
+                progress.request_id, importance, service, now, route.name, team, weight
+            )
         token_taken_at = clock.boot_time()
         if team:
             await self.team_rates.take(team, token_taken_at)
--- a/bergamotridge/callers/tree_shedding.py
+++ b/bergamotridge/callers/tree_shedding.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from bergamotridge import call
+from bergamotridge.callers import fair_teams
 from bergamotridge.nodes import load
 from bergamotridge.upstreams import refusal
 from bergamotridge.util import decay
@@ -25,7 +26,8 @@
     Such an unattributed call carries no class of importance, so the service that receives it can
     report only the share of such calls that it admits. The node that admits the requests measures
     their rate by class for each dependency, and distributes the share among the classes in the
-    order of importance. Not thread-safe: use it on one event loop.
+    order of importance, and in a class fairly between teams if so set. Not thread-safe: use it on
+    one event loop.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         dependencies_of: Callable[[str, str], frozenset[str]],
         *,
         returns_by_share: bool = False,
+        divides_teams: bool = False,
     ) -> None:
         """Creates the shedder without any measured rate.
 
@@ -43,12 +46,17 @@
                 on a route.
             returns_by_share: True to tell callers to return the sooner, the more requests are
                 admitted.
+            divides_teams: True to divide the share of a class fairly between teams, False to admit
+                the same share of each.
         """
+        self._divides_teams = divides_teams
         self._shares = shares
         self._returns_by_share = returns_by_share
         self._dependencies_of = dependencies_of
         # Rate of requests by dependency and class.
         self._rates: dict[str, dict[call.Importance, decay.DecayingRate]] = {}
+        # Teams by dependency and class.
+        self._teams: dict[tuple[str, call.Importance], fair_teams.FairTeams] = {}
 
     def check(
         self,
@@ -57,6 +65,8 @@
         service: str,
         now: float,
         route: str = "",
+        team: str = "",
+        weight: float = 1.0,
     ) -> None:
         """Refuses a request if a dependency does not admit the calls that it would cause.
 
@@ -66,16 +76,23 @@
             service: Service that the request goes to.
             now: Monotonic time in seconds.
             route: Route of the request.
+            team: Team of the request.
+            weight: Weight of the fair share of the team.
 
         Raises:
             CallError: The request is shed; the verdict is NOT_RUN.
         """
         for dependency in self._dependencies_of(service, route):
             self._class_rate(dependency, importance, now).record(now)
+            teams = self._teams_of(dependency, importance)
+            if teams is not None:
+                teams.record(team, weight, now)
             share = self._shares.unattributed_share(dependency, now)
             if share >= 1.0:
                 continue
             class_share = self._class_share(dependency, importance, share, now)
+            if teams is not None:
+                class_share = teams.share_of(team, class_share, now)
             if load.request_position(request_id) >= class_share:
                 raise refusal.build_refusal(
                     "shed",
@@ -103,6 +120,17 @@
             return None
         return refusal.compute_return_s(request_id, class_share)
 
+    def _teams_of(
+        self, dependency: str, importance: call.Importance
+    ) -> fair_teams.FairTeams | None:
+        if not self._divides_teams:
+            return None
+        key = (dependency, importance)
+        teams = self._teams.get(key)
+        if teams is None:
+            teams = self._teams[key] = fair_teams.FairTeams()
+        return teams
+
     def _class_rate(
         self, service: str, importance: call.Importance, now: float
     ) -> decay.DecayingRate:
