tests: floods of heads that are made of very short or odd fields

Operators saw a process run out of memory under requests of legal size that are made of very many short header lines. A head of 64 KiB has up to 16,000 fields, which take 60 times their bytes.

--- a/tests/test_process/test_client_floods.py
+++ b/tests/test_process/test_client_floods.py
@@ -38,7 +38,20 @@
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 LARGE_CHUNK = b"%x\r\n%s\r\n" % (65_536, bytes(65_536))
 SHORT_CHUNKS = LARGE_CHUNK * (BODY // 65_536 - 1) + b"%x\r\n%s" % (65_536, bytes(65_535))
+HEAD_BYTES = 65_000  # Below the bound on a head.
+MINIMAL_FIELD = b"a:\r\n"
+MINIMAL_FIELDS = MINIMAL_FIELD * (HEAD_BYTES // len(MINIMAL_FIELD))
+ODD_FIELDS = b"".join(b"%x:\t\xff \r\n" % number for number in range(HEAD_BYTES // 12))
 FLOODS = {
+    "minimal-fields": [HEAD + b"content-length: 0\r\n" + MINIMAL_FIELDS + b"\r\n"],
+    "minimal-fields-short": [HEAD + MINIMAL_FIELDS],
+    "odd-fields": [HEAD + b"content-length: 0\r\n" + ODD_FIELDS + b"\r\n"],
+    "odd-fields-short": [HEAD + ODD_FIELDS],
+    "long-field-short": [HEAD + b"a: " + b"b" * HEAD_BYTES],
+    "fields-and-short-body": [
+        HEAD + MINIMAL_FIELDS + b"content-length: %d\r\n\r\n" % BODY + bytes(BODY - 1)
+    ],
+    "trailers-short": [CHUNKED + b"1\r\nx\r\n0\r\n" + MINIMAL_FIELDS],
     "whole": [ANNOUNCED % BODY + bytes(BODY)],
     "pieces": [ANNOUNCED % BODY, *[bytes(PIECE)] * (BODY // PIECE)],
     "short": [ANNOUNCED % BODY + bytes(BODY - 1)],
