--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -18,7 +18,7 @@
 import attrs
 from absl import app, flags
 
-from standins import announcer, dependencies, run_record, serving
+from standins import announcer, dependencies, endless, run_record, serving
 
 TIMEOUT_HEADER = "Bergamotridge-Timeout-Ms"
 VERDICT_HEADER = "Bergamotridge-Verdict"
@@ -29,8 +29,6 @@
 DRAIN_QUIET_PERIOD_S = 1.0
 DRAIN_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
-ENDLESS_BODY_BYTES = 10**15
-ENDLESS_PIECE = b"a" * 65_536
 CRASH_EXIT_CODE = 70
 
 
@@ -49,8 +47,8 @@
         rate_limit: Calls per second that its answers name as its limit, which it does not enforce;
             None to name none.
         leaving: True if its answers say that it is about to stop.
-        endless: Part of a response, "head" or "body", that goes on until its client closes the
-            connection; "" for complete responses.
+        endless: Part of a response, one of `endless.Part`, that goes on until its client closes
+            the connection; "" for complete responses.
         status: Status of the responses to calls that have run; 0 for the true one.
         mute_when_full: True to send no response at all to calls for which there is no slot, nor to
             anything that follows on their connections, in place of shedding them.
@@ -343,16 +341,12 @@
 
     def _pour(self, status: int) -> None:
         """Sends a response without end, until the client closes the connection."""
-        self.send_response_only(status)
-        self.send_header("Content-Length", str(ENDLESS_BODY_BYTES))
-        if self.upstream.control.endless == "head":
-            self.flush_headers()
-            self.wfile.write(b"X-Endless: ")
-        else:
-            self.end_headers()
+        part = endless.Part(self.upstream.control.endless)
+        piece = endless.make_piece(part)
         try:
+            self.wfile.write(endless.start_response(part, status))
             while True:
-                self.wfile.write(ENDLESS_PIECE)
+                self.wfile.write(piece)
         except OSError:
             self.upstream.record.add_event("poured")
             self.close_connection = True
--- a/tests/test_platform/test_memory_floods.py
+++ b/tests/test_platform/test_memory_floods.py
@@ -7,9 +7,9 @@
 import pytest
 
 from standins import processes
+from tests import process_usage
 from tests.test_platform import beside_a_node, test_process_start
 from tests.test_platform.test_forgotten_leaves import Host
-from tests.test_util import held_server
 
 MEMORY_MB = 300
 BODY_BYTES = 4_194_304
@@ -49,7 +49,7 @@
                 host.upstream.say("Heartbeat", host.upstream.report())
                 reported_at = time.monotonic()
             statuses.append(beside_a_node.call(host.callers))
-        peak = held_server.read_peak_bytes(host.process.pid)
+        peak = process_usage.read_peak_bytes(host.process.pid)
     assert set(statuses) == {200}
     assert peak < MEMORY_MB * 1_048_576
     assert {item[:12] for item in refusals} == {b"", b"HTTP/1.1 503"}
--- a/tests/test_process/test_client_floods.py
+++ b/tests/test_process/test_client_floods.py
@@ -3,13 +3,12 @@
 import concurrent.futures
 import contextlib
 import pathlib
-import re
 import socket
 
 import pytest
 
 from standins import fleet, processes
-from tests.test_util import held_server
+from tests import process_usage
 
 BODY = 524_288
 HELD = 16_777_216
@@ -69,15 +68,6 @@
         yield made
 
 
-def read_resident_bytes(process_id):
-    status = pathlib.Path(f"/proc/{process_id}/status").read_text(encoding="ascii")
-    return int(re.search(r"VmRSS:\s+(\d+) kB", status)[1]) * 1024
-
-
-def count_descriptors(process_id):
-    return len(list(pathlib.Path(f"/proc/{process_id}/fd").iterdir()))
-
-
 def has_read_all(port):
     """Returns whether nothing waits in the kernel that was sent to a port."""
     lines = pathlib.Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
@@ -100,7 +90,8 @@
     member = running.members["flooded"]
     pid, address = member.node.pid, getattr(member.addresses, port)
     ip, number = address.split(":")
-    idle_bytes, idle_descriptors = read_resident_bytes(pid), count_descriptors(pid)
+    idle_bytes = process_usage.read_resident_bytes(pid)
+    idle_descriptors = process_usage.count_descriptors(pid)
     with contextlib.ExitStack() as stack:
         clients = [
             stack.enter_context(socket.create_connection((ip, int(number)), SEND_TIMEOUT_S))
@@ -110,8 +101,8 @@
         concurrent.futures.wait([pool.submit(flood, client, FLOODS[kind]) for client in clients])
         processes.wait_until(lambda: has_read_all(int(number)), "the node has read all")
         assert member.node.running
-        assert held_server.read_peak_bytes(pid) - idle_bytes < HELD + MARGIN
-        assert count_descriptors(pid) - idle_descriptors < DESCRIPTORS
+        assert process_usage.read_peak_bytes(pid) - idle_bytes < HELD + MARGIN
+        assert process_usage.count_descriptors(pid) - idle_descriptors < DESCRIPTORS
         processes.wait_until(lambda: is_answered(running), "an ordinary request is answered")
     assert member.node.running
 
--- a/tests/test_process/test_upstream_faults.py
+++ b/tests/test_process/test_upstream_faults.py
@@ -1,12 +1,11 @@
 """Upstreams that respond late, cut responses, shed calls or announce a false load."""
 
 import collections
-import resource
 
 import pytest
 
 from standins import processes
-from tests import fleet
+from tests import fleet, process_usage
 
 MAX_RETRIES = 2
 MAX_GROWTH_BYTES = 64 << 20
@@ -21,17 +20,11 @@
     assert len(rig.runs(tag)) == 1
 
 
-def resident_bytes(member):
-    """Returns the resident memory of the node of a member."""
-    with open(f"/proc/{member.node.pid}/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * resource.getpagesize()
-
-
 # A head without end was kept in memory until the call's deadline.
 @pytest.mark.parametrize("part", ["head", "body"])
 def test_a_response_without_end_is_cut_off_and_the_node_goes_on(rig, part):
     members = rig.members("back")
-    before = [resident_bytes(member) for member in members]
+    before = [process_usage.read_resident_bytes(member.node.pid) for member in members]
     rig.inject_faults("back", endless=part)
     tag = rig.tag()
     reply = rig.call("front-1", "POST", "/payments", tag)
@@ -41,7 +34,8 @@
         lambda: any(line["event"] == "poured" for line in rig.fleet.records()),
         "the node closes the connection",
     )
-    growth = max(resident_bytes(item) - was for item, was in zip(members, before, strict=True))
+    after = [process_usage.read_resident_bytes(member.node.pid) for member in members]
+    growth = max(now - was for now, was in zip(after, before, strict=True))
     assert growth <= MAX_GROWTH_BYTES
     rig.inject_faults("back", endless="")
     rig.call_until("front-1", "POST", "/payments", lambda reply: reply.status == 200)
--- a/tests/test_util/held_server.py
+++ b/tests/test_util/held_server.py
@@ -1,8 +1,5 @@
 """Process with an HTTP server that holds a bounded number of bytes for its clients."""
 
-import pathlib
-import re
-
 from bergamotridge.util import held_bytes, message, request_reader
 from standins import serving
 from tests.test_util.test_httpd import start_server
@@ -16,12 +13,6 @@
 BOUNDS = request_reader.RequestLimits(2000, BODY_BYTES, 60.0, 60.0)
 
 
-def read_peak_bytes(process_id: int) -> int:
-    """Returns the largest resident memory of a process so far, as the kernel tells it."""
-    status = pathlib.Path(f"/proc/{process_id}/status").read_text(encoding="ascii")
-    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1024
-
-
 async def _answer(request, _token):
     return message.Response(200, [], bytes(LONG_BYTES) if request.path == "/long" else request.body)
 
--- a/tests/test_util/test_httpd_memory.py
+++ b/tests/test_util/test_httpd_memory.py
@@ -18,6 +18,7 @@
     response_writer,
 )
 from standins import processes
+from tests import process_usage
 from tests.test_util import held_server
 from tests.test_util.test_httpd_stop import FIRST, SlowServer, connect, read_all, split
 
@@ -142,7 +143,7 @@
                     with connect(address) as sound:
                         sound.sendall(FIRST.replace(b"host", b"connection: close\r\nhost"))
                         assert split(read_all(sound)) == [(200, b"one")]
-            assert held_server.read_peak_bytes(process.pid) < held_server.MEMORY_BYTES
+            assert process_usage.read_peak_bytes(process.pid) < held_server.MEMORY_BYTES
         finally:
             process.kill()
 
