util: no ended connection keeps the body of its response

Cause: what is released from the account was not freed. A response that was too long, late or cut off stayed with its connection, which is part of cycles, until the garbage collector ran, and a node collects only after 20,000 allocations. The error of such a response kept the request and up to 256 KB of input by its traceback, in two cycles of local names. A kept connection had the body of its last response until the next one came.

Class: memory that is freed by the garbage collector only, while an account says that it is free.

An ended connection now drops its response, a kept one once it is taken, and no local name closes a cycle with an error.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -145,8 +145,6 @@
         self._fail_transfer(
             MemoryExceededError("all responses being read together exceed their memory")
         )
-        self.reader.drop()
-        self._unparsed = memoryview(b"")
         self.abort()
 
     def eof_received(self) -> None:
@@ -193,8 +191,11 @@
         return bool(self._input.poll(0))
 
     def abort(self) -> None:
-        """Closes the connection at once; a running transfer fails."""
+        """Closes the connection at once; a running transfer fails, and its response is dropped."""
         self.ended = True
+        # The garbage collector may find the connection much later.
+        self.reader.drop()
+        self._unparsed = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
@@ -228,6 +229,8 @@
                 self._set_user_timeout(TCP_USER_TIMEOUT_MS)
         finally:
             timer.cancel()
+            # With its error it would be a cycle, by which the traceback keeps what was sent.
+            del waiter
             self._waiter = None
             self._unparsed = memoryview(b"")
             self._memory.release(self)
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -242,6 +242,7 @@
         framed = reader.framed or response.bodiless
         is_clean = framed and not reader.has_excess_data and request.method != b"HEAD"
         if is_clean and reader.keep_alive and connection.is_open_and_flushed:
+            reader.drop()
             connection.idle_until = now + reader.idle_s
             self._idle.append(connection)
         else:
--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -71,8 +71,9 @@
         self.idle_s = DEFAULT_IDLE_S
 
     def drop(self) -> None:
-        """Frees the body of a response that is given up."""
+        """Frees a response that is given up, or has been taken."""
         self._body = b""
+        self._headers = []
 
     def response(self) -> message.Response:
         """Returns the response without the header fields that concern this connection only."""
@@ -186,9 +187,8 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
-                # httptools raises its own error from the exception of a callback.
-                cause = error.__context__
-                raise (cause if isinstance(cause, _CALLBACK_ERRORS) else error) from None
+                # A name for it here would be a cycle, by which its traceback keeps the input.
+                raise _find_cause(error) from None
             self.has_excess_data = True
         overhead = self._received_size - self.body_size
         max_overhead = self._head_limit + MAX_CHUNK_OVERHEAD_FACTOR * self.body_size
@@ -196,6 +196,12 @@
             raise ResponseTooLargeError("the head is too large")
 
 
+def _find_cause(error: Exception) -> Exception:
+    """Returns the error that a callback has raised, for which httptools has raised `error`."""
+    cause = error.__context__
+    return cause if isinstance(cause, _CALLBACK_ERRORS) else error
+
+
 def _parse_reusable_idle_s(value: bytes) -> float:
     """Returns for how long a connection may stay idle and still be reused.
 
--- a/tests/test_util/test_endless_answers.py
+++ b/tests/test_util/test_endless_answers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import gc
+import tracemalloc
 
 import pytest
 
@@ -86,6 +88,54 @@
     assert {error.verdict for error in failures} == {verdict.Verdict.MAY_HAVE_RUN}
 
 
+LONG_BODY_BYTES = 1_048_576
+LONG_BODY = bytes(LONG_BODY_BYTES)
+KEPT_BYTES = 131_072  # Of the connection, its buffers and the server beside it.
+ENDS = {
+    "kept connection": (b"content-length: %d\r\n\r\n" % LONG_BODY_BYTES, 2 * LONG_BODY_BYTES),
+    "too long": (b"content-length: %d\r\n\r\n" % (4 * LONG_BODY_BYTES), LONG_BODY_BYTES // 2),
+    "cut off": (b"content-length: %d\r\n\r\n" % (2 * LONG_BODY_BYTES), 2 * LONG_BODY_BYTES),
+}
+
+
+# The body stayed with its connection, of no account, until the garbage collector found it, and on a
+# kept connection until the next response.
+@pytest.mark.parametrize("end", ENDS)
+def test_no_connection_keeps_the_body_of_a_response_that_has_ended(end):
+    head, body_limit = ENDS[end]
+    request = message.Request(b"GET", b"/", [])
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in (b"HTTP/1.1 200 OK\r\n", head, LONG_BODY):
+                writer.write(piece)
+                await writer.drain()
+            if end == "kept connection":
+                await reader.read()
+        writer.close()
+
+    async def run():
+        pools = http_client.Pools(body_limit)
+        async with serving(answer) as address:
+            before, _ = tracemalloc.get_traced_memory()
+            with contextlib.suppress(http_client.TransferError):
+                await pools.pool_for(address).send(request, 30.0)
+            await asyncio.sleep(CLOSE_PAUSE_S)
+            now, _ = tracemalloc.get_traced_memory()
+            assert now - before < KEPT_BYTES
+            pools.close()
+            await asyncio.sleep(CLOSE_PAUSE_S)
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        event_loop.run(run())
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 # A reply of the platform was kept whole, however long it was, until the time limit of the request.
 @pytest.mark.parametrize("part", ["body", "head"])
 def test_a_reply_of_the_platform_without_end_ends_the_request(part):
