util: fields of responses that are never complete are counted and bounded

httptools keeps a field until it is complete. In the head it was bounded and not counted; behind a body in chunks it was bounded by eight times the size of the body: up to 32 MiB a call beside the account of all answers. The new test compares what a reader counts with what it keeps, for each part of a response that can go on without end; before, the field in the head and the field behind a body failed.

A field behind a body now ends at the limit of a head, as one in the head does.

--- a/bergamotridge/util/response_reader.py
+++ b/bergamotridge/util/response_reader.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from bergamotridge.util import body_buffer, message
+from bergamotridge.util import body_buffer, message, open_field
 
 MIN_STATUS, MAX_STATUS = 100, 599
 SWITCHED_STATUS = 101
@@ -59,6 +59,7 @@
         self._answers_head = head
         self._received_size = 0
         self._header_size = 0
+        self._open_field_size = 0  # See `open_field`.
         self.body_size = 0
         self.parts = 0
         self._body = b""
@@ -167,7 +168,7 @@
         """Bytes of memory that the response takes, at most."""
         # The buffer of a body takes up to an eighth more than its content.
         head_bytes = self._header_size + FIELD_BYTES * len(self._headers)
-        return head_bytes + self.body_size + self.body_size // 8
+        return head_bytes + self._open_field_size + self.body_size + self.body_size // 8
 
     @property
     def is_untouched(self) -> bool:
@@ -183,6 +184,7 @@
             httptools.HttpParserError: The bytes are not a valid response.
         """
         self._received_size += len(data)
+        parts = self.parts
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -190,11 +192,19 @@
                 # A name for it here would be a cycle, by which its traceback keeps the input.
                 raise _find_cause(error) from None
             self.has_excess_data = True
+        self._count_open_field(len(data), has_parts=self.parts > parts)
         overhead = self._received_size - self.body_size
         max_overhead = self._head_limit + MAX_CHUNK_OVERHEAD_FACTOR * self.body_size
-        if self._header_size > self._head_limit or (not self.complete and overhead > max_overhead):
+        is_overlong = overhead > max_overhead or self._open_field_size > self._head_limit
+        if self._header_size > self._head_limit or (not self.complete and is_overlong):
             raise ResponseTooLargeError("the head is too large")
 
+    def _count_open_field(self, size: int, *, has_parts: bool) -> None:
+        """Counts parsed bytes, which the parser keeps if they belong to an incomplete field."""
+        may_be_field = not self.status or self._transfer_encodings
+        open_size = open_field.count(self._open_field_size, size, has_parts=has_parts)
+        self._open_field_size = open_size if may_be_field and not self.complete else 0
+
 
 def _find_cause(error: Exception) -> Exception:
     """Returns the error that a callback has raised, for which httptools has raised `error`."""
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -4,6 +4,7 @@
 
 BODY_BYTES = 10**15
 PIECE_BYTES = 65_536
+CHUNK_BYTES = 262_144
 
 
 class Part(enum.StrEnum):
@@ -15,6 +16,7 @@
     INTERIM = "interim"
     CHUNKS = "chunks"
     TRAILERS = "trailers"
+    TRAILER = "trailer"
 
 
 _LENGTH = b"content-length: %d\r\n" % BODY_BYTES
@@ -26,6 +28,7 @@
     Part.INTERIM: b"",
     Part.CHUNKS: _CHUNKED,
     Part.TRAILERS: _CHUNKED + b"0\r\n",
+    Part.TRAILER: _CHUNKED + b"%x\r\n%s\r\n0\r\na: " % (CHUNK_BYTES, bytes(CHUNK_BYTES)),
 }
 _REPEATED = {
     Part.HEAD: b"a",
@@ -34,6 +37,7 @@
     Part.INTERIM: b"HTTP/1.1 100 Continue\r\na:\r\n\r\n",
     Part.CHUNKS: b"1\r\na\r\n",
     Part.TRAILERS: b"a:\r\n",
+    Part.TRAILER: b"a",
 }
 
 
