util: fields behind the bodies of requests are counted and bounded

What operators saw: clients that aren't under control ended a process, which ran out of memory, with requests of legal size in odd lines.

Such a field ends at the limit of a head (413), and what comes of it is reserved like a head.

--- a/bergamotridge/util/http_connection.py
+++ b/bergamotridge/util/http_connection.py
@@ -15,6 +15,7 @@
     message,
     pipeline,
     receive_queue,
+    request_errors,
     request_reader,
     response_writer,
 )
@@ -112,7 +113,7 @@
         waiting = len(reader.requests)
         try:
             parse()
-        except (httptools.HttpParserError, request_reader.BadRequestError) as error:
+        except (httptools.HttpParserError, request_errors.BadRequestError) as error:
             self._refuse_unreadable(error)
             return
         for request in itertools.islice(reader.requests, waiting, None):
@@ -134,8 +135,8 @@
             self._refuse_input(408)
 
     def _refuse_unreadable(self, error: Exception) -> None:
-        cause = request_reader.find_cause(error)
-        if isinstance(cause, request_reader.NoRoomError):
+        cause = request_errors.find_cause(error)
+        if isinstance(cause, request_errors.NoRoomError):
             self._refuse(self._server.memory_refusal, REQUEST_MEMORY)
         else:
             self._refuse_input(cause.status)
--- a/bergamotridge/util/request_reader.py
+++ b/bergamotridge/util/request_reader.py
@@ -6,7 +6,7 @@
 import attrs
 import httptools
 
-from bergamotridge.util import body_buffer, held_bytes, message
+from bergamotridge.util import body_buffer, held_bytes, message, open_field, request_errors
 
 BODY_TIMEOUT_S = 60.0
 # Bytes of chunks for each byte of their body; a chunk of one byte has six.
@@ -51,32 +51,6 @@
     body_timeout_s: float = BODY_TIMEOUT_S
 
 
-class BadRequestError(Exception):
-    """A request is refused before it was read completely.
-
-    Attributes:
-        status: HTTP status of the response that refuses the request.
-    """
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-class NoRoomError(BadRequestError):
-    """There is no room in memory for a request."""
-
-    def __init__(self) -> None:
-        super().__init__(503)
-
-
-def find_cause(error: Exception) -> BadRequestError:
-    """Returns why the input is refused on which `RequestReader` has raised `error`."""
-    # httptools raises its own error from the exception of a callback.
-    cause = error if isinstance(error, BadRequestError) else error.__context__
-    return cause if isinstance(cause, BadRequestError) else BadRequestError(400)
-
-
 class RequestReader:
     """Collects complete requests; its `on_...` methods are the callbacks of the httptools parser.
 
@@ -125,6 +99,7 @@
         self._announced_size = 0
         self._head_cost = 0
         self._request_size = 0
+        self._open_field_size = 0  # Behind or in the body; see `open_field`.
         if self._reserved_bytes:
             self._reserve(0)
 
@@ -133,7 +108,7 @@
         if size == self._reserved_bytes:
             return
         if not self._memory.reserve_request(self._reserved_bytes, size):
-            raise NoRoomError
+            raise request_errors.NoRoomError
         self._reserved_bytes = size
 
     def _reserve_head(self) -> None:
@@ -228,7 +203,7 @@
     def _reserve_unparsed(self, data: bytes) -> None:
         """Reserves the memory for fed bytes, all of which are kept until the last is parsed."""
         if not self._memory.reserve_request(self._unparsed_reserved_bytes, len(data)):
-            raise NoRoomError
+            raise request_errors.NoRoomError
         self._unparsed_reserved_bytes = len(data)
 
     def _parse_piece(self, piece: bytes | memoryview) -> int:
@@ -236,19 +211,31 @@
         # An upper bound: the pieces of data may also hold bytes before or after the head.
         self._piece_size = len(piece)
         self._head_bytes_fed = self._piece_size + (self._head_bytes_fed if self.in_head else 0)
+        parts = self._turn_parts
         size = self._parse(piece)
         if self._is_ended:
             return size
         if self.in_head:
             if self._head_bytes_fed > self.bounds.header_bytes:
-                raise BadRequestError(431 if self._headers else 414)
+                raise request_errors.BadRequestError(431 if self._headers else 414)
             self._reserve_head()
+        elif self.in_body and not self._announced_size:
+            self._reserve_open_field(size, has_parts=self._turn_parts > parts)
         self._request_size += size
         max_size = self.bounds.header_bytes + MAX_CHUNK_SIZE_FACTOR * self._body_size
         if not self.requests and not self.in_head and self._request_size > max_size:
-            raise BadRequestError(413)
+            raise request_errors.BadRequestError(413)
         return size
 
+    def _reserve_open_field(self, size: int, *, has_parts: bool) -> None:
+        """Reserves the memory for bytes that the parser keeps if they belong to a field."""
+        open_size = open_field.count(self._open_field_size, size, has_parts=has_parts)
+        if open_size > self.bounds.header_bytes:
+            raise request_errors.BadRequestError(413)
+        self._open_field_size = open_size
+        if open_size > FREE_HEAD_BYTES:
+            self._reserve(self._head_cost + self._body_cost + HEAD_COPIES * open_size)
+
     def _parse(self, data: bytes | memoryview) -> int:
         """Parses bytes up to the end of the next head that offers an upgrade; returns how many.
 
@@ -286,7 +273,7 @@
         """Appends a piece of the target."""
         self._target += url
         if len(self._target) > self.bounds.header_bytes:
-            raise BadRequestError(414)
+            raise request_errors.BadRequestError(414)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field; one behind the body is not forwarded and has no effect."""
@@ -302,15 +289,15 @@
         if self._head_bytes_fed > self.bounds.header_bytes:
             size = sum(len(name) + len(value) for name, value in headers)
             if size > self.bounds.header_bytes:
-                raise BadRequestError(431)
+                raise request_errors.BadRequestError(431)
         if self.parser.get_method() == b"CONNECT":
-            raise BadRequestError(405)
+            raise request_errors.BadRequestError(405)
         self._reserve_head()
         version = self._version = self.parser.get_http_version()
         names = [name for name, _ in headers]
         hosts = names.count(b"host")
         if version not in message.VERSIONS or hosts > 1 or (version == "1.1" and not hosts):
-            raise BadRequestError(400)
+            raise request_errors.BadRequestError(400)
         if b"transfer-encoding" in names:
             self._check_transfer_encoding()
         if b"content-length" in names:
@@ -325,7 +312,7 @@
         length = message.find_header(self._headers, b"content-length")
         body_size = message.parse_whole_number(length, self.bounds.body_bytes + 1) or 0
         if body_size > self.bounds.body_bytes:
-            raise BadRequestError(413)
+            raise request_errors.BadRequestError(413)
         self._announced_size = body_size
         self._reserve(self._head_cost + BODY_COPIES * body_size)
 
@@ -333,19 +320,23 @@
         """Refuses codings that can't be undone, and any in HTTP/1.0, which has none."""
         values = [value for name, value in self._headers if name == b"transfer-encoding"]
         if not message.is_chunked_only(values) or self._version == "1.0":
-            raise BadRequestError(400)
+            raise request_errors.BadRequestError(400)
 
     def on_body(self, body: bytes) -> None:
         """Appends a piece of the body."""
         self._turn_parts += 1
         size = self._body_size = self._body_size + len(body)
         if size > self.bounds.body_bytes:
-            raise BadRequestError(413)
+            raise request_errors.BadRequestError(413)
         if self._head_cost + BODY_COPIES * size > self._reserved_bytes:
-            steps = -(-size // BODY_STEP_BYTES)
-            self._reserve(self._head_cost + BODY_COPIES * BODY_STEP_BYTES * steps)
+            self._reserve(self._head_cost + self._body_cost)
         self._body = body_buffer.append(self._body, body)
 
+    @property
+    def _body_cost(self) -> int:
+        """Memory for the body of unknown size that is being read."""
+        return BODY_COPIES * BODY_STEP_BYTES * -(-self._body_size // BODY_STEP_BYTES)
+
     def on_message_complete(self) -> None:
         """Appends the complete request to `requests`; one that offers an upgrade is read again."""
         if self._upgrade_offered:
--- a/tests/test_process/test_client_floods.py
+++ b/tests/test_process/test_client_floods.py
@@ -50,6 +50,10 @@
     "fields-and-short-body": [
         HEAD + MINIMAL_FIELDS + b"content-length: %d\r\n\r\n" % BODY + bytes(BODY - 1)
     ],
+    "trailer-short": [
+        CHUNKED + b"%x\r\n%s\r\n0\r\na: " % (BODY // 2, bytes(BODY // 2)),
+        *[bytes(BODY).replace(b"\0", b"b")] * 4,
+    ],
     "trailers-short": [CHUNKED + b"1\r\nx\r\n0\r\n" + MINIMAL_FIELDS],
     "whole": [ANNOUNCED % BODY + bytes(BODY)],
     "pieces": [ANNOUNCED % BODY, *[bytes(PIECE)] * (BODY // PIECE)],
--- a/tests/test_util/test_framing.py
+++ b/tests/test_util/test_framing.py
@@ -7,7 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from bergamotridge.util import message, request_reader, response_reader
+from bergamotridge.util import message, request_errors, request_reader, response_reader
 from tests import plain_http
 
 EXAMPLES = 150
@@ -123,7 +123,7 @@
             reader.feed(piece)
             while reader.is_behind:
                 reader.parse()
-    except (httptools.HttpParserError, request_reader.BadRequestError):
+    except (httptools.HttpParserError, request_errors.BadRequestError):
         refused = True
     requests = [
         (one.method, one.target, _without_offers(one.headers), one.body, one.keep_alive)
--- a/tests/test_util/test_input_turns.py
+++ b/tests/test_util/test_input_turns.py
@@ -15,6 +15,7 @@
     input_turns,
     loop,
     message,
+    request_errors,
     request_reader,
     response_reader,
 )
@@ -136,7 +137,7 @@
 def test_input_that_finds_no_room_to_wait_is_refused():
     memory = held_bytes.HeldBytes(len(CHUNKS))
     reader = request_reader.RequestReader(BOUNDS, memory)
-    with pytest.raises(request_reader.NoRoomError):
+    with pytest.raises(request_errors.NoRoomError):
         reader.feed(HEAD + CHUNKS)
     reader.drop()
     assert memory.total_bytes == 0
@@ -150,7 +151,7 @@
     last = SHORT_GET.replace(b"host", b"connection: close\r\nhost")
     with pytest.raises(httptools.HttpParserError) as raised:
         reader.feed(SHORT_GET + last)
-    assert isinstance(request_reader.find_cause(raised.value), request_reader.NoRoomError)
+    assert isinstance(request_errors.find_cause(raised.value), request_errors.NoRoomError)
 
 
 # Requests behind a full pipeline, or input behind a turn, could have been lost or swapped.
