nodes: the retry budget of a process starts empty

Cause: the share of the slack was kept in memory, and each process started with all of it. Eight nodes that start each second, with a slack of 20 in 10 s, were allowed 160 retries (new test; now no more than 20). A bucket now starts with what has been added since the process started, also that of a service that is called for the first time later. First attempts fill it as before, so that a node with calls has retries at once.

--- a/bergamotridge/nodes/budget.py
+++ b/bergamotridge/nodes/budget.py
@@ -1,5 +1,6 @@
 """Retry budget: limits the retries of one node to its share of the fleet's budget."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -44,7 +45,8 @@
 
     Each first attempt adds `ratio` tokens, and a retry takes one. The fleet's slack is divided
     evenly among the nodes: a node's share is the capacity of its bucket, and a bucket refills by
-    that share in each window, even without traffic.
+    that share in each window, even without traffic. Buckets are empty when the process starts: an
+    earlier process of the host may just have used up its share.
 
     With a reserve, an unattributed call takes a retry only while more than RESERVE_FRACTION of the
     capacity is left. In a large fleet a bucket holds a single token, which no part of the capacity
@@ -59,8 +61,9 @@
         fleet_size: Callable[[], int] = lambda: 1,
         *,
         has_reserve: bool = False,
+        started_at: float = -math.inf,
     ) -> None:
-        """Creates a budget in which the bucket of each service starts full.
+        """Creates a budget.
 
         Args:
             ratio: Retries for each first attempt.
@@ -68,12 +71,15 @@
             window_s: The window in seconds.
             fleet_size: Returns the number of nodes in the fleet.
             has_reserve: True to keep a reserve for direct calls (`upstreams.call_kinds`).
+            started_at: Monotonic time in seconds at which the process started and the buckets were
+                empty; by default so long ago that they are full.
         """
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._fleet_size = fleet_size
         self._has_reserve = has_reserve
+        self._started_at = started_at
         self._last_capacity = 0.0
         self._buckets: dict[str, _Bucket] = {}
 
@@ -117,9 +123,19 @@
 
     def _refilled_bucket(self, service: str, now: float) -> _Bucket:
         capacity = self._update_capacity()
-        bucket = self._buckets.setdefault(service, _Bucket(capacity, now, capacity))
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = self._buckets[service] = self._create_bucket(capacity, now)
         elapsed_s = max(0.0, now - bucket.refilled_at)
         bucket.add(elapsed_s * self._slack_per_node() / self._window_s, capacity)
         bucket.tokens = min(capacity, bucket.tokens)
         bucket.refilled_at = max(now, bucket.refilled_at)
         return bucket
+
+    def _create_bucket(self, capacity: float, now: float) -> _Bucket:
+        """Returns a bucket with what has been added since the process started."""
+        tokens = capacity
+        if math.isfinite(self._started_at):
+            elapsed_s = max(0.0, now - self._started_at)
+            tokens = min(capacity, elapsed_s * self._slack_per_node() / self._window_s)
+        return _Bucket(tokens, now, tokens)
--- a/bergamotridge/nodes/call_assembly.py
+++ b/bergamotridge/nodes/call_assembly.py
@@ -1,5 +1,6 @@
 """Creates the parts of a node that send calls to other nodes and take theirs."""
 
+import time
 from collections.abc import Callable
 
 import attrs
@@ -86,6 +87,7 @@
             node.retries.window_s,
             members.size,
             has_reserve=node.shedding.scarce,
+            started_at=time.monotonic(),
         ),
         thresholds,
         shared.log,
--- a/tests/test_nodes/test_budget.py
+++ b/tests/test_nodes/test_budget.py
@@ -56,3 +56,18 @@
         retries.add_first_attempt("depot", 0.0)
         granted += retries.try_take("depot", 0.0, is_unattributed=True)
     assert 0.8 * 100 <= granted <= 1 + 100
+
+
+# A process that is ended again and again had its share of the slack each time.
+def test_the_retries_of_processes_that_start_again_stay_within_the_slack():
+    granted, fleet_size = 0, 8
+    for start in range(10):
+        retries = budget.RetryBudget(0.1, 20.0, 10.0, lambda: fleet_size, started_at=float(start))
+        granted += fleet_size * sum(retries.try_take("depot", start + 0.9) for _ in range(20))
+    assert granted <= 20.0
+
+
+def test_a_process_that_has_run_for_the_window_has_its_whole_share_of_the_slack():
+    retries = budget.RetryBudget(0.1, 20.0, 10.0, lambda: 4, started_at=100.0)
+    assert sum(retries.try_take("depot", 104.5) for _ in range(20)) == 2
+    assert sum(retries.try_take("shop", 111.0) for _ in range(20)) == 5
