soak: planted faults take the token of a call

Since calls of one connection may run side by side, its handler gets the token as an argument. A request that is read and not passed on now has the token that any call has.

--- a/soak/machines/planted_node.py
+++ b/soak/machines/planted_node.py
@@ -137,16 +137,16 @@
             connection.__dict__["pieces"] = connection.__dict__.get("pieces", 0) + 1
             received(connection, data)
 
-        async def answer(connection, request):
+        async def answer(connection, request, token):
             own = connection.__dict__
             answered, pieces = own.get("answered", 0), own.get("pieces", 0)
             own["answered"], own["pieces"] = answered + 1, 0
             if connection._server.name != planter._fault.port:
-                return await handle(connection, request)
+                return await handle(connection, request, token)
             before = planter._fault.way.startswith((EARLY, UNPASSED))
             if before and planter._is_time(connection, answered, pieces):
-                return await planter._end_before(connection, request, handle)
-            response = await handle(connection, request)
+                return await planter._end_before(connection, request, token, handle)
+            response = await handle(connection, request, token)
             is_good = response.status == 200 and not before
             if is_good and planter._is_time(connection, answered, pieces):
                 return await planter._end(connection, request, response, planter._fault.way)
@@ -163,14 +163,13 @@
         holds = self._moments.hold(self._fault.moment, answered, pieces, time.monotonic())
         return holds and random.random() < self._fault.share
 
-    async def _end_before(self, connection, request, handle):
+    async def _end_before(self, connection, request, token, handle):
         """Ends a request while its server works, or without one."""
         way = self._fault.way
         if way.startswith(UNPASSED):
-            connection.token = None
             await asyncio.sleep(PAST_SLACK_S)
             return await self._end(connection, request, None, way.removeprefix(UNPASSED))
-        self._left.add(task := asyncio.create_task(handle(connection, request)))
+        self._left.add(task := asyncio.create_task(handle(connection, request, token)))
         task.add_done_callback(self._left.discard)
         await asyncio.wait({task}, timeout=EARLY_S)
         if task.done():
