util: a response that is complete when its call is cancelled keeps its body

Found by reading: an ended connection freed its response at once, also one that was complete and that its call had yet to take. A call that was cancelled in that turn of the loop got a whole response with an empty body, which a call that runs at most once would have kept. Only the pool frees a response now, once it has taken it or failed its transfer. The new test cancels a call in each of six turns after its response came; two forms of it had no body before.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -145,7 +145,8 @@
         self._fail_transfer(
             MemoryExceededError("all responses being read together exceed their memory")
         )
-        self.abort()
+        self._unparsed = memoryview(b"")
+        self.discard()
 
     def eof_received(self) -> None:
         """Notes the end of the connection, which may also be the end of a response."""
@@ -191,14 +192,19 @@
         return bool(self._input.poll(0))
 
     def abort(self) -> None:
-        """Closes the connection at once; a running transfer fails, and its response is dropped."""
+        """Closes the connection at once; a running transfer fails."""
         self.ended = True
-        # The garbage collector may find the connection much later.
-        self.reader.drop()
-        self._unparsed = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
+    def discard(self) -> None:
+        """Closes the connection at once and frees its response, which was taken or is not needed.
+
+        The garbage collector may find the connection much later.
+        """
+        self.abort()
+        self.reader.drop()
+
     async def transfer(
         self, data: bytes, deadline: float, token: cancellation.Token | None
     ) -> None:
--- a/bergamotridge/util/http_client.py
+++ b/bergamotridge/util/http_client.py
@@ -182,10 +182,10 @@
             if not fault and check is not None:
                 fault = check(request, response, reused)
         except BaseException:
-            connection.abort()
+            connection.discard()
             raise
         if fault:
-            connection.abort()
+            connection.discard()
             raise TransferError(fault, verdict.Verdict.MAY_HAVE_RUN)
         return response
 
@@ -246,7 +246,7 @@
             connection.idle_until = now + reader.idle_s
             self._idle.append(connection)
         else:
-            connection.abort()
+            connection.discard()
 
     def _take_idle_connection(self, now: float) -> client_connection.Connection | None:
         """Returns an idle connection that the server should still keep open, or None."""
--- a/tests/test_util/test_endless_answers.py
+++ b/tests/test_util/test_endless_answers.py
@@ -9,7 +9,7 @@
 
 from bergamotridge import errors, verdict
 from bergamotridge.store import client
-from bergamotridge.util import http_client, message
+from bergamotridge.util import cancellation, http_client, message
 from tests import event_loop
 
 BODY_LIMIT = 4_194_304
@@ -136,6 +136,40 @@
         gc.enable()
 
 
+# Memory that is freed with a connection must not be that of a response that is about to be taken.
+@pytest.mark.parametrize("head", [b"content-length: 2\r\n\r\n", b"connection: close\r\n\r\n"])
+def test_a_response_that_is_complete_when_its_call_is_cancelled_is_not_emptied(head):
+    request = message.Request(b"GET", b"/", [])
+
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"ok")
+        writer.close()
+
+    async def send_and_cancel(address, turns):
+        token, running = cancellation.Token(), asyncio.get_running_loop()
+
+        def cancel_after(left):
+            token.cancel() if not left else running.call_soon(cancel_after, left - 1)
+
+        pools = http_client.Pools(
+            BODY_LIMIT, close_delimited=True, on_arrival=lambda: cancel_after(turns)
+        )
+        with contextlib.suppress(http_client.TransferError):
+            response = await pools.pool_for(address).send(request, 30.0, token)
+            assert response.body == b"ok"
+        pools.close()
+
+    async def run():
+        async with serving(answer) as address:
+            for turns in range(6):
+                await send_and_cancel(address, turns)
+            await asyncio.sleep(CLOSE_PAUSE_S)
+
+    event_loop.run(run())
+
+
 # A reply of the platform was kept whole, however long it was, until the time limit of the request.
 @pytest.mark.parametrize("part", ["body", "head"])
 def test_a_reply_of_the_platform_without_end_ends_the_request(part):
