util: a response that is complete is not given up for its memory any more

Where all responses being read hold too much, the largest is given up. One that was complete, and that its call had yet to take in the same turn of the loop, could be chosen too: its call got it with an empty body. So it has been since the memory of responses is bounded. The new test failed before.

--- a/bergamotridge/util/client_connection.py
+++ b/bergamotridge/util/client_connection.py
@@ -141,7 +141,12 @@
             self._memory.hold(self, reader.held_bytes + unparsed_bytes)
 
     def give_up(self) -> None:
-        """Drops the response that is being read, and closes the connection."""
+        """Drops the response that is being read, and closes the connection.
+
+        One that is complete is about to be taken, and stays.
+        """
+        if self._waiter is None or self._waiter.done():
+            return
         self._fail_transfer(
             MemoryExceededError("all responses being read together exceed their memory")
         )
--- a/tests/test_util/test_input_turns.py
+++ b/tests/test_util/test_input_turns.py
@@ -307,3 +307,19 @@
     answer = event_loop.run(receive())
     event_loop.run(asyncio.sleep(0.01))
     assert answer.memory.held_bytes == 0
+
+
+# A response that was complete, and not taken yet, was given up for its memory: its body was empty.
+def test_a_response_that_is_complete_is_not_given_up_any_more():
+    async def receive():
+        answer = Answer()
+        answer.connection.reader.prepare_next(head=False)
+        deadline = asyncio.get_running_loop().time() + 60.0
+        transfer = asyncio.ensure_future(answer.connection.transfer(b"", deadline, None))
+        await asyncio.sleep(0)
+        answer.connection.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\ntwo")
+        answer.connection.give_up()
+        await transfer
+        return answer.connection.reader.response().body
+
+    assert event_loop.run(receive()) == b"two"
