--- a/bergamotridge/util/pipeline.py
+++ b/bergamotridge/util/pipeline.py
@@ -176,6 +176,8 @@
         self._is_dropped = True
         for entry in self._entries:
             self._memory.release_response(entry)
+            # Its response is freed with it; the garbage collector may find the entry much later.
+            entry.task = None
 
     def _create_entry(self, request: message.Request) -> _Entry:
         return _Entry(
--- a/tests/test_util/test_pipeline.py
+++ b/tests/test_util/test_pipeline.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import concurrent.futures
+import gc
 import threading
+import tracemalloc
 
 import pytest
 
@@ -14,6 +16,7 @@
 
 WAIT_S = 30
 PAUSE_S = 0.001
+LONG_SIZE = 1_000_000
 
 
 def get(path: bytes) -> bytes:
@@ -209,3 +212,25 @@
         may_finish.set()
         assert split(read_all(client)) == [(200, b"/1"), (200, b"/2")]
     server.stop(0)
+
+
+# Responses that waited behind an unanswered request when their client left stayed in memory, of no
+# account, until the garbage collector found their connection.
+def test_responses_that_wait_when_their_client_leaves_are_freed_at_once():
+    held = HeldServer(body_size=LONG_SIZE)
+    gc.disable()
+    tracemalloc.start()
+    try:
+        with connect(held.address) as client:
+            client.sendall(get(b"1") + get(b"2") + get(b"3"))
+            held.wait_for("/1", "/2", "/3")
+            held.release("/2", "/3")
+            processes.wait_until(lambda: len(held.ended) == 2, "two are ready")
+        processes.wait_until(lambda: held.cancelled == ["/1"], "the client has left")
+        processes.wait_until(
+            lambda: tracemalloc.get_traced_memory()[0] < LONG_SIZE, "the responses are freed"
+        )
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    held.server.stop(0)
