--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,5 +2,8 @@
 # Builds the stand-ins of cases 6 to 10: they need nothing but the interpreter, and are compiled here.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q lib2 6 7 8 9 10 2>/dev/null || python3 -m compileall -q lib2
-for file in lib2/*.py; do python3 -m py_compile "$file"; done
+for folder in lib2 6 7 8 9 10; do
+    if [ -d "$folder" ]; then
+        python3 -m compileall -q "$folder"
+    fi
+done
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -145,20 +145,34 @@
         self.network = find_network()
         self.store = store.Store()
         self.machines: list[Machine] = []
-        self._ids = 0
+        self._ids = self._last_number = 0
 
     async def start(self, services: list[str], configuration: dict) -> None:
         """Starts the store and one machine for each entry of `services`; waits for them."""
         await self.store.start((f"{self.network}.200", STORE))
         self.store.write("config", "main", configuration)
-        for number, service in enumerate(services, 1):
-            machine = Machine(self, number, service)
+        await self.add(services)
+
+    async def add(self, services: list[str]) -> None:
+        """Adds a machine with a name and an address of its own for each entry; waits for them."""
+        for service in services:
+            self._last_number += 1
+            machine = Machine(self, self._last_number, service)
             self.machines.append(machine)
             machine.start_node()
             machine.server = server.Server(self.rows, machine)
             await machine.server.start()
         await self.wait_ready()
 
+    def remove_all(self) -> None:
+        """Removes all machines at once, without SIGTERM; their servers go with them."""
+        for machine in self.machines:
+            machine.send(signal.SIGKILL)
+            machine.server.end()
+        for machine in self.machines:
+            machine.process.wait()
+        self.machines = []
+
     async def wait_ready(self) -> None:
         """Waits until all nodes are ready; raises TimeoutError."""
         async with asyncio.timeout(READY_S):
--- a/review/lib2/server.py
+++ b/review/lib2/server.py
@@ -26,6 +26,7 @@
         self._born = int(time.time() * 1000)
         self._seq = 0
         self._beats: asyncio.Task | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listens, and begins to report."""
@@ -33,6 +34,13 @@
         self._server = await asyncio.start_server(self._serve, host, port, backlog=400)
         self._beats = asyncio.create_task(self._beat())
 
+    def end(self) -> None:
+        """Ends as a process does that is killed: its connections end with it."""
+        self._beats.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def report(self) -> bytes:
         """Returns the next liveness report."""
         self._seq += 1
@@ -63,12 +71,14 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(wire.EndedError, ConnectionError):
             while True:
                 start, fields = await wire.read_head(reader)
                 body = await wire.read_body(reader, fields)
                 writer.write(await self._answer(start, fields, body))
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, start: str, fields: dict[str, str], body: bytes) -> bytes:
