--- a/review/7/play.py
+++ b/review/7/play.py
@@ -55,11 +55,13 @@
     """Plays the case with the trouble that the environment names."""
     trouble = os.environ.get("TROUBLE", DRILL)
     trouble = trouble if trouble in (NONE, KILL) else DRILL
+    # Told to end, it ends the processes that it started, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     rows = record.Record(pathlib.Path(__file__).with_name("record.txt"))
     with tempfile.TemporaryDirectory() as folder:
         try:
             return asyncio.run(play(trouble, pathlib.Path(folder), rows))
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, KeyboardInterrupt) as error:
             print(f"the case could not run: {error!r}")
             return 2
 
