review: the settings of later starts say that the system has started before

bootstrap is true only in the first start of all, as the users' page says; the product doesn't read it.

--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -39,7 +39,7 @@
 listen.control={ip}:8540
 internal_ports=7000,7015
 seeds=
-bootstrap=true
+bootstrap={bootstrap}
 fault_counted=false
 limits.cpu_share=0.86
 limits.cores=2
@@ -103,6 +103,7 @@
                 ip=self.ip,
                 zone=self.zone,
                 service=self.service,
+                bootstrap="false" if self._fleet.has_started else "true",
                 store=f"{self._fleet.network}.200:{STORE}",
             ),
             encoding="utf-8",
@@ -146,6 +147,7 @@
         self.network = find_network()
         self.store = store.Store()
         self.machines: list[Machine] = []
+        self.has_started = False  # True once the whole system has started for the first time.
         self._ids = self._last_number = 0
 
     async def start(self, services: list[str], configuration: dict) -> None:
@@ -153,6 +155,7 @@
         await self.store.start((f"{self.network}.200", STORE))
         self.store.write("config", "main", configuration)
         await self.add(services)
+        self.has_started = True
 
     async def add(self, services: list[str]) -> None:
         """Adds a machine with a name and an address of its own for each entry; waits for them."""
