--- a/review/7/play.py
+++ b/review/7/play.py
@@ -47,7 +47,7 @@
         await asyncio.sleep(traffic.RECOVERY_S + traffic.MEASURED_S)
     finally:
         await clients.end()
-        fleet.end()
+        await fleet.end()
     return traffic.judge_recovery(rows, fault_at, back_at)
 
 
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -19,6 +19,7 @@
 OUTBOUND, INBOUND, READY, CONTROL, APP, STORE = 8548, 8543, 8546, 8540, 8547, 8545
 RESTART_S = 0.5
 READY_S = 30.0
+CLOSE_S = 0.5  # For the connections of stand-ins to end.
 ZONES = ("nl-noord", "nl-oost", "nl-zuid", "nl-west")
 # As in the settings that `fleetbench wire` shows for a small deployment.
 SETTINGS = """node_id={name}
@@ -179,12 +180,16 @@
             while not all([await machine.is_ready() for machine in self.machines]):
                 await asyncio.sleep(0.1)
 
-    def end(self) -> None:
-        """Ends all processes that this fleet started."""
+    async def end(self) -> None:
+        """Ends all processes that this fleet started, and its stand-ins."""
         for machine in self.machines:
             if machine.process is not None:
                 machine.process.kill()
                 machine.process.wait()
+            if machine.server is not None:
+                machine.server.end()
+        self.store.close()
+        await asyncio.sleep(CLOSE_S)
         self.rows.close()
 
     async def request(
--- a/review/lib2/server.py
+++ b/review/lib2/server.py
@@ -36,8 +36,9 @@
 
     def end(self) -> None:
         """Ends as a process does that is killed: its connections end with it."""
-        self._beats.cancel()
-        self._server.close()
+        if self._beats is not None:
+            self._beats.cancel()
+            self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/review/lib2/store.py
+++ b/review/lib2/store.py
@@ -30,6 +30,12 @@
         """Listens on an address."""
         self._server = await asyncio.start_server(self._serve, *address)
 
+    def close(self) -> None:
+        """Stops to listen, and ends all connections."""
+        self.go_away()
+        if self._server is not None:
+            self._server.close()
+
     def copy(self) -> tuple[int, dict]:
         """Returns a copy of all objects, to come back from."""
         return self._revision, json.loads(
